--- /dev/null
+++ b/fake/faults.go
@@ -0,0 +1,93 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Mode is the kind of fault that a stand-in shows.
+type Mode string
+
+// The faults of a stand-in.
+const (
+	// None serves normally.
+	None Mode = "none"
+	// Down answers 503 without doing anything.
+	Down Mode = "down"
+	// Slow delays each call by the fault's delay.
+	Slow Mode = "slow"
+	// LostAnswer does the work, then closes the connection without an answer.
+	LostAnswer Mode = "lost_answer"
+)
+
+// Fault is one fault as it is sent to POST /fault.
+type Fault struct {
+	Mode    Mode `json:"mode"`
+	DelayMS int  `json:"delay_ms,omitempty"`
+	// Count is the number of calls that the fault meets; 0 means until it is replaced.
+	Count int `json:"count,omitempty"`
+}
+
+// Faults injects faults into a stand-in. The zero value injects none.
+type Faults struct {
+	mu      sync.Mutex
+	current Fault
+}
+
+// Set replaces the current fault.
+func (f *Faults) Set(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = fault
+}
+
+func (f *Faults) take() Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fault := f.current
+	if f.current.Count > 0 {
+		f.current.Count--
+		if f.current.Count == 0 {
+			f.current = Fault{}
+		}
+	}
+	return fault
+}
+
+// ServeHTTP sets the fault in the request's body.
+func (f *Faults) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch fault.Mode {
+	case None, Down, Slow, LostAnswer:
+		f.Set(fault)
+	default:
+		http.Error(w, "unknown mode", http.StatusBadRequest)
+	}
+}
+
+func (f *Faults) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch fault := f.take(); fault.Mode {
+		case Down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Slow:
+			select {
+			case <-time.After(time.Duration(fault.DelayMS) * time.Millisecond):
+				next.ServeHTTP(w, r)
+			case <-r.Context().Done():
+			}
+		case LostAnswer:
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,111 @@
+// Package member describes instances: their slots, incarnations and records in the table service.
+package member
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Incarnation names one run of the process in a slot. The zero value names none.
+type Incarnation struct {
+	slot   string
+	number uint64
+}
+
+// NewIncarnation returns the incarnation with the given number in a slot.
+func NewIncarnation(slot string, number uint64) Incarnation {
+	return Incarnation{slot: slot, number: number}
+}
+
+// Slot returns the name of the slot.
+func (i Incarnation) Slot() string { return i.slot }
+
+// Number returns the incarnation's number, which starts at 1 and grows with each run in the slot.
+func (i Incarnation) Number() uint64 { return i.number }
+
+// IsZero reports whether i names no incarnation.
+func (i Incarnation) IsZero() bool { return i == Incarnation{} }
+
+// String returns the form "north-1#7".
+func (i Incarnation) String() string { return i.slot + "#" + strconv.FormatUint(i.number, 10) }
+
+// ParseIncarnation is the inverse of String.
+func ParseIncarnation(text string) (Incarnation, error) {
+	slot, number, ok := strings.Cut(text, "#")
+	if !ok || slot == "" {
+		return Incarnation{}, fmt.Errorf("incarnation %q: want slot#number", text)
+	}
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || n == 0 {
+		return Incarnation{}, fmt.Errorf("incarnation %q: the number must be a positive integer", text)
+	}
+	return Incarnation{slot: slot, number: n}, nil
+}
+
+// MarshalText encodes i as in String; the zero value yields an empty text.
+func (i Incarnation) MarshalText() ([]byte, error) {
+	if i.IsZero() {
+		return []byte{}, nil
+	}
+	return []byte(i.String()), nil
+}
+
+// UnmarshalText decodes the form of MarshalText.
+func (i *Incarnation) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*i = Incarnation{}
+		return nil
+	}
+	parsed, err := ParseIncarnation(string(text))
+	if err != nil {
+		return err
+	}
+	*i = parsed
+	return nil
+}
+
+// State is the state of an incarnation as its record in the table service gives it.
+type State string
+
+// The states of a record.
+const (
+	// Joining means that the first lease isn't in force yet.
+	Joining State = "joining"
+	// Ready means that partitions may be assigned.
+	Ready State = "ready"
+	// Draining means that partitions are moved away.
+	Draining State = "draining"
+	// Left means that the incarnation stopped and serves nothing.
+	Left State = "left"
+	// Lapsed means that witnesses have proved the lease lapsed and it was not re-acquired.
+	Lapsed State = "lapsed"
+)
+
+// Gone reports whether an incarnation in this state never serves again.
+func (s State) Gone() bool { return s == Left || s == Lapsed }
+
+// Record is an incarnation's row in the table service, under the key "slot/<slot>".
+type Record struct {
+	Incarnation Incarnation `json:"incarnation"`
+	Service     string      `json:"service"`
+	DataCentre  string      `json:"data_centre"`
+	Region      string      `json:"region,omitempty"`
+	// PeerAddress is the host:port for calls and forwarded requests between instances (TCP).
+	PeerAddress string `json:"peer_address"`
+	// HeartbeatAddress is the host:port for heartbeats (UDP).
+	HeartbeatAddress string `json:"heartbeat_address"`
+	// CallerAddress is the host:port for callers.
+	CallerAddress string `json:"caller_address"`
+	// Capacity is relative to other members of the service.
+	Capacity float64 `json:"capacity"`
+	// Witnesses are the slots that witness this incarnation's lease.
+	Witnesses []string `json:"witnesses"`
+	State     State    `json:"state"`
+}
+
+// RowPrefix is the prefix of the table keys of records.
+const RowPrefix = "slot/"
+
+// RowKey returns the table key of a slot's record.
+func RowKey(slot string) string { return RowPrefix + slot }
--- /dev/null
+++ b/object/object.go
@@ -0,0 +1,104 @@
+// Package object is a client of the platform's object store.
+package object
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"sapphiretray/code"
+)
+
+// DefaultTimeout bounds one call to the object store.
+const DefaultTimeout = 5 * time.Second
+
+const maxObjectBytes = 256 << 20
+
+// ErrNotFound means that no object has the name.
+var ErrNotFound = errors.New("object not found")
+
+// Client calls the object store at a base URL.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client for the store at base, such as "http://127.0.0.1:9000".
+func New(base string) *Client {
+	return &Client{base: base, client: &http.Client{Timeout: DefaultTimeout}}
+}
+
+// Put writes an object once. Writing the same content again succeeds; other content yields code.Conflict.
+func (c *Client) Put(ctx context.Context, name string, content []byte) error {
+	status, _, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), content)
+	if err != nil {
+		return code.Wrap(code.WriteUnknown, err, "put object %s", name)
+	}
+	switch status {
+	case http.StatusOK, http.StatusCreated:
+		return nil
+	case http.StatusPreconditionFailed:
+		return c.compare(ctx, name, content)
+	default:
+		return code.New(code.PlatformDown, "object store answered %d", status)
+	}
+}
+
+func (c *Client) compare(ctx context.Context, name string, content []byte) error {
+	stored, err := c.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(stored, content) {
+		return code.New(code.Conflict, "object %s exists with other content", name)
+	}
+	return nil
+}
+
+// Get returns an object's content, or an error that wraps ErrNotFound.
+func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil)
+	switch {
+	case err != nil:
+		return nil, code.Wrap(code.PlatformDown, err, "get object %s", name)
+	case status == http.StatusNotFound:
+		return nil, code.Wrap(code.BadRequest, ErrNotFound, "get object %s", name)
+	case status != http.StatusOK:
+		return nil, code.New(code.PlatformDown, "object store answered %d", status)
+	}
+	return body, nil
+}
+
+// List returns the sorted names of all objects that start with prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]string, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil || status != http.StatusOK {
+		return nil, code.New(code.PlatformDown, "list objects: status %d: %v", status, err)
+	}
+	var answer struct {
+		Names []string `json:"names"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, code.Wrap(code.PlatformDown, err, "object store answer")
+	}
+	return answer.Names, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, content []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(content))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxObjectBytes))
+	return resp.StatusCode, body, err
+}
--- /dev/null
+++ b/partition/entry.go
@@ -0,0 +1,50 @@
+package partition
+
+import (
+	"slices"
+
+	"sapphiretray/member"
+)
+
+// Replicas is the number of ranks of an entry: the owner and its successors.
+const Replicas = 3
+
+// Entry says who may serve a partition.
+type Entry struct {
+	// Epoch grows with each change of the entry.
+	Epoch uint64 `json:"epoch"`
+	// Members are the owner and its successors in order, at most Replicas.
+	Members []member.Incarnation `json:"members"`
+	// From are the incarnations that may still serve the partition under an older epoch.
+	From []member.Incarnation `json:"from,omitempty"`
+}
+
+// Fence returns the fencing token of the member at a rank.
+func (e Entry) Fence(rank int) uint64 { return e.Epoch<<8 | uint64(rank) }
+
+// Rank returns the rank of an incarnation, or -1 if it isn't a member.
+func (e Entry) Rank(i member.Incarnation) int { return slices.Index(e.Members, i) }
+
+// Next returns the entry that replaces e when members take over the partition. Incarnations for which gone returns true
+// can't serve any more and are left out of From.
+func (e Entry) Next(members []member.Incarnation, gone func(member.Incarnation) bool) Entry {
+	next := Entry{Epoch: e.Epoch + 1, Members: slices.Clone(members)}
+	add := func(candidates []member.Incarnation) {
+		for _, i := range candidates {
+			owner := len(members) > 0 && i == members[0]
+			if !owner && !gone(i) && !slices.Contains(next.From, i) {
+				next.From = append(next.From, i)
+			}
+		}
+	}
+	add(e.Members)
+	add(e.From)
+	return next
+}
+
+// Move replaces the entry of one partition.
+type Move struct {
+	Partition int    `json:"partition"`
+	Entry     Entry  `json:"entry"`
+	Reason    string `json:"reason"`
+}
--- /dev/null
+++ b/partition/partition.go
@@ -0,0 +1,330 @@
+// Package partition maps keys to partitions and partitions to the incarnations that may serve them.
+package partition
+
+import (
+	"fmt"
+	"maps"
+	"math/bits"
+	"slices"
+
+	"sapphiretray/member"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	noMember   = 1<<16 - 1
+	maxMembers = noMember
+	// MaxPartitions bounds the partitions of one service.
+	MaxPartitions = 1 << 22
+)
+
+// Map is an immutable partition map of one service. It takes about 10 bytes a partition.
+type Map struct {
+	service   string
+	version   uint64
+	members   []member.Incarnation
+	index     map[member.Incarnation]uint16
+	epochs    []uint32
+	ranks     [][Replicas]uint16
+	pending   map[int][]uint16
+	overrides map[uint64]int
+	shift     uint
+}
+
+// New returns a map at version 0 in which no partition has an owner. The number of partitions must be a power of two.
+func New(service string, partitions int) (*Map, error) {
+	if partitions < 1 || partitions > MaxPartitions || bits.OnesCount(uint(partitions)) != 1 {
+		return nil, fmt.Errorf("service %s: %d partitions: want a power of two up to %d", service, partitions, MaxPartitions)
+	}
+	m := &Map{
+		service:   service,
+		index:     make(map[member.Incarnation]uint16),
+		epochs:    make([]uint32, partitions),
+		ranks:     make([][Replicas]uint16, partitions),
+		pending:   make(map[int][]uint16),
+		overrides: make(map[uint64]int),
+		shift:     uint(64 - bits.TrailingZeros(uint(partitions))),
+	}
+	for p := range m.ranks {
+		m.ranks[p] = [Replicas]uint16{noMember, noMember, noMember}
+	}
+	return m, nil
+}
+
+// Service returns the service's name.
+func (m *Map) Service() string { return m.service }
+
+// Version returns the map's version.
+func (m *Map) Version() uint64 { return m.version }
+
+// Partitions returns the number of partitions, overrides for single keys included.
+func (m *Map) Partitions() int { return len(m.ranks) }
+
+// HashPartitions returns the number of partitions that keys are hashed to.
+func (m *Map) HashPartitions() int { return 1 << (64 - m.shift) }
+
+// Hash returns the hash of a key by which it is assigned to a partition.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// Partition returns the partition of a key. It doesn't allocate.
+func (m *Map) Partition(key string) int {
+	return m.PartitionOfHash(Hash(key))
+}
+
+// PartitionOfHash returns the partition of a key with the given hash.
+func (m *Map) PartitionOfHash(hash uint64) int {
+	if len(m.overrides) > 0 {
+		if p, ok := m.overrides[hash]; ok {
+			return p
+		}
+	}
+	return int(hash >> m.shift)
+}
+
+// Owner returns the incarnation at rank 0 and false if there is none. It doesn't allocate.
+func (m *Map) Owner(p int) (member.Incarnation, bool) { return m.Member(p, 0) }
+
+// Member returns the incarnation at a rank and false if there is none. It doesn't allocate.
+func (m *Map) Member(p, rank int) (member.Incarnation, bool) {
+	if p < 0 || p >= len(m.ranks) || rank < 0 || rank >= Replicas || m.ranks[p][rank] == noMember {
+		return member.Incarnation{}, false
+	}
+	return m.members[m.ranks[p][rank]], true
+}
+
+// Epoch returns the epoch of a partition's entry.
+func (m *Map) Epoch(p int) uint64 { return uint64(m.epochs[p]) }
+
+// Entry returns the entry of a partition.
+func (m *Map) Entry(p int) Entry {
+	e := Entry{Epoch: uint64(m.epochs[p])}
+	for _, i := range m.ranks[p] {
+		if i != noMember {
+			e.Members = append(e.Members, m.members[i])
+		}
+	}
+	for _, i := range m.pending[p] {
+		e.From = append(e.From, m.members[i])
+	}
+	return e
+}
+
+// Overrides returns the partitions of single keys by the hash of the key.
+func (m *Map) Overrides() map[uint64]int { return maps.Clone(m.overrides) }
+
+// Apply returns the map at a newer version with the moves made.
+func (m *Map) Apply(version uint64, moves []Move) (*Map, error) {
+	if version <= m.version {
+		return nil, fmt.Errorf("map %s: version %d is not newer than %d", m.service, version, m.version)
+	}
+	next := m.clone()
+	next.version = version
+	for _, move := range moves {
+		if err := next.set(move.Partition, move.Entry); err != nil {
+			return nil, fmt.Errorf("map %s: partition %d: %w", m.service, move.Partition, err)
+		}
+	}
+	return next, nil
+}
+
+// WithOverride returns the map at a newer version in which the key with the given hash has a partition of its own, with
+// the members of the partition that it was in.
+func (m *Map) WithOverride(version, hash uint64) (*Map, error) {
+	next, err := m.Apply(version, nil)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := m.overrides[hash]; ok {
+		return next, nil
+	}
+	if len(m.ranks) == MaxPartitions {
+		return nil, fmt.Errorf("map %s: no partition is left for an override", m.service)
+	}
+	old := m.PartitionOfHash(hash)
+	p := len(next.ranks)
+	next.epochs = append(next.epochs, m.epochs[old])
+	next.ranks = append(next.ranks, m.ranks[old])
+	if pending := m.pending[old]; len(pending) > 0 {
+		next.pending[p] = slices.Clone(pending)
+	}
+	next.overrides[hash] = p
+	return next, nil
+}
+
+func (m *Map) clone() *Map {
+	next := *m
+	next.members = slices.Clone(m.members)
+	next.index = maps.Clone(m.index)
+	next.epochs = slices.Clone(m.epochs)
+	next.ranks = slices.Clone(m.ranks)
+	next.pending = maps.Clone(m.pending)
+	next.overrides = maps.Clone(m.overrides)
+	return &next
+}
+
+func (m *Map) set(p int, e Entry) error {
+	if p < 0 || p >= len(m.ranks) {
+		return fmt.Errorf("want 0 to %d", len(m.ranks)-1)
+	}
+	if e.Epoch <= uint64(m.epochs[p]) {
+		return fmt.Errorf("epoch %d is not newer than %d", e.Epoch, m.epochs[p])
+	}
+	if len(e.Members) > Replicas {
+		return fmt.Errorf("%d members, want at most %d", len(e.Members), Replicas)
+	}
+	ranks := [Replicas]uint16{noMember, noMember, noMember}
+	for rank, i := range e.Members {
+		position, err := m.position(i)
+		if err != nil {
+			return err
+		}
+		ranks[rank] = position
+	}
+	delete(m.pending, p)
+	var pending []uint16
+	for _, i := range e.From {
+		position, err := m.position(i)
+		if err != nil {
+			return err
+		}
+		pending = append(pending, position)
+	}
+	if len(pending) > 0 {
+		m.pending[p] = pending
+	}
+	m.epochs[p] = uint32(e.Epoch)
+	m.ranks[p] = ranks
+	return nil
+}
+
+func (m *Map) position(i member.Incarnation) (uint16, error) {
+	if position, ok := m.index[i]; ok {
+		return position, nil
+	}
+	if len(m.members) == maxMembers {
+		m.compact()
+	}
+	if len(m.members) == maxMembers {
+		return 0, fmt.Errorf("more than %d incarnations", maxMembers)
+	}
+	position := uint16(len(m.members))
+	m.members = append(m.members, i)
+	m.index[i] = position
+	return position, nil
+}
+
+// compact drops the incarnations that no entry names, so that replaced instances don't use up the index.
+func (m *Map) compact() {
+	old := m.members
+	m.members = nil
+	m.index = make(map[member.Incarnation]uint16)
+	renumber := func(i uint16) uint16 {
+		if i == noMember {
+			return noMember
+		}
+		position, ok := m.index[old[i]]
+		if !ok {
+			position = uint16(len(m.members))
+			m.members = append(m.members, old[i])
+			m.index[old[i]] = position
+		}
+		return position
+	}
+	for p := range m.ranks {
+		for rank, i := range m.ranks[p] {
+			m.ranks[p][rank] = renumber(i)
+		}
+	}
+	for p, pending := range m.pending {
+		renumbered := make([]uint16, len(pending))
+		for n, i := range pending {
+			renumbered[n] = renumber(i)
+		}
+		m.pending[p] = renumbered
+	}
+}
+
+// Encode returns the map's snapshot.
+func (m *Map) Encode() ([]byte, error) {
+	s := &Snapshot{
+		Service: m.service, Version: m.version, Epochs: m.epochs,
+		Ranks:     make([]uint32, 0, len(m.ranks)*Replicas),
+		Overrides: make(map[uint64]uint32, len(m.overrides)),
+	}
+	for _, i := range m.members {
+		s.Members = append(s.Members, i.String())
+	}
+	for _, ranks := range m.ranks {
+		for _, i := range ranks {
+			s.Ranks = append(s.Ranks, uint32(i))
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(m.pending)) {
+		pending := &Pending{Partition: uint32(p)}
+		for _, i := range m.pending[p] {
+			pending.From = append(pending.From, uint32(i))
+		}
+		s.Pending = append(s.Pending, pending)
+	}
+	for hash, p := range m.overrides {
+		s.Overrides[hash] = uint32(p)
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
+}
+
+// Decode is the inverse of Encode. It refuses snapshots that name unknown members or partitions.
+func Decode(encoded []byte) (*Map, error) {
+	s := &Snapshot{}
+	if err := proto.Unmarshal(encoded, s); err != nil {
+		return nil, fmt.Errorf("map snapshot: %w", err)
+	}
+	if len(s.Epochs) < len(s.Overrides) || len(s.Ranks) != len(s.Epochs)*Replicas {
+		return nil, fmt.Errorf("map snapshot: %d epochs, %d ranks, %d overrides", len(s.Epochs), len(s.Ranks), len(s.Overrides))
+	}
+	m, err := New(s.Service, len(s.Epochs)-len(s.Overrides))
+	if err != nil {
+		return nil, fmt.Errorf("map snapshot: %w", err)
+	}
+	m.version = s.Version
+	m.epochs = append([]uint32(nil), s.Epochs...)
+	if err := m.decodeMembers(s); err != nil {
+		return nil, err
+	}
+	for hash, p := range s.Overrides {
+		if int(p) >= len(s.Epochs) {
+			return nil, fmt.Errorf("map snapshot: override names partition %d", p)
+		}
+		m.overrides[hash] = int(p)
+	}
+	return m, nil
+}
+
+func (m *Map) decodeMembers(s *Snapshot) error {
+	for _, text := range s.Members {
+		i, err := member.ParseIncarnation(text)
+		if err != nil {
+			return fmt.Errorf("map snapshot: %w", err)
+		}
+		m.index[i] = uint16(len(m.members))
+		m.members = append(m.members, i)
+	}
+	m.ranks = make([][Replicas]uint16, len(s.Epochs))
+	for n, i := range s.Ranks {
+		if i != noMember && int(i) >= len(m.members) {
+			return fmt.Errorf("map snapshot: rank names member %d of %d", i, len(m.members))
+		}
+		m.ranks[n/Replicas][n%Replicas] = uint16(i)
+	}
+	for _, pending := range s.Pending {
+		for _, i := range pending.From {
+			if int(i) >= len(m.members) || int(pending.Partition) >= len(s.Epochs) {
+				return fmt.Errorf("map snapshot: pending member %d of partition %d", i, pending.Partition)
+			}
+			p := int(pending.Partition)
+			m.pending[p] = append(m.pending[p], uint16(i))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,179 @@
+// Package table is a client of the platform's transactional table service.
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"sapphiretray/code"
+)
+
+// DefaultTimeout bounds one call to the table service.
+const DefaultTimeout = time.Second
+
+const maxAnswerBytes = 64 << 20
+
+// Row is one row; version 0 means that the row doesn't exist.
+type Row struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// Condition requires a row to have a version when a transaction commits.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write sets or deletes a row.
+type Write struct {
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+// Transaction is a set of writes that takes effect whole if all conditions hold.
+type Transaction struct {
+	Conditions []Condition `json:"conditions"`
+	Writes     []Write     `json:"writes"`
+}
+
+// ConflictError lists the rows whose version differed from the condition.
+type ConflictError struct {
+	rows []Row
+}
+
+// Rows returns the rows as they stand now.
+func (e *ConflictError) Rows() []Row { return e.rows }
+
+// Error describes the first conflict.
+func (e *ConflictError) Error() string {
+	if len(e.rows) == 0 {
+		return "transaction conflicts"
+	}
+	return "row " + e.rows[0].Key + " was changed by someone else"
+}
+
+// Client calls the table service at a base URL.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// Option changes a Client under construction.
+type Option func(*Client)
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.client.Timeout = d }
+}
+
+// New returns a client for the service at base, such as "http://127.0.0.1:9000".
+func New(base string, options ...Option) *Client {
+	c := &Client{base: base, client: &http.Client{Timeout: DefaultTimeout}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Get returns a row; a row that doesn't exist has version 0.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	row := Row{Key: key}
+	status, body, err := c.call(ctx, http.MethodGet, "/v1/rows/"+url.PathEscape(key), nil)
+	switch {
+	case err != nil:
+		return row, err
+	case status == http.StatusNotFound:
+		return row, nil
+	case status != http.StatusOK:
+		return row, code.New(code.PlatformDown, "table service answered %d", status)
+	}
+	return row, decode(body, &row)
+}
+
+// List returns all rows whose key starts with prefix, sorted by key.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/v1/rows?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, code.New(code.PlatformDown, "table service answered %d", status)
+	}
+	var answer struct {
+		Rows []Row `json:"rows"`
+	}
+	return answer.Rows, decode(body, &answer)
+}
+
+// Commit runs a transaction and returns the new versions of the rows written. A failed condition yields an error that
+// wraps *ConflictError and carries code.Conflict. An error with code.WriteUnknown means that the transaction may have
+// taken effect.
+func (c *Client) Commit(ctx context.Context, transaction Transaction) ([]Row, error) {
+	request, err := json.Marshal(transaction)
+	if err != nil {
+		return nil, code.Wrap(code.BadRequest, err, "encode transaction")
+	}
+	status, body, err := c.call(ctx, http.MethodPost, "/v1/transact", request)
+	if err != nil {
+		return nil, err
+	}
+	switch status {
+	case http.StatusOK:
+		var answer struct {
+			Rows []Row `json:"rows"`
+		}
+		return answer.Rows, decode(body, &answer)
+	case http.StatusConflict:
+		var answer struct {
+			Conflicts []Row `json:"conflicts"`
+		}
+		if err := decode(body, &answer); err != nil {
+			return nil, err
+		}
+		return nil, code.Wrap(code.Conflict, &ConflictError{rows: answer.Conflicts}, "commit")
+	case http.StatusServiceUnavailable:
+		return nil, code.New(code.PlatformDown, "table service is unavailable")
+	default:
+		return nil, code.New(code.WriteUnknown, "table service answered %d", status)
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, request []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(request))
+	if err != nil {
+		return 0, nil, code.Wrap(code.BadRequest, err, "table service request")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, nil, code.Wrap(failureCode(method), err, "table service call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, nil, code.Wrap(failureCode(method), err, "table service answer")
+	}
+	return resp.StatusCode, body, nil
+}
+
+// failureCode returns the code of a call without an answer: a write may have taken effect.
+func failureCode(method string) code.Code {
+	if method == http.MethodPost {
+		return code.WriteUnknown
+	}
+	return code.PlatformDown
+}
+
+func decode(body []byte, into any) error {
+	if err := json.Unmarshal(body, into); err != nil {
+		return code.Wrap(code.PlatformDown, err, "table service answer")
+	}
+	return nil
+}
