--- a/fake/platform.go
+++ b/fake/platform.go
@@ -2,10 +2,12 @@
 package fake
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -64,17 +66,23 @@
 
 func (p *Platform) listRows(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
+	after, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("after"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	rows := []table.Row{}
 	p.mu.Lock()
 	p.reads++
+	revision := p.last
 	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && row.Version > after {
 			rows = append(rows, row)
 		}
 	}
 	p.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	writeJSON(w, http.StatusOK, map[string]any{"rows": rows})
+	writeJSON(w, http.StatusOK, map[string]any{"rows": rows, "revision": revision})
 }
 
 func (p *Platform) transact(w http.ResponseWriter, r *http.Request) {
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -145,7 +145,7 @@
 		if !answer.GetPromised() {
 			return code.New(code.Moved, "%s keeps partition %d for now", i, p)
 		}
-		t.memory.Import(p, i, answer)
+		t.memory.Import(p, e.Epoch, i, answer)
 	}
 	return nil
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -45,7 +45,7 @@
 // Memory is the dedup cache of recent request ids, which moves with a partition.
 type Memory interface {
 	Export(p int) *peer.PromiseResponse
-	Import(p int, issuer member.Incarnation, from *peer.PromiseResponse)
+	Import(p int, epoch uint64, from member.Incarnation, handover *peer.PromiseResponse)
 }
 
 // Prover asks the witnesses of an incarnation whether its lease has expired for good.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -50,8 +50,9 @@
 func (s *simInstance) Grant(context.Context, int, uint64) error  { s.sim.delay(); return nil }
 func (s *simInstance) Revoke(context.Context, int, uint64) error { s.sim.delay(); return nil }
 
-func (s *simInstance) Export(int) *peer.PromiseResponse                      { return &peer.PromiseResponse{} }
-func (s *simInstance) Import(int, member.Incarnation, *peer.PromiseResponse) {}
+func (s *simInstance) Export(int) *peer.PromiseResponse { return &peer.PromiseResponse{} }
+
+func (s *simInstance) Import(int, uint64, member.Incarnation, *peer.PromiseResponse) {}
 
 // link is a client of another simulated instance; calls are delayed, and may fail before or after they took effect.
 type link struct {
