Add packages settings and config, and the compare-and-set of rows that operators change

In package table, a failure to connect now means that nothing was written, and an unreadable answer to an accepted transaction no longer counts as a refusal.

--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,145 @@
+// Package config holds the configuration that operators accept: services, routes, limits and weights.
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+)
+
+// RowKey is the table key of the accepted configuration.
+const RowKey = "config"
+
+// Config is an immutable configuration. The zero value has no routes and version 0, which is never accepted.
+type Config struct {
+	raw    raw
+	routes []Route
+	// byLength holds the routes by descending length of their prefix, those that list methods first, so that the first
+	// match is the most specific.
+	byLength []Route
+}
+
+// raw is the configuration as it is written in JSON.
+type raw struct {
+	Version  uint64       `json:"version"`
+	Services []rawService `json:"services"`
+	Routes   []rawRoute   `json:"routes"`
+	Limits   rawLimits    `json:"limits"`
+	Weights  rawWeights   `json:"weights"`
+}
+
+type rawService struct {
+	Name       string `json:"name"`
+	Partitions int    `json:"partitions"`
+}
+
+// Parse reads a configuration strictly. The error carries code.BadConfig and wraps document.Faults with every fault and
+// its position, those of Check included.
+func Parse(content []byte) (Config, error) {
+	root, faults := document.ParseJSON(content)
+	if root == nil {
+		return Config{}, code.Wrap(code.BadConfig, faults, "configuration")
+	}
+	var c Config
+	faults = append(faults, document.Decode(root, &c.raw)...)
+	reported := make(map[string]bool)
+	for _, f := range faults {
+		reported[f.Path()] = true
+	}
+	c.prepare()
+	for _, f := range c.Check() {
+		if !reported[f.Path()] {
+			line, column := root.Position(f.Path())
+			faults = append(faults, f.At(line, column))
+		}
+	}
+	if len(faults) > 0 {
+		faults.Sort()
+		return Config{}, code.Wrap(code.BadConfig, faults, "configuration")
+	}
+	return c, nil
+}
+
+// UnmarshalJSON reads a configuration and ignores unknown fields, so that a row written by a newer release can be read.
+// It doesn't call Check.
+func (c *Config) UnmarshalJSON(content []byte) error {
+	var next Config
+	if err := json.Unmarshal(content, &next.raw); err != nil {
+		return err
+	}
+	next.prepare()
+	*c = next
+	return nil
+}
+
+// MarshalJSON is the inverse of UnmarshalJSON.
+func (c Config) MarshalJSON() ([]byte, error) { return json.Marshal(c.raw) }
+
+// prepare derives the routes from the raw form.
+func (c *Config) prepare() {
+	c.routes = make([]Route, len(c.raw.Routes))
+	for n, r := range c.raw.Routes {
+		c.routes[n] = newRoute(r, c.Limits())
+	}
+	c.byLength = slices.Clone(c.routes)
+	slices.SortStableFunc(c.byLength, func(a, b Route) int {
+		return cmp.Or(len(b.raw.Prefix)-len(a.raw.Prefix), len(b.raw.Methods)-len(a.raw.Methods))
+	})
+}
+
+// WithVersion returns the configuration with another version.
+func (c Config) WithVersion(version uint64) Config {
+	c.raw.Version = version
+	return c
+}
+
+// Version returns the version, which grows by one with each accepted change.
+func (c Config) Version() uint64 { return c.raw.Version }
+
+// Services returns the services.
+func (c Config) Services() []Service {
+	services := make([]Service, len(c.raw.Services))
+	for n, s := range c.raw.Services {
+		services[n] = Service{name: s.Name, partitions: s.Partitions}
+	}
+	return services
+}
+
+// Service returns the service with a name and false if there is none.
+func (c Config) Service(name string) (Service, bool) {
+	for _, s := range c.raw.Services {
+		if s.Name == name {
+			return Service{name: s.Name, partitions: s.Partitions}, true
+		}
+	}
+	return Service{}, false
+}
+
+// Routes returns the routes in the order in which they are written.
+func (c Config) Routes() []Route { return slices.Clone(c.routes) }
+
+// Match returns the route with the longest prefix that matches path and accepts the method. A prefix matches whole path
+// segments: "/book" doesn't match "/bookings". Match doesn't allocate.
+func (c *Config) Match(path, method string) (Route, bool) {
+	for n := range c.byLength {
+		if r := &c.byLength[n]; r.matches(path, method) {
+			return *r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service is a service whose keys are partitioned.
+type Service struct {
+	name       string
+	partitions int
+}
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.name }
+
+// Partitions returns the number of partitions, a power of two.
+func (s Service) Partitions() int { return s.partitions }
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+	"sapphiretray/fake"
+	"sapphiretray/table"
+)
+
+func example(tb testing.TB) (Config, string) {
+	tb.Helper()
+	content, err := os.ReadFile("../docs/examples/config.json")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c, err := Parse(content)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return c, string(content)
+}
+
+// Guards against requests that reach the wrong service: a shorter prefix, part of a segment, another method.
+func TestMatch(t *testing.T) {
+	c, _ := example(t)
+	for _, test := range []struct{ method, path, want string }{
+		{"GET", "/bookings", "/bookings"},
+		{"GET", "/bookings/7", "/bookings"},
+		{"GET", "/bookingsx", ""},
+		{"GET", "/bookings/search", "/bookings/search"},
+		{"PUT", "/bookings/search", "/bookings"},
+		{"GET", "/", ""},
+	} {
+		r, ok := c.Match(test.path, test.method)
+		if r.Prefix() != test.want || ok != (test.want != "") {
+			t.Errorf("%s %s: got %q, want %q", test.method, test.path, r.Prefix(), test.want)
+		}
+	}
+	if n := testing.AllocsPerRun(100, func() { c.Match("/bookings/7/charge", "POST") }); n != 0 {
+		t.Errorf("Match allocates %g times", n)
+	}
+}
+
+// Guards against a key that differs from the one that the upstream reads: escaped slashes, repeated values.
+func TestKey(t *testing.T) {
+	c, _ := example(t)
+	for _, test := range []struct {
+		target, header, want string
+	}{
+		{"/bookings/a%2Fb/charge", "", "a/b"},
+		{"/bookings//charge", "", ""},
+		{"/bookings", "", ""},
+		{"/bookings/search?club=north", "", "north"},
+		{"/bookings/search?club=north&club=south", "", ""},
+		{"/bookings/search?club=%zz", "", ""},
+		{"/documents/1", "seven", "seven"},
+		{"/documents/1", "", ""},
+	} {
+		req := httptest.NewRequest(http.MethodGet, test.target, nil)
+		if test.header != "" {
+			req.Header.Set("Club", test.header)
+		}
+		r, _ := c.Match(req.URL.Path, req.Method)
+		if key, ok := r.Key(req); key != test.want || ok != (test.want != "") {
+			t.Errorf("%s: got %q %t, want %q", test.target, key, ok, test.want)
+		}
+	}
+}
+
+// Guards against a booking that is run twice because a route's defaults treat it as repeatable.
+func TestRepeatable(t *testing.T) {
+	c, _ := example(t)
+	for _, test := range []struct {
+		path, method     string
+		idempotent, once bool
+	}{
+		{"/bookings", "POST", false, true},
+		{"/bookings", "PATCH", false, true},
+		{"/bookings", "GET", true, false},
+		{"/bookings/search", "POST", true, false},
+	} {
+		r, _ := c.Match(test.path, test.method)
+		if r.Idempotent(test.method) != test.idempotent || r.Once(test.method) != test.once {
+			t.Errorf("%s %s: idempotent %t, once %t", test.method, test.path, r.Idempotent(test.method), r.Once(test.method))
+		}
+	}
+}
+
+// Guards against a faulty configuration that is accepted, a wrong position, and faults that hide others.
+func TestFaults(t *testing.T) {
+	_, content := example(t)
+	for _, test := range []struct{ old, replacement, want string }{
+		{`{"name": "documents"`, `{"name": "bookings"`, `4:14: services[1].name: service "bookings" is given twice`},
+		{`1024`, `1000`, "3:40: services[0].partitions: 1000: want a power of two"},
+		{`path:2`, `path:0`, "7:59: routes[0].key"},
+		{`header:Club`, `cookie:Club`, "routes[2].key"},
+		{`"importance": 9`, `"importance": 10`, "routes[0].importance: want 0 to 9"},
+		{`"timeout": "20s"`, `"timeout": "26s"`, "routes[2].timeout: want up to 25s"},
+		{`"timeout": "20s"`, `"timeout": 20`, "routes[2].timeout: want a text"},
+		{`"GET", "POST"`, `"get"`, "routes[1].methods[0]"},
+		{`"/bookings/search"`, `"/bookings"`, ""},
+		{`"/documents"`, `"/bookings"`, "9:16: routes[2].prefix: routes[0] has the same prefix"},
+		{`"idempotent": true`, `"idempotent": true, "once": true`, "routes[1].once"},
+		{`"limits"`, `"limit"`, "11:3: limit: unknown field"},
+		{`"churn": 3`, `"churn": -1`, "weights.churn"},
+		{`"churn": 3`, `"churn": 3, "churn": 4`, "weights.churn: the field is given twice"},
+		{`"retry_percent": 10`, `"retry_percent": 1.5`, "limits.retry_percent: want a whole number"},
+		{`"weights": {`, `"weights" {`, "12:13: "},
+		{`"unavailable": 2}`, `"unavailable": 2`, "13:"},
+	} {
+		broken := strings.Replace(content, test.old, test.replacement, 1)
+		_, err := Parse([]byte(broken))
+		var faults document.Faults
+		switch {
+		case broken == content:
+			t.Errorf("the example lacks %s", test.old)
+		case test.want == "" && err != nil:
+			t.Errorf("%s: %v", test.replacement, err)
+		case test.want != "" && (!errors.As(err, &faults) || !strings.Contains(faults.Error(), test.want)):
+			t.Errorf("%s: got %v, want %s", test.replacement, err, test.want)
+		}
+	}
+	_, err := Parse([]byte(`{"services": [{"name": "A", "partitions": 3}], "routes": [{"prefix": "x"}]}`))
+	var faults document.Faults
+	if !errors.As(err, &faults) || len(faults) != 5 {
+		t.Errorf("got %v, want 5 faults", err)
+	}
+}
+
+// Guards against input that is no configuration and makes the parser panic, and against an accepted one that is lost
+// when it is written and read again.
+func FuzzParse(f *testing.F) {
+	_, content := example(f)
+	f.Add([]byte(content))
+	f.Add([]byte(`{"services":[{"name":"a","partitions":1}],"routes":[{}],"limits":null}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		c, err := Parse(content)
+		if err != nil {
+			return
+		}
+		encoded, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Parse(encoded)
+		if err != nil || len(Diff(c, again)) > 0 {
+			t.Errorf("%s: %v %v", encoded, err, Diff(c, again))
+		}
+	})
+}
+
+// Guards against an operator who overwrites another's change unseen, and isn't told what it was.
+func TestApply(t *testing.T) {
+	c, content := example(t)
+	server := httptest.NewServer((&fake.Platform{}).Handler())
+	defer server.Close()
+	client := table.New(server.URL)
+	ctx := t.Context()
+
+	if _, err := Apply(ctx, client, Config{}, 0, "ana", ""); !hasCode(err, code.BadConfig) {
+		t.Errorf("empty configuration: %v", err)
+	}
+	if a, err := Apply(ctx, client, c, 0, "ana", "first"); err != nil || a.Value.Version() != 1 {
+		t.Fatalf("got version %d, %v", a.Value.Version(), err)
+	}
+	changed, err := Parse([]byte(strings.Replace(content, `"importance": 9`, `"importance": 8`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Apply(ctx, client, changed, 1, "ben", "less"); err != nil {
+		t.Fatal(err)
+	}
+	_, err = Apply(ctx, client, c, 1, "ana", "again")
+	if !hasCode(err, code.Conflict) || !strings.Contains(err.Error(), "version 2 by ben") ||
+		!strings.Contains(err.Error(), "routes[/bookings].importance: 9 -> 8") {
+		t.Errorf("got %v, want a conflict that names ben and the importance", err)
+	}
+	loaded, err := Load(ctx, client)
+	if err != nil || loaded.Version != 2 || loaded.Value.Version() != 2 || len(Diff(loaded.Value, changed)) > 0 {
+		t.Errorf("got version %d, %v", loaded.Version, err)
+	}
+}
+
+func hasCode(err error, want code.Code) bool {
+	got, _ := code.Of(err)
+	return got == want
+}
--- /dev/null
+++ b/config/store.go
@@ -0,0 +1,32 @@
+package config
+
+import (
+	"context"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+	"sapphiretray/table"
+)
+
+// Load returns the accepted configuration with its stamp. Version 0 means that none was accepted yet.
+func Load(ctx context.Context, c *table.Client) (table.Accepted[Config], error) {
+	return table.Read[Config](ctx, c, RowKey)
+}
+
+// Apply accepts a configuration in place of the version that the operator saw; 0 stands for none. The accepted version
+// is seen plus one. Errors carry code.BadConfig for a configuration that Check refuses, and those of table.Update.
+func Apply(ctx context.Context, c *table.Client, next Config, seen uint64, who, why string) (table.Accepted[Config], error) {
+	if err := next.Check().Err(); err != nil {
+		return table.Accepted[Config]{}, code.Wrap(code.BadConfig, err, "configuration")
+	}
+	return table.Update(ctx, c, RowKey, table.Change[Config]{
+		Seen: seen, By: who, Why: why,
+		Next: func(_ Config, version uint64) (Config, error) { return next.WithVersion(version), nil },
+		Diff: Diff,
+	})
+}
+
+// Diff lists the fields in which two configurations differ, the version apart.
+func Diff(older, newer Config) []string {
+	return document.Diff(older.WithVersion(0), newer.WithVersion(0))
+}
--- /dev/null
+++ b/document/decode.go
@@ -0,0 +1,183 @@
+package document
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration that is written as in "150ms".
+type Duration time.Duration
+
+// MarshalText writes the form of time.Duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q isn't a duration such as 150ms or 5s", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Decode stores the node in the struct that target points to, by the names in its json tags. Unknown and repeated fields
+// and values of a wrong type are faults; decoding goes on after each. A null value counts as missing.
+func Decode(n *Node, target any) Faults {
+	d := decoder{}
+	d.decode(n, "", reflect.ValueOf(target).Elem())
+	return d.faults
+}
+
+type decoder struct{ faults Faults }
+
+func (d *decoder) fail(n *Node, path, format string, args ...any) {
+	d.faults = append(d.faults, NewFault(n.line, n.column, path, format, args...))
+}
+
+func (d *decoder) decode(n *Node, path string, target reflect.Value) {
+	if n.kind == null {
+		return
+	}
+	if text, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(n, path, text)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		d.decode(n, path, target.Elem())
+	case reflect.Struct:
+		d.fields(n, path, target)
+	case reflect.Slice:
+		d.items(n, path, target)
+	default:
+		if n.kind != scalar || !assign(target, n.value) {
+			d.fail(n, path, "want %s", describe(target.Kind()))
+		}
+	}
+}
+
+func (d *decoder) text(n *Node, path string, target encoding.TextUnmarshaler) {
+	text, ok := n.value.(string)
+	if !ok {
+		d.fail(n, path, "want a text")
+		return
+	}
+	if err := target.UnmarshalText([]byte(text)); err != nil {
+		d.fail(n, path, "%s", err)
+	}
+}
+
+func (d *decoder) fields(n *Node, path string, target reflect.Value) {
+	if n.kind != object {
+		d.fail(n, path, "want fields")
+		return
+	}
+	names := make(map[string]int)
+	for i := range target.NumField() {
+		name, _, _ := strings.Cut(target.Type().Field(i).Tag.Get("json"), ",")
+		names[name] = i
+	}
+	seen := make(map[string]bool)
+	for _, f := range n.fields {
+		at := &Node{line: f.line, column: f.column}
+		inner := join(path, f.name)
+		index, known := names[f.name]
+		switch {
+		case !known:
+			d.fail(at, inner, "unknown field")
+		case seen[f.name]:
+			d.fail(at, inner, "the field is given twice")
+		default:
+			d.decode(f.node, inner, target.Field(index))
+		}
+		seen[f.name] = true
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (d *decoder) items(n *Node, path string, target reflect.Value) {
+	if n.kind != list {
+		d.fail(n, path, "want a list")
+		return
+	}
+	items := reflect.MakeSlice(target.Type(), len(n.items), len(n.items))
+	for i, item := range n.items {
+		d.decode(item, fmt.Sprintf("%s[%d]", path, i), items.Index(i))
+	}
+	target.Set(items)
+}
+
+func describe(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "a text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number in range"
+	}
+}
+
+// assign stores a scalar value and reports whether it has the target's type.
+func assign(target reflect.Value, value any) bool {
+	if target.Kind() == reflect.String {
+		text, ok := value.(string)
+		target.SetString(text)
+		return ok
+	}
+	if target.Kind() == reflect.Bool {
+		truth, ok := value.(bool)
+		target.SetBool(truth)
+		return ok
+	}
+	return assignNumber(target, value)
+}
+
+func assignNumber(target reflect.Value, value any) bool {
+	var number string
+	switch value := value.(type) {
+	case json.Number:
+		number = value.String()
+	case int, int64, uint64, float64:
+		number = fmt.Sprint(value)
+	default:
+		return false
+	}
+	switch {
+	case target.CanFloat():
+		f, err := strconv.ParseFloat(number, 64)
+		target.SetFloat(f)
+		return err == nil && !math.IsInf(f, 0) && !math.IsNaN(f)
+	case target.CanInt():
+		i, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || target.OverflowInt(i) {
+			return false
+		}
+		target.SetInt(i)
+		return true
+	case target.CanUint():
+		u, err := strconv.ParseUint(number, 10, 64)
+		if err != nil || target.OverflowUint(u) {
+			return false
+		}
+		target.SetUint(u)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,211 @@
+// Package settings reads the settings of one process: strict YAML in which every fault is reported with its position.
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+)
+
+// Defaults of settings that are missing or zero.
+const (
+	DefaultCapacity      = 1.0
+	DefaultUpstreamSlots = 6
+	DefaultLease         = 600 * time.Millisecond
+	DefaultInterval      = 150 * time.Millisecond
+	DefaultDrift         = 0.01
+	DefaultDrain         = 5 * time.Second
+	DefaultHold          = 2 * time.Second
+	DefaultStop          = 30 * time.Second
+)
+
+// file is the document as it is written.
+type file struct {
+	Slot       string    `json:"slot"`
+	Region     string    `json:"region"`
+	DataCentre string    `json:"data_centre"`
+	Service    string    `json:"service"`
+	Capacity   float64   `json:"capacity"`
+	Listen     addresses `json:"listen"`
+	Advertise  addresses `json:"advertise"`
+	Platform   platform  `json:"platform"`
+	Upstream   upstream  `json:"upstream"`
+	Lease      lease     `json:"lease"`
+	Timeouts   timeouts  `json:"timeouts"`
+	Log        logging   `json:"log"`
+}
+
+type addresses struct {
+	Callers    netip.AddrPort `json:"callers"`
+	Peers      netip.AddrPort `json:"peers"`
+	Heartbeats netip.AddrPort `json:"heartbeats"`
+	Admin      netip.AddrPort `json:"admin"`
+}
+
+type platform struct {
+	Table  string `json:"table"`
+	Object string `json:"object"`
+}
+
+type upstream struct {
+	URL          string `json:"url"`
+	ChecksGrants bool   `json:"checks_grants"`
+	Slots        int    `json:"slots"`
+}
+
+type lease struct {
+	Duration document.Duration `json:"duration"`
+	Interval document.Duration `json:"interval"`
+	Drift    float64           `json:"drift"`
+}
+
+type timeouts struct {
+	Drain document.Duration `json:"drain"`
+	Hold  document.Duration `json:"hold"`
+	Stop  document.Duration `json:"stop"`
+}
+
+type logging struct {
+	Verbosity int `json:"verbosity"`
+}
+
+// Settings are the settings of one process with all defaults filled in. Load and Parse make valid ones.
+type Settings struct {
+	file     file
+	upstream *url.URL
+}
+
+// Load reads the settings in a file. A file that can't be read or parsed yields code.BadSettings.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, code.Wrap(code.BadSettings, err, "settings")
+	}
+	return Parse(content)
+}
+
+// Parse reads settings. The error carries code.BadSettings and wraps document.Faults with every fault.
+func Parse(content []byte) (Settings, error) {
+	root, faults := document.ParseYAML(content)
+	if root == nil {
+		return Settings{}, code.Wrap(code.BadSettings, faults, "settings")
+	}
+	var s Settings
+	faults = append(faults, document.Decode(root, &s.file)...)
+	s.file.fillIn()
+	c := checker{root: root, faults: faults}
+	c.check(&s.file)
+	if len(c.faults) > 0 {
+		c.faults.Sort()
+		return Settings{}, code.Wrap(code.BadSettings, c.faults, "settings")
+	}
+	s.upstream, _ = url.Parse(s.file.Upstream.URL)
+	return s, nil
+}
+
+func (f *file) fillIn() {
+	setDefault(&f.Capacity, DefaultCapacity)
+	setDefault(&f.Upstream.Slots, DefaultUpstreamSlots)
+	setDefault(&f.Lease.Duration, document.Duration(DefaultLease))
+	setDefault(&f.Lease.Interval, document.Duration(DefaultInterval))
+	setDefault(&f.Lease.Drift, DefaultDrift)
+	setDefault(&f.Timeouts.Drain, document.Duration(DefaultDrain))
+	setDefault(&f.Timeouts.Hold, document.Duration(DefaultHold))
+	setDefault(&f.Timeouts.Stop, document.Duration(DefaultStop))
+	setDefault(&f.Advertise.Callers, f.Listen.Callers)
+	setDefault(&f.Advertise.Peers, f.Listen.Peers)
+	setDefault(&f.Advertise.Heartbeats, f.Listen.Heartbeats)
+	setDefault(&f.Advertise.Admin, f.Listen.Admin)
+}
+
+func setDefault[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Slot returns the name of the slot in which the process runs.
+func (s Settings) Slot() string { return s.file.Slot }
+
+// Region returns the region.
+func (s Settings) Region() string { return s.file.Region }
+
+// DataCentre returns the data centre.
+func (s Settings) DataCentre() string { return s.file.DataCentre }
+
+// Service returns the service that the upstream serves.
+func (s Settings) Service() string { return s.file.Service }
+
+// Capacity returns the capacity relative to other members of the service.
+func (s Settings) Capacity() float64 { return s.file.Capacity }
+
+// ListenCallers returns the TCP address for callers.
+func (s Settings) ListenCallers() netip.AddrPort { return s.file.Listen.Callers }
+
+// ListenPeers returns the TCP address for other instances.
+func (s Settings) ListenPeers() netip.AddrPort { return s.file.Listen.Peers }
+
+// ListenHeartbeats returns the UDP address for heartbeats.
+func (s Settings) ListenHeartbeats() netip.AddrPort { return s.file.Listen.Heartbeats }
+
+// ListenAdmin returns the TCP address for metrics and status.
+func (s Settings) ListenAdmin() netip.AddrPort { return s.file.Listen.Admin }
+
+// CallerAddress returns the address that callers are told; by default the one listened on.
+func (s Settings) CallerAddress() netip.AddrPort { return s.file.Advertise.Callers }
+
+// PeerAddress returns the address that other instances are told; by default the one listened on.
+func (s Settings) PeerAddress() netip.AddrPort { return s.file.Advertise.Peers }
+
+// HeartbeatAddress returns the address that other instances send heartbeats to; by default the one listened on.
+func (s Settings) HeartbeatAddress() netip.AddrPort { return s.file.Advertise.Heartbeats }
+
+// AdminAddress returns the address for metrics and status from elsewhere; by default the one listened on.
+func (s Settings) AdminAddress() netip.AddrPort { return s.file.Advertise.Admin }
+
+// TableURL returns the base URL of the table service.
+func (s Settings) TableURL() string { return s.file.Platform.Table }
+
+// ObjectURL returns the base URL of the object store.
+func (s Settings) ObjectURL() string { return s.file.Platform.Object }
+
+// UpstreamURL returns a copy of the upstream's base URL.
+func (s Settings) UpstreamURL() *url.URL {
+	if s.upstream == nil {
+		return &url.URL{}
+	}
+	u := *s.upstream
+	return &u
+}
+
+// UpstreamChecksGrants reports whether the upstream refuses requests without a valid grant.
+func (s Settings) UpstreamChecksGrants() bool { return s.file.Upstream.ChecksGrants }
+
+// UpstreamSlots returns the number of requests that the upstream runs at once.
+func (s Settings) UpstreamSlots() int { return s.file.Upstream.Slots }
+
+// Lease returns the duration of a lease.
+func (s Settings) Lease() time.Duration { return time.Duration(s.file.Lease.Duration) }
+
+// Interval returns the time between heartbeats.
+func (s Settings) Interval() time.Duration { return time.Duration(s.file.Lease.Interval) }
+
+// Drift returns the bound on the relative difference in rate of two clocks.
+func (s Settings) Drift() float64 { return s.file.Lease.Drift }
+
+// DrainTimeout bounds the wait for requests in flight when a partition moves.
+func (s Settings) DrainTimeout() time.Duration { return time.Duration(s.file.Timeouts.Drain) }
+
+// HoldTimeout bounds how long a request waits for a partition that is being moved.
+func (s Settings) HoldTimeout() time.Duration { return time.Duration(s.file.Timeouts.Hold) }
+
+// StopTimeout bounds a planned stop.
+func (s Settings) StopTimeout() time.Duration { return time.Duration(s.file.Timeouts.Stop) }
+
+// Verbosity returns the log verbosity, 0 to 10.
+func (s Settings) Verbosity() int { return s.file.Log.Verbosity }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+)
+
+const example = "../docs/examples/settings.yaml"
+
+// Guards against an example that the parser refuses, or that states other defaults than the code has.
+func TestExample(t *testing.T) {
+	s, err := Load(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Slot() != "north-1" || s.CallerAddress().String() != "127.0.0.1:8001" || s.UpstreamURL().Host != "127.0.0.1:9101" {
+		t.Errorf("got %+v", s)
+	}
+	minimal, err := Parse([]byte(withoutDefaults(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if minimal.file != s.file {
+		t.Errorf("defaults: got %+v, the example has %+v", minimal.file, s.file)
+	}
+	if s.Lease() != 600*time.Millisecond || s.Interval() != 150*time.Millisecond || s.Drift() != 0.01 {
+		t.Errorf("lease timing differs from the design page: %s %s %g", s.Lease(), s.Interval(), s.Drift())
+	}
+}
+
+// withoutDefaults returns the example without lines whose comment names a default of a number or duration.
+func withoutDefaults(t *testing.T) string {
+	t.Helper()
+	content, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kept []string
+	for line := range strings.Lines(string(content)) {
+		if !strings.Contains(line, "default") || strings.Contains(line, "checks_grants") {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept, "")
+}
+
+// Guards against a parser that stops at the first fault or reports a wrong position.
+func TestFaults(t *testing.T) {
+	content, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ name, old, replacement, want string }{
+		{"syntax", "region: home", "region: [", "3:9: "},
+		{"type", "capacity: 1 ", "capacity: many ", "6:11: capacity: want a number"},
+		{"range", "capacity: 1 ", "capacity: -1 ", "6:11: capacity: want a number above 0"},
+		{"not finite", "capacity: 1 ", "capacity: .inf ", "6:11: capacity: want a number"},
+		{"unknown", "region: home", "regoin: home", "3:1: regoin: unknown field; 2:1: region"},
+		{"twice", "region: home", "region: home\nregion: home", "4:1: region: the field is given twice"},
+		{"host name", "callers: 127.0.0.1:8001 ", "callers: localhost:8001 ", "9:12: listen.callers: "},
+		{"shared", "peers: 127.0.0.1:8002 ", "peers: 127.0.0.1:8001 ", "10:10: listen.peers: 127.0.0.1:8001 is also listen.callers"},
+		{"wildcard", "peers: 127.0.0.1:8002 ", "peers: 0.0.0.0:8002 ", "advertise.peers: 0.0.0.0:8002 can't be reached"},
+		{"url", "table: http://127.0.0.1:9000", "table: 127.0.0.1:9000", "platform.table: "},
+		{"duration", "hold: 2s ", "hold: 2 ", "timeouts.hold: want a text"},
+		{"interval", "interval: 150ms", "interval: 300ms", "lease.interval: 300ms: want at most a third"},
+		{"anchor", "region: home", "region: &r home", "anchors"},
+		{"several", "slot: north-1 ", "slot: North 1 \nservice: [x]\nzone: 1", "service: want a text"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			broken := strings.Replace(string(content), test.old, test.replacement, 1)
+			if broken == string(content) {
+				t.Fatalf("the example lacks %q", test.old)
+			}
+			_, err := Parse([]byte(broken))
+			if number, _ := code.Of(err); number != code.BadSettings {
+				t.Fatalf("got %v, want code %s", err, code.BadSettings)
+			}
+			var faults document.Faults
+			if !errors.As(err, &faults) {
+				t.Fatalf("%v holds no list of faults", err)
+			}
+			for _, want := range strings.Split(test.want, "; ") {
+				if !strings.Contains(faults.Error(), want) {
+					t.Errorf("got %s, want %s", faults, want)
+				}
+			}
+			if test.name == "several" && len(faults) < 4 {
+				t.Errorf("got %d faults, want all: %s", len(faults), faults)
+			}
+		})
+	}
+}
+
+// Guards against a panic on input that isn't settings at all.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(""))
+	f.Add([]byte("a: [b, {c: d}]\n---\n"))
+	f.Add([]byte("&a *a"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if _, err := Parse(content); err == nil && len(content) < 100 {
+			t.Errorf("accepted %q", content)
+		}
+	})
+}
--- a/table/table.go
+++ b/table/table.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -130,7 +132,11 @@
 		var answer struct {
 			Rows []Row `json:"rows"`
 		}
-		return answer.Rows, decode(body, &answer)
+		// The transaction took effect, so an answer that can't be read must not count as a refusal.
+		if err := json.Unmarshal(body, &answer); err != nil {
+			return nil, code.Wrap(code.WriteUnknown, err, "table service answer")
+		}
+		return answer.Rows, nil
 	case http.StatusConflict:
 		var answer struct {
 			Conflicts []Row `json:"conflicts"`
@@ -153,19 +159,21 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return 0, nil, code.Wrap(failureCode(method), err, "table service call")
+		return 0, nil, code.Wrap(failureCode(method, err), err, "table service call")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return 0, nil, code.Wrap(failureCode(method), err, "table service answer")
+		return 0, nil, code.Wrap(failureCode(method, err), err, "table service answer")
 	}
 	return resp.StatusCode, body, nil
 }
 
-// failureCode returns the code of a call without an answer: a write may have taken effect.
-func failureCode(method string) code.Code {
-	if method == http.MethodPost {
+// failureCode returns the code of a call without an answer: a write may have taken effect, unless no connection was made.
+func failureCode(method string, err error) code.Code {
+	var operation *net.OpError
+	dialled := !errors.As(err, &operation) || operation.Op != "dial"
+	if method == http.MethodPost && dialled {
 		return code.WriteUnknown
 	}
 	return code.PlatformDown
