Add the request path: upstream stand-in, upstream client and caller server

The stand-in speaks the upstream protocol with grants, probes, drain and injected faults. The server serves requests locally or forwards them once, holds them while no owner is known, and runs requests with a token at most once.

Adds code 1409 for a request body that fails after the request was sent.

--- /dev/null
+++ b/caller/body.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// flagReader notes that it was read from and how reading failed.
+type flagReader struct {
+	reader io.Reader
+	used   atomic.Bool
+	failed atomic.Bool
+}
+
+// Read reads the next part.
+func (f *flagReader) Read(p []byte) (int, error) {
+	f.used.Store(true)
+	n, err := f.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		f.failed.Store(true)
+	}
+	return n, err
+}
+
+// copyBody sends a response's body to the caller and flushes each part. The result is nil only if the body was complete.
+func copyBody(w http.ResponseWriter, body io.Reader, usable func() bool) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buffer)
+		if !usable() {
+			return errLeaseLost
+		}
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if n < len(buffer) {
+			_ = controller.Flush()
+		}
+	}
+}
+
+var errLeaseLost = errors.New("lease expired while the response was sent")
--- /dev/null
+++ b/caller/drain.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"context"
+	"sync"
+)
+
+// drain counts the requests in flight. The zero value admits requests.
+type drain struct {
+	mu       sync.Mutex
+	running  int
+	stopping bool
+	idle     chan struct{}
+}
+
+func (d *drain) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping {
+		return false
+	}
+	d.running++
+	return true
+}
+
+func (d *drain) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+	if d.running == 0 && d.idle != nil {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+// Drain refuses new requests with code.Draining and waits until those in flight are finished or ctx ends. It closes no
+// connection, so that refused callers get a response.
+func (s *Server) Drain(ctx context.Context) error {
+	s.drain.mu.Lock()
+	s.drain.stopping = true
+	if s.drain.running == 0 {
+		s.drain.mu.Unlock()
+		return nil
+	}
+	if s.drain.idle == nil {
+		s.drain.idle = make(chan struct{})
+	}
+	idle := s.drain.idle
+	s.drain.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// InFlight returns the number of requests in flight.
+func (s *Server) InFlight() int {
+	s.drain.mu.Lock()
+	defer s.drain.mu.Unlock()
+	return s.drain.running
+}
--- /dev/null
+++ b/caller/harness_test.go
@@ -0,0 +1,311 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/fake"
+	"sapphiretray/member"
+	"sapphiretray/partition"
+	"sapphiretray/upstream"
+)
+
+const testService = "bookings"
+
+// testRoute serves /<kind>/<key>: "once" runs at most once, "plain" is neither, "read" is idempotent, "tiny" is "read" with
+// a body of at most 8 bytes.
+type testRoute struct {
+	kind    string
+	timeout time.Duration
+}
+
+func (r testRoute) Service() string { return testService }
+
+func (r testRoute) Key(req *http.Request) (string, bool) {
+	_, key, ok := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	return key, ok && key != ""
+}
+
+func (r testRoute) Importance() int        { return 5 }
+func (r testRoute) Timeout() time.Duration { return r.timeout }
+func (r testRoute) Idempotent() bool       { return r.kind == "read" || r.kind == "tiny" }
+func (r testRoute) Once() bool             { return r.kind == "once" }
+
+func (r testRoute) MaxBodyBytes() int64 {
+	if r.kind == "tiny" {
+		return 8
+	}
+	return 0
+}
+
+type testRoutes struct{ timeout time.Duration }
+
+func (t testRoutes) Match(path, _ string) (Route, bool) {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	switch kind {
+	case "once", "plain", "read", "tiny":
+		return testRoute{kind: kind, timeout: t.timeout}, true
+	}
+	return nil, false
+}
+
+// testCluster is a set of instances with one partition map. It stands in for the packages that decide ownership.
+type testCluster struct {
+	mu        sync.Mutex
+	current   *partition.Map
+	records   map[member.Incarnation]member.Record
+	suspected map[member.Incarnation]int
+	instances []*testInstance
+}
+
+// testInstance is one instance with its upstream.
+type testInstance struct {
+	cluster  *testCluster
+	self     member.Incarnation
+	server   *Server
+	upstream *fake.Upstream
+	client   *upstream.Client
+	http     *http.Server
+	url      string
+
+	mu      sync.Mutex
+	owns    bool
+	refusal code.Code
+	fence   uint64
+	epoch   uint64
+	since   time.Time
+	lapses  int
+	open    sync.WaitGroup
+}
+
+type testAdmission struct {
+	instance *testInstance
+	fence    uint64
+	epoch    uint64
+	since    time.Time
+	lapses   int
+}
+
+func (a *testAdmission) Fence() uint64      { return a.fence }
+func (a *testAdmission) Epoch() uint64      { return a.epoch }
+func (a *testAdmission) Since() time.Time   { return a.since }
+func (a *testAdmission) Expires() time.Time { return time.Now().Add(time.Second) }
+func (a *testAdmission) Done()              { a.instance.open.Done() }
+
+func (a *testAdmission) Valid() bool {
+	a.instance.mu.Lock()
+	defer a.instance.mu.Unlock()
+	return a.instance.lapses == a.lapses
+}
+
+func (i *testInstance) Admit(int) (Admission, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.owns {
+		return nil, code.New(i.refusal, "test")
+	}
+	i.open.Add(1)
+	return &testAdmission{instance: i, fence: i.fence, epoch: i.epoch, since: i.since, lapses: i.lapses}, nil
+}
+
+// own starts an ownership of all partitions under an epoch.
+func (i *testInstance) own(epoch uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.owns, i.epoch, i.fence, i.since = true, epoch, epoch<<8, time.Now()
+}
+
+// disown ends the ownership; requests get the code from now on.
+func (i *testInstance) disown(c code.Code) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.owns, i.refusal = false, c
+}
+
+// lapse ends the lease without notice.
+func (i *testInstance) lapse() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.owns, i.refusal, i.lapses = false, code.NotOwner, i.lapses+1
+}
+
+func (i *testInstance) Self() member.Incarnation         { return i.self }
+func (i *testInstance) Service() string                  { return testService }
+func (i *testInstance) Refresh(string, uint64)           {}
+func (i *testInstance) Suspect(other member.Incarnation) { i.cluster.suspect(other) }
+
+func (i *testInstance) Map(service string) *partition.Map {
+	i.cluster.mu.Lock()
+	defer i.cluster.mu.Unlock()
+	if service != testService {
+		return nil
+	}
+	return i.cluster.current
+}
+
+func (i *testInstance) Record(other member.Incarnation) (member.Record, bool) {
+	i.cluster.mu.Lock()
+	defer i.cluster.mu.Unlock()
+	r, ok := i.cluster.records[other]
+	return r, ok
+}
+
+func (c *testCluster) suspect(i member.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspected[i]++
+}
+
+// assign gives all partitions to instances in this order.
+func (c *testCluster) assign(t *testing.T, instances ...*testInstance) uint64 {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []member.Incarnation
+	for _, i := range instances {
+		members = append(members, i.self)
+	}
+	var moves []partition.Move
+	epoch := c.current.Epoch(0) + 1
+	for p := range c.current.Partitions() {
+		moves = append(moves, partition.Move{Partition: p, Entry: partition.Entry{Epoch: epoch, Members: members}})
+	}
+	next, err := c.current.Apply(c.current.Version()+1, moves)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.current = next
+	return epoch
+}
+
+type testSettings struct {
+	timeout  time.Duration
+	options  []Option
+	upstream []fake.UpstreamOption
+}
+
+// newCluster starts instances; the first owns everything.
+func newCluster(t *testing.T, n int, settings testSettings) *testCluster {
+	t.Helper()
+	m, err := partition.New(testService, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &testCluster{
+		current: m, records: make(map[member.Incarnation]member.Record), suspected: make(map[member.Incarnation]int),
+	}
+	for number := range n {
+		c.instances = append(c.instances, c.start(t, string(rune('a'+number)), settings))
+	}
+	c.instances[0].own(c.assign(t, c.instances...))
+	return c
+}
+
+func (c *testCluster) start(t *testing.T, slot string, settings testSettings) *testInstance {
+	t.Helper()
+	i := &testInstance{cluster: c, self: member.NewIncarnation(slot, 1), refusal: code.NotOwner}
+	i.upstream = fake.NewUpstream(settings.upstream...)
+	listener := listen(t)
+	var group sync.WaitGroup
+	group.Go(func() { _ = i.upstream.Serve(listener) })
+	i.client = upstream.New(listener.Addr().String())
+	timeout := settings.timeout
+	if timeout == 0 {
+		timeout = 5 * time.Second
+	}
+	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, settings.options...)
+	public, private := listen(t), listen(t)
+	i.url = "http://" + public.Addr().String()
+	i.http = NewHTTPServer(i.server.Handler())
+	peers := NewHTTPServer(i.server.PeerHandler())
+	group.Go(func() { _ = i.http.Serve(public) })
+	group.Go(func() { _ = peers.Serve(private) })
+	t.Cleanup(func() {
+		_, _ = i.http.Close(), peers.Close()
+		i.client.Close()
+		i.upstream.Close()
+		group.Wait()
+	})
+	c.records[i.self] = member.Record{Incarnation: i.self, Service: testService, PeerAddress: private.Addr().String()}
+	return i
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// answer is a response as a test looks at it.
+type answer struct {
+	status int
+	code   code.Code
+	ran    code.Ran
+	id     string
+	token  string
+	body   string
+	err    error
+}
+
+func (a answer) decode(t *testing.T) fake.Answer {
+	t.Helper()
+	var decoded fake.Answer
+	if err := json.Unmarshal([]byte(a.body), &decoded); err != nil {
+		t.Fatalf("%q: %v", a.body, err)
+	}
+	return decoded
+}
+
+type sending struct {
+	method, path, id, token, body string
+	header                        map[string]string
+}
+
+func (i *testInstance) send(ctx context.Context, s sending) answer {
+	req, err := http.NewRequestWithContext(ctx, s.method, i.url+s.path, strings.NewReader(s.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, value := range s.header {
+		req.Header.Set(name, value)
+	}
+	if s.id != "" {
+		req.Header.Set(HeaderRequestID, s.id)
+	}
+	if s.token != "" {
+		req.Header.Set(HeaderToken, s.token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	var number int
+	_ = json.Unmarshal([]byte(resp.Header.Get(HeaderCode)), &number)
+	return answer{
+		status: resp.StatusCode, code: code.Code(number), ran: code.Ran(resp.Header.Get(HeaderRan)),
+		id: resp.Header.Get(HeaderRequestID), token: resp.Header.Get(HeaderToken), body: string(body), err: err,
+	}
+}
+
+// token gets a fresh token for a key.
+func (i *testInstance) token(t *testing.T, key string) string {
+	t.Helper()
+	a := i.send(t.Context(), sending{method: http.MethodPost, path: "/once/" + key})
+	if a.code != code.TokenNeeded || a.token == "" || a.ran != code.RanNo {
+		t.Fatalf("first request: %+v", a)
+	}
+	return a.token
+}
--- /dev/null
+++ b/caller/path_test.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"sapphiretray/code"
+	"sapphiretray/fake"
+)
+
+// TestPath guards against requests that don't reach the owner's upstream or whose responses lack headers.
+func TestPath(t *testing.T) {
+	c := newCluster(t, 3, testSettings{})
+	owner, other := c.instances[0], c.instances[1]
+	tests := []struct {
+		name   string
+		at     *testInstance
+		send   sending
+		status int
+		code   code.Code
+	}{
+		{"local", owner, sending{method: "GET", path: "/read/k", id: "x"}, 200, code.OK},
+		{"one hop", other, sending{method: "GET", path: "/read/k", id: "x"}, 200, code.OK},
+		{"post one hop", other, sending{method: "POST", path: "/plain/k", id: "x", body: "b"}, 200, code.OK},
+		{"large post one hop", other, sending{method: "POST", path: "/plain/k", id: "x", body: strings.Repeat("b", 1<<20)}, 200, code.OK},
+		{"no route", other, sending{method: "GET", path: "/none/k", id: "x"}, 404, code.NoRoute},
+		{"no key", other, sending{method: "GET", path: "/read/", id: "x"}, 400, code.NoKey},
+		{"too large", other, sending{method: "PUT", path: "/tiny/k", id: "x", body: "123456789"}, 413, code.TooLarge},
+		{"token needed", other, sending{method: "POST", path: "/once/k", id: "x"}, 428, code.TokenNeeded},
+		{
+			"bad deadline", other,
+			sending{method: "GET", path: "/read/k", id: "x", header: map[string]string{HeaderDeadline: "soon"}},
+			400, code.BadRequest,
+		},
+		{
+			"forwarded header of a caller is ignored", other,
+			sending{method: "GET", path: "/read/k", id: "x", header: map[string]string{HeaderForwarded: "1"}},
+			200, code.OK,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := test.at.send(t.Context(), test.send)
+			if a.err != nil || a.status != test.status || a.code != test.code || a.id != "x" || a.ran != test.code.Entry().Ran() {
+				t.Fatalf("%+v", a)
+			}
+		})
+	}
+	if a := other.send(t.Context(), sending{method: "GET", path: "/read/k"}); len(a.id) != 26 {
+		t.Fatalf("generated id %q", a.id)
+	}
+	bad := sending{method: "GET", path: "/read/k", id: strings.Repeat("i", 65)}
+	if a := other.send(t.Context(), bad); a.code != code.BadID {
+		t.Fatalf("long id: %+v", a)
+	}
+}
+
+// TestStreaming guards against bodies that arrive incomplete, and against truncated downloads that look complete.
+func TestStreaming(t *testing.T) {
+	c := newCluster(t, 2, testSettings{})
+	upload := string(fake.Payload(3 << 20))
+	for name, i := range map[string]*testInstance{"local": c.instances[0], "one hop": c.instances[1]} {
+		a := i.send(t.Context(), sending{method: http.MethodPost, path: "/plain/k?echo=1", body: upload})
+		if a.err != nil || a.body != upload {
+			t.Fatalf("%s: %d of %d bytes, %v", name, len(a.body), len(upload), a.err)
+		}
+		for _, mode := range []fake.Mode{fake.Truncate, fake.CloseMidway} {
+			c.instances[0].upstream.SetFault(fake.UpstreamFault{Fault: fake.Fault{Mode: mode, Count: 1}})
+			a = i.send(t.Context(), sending{method: http.MethodGet, path: "/read/k?bytes=1000000"})
+			if a.err == nil || a.status != http.StatusOK {
+				t.Fatalf("%s, %s: no error after %d bytes, status %d", name, mode, len(a.body), a.status)
+			}
+		}
+	}
+}
--- a/code/code.go
+++ b/code/code.go
@@ -55,6 +55,7 @@
 	PeerFailed        Code = 1406
 	CallerGone        Code = 1407
 	UpstreamNotWarmed Code = 1408
+	BodyFailed        Code = 1409
 
 	PlatformDown    Code = 1501
 	Conflict        Code = 1502
@@ -121,6 +122,7 @@
 	{PeerFailed, "peer-failed", http.StatusBadGateway, RanUnknown, "The connection to the owner failed after the request was sent."},
 	{CallerGone, "caller-gone", 499, RanUnknown, "The caller closed the connection before the answer."},
 	{UpstreamNotWarmed, "upstream-not-warmed", http.StatusServiceUnavailable, RanNo, "The upstream isn't ready after a cold start."},
+	{BodyFailed, "body-failed", http.StatusBadRequest, RanUnknown, "The request body ended early or grew too large while it was sent."},
 	{PlatformDown, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform is unavailable; nothing was accepted."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "Someone else changed this first; the answer says what. Nothing was accepted."},
 	{
--- /dev/null
+++ b/fake/serve.go
@@ -0,0 +1,223 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"hash"
+	"io"
+	"net/http"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// recentIDs is the number of request ids that a key's state keeps.
+const recentIDs = 16
+
+type counter struct {
+	count int
+	ids   []string
+}
+
+// Answer is the body of an upstream's response to a request without the query parameters "bytes" and "echo".
+type Answer struct {
+	Key string `json:"key"`
+	ID  string `json:"id"`
+	// Count is the number of effects on the key so far, this request's included.
+	Count int `json:"count"`
+	// IDs are the last request ids that took effect on the key.
+	IDs       []string `json:"ids"`
+	Fence     uint64   `json:"fence"`
+	BodyBytes int64    `json:"body_bytes"`
+	BodyHash  uint64   `json:"body_hash"`
+}
+
+// call is one request that an upstream runs.
+type call struct {
+	id        string
+	key       string
+	partition int
+	fence     uint64
+	hash      hash.Hash64
+	bytes     int64
+}
+
+func (u *Upstream) request(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("Sapphire-Request-Id"); id != "" {
+		w.Header().Set("Sapphire-Request-Id", u.faults.echoedID(id))
+	}
+	ctx, cancel := deadline(r)
+	defer cancel()
+	c := u.call(r)
+	if status := u.refusal(c); status != 0 {
+		reject(w, status)
+		return
+	}
+	if err := u.acquire(ctx); err != nil {
+		reject(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer u.release()
+	u.run(ctx, w, r, c)
+}
+
+func (u *Upstream) call(r *http.Request) *call {
+	c := &call{id: r.Header.Get("Sapphire-Request-Id"), key: path.Base(r.URL.Path), hash: xxhash.New()}
+	if u.key != nil {
+		c.key = u.key(r)
+	}
+	c.partition, _ = strconv.Atoi(r.Header.Get("Sapphire-Partition"))
+	c.fence, _ = strconv.ParseUint(r.Header.Get("Sapphire-Fence"), 10, 64)
+	return c
+}
+
+// refusal returns the status with which a request is rejected on arrival, or 0.
+func (u *Upstream) refusal(c *call) int {
+	if !u.granted(c.partition, c.fence) {
+		return http.StatusConflict
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.draining || !u.warm() {
+		return http.StatusServiceUnavailable
+	}
+	if u.shedAbove > 0 && u.queued >= u.shedAbove {
+		return http.StatusTooManyRequests
+	}
+	return 0
+}
+
+func (u *Upstream) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
+	if !sleep(ctx, u.service(r)) {
+		return
+	}
+	if r.URL.Query().Get("echo") != "" {
+		u.effect(r, c)
+		u.echo(w, r)
+		return
+	}
+	marker := u.faults.marker()
+	prefix, err := io.ReadAll(io.LimitReader(io.TeeReader(r.Body, c.hash), 64<<10))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if marker != "" && strings.Contains(string(prefix), marker) {
+		u.crashNow()
+	}
+	rest, err := io.Copy(c.hash, r.Body)
+	if err != nil || ctx.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.bytes = int64(len(prefix)) + rest
+	if !u.granted(c.partition, c.fence) {
+		reject(w, http.StatusConflict)
+		return
+	}
+	u.answer(w, r, c, u.effect(r, c))
+}
+
+func (u *Upstream) crashNow() {
+	if u.crash != nil {
+		u.crash()
+	} else {
+		u.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (u *Upstream) service(r *http.Request) time.Duration {
+	if ms, err := strconv.Atoi(r.URL.Query().Get("service_ms")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return u.serviceTime
+}
+
+// effect applies a request that changes state and returns the state of its key.
+func (u *Upstream) effect(r *http.Request, c *call) counter {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.counters == nil {
+		u.counters = make(map[string]*counter)
+	}
+	state, ok := u.counters[c.key]
+	if !ok {
+		state = &counter{}
+		u.counters[c.key] = state
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		state.count++
+		state.ids = append(state.ids, c.id)
+		if len(state.ids) > recentIDs {
+			state.ids = state.ids[1:]
+		}
+		u.journal = append(u.journal, Effect{Key: c.key, ID: c.id, Partition: c.partition, Fence: c.fence, Time: time.Now()})
+	}
+	return counter{count: state.count, ids: slices.Clone(state.ids)}
+}
+
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, c *call, state counter) {
+	body, err := json.Marshal(Answer{
+		Key: c.key, ID: c.id, Count: state.count, IDs: state.ids, Fence: c.fence, BodyBytes: c.bytes, BodyHash: c.hash.Sum64(),
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil {
+		body = Payload(n)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Sapphire-Ran", "yes")
+	u.faults.write(w, body)
+}
+
+func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex()
+	w.WriteHeader(http.StatusOK)
+	if _, err := io.Copy(w, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Payload returns n bytes of a fixed pattern.
+func Payload(n int) []byte {
+	payload := make([]byte, n)
+	for i := range payload {
+		payload[i] = byte('a' + i%26)
+	}
+	return payload
+}
+
+func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get("Sapphire-Deadline"))
+	if err != nil {
+		return r.Context(), func() {}
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+func reject(w http.ResponseWriter, status int) {
+	w.Header().Set("Sapphire-Ran", "no")
+	w.WriteHeader(status)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
