--- /dev/null
+++ b/policy/limiter.go
@@ -0,0 +1,147 @@
+package policy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"sapphiretray/code"
+)
+
+// Limiter is an Admission for concurrent use, with waiting. The zero value admits everything.
+type Limiter struct {
+	mu        sync.Mutex
+	admission Admission
+}
+
+// NewLimiter returns a limiter for an upstream that runs the given number of requests at once. A number below 1 means
+// no limit.
+func NewLimiter(slots int, options ...Option) *Limiter {
+	return &Limiter{admission: *NewAdmission(slots, options...)}
+}
+
+// Acquire waits until a request may run. Importance is from 0 to MaxImportance, higher first. A zero deadline means
+// that of ctx, if it has one. The error has code.Shed or code.TooLate; it wraps the cause if ctx ended.
+//
+// The caller calls release with the upstream's latency and whether it worked. Later calls do nothing. When ctx ends
+// first, the slot is released, so that a forgotten release doesn't occupy it for ever: as failed if ctx passed its
+// deadline, and without effect on the limit if it was cancelled. A slot acquired with a ctx that never ends is freed by
+// release alone.
+func (l *Limiter) Acquire(
+	ctx context.Context, importance int, deadline time.Time,
+) (release func(latency time.Duration, ok bool), err error) {
+	if end, ok := ctx.Deadline(); ok && later(deadline, end) {
+		deadline = end
+	}
+	if ctx.Err() != nil {
+		return nil, ended(ctx)
+	}
+	decided := make(chan error, 1)
+	l.mu.Lock()
+	ticket, err := l.admission.Enter(time.Now(), importance, deadline, func(err error) { decided <- err })
+	waiting := err == nil && ticket.Waiting()
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if waiting {
+		if err := l.wait(ctx, ticket, decided); err != nil {
+			return nil, err
+		}
+	}
+	return l.releaser(ctx, ticket), nil
+}
+
+// wait returns nil when the ticket runs.
+func (l *Limiter) wait(ctx context.Context, ticket *Ticket, decided <-chan error) error {
+	var expired <-chan time.Time
+	if !ticket.deadline.IsZero() {
+		// One nanosecond later, the deadline has passed for Expire too.
+		timer := time.NewTimer(time.Until(ticket.deadline) + 1)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	for {
+		select {
+		case err := <-decided:
+			return err
+		case <-expired:
+			l.mu.Lock()
+			l.admission.Expire(time.Now())
+			l.mu.Unlock()
+			expired = nil
+		case <-ctx.Done():
+			l.cancel(ticket)
+			return ended(ctx)
+		}
+	}
+}
+
+func (l *Limiter) releaser(ctx context.Context, ticket *Ticket) func(time.Duration, bool) {
+	start := time.Now()
+	stop := func() bool { return true }
+	if ctx.Done() != nil {
+		stop = context.AfterFunc(ctx, func() { l.leave(ctx, ticket, time.Since(start), false) })
+	}
+	return func(latency time.Duration, ok bool) {
+		stop()
+		l.leave(ctx, ticket, latency, ok)
+	}
+}
+
+func (l *Limiter) leave(ctx context.Context, ticket *Ticket, latency time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ok && errors.Is(ctx.Err(), context.Canceled) {
+		l.admission.Cancel(time.Now(), ticket, latency)
+		return
+	}
+	l.admission.Leave(time.Now(), ticket, latency, ok)
+}
+
+// cancel ends a ticket that the caller no longer waits for. It may have been admitted a moment ago.
+func (l *Limiter) cancel(ticket *Ticket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admission.Cancel(time.Now(), ticket, 0)
+}
+
+func ended(ctx context.Context) error {
+	return code.Wrap(code.TooLate, context.Cause(ctx), "the request ended before it could start")
+}
+
+// ColdStart lowers the limit for a time, during which it grows back to its full value.
+func (l *Limiter) ColdStart(duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admission.ColdStart(time.Now(), duration)
+}
+
+// Limit returns the number of requests that may run at once, and 0 if there is no limit.
+func (l *Limiter) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admission.Limit(time.Now())
+}
+
+// InFlight returns the number of running requests.
+func (l *Limiter) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admission.InFlight()
+}
+
+// Queued returns the number of waiting requests.
+func (l *Limiter) Queued() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admission.Queued()
+}
+
+// Counts returns the totals since the start.
+func (l *Limiter) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admission.Counts()
+}
--- /dev/null
+++ b/policy/metrics.go
@@ -0,0 +1,93 @@
+package policy
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type collector struct {
+	descriptions []*prometheus.Desc
+	collect      func(descriptions []*prometheus.Desc, metrics chan<- prometheus.Metric)
+}
+
+func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range c.descriptions {
+		descriptions <- description
+	}
+}
+
+func (c *collector) Collect(metrics chan<- prometheus.Metric) { c.collect(c.descriptions, metrics) }
+
+func describe(label, value, name, help string, variable ...string) *prometheus.Desc {
+	return prometheus.NewDesc("sapphiretray_"+name, help, variable, prometheus.Labels{label: value})
+}
+
+func gauge(metrics chan<- prometheus.Metric, d *prometheus.Desc, value float64) {
+	metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value)
+}
+
+func counter(metrics chan<- prometheus.Metric, d *prometheus.Desc, value uint64, labels ...string) {
+	metrics <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
+}
+
+// LimiterCollector returns the metrics of the limiter and the queue of an upstream.
+func LimiterCollector(upstream string, limiter *Limiter) prometheus.Collector {
+	describe := func(name, help string, variable ...string) *prometheus.Desc {
+		return describe("upstream", upstream, name, help, variable...)
+	}
+	return &collector{
+		descriptions: []*prometheus.Desc{
+			describe("limiter_limit", "Requests that may run at once; 0 means no limit."),
+			describe("limiter_in_flight", "Requests that are running."),
+			describe("queue_length", "Requests that wait for admission."),
+			describe("limiter_admitted_total", "Requests that were admitted.", "importance"),
+			describe("queue_shed_total", "Requests that were shed.", "importance"),
+			describe("queue_late_total", "Requests that were rejected because their deadline can't be met.", "importance"),
+		},
+		collect: func(d []*prometheus.Desc, metrics chan<- prometheus.Metric) {
+			gauge(metrics, d[0], float64(limiter.Limit()))
+			gauge(metrics, d[1], float64(limiter.InFlight()))
+			gauge(metrics, d[2], float64(limiter.Queued()))
+			counts := limiter.Counts()
+			for importance := range MaxImportance + 1 {
+				label := strconv.Itoa(importance)
+				counter(metrics, d[3], counts.Admitted[importance], label)
+				counter(metrics, d[4], counts.Shed[importance], label)
+				counter(metrics, d[5], counts.Late[importance], label)
+			}
+		},
+	}
+}
+
+// BudgetCollector returns the metrics of a retry budget.
+func BudgetCollector(name string, budget *Budget) prometheus.Collector {
+	return &collector{
+		descriptions: []*prometheus.Desc{
+			describe("budget", name, "retry_first_attempts_total", "First attempts."),
+			describe("budget", name, "retry_retries_total", "Retries within the budget."),
+			describe("budget", name, "retry_refused_total", "Retries that the budget refused."),
+		},
+		collect: func(d []*prometheus.Desc, metrics chan<- prometheus.Metric) {
+			counts := budget.Counts()
+			counter(metrics, d[0], counts.Attempts)
+			counter(metrics, d[1], counts.Retries)
+			counter(metrics, d[2], counts.Refused)
+		},
+	}
+}
+
+// EjectorCollector returns the metrics of an ejector.
+func EjectorCollector[K comparable](name string, ejector *Ejector[K]) prometheus.Collector {
+	return &collector{
+		descriptions: []*prometheus.Desc{
+			describe("ejector", name, "ejector_targets", "Known targets."),
+			describe("ejector", name, "ejector_ejected", "Targets that are out of use."),
+		},
+		collect: func(d []*prometheus.Desc, metrics chan<- prometheus.Metric) {
+			known, ejected := ejector.Counts()
+			gauge(metrics, d[0], float64(known))
+			gauge(metrics, d[1], float64(ejected))
+		},
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,224 @@
+package policy_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"sapphiretray/policy"
+)
+
+const budgetWindow = 10 * time.Second
+
+// Guards against more than 10% retries in any window that ends with an allowed retry, at any pattern of calls.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b policy.Budget
+		start := time.Unix(0, 0)
+		now := start
+		var attempts, retries []time.Time
+		within := func(times []time.Time) int {
+			count := 0
+			for _, at := range times {
+				if now.Sub(at) < budgetWindow {
+					count++
+				}
+			}
+			return count
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "gap")) * time.Millisecond)
+			for range rapid.IntRange(0, 100).Draw(t, "attempts") {
+				b.AttemptAt(now)
+				attempts = append(attempts, now)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "retries") {
+				if !b.RetryAt(now) {
+					continue
+				}
+				retries = append(retries, now)
+				if got, bound := within(retries), max(3, within(attempts)/10); got > bound {
+					t.Fatalf("%d retries in the window, at most %d allowed", got, bound)
+				}
+			}
+		}
+		if len(retries) > 3*int(now.Sub(start)/budgetWindow+1)+len(attempts)/10 {
+			t.Fatalf("%d retries for %d attempts", len(retries), len(attempts))
+		}
+	})
+}
+
+// Guards against a lightly used process that can't retry, a busy one that can't use its 10%, and a window that never ends.
+func TestBudgetAllows(t *testing.T) {
+	tests := []struct {
+		name     string
+		attempts int
+		wait     time.Duration
+		want     int
+	}{
+		{"unused", 0, 0, 3},
+		{"busy", 1000, 0, 100},
+		{"within the window", 1000, 9 * time.Second, 100},
+		{"after the window", 1000, 11 * time.Second, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var b policy.Budget
+				for range test.attempts {
+					b.Attempt()
+				}
+				time.Sleep(test.wait)
+				got := 0
+				for b.Retry() {
+					got++
+				}
+				if got != test.want {
+					t.Errorf("%d retries, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against ejection of more than 30%, of healthy targets, or of targets that differ in speed within 1:4.
+func TestEjector(t *testing.T) {
+	tests := []struct {
+		name                   string
+		targets, failing, slow int
+		factor                 time.Duration
+		want                   int
+	}{
+		{"healthy", 10, 0, 0, 1, 0},
+		{"one fails", 10, 1, 0, 1, 1},
+		{"all fail", 10, 10, 0, 1, 3},
+		{"too few targets", 3, 1, 0, 1, 0},
+		{"within 1:4", 10, 0, 3, 4, 0},
+		{"outlier", 10, 0, 1, 6, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var e policy.Ejector[int]
+				for target := range test.targets {
+					e.Add(target)
+				}
+				for range 40 {
+					for target := range test.targets {
+						latency := time.Millisecond
+						if target < test.slow {
+							latency *= test.factor
+						}
+						e.Report(target, latency, target >= test.failing)
+					}
+				}
+				if known, got := e.Counts(); got != test.want || known != test.targets {
+					t.Errorf("%d of %d ejected, want %d of %d", got, known, test.want, test.targets)
+				}
+			})
+		})
+	}
+}
+
+// Guards against ejections that don't grow, don't end, or stay long after a recovery.
+func TestEjectionTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var e policy.Ejector[int]
+		for target := range 10 {
+			e.Add(target)
+		}
+		eject := func() time.Duration {
+			for range 5 {
+				e.Report(0, 0, false)
+			}
+			start := time.Now()
+			for e.Ejected(0) {
+				time.Sleep(100 * time.Millisecond)
+			}
+			return time.Since(start)
+		}
+		for _, want := range []time.Duration{1, 2, 4, 8, 16, 32, 60, 60} {
+			if got := eject(); got != want*time.Second {
+				t.Errorf("ejected for %v, want %v", got, want*time.Second)
+			}
+		}
+		time.Sleep(10 * time.Minute)
+		if got := eject(); got != time.Second {
+			t.Errorf("ejected for %v after a recovery, want 1 s", got)
+		}
+	})
+}
+
+// Guards against a weight outside its bounds.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s policy.SlowStart
+		if s.Weight() != 1 {
+			t.Errorf("weight %v of the zero value", s.Weight())
+		}
+		s.Start(time.Now(), 10*time.Second)
+		for _, want := range []float64{0.1, 0.55, 1, 1} {
+			if got := s.Weight(); got < want-1e-9 || got > want+1e-9 {
+				t.Errorf("weight %v, want %v", got, want)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// Guards against a stale or false report of no load that attracts all requests, and against ignoring capacity.
+func TestChooser(t *testing.T) {
+	tests := []struct {
+		name     string
+		age      time.Duration
+		load     float64
+		capacity float64
+		min, max int
+	}{
+		{"equal", 0, 0, 1, 90, 110},
+		{"false report of idleness", 0, 0, 1, 90, 110},
+		{"fresh report of load", 0, 1000, 1, 0, 0},
+		{"stale report of load", 30 * time.Second, 1000, 1, 90, 110},
+		{"four times the capacity", 0, 0, 4, 160, 240},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			c := policy.NewChooser[int](7)
+			c.Report(now.Add(-test.age), 0, test.load, test.capacity)
+			counts := make([]int, 10)
+			targets := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+			for range 1000 {
+				target, _, ok := c.Choose(now, targets)
+				if !ok {
+					t.Fatal("no target")
+				}
+				counts[target]++
+			}
+			if counts[0] < test.min || counts[0] > test.max {
+				t.Errorf("chosen %d times of 1000, want %d to %d", counts[0], test.min, test.max)
+			}
+		})
+	}
+}
+
+// Guards against collectors that describe one metric and collect another.
+func TestCollectors(t *testing.T) {
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(
+		policy.LimiterCollector("a", policy.NewLimiter(6)),
+		policy.LimiterCollector("b", &policy.Limiter{}),
+		policy.BudgetCollector("calls", &policy.Budget{}),
+		policy.EjectorCollector("peers", &policy.Ejector[string]{}),
+	)
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(families) != 11 {
+		t.Errorf("%d metric families, want 11", len(families))
+	}
+}
