--- a/partition/partition.go
+++ b/partition/partition.go
@@ -94,6 +94,23 @@
 	return m.members[m.ranks[p][rank]], true
 }
 
+// Incarnations returns the incarnations that entries name by position, which is what Positions refers to. Some may be
+// named by no entry any more. The caller must not change the slice.
+func (m *Map) Incarnations() []member.Incarnation { return m.members }
+
+// Positions returns the members of a partition as positions in Incarnations, owner first, and -1 for none. It spares
+// callers that visit every partition a look-up by name for each rank.
+func (m *Map) Positions(p int) [Replicas]int {
+	var positions [Replicas]int
+	for rank, i := range m.ranks[p] {
+		positions[rank] = int(i)
+		if i == noMember {
+			positions[rank] = -1
+		}
+	}
+	return positions
+}
+
 // Epoch returns the epoch of a partition's entry.
 func (m *Map) Epoch(p int) uint64 { return uint64(m.epochs[p]) }
 
@@ -116,11 +133,28 @@
 
 // Apply returns the map at a newer version with the moves made.
 func (m *Map) Apply(version uint64, moves []Move) (*Map, error) {
+	return m.Change(version, nil, moves)
+}
+
+// WithOverride returns the map at a newer version in which the key with the given hash has a partition of its own, with
+// the members of the partition that it was in.
+func (m *Map) WithOverride(version, hash uint64) (*Map, error) {
+	return m.Change(version, []uint64{hash}, nil)
+}
+
+// Change returns the map at a newer version in which the keys with the given hashes have partitions of their own, as in
+// WithOverride and numbered in order from Partitions, and then the moves are made.
+func (m *Map) Change(version uint64, overrides []uint64, moves []Move) (*Map, error) {
 	if version <= m.version {
 		return nil, fmt.Errorf("map %s: version %d is not newer than %d", m.service, version, m.version)
 	}
 	next := m.clone()
 	next.version = version
+	for _, hash := range overrides {
+		if err := next.override(hash); err != nil {
+			return nil, err
+		}
+	}
 	for _, move := range moves {
 		if err := next.set(move.Partition, move.Entry); err != nil {
 			return nil, fmt.Errorf("map %s: partition %d: %w", m.service, move.Partition, err)
@@ -129,28 +163,22 @@
 	return next, nil
 }
 
-// WithOverride returns the map at a newer version in which the key with the given hash has a partition of its own, with
-// the members of the partition that it was in.
-func (m *Map) WithOverride(version, hash uint64) (*Map, error) {
-	next, err := m.Apply(version, nil)
-	if err != nil {
-		return nil, err
-	}
+func (m *Map) override(hash uint64) error {
 	if _, ok := m.overrides[hash]; ok {
-		return next, nil
+		return nil
 	}
 	if len(m.ranks) == MaxPartitions {
-		return nil, fmt.Errorf("map %s: no partition is left for an override", m.service)
+		return fmt.Errorf("map %s: no partition is left for an override", m.service)
 	}
 	old := m.PartitionOfHash(hash)
-	p := len(next.ranks)
-	next.epochs = append(next.epochs, m.epochs[old])
-	next.ranks = append(next.ranks, m.ranks[old])
+	p := len(m.ranks)
+	m.epochs = append(m.epochs, m.epochs[old])
+	m.ranks = append(m.ranks, m.ranks[old])
 	if pending := m.pending[old]; len(pending) > 0 {
-		next.pending[p] = slices.Clone(pending)
+		m.pending[p] = slices.Clone(pending)
 	}
-	next.overrides[hash] = p
-	return next, nil
+	m.overrides[hash] = p
+	return nil
 }
 
 func (m *Map) clone() *Map {
--- /dev/null
+++ b/placement/loads.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"container/heap"
+	"math"
+)
+
+// minLoadShare is the least load of a partition, as a share of the mean: idle partitions are spread too, since they may
+// not stay idle.
+const minLoadShare = 0.01
+
+// estimateLoads fills in the load of each partition and member. A member without a recent report counts its partitions
+// at the mean, but at most up to its share by capacity, so that it is never relieved on a guess.
+func (s *state) estimateLoads() {
+	s.loads = make([]float64, len(s.ranks), cap(s.ranks))
+	unknown := s.knownLoads()
+	known, sum := 0, 0.0
+	for _, load := range s.loads {
+		if load >= 0 {
+			known++
+			sum += load
+		}
+	}
+	s.unit = 1
+	if known > 0 && sum > 0 {
+		s.unit = sum / float64(known)
+	}
+	capacity := 0.0
+	for n := range s.nodes {
+		if s.nodes[n].ready {
+			capacity += s.nodes[n].capacity
+		}
+	}
+	capacity = math.Max(capacity, math.SmallestNonzeroFloat32)
+	s.mean = s.unit * float64(len(s.ranks)) / capacity
+	for p, load := range s.loads {
+		if load >= 0 {
+			s.loads[p] = math.Max(load, minLoadShare*s.unit)
+			continue
+		}
+		s.loads[p] = s.unit
+		if n := s.ranks[p][0]; n != none {
+			share := s.mean * s.nodes[n].capacity / float64(unknown[n])
+			s.loads[p] = math.Min(s.unit, share)
+		}
+	}
+	s.sumLoads()
+}
+
+// knownLoads sets the loads that are known, leaves the others negative and counts these by member.
+func (s *state) knownLoads() []int {
+	unknown := make([]int, len(s.nodes))
+	rest := make([]float64, len(s.nodes))
+	for p := range s.ranks {
+		s.loads[p] = -1
+		n := s.ranks[p][0]
+		if n != none && !s.nodes[n].trusted {
+			unknown[n]++
+			continue
+		}
+		if p < len(s.in.Loads) && finite(s.in.Loads[p]) {
+			s.loads[p] = s.in.Loads[p]
+			if n != none {
+				rest[n] -= s.in.Loads[p]
+			}
+		} else if n != none {
+			unknown[n]++
+		}
+	}
+	// The part of a member's reported load that no partition's figure explains is spread over the other partitions.
+	for p := range s.ranks {
+		n := s.ranks[p][0]
+		if s.loads[p] < 0 && n != none && s.nodes[n].trusted {
+			s.loads[p] = math.Max(0, s.nodes[n].reported+rest[n]) / float64(unknown[n])
+		}
+	}
+	return unknown
+}
+
+func (s *state) sumLoads() {
+	total := 0.0
+	for p, ranks := range s.ranks {
+		total += s.loads[p]
+		if ranks[0] != none {
+			s.nodes[ranks[0]].load += s.loads[p]
+			s.nodes[ranks[0]].owned = append(s.nodes[ranks[0]].owned, int32(p))
+		}
+		for _, n := range ranks[1:] {
+			if n != none {
+				s.nodes[n].duty += s.loads[p]
+			}
+		}
+	}
+	capacity := 0.0
+	s.byLoad = make([]*ranking, len(s.dcs))
+	s.byDuty = make([]*ranking, len(s.dcs))
+	for dc := range s.dcs {
+		s.byLoad[dc] = newRanking(len(s.nodes), func(n int32) float64 { return s.nodes[n].ratio() })
+		s.byDuty[dc] = newRanking(len(s.nodes), func(n int32) float64 { return s.nodes[n].duty / s.nodes[n].capacity })
+	}
+	for n := range s.nodes {
+		if s.nodes[n].ready {
+			capacity += s.nodes[n].capacity
+			s.byLoad[s.nodes[n].dc].add(int32(n))
+			s.byDuty[s.nodes[n].dc].add(int32(n))
+		}
+	}
+	for dc := range s.dcs {
+		heap.Init(s.byLoad[dc])
+		heap.Init(s.byDuty[dc])
+	}
+	s.unit = total / float64(max(len(s.ranks), 1))
+	s.mean = total / math.Max(capacity, math.SmallestNonzeroFloat32)
+}
+
+// imbalance returns the largest load over the capacity-weighted mean.
+func (s *state) imbalance() float64 {
+	worst := 0.0
+	for n := range s.nodes {
+		if s.nodes[n].ready {
+			worst = math.Max(worst, s.nodes[n].ratio()/s.mean)
+		}
+	}
+	return worst
+}
+
+// ranking is a heap of members with the smallest key on top; equal keys are ordered by position.
+type ranking struct {
+	nodes []int32
+	at    []int32
+	key   func(int32) float64
+	keys  []float64
+}
+
+func newRanking(nodes int, key func(int32) float64) *ranking {
+	r := &ranking{at: make([]int32, nodes), keys: make([]float64, nodes), key: key}
+	for n := range r.at {
+		r.at[n] = none
+	}
+	return r
+}
+
+func (r *ranking) add(n int32) {
+	r.at[n] = int32(len(r.nodes))
+	r.keys[n] = r.key(n)
+	r.nodes = append(r.nodes, n)
+}
+
+func (r *ranking) fix(n int32) {
+	r.keys[n] = r.key(n)
+	if r.at[n] != none {
+		heap.Fix(r, int(r.at[n]))
+	}
+}
+
+func (r *ranking) top() int32 {
+	if len(r.nodes) == 0 {
+		return none
+	}
+	return r.nodes[0]
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (r *ranking) Len() int { return len(r.nodes) }
+
+func (r *ranking) Less(i, j int) bool {
+	a, b := r.nodes[i], r.nodes[j]
+	if r.keys[a] != r.keys[b] {
+		return r.keys[a] < r.keys[b]
+	}
+	return a < b
+}
+
+func (r *ranking) Swap(i, j int) {
+	r.nodes[i], r.nodes[j] = r.nodes[j], r.nodes[i]
+	r.at[r.nodes[i]], r.at[r.nodes[j]] = int32(i), int32(j)
+}
+
+func (r *ranking) Push(x any) { r.add(x.(int32)) }
+
+func (r *ranking) Pop() any {
+	last := r.nodes[len(r.nodes)-1]
+	r.nodes = r.nodes[:len(r.nodes)-1]
+	r.at[last] = none
+	return last
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,337 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"sapphiretray/member"
+	"sapphiretray/partition"
+	"sapphiretray/placement"
+)
+
+// cluster returns ready members in 5 data centres of 2 regions; every fourth one has the given capacity, others 1.
+func cluster(members int, capacity float64) []placement.Member {
+	list := make([]placement.Member, members)
+	for n := range list {
+		dc := n % 5
+		list[n] = placement.Member{Record: member.Record{
+			Incarnation: member.NewIncarnation(fmt.Sprintf("s-%d", n), 1), State: member.Ready, Capacity: 1,
+			DataCentre: fmt.Sprintf("dc%d", dc), Region: fmt.Sprintf("region%d", dc/3),
+		}}
+		if n%4 == 0 {
+			list[n].Record.Capacity = capacity
+		}
+	}
+	return list
+}
+
+func empty(tb testing.TB, partitions int) *partition.Map {
+	tb.Helper()
+	m, err := partition.New("bookings", partitions)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return m
+}
+
+func apply(tb testing.TB, in placement.Input) (*partition.Map, placement.Plan) {
+	tb.Helper()
+	plan := placement.Compute(in)
+	m, err := plan.Apply(in.Map)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return m, plan
+}
+
+// settle applies plans until one changes nothing. It guards against plans that undo each other.
+func settle(tb testing.TB, in placement.Input) *partition.Map {
+	tb.Helper()
+	for range 10 {
+		m, plan := apply(tb, in)
+		in.Map = m
+		if len(plan.Changes) == 0 && len(plan.Overrides) == 0 {
+			return m
+		}
+	}
+	tb.Fatal("10 plans in a row changed something")
+	return nil
+}
+
+// zipfLoads returns loads by partition of keys with Zipf frequencies, none of which exceeds a tenth of a server.
+func zipfLoads(partitions, members int, seed uint64) []float64 {
+	random := rand.New(rand.NewPCG(seed, 0))
+	loads := make([]float64, partitions)
+	for key := range partitions * 20 {
+		loads[random.IntN(partitions)] += min(1/float64(key+1), 1.0/float64(members))
+	}
+	return loads
+}
+
+func fresh(members []placement.Member) []placement.Member {
+	for n := range members {
+		members[n].Reported = true
+	}
+	return members
+}
+
+// imbalance returns the largest load over the capacity-weighted mean by the true loads.
+func imbalance(m *partition.Map, members []placement.Member, loads []float64) float64 {
+	load := make(map[member.Incarnation]float64)
+	total, capacity, worst := 0.0, 0.0, 0.0
+	for p := range m.Partitions() {
+		owner, _ := m.Owner(p)
+		load[owner] += loads[p]
+		total += loads[p]
+	}
+	for _, member := range members {
+		capacity += member.Record.Capacity
+	}
+	for _, member := range members {
+		worst = max(worst, load[member.Record.Incarnation]/member.Record.Capacity)
+	}
+	return worst * capacity / total
+}
+
+func moved(a, b *partition.Map) int {
+	count := 0
+	for p := range a.Partitions() {
+		old, _ := a.Owner(p)
+		if owner, _ := b.Owner(p); owner != old {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards the target for imbalance: at most 1.10 on Zipf keys with capacities of 1:4, with both sets of weights.
+func TestImbalance(t *testing.T) {
+	for _, size := range []int{10, 12, 100} {
+		for name, weights := range map[string]placement.Weights{
+			"bookings": placement.BookingWeights(), "buses": placement.BusWeights(),
+		} {
+			for seed := range uint64(5) {
+				members := fresh(cluster(size, 4))
+				partitions := 1024
+				if size == 100 {
+					partitions = 8192
+				}
+				loads := zipfLoads(partitions, size, seed)
+				m := settle(t, placement.Input{
+					Members: members, Map: empty(t, partitions), Loads: loads, Budget: placement.NoLimit,
+					Rules: placement.Rules{Weights: weights},
+				})
+				if got := imbalance(m, members, loads); got > 1.10 {
+					t.Errorf("%d members, %s, seed %d: imbalance %.3f, want at most 1.10", size, name, seed, got)
+				}
+			}
+		}
+	}
+}
+
+// Guards the target for churn: a join or a leave moves at most 1.1 times the least possible share.
+func TestJoinAndLeaveMoveLittle(t *testing.T) {
+	for _, size := range []int{10, 12, 100} {
+		for _, capacity := range []float64{1, 4} {
+			members := fresh(cluster(size+1, capacity))
+			in := placement.Input{Members: members[:size], Map: empty(t, 8192), Budget: placement.NoLimit}
+			in.Loads = make([]float64, 8192)
+			for p := range in.Loads {
+				in.Loads[p] = 1
+			}
+			before := settle(t, in)
+			in.Map, in.Members = before, members
+			joined := settle(t, in)
+			total := 0.0
+			for _, m := range members {
+				total += m.Record.Capacity
+			}
+			least := 8192 * members[size].Record.Capacity / total
+			if got := float64(moved(before, joined)); got > 1.1*least || got < 0.8*least {
+				t.Errorf("join of %d, capacity %.0f: %.0f moves, want about %.0f", size, capacity, got, least)
+			}
+			in.Map = joined
+			in.Members = append([]placement.Member(nil), members...)
+			in.Members[0].Record.State = member.Draining
+			owned := 0
+			for p := range joined.Partitions() {
+				if owner, _ := joined.Owner(p); owner == members[0].Record.Incarnation {
+					owned++
+				}
+			}
+			if got := moved(joined, settle(t, in)); float64(got) > 1.1*float64(owned) || got < owned {
+				t.Errorf("leave of %d, capacity %.0f: %d moves, want about %d", size, capacity, got, owned)
+			}
+		}
+	}
+}
+
+// Guards against entries whose owner and successors share a data centre or cross regions, and against moves after an
+// owner is lost beyond the first live successor.
+func TestLostOwners(t *testing.T) {
+	members := fresh(cluster(25, 1))
+	in := placement.Input{Members: members, Map: empty(t, 1024), Budget: 0}
+	in.Map = settle(t, in)
+	checkSpread(t, in.Map, members)
+	lost := members[2].Record.Incarnation
+	members[2].Record.Incarnation = member.NewIncarnation("s-2", 2)
+	members[2].Record.State = member.Joining
+	m, plan := apply(t, in)
+	for _, c := range plan.Changes {
+		want, _ := in.Map.Member(c.Move.Partition, 1)
+		if c.Kind == placement.Takeover && (c.Old != lost || c.New != want) {
+			t.Errorf("partition %d: %s to %s, want %s", c.Move.Partition, c.Old, c.New, want)
+		}
+		if c.Kind.ChangesServer() {
+			t.Errorf("partition %d: %s without a budget", c.Move.Partition, c.Kind)
+		}
+		for _, i := range append(c.Move.Entry.Members, c.Move.Entry.From...) {
+			if i == lost {
+				t.Errorf("partition %d still names %s", c.Move.Partition, lost)
+			}
+		}
+	}
+	checkSpread(t, m, members)
+}
+
+func checkSpread(t *testing.T, m *partition.Map, members []placement.Member) {
+	t.Helper()
+	records := make(map[member.Incarnation]member.Record)
+	for _, m := range members {
+		records[m.Record.Incarnation] = m.Record
+	}
+	for p := range m.Partitions() {
+		entry := m.Entry(p)
+		places := make(map[string]bool)
+		for _, i := range entry.Members {
+			places[records[i].DataCentre] = true
+			if records[i].Region != records[entry.Members[0]].Region {
+				t.Fatalf("partition %d: members in two regions", p)
+			}
+		}
+		want := 3
+		if records[entry.Members[0]].Region == "region1" {
+			want = 2
+		}
+		if len(entry.Members) != 3 || len(places) != want {
+			t.Fatalf("partition %d: %d members in %d data centres, want 3 in %d", p, len(entry.Members), len(places), want)
+		}
+	}
+}
+
+// Guards against a budget that leaves a partition without an owner, and against a drain that goes over the budget.
+func TestBudget(t *testing.T) {
+	members := fresh(cluster(10, 1))
+	in := placement.Input{Members: members, Map: empty(t, 256), Budget: 0}
+	in.Map, _ = apply(t, in)
+	for p := range 256 {
+		if _, ok := in.Map.Owner(p); !ok {
+			t.Fatalf("partition %d has no owner", p)
+		}
+	}
+	members[3].Record.State = member.Draining
+	in.Budget = 5
+	_, plan := apply(t, in)
+	drained := 0
+	for _, c := range plan.Changes {
+		if c.Kind == placement.Drain && c.Old == members[3].Record.Incarnation {
+			drained++
+		}
+	}
+	if drained != 5 || plan.HeldCount == 0 || !strings.Contains(plan.Held[0].Reason, "budget") {
+		t.Errorf("%d drained, %d held back", drained, plan.HeldCount)
+	}
+}
+
+// Guards the pause: a lost owner is still replaced on record, but nothing changes who serves.
+func TestPause(t *testing.T) {
+	members := fresh(cluster(10, 1))
+	in := placement.Input{Members: members, Map: empty(t, 256), Budget: placement.NoLimit}
+	in.Map = settle(t, in)
+	members[1].Record.State, members[2].Record.State = member.Lapsed, member.Draining
+	in.Paused = true
+	_, plan := apply(t, in)
+	takeovers := 0
+	for _, c := range plan.Changes {
+		if c.Kind.ChangesServer() {
+			t.Errorf("partition %d moved while paused: %s", c.Move.Partition, c.Move.Reason)
+		}
+		if c.Kind == placement.Takeover {
+			takeovers++
+		}
+	}
+	if takeovers == 0 || plan.HeldCount == 0 || !strings.HasPrefix(plan.Held[0].Reason, "paused") {
+		t.Errorf("%d takeovers, %d held back", takeovers, plan.HeldCount)
+	}
+}
+
+// Guards the rules: pinned keys get a partition of their own at their place, and only allowed data centres are used.
+func TestRules(t *testing.T) {
+	in := placement.Input{Members: fresh(cluster(10, 1)), Map: empty(t, 256), Budget: placement.NoLimit}
+	in.Map = settle(t, in)
+	in.Rules = placement.Rules{
+		Pins: []placement.Pin{
+			{Key: "a", Hash: partition.Hash("a"), Slot: "s-7"},
+			{Key: "b", Hash: partition.Hash("b"), DataCentre: "dc1"},
+			{Key: "c", Hash: partition.Hash("c"), Slot: "missing"},
+		},
+		Allow: []placement.Allow{{Prefix: "x", DataCentres: []string{"dc0", "dc1", "dc2"}}},
+	}
+	plan := placement.Compute(in)
+	in.Map = settle(t, in)
+	if owner, _ := in.Map.Owner(in.Map.Partition("a")); owner.Slot() != "s-7" {
+		t.Errorf("key a is at %s, want s-7", owner)
+	}
+	if owner, _ := in.Map.Owner(in.Map.Partition("b")); owner.Slot() != "s-1" && owner.Slot() != "s-6" {
+		t.Errorf("key b is at %s, want dc1", owner)
+	}
+	if len(plan.Problems) == 0 {
+		t.Error("no problem is reported for a pin to a missing slot")
+	}
+	for p := range in.Map.HashPartitions() {
+		for _, i := range in.Map.Entry(p).Members {
+			if strings.HasSuffix(i.Slot(), "3") || strings.HasSuffix(i.Slot(), "4") || strings.HasSuffix(i.Slot(), "8") {
+				t.Fatalf("partition %d is at %s, outside the allowed data centres", p, i)
+			}
+		}
+	}
+}
+
+// Guards against a hot key that keeps its partition's other keys on one member, and against plans that depend on the
+// order of the input or on map iteration.
+func TestHotKeysAndDeterminism(t *testing.T) {
+	members := fresh(cluster(10, 1))
+	in := placement.Input{Members: members, Map: empty(t, 256), Budget: placement.NoLimit, Loads: zipfLoads(256, 10, 1)}
+	in.Map = settle(t, in)
+	hash := partition.Hash("hot")
+	in.Loads[in.Map.PartitionOfHash(hash)] += 2
+	in.HotKeys = []placement.HotKey{{Hash: hash, Load: 2}}
+	first := placement.Compute(in)
+	if len(first.Overrides) != 1 || first.Overrides[0].Hash != hash || first.Overrides[0].Partition != 256 {
+		t.Fatalf("overrides %+v, want the hot key at partition 256", first.Overrides)
+	}
+	for range 5 {
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		if again := placement.Compute(in); !reflect.DeepEqual(first, again) {
+			t.Fatal("the plan depends on the order of the members")
+		}
+	}
+}
+
+// Guards against moves on the word of old reports: without recent ones members count by capacity.
+func TestOldReports(t *testing.T) {
+	members := fresh(cluster(10, 1))
+	in := placement.Input{Members: members, Map: empty(t, 256), Budget: placement.NoLimit}
+	in.Map = settle(t, in)
+	in.Loads = zipfLoads(256, 10, 1)
+	for n := range members {
+		members[n].Age = time.Minute
+	}
+	if plan := placement.Compute(in); len(plan.Changes) > 0 {
+		t.Errorf("%d moves, want none: %s", len(plan.Changes), plan.Changes[0].Move.Reason)
+	}
+}
