--- a/placement/rules.go
+++ b/placement/rules.go
@@ -49,11 +49,13 @@
 
 // allowed returns the set of data centres in which a partition may be.
 func (s *state) allowed(p int) uint64 {
-	mask, ok := s.masks[p]
-	if !ok {
+	if len(s.masks) == 0 {
 		return s.base
 	}
-	return s.base & mask
+	if mask, ok := s.masks[p]; ok {
+		return s.base & mask
+	}
+	return s.base
 }
 
 func (s *state) permits(p int, n int32) bool {
@@ -104,9 +106,7 @@
 	if mask, ok := s.masks[parent]; ok {
 		s.masks[p] = mask
 	}
-	if c, ok := s.changes[parent]; ok {
-		s.changes[p] = c
-	}
+	s.changes = append(s.changes, s.changes[parent])
 	load = min(max(load, minLoadShare*s.unit), s.loads[parent])
 	s.loads[parent] -= load
 	s.loads = append(s.loads, load)
--- a/placement/state.go
+++ b/placement/state.go
@@ -48,7 +48,7 @@
 	dcs     []dataCentre
 	ranks   [][partition.Replicas]int32
 	loads   []float64
-	changes map[int]change
+	changes []change // By partition; the zero value stands for none.
 	// parents holds the partition that each new override was split from, by the override's partition.
 	parents map[int]int
 	gone    map[member.Incarnation]bool
@@ -73,7 +73,7 @@
 		in.Rules.ReportLimit = DefaultReportLimit
 	}
 	s := &state{
-		in: in, changes: make(map[int]change), parents: make(map[int]int), gone: make(map[member.Incarnation]bool),
+		in: in, parents: make(map[int]int), gone: make(map[member.Incarnation]bool),
 		masks: make(map[int]uint64), pins: make(map[int]Pin),
 	}
 	s.addNodes()
@@ -149,6 +149,7 @@
 		}
 	}
 	s.ranks = make([][partition.Replicas]int32, s.in.Map.Partitions(), s.in.Map.Partitions()+len(s.in.Rules.Pins)+len(s.in.HotKeys))
+	s.changes = make([]change, len(s.ranks), cap(s.ranks))
 	for p := range s.ranks {
 		s.ranks[p] = [partition.Replicas]int32{none, none, none}
 		for rank, at := range s.in.Map.Positions(p) {
@@ -189,14 +190,18 @@
 
 // emit turns the changed ranks into entries.
 func (s *state) emit() {
-	partitions := make([]int, 0, len(s.changes))
-	for p := range s.changes {
-		partitions = append(partitions, p)
+	changed := 0
+	for _, c := range s.changes {
+		if c.kind != "" {
+			changed++
+		}
 	}
-	slices.Sort(partitions)
-	s.plan.Changes = make([]Change, 0, len(partitions))
+	s.plan.Changes = make([]Change, 0, changed)
 	gone := func(i member.Incarnation) bool { return s.gone[i] }
-	for _, p := range partitions {
+	for p, c := range s.changes {
+		if c.kind == "" {
+			continue
+		}
 		old := s.entry(p)
 		members := make([]member.Incarnation, 0, partition.Replicas)
 		for _, n := range s.ranks[p] {
@@ -204,18 +209,18 @@
 				members = append(members, s.nodes[n].incarnation)
 			}
 		}
-		made := Change{Kind: s.changes[p].kind, New: members[0]}
+		made := Change{Kind: c.kind, New: members[0]}
 		if len(old.Members) > 0 {
 			made.Old = old.Members[0]
 		}
-		made.Move = partition.Move{Partition: p, Entry: old.Next(members, gone), Reason: s.changes[p].reason}
+		made.Move = partition.Move{Partition: p, Entry: old.Next(members, gone), Reason: c.reason}
 		s.plan.Changes = append(s.plan.Changes, made)
 	}
 }
 
 func (s *state) entry(p int) partition.Entry {
-	if parent, ok := s.parents[p]; ok {
-		return s.in.Map.Entry(parent)
+	if p >= s.in.Map.Partitions() {
+		return s.in.Map.Entry(s.parents[p])
 	}
 	return s.in.Map.Entry(p)
 }
--- a/placement/successors.go
+++ b/placement/successors.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		s.setSuccessors(p, next)
-		if _, ok := s.changes[p]; !ok {
+		if s.changes[p].kind == "" {
 			s.changes[p] = change{Successors, "a successor is gone or shares a data centre"}
 		}
 	}
@@ -36,13 +36,14 @@
 
 // setSuccessors replaces the ranks of a partition and accounts for the successors' duty.
 func (s *state) setSuccessors(p int, next [partition.Replicas]int32) {
-	for rank, n := range s.ranks[p] {
-		if rank > 0 && n != none {
+	old := s.ranks[p]
+	for _, n := range old[1:] {
+		if n != none && n != next[1] && n != next[2] {
 			s.addDuty(n, -s.loads[p])
 		}
 	}
-	for rank, n := range next {
-		if rank > 0 && n != none {
+	for _, n := range next[1:] {
+		if n != none && n != old[1] && n != old[2] {
 			s.addDuty(n, s.loads[p])
 		}
 	}
@@ -79,16 +80,7 @@
 // successor returns the best member for the rank after those kept, or none. The fewest shared data centres count first,
 // then that the member is a successor already, then the least duty.
 func (s *state) successor(p int, kept []int32) int32 {
-	best, grade := int32(none), 0
-	for _, n := range s.ranks[p][1:] {
-		if n == none || slices.Contains(kept, n) || !s.permits(p, n) ||
-			s.nodes[n].record.Region != s.nodes[kept[0]].record.Region {
-			continue
-		}
-		if shared := s.shared(s.nodes[n].dc, kept); best == none || shared < grade {
-			best, grade = n, shared
-		}
-	}
+	best, grade := s.present(p, kept)
 	present := best != none
 	for dc := range s.dcs {
 		shared := s.shared(dc, kept)
@@ -106,6 +98,21 @@
 	return best
 }
 
+// present returns the best member for a rank among the present successors, with its grade.
+func (s *state) present(p int, kept []int32) (best int32, grade int) {
+	best = none
+	for _, n := range s.ranks[p][1:] {
+		if n == none || slices.Contains(kept, n) || !s.permits(p, n) ||
+			s.nodes[n].record.Region != s.nodes[kept[0]].record.Region {
+			continue
+		}
+		if shared := s.shared(s.nodes[n].dc, kept); best == none || shared < grade {
+			best, grade = n, shared
+		}
+	}
+	return best, grade
+}
+
 // shared grades a data centre: 0 if none of the kept members is in it, 2 if the owner is, otherwise 1.
 func (s *state) shared(dc int, kept []int32) int {
 	for rank, k := range kept {
