--- a/placement/placement.go
+++ b/placement/placement.go
@@ -89,8 +89,8 @@
 	HotKeys []HotKey
 	// Budget is the number of moves that may change the owner of a partition that has one.
 	Budget int
-	// Paused holds back each move that changes who serves.
-	Paused bool
+	// Hold is the reason why each move that changes who serves is held back; empty if none is.
+	Hold string
 }
 
 // Kind is the cause of a move.
@@ -175,17 +175,17 @@
 
 // Compute returns the plan for an input.
 func Compute(in Input) Plan {
-	if !in.Paused {
+	if in.Hold == "" {
 		return compute(in)
 	}
 	free := in
-	free.Paused = false
+	free.Hold = ""
 	wanted := compute(free)
 	plan := compute(in)
 	plan.Held, plan.HeldCount = wanted.Held, wanted.HeldCount
 	for _, c := range wanted.Changes {
 		if c.Kind.ChangesServer() {
-			plan.hold(Held{Partition: c.Move.Partition, Kind: c.Kind, Old: c.Old, New: c.New, Reason: "paused: " + c.Move.Reason})
+			plan.hold(Held{Partition: c.Move.Partition, Kind: c.Kind, Old: c.Old, New: c.New, Reason: in.Hold + ": " + c.Move.Reason})
 		}
 	}
 	return plan
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -253,7 +253,7 @@
 	in := placement.Input{Members: members, Map: empty(t, 256), Budget: placement.NoLimit}
 	in.Map = settle(t, in)
 	members[1].Record.State, members[2].Record.State = member.Lapsed, member.Draining
-	in.Paused = true
+	in.Hold = "paused"
 	_, plan := apply(t, in)
 	takeovers := 0
 	for _, c := range plan.Changes {
--- a/placement/state.go
+++ b/placement/state.go
@@ -267,7 +267,7 @@
 // try makes a move that changes who serves, or holds it back. It returns false if it was held back.
 func (s *state) try(p int, n int32, c change) bool {
 	limited := c.kind != Unowned && s.in.Budget >= 0
-	if s.in.Paused {
+	if s.in.Hold != "" {
 		return false
 	}
 	if !limited || s.spent < s.in.Budget {
