--- /dev/null
+++ b/instance/directory.go
@@ -0,0 +1,123 @@
+package instance
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/member"
+	"sapphiretray/partition"
+	"sapphiretray/table"
+)
+
+// directory holds the members and the maps that the cached rows describe.
+type directory struct {
+	mu      sync.RWMutex
+	members map[string]member.Record
+	maps    map[string]*partition.Map
+}
+
+func newDirectory() *directory {
+	return &directory{members: make(map[string]member.Record), maps: make(map[string]*partition.Map)}
+}
+
+// setMember takes a row of a slot and returns the incarnations of the slot that can't serve any more.
+func (d *directory) setMember(row table.Row) (gone []member.Incarnation) {
+	var record member.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		klog.Errorf("directory: row %s can't be decoded: %v", row.Key, err)
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, known := d.members[record.Incarnation.Slot()]
+	d.members[record.Incarnation.Slot()] = record
+	if known && old.Incarnation != record.Incarnation {
+		gone = append(gone, old.Incarnation)
+	}
+	if record.State.Gone() {
+		gone = append(gone, record.Incarnation)
+	}
+	return gone
+}
+
+// gone reports whether the table proves that an incarnation can't serve any more.
+func (d *directory) gone(i member.Incarnation) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	record, ok := d.members[i.Slot()]
+	return ok && (record.Incarnation.Number() > i.Number() || (record.Incarnation == i && record.State.Gone()))
+}
+
+// slot returns the newest record of a slot.
+func (d *directory) slot(name string) (member.Record, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	record, ok := d.members[name]
+	return record, ok
+}
+
+// Record returns the record of an incarnation, and false if it isn't the newest one of its slot.
+func (d *directory) Record(i member.Incarnation) (member.Record, bool) {
+	record, ok := d.slot(i.Slot())
+	return record, ok && record.Incarnation == i
+}
+
+// all returns the newest records of all slots, sorted by slot.
+func (d *directory) all() []member.Record {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	records := make([]member.Record, 0, len(d.members))
+	for _, record := range d.members {
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b member.Record) int { return cmp.Compare(a.Incarnation.Slot(), b.Incarnation.Slot()) })
+	return records
+}
+
+// Map returns the newest map of a service, or nil.
+func (d *directory) Map(service string) *partition.Map {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.maps[service]
+}
+
+// setMap keeps a map if it is newer than the one known.
+func (d *directory) setMap(m *partition.Map) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.maps[m.Service()]; known != nil && known.Version() >= m.Version() {
+		return false
+	}
+	d.maps[m.Service()] = m
+	return true
+}
+
+// successors returns the incarnations that may succeed one whose lease has expired.
+func (d *directory) successors(i member.Incarnation) []member.Incarnation {
+	record, ok := d.slot(i.Slot())
+	if !ok {
+		return nil
+	}
+	m := d.Map(record.Service)
+	if m == nil {
+		return nil
+	}
+	found := map[member.Incarnation]bool{}
+	for p := range m.Partitions() {
+		if m.Concerns(p, i) {
+			for _, successor := range m.Entry(p).Members {
+				found[successor] = true
+			}
+		}
+	}
+	delete(found, i)
+	list := make([]member.Incarnation, 0, len(found))
+	for successor := range found {
+		list = append(list, successor)
+	}
+	return list
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,238 @@
+// Package instance is one process: it joins the deployment, holds a lease, serves the partitions that it owns and forwards
+// requests for the others.
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/caller"
+	"sapphiretray/chart"
+	"sapphiretray/code"
+	"sapphiretray/object"
+	"sapphiretray/peer"
+	"sapphiretray/policy"
+	"sapphiretray/settings"
+	"sapphiretray/table"
+	"sapphiretray/timeline"
+	"sapphiretray/upstream"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = time.Second
+	retryDelay        = 200 * time.Millisecond
+)
+
+// Instance is one process beside one upstream.
+type Instance struct {
+	settings  settings.Settings
+	table     *table.Client
+	objects   *object.Client
+	clock     *timeline.Clock
+	log       *timeline.Log
+	state     *chart.Machine
+	rows      rows
+	directory *directory
+	routes    routes
+	dialer    *peer.Dialer
+	transport *http.Transport
+	upstream  *upstream.Client
+	health    health
+	limiter   *policy.Limiter
+	budget    *policy.Budget
+	registry  *prometheus.Registry
+	session   atomic.Pointer[session]
+	ready     chan struct{}
+	readyOnce sync.Once
+	fetches   chan string
+	calls     sync.WaitGroup
+	started   time.Time
+	suspects  suspects
+	loads     loads
+	// quarantine outlives incarnations: a request that crashed the upstream would crash it again.
+	quarantine *caller.Quarantine
+}
+
+// New returns an instance that Run starts.
+func New(s settings.Settings) *Instance {
+	clock := &timeline.Clock{}
+	log := timeline.NewLog(s.Slot(), clock)
+	transport := peer.NewTransport(s.ListenPeers().Addr().String())
+	i := &Instance{
+		settings:  s,
+		table:     table.New(s.TableURL()),
+		objects:   object.New(s.ObjectURL()),
+		clock:     clock,
+		log:       log,
+		state:     chart.New(chart.MustLoad("instance"), s.Slot(), log),
+		directory: newDirectory(),
+		dialer:    peer.NewDialer(transport),
+		transport: transport,
+		upstream:  upstream.New(s.UpstreamURL().Host),
+		limiter:   policy.NewLimiter(s.UpstreamSlots()),
+		budget:    &policy.Budget{},
+		registry:  prometheus.NewRegistry(),
+		ready:     make(chan struct{}),
+		fetches:   make(chan string, 1),
+		started:   time.Now(),
+	}
+	i.health.machine = chart.New(chart.MustLoad("upstream"), s.Slot(), log)
+	i.quarantine = caller.NewQuarantine(caller.WithOnChange(i.spreadQuarantine))
+	i.registerMetrics()
+	return i
+}
+
+// Ready is closed when the instance's first lease is valid.
+func (i *Instance) Ready() <-chan struct{} { return i.ready }
+
+// Run serves until ctx ends; it then stops gracefully within the stop timeout.
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen(ctx)
+	if err != nil {
+		return err
+	}
+	// Servers and control loops go on while the instance drains.
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, running := errgroup.WithContext(running)
+	i.serve(running, group, listeners)
+	group.Go(func() error { i.upstream.Watch(running, i.observeUpstream); return nil })
+	group.Go(func() error { i.pollTable(running); return nil })
+	group.Go(func() error { i.fetchNews(running); return nil })
+	group.Go(func() error { i.flushEvents(running); return nil })
+	group.Go(func() error {
+		defer cancel()
+		return i.runSessions(ctx, running)
+	})
+	err = group.Wait()
+	i.calls.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type listeners struct {
+	callers, peers, admin net.Listener
+}
+
+// listen binds all addresses. The session binds the address for heartbeats.
+func (i *Instance) listen(ctx context.Context) (l listeners, err error) {
+	var config net.ListenConfig
+	bind := func(address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var listener net.Listener
+		listener, err = config.Listen(ctx, "tcp", address)
+		return listener
+	}
+	l.callers = bind(i.settings.ListenCallers().String())
+	l.peers = bind(i.settings.ListenPeers().String())
+	l.admin = bind(i.settings.ListenAdmin().String())
+	if err != nil {
+		return l, code.Wrap(code.BadSettings, err, "listen")
+	}
+	return l, nil
+}
+
+func (i *Instance) serve(ctx context.Context, group *errgroup.Group, l listeners) {
+	i.serveHTTP(ctx, group, l.callers, caller.NewHTTPServer(http.HandlerFunc(i.serveCaller)))
+	i.serveHTTP(ctx, group, l.peers, caller.NewHTTPServer(i.peerHandler()))
+	i.serveHTTP(ctx, group, l.admin, &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: readHeaderTimeout})
+}
+
+func (i *Instance) serveHTTP(ctx context.Context, group *errgroup.Group, l net.Listener, server *http.Server) {
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			return server.Close()
+		}
+		return nil
+	})
+}
+
+// serveCaller hands a caller's request to the current session.
+func (i *Instance) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if s := i.session.Load(); s != nil {
+		s.server.Handler().ServeHTTP(w, r)
+		return
+	}
+	i.refuse(w, code.NoOwner)
+}
+
+// peerHandler serves the calls and the forwarded requests of other instances.
+func (i *Instance) peerHandler() http.Handler {
+	calls := peer.NewPeerServer(&service{instance: i})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := i.session.Load()
+		switch {
+		case !caller.IsForwarded(r):
+			calls.ServeHTTP(w, r)
+		case s == nil:
+			i.refuse(w, code.NoOwner)
+		default:
+			s.server.PeerHandler().ServeHTTP(w, r)
+		}
+	})
+}
+
+// refuse answers a request that arrives before the instance has joined; it did not run.
+func (i *Instance) refuse(w http.ResponseWriter, c code.Code) {
+	e := c.Entry()
+	w.Header().Set(caller.HeaderRan, string(e.Ran()))
+	w.Header().Set(caller.HeaderCode, strconv.Itoa(int(c)))
+	http.Error(w, e.Text(), e.Status())
+}
+
+// runSessions joins as a new incarnation whenever the last one has ended, until a planned stop has finished.
+func (i *Instance) runSessions(stop, running context.Context) error {
+	if err := i.silence(running); err != nil {
+		return err
+	}
+	for {
+		s, err := i.join(stop, running)
+		if err != nil {
+			return err
+		}
+		if s == nil {
+			return nil
+		}
+		left, err := s.run(stop, running)
+		if err != nil || left {
+			return err
+		}
+		klog.Infof("instance: %s ends; joining again", s.self)
+	}
+}
+
+// silence waits until every acknowledgement to an earlier process on the same addresses has gone out of date, so that the
+// record of the new incarnation proves the expiry of the older ones.
+func (i *Instance) silence(ctx context.Context) error {
+	wait := time.Duration(float64(i.settings.Lease()) * (1 + i.settings.Drift()))
+	select {
+	case <-time.After(wait - time.Since(i.started)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/instance/session.go
@@ -0,0 +1,280 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/caller"
+	"sapphiretray/chart"
+	"sapphiretray/heartbeat"
+	"sapphiretray/member"
+	"sapphiretray/ownership"
+	"sapphiretray/peer"
+	"sapphiretray/upstream"
+	"sapphiretray/witness"
+)
+
+const (
+	notifyTimeout = 300 * time.Millisecond
+	// rejoinAfter is how long an expired lease may be re-acquired before the instance tries to join as a new incarnation.
+	rejoinAfter = 2 * time.Second
+)
+
+// session is the part of an instance that belongs to one incarnation.
+type session struct {
+	instance *Instance
+	self     member.Incarnation
+	endpoint *heartbeat.Endpoint
+	prover   *heartbeat.Prover
+	owned    *ownership.Table
+	server   *caller.Server
+	chart    *chart.Machine
+	// ended is closed when the incarnation must not go on; ctx ends with it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	recordMu      sync.Mutex
+	record        member.Record
+	recordVersion uint64
+
+	mu        sync.Mutex
+	expiredAt time.Time
+}
+
+var errEnded = errors.New("the incarnation has ended")
+
+func newSession(i *Instance, running context.Context, record member.Record, version uint64) *session {
+	ctx, cancel := context.WithCancelCause(running)
+	s := &session{
+		instance: i, self: record.Incarnation, record: record, recordVersion: version, ctx: ctx, cancel: cancel,
+		chart: chart.New(chart.MustLoad("lease"), record.Incarnation.String(), i.log),
+	}
+	i.log.SetSource(s.self.String())
+	s.endpoint = heartbeat.New(s.self,
+		heartbeat.WithAddress(i.settings.ListenHeartbeats().String()),
+		heartbeat.WithTiming(witness.NewTiming(i.settings.Lease(), i.settings.Interval(), i.settings.Drift())),
+		heartbeat.WithVersions(i.versions),
+		heartbeat.WithNews(i.observe),
+		heartbeat.WithDial(i.dialSlot),
+		heartbeat.WithOnExpiry(s.witnessedExpiry),
+		heartbeat.WithOnChange(s.leaseChanged),
+	)
+	s.prover = heartbeat.NewProver(i.dialSlot, witness.NewTiming(i.settings.Lease(), i.settings.Interval(), i.settings.Drift()))
+	dedup := caller.NewDedup(s.self)
+	s.owned = ownership.New(ctx, s.self, s.lease(), &granter{session: s}, dedup, s.prove, i.dialMember,
+		ownership.WithDrainTimeout(i.settings.DrainTimeout()), ownership.WithLog(i.log))
+	s.server = caller.New(owner{s.owned}, &view{directory: i.directory, session: s}, &i.routes, i.upstream,
+		caller.WithLimiter(i.limiter), caller.WithBudget(i.budget), caller.WithHold(i.settings.HoldTimeout()),
+		caller.WithTransport(i.transport), caller.WithDedup(dedup), caller.WithQuarantine(i.quarantine))
+	return s
+}
+
+func (s *session) lease() heartbeat.Lease { return s.endpoint.Lease() }
+
+// run serves as one incarnation and reports whether a planned stop has finished.
+func (s *session) run(stop, running context.Context) (left bool, err error) {
+	i := s.instance
+	defer s.cancel(errEnded)
+	if err := s.endpoint.SetWitnesses(i.targets(s.record.Witnesses)); err != nil {
+		return false, err
+	}
+	i.session.Store(s)
+	for _, record := range i.directory.all() {
+		i.reportGone(s, record)
+	}
+	if m := i.directory.Map(i.settings.Service()); m != nil {
+		s.owned.Update(m)
+	}
+	group, ctx := errgroup.WithContext(s.ctx)
+	group.Go(func() error { return s.endpoint.Run(ctx) })
+	group.Go(func() error { s.renewGrants(ctx); return nil })
+	group.Go(func() error { s.announceReady(ctx); return nil })
+	group.Go(func() error { s.watchLease(ctx); return nil })
+	group.Go(func() error { return i.runPlanner(ctx, s) })
+	group.Go(func() error {
+		select {
+		case <-stop.Done():
+			s.leave(running)
+			left = true
+			s.cancel(errEnded)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	s.owned.Wait()
+	if running.Err() == nil && s.ctx.Err() != nil {
+		err = nil
+	}
+	return left, err
+}
+
+// end makes the incarnation stop; the instance joins again as a new one.
+func (s *session) end(reason string) {
+	if s.ctx.Err() == nil {
+		klog.Infof("instance: %s can't go on: %s", s.self, reason)
+		_ = s.instance.state.Fire("replaced", reason)
+	}
+	s.cancel(errEnded)
+}
+
+// upstreamFailed gives up the lease, so that successors take over at once.
+func (s *session) upstreamFailed() {
+	s.instance.calls.Go(func() {
+		s.endpoint.Resign(s.ctx)
+		s.end("the upstream does not answer")
+	})
+}
+
+// leaseChanged records a transition of the own lease.
+func (s *session) leaseChanged(valid bool, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !valid {
+		s.expiredAt = time.Now()
+		_ = s.chart.Fire("expired", reason)
+		_ = s.instance.state.Fire("lease-lost", reason)
+		return
+	}
+	first := s.chart.State() == "none"
+	s.expiredAt = time.Time{}
+	if first {
+		_ = s.chart.Fire("acquired", reason)
+		return
+	}
+	_ = s.chart.Fire("reacquired", reason)
+	_ = s.instance.state.Fire("lease-reacquired", reason)
+}
+
+// announceReady lets partitions be assigned once the first lease is valid.
+func (s *session) announceReady(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.lease().Valid() {
+			err := s.setState(ctx, member.Ready)
+			if err == nil {
+				_ = s.instance.state.Fire("lease-acquired", s.self.String())
+				s.instance.readyOnce.Do(func() { close(s.instance.ready) })
+				return
+			}
+			klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
+		}
+		sleep(ctx, retryDelay/4)
+	}
+}
+
+// watchLease ends the incarnation if its lease stays expired while the platform answers, since it then can join again.
+func (s *session) watchLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, retryDelay)
+		s.mu.Lock()
+		expired := !s.expiredAt.IsZero() && time.Since(s.expiredAt) > rejoinAfter
+		s.mu.Unlock()
+		if expired || s.endpoint.Lost() {
+			if _, err := s.instance.table.Get(ctx, member.RowKey(s.self.Slot())); err == nil {
+				s.end("its lease can't be re-acquired")
+			}
+		}
+	}
+}
+
+// renewGrants extends the upstream's grants with each heartbeat.
+func (s *session) renewGrants(ctx context.Context) {
+	for ctx.Err() == nil {
+		if lease := s.lease(); lease.Valid() && s.instance.settings.UpstreamChecksGrants() {
+			if err := s.instance.upstream.Renew(ctx, s.self, lease.Expires()); err != nil && ctx.Err() == nil {
+				klog.V(1).Infof("upstream: renewal of grants failed: %v", err)
+			}
+		}
+		sleep(ctx, s.instance.settings.Interval())
+	}
+}
+
+// witnessedExpiry tells the successors of an incarnation that its lease has expired here.
+func (s *session) witnessedExpiry(holder member.Incarnation) {
+	request := &peer.NotifyExpiryRequest{Holder: peer.FromIncarnation(holder), Witness: s.self.Slot()}
+	klog.V(1).Infof("lease: expired %s", holder)
+	s.instance.suspect(holder)
+	for _, successor := range s.instance.directory.successors(holder) {
+		if successor == s.self {
+			s.owned.NotifyExpiry(holder)
+			continue
+		}
+		client, err := s.instance.dialMember(successor)
+		if err != nil {
+			continue
+		}
+		s.instance.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, notifyTimeout)
+			defer cancel()
+			_, _ = client.NotifyExpiry(ctx, request)
+		})
+	}
+}
+
+// prove asks the witnesses of an incarnation whether its lease has expired for good.
+func (s *session) prove(ctx context.Context, holder member.Incarnation) (bool, error) {
+	if s.instance.directory.gone(holder) {
+		return true, nil
+	}
+	record, ok := s.instance.directory.Record(holder)
+	if !ok {
+		return false, nil
+	}
+	if record.State == member.Joining {
+		// Its first lease may not have been valid yet, so a witness that never heard of it proves nothing.
+		return false, nil
+	}
+	return s.prover.Expired(ctx, holder, record.Witnesses)
+}
+
+// granter gives partitions to the local upstream.
+type granter struct {
+	session *session
+}
+
+// Warm returns when the upstream is ready.
+func (g *granter) Warm(ctx context.Context) error { return g.session.instance.awaitUpstream(ctx) }
+
+// Grant registers a grant that ends with the lease.
+func (g *granter) Grant(ctx context.Context, p int, fence uint64) error {
+	if !g.session.instance.settings.UpstreamChecksGrants() {
+		return nil
+	}
+	return g.session.instance.upstream.Grant(ctx, upstream.Grant{
+		Incarnation: g.session.self, Partition: p, Fence: fence, LeaseEnd: g.session.lease().Expires(),
+	})
+}
+
+// Revoke ends a grant.
+func (g *granter) Revoke(ctx context.Context, p int, fence uint64) error {
+	if !g.session.instance.settings.UpstreamChecksGrants() {
+		return nil
+	}
+	return g.session.instance.upstream.Revoke(ctx, p, fence)
+}
+
+// owner adapts the ownership table to package caller.
+type owner struct {
+	table *ownership.Table
+}
+
+// Admit begins a request on a partition.
+func (o owner) Admit(p int) (caller.Admission, error) {
+	a, err := o.table.Admit(p)
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -97,6 +97,8 @@
 	HeartbeatAddress string `json:"heartbeat_address"`
 	// CallerAddress is the host:port for callers.
 	CallerAddress string `json:"caller_address"`
+	// AdminAddress is the host:port for metrics and status.
+	AdminAddress string `json:"admin_address,omitempty"`
 	// Capacity is relative to other members of the service.
 	Capacity float64 `json:"capacity"`
 	// Witnesses are the slots that witness this incarnation's lease.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -168,8 +167,17 @@
 		return false
 	}
 	for p := range t.current.Partitions() {
-		e := t.current.Entry(p)
-		if slices.Contains(e.Members, t.self) && (slices.Contains(e.Members, i) || slices.Contains(e.From, i)) {
+		if t.ranked(p) && t.current.Concerns(p, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// ranked reports whether this incarnation is a member of a partition's current entry.
+func (t *Table) ranked(p int) bool {
+	for rank := range partition.Replicas {
+		if i, ok := t.current.Member(p, rank); ok && i == t.self {
 			return true
 		}
 	}
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -356,3 +356,10 @@
 	}
 	return nil
 }
+
+// Concerns reports whether an incarnation is a member of a partition's entry or may still serve it under an older one. It
+// doesn't allocate.
+func (m *Map) Concerns(p int, i member.Incarnation) bool {
+	position, ok := m.index[i]
+	return ok && (slices.Contains(m.ranks[p][:], position) || slices.Contains(m.pending[p], position))
+}
