--- /dev/null
+++ b/witness/message.go
@@ -0,0 +1,47 @@
+package witness
+
+import (
+	"time"
+
+	"sapphiretray/member"
+)
+
+// Heartbeat asks one witness to support the holder's lease.
+type Heartbeat struct {
+	Holder member.Incarnation
+	// Witness is the slot that the heartbeat is for.
+	Witness  string
+	Sequence uint64
+	// EchoRun and EchoSequence repeat the newest acknowledgement of this witness that the holder has received. They
+	// prove to the witness that the holder's lease was valid after the witness started.
+	EchoRun      uint64
+	EchoSequence uint64
+}
+
+// Ack answers a Heartbeat.
+type Ack struct {
+	Holder   member.Incarnation
+	Witness  string
+	Sequence uint64
+	// Run changes whenever the witness has lost its record of the holder.
+	Run uint64
+	// Refused means that the witness has confirmed the expiry of the holder's lease.
+	Refused bool
+}
+
+// Confirmation answers a successor's question whether a lease has expired.
+type Confirmation struct {
+	Run     uint64
+	Expired bool
+	// Wait is the time after which the witness could confirm if it receives no heartbeat; 0 if Expired.
+	Wait time.Duration
+}
+
+// Vote answers a request of a round in which a holder re-acquires its expired lease.
+type Vote struct {
+	Holder  member.Incarnation
+	Witness string
+	Run     uint64
+	Round   uint64
+	Granted bool
+}
