--- /dev/null
+++ b/demo/deployment_test.go
@@ -0,0 +1,127 @@
+package demo_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"sapphiretray/config"
+	"sapphiretray/demo"
+	"sapphiretray/fake"
+	"sapphiretray/partition"
+)
+
+// executable is the program under test, built once for all tests of the package.
+var executable string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sapphiretray")
+	if err != nil {
+		panic(err)
+	}
+	executable = filepath.Join(dir, "sapphiretray")
+	if output, err := exec.Command("go", "build", "-o", executable, "sapphiretray").CombinedOutput(); err != nil {
+		fmt.Printf("%s", output)
+		panic(err)
+	}
+	result := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(result)
+}
+
+const bookingPartitions = 16
+
+func bookings(t *testing.T) config.Config {
+	t.Helper()
+	c, err := config.Parse([]byte(`{
+		"services": [{"name": "bookings", "partitions": 16}],
+		"routes": [{"prefix": "/bookings", "service": "bookings", "key": "path:2", "importance": 5, "timeout": "3s"}]
+	}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func specs(n int, relayed bool) []demo.Spec {
+	var specs []demo.Spec
+	for k := range n {
+		specs = append(specs, demo.Spec{
+			Slot: fmt.Sprintf("slot-%d", k+1), DataCentre: []string{"north", "central", "south"}[k%3], Service: "bookings",
+			IP: fmt.Sprintf("127.0.0.%d", k+11), Capacity: 1, Slots: 6, Relayed: relayed,
+			Options: []fake.UpstreamOption{
+				fake.WithSlots(6), fake.WithServiceTime(2 * time.Millisecond), fake.WithGrantCheck(),
+			},
+		})
+	}
+	return specs
+}
+
+func start(t *testing.T, n int, relayed bool) *demo.Deployment {
+	t.Helper()
+	d, err := demo.Start(t.Context(), executable, bookings(t), specs(n, relayed), demo.WithDir(t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			dump(t, d)
+		}
+		_ = d.Close()
+	})
+	if err := d.AwaitServing(t.Context(), "bookings", bookingPartitions); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func dump(t *testing.T, d *demo.Deployment) {
+	t.Helper()
+	for _, n := range d.Nodes() {
+		log := n.Log()
+		t.Logf("log of %s:\n%s", n.Slot(), log[max(0, len(log)-4000):])
+	}
+}
+
+func partitionOf(t *testing.T, key string) int {
+	t.Helper()
+	m, err := partition.New("bookings", bookingPartitions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.Partition(key)
+}
+
+// Guards the whole path with separate processes: a request that arrives at an instance that doesn't own the key reaches the
+// owner's upstream once and its answer returns whole.
+func TestRequestEndToEnd(t *testing.T) {
+	d := start(t, 3, false)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	client := demo.NewClient()
+	for k := range 8 {
+		key := fmt.Sprintf("club-%d", k)
+		owner := d.Owner(ctx, "bookings", partitionOf(t, key))
+		for _, n := range d.Nodes() {
+			id := fmt.Sprintf("%s-%s", key, n.Slot())
+			answer, err := client.Post(ctx, n.URL()+"/bookings/"+key, id, []byte("two riders"))
+			if err != nil || answer.Status != http.StatusOK {
+				t.Fatalf("key %s through %s: %+v, %v", key, n.Slot(), answer, err)
+			}
+			runs := 0
+			for _, effect := range owner.Upstream().Journal() {
+				if effect.ID == id {
+					runs++
+				}
+			}
+			if runs != 1 {
+				t.Errorf("request %s ran %d times at the owner %s", id, runs, owner.Slot())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/demo/node.go
@@ -0,0 +1,160 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"sapphiretray/fake"
+	"sapphiretray/instance"
+	"sapphiretray/timeline"
+)
+
+// Node is an instance as a process of its own, with its upstream.
+type Node struct {
+	deployment *Deployment
+	spec       Spec
+	upstream   *fake.Upstream
+	relay      *fake.Relay
+	settings   string
+
+	callers, peers, admin, advertised, upstreamAddress string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// document returns the settings as they are written to the file.
+func (n *Node) document() map[string]any {
+	platform := n.deployment.PlatformURL()
+	return map[string]any{
+		"slot": n.spec.Slot, "region": "loopback", "data_centre": n.spec.DataCentre, "service": n.spec.Service,
+		"capacity":  n.spec.Capacity,
+		"listen":    map[string]any{"callers": n.callers, "peers": n.peers, "heartbeats": n.peers, "admin": n.admin},
+		"advertise": map[string]any{"peers": n.advertised, "heartbeats": n.advertised},
+		"platform":  map[string]any{"table": platform, "object": platform},
+		"upstream":  map[string]any{"url": "http://" + n.upstreamAddress, "checks_grants": true, "slots": max(n.spec.Slots, 1)},
+		"log":       map[string]any{"verbosity": 1},
+	}
+}
+
+// Slot returns the name of the slot.
+func (n *Node) Slot() string { return n.spec.Slot }
+
+// IP returns the loopback address of the instance.
+func (n *Node) IP() string { return n.spec.IP }
+
+// URL returns the base URL for callers.
+func (n *Node) URL() string { return "http://" + n.callers }
+
+// UpstreamURL returns the base URL of the upstream.
+func (n *Node) UpstreamURL() string { return "http://" + n.upstreamAddress }
+
+// Upstream returns the stand-in of the upstream.
+func (n *Node) Upstream() *fake.Upstream { return n.upstream }
+
+// Relay returns the relay before the instance, or nil.
+func (n *Node) Relay() *fake.Relay { return n.relay }
+
+// Start starts the process.
+func (n *Node) Start() error {
+	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.CommandContext(n.deployment.ctx, n.deployment.executable, "run", "--settings", n.settings)
+	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), "SAPPHIRETRAY_MAIN=1")
+	if err := command.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	n.mu.Lock()
+	n.command, n.done = command, done
+	n.mu.Unlock()
+	n.deployment.group.Go(func() error {
+		err := command.Wait()
+		n.mu.Lock()
+		n.err = err
+		n.mu.Unlock()
+		close(done)
+		return log.Close()
+	})
+	return nil
+}
+
+// PID returns the id of the process.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.command.Process.Pid
+}
+
+func (n *Node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.command != nil {
+		_ = n.command.Process.Signal(s)
+	}
+}
+
+// Kill ends the process without warning.
+func (n *Node) Kill() {
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+}
+
+// Freeze stops the process until Thaw.
+func (n *Node) Freeze() { n.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (n *Node) Thaw() { n.signal(syscall.SIGCONT) }
+
+// Stop begins a planned stop.
+func (n *Node) Stop() { n.signal(syscall.SIGTERM) }
+
+// Wait waits for the process to end and returns its error.
+func (n *Node) Wait(ctx context.Context) error {
+	n.mu.Lock()
+	done := n.done
+	n.mu.Unlock()
+	select {
+	case <-done:
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Log returns what the process has printed.
+func (n *Node) Log() string {
+	content, err := os.ReadFile(n.settings + ".log")
+	if err != nil {
+		return err.Error()
+	}
+	return string(content)
+}
+
+// Status asks the instance for its state.
+func (n *Node) Status(ctx context.Context) (instance.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var status instance.Status
+	return status, getJSON(ctx, fmt.Sprintf("http://%s/status", n.admin), &status)
+}
+
+// Events asks the instance for its events.
+func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var events []timeline.Event
+	return events, getJSON(ctx, fmt.Sprintf("http://%s/events", n.admin), &events)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"sapphiretray/caller"
 	"sapphiretray/chart"
 	"sapphiretray/code"
+	"sapphiretray/heartbeat"
 	"sapphiretray/object"
 	"sapphiretray/peer"
 	"sapphiretray/policy"
@@ -236,3 +237,16 @@
 		return ctx.Err()
 	}
 }
+
+// targets returns the addresses of witnesses. A slot that isn't known yet has none until its record arrives.
+func (i *Instance) targets(slots []string) []heartbeat.Target {
+	targets := make([]heartbeat.Target, 0, len(slots))
+	for _, slot := range slots {
+		address := i.settings.HeartbeatAddress().String()
+		if record, ok := i.directory.slot(slot); ok && slot != i.settings.Slot() {
+			address = record.HeartbeatAddress
+		}
+		targets = append(targets, heartbeat.NewTarget(slot, address))
+	}
+	return targets
+}
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -38,7 +38,7 @@
 	if len(s.owned.Serving()) > 0 {
 		trigger = "timeout"
 	}
-	s.endpoint.Resign(ctx)
+	s.release(ctx)
 	if err := s.setState(ctx, member.Left); err != nil {
 		klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 	}
--- a/instance/session.go
+++ b/instance/session.go
@@ -55,19 +55,20 @@
 		chart: chart.New(chart.MustLoad("lease"), record.Incarnation.String(), i.log),
 	}
 	i.log.SetSource(s.self.String())
+	timing := witness.NewTiming(i.settings.Lease(), i.settings.Interval(), i.settings.Drift())
 	s.endpoint = heartbeat.New(s.self,
-		heartbeat.WithAddress(i.settings.ListenHeartbeats().String()),
-		heartbeat.WithTiming(witness.NewTiming(i.settings.Lease(), i.settings.Interval(), i.settings.Drift())),
+		heartbeat.WithListen(i.settings.ListenHeartbeats().String()),
+		heartbeat.WithTiming(timing),
 		heartbeat.WithVersions(i.versions),
 		heartbeat.WithNews(i.observe),
 		heartbeat.WithDial(i.dialSlot),
 		heartbeat.WithOnExpiry(s.witnessedExpiry),
 		heartbeat.WithOnChange(s.leaseChanged),
 	)
-	s.prover = heartbeat.NewProver(i.dialSlot, witness.NewTiming(i.settings.Lease(), i.settings.Interval(), i.settings.Drift()))
+	s.prover = heartbeat.NewProver(i.dialSlot, timing)
 	dedup := caller.NewDedup(s.self)
 	s.owned = ownership.New(ctx, s.self, s.lease(), &granter{session: s}, dedup, s.prove, i.dialMember,
-		ownership.WithDrainTimeout(i.settings.DrainTimeout()), ownership.WithLog(i.log))
+		ownership.WithDrainTimeout(i.settings.DrainTimeout()), ownership.WithLog(i.log), ownership.WithRecorded(i.directory.gone))
 	s.server = caller.New(owner{s.owned}, &view{directory: i.directory, session: s}, &i.routes, i.upstream,
 		caller.WithLimiter(i.limiter), caller.WithBudget(i.budget), caller.WithHold(i.settings.HoldTimeout()),
 		caller.WithTransport(i.transport), caller.WithDedup(dedup), caller.WithQuarantine(i.quarantine))
@@ -84,9 +85,6 @@
 		return false, err
 	}
 	i.session.Store(s)
-	for _, record := range i.directory.all() {
-		i.reportGone(s, record)
-	}
 	if m := i.directory.Map(i.settings.Service()); m != nil {
 		s.owned.Update(m)
 	}
@@ -126,11 +124,18 @@
 // upstreamFailed gives up the lease, so that successors take over at once.
 func (s *session) upstreamFailed() {
 	s.instance.calls.Go(func() {
-		s.endpoint.Resign(s.ctx)
+		s.release(s.ctx)
 		s.end("the upstream does not answer")
 	})
 }
 
+// release gives up the lease, so that the witnesses may confirm its expiry at once.
+func (s *session) release(ctx context.Context) {
+	if err := s.endpoint.Release(ctx); err != nil {
+		klog.V(1).Infof("lease: release of %s: %v", s.self, err)
+	}
+}
+
 // leaseChanged records a transition of the own lease.
 func (s *session) leaseChanged(valid bool, reason string) {
 	s.mu.Lock()
@@ -174,7 +179,7 @@
 		s.mu.Lock()
 		expired := !s.expiredAt.IsZero() && time.Since(s.expiredAt) > rejoinAfter
 		s.mu.Unlock()
-		if expired || s.endpoint.Lost() {
+		if expired || s.lease().Lost() {
 			if _, err := s.instance.table.Get(ctx, member.RowKey(s.self.Slot())); err == nil {
 				s.end("its lease can't be re-acquired")
 			}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,24 @@
 // Command sapphiretray routes requests to servers that own keys exclusively.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Run RunCommand `cmd:"" help:"Run the process beside one upstream."`
+}
+
+func main() {
+	var c commands
+	selected := kong.Parse(&c)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	selected.BindTo(ctx, (*context.Context)(nil))
+	selected.FatalIfErrorf(selected.Run())
+}
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	for lower := range rank {
-		if i, ok := t.current.Member(p, lower); ok && !t.gone[i] {
+		if i, ok := t.current.Member(p, lower); ok && !t.isGone(i) {
 			return false
 		}
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -62,6 +62,7 @@
 	prove        Prover
 	dial         Dialer
 	log          *timeline.Log
+	recorded     func(member.Incarnation) bool
 	drainTimeout time.Duration
 	chart        *chart.Chart
 
@@ -107,12 +108,18 @@
 // WithLog records transitions in a log.
 func WithLog(log *timeline.Log) Option { return func(t *Table) { t.log = log } }
 
+// WithRecorded sets a function that reports whether the table service proves that an incarnation can't serve any more.
+func WithRecorded(recorded func(member.Incarnation) bool) Option {
+	return func(t *Table) { t.recorded = recorded }
+}
+
 // New returns a table that owns nothing. Claims run until ctx ends.
 func New(ctx context.Context, self member.Incarnation, lease Lease, granter Granter, memory Memory, prove Prover, dial Dialer,
 	options ...Option,
 ) *Table {
 	t := &Table{
 		self: self, lease: lease, granter: granter, memory: memory, prove: prove, dial: dial,
+		recorded:     func(member.Incarnation) bool { return false },
 		drainTimeout: DefaultDrainTimeout,
 		chart:        chart.MustLoad("partition"),
 		holdings:     make(map[int]*holding),
@@ -156,9 +163,11 @@
 func (t *Table) Gone(i member.Incarnation) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.gone[i]
+	return t.isGone(i)
 }
 
+func (t *Table) isGone(i member.Incarnation) bool { return t.gone[i] || t.recorded(i) }
+
 // Concerns reports whether this incarnation may succeed another one in some partition.
 func (t *Table) Concerns(i member.Incarnation) bool {
 	t.mu.RLock()
--- /dev/null
+++ b/run.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"strconv"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/instance"
+	"sapphiretray/settings"
+)
+
+// RunCommand runs the process beside one upstream.
+type RunCommand struct {
+	Settings string `help:"YAML file with the settings of this process." required:"" type:"existingfile"`
+}
+
+// Run serves until the process is told to stop by SIGTERM or SIGINT, and then stops gracefully.
+func (c *RunCommand) Run(ctx context.Context) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if err := setVerbosity(s.Verbosity()); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	return instance.New(s).Run(ctx)
+}
+
+func setVerbosity(level int) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	return flags.Set("v", strconv.Itoa(level))
+}
