--- a/config/check.go
+++ b/config/check.go
@@ -21,12 +21,10 @@
 	maxCount      = 1 << 24
 	maxWeight     = 1e6
 	maxSegment    = 64
-	maxNameBytes  = 64
 	percent       = 100
 )
 
 var (
-	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
 	headerPattern = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]+$")
 	methods       = []string{
 		http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
@@ -67,8 +65,7 @@
 	seen := make(map[string]bool)
 	for n, s := range services {
 		path := fmt.Sprintf("services[%d].", n)
-		k.require(len(s.Name) <= maxNameBytes && namePattern.MatchString(s.Name), path+"name",
-			"%q: want 1 to %d lower case letters, digits, '.', '_' or '-'", s.Name, maxNameBytes)
+		k.require(document.ValidName(s.Name), path+"name", "%q: want %s", s.Name, document.NameRule)
 		k.require(!seen[s.Name], path+"name", "service %q is given twice", s.Name)
 		seen[s.Name] = true
 		k.require(s.Partitions > 0 && s.Partitions <= partition.MaxPartitions && bits.OnesCount(uint(s.Partitions)) == 1,
--- a/settings/check.go
+++ b/settings/check.go
@@ -3,14 +3,12 @@
 import (
 	"net/netip"
 	"net/url"
-	"regexp"
 	"time"
 
 	"sapphiretray/document"
 )
 
 const (
-	maxNameBytes = 64
 	maxDrift     = 0.1
 	maxVerbosity = 10
 	maxCapacity  = 1e6
@@ -18,9 +16,6 @@
 	minIntervals = 3
 )
 
-// Names appear in table keys, in "slot#number" and in log lines, so '#' and '/' aren't allowed.
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
-
 // checker collects faults at the positions of the fields concerned.
 type checker struct {
 	root   *document.Node
@@ -62,8 +57,8 @@
 	switch {
 	case value == "":
 		c.fail(path, "the field is missing")
-	case len(value) > maxNameBytes || !namePattern.MatchString(value):
-		c.fail(path, "%q: want up to %d lower case letters, digits, '.', '_' or '-'", value, maxNameBytes)
+	case !document.ValidName(value):
+		c.fail(path, "%q: want %s", value, document.NameRule)
 	}
 }
 
--- /dev/null
+++ b/sheet/check.go
@@ -0,0 +1,156 @@
+package sheet
+
+import (
+	"math/bits"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"sapphiretray/document"
+	"sapphiretray/partition"
+)
+
+const (
+	maxKeyBytes  = 1024
+	maxTextBytes = 1024
+	maxNumber    = 1e6
+)
+
+var (
+	numberPattern = regexp.MustCompile(`^-?[0-9]{1,15}(\.[0-9]{1,15})?$`)
+	metrics       = []string{Churn, Imbalance, Unavailable}
+)
+
+// check reports the faults of all rules that have the right number of fields.
+func (p *parser) check() {
+	centres := make(map[string]bool)
+	for _, r := range p.rules {
+		switch r.kind {
+		case Service:
+			p.services[r.service] = true
+		case Place:
+			centres[r.dataCentre] = true
+		default:
+		}
+	}
+	for n, r := range p.rules {
+		p.rule(n, r)
+		p.unique(n, r)
+	}
+	s := newSheet(p.rules)
+	for n, r := range p.rules {
+		switch r.kind {
+		case Pin:
+			p.target(n, r, s, centres)
+		case Allow:
+			p.require(centres[r.dataCentre], n, dataCentreColumn, "no place is in data centre %q", r.dataCentre)
+		default:
+		}
+	}
+}
+
+func (p *parser) require(ok bool, row, column int, format string, args ...any) {
+	if !ok {
+		at := p.positions[row][column]
+		p.fail(at.line, at.column, format, args...)
+	}
+}
+
+func (p *parser) empty(row int, r Rule, unused ...int) {
+	for _, column := range unused {
+		p.require(r.fields()[column] == "", row, column, "a rule of kind %s has no %s", r.kind, columns[column])
+	}
+}
+
+func (p *parser) rule(row int, r Rule) {
+	p.require(p.accepted || p.services[r.service], row, serviceColumn, "unknown service %q", r.service)
+	p.require(document.ValidName(r.service), row, serviceColumn, "%q isn't a name", r.service)
+	p.require(len(r.reason) <= maxTextBytes && printable(r.reason), row, reasonColumn,
+		"want up to %d printable characters", maxTextBytes)
+	switch r.kind {
+	case Service:
+		p.empty(row, r, nameColumn, dataCentreColumn)
+		count, whole := wholeNumber(r.value)
+		p.require(whole && count > 0 && count <= partition.MaxPartitions && bits.OnesCount(uint(count)) == 1,
+			row, valueColumn, "%q partitions: want a power of two up to %d", r.value, partition.MaxPartitions)
+	case Place:
+		p.require(document.ValidName(r.name), row, nameColumn, "%q isn't the name of a slot", r.name)
+		p.require(document.ValidName(r.dataCentre), row, dataCentreColumn, "%q isn't the name of a data centre", r.dataCentre)
+		p.number(row, "capacity", r.value)
+	case Pin:
+		p.empty(row, r, dataCentreColumn)
+		p.require(r.name != "" && validKey(r.name), row, nameColumn, "want a key of 1 to %d printable characters", maxKeyBytes)
+	case Allow:
+		p.empty(row, r, valueColumn)
+		p.require(validKey(r.name), row, nameColumn, "want a key prefix of up to %d printable characters", maxKeyBytes)
+	case Weight:
+		p.empty(row, r, dataCentreColumn)
+		p.require(slices.Contains(metrics, r.name), row, nameColumn, "%q: want %s", r.name, strings.Join(metrics, ", "))
+		p.number(row, "weight", r.value)
+	case Budget:
+		p.empty(row, r, nameColumn, dataCentreColumn)
+		count, whole := wholeNumber(r.value)
+		p.require(whole && count >= 0 && count <= maxNumber, row, valueColumn,
+			"%q moves per minute: want a whole number from 0 to %d", r.value, int(maxNumber))
+	default:
+		p.require(false, row, kindColumn, "%q: want service, place, pin, allow, weight or budget", r.kind)
+	}
+}
+
+func (p *parser) number(row int, what, text string) {
+	number, err := strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil || !numberPattern.MatchString(text):
+		p.require(false, row, valueColumn, "%s %q isn't a number", what, text)
+	case number < 0:
+		p.require(false, row, valueColumn, "%s %s is below 0", what, text)
+	default:
+		p.require(number <= maxNumber, row, valueColumn, "%s %s is above %g", what, text, maxNumber)
+	}
+}
+
+func (p *parser) unique(row int, r Rule) {
+	id := r.identity()
+	line := p.positions[row][kindColumn].line
+	if earlier, taken := p.rows[id]; taken {
+		p.require(false, row, nameColumn, "two rules for one key: line %d has a rule of kind %s for this too", earlier, r.kind)
+		return
+	}
+	p.rows[id] = line
+}
+
+// target checks that a pin names a place of its service, or a data centre with one, where the key is allowed.
+func (p *parser) target(row int, r Rule, s Sheet, centres map[string]bool) {
+	place, isSlot := s.index[identity{kind: Place, name: r.value}]
+	centre := r.value
+	switch {
+	case isSlot && centres[r.value]:
+		p.require(false, row, valueColumn, "%q is both a slot and a data centre", r.value)
+		return
+	case isSlot && place.service != r.service:
+		p.require(false, row, valueColumn, "slot %s belongs to service %s", r.value, place.service)
+		return
+	case isSlot:
+		centre = place.dataCentre
+	case !centres[r.value]:
+		p.require(false, row, valueColumn, "%q is neither a slot nor a data centre of a place in the sheet", r.value)
+		return
+	}
+	if allowed, restricted := s.Allowed(r.service, r.name); restricted {
+		p.require(slices.Contains(allowed, centre), row, valueColumn,
+			"two rules for one key: the key is allowed only in %s", strings.Join(allowed, ", "))
+	}
+}
+
+func validKey(key string) bool { return len(key) <= maxKeyBytes && printable(key) }
+
+// printable reports whether a text has no control characters, which could forge lines of a plan or a log.
+func printable(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return !strconv.IsPrint(r) })
+}
+
+func wholeNumber(text string) (int, bool) {
+	number, err := strconv.Atoi(text)
+	return number, err == nil && numberPattern.MatchString(text)
+}
--- /dev/null
+++ b/sheet/store.go
@@ -0,0 +1,159 @@
+package sheet
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/object"
+	"sapphiretray/table"
+
+	"github.com/oklog/ulid/v2"
+)
+
+const (
+	// RowKey is the table key of the accepted sheet.
+	RowKey = "sheet"
+
+	putAttempts = 3
+	putDelay    = 100 * time.Millisecond
+)
+
+// Mode says what the planner does with an accepted sheet.
+type Mode string
+
+// The modes.
+const (
+	// Observe computes and reports moves only.
+	Observe Mode = "observe"
+	// Propose computes moves and waits until a sheet is accepted with mode apply.
+	Propose Mode = "propose"
+	// Apply makes the moves.
+	Apply Mode = "apply"
+)
+
+// Entry is the content of the row: which sheet is in effect. The stamp around it says who accepted it and when.
+type Entry struct {
+	Object string `json:"object"`
+	SHA256 string `json:"sha256"`
+	Rows   int    `json:"rows"`
+	Mode   Mode   `json:"mode"`
+}
+
+// Platform holds the clients that accepting a sheet needs.
+type Platform struct {
+	Table  *table.Client
+	Object *object.Client
+}
+
+// Current returns the sheet in effect; version 0 means that none was accepted yet.
+func Current(ctx context.Context, p Platform) (Sheet, table.Accepted[Entry], error) {
+	entry, err := table.Read[Entry](ctx, p.Table, RowKey)
+	if err != nil || entry.Version == 0 {
+		return Sheet{}, entry, err
+	}
+	s, err := Fetch(ctx, p.Object, entry.Value)
+	return s, entry, err
+}
+
+// Fetch reads the sheet that an entry names and compares its checksum.
+func Fetch(ctx context.Context, c *object.Client, e Entry) (Sheet, error) {
+	content, err := c.Get(ctx, e.Object)
+	if err != nil {
+		return Sheet{}, err
+	}
+	if checksum(content) != e.SHA256 {
+		return Sheet{}, code.New(code.BadSheet, "object %s has another checksum than the row %s says", e.Object, RowKey)
+	}
+	return Parse(content, accepted)
+}
+
+func checksum(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// Request is a request to accept a sheet.
+type Request struct {
+	// Content is the CSV file, which is stored as it is.
+	Content []byte
+	Mode    Mode
+	// Seen is the version that the operator saw; 0 stands for none.
+	Seen uint64
+	By   string
+	Why  string
+	// Options are those of Parse.
+	Options []Option
+}
+
+// Accept checks the sheet, writes it to the object store and accepts it by one compare-and-set on the row. It returns
+// the changes that were accepted. Errors are those of Parse and table.Update; an object whose row was not accepted stays
+// without effect, and its unique name can't get in the way of a later sheet.
+func Accept(ctx context.Context, p Platform, r Request) (table.Accepted[Entry], []Change, error) {
+	next, err := Parse(r.Content, r.Options...)
+	if err != nil {
+		return table.Accepted[Entry]{}, nil, err
+	}
+	switch r.Mode {
+	case Observe, Propose, Apply:
+	default:
+		return table.Accepted[Entry]{}, nil, code.New(code.BadSheet, "mode %q: want observe, propose or apply", r.Mode)
+	}
+	var changes []Change
+	entry, err := table.Update(ctx, p.Table, RowKey, table.Change[Entry]{
+		Seen: r.Seen, By: r.By, Why: r.Why,
+		Next: func(current Entry, version uint64) (Entry, error) {
+			var older Sheet
+			if version > 1 {
+				var err error
+				if older, err = Fetch(ctx, p.Object, current); err != nil {
+					return current, err
+				}
+			}
+			changes = Plan(older, next)
+			return store(ctx, p.Object, version, r, len(next.rules))
+		},
+		Diff: func(older, newer Entry) []string {
+			lines := Lines(changes)
+			if older.Mode != newer.Mode {
+				lines = append([]string{fmt.Sprintf("mode: %s -> %s", older.Mode, newer.Mode)}, lines...)
+			}
+			return lines
+		},
+	})
+	return entry, changes, err
+}
+
+func store(ctx context.Context, c *object.Client, version uint64, r Request, rows int) (Entry, error) {
+	id, err := ulid.New(ulid.Now(), rand.Reader)
+	if err != nil {
+		return Entry{}, err
+	}
+	entry := Entry{
+		Object: fmt.Sprintf("sheet/%d/%s", version, id), SHA256: checksum(r.Content), Rows: rows, Mode: r.Mode,
+	}
+	return entry, put(ctx, c, entry.Object, r.Content)
+}
+
+// put writes an object and repeats the write if its answer was lost, which is safe because the name is unique. As the
+// row isn't written yet, every failure means that nothing was accepted.
+func put(ctx context.Context, c *object.Client, name string, content []byte) error {
+	var err error
+	for attempt := range putAttempts {
+		if attempt > 0 {
+			select {
+			case <-time.After(putDelay << attempt):
+			case <-ctx.Done():
+			}
+		}
+		err = c.Put(ctx, name, content)
+		if number, _ := code.Of(err); err == nil || number != code.WriteUnknown {
+			return err
+		}
+	}
+	return code.New(code.PlatformDown, "object %s can't be written: %s", name, err)
+}
