--- /dev/null
+++ b/caller/failure_test.go
@@ -0,0 +1,253 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/fake"
+)
+
+func (i *testInstance) fault(mode fake.Mode, count int) {
+	i.upstream.SetFault(fake.UpstreamFault{Fault: fake.Fault{Mode: mode, DelayMS: 400, Count: count}, Marker: "boom"})
+}
+
+// TestUpstreamFailures guards against a request that isn't idempotent and is repeated, an idempotent one that is given up
+// although a repeat would succeed, and "not run" for one that may have run.
+func TestUpstreamFailures(t *testing.T) {
+	tests := []struct {
+		mode   fake.Mode
+		count  int
+		read   code.Code // The result of an idempotent request.
+		plain  code.Code
+		effect int
+	}{
+		{fake.None, 0, code.OK, code.OK, 1},
+		{fake.Refuse, 0, code.OK, code.OK, 1},
+		{fake.CloseBefore, 1, code.OK, code.UpstreamFailed, 1},
+		{fake.WrongID, 1, code.OK, code.WrongAnswer, 1},
+		{fake.Freeze, 0, code.UpstreamTimeout, code.UpstreamTimeout, 0},
+	}
+	for _, test := range tests {
+		for at, where := range []string{"local", "one hop"} {
+			t.Run(string(test.mode)+" "+where, func(t *testing.T) {
+				c := newCluster(t, 2, testSettings{timeout: time.Second})
+				i := c.instances[at]
+				if a := i.send(t.Context(), sending{method: "GET", path: "/read/k", id: "warm"}); a.code != code.OK {
+					t.Fatalf("warm: %+v", a)
+				}
+				c.instances[0].fault(test.mode, test.count)
+				time.Sleep(10 * time.Millisecond)
+				if a := i.send(t.Context(), sending{method: "GET", path: "/read/k", id: "r"}); a.code != test.read {
+					t.Errorf("idempotent: %+v", a)
+				}
+				c.instances[0].fault(test.mode, test.count)
+				time.Sleep(10 * time.Millisecond)
+				a := i.send(t.Context(), sending{method: "POST", path: "/plain/k", id: "p", body: "b"})
+				if a.code != test.plain || a.ran != test.plain.Entry().Ran() {
+					t.Errorf("not idempotent: %+v", a)
+				}
+				if n := c.effects("p"); n != test.effect {
+					t.Errorf("%d effects", n)
+				}
+			})
+		}
+	}
+}
+
+// TestOwnerChanges guards against requests that fail or run twice while the owner changes.
+func TestOwnerChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*testing.T, *testCluster) // Called 50 ms after the request that isn't idempotent was sent.
+		before func(*testing.T, *testCluster)
+		read   code.Code
+		plain  code.Code
+	}{
+		{
+			name: "connection to the owner refused, then a successor serves",
+			before: func(_ *testing.T, c *testCluster) {
+				c.instances[0].lapse()
+				_ = c.instances[0].peers.Close()
+			},
+			change: func(_ *testing.T, c *testCluster) { c.instances[1].own(1) },
+			read:   code.OK, plain: code.OK,
+		},
+		{
+			name:   "nobody takes over",
+			before: func(_ *testing.T, c *testCluster) { _ = c.instances[0].peers.Close() },
+			read:   code.NoOwner, plain: code.NoOwner,
+		},
+		{
+			name:   "owner lost while the request runs",
+			change: func(_ *testing.T, c *testCluster) {
+				_ = c.instances[0].peers.Close()
+				c.instances[0].lapse()
+				c.instances[1].own(1)
+			},
+			read: code.OK, plain: code.PeerFailed,
+		},
+		{
+			name: "connection to the owner silent while the request runs",
+			change: func(_ *testing.T, c *testCluster) {
+				c.instances[0].peers.Silence()
+			},
+			read: code.OK, plain: code.PeerFailed,
+		},
+		{
+			name: "lease lost while the request runs",
+			change: func(_ *testing.T, c *testCluster) {
+				c.instances[0].lapse()
+				c.instances[1].own(1)
+			},
+			read: code.OK, plain: code.LeaseLapsed,
+		},
+		{
+			name:   "partition being moved",
+			before: func(_ *testing.T, c *testCluster) { c.instances[0].disown(code.Moved) },
+			change: func(t *testing.T, c *testCluster) {
+				t.Helper()
+				c.handOver(t, c.instances[0], c.instances[1])
+			},
+			read: code.OK, plain: code.OK,
+		},
+		{
+			name:   "partition being moved for too long",
+			before: func(_ *testing.T, c *testCluster) { c.instances[0].disown(code.Moved) },
+			read:   code.Moved, plain: code.Moved,
+		},
+		{
+			name:   "map of the receiving instance is old",
+			before: func(_ *testing.T, c *testCluster) { c.instances[0].disown(code.NotOwner); c.instances[1].own(1) },
+			read:   code.OK, plain: code.OK,
+		},
+	}
+	for _, test := range tests {
+		for _, kind := range []string{"read", "plain"} {
+			t.Run(test.name+" "+kind, func(t *testing.T) {
+				c := newCluster(t, 3, testSettings{
+					timeout: 2 * time.Second, options: []Option{WithHold(700 * time.Millisecond)},
+					upstream: []fake.UpstreamOption{fake.WithServiceTime(150 * time.Millisecond)},
+				})
+				i := c.instances[2]
+				i.send(t.Context(), sending{method: "GET", path: "/read/k?service_ms=0", id: "warm"})
+				if test.before != nil {
+					test.before(t, c)
+				}
+				var group sync.WaitGroup
+				var a answer
+				group.Go(func() { a = i.send(t.Context(), sending{method: "POST", path: "/" + kind + "/k", id: "x", body: "b"}) })
+				time.Sleep(50 * time.Millisecond)
+				if test.change != nil {
+					test.change(t, c)
+				}
+				group.Wait()
+				want := test.plain
+				if kind == "read" {
+					want = test.read
+				}
+				if a.code != want || a.ran != want.Entry().Ran() {
+					t.Fatalf("%+v", a)
+				}
+				if n := c.effects("x"); kind == "plain" && n > 1 || a.ran == code.RanNo && n > 0 {
+					t.Fatalf("%d effects after %s", n, a.code)
+				}
+			})
+		}
+	}
+}
+
+// TestCancelPassedOn guards against work that goes on after the caller has left or the deadline has passed.
+func TestCancelPassedOn(t *testing.T) {
+	c := newCluster(t, 2, testSettings{upstream: []fake.UpstreamOption{fake.WithServiceTime(200 * time.Millisecond)}})
+	for at, i := range c.instances {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if a := i.send(ctx, sending{method: "POST", path: "/plain/k", id: "x", body: "b"}); a.err == nil {
+			t.Errorf("%d: %+v", at, a)
+		}
+		cancel()
+		a := i.send(t.Context(), sending{
+			method: "POST", path: "/plain/k", id: "x", body: "b", header: map[string]string{HeaderDeadline: "50"},
+		})
+		if a.code != code.UpstreamTimeout {
+			t.Errorf("deadline at %d: %+v", at, a)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	if n := c.effects("x"); n != 0 {
+		t.Fatalf("%d effects", n)
+	}
+}
+
+// TestOverload guards against shed requests that are repeated or reported as run.
+func TestOverload(t *testing.T) {
+	c := newCluster(t, 2, testSettings{upstream: []fake.UpstreamOption{
+		fake.WithServiceTime(50 * time.Millisecond), fake.WithSlots(1), fake.WithShedAbove(1),
+	}})
+	var group sync.WaitGroup
+	answers := make([]answer, 12)
+	for n := range answers {
+		group.Go(func() {
+			answers[n] = c.instances[n%2].send(t.Context(), sending{method: "POST", path: "/plain/k", id: string(rune('a' + n)), body: "b"})
+		})
+	}
+	group.Wait()
+	shed := 0
+	for _, a := range answers {
+		n := c.effects(a.id)
+		switch {
+		case a.code == code.Shed && a.ran == code.RanNo && n == 0:
+			shed++
+		case a.code == code.OK && n == 1:
+		default:
+			t.Errorf("%+v: %d effects", a, n)
+		}
+	}
+	if shed == 0 {
+		t.Fatal("nothing was shed")
+	}
+}
+
+// TestOutOfOrder guards against responses that reach the caller of another request when they come back in another order.
+func TestOutOfOrder(t *testing.T) {
+	c := newCluster(t, 2, testSettings{})
+	var group sync.WaitGroup
+	for n := range 40 {
+		id := "id-" + string(rune('A'+n))
+		delay := []string{"40", "0", "20", "5"}[n%4]
+		group.Go(func() {
+			a := c.instances[n%2].send(t.Context(), sending{method: "POST", path: "/plain/" + id + "?service_ms=" + delay, id: id, body: id})
+			if a.code != code.OK || a.id != id || a.decode(t).ID != id {
+				t.Errorf("%s: %+v", id, a)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestDrain guards against a stop that cuts off requests in flight or takes new ones.
+func TestDrain(t *testing.T) {
+	c := newCluster(t, 1, testSettings{upstream: []fake.UpstreamOption{fake.WithServiceTime(100 * time.Millisecond)}})
+	i := c.instances[0]
+	var group sync.WaitGroup
+	for range 5 {
+		group.Go(func() {
+			if a := i.send(t.Context(), sending{method: http.MethodPost, path: "/plain/k", body: "b"}); a.code != code.OK {
+				t.Errorf("in flight: %+v", a)
+			}
+		})
+	}
+	for i.server.InFlight() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := i.server.Drain(t.Context()); err != nil || i.server.InFlight() != 0 {
+		t.Fatalf("%v, %d in flight", err, i.server.InFlight())
+	}
+	group.Wait()
+	if a := i.send(t.Context(), sending{method: "GET", path: "/read/k"}); a.code != code.Draining || a.ran != code.RanNo {
+		t.Fatalf("new: %+v", a)
+	}
+}
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -74,6 +74,7 @@
 	upstream *fake.Upstream
 	client   *upstream.Client
 	http     *http.Server
+	peers    *fake.Listener
 	url      string
 
 	mu      sync.Mutex
@@ -222,7 +223,8 @@
 		timeout = 5 * time.Second
 	}
 	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, settings.options...)
-	public, private := listen(t), listen(t)
+	public, private := listen(t), fake.NewListener(listen(t))
+	i.peers = private
 	i.url = "http://" + public.Addr().String()
 	i.http = NewHTTPServer(i.server.Handler())
 	peers := NewHTTPServer(i.server.PeerHandler())
--- a/fake/serve.go
+++ b/fake/serve.go
@@ -92,14 +92,27 @@
 }
 
 func (u *Upstream) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
-	if !sleep(ctx, u.service(r)) {
+	if r.URL.Query().Get("echo") != "" {
+		if sleep(ctx, u.service(r)) {
+			u.effect(r, c)
+			u.echo(w, r)
+		}
 		return
 	}
-	if r.URL.Query().Get("echo") != "" {
-		u.effect(r, c)
-		u.echo(w, r)
+	// The server notices that the client closed the connection only after the body has been read.
+	u.readBody(r, c)
+	if !sleep(ctx, u.service(r)) {
+		panic(http.ErrAbortHandler)
+	}
+	if !u.granted(c.partition, c.fence) {
+		reject(w, http.StatusConflict)
 		return
 	}
+	u.answer(w, r, c, u.effect(r, c))
+}
+
+// readBody reads the body and crashes if it contains the marker of a crash fault.
+func (u *Upstream) readBody(r *http.Request, c *call) {
 	marker := u.faults.marker()
 	prefix, err := io.ReadAll(io.LimitReader(io.TeeReader(r.Body, c.hash), 64<<10))
 	if err != nil {
@@ -109,15 +122,10 @@
 		u.crashNow()
 	}
 	rest, err := io.Copy(c.hash, r.Body)
-	if err != nil || ctx.Err() != nil {
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	c.bytes = int64(len(prefix)) + rest
-	if !u.granted(c.partition, c.fence) {
-		reject(w, http.StatusConflict)
-		return
-	}
-	u.answer(w, r, c, u.effect(r, c))
 }
 
 func (u *Upstream) crashNow() {
--- a/fake/upstream.go
+++ b/fake/upstream.go
@@ -120,7 +120,6 @@
 	u.mu.Lock()
 	u.server = server
 	u.mu.Unlock()
-	u.connections.address = listener.Addr().String()
 	return server.Serve(u.connections.wrap(listener))
 }
 
