--- a/placement/loads.go
+++ b/placement/loads.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"container/heap"
-	"math"
-)
+import "math"
 
 // minLoadShare is the least load of a partition, as a share of the mean: idle partitions are spread too, since they may
 // not stay idle.
@@ -79,6 +76,9 @@
 
 func (s *state) sumLoads() {
 	total := 0.0
+	for n := range s.nodes {
+		s.nodes[n].owned = make([]int32, 0, 2*len(s.ranks)/len(s.nodes))
+	}
 	for p, ranks := range s.ranks {
 		total += s.loads[p]
 		if ranks[0] != none {
@@ -105,10 +105,6 @@
 			s.byDuty[s.nodes[n].dc].add(int32(n))
 		}
 	}
-	for dc := range s.dcs {
-		heap.Init(s.byLoad[dc])
-		heap.Init(s.byDuty[dc])
-	}
 	s.unit = total / float64(max(len(s.ranks), 1))
 	s.mean = total / math.Max(capacity, math.SmallestNonzeroFloat32)
 }
@@ -123,64 +119,3 @@
 	}
 	return worst
 }
-
-// ranking is a heap of members with the smallest key on top; equal keys are ordered by position.
-type ranking struct {
-	nodes []int32
-	at    []int32
-	key   func(int32) float64
-	keys  []float64
-}
-
-func newRanking(nodes int, key func(int32) float64) *ranking {
-	r := &ranking{at: make([]int32, nodes), keys: make([]float64, nodes), key: key}
-	for n := range r.at {
-		r.at[n] = none
-	}
-	return r
-}
-
-func (r *ranking) add(n int32) {
-	r.at[n] = int32(len(r.nodes))
-	r.keys[n] = r.key(n)
-	r.nodes = append(r.nodes, n)
-}
-
-func (r *ranking) fix(n int32) {
-	r.keys[n] = r.key(n)
-	if r.at[n] != none {
-		heap.Fix(r, int(r.at[n]))
-	}
-}
-
-func (r *ranking) top() int32 {
-	if len(r.nodes) == 0 {
-		return none
-	}
-	return r.nodes[0]
-}
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (r *ranking) Len() int { return len(r.nodes) }
-
-func (r *ranking) Less(i, j int) bool {
-	a, b := r.nodes[i], r.nodes[j]
-	if r.keys[a] != r.keys[b] {
-		return r.keys[a] < r.keys[b]
-	}
-	return a < b
-}
-
-func (r *ranking) Swap(i, j int) {
-	r.nodes[i], r.nodes[j] = r.nodes[j], r.nodes[i]
-	r.at[r.nodes[i]], r.at[r.nodes[j]] = int32(i), int32(j)
-}
-
-func (r *ranking) Push(x any) { r.add(x.(int32)) }
-
-func (r *ranking) Pop() any {
-	last := r.nodes[len(r.nodes)-1]
-	r.nodes = r.nodes[:len(r.nodes)-1]
-	r.at[last] = none
-	return last
-}
--- a/placement/state.go
+++ b/placement/state.go
@@ -198,12 +198,13 @@
 	}
 	s.plan.Changes = make([]Change, 0, changed)
 	gone := func(i member.Incarnation) bool { return s.gone[i] }
+	members := make([]member.Incarnation, 0, partition.Replicas)
 	for p, c := range s.changes {
 		if c.kind == "" {
 			continue
 		}
 		old := s.entry(p)
-		members := make([]member.Incarnation, 0, partition.Replicas)
+		members = members[:0]
 		for _, n := range s.ranks[p] {
 			if n != none {
 				members = append(members, s.nodes[n].incarnation)
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"slices"
 )
@@ -115,13 +114,12 @@
 			donors.add(int32(n))
 		}
 	}
-	heap.Init(donors)
-	for donors.Len() > 1 {
+	for len(donors.entries) > 1 {
 		from := donors.top()
 		p, to := s.bestMove(from)
 		if p == none {
 			// Receivers only gain load from here on, so that a donor without a move gets none later.
-			heap.Pop(donors)
+			donors.pop()
 			continue
 		}
 		reason := fmt.Sprintf("%s has %.2f of its share, %s %.2f", s.nodes[from].incarnation,
--- a/placement/successors.go
+++ b/placement/successors.go
@@ -132,14 +132,14 @@
 // leastDuty returns the member of a data centre with the least duty that isn't kept yet, or none. All members of a data
 // centre are in one region, so only the kept ones need to be looked past.
 func (s *state) leastDuty(p, dc int, kept []int32) int32 {
-	best := int32(none)
 	if s.dcs[dc].region != s.nodes[kept[0]].record.Region {
-		return best
+		return none
 	}
-	r := s.byDuty[dc]
-	for _, n := range r.nodes[:min(len(r.nodes), heapLayers)] {
-		if s.permits(p, n) && !slices.Contains(kept, n) && (best == none || r.Less(int(r.at[n]), int(r.at[best]))) {
-			best = n
+	best, least := int32(none), ranked{}
+	entries := s.byDuty[dc].entries
+	for _, e := range entries[:min(len(entries), heapLayers)] {
+		if s.permits(p, e.node) && !slices.Contains(kept, e.node) && (best == none || e.before(least)) {
+			best, least = e.node, e
 		}
 	}
 	return best
