--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,6 +61,7 @@
 	started   time.Time
 	suspects  suspects
 	loads     loads
+	sheets    sheets
 	// quarantine outlives incarnations: a request that crashed the upstream would crash it again.
 	quarantine *caller.Quarantine
 }
@@ -88,6 +89,7 @@
 		fetches:   make(chan string, 1),
 		started:   time.Now(),
 	}
+	i.sheets.objects = i.objects
 	i.health.machine = chart.New(chart.MustLoad("upstream"), s.Slot(), log)
 	i.quarantine = caller.NewQuarantine(caller.WithOnChange(i.spreadQuarantine))
 	i.registerMetrics()
--- a/instance/news.go
+++ b/instance/news.go
@@ -174,3 +174,12 @@
 	i.log.Add(timeline.Event{Chart: "config", Subject: "config", Trigger: "in-effect", To: strconv.FormatUint(accepted.Version, 10)})
 	klog.Infof("config: version %d is in effect", accepted.Version)
 }
+
+// acceptedVersion returns the version of an operators' row that is in effect here, and 0 if there is none.
+func (i *Instance) acceptedVersion(key string) uint64 {
+	accepted, err := table.Decode[json.RawMessage](i.rows.get(key))
+	if err != nil {
+		return 0
+	}
+	return accepted.Version
+}
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -10,7 +10,6 @@
 	"sapphiretray/partition"
 	"sapphiretray/peer"
 	"sapphiretray/planner"
-	"sapphiretray/table"
 	"sapphiretray/timeline"
 
 	"golang.org/x/sync/errgroup"
@@ -33,7 +32,7 @@
 		planner.WithExpired(i.provedExpired),
 		planner.WithReport(i.reportPlan),
 		planner.WithPause(pausedBy),
-		planner.WithSheet(i.sheetRules),
+		planner.WithSheet(i.sheets.rules),
 	)
 	for ctx.Err() == nil {
 		if !i.isReader() || !s.lease().Valid() || s.state() != member.Ready {
@@ -182,9 +181,3 @@
 	status, ok := i.loads.reports[entry.Members[0]]
 	return ok && status.Serving[p] == entry.Epoch
 }
-
-func pausedBy(row table.Row, service string) (string, error) { return planner.Paused(row, service) }
-
-func (i *Instance) sheetRules(context.Context, table.Row, string) (planner.Sheet, error) {
-	return planner.Sheet{}, nil
-}
--- a/instance/service.go
+++ b/instance/service.go
@@ -64,6 +64,10 @@
 
 // Fetch returns the rows that the other instance lacks.
 func (v *service) Fetch(_ context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
+	if kind := r.GetKind(); kind != "" {
+		row := v.instance.rows.get(kind)
+		return &peer.FetchResponse{Version: v.instance.acceptedVersion(kind), Value: row.Value}, nil
+	}
 	changes := v.instance.rows.after(r.GetHave())
 	value, err := json.Marshal(changes)
 	if err != nil {
