--- /dev/null
+++ b/demo.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"sapphiretray/code"
+	"sapphiretray/demo"
+)
+
+// DemoCommand shows a deployment on loopback.
+type DemoCommand struct {
+	Keep   bool `help:"Leave the deployment up until the command is interrupted."`
+	Events int  `help:"Number of the last events of the merged time line to print." default:"40"`
+}
+
+// Run brings up a platform stand-in, three upstream stand-ins and the process beside each, sends requests, kills an owner and
+// checks that its keys are served again.
+func (c *DemoCommand) Run(ctx context.Context) error {
+	executable, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "sapphiretray-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	s, err := demo.NewScenario(ctx, executable, dir, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Deployment.Close() }()
+	report, err := s.Run(ctx)
+	c.printEvents(ctx, s.Deployment)
+	fmt.Printf("requests %d, answered %d, forwarded %d, run twice %d, served again after %d ms, faults %d\n",
+		report.Requests, report.Answered, report.Forwarded, report.RanTwice, report.ServedAgain.Milliseconds(), len(report.Faults))
+	for _, fault := range report.Faults {
+		fmt.Println("fault:", fault)
+	}
+	if c.Keep && err == nil {
+		fmt.Println("demo: the deployment stays up; interrupt to end it")
+		<-ctx.Done()
+	}
+	if err != nil {
+		return err
+	}
+	if !report.OK() {
+		return code.New(code.BadRequest, "a count of the demo is wrong")
+	}
+	return nil
+}
+
+func (c *DemoCommand) printEvents(ctx context.Context, d *demo.Deployment) {
+	events := d.Events(ctx)
+	fmt.Printf("time line, last %d of %d events:\n", min(c.Events, len(events)), len(events))
+	for _, e := range events[max(0, len(events)-c.Events):] {
+		fmt.Println(e)
+	}
+}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -208,19 +207,3 @@
 	d.cancel()
 	return d.group.Wait()
 }
-
-func getJSON(ctx context.Context, url string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answered %d", url, resp.StatusCode)
-	}
-	return json.NewDecoder(resp.Body).Decode(into)
-}
--- a/demo/node.go
+++ b/demo/node.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/exec"
 	"sync"
 	"syscall"
-	"time"
 
+	"sapphiretray/admin"
 	"sapphiretray/fake"
 	"sapphiretray/instance"
 	"sapphiretray/timeline"
@@ -144,17 +143,7 @@
 }
 
 // Status asks the instance for its state.
-func (n *Node) Status(ctx context.Context) (instance.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	var status instance.Status
-	return status, getJSON(ctx, fmt.Sprintf("http://%s/status", n.admin), &status)
-}
+func (n *Node) Status(ctx context.Context) (instance.Status, error) { return admin.Status(ctx, n.admin) }
 
 // Events asks the instance for its events.
-func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	var events []timeline.Event
-	return events, getJSON(ctx, fmt.Sprintf("http://%s/events", n.admin), &events)
-}
+func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) { return admin.Events(ctx, n.admin) }
--- a/main.go
+++ b/main.go
@@ -11,7 +11,8 @@
 )
 
 type commands struct {
-	Run RunCommand `cmd:"" help:"Run the process beside one upstream."`
+	Run  RunCommand  `cmd:"" help:"Run the process beside one upstream."`
+	Demo DemoCommand `cmd:"" help:"Show a deployment on loopback: requests, the loss of an owner, its keys served again."`
 }
 
 func main() {
