Add the operators' commands: check, config, sheet, pause, resume, codes

Command scripts run against the platform stand-in with the platform down, slow, with a lost answer and with several operators at once.

--- /dev/null
+++ b/config.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+
+	"sapphiretray/config"
+	"sapphiretray/table"
+)
+
+// ConfigCommand holds the commands on the configuration.
+type ConfigCommand struct {
+	Apply ConfigApplyCommand `cmd:"" help:"Accept a configuration in place of the version seen."`
+	Show  ConfigShowCommand  `cmd:"" help:"Print the configuration in effect."`
+}
+
+// ConfigApplyCommand accepts a configuration.
+type ConfigApplyCommand struct {
+	Author
+
+	File string  `arg:"" help:"Configuration as JSON."`
+	Seen *uint64 `help:"Version that was seen, 0 for none; by default the version in the file." placeholder:"VERSION"`
+	Why  string  `help:"Reason, kept with the version." placeholder:"TEXT"`
+}
+
+// Run accepts the configuration.
+func (c *ConfigApplyCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	client, err := g.tableClient()
+	if err != nil {
+		return err
+	}
+	next, err := loadConfig(c.File)
+	if err != nil {
+		return err
+	}
+	seen := next.Version()
+	switch {
+	case c.Seen != nil:
+		seen = *c.Seen
+	case seen == 0:
+		return usageError{"the file names no version; give the one seen with --seen, 0 for none"}
+	}
+	accepted, err := config.Apply(ctx, client, next, seen, c.By, c.Why)
+	if err != nil {
+		return err
+	}
+	return o.write(accepted.Stamp, func() { printAccepted(o, "configuration", accepted.Stamp) })
+}
+
+func printAccepted(o *output, what string, stamp table.Stamp) {
+	o.printf("%s version %d is accepted", what, stamp.Version)
+	for _, line := range stamp.Changes {
+		o.printf("%s", line)
+	}
+}
+
+// ConfigShowCommand prints the configuration in effect.
+type ConfigShowCommand struct{}
+
+// Run prints the configuration as JSON that config apply accepts; who accepted it when goes to standard error.
+func (c *ConfigShowCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	client, err := g.tableClient()
+	if err != nil {
+		return err
+	}
+	accepted, err := config.Load(ctx, client)
+	if err != nil {
+		return err
+	}
+	if o.json {
+		return writeJSON(o.stdout, accepted)
+	}
+	if accepted.Version == 0 {
+		o.note("no configuration was accepted yet")
+		return nil
+	}
+	o.note("%s", accepted.Stamp)
+	return writeJSON(o.stdout, accepted.Value)
+}
--- /dev/null
+++ b/globals.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"sapphiretray/object"
+	"sapphiretray/sheet"
+	"sapphiretray/table"
+)
+
+// Globals are the flags that all commands share.
+type Globals struct {
+	Table  string `help:"Base URL of the table service, such as http://127.0.0.1:9000." env:"SAPPHIRE_TABLE" placeholder:"URL"`
+	Object string `help:"Base URL of the object store, such as http://127.0.0.1:9000." env:"SAPPHIRE_OBJECT" placeholder:"URL"`
+	JSON   bool   `help:"Print JSON."`
+}
+
+// tableClient returns the client of the table service, which the command needs.
+func (g *Globals) tableClient() (*table.Client, error) {
+	if g.Table == "" {
+		return nil, usageError{"this command needs --table or SAPPHIRE_TABLE"}
+	}
+	return table.New(g.Table), nil
+}
+
+// platform returns the clients of the table service and the object store, which the command needs.
+func (g *Globals) platform() (sheet.Platform, error) {
+	if g.Table == "" || g.Object == "" {
+		return sheet.Platform{}, usageError{"this command needs --table and --object, or SAPPHIRE_TABLE and SAPPHIRE_OBJECT"}
+	}
+	return sheet.Platform{Table: table.New(g.Table), Object: object.New(g.Object)}, nil
+}
+
+// Author says who makes a change.
+type Author struct {
+	By string `help:"Who makes the change." env:"SAPPHIRE_BY,USER" required:"" placeholder:"NAME"`
+}
+
+// output is where a command writes its result.
+type output struct {
+	stdout, stderr io.Writer
+	json           bool
+}
+
+// printf writes one line of the result.
+func (o *output) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(o.stdout, format+"\n", args...)
+}
+
+// note writes one line that isn't part of the result.
+func (o *output) note(format string, args ...any) {
+	_, _ = fmt.Fprintf(o.stderr, format+"\n", args...)
+}
+
+// write writes value as JSON if that was asked for, and calls text otherwise.
+func (o *output) write(value any, text func()) error {
+	if o.json {
+		return writeJSON(o.stdout, value)
+	}
+	text()
+	return nil
+}
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,138 @@
 // Command sapphiretray routes requests to servers that own keys exclusively.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"sapphiretray/code"
+	"sapphiretray/document"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitSuccess = 0
+	exitFailure = 1
+	exitUsage   = 2
+	exitRefused = 3
+)
+
+const description = `Routes requests to servers that own keys exclusively.
+
+Durations are written as in 150ms or 5s; sizes are in bytes.
+Exit codes: 0 success, 1 failure, 2 usage, 3 refused input.`
+
+// commands is the command line. Each command is one field and one file.
+type commands struct {
+	Globals
+
+	Check  CheckCommand  `cmd:"" help:"Check a settings file, a sheet or a configuration without the platform."`
+	Config ConfigCommand `cmd:"" help:"Accept or show the configuration: services, routes, limits and weights."`
+	Sheet  SheetCommand  `cmd:"" help:"Plan, accept or report on the operators' sheet."`
+	Pause  PauseCommand  `cmd:"" help:"Pause automatic moves of services at once. Keys keep their single owner."`
+	Resume ResumeCommand `cmd:"" help:"End a pause of automatic moves."`
+	Codes  CodesCommand  `cmd:"" help:"Print the table of result codes."`
+}
+
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// execute runs one command and returns the exit code.
+func execute(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("sapphiretray"), kong.Description(description), kong.Writers(stdout, stderr),
+		kong.Vars{"modes": modesHelp})
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "sapphiretray: %v\n", err)
+		return exitFailure
+	}
+	selected, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "sapphiretray: %v; see --help\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	selected.BindTo(ctx, (*context.Context)(nil))
+	err = selected.Run(&output{stdout: stdout, stderr: stderr, json: c.JSON}, &c.Globals)
+	if err != nil {
+		report(stderr, c.JSON, err)
+	}
+	return exitCode(err)
+}
+
+// usageError is a fault of the command line that the parser can't find.
+type usageError struct{ text string }
+
+func (e usageError) Error() string { return e.text }
+
+// fileError names the file in which faults were found.
+type fileError struct {
+	file string
+	err  error
+}
+
+func (e fileError) Error() string { return e.file + ": " + e.err.Error() }
+
+func (e fileError) Unwrap() error { return e.err }
+
+// lines returns one line for each fault of the file in the form that editors understand.
+func (e fileError) lines() []string {
+	var faults document.Faults
+	if !errors.As(e.err, &faults) {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for n, f := range faults {
+		lines[n] = e.file + ":" + f.String()
+	}
+	return lines
+}
+
+func exitCode(err error) int {
+	number, _ := code.Of(err)
+	var usage usageError
+	var path *fs.PathError
+	switch {
+	case err == nil:
+		return exitSuccess
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &path):
+		return exitFailure
+	case number == code.BadSettings, number == code.BadSheet, number == code.BadConfig:
+		return exitRefused
+	}
+	return exitFailure
+}
+
+func report(w io.Writer, asJSON bool, err error) {
+	number, _ := code.Of(err)
+	var file fileError
+	var lines []string
+	if errors.As(err, &file) {
+		lines = file.lines()
+	}
+	if asJSON {
+		_ = writeJSON(w, map[string]any{"code": int(number), "name": number.Entry().Name(), "text": err.Error(), "faults": lines})
+		return
+	}
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(w, line)
+	}
+	switch {
+	case len(lines) > 0:
+		_, _ = fmt.Fprintf(w, "sapphiretray: code %s: %s is refused: %d faults\n", number, file.file, len(lines))
+	case number != 0:
+		_, _ = fmt.Fprintf(w, "sapphiretray: code %s: %v\n", number, err)
+	default:
+		_, _ = fmt.Fprintf(w, "sapphiretray: %v\n", err)
+	}
+}
--- /dev/null
+++ b/main_test.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"sapphiretray/code"
+	"sapphiretray/fake"
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/table"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"sapphiretray": main})
+}
+
+// standIn is the platform of one script, with faults that meet only writes to the table.
+type standIn struct {
+	fake.Platform
+	server *httptest.Server
+	lose   atomic.Int32
+	// after is the fault that starts once an answer was lost.
+	after atomic.Value
+}
+
+type standInKey struct{}
+
+func newStandIn(env *testscript.Env) *standIn {
+	s := &standIn{}
+	inner := s.Handler()
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/transact" || s.lose.Add(-1) < 0 {
+			inner.ServeHTTP(w, r)
+			return
+		}
+		inner.ServeHTTP(httptest.NewRecorder(), r)
+		if fault, ok := s.after.Load().(fake.Fault); ok {
+			s.Faults().Set(fault)
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	env.Defer(s.server.Close)
+	env.Values[standInKey{}] = s
+	env.Setenv("SAPPHIRE_TABLE", s.server.URL)
+	env.Setenv("SAPPHIRE_OBJECT", s.server.URL)
+	env.Setenv("SAPPHIRE_BY", "ana")
+	return s
+}
+
+// Each script states the failure that it guards against.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			newStandIn(env)
+			return os.CopyFS(filepath.Join(env.WorkDir, "examples"), os.DirFS("docs/examples"))
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fault":     faultCommand,
+			"instance":  instanceCommand,
+			"edit":      editCommand,
+			"exec-code": exitCodeCommand,
+			"race":      raceCommand,
+		},
+	})
+}
+
+// faultCommand: fault none|down|slow|lose|lose-then-down. The latter two meet the next write to the table.
+func faultCommand(ts *testscript.TestScript, _ bool, args []string) {
+	s := ts.Value(standInKey{}).(*standIn)
+	switch args[0] {
+	case "lose":
+		s.lose.Store(1)
+	case "lose-then-down":
+		s.after.Store(fake.Fault{Mode: fake.Down})
+		s.lose.Store(1)
+	case "slow":
+		s.Faults().Set(fake.Fault{Mode: fake.Slow, DelayMS: 3000})
+	default:
+		s.Faults().Set(fake.Fault{Mode: fake.Mode(args[0])})
+	}
+}
+
+// editCommand: edit FILE OLD NEW replaces text that must be in the file.
+func editCommand(ts *testscript.TestScript, _ bool, args []string) {
+	content := ts.ReadFile(args[0])
+	if !strings.Contains(content, args[1]) {
+		ts.Fatalf("%s lacks %q", args[0], args[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(content, args[1], args[2], 1)), 0o600))
+}
+
+type instance struct {
+	peer.Peer
+	version uint64
+}
+
+func (i instance) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
+	return &peer.FetchResponse{Version: i.version}, nil
+}
+
+// instanceCommand: instance SLOT VERSION registers an instance that has a version of the sheet; without a version it
+// can't be reached.
+func instanceCommand(ts *testscript.TestScript, _ bool, args []string) {
+	s := ts.Value(standInKey{}).(*standIn)
+	address := "127.0.0.1:1"
+	if len(args) > 1 {
+		version, err := strconv.ParseUint(args[1], 10, 64)
+		ts.Check(err)
+		server := httptest.NewServer(peer.NewPeerServer(instance{version: version}))
+		ts.Defer(server.Close)
+		address = server.Listener.Addr().String()
+	}
+	value, err := json.Marshal(member.Record{
+		Incarnation: member.NewIncarnation(args[0], 1), PeerAddress: address, State: member.Ready,
+	})
+	ts.Check(err)
+	_, err = table.New(s.server.URL).Commit(context.Background(), table.Transaction{
+		Writes: []table.Write{{Key: member.RowKey(args[0]), Value: value}},
+	})
+	ts.Check(err)
+}
+
+// Guards against a page that differs from the code in a status, in whether a request ran, or in a text, and against a
+// code without a group.
+func TestCodesPage(t *testing.T) {
+	page, err := os.ReadFile("docs/codes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != codesPage() {
+		t.Error("docs/codes.md is out of date; run: go run . codes --markdown > docs/codes.md")
+	}
+	for _, e := range code.All() {
+		row := "| " + strings.Join([]string{
+			strconv.Itoa(int(e.Number())), e.Name(), strconv.Itoa(e.Status()), string(e.Ran()), e.Text(),
+		}, " | ") + " |\n"
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/codes.md lacks %s", row)
+		}
+	}
+}
+
+// exitCodeCommand: exec-code N COMMAND... runs a command that must end with the exit code N.
+func exitCodeCommand(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	got := 0
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	}
+	if want, _ := strconv.Atoi(args[0]); got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// raceCommand: race COMMAND... runs the command three times at once. One must succeed and the others fail.
+func raceCommand(ts *testscript.TestScript, _ bool, args []string) {
+	var group sync.WaitGroup
+	var succeeded atomic.Int32
+	var mu sync.Mutex
+	environment := os.Environ()
+	for _, name := range []string{"PATH", "SAPPHIRE_TABLE", "SAPPHIRE_OBJECT", "SAPPHIRE_BY"} {
+		environment = append(environment, name+"="+ts.Getenv(name))
+	}
+	for range 3 {
+		group.Go(func() {
+			command := exec.Command(args[0], args[1:]...)
+			command.Dir, command.Env = ts.MkAbs("."), environment
+			printed, err := command.CombinedOutput()
+			if err == nil {
+				succeeded.Add(1)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			_, _ = ts.Stdout().Write(printed)
+		})
+	}
+	group.Wait()
+	if n := succeeded.Load(); n != 1 {
+		ts.Fatalf("%d commands succeeded, want 1", n)
+	}
+}
--- /dev/null
+++ b/sheet.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+
+	"sapphiretray/code"
+	"sapphiretray/config"
+	"sapphiretray/sheet"
+)
+
+const modesHelp = "What the planner does: observe reports moves, propose waits for another apply, apply makes them (default apply)."
+
+// SheetCommand holds the commands on the sheet.
+type SheetCommand struct {
+	Plan   SheetPlanCommand   `cmd:"" help:"Print what a sheet would change, with reasons."`
+	Apply  SheetApplyCommand  `cmd:"" help:"Accept a sheet in place of the version seen."`
+	Status SheetStatusCommand `cmd:"" help:"Print the sheet in effect and which instances have it."`
+}
+
+// SheetPlanCommand prints a plan.
+type SheetPlanCommand struct {
+	File string `arg:"" help:"Sheet as CSV, up to 100000 rows."`
+}
+
+// plan is the result of SheetPlanCommand.
+type plan struct {
+	Seen    uint64   `json:"seen"`
+	Changes []string `json:"changes"`
+}
+
+// Run prints the plan.
+func (c *SheetPlanCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	platform, err := g.platform()
+	if err != nil {
+		return err
+	}
+	services, err := acceptedServices(ctx, platform)
+	if err != nil {
+		return err
+	}
+	next, err := sheet.Load(c.File, services)
+	if err != nil {
+		return fileError{c.File, err}
+	}
+	current, entry, err := sheet.Current(ctx, platform)
+	if err != nil {
+		return err
+	}
+	p := plan{Seen: entry.Version, Changes: sheet.Lines(sheet.Plan(current, next))}
+	return o.write(p, func() {
+		for _, line := range p.Changes {
+			o.printf("%s", line)
+		}
+		o.printf("%d changes against version %d", len(p.Changes), p.Seen)
+		o.printf("accept with: sapphiretray sheet apply %s --seen %d", c.File, p.Seen)
+	})
+}
+
+// acceptedServices returns the option that makes the services of the accepted configuration known to a sheet.
+func acceptedServices(ctx context.Context, p sheet.Platform) (sheet.Option, error) {
+	accepted, err := config.Load(ctx, p.Table)
+	if err != nil {
+		return nil, err
+	}
+	return sheet.WithServices(serviceNames(accepted.Value)...), nil
+}
+
+// SheetApplyCommand accepts a sheet.
+type SheetApplyCommand struct {
+	Author
+
+	File string     `arg:"" help:"Sheet as CSV, up to 100000 rows."`
+	Seen uint64     `help:"Version that sheet plan printed, 0 for none." required:"" placeholder:"VERSION"`
+	Mode sheet.Mode `help:"${modes}" enum:"observe,propose,apply" default:"apply"`
+	Why  string     `help:"Reason, kept with the version." placeholder:"TEXT"`
+}
+
+// Run accepts the sheet.
+func (c *SheetApplyCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	platform, err := g.platform()
+	if err != nil {
+		return err
+	}
+	content, err := sheet.ReadFile(c.File)
+	if err != nil {
+		return fileError{c.File, err}
+	}
+	services, err := acceptedServices(ctx, platform)
+	if err != nil {
+		return err
+	}
+	entry, changes, err := sheet.Accept(ctx, platform, sheet.Request{
+		Content: content, Mode: c.Mode, Seen: c.Seen, By: c.By, Why: c.Why, Options: []sheet.Option{services},
+	})
+	if number, _ := code.Of(err); number == code.BadSheet {
+		return fileError{c.File, err}
+	}
+	if err != nil {
+		return err
+	}
+	stamp := entry.Stamp
+	stamp.Changes = sheet.Lines(changes)
+	return o.write(stamp, func() { printAccepted(o, "sheet", stamp) })
+}
+
+// SheetStatusCommand prints the sheet in effect.
+type SheetStatusCommand struct{}
+
+// holder is an instance in the result of SheetStatusCommand.
+type holder struct {
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+	Error    string `json:"error,omitempty"`
+}
+
+// Run prints the sheet and the instances.
+func (c *SheetStatusCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	client, err := g.tableClient()
+	if err != nil {
+		return err
+	}
+	status, err := sheet.ReadStatus(ctx, client)
+	if err != nil {
+		return err
+	}
+	entry := status.Entry()
+	holders := []holder{}
+	current := 0
+	for _, h := range status.Holders() {
+		shown := holder{Instance: h.Incarnation().String(), Version: h.Version()}
+		if h.Err() != nil {
+			shown.Error = h.Err().Error()
+		} else if h.Version() == entry.Version {
+			current++
+		}
+		holders = append(holders, shown)
+	}
+	return o.write(map[string]any{"sheet": entry, "instances": holders}, func() {
+		if entry.Version == 0 {
+			o.printf("no sheet was accepted yet")
+		} else {
+			o.printf("%s", entry.Stamp)
+			o.printf("mode %s, %d rows, object %s", entry.Value.Mode, entry.Value.Rows, entry.Value.Object)
+		}
+		o.printf("%d of %d instances have version %d", current, len(holders), entry.Version)
+		for _, h := range holders {
+			printHolder(o, h, entry.Version)
+		}
+	})
+}
+
+func printHolder(o *output, h holder, version uint64) {
+	switch {
+	case h.Error != "":
+		o.printf("%s can't be asked: %s", h.Instance, h.Error)
+	case h.Version != version:
+		o.printf("%s has version %d", h.Instance, h.Version)
+	}
+}
