--- a/config/config.go
+++ b/config/config.go
@@ -123,7 +123,7 @@
 
 // Match returns the route with the longest prefix that matches path and accepts the method. A prefix matches whole path
 // segments: "/book" doesn't match "/bookings". Match doesn't allocate.
-func (c *Config) Match(path, method string) (Route, bool) {
+func (c Config) Match(path, method string) (Route, bool) {
 	for n := range c.byLength {
 		if r := &c.byLength[n]; r.matches(path, method) {
 			return *r, true
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -114,6 +114,7 @@
 		{`"churn": 3`, `"churn": 3, "churn": 4`, "weights.churn: the field is given twice"},
 		{`"retry_percent": 10`, `"retry_percent": 1.5`, "limits.retry_percent: want a whole number"},
 		{`"weights": {`, `"weights" {`, "12:13: "},
+		{`{"churn": 3`, strings.Repeat("[", 1000), "levels of nesting"},
 		{`"unavailable": 2}`, `"unavailable": 2`, "13:"},
 	} {
 		broken := strings.Replace(content, test.old, test.replacement, 1)
--- a/document/fault.go
+++ b/document/fault.go
@@ -29,7 +29,7 @@
 // Line returns the line.
 func (f Fault) Line() int { return f.line }
 
-// Column returns the column, in bytes.
+// Column returns the column in bytes, for YAML in characters.
 func (f Fault) Column() int { return f.column }
 
 // Path returns the field's path, such as "routes[2].timeout".
--- a/document/node.go
+++ b/document/node.go
@@ -13,6 +13,9 @@
 	"github.com/goccy/go-yaml/parser"
 )
 
+// maxDepth bounds the nesting of JSON, since the parser is recursive.
+const maxDepth = 100
+
 type kind int
 
 const (
@@ -138,7 +141,7 @@
 func ParseJSON(content []byte) (*Node, Faults) {
 	p := jsonParser{content: content, decoder: json.NewDecoder(bytes.NewReader(content))}
 	p.decoder.UseNumber()
-	root, err := p.value()
+	root, err := p.value(0)
 	if err == nil {
 		if _, trailing := p.decoder.Token(); !errors.Is(trailing, io.EOF) {
 			err = errors.New("more text after the value")
@@ -177,7 +180,10 @@
 	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
 }
 
-func (p *jsonParser) value() (*Node, error) {
+func (p *jsonParser) value(depth int) (*Node, error) {
+	if depth > maxDepth {
+		return nil, fmt.Errorf("more than %d levels of nesting", maxDepth)
+	}
 	line, column := p.position(p.start())
 	token, err := p.decoder.Token()
 	if err != nil {
@@ -189,11 +195,11 @@
 		n.kind = null
 	case json.Delim('{'):
 		n.kind = object
-		return n, p.object(n)
+		return n, p.object(n, depth)
 	case json.Delim('['):
 		n.kind = list
 		for p.decoder.More() {
-			item, err := p.value()
+			item, err := p.value(depth + 1)
 			if err != nil {
 				return nil, err
 			}
@@ -204,7 +210,7 @@
 	return n, err
 }
 
-func (p *jsonParser) object(n *Node) error {
+func (p *jsonParser) object(n *Node, depth int) error {
 	for p.decoder.More() {
 		line, column := p.position(p.start())
 		token, err := p.decoder.Token()
@@ -215,7 +221,7 @@
 		if !ok {
 			return fmt.Errorf("want a field name, got %v", token)
 		}
-		value, err := p.value()
+		value, err := p.value(depth + 1)
 		if err != nil {
 			return err
 		}
--- a/main.go
+++ b/main.go
@@ -129,7 +129,7 @@
 	}
 	switch {
 	case len(lines) > 0:
-		_, _ = fmt.Fprintf(w, "sapphiretray: code %s: %s is refused: %d faults\n", number, file.file, len(lines))
+		_, _ = fmt.Fprintf(w, "sapphiretray: code %s: %s is refused; faults: %d\n", number, file.file, len(lines))
 	case number != 0:
 		_, _ = fmt.Fprintf(w, "sapphiretray: code %s: %v\n", number, err)
 	default:
--- a/main_test.go
+++ b/main_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +20,7 @@
 	"sapphiretray/fake"
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/sheet"
 	"sapphiretray/table"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -75,6 +77,8 @@
 			"edit":      editCommand,
 			"exec-code": exitCodeCommand,
 			"race":      raceCommand,
+
+			"lose-object": loseObjectCommand,
 		},
 	})
 }
@@ -104,6 +108,16 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(content, args[1], args[2], 1)), 0o600))
 }
 
+// loseObjectCommand puts a sheet into effect whose object doesn't exist.
+func loseObjectCommand(ts *testscript.TestScript, _ bool, _ []string) {
+	client := table.New(ts.Value(standInKey{}).(*standIn).server.URL)
+	_, err := table.Update(context.Background(), client, sheet.RowKey, table.Change[sheet.Entry]{
+		Seen: table.AnyVersion,
+		Next: func(sheet.Entry, uint64) (sheet.Entry, error) { return sheet.Entry{Object: "sheet/lost"}, nil },
+	})
+	ts.Check(err)
+}
+
 type instance struct {
 	peer.Peer
 	version uint64
@@ -135,13 +149,17 @@
 	ts.Check(err)
 }
 
-// Guards against a page that differs from the code in a status, in whether a request ran, or in a text, and against a
-// code without a group.
+// Guards against a page that differs from the code in a status, in whether a request ran, or in a text, against a code
+// without a group, and against one that the operators' manual doesn't explain.
 func TestCodesPage(t *testing.T) {
 	page, err := os.ReadFile("docs/codes.md")
 	if err != nil {
 		t.Fatal(err)
 	}
+	manual, err := os.ReadFile("docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	if string(page) != codesPage() {
 		t.Error("docs/codes.md is out of date; run: go run . codes --markdown > docs/codes.md")
 	}
@@ -152,6 +170,10 @@
 		if !strings.Contains(string(page), row) {
 			t.Errorf("docs/codes.md lacks %s", row)
 		}
+		forOperators := e.Number() > 1500
+		if forOperators != strings.Contains(string(manual), fmt.Sprintf("\n| %d | ", e.Number())) {
+			t.Errorf("docs/operators.md explains the codes from 1501 on; %d is wrong", e.Number())
+		}
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,9 @@
 	DefaultStop          = 30 * time.Second
 )
 
+// maxBytes bounds a settings file, so that a wrong file is refused before it is parsed.
+const maxBytes = 1 << 14
+
 // file is the document as it is written.
 type file struct {
 	Slot       string    `json:"slot"`
@@ -90,6 +93,10 @@
 
 // Parse reads settings. The error carries code.BadSettings and wraps document.Faults with every fault.
 func Parse(content []byte) (Settings, error) {
+	if len(content) > maxBytes {
+		fault := document.NewFault(1, 1, "", "the file is larger than %d bytes", maxBytes)
+		return Settings{}, code.Wrap(code.BadSettings, document.Faults{fault}, "settings")
+	}
 	root, faults := document.ParseYAML(content)
 	if root == nil {
 		return Settings{}, code.Wrap(code.BadSettings, faults, "settings")
--- a/sheet.go
+++ b/sheet.go
@@ -43,15 +43,18 @@
 		return fileError{c.File, err}
 	}
 	current, entry, err := sheet.Current(ctx, platform)
-	if err != nil {
+	if number, _ := code.Of(err); number == code.PlatformDown || err != nil && entry.Version == 0 {
 		return err
 	}
+	if err != nil {
+		o.note("warning: the sheet in effect can't be read and counts as empty: %v", err)
+	}
 	p := plan{Seen: entry.Version, Changes: sheet.Lines(sheet.Plan(current, next))}
 	return o.write(p, func() {
 		for _, line := range p.Changes {
 			o.printf("%s", line)
 		}
-		o.printf("%d changes against version %d", len(p.Changes), p.Seen)
+		o.printf("changes against version %d: %d", p.Seen, len(p.Changes))
 		o.printf("accept with: sapphiretray sheet apply %s --seen %d", c.File, p.Seen)
 	})
 }
--- a/sheet/store.go
+++ b/sheet/store.go
@@ -50,7 +50,8 @@
 	Object *object.Client
 }
 
-// Current returns the sheet in effect; version 0 means that none was accepted yet.
+// Current returns the sheet in effect; version 0 means that none was accepted yet. If the row can be read but its object
+// is missing or damaged, the entry is returned with an error that doesn't carry code.PlatformDown.
 func Current(ctx context.Context, p Platform) (Sheet, table.Accepted[Entry], error) {
 	entry, err := table.Read[Entry](ctx, p.Table, RowKey)
 	if err != nil || entry.Version == 0 {
@@ -72,6 +73,19 @@
 	return Parse(content, accepted)
 }
 
+// fetchOlder reads the sheet that is about to be replaced. One that is missing or damaged counts as empty: it must not
+// keep operators from replacing it.
+func fetchOlder(ctx context.Context, c *object.Client, e Entry) (Sheet, error) {
+	if e.Object == "" {
+		return Sheet{}, nil
+	}
+	s, err := Fetch(ctx, c, e)
+	if number, _ := code.Of(err); number == code.PlatformDown {
+		return Sheet{}, err
+	}
+	return s, nil
+}
+
 func checksum(content []byte) string {
 	sum := sha256.Sum256(content)
 	return hex.EncodeToString(sum[:])
@@ -107,12 +121,9 @@
 	entry, err := table.Update(ctx, p.Table, RowKey, table.Change[Entry]{
 		Seen: r.Seen, By: r.By, Why: r.Why,
 		Next: func(current Entry, version uint64) (Entry, error) {
-			var older Sheet
-			if version > 1 {
-				var err error
-				if older, err = Fetch(ctx, p.Object, current); err != nil {
-					return current, err
-				}
+			older, err := fetchOlder(ctx, p.Object, current)
+			if err != nil {
+				return current, err
 			}
 			changes = Plan(older, next)
 			return store(ctx, p.Object, version, r, len(next.rules))
