--- a/config/check.go
+++ b/config/check.go
@@ -21,6 +21,7 @@
 	maxCount      = 1 << 24
 	maxWeight     = 1e6
 	maxSegment    = 64
+	maxPrefix     = 256
 	percent       = 100
 )
 
@@ -74,8 +75,8 @@
 }
 
 func (k *checker) route(path string, r rawRoute, services []rawService) {
-	k.require(strings.HasPrefix(r.Prefix, "/") && !strings.ContainsAny(r.Prefix, "?#"), path+".prefix",
-		"%q: want a path that starts with '/'", r.Prefix)
+	k.require(strings.HasPrefix(r.Prefix, "/") && len(r.Prefix) <= maxPrefix && !strings.ContainsAny(r.Prefix, "?#"), path+".prefix",
+		"%q: want a path of up to %d characters that starts with '/'", r.Prefix, maxPrefix)
 	for n, method := range r.Methods {
 		k.require(slices.Contains(methods, method), fmt.Sprintf("%s.methods[%d]", path, n),
 			"%q: want one of %s", method, strings.Join(methods, ", "))
--- a/config/config.go
+++ b/config/config.go
@@ -2,7 +2,6 @@
 package config
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 
@@ -17,9 +16,10 @@
 type Config struct {
 	raw    raw
 	routes []Route
-	// byLength holds the routes by descending length of their prefix, those that list methods first, so that the first
-	// match is the most specific.
-	byLength []Route
+	// byPrefix holds the routes of each prefix, those that list methods first.
+	byPrefix map[string][]*Route
+	// longest is the length of the longest prefix.
+	longest int
 }
 
 // raw is the configuration as it is written in JSON.
@@ -84,10 +84,15 @@
 	for n, r := range c.raw.Routes {
 		c.routes[n] = newRoute(r, c.Limits())
 	}
-	c.byLength = slices.Clone(c.routes)
-	slices.SortStableFunc(c.byLength, func(a, b Route) int {
-		return cmp.Or(len(b.raw.Prefix)-len(a.raw.Prefix), len(b.raw.Methods)-len(a.raw.Methods))
-	})
+	c.byPrefix = make(map[string][]*Route)
+	for n := range c.routes {
+		r := &c.routes[n]
+		c.byPrefix[r.raw.Prefix] = append(c.byPrefix[r.raw.Prefix], r)
+		c.longest = max(c.longest, len(r.raw.Prefix))
+	}
+	for _, routes := range c.byPrefix {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.raw.Methods) - len(a.raw.Methods) })
+	}
 }
 
 // WithVersion returns the configuration with another version.
@@ -122,11 +127,18 @@
 func (c Config) Routes() []Route { return slices.Clone(c.routes) }
 
 // Match returns the route with the longest prefix that matches path and accepts the method. A prefix matches whole path
-// segments: "/book" doesn't match "/bookings". Match doesn't allocate.
+// segments: "/book" doesn't match "/bookings". Match doesn't allocate, and its time depends on the longest prefix rather
+// than on the number of routes or on the length of path.
 func (c Config) Match(path, method string) (Route, bool) {
-	for n := range c.byLength {
-		if r := &c.byLength[n]; r.matches(path, method) {
-			return *r, true
+	for end := min(len(path), c.longest); end > 0; end-- {
+		boundary := end == len(path) || path[end] == '/' || path[end-1] == '/'
+		if !boundary {
+			continue
+		}
+		for _, r := range c.byPrefix[path[:end]] {
+			if r.accepts(method) {
+				return *r, true
+			}
 		}
 	}
 	return Route{}, false
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -13,6 +13,8 @@
 	"sapphiretray/document"
 	"sapphiretray/fake"
 	"sapphiretray/table"
+
+	"pgregory.net/rapid"
 )
 
 func example(tb testing.TB) (Config, string) {
@@ -49,6 +51,38 @@
 	}
 }
 
+// Guards against a look-up that misses a prefix or prefers a shorter one, for any set of prefixes.
+func TestMatchLongest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.StringMatching(`(/[ab]{0,2}){1,4}`)
+		var c Config
+		for _, prefix := range rapid.SliceOfN(path, 0, 6).Draw(t, "prefixes") {
+			c.raw.Routes = append(c.raw.Routes, rawRoute{Prefix: prefix})
+		}
+		c.prepare()
+		p := path.Draw(t, "path")
+		want := ""
+		for _, r := range c.raw.Routes {
+			rest, ok := strings.CutPrefix(p, r.Prefix)
+			whole := rest == "" || rest[0] == '/' || strings.HasSuffix(r.Prefix, "/")
+			if ok && whole && len(r.Prefix) > len(want) {
+				want = r.Prefix
+			}
+		}
+		if r, ok := c.Match(p, "GET"); r.Prefix() != want || ok != (want != "") {
+			t.Fatalf("%s: got %q, want %q of %v", p, r.Prefix(), want, c.raw.Routes)
+		}
+	})
+}
+
+func BenchmarkMatch(b *testing.B) {
+	c, _ := example(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Match("/bookings/7/charge", "POST")
+	}
+}
+
 // Guards against a key that differs from the one that the upstream reads: escaped slashes, repeated values.
 func TestKey(t *testing.T) {
 	c, _ := example(t)
--- a/config/route.go
+++ b/config/route.go
@@ -62,13 +62,8 @@
 	return route
 }
 
-func (r *Route) matches(path, method string) bool {
-	rest, ok := strings.CutPrefix(path, r.raw.Prefix)
-	if !ok {
-		return false
-	}
-	whole := rest == "" || rest[0] == '/' || strings.HasSuffix(r.raw.Prefix, "/")
-	return whole && (len(r.raw.Methods) == 0 || slices.Contains(r.raw.Methods, method))
+func (r *Route) accepts(method string) bool {
+	return len(r.raw.Methods) == 0 || slices.Contains(r.raw.Methods, method)
 }
 
 // Prefix returns the path prefix.
