--- a/caller/dedup.go
+++ b/caller/dedup.go
@@ -230,6 +230,22 @@
 type Running struct {
 	dedup *Dedup
 	entry *entry
+	// sent tells that the request may reach the upstream, so that End doesn't free its id.
+	sent bool
+}
+
+// Sent records that the request is handed to the upstream.
+func (r *Running) Sent() {
+	if r != nil {
+		r.sent = true
+	}
+}
+
+// NotRun records that the request, although handed to the upstream, did not run.
+func (r *Running) NotRun() {
+	if r != nil {
+		r.sent = false
+	}
 }
 
 // Finish stores the response.
@@ -248,15 +264,16 @@
 // Ran records that the request ran and that its response isn't kept.
 func (r *Running) Ran(status int) { r.end(entryRan, status, nil) }
 
-// Unknown records that the request may have run.
-func (r *Running) Unknown() { r.end(entryUnknown, 0, nil) }
-
-// Forget removes the id of a request that did not run, so that a repeat may run. It does nothing after Finish, Ran or
-// Unknown.
-func (r *Running) Forget() {
+// End frees the id of a request that did not run, so that a repeat may run, and otherwise records that it may have run. It
+// does nothing after Finish or Ran.
+func (r *Running) End() {
 	if r == nil {
 		return
 	}
+	if r.sent {
+		r.end(entryUnknown, 0, nil)
+		return
+	}
 	d := r.dedup
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -34,6 +34,7 @@
 	for _, test := range tests {
 		for at, where := range []string{"local", "one hop"} {
 			t.Run(string(test.mode)+" "+where, func(t *testing.T) {
+				t.Parallel()
 				c := newCluster(t, 2, testSettings{timeout: time.Second})
 				i := c.instances[at]
 				if a := i.send(t.Context(), sending{method: "GET", path: "/read/k", id: "warm"}); a.code != code.OK {
@@ -62,7 +63,7 @@
 func TestOwnerChanges(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(*testing.T, *testCluster) // Called 50 ms after the request that isn't idempotent was sent.
+		change func(*testing.T, *testCluster) // Called while the request runs or is held.
 		before func(*testing.T, *testCluster)
 		read   code.Code
 		plain  code.Code
@@ -82,7 +83,7 @@
 			read:   code.NoOwner, plain: code.NoOwner,
 		},
 		{
-			name:   "owner lost while the request runs",
+			name: "owner lost while the request runs",
 			change: func(_ *testing.T, c *testCluster) {
 				_ = c.instances[0].peers.Close()
 				c.instances[0].lapse()
@@ -128,9 +129,10 @@
 	for _, test := range tests {
 		for _, kind := range []string{"read", "plain"} {
 			t.Run(test.name+" "+kind, func(t *testing.T) {
+				t.Parallel()
 				c := newCluster(t, 3, testSettings{
 					timeout: 2 * time.Second, options: []Option{WithHold(700 * time.Millisecond)},
-					upstream: []fake.UpstreamOption{fake.WithServiceTime(150 * time.Millisecond)},
+					upstream: []fake.UpstreamOption{fake.WithServiceTime(300 * time.Millisecond)},
 				})
 				i := c.instances[2]
 				i.send(t.Context(), sending{method: "GET", path: "/read/k?service_ms=0", id: "warm"})
@@ -140,7 +142,9 @@
 				var group sync.WaitGroup
 				var a answer
 				group.Go(func() { a = i.send(t.Context(), sending{method: "POST", path: "/" + kind + "/k", id: "x", body: "b"}) })
-				time.Sleep(50 * time.Millisecond)
+				for start := time.Now(); c.instances[0].upstream.InFlight() == 0 && time.Since(start) < 100*time.Millisecond; {
+					time.Sleep(time.Millisecond)
+				}
 				if test.change != nil {
 					test.change(t, c)
 				}
@@ -219,7 +223,8 @@
 		id := "id-" + string(rune('A'+n))
 		delay := []string{"40", "0", "20", "5"}[n%4]
 		group.Go(func() {
-			a := c.instances[n%2].send(t.Context(), sending{method: "POST", path: "/plain/" + id + "?service_ms=" + delay, id: id, body: id})
+			path := "/plain/" + id + "?service_ms=" + delay
+			a := c.instances[n%2].send(t.Context(), sending{method: "POST", path: path, id: id, body: id})
 			if a.code != code.OK || a.id != id || a.decode(t).ID != id {
 				t.Errorf("%s: %+v", id, a)
 			}
@@ -251,3 +256,50 @@
 		t.Fatalf("new: %+v", a)
 	}
 }
+
+// TestMisroutedUpload guards against an upload that is used up by an instance that doesn't own its key.
+func TestMisroutedUpload(t *testing.T) {
+	c := newCluster(t, 3, testSettings{})
+	c.instances[0].disown(code.NotOwner)
+	c.instances[1].own(1)
+	upload := string(fake.Payload(3 << 20))
+	a := c.instances[2].send(t.Context(), sending{method: http.MethodPost, path: "/plain/k?echo=1", body: upload})
+	if a.code != code.OK || a.body != upload {
+		t.Fatalf("%s, %d of %d bytes, %v", a.code, len(a.body), len(upload), a.err)
+	}
+}
+
+// refusing is a Limiter and a Budget that have nothing left.
+type refusing struct{ code code.Code }
+
+func (r refusing) Acquire(context.Context, int, time.Time) (func(time.Duration, bool), error) {
+	return nil, code.New(r.code, "test")
+}
+
+func (refusing) Attempt() {}
+
+func (refusing) Retry() bool { return false }
+
+// TestLimits guards against requests that pass a limit, and against "not run" for an unknown outcome after the budget for
+// retries is spent.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name   string
+		option Option
+		mode   fake.Mode
+		want   code.Code
+	}{
+		{"shed", WithLimiter(refusing{code.Shed}), fake.None, code.Shed},
+		{"too late", WithLimiter(refusing{code.TooLate}), fake.None, code.TooLate},
+		{"no budget, not run", WithBudget(refusing{}), fake.Refuse, code.RetryBudget},
+		{"no budget, outcome unknown", WithBudget(refusing{}), fake.CloseBefore, code.UpstreamFailed},
+	}
+	for _, test := range tests {
+		c := newCluster(t, 2, testSettings{options: []Option{test.option}})
+		c.instances[0].upstream.SetFault(fake.UpstreamFault{Fault: fake.Fault{Mode: test.mode, DelayMS: 1000}})
+		a := c.instances[1].send(t.Context(), sending{method: "GET", path: "/read/k"})
+		if a.code != test.want || a.ran != test.want.Entry().Ran() {
+			t.Errorf("%s: %+v", test.name, a)
+		}
+	}
+}
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -171,7 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var members []member.Incarnation
-	for _, i := range instances {
+	for _, i := range instances[:min(len(instances), partition.Replicas)] {
 		members = append(members, i.self)
 	}
 	var moves []partition.Move
@@ -222,7 +222,14 @@
 	if timeout == 0 {
 		timeout = 5 * time.Second
 	}
-	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, settings.options...)
+	quarantine := NewQuarantine(WithOnChange(func(suspects, quarantined []uint64) {
+		for _, other := range c.instances {
+			other.server.Quarantine().LearnSuspects(suspects, time.Minute)
+			other.server.Quarantine().Learn(quarantined, time.Minute)
+		}
+	}))
+	options := append([]Option{WithQuarantine(quarantine)}, settings.options...)
+	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, options...)
 	public, private := listen(t), fake.NewListener(listen(t))
 	i.peers = private
 	i.url = "http://" + public.Addr().String()
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -33,6 +33,8 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
 	maxStreams        = 10_000
+	// continueTimeout is the time that the owner has to ask for a large body before it is sent unasked.
+	continueTimeout = 2 * time.Second
 	// connectTimeout is well below the lease, so that a lost host is noticed before its successor may serve.
 	connectTimeout = 250 * time.Millisecond
 )
--- a/caller/local.go
+++ b/caller/local.go
@@ -37,7 +37,7 @@
 	if stored != nil {
 		return s.writeStored(w, q, stored)
 	}
-	defer claim.Forget()
+	defer claim.End()
 	return s.run(ctx, w, q, admission, claim)
 }
 
@@ -58,6 +58,7 @@
 	if !admission.Valid() {
 		return refused(code.NoOwner, "lease expired while the request waited")
 	}
+	claim.Sent()
 	resp, err := s.upstream.Do(ctx, q.toUpstream(admission))
 	if err != nil {
 		return s.upstreamFailed(ctx, q, guard, claim, err)
@@ -85,8 +86,8 @@
 	if q.consumed != nil && q.consumed.failed.Load() && a.ran != code.RanNo {
 		a = replyOf(code.Wrap(code.BodyFailed, err, "request %s", q.id))
 	}
-	if a.ran != code.RanNo {
-		claim.Unknown()
+	if a.notRun() {
+		claim.NotRun()
 	}
 	s.noteCrash(ctx, guard, a)
 	return result{reply: a, path: pathLocal}
@@ -119,6 +120,7 @@
 	ctx context.Context, w http.ResponseWriter, q *query, admission Admission, claim *Running, resp *upstream.Response, guard *Run,
 ) result {
 	if resp.Rejected {
+		claim.NotRun()
 		return result{reply: rejection(resp), path: pathLocal}
 	}
 	var small []byte
@@ -127,7 +129,6 @@
 		small, readErr = io.ReadAll(io.LimitReader(resp.Body, MaxStoredBody+1))
 	}
 	if !admission.Valid() {
-		claim.Unknown()
 		return result{reply: replyOf(code.New(code.LeaseLapsed, "lease expired while request %s ran", q.id)), path: pathLocal}
 	}
 	if readErr != nil {
--- a/caller/quarantine.go
+++ b/caller/quarantine.go
@@ -200,21 +200,26 @@
 
 // Learn quarantines fingerprints that another instance quarantined, for the rest of their time.
 func (q *Quarantine) Learn(fingerprints []uint64, remaining time.Duration) {
-	q.learn(q.quarantined, fingerprints, remaining)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.extend(q.quarantined, fingerprints, remaining)
+	for _, print := range fingerprints {
+		delete(q.suspects, print)
+	}
 }
 
 // LearnSuspects adds fingerprints that were in flight when another instance's upstream crashed.
 func (q *Quarantine) LearnSuspects(fingerprints []uint64, remaining time.Duration) {
-	q.learn(q.suspects, fingerprints, remaining)
-}
-
-func (q *Quarantine) learn(into map[uint64]time.Time, fingerprints []uint64, remaining time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.extend(q.suspects, fingerprints, remaining)
+}
+
+func (q *Quarantine) extend(in map[uint64]time.Time, fingerprints []uint64, remaining time.Duration) {
 	until := time.Now().Add(min(remaining, q.age))
 	for _, print := range fingerprints {
-		if old, ok := into[print]; !ok || old.Before(until) {
-			put(into, print, until)
+		if old, ok := in[print]; !ok || old.Before(until) {
+			put(in, print, until)
 		}
 	}
 }
--- /dev/null
+++ b/caller/quarantine_test.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/fake"
+)
+
+// TestCrashingRequest guards against a request that crashes one upstream after the other, and against the quarantine of
+// requests that were only in flight beside it.
+func TestCrashingRequest(t *testing.T) {
+	c := newCluster(t, 5, testSettings{
+		timeout: time.Second, options: []Option{WithHold(100 * time.Millisecond)},
+		upstream: []fake.UpstreamOption{fake.WithServiceTime(30 * time.Millisecond)},
+	})
+	for _, i := range c.instances {
+		i.fault(fake.CrashOn, 0)
+	}
+	innocent := sending{method: "PUT", path: "/read/other", body: "fine"}
+	crashing := sending{method: "PUT", path: "/read/k", body: "boom"}
+	var group sync.WaitGroup
+	group.Go(func() { c.instances[4].send(t.Context(), innocent) })
+	time.Sleep(10 * time.Millisecond)
+	for n := range 4 {
+		if n > 0 {
+			c.takeOver(t, c.instances[n-1], c.instances[n])
+		}
+		a := c.instances[4].send(t.Context(), crashing)
+		if n >= 2 && (a.code != code.Quarantined || a.ran != code.RanNo) {
+			t.Errorf("attempt %d: %+v", n, a)
+		}
+		if gone := c.instances[n].client.Gone(t.Context()); gone != (n < 2) {
+			t.Errorf("upstream %d crashed: %v", n, gone)
+		}
+	}
+	group.Wait()
+	if a := c.instances[4].send(t.Context(), innocent); a.code != code.OK {
+		t.Errorf("innocent: %+v", a)
+	}
+	q := c.instances[3].server.Quarantine()
+	if n, m := len(q.Quarantined()), len(q.Suspects()); n != 1 || m != 0 {
+		t.Errorf("%d quarantined, %d suspects", n, m)
+	}
+}
+
+// TestIsolation guards against suspects that run beside other requests, copies that count as two crashes, and a suspect
+// that blocks others for long.
+func TestIsolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQuarantine()
+		enter := func(print uint64) *Run {
+			run, err := q.Enter(t.Context(), print)
+			if err != nil {
+				t.Fatalf("%d: %v", print, err)
+			}
+			return run
+		}
+		first, second := enter(1), enter(1)
+		first.Crashed()
+		second.Crashed()
+		first.Leave()
+		second.Leave()
+		if len(q.Suspects()) != 1 || len(q.Quarantined()) != 0 {
+			t.Fatal("two copies in flight counted as two crashes")
+		}
+		beside := enter(2)
+		start := time.Now()
+		time.AfterFunc(100*time.Millisecond, beside.Leave)
+		suspect := enter(1)
+		if waited := time.Since(start); waited != 100*time.Millisecond {
+			t.Fatalf("suspect ran after %v, beside another request", waited)
+		}
+		start = time.Now()
+		other := enter(2)
+		if waited := time.Since(start); waited != maxIsolationWait {
+			t.Fatalf("suspect delayed another request by %v", waited)
+		}
+		if _, err := q.Enter(t.Context(), 1); err == nil {
+			t.Fatal("two suspects at once")
+		}
+		suspect.Crashed()
+		suspect.Leave()
+		other.Leave()
+		if _, err := q.Enter(t.Context(), 1); err == nil {
+			t.Fatal("not quarantined after the second crash")
+		}
+		time.Sleep(DefaultQuarantineAge)
+		enter(1).Leave()
+	})
+}
+
+// TestQuarantineBound guards against memory that grows with the number of fingerprints.
+func TestQuarantineBound(t *testing.T) {
+	q := NewQuarantine()
+	prints := make([]uint64, 2*MaxQuarantined)
+	for n := range prints {
+		prints[n] = uint64(n)
+	}
+	q.Learn(prints, time.Minute)
+	q.LearnSuspects(prints, time.Minute)
+	if n, m := len(q.Quarantined()), len(q.Suspects()); n != MaxQuarantined || m != MaxQuarantined {
+		t.Fatalf("%d quarantined, %d suspects", n, m)
+	}
+	if _, err := q.Enter(context.Background(), prints[len(prints)-1]); err == nil {
+		t.Fatal("the newest fingerprint was dropped")
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -124,6 +124,7 @@
 	p.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		Protocols: p, DisableCompression: true, IdleConnTimeout: idleTimeout, DialContext: dialPeer,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		ExpectContinueTimeout: continueTimeout,
+		HTTP2:                 &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
--- a/fake/upstream.go
+++ b/fake/upstream.go
@@ -144,6 +144,13 @@
 	return append([]Effect(nil), u.journal...)
 }
 
+// InFlight returns the number of requests that run now.
+func (u *Upstream) InFlight() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running
+}
+
 // ReportLoad replaces the measured load in health responses.
 func (u *Upstream) ReportLoad(load float64) {
 	u.mu.Lock()
--- a/upstream/do.go
+++ b/upstream/do.go
@@ -29,6 +29,11 @@
 	HeaderImportance = "Sapphire-Importance"
 )
 
+const (
+	goneTries    = 3
+	goneInterval = 10 * time.Millisecond
+)
+
 // Request is one request for the upstream.
 type Request struct {
 	Method string
@@ -287,14 +292,22 @@
 	return b.ReadCloser.Close()
 }
 
-// Gone reports whether the upstream refuses connections now, as it does after a crash.
+// Gone reports whether the upstream refuses connections now, as it does after a crash. A process that ends may close its
+// connections a moment before its listener, so a connection that succeeds is tried again.
 func (c *Client) Gone(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.probeTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
-	if err == nil {
+	for range goneTries {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
 		_ = conn.Close()
-		return false
+		select {
+		case <-time.After(goneInterval):
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false
 }
