Close no connection after a complete response whose lease ended later

The body's end counted as a use of the response, so a caller's next request on the connection could fail. The stand-in answers 504 with Sapphire-Ran: no when its deadline passes, and the caller server reports it as 1302.

--- a/caller/body.go
+++ b/caller/body.go
@@ -24,16 +24,17 @@
 	return n, err
 }
 
-// copyBody sends a response's body to the caller and flushes each part. The result is nil only if the body was complete.
+// copyBody sends a response's body to the caller and flushes each part. It checks before each part that the response may
+// still be used. The result is nil only if the body was complete.
 func copyBody(w http.ResponseWriter, body io.Reader, usable func() bool) error {
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := body.Read(buffer)
-		if !usable() {
-			return errLeaseLost
-		}
 		if n > 0 {
+			if !usable() {
+				return errLeaseLost
+			}
 			if _, werr := w.Write(buffer[:n]); werr != nil {
 				return werr
 			}
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -218,6 +219,10 @@
 	var group sync.WaitGroup
 	group.Go(func() { _ = i.upstream.Serve(listener) })
 	i.client = upstream.New(listener.Addr().String())
+	// Faults that concern the listener need a server that accepts.
+	for _, err := i.client.Probe(t.Context()); err != nil; _, err = i.client.Probe(t.Context()) {
+		t.Log(err)
+	}
 	timeout := settings.timeout
 	if timeout == 0 {
 		timeout = 5 * time.Second
@@ -267,6 +272,10 @@
 	err    error
 }
 
+func (a answer) String() string {
+	return fmt.Sprintf("%d, %s, ran %s, id %q, token %q, %v: %.200q", a.status, a.code, a.ran, a.id, a.token, a.err, a.body)
+}
+
 func (a answer) decode(t *testing.T) fake.Answer {
 	t.Helper()
 	var decoded fake.Answer
--- a/caller/local.go
+++ b/caller/local.go
@@ -207,6 +207,9 @@
 	if resp.Status == http.StatusConflict {
 		return reply{code: code.NoOwner, ran: code.RanNo, text: "upstream has no valid grant"}
 	}
+	if resp.Status == http.StatusGatewayTimeout {
+		return reply{code: code.TooLate, ran: code.RanNo, text: "upstream did not start the request before its deadline"}
+	}
 	number, err := strconv.Atoi(resp.Header.Get(HeaderCode))
 	if c := code.Code(number); err == nil && (c == code.UpstreamNotWarmed || c == code.Draining) {
 		return reply{code: c, ran: code.RanNo, text: "upstream is not ready"}
--- a/fake/serve.go
+++ b/fake/serve.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if err := u.acquire(ctx); err != nil {
-		reject(w, http.StatusServiceUnavailable)
+		reject(w, http.StatusGatewayTimeout)
 		return
 	}
 	defer u.release()
@@ -102,7 +102,8 @@
 	// The server notices that the client closed the connection only after the body has been read.
 	u.readBody(r, c)
 	if !sleep(ctx, u.service(r)) {
-		panic(http.ErrAbortHandler)
+		reject(w, http.StatusGatewayTimeout)
+		return
 	}
 	if !u.granted(c.partition, c.fence) {
 		reject(w, http.StatusConflict)
--- a/upstream/do.go
+++ b/upstream/do.go
@@ -243,9 +243,12 @@
 
 // rejected reports whether the upstream states that the request didn't run.
 func rejected(resp *http.Response) bool {
-	refusal := resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusTooManyRequests ||
-		resp.StatusCode == http.StatusServiceUnavailable
-	return refusal && resp.Header.Get(HeaderRan) == string(code.RanNo)
+	switch resp.StatusCode {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return resp.Header.Get(HeaderRan) == string(code.RanNo)
+	default:
+		return false
+	}
 }
 
 func (c *Client) classify(ctx context.Context, a *attempt, err error) error {
