--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -171,7 +172,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var members []member.Incarnation
-	for _, i := range instances {
+	for _, i := range instances[:min(len(instances), partition.Replicas)] {
 		members = append(members, i.self)
 	}
 	var moves []partition.Move
@@ -218,11 +219,22 @@
 	var group sync.WaitGroup
 	group.Go(func() { _ = i.upstream.Serve(listener) })
 	i.client = upstream.New(listener.Addr().String())
+	// Faults that concern the listener need a server that accepts.
+	for _, err := i.client.Probe(t.Context()); err != nil; _, err = i.client.Probe(t.Context()) {
+		t.Log(err)
+	}
 	timeout := settings.timeout
 	if timeout == 0 {
 		timeout = 5 * time.Second
 	}
-	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, settings.options...)
+	quarantine := NewQuarantine(WithOnChange(func(suspects, quarantined []uint64) {
+		for _, other := range c.instances {
+			other.server.Quarantine().LearnSuspects(suspects, time.Minute)
+			other.server.Quarantine().Learn(quarantined, time.Minute)
+		}
+	}))
+	options := append([]Option{WithQuarantine(quarantine)}, settings.options...)
+	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, options...)
 	public, private := listen(t), fake.NewListener(listen(t))
 	i.peers = private
 	i.url = "http://" + public.Addr().String()
@@ -260,6 +272,10 @@
 	err    error
 }
 
+func (a answer) String() string {
+	return fmt.Sprintf("%d, %s, ran %s, id %q, token %q, %v: %.200q", a.status, a.code, a.ran, a.id, a.token, a.err, a.body)
+}
+
 func (a answer) decode(t *testing.T) fake.Answer {
 	t.Helper()
 	var decoded fake.Answer
