--- /dev/null
+++ b/measure_placement.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"sapphiretray/measure"
+)
+
+// MeasurePlacementCommand compares the placement policy with baselines.
+type MeasurePlacementCommand struct {
+	Members  []int         `default:"12,10,500" help:"Numbers of members; 5200 takes about four minutes."`
+	Seed     uint64        `default:"1" help:"Seed of the keys."`
+	JSON     bool          `name:"json" help:"Print JSON instead of tables."`
+	Handover time.Duration `default:"20ms" help:"Time for which a planned move interrupts a partition."`
+	Takeover time.Duration `default:"620ms" help:"Time for which the loss of an owner interrupts a partition."`
+}
+
+// Run prints the results.
+func (c *MeasurePlacementCommand) Run() error {
+	report, err := measure.Placement(measure.PlacementOptions{
+		Members: c.Members, Seed: c.Seed, Handover: c.Handover, Takeover: c.Takeover,
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", " ")
+		return encoder.Encode(report)
+	}
+	return printPlacement(os.Stdout, report)
+}
+
+func printPlacement(out io.Writer, report measure.PlacementReport) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "seed %d\n", report.Seed)
+	_, _ = fmt.Fprintln(w, "members\tcapacities\tcase\tpolicy\timbalance\tkeys moved %\tleast %\tload moved %\t"+
+		"moves\ttakeovers\tunavailable s")
+	for _, r := range report.Results {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%.3f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%.2f\n", r.Members, r.Capacities, r.Case, r.Policy,
+			r.Imbalance, 100*r.KeyChurn, 100*r.LeastChurn, 100*r.LoadChurn, r.Moves, r.Takeovers, r.Unavailable)
+	}
+	_, _ = fmt.Fprintln(w, "\nmembers\tchurn weight\timbalance\tkeys moved %\tload moved %")
+	for _, p := range report.Curve {
+		_, _ = fmt.Fprintf(w, "%d\t%g\t%.3f\t%.2f\t%.2f\n", p.Members, p.Churn, p.Imbalance, 100*p.KeyChurn, 100*p.LoadChurn)
+	}
+	return w.Flush()
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -6,14 +6,19 @@
 // not stay idle.
 const minLoadShare = 0.01
 
-// estimateLoads fills in the load of each partition and member. A member without a recent report counts its partitions
-// at the mean, but at most up to its share by capacity, so that it is never relieved on a guess.
+// estimateLoads fills in the load of each partition and member. A member without a recent report counts with its share by
+// capacity, so that it is neither relieved nor filled up on a guess. If neither an old report nor the number of its
+// partitions explains that much, as when it has just joined, it counts with the larger of the two.
 func (s *state) estimateLoads() {
 	s.loads = make([]float64, len(s.ranks), cap(s.ranks))
 	unknown := s.knownLoads()
+	// The mean includes old figures, so that all are in one unit if no report is recent.
 	known, sum := 0, 0.0
-	for _, load := range s.loads {
-		if load >= 0 {
+	for p, load := range s.loads {
+		if load < 0 && p < len(s.in.Loads) {
+			load = s.in.Loads[p]
+		}
+		if finite(load) {
 			known++
 			sum += load
 		}
@@ -28,22 +33,43 @@
 			capacity += s.nodes[n].capacity
 		}
 	}
-	capacity = math.Max(capacity, math.SmallestNonzeroFloat32)
-	s.mean = s.unit * float64(len(s.ranks)) / capacity
+	s.mean = s.unit * float64(len(s.ranks)) / math.Max(capacity, math.SmallestNonzeroFloat32)
+	scale := s.guessLoads(unknown)
 	for p, load := range s.loads {
-		if load >= 0 {
-			s.loads[p] = math.Max(load, minLoadShare*s.unit)
-			continue
-		}
-		s.loads[p] = s.unit
-		if n := s.ranks[p][0]; n != none {
-			share := s.mean * s.nodes[n].capacity / float64(unknown[n])
-			s.loads[p] = math.Min(s.unit, share)
+		if load < 0 {
+			s.loads[p] = s.unit
+			if n := s.ranks[p][0]; n != none {
+				s.loads[p] = s.guess(p) * scale[n]
+			}
 		}
+		s.loads[p] = math.Max(s.loads[p], minLoadShare*s.unit)
 	}
 	s.sumLoads()
 }
 
+// guess returns the load of a partition by an old report, else the mean.
+func (s *state) guess(p int) float64 {
+	if p < len(s.in.Loads) && finite(s.in.Loads[p]) {
+		return s.in.Loads[p]
+	}
+	return s.unit
+}
+
+// guessLoads returns by member the factor that takes the guessed loads of its partitions to what it counts with.
+func (s *state) guessLoads(unknown []int) []float64 {
+	sum := make([]float64, len(s.nodes))
+	for p, ranks := range s.ranks {
+		if s.loads[p] < 0 && ranks[0] != none {
+			sum[ranks[0]] += s.guess(p)
+		}
+	}
+	for n, guessed := range sum {
+		total := math.Min(math.Max(guessed, float64(unknown[n])*s.unit), s.mean*s.nodes[n].capacity)
+		sum[n] = total / math.Max(guessed, math.SmallestNonzeroFloat32)
+	}
+	return sum
+}
+
 // knownLoads sets the loads that are known, leaves the others negative and counts these by member.
 func (s *state) knownLoads() []int {
 	unknown := make([]int, len(s.nodes))
--- a/placement/state.go
+++ b/placement/state.go
@@ -60,6 +60,8 @@
 	masks   map[int]uint64
 	pins    map[int]Pin
 	spent   int
+	// exchanged are the partitions that an exchange moved; each moves once.
+	exchanged map[int32]bool
 }
 
 func newState(in Input) *state {
@@ -74,7 +76,7 @@
 	}
 	s := &state{
 		in: in, parents: make(map[int]int), gone: make(map[member.Incarnation]bool),
-		masks: make(map[int]uint64), pins: make(map[int]Pin),
+		masks: make(map[int]uint64), pins: make(map[int]Pin), exchanged: make(map[int32]bool),
 	}
 	s.addNodes()
 	s.readRanks()
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -6,14 +6,9 @@
 	"slices"
 )
 
-const (
-	// largeShare is the load of a partition, as a share of the mean load of a member, from which the member that gets it
-	// is found by visiting all: the least loaded one may be too small.
-	largeShare = 0.25
-	// moveCost is the difference of two members' loads, over the mean, at which a move of a partition of mean load has
-	// the same weight as the imbalance that it removes if all weights are equal.
-	moveCost = 0.02
-)
+// largeShare is the load of a partition, as a share of the mean load of a member, from which the member that gets it
+// is found by visiting all: the least loaded one may be too small.
+const largeShare = 0.25
 
 // receiver returns the ready member that is best for a partition: a pinned one, else the least loaded one in an allowed
 // data centre. It returns none if there is none.
@@ -105,79 +100,3 @@
 		}
 	}
 }
-
-// balance moves partitions from the most to the least loaded member while a move is worth its cost.
-func (s *state) balance() {
-	donors := newRanking(len(s.nodes), func(n int32) float64 { return -s.nodes[n].ratio() })
-	for n := range s.nodes {
-		if s.nodes[n].ready {
-			donors.add(int32(n))
-		}
-	}
-	for len(donors.entries) > 1 {
-		from := donors.top()
-		p, to := s.bestMove(from)
-		if p == none {
-			// Receivers only gain load from here on, so that a donor without a move gets none later.
-			donors.pop()
-			continue
-		}
-		reason := fmt.Sprintf("%s has %.2f of its share, %s %.2f", s.nodes[from].incarnation,
-			s.nodes[from].ratio()/s.mean, s.nodes[to].incarnation, s.nodes[to].ratio()/s.mean)
-		if !s.try(int(p), to, change{Balance, reason}) {
-			return
-		}
-		donors.fix(from)
-		donors.fix(to)
-	}
-}
-
-// bestMove returns the partition of a member whose move is worth most, and where to; none if no move is worth its cost.
-func (s *state) bestMove(from int32) (int32, int32) {
-	best, to, most := int32(none), int32(none), 0.0
-	last := s.base
-	n := s.leastLoaded(last)
-	for _, p := range s.nodes[from].owned {
-		if _, pinned := s.pins[int(p)]; pinned {
-			continue
-		}
-		mask := s.allowed(int(p))
-		if mask != last {
-			last, n = mask, s.leastLoaded(mask)
-		}
-		if n == none || n == from {
-			continue
-		}
-		if worth := s.worth(int(p), from, n); worth > most {
-			best, to, most = p, n, worth
-		}
-	}
-	return best, to
-}
-
-func (s *state) leastLoaded(mask uint64) int32 {
-	best := int32(none)
-	for dc := range s.dcs {
-		n := s.byLoad[dc].top()
-		if n != none && mask&(1<<dc) != 0 && (best == none || s.nodes[n].ratio() < s.nodes[best].ratio()) {
-			best = n
-		}
-	}
-	return best
-}
-
-// worth returns the weighted imbalance that a move removes less its weighted cost, in units of a partition's mean load.
-// The imbalance is the sum of squares of load over capacity. Churn counts moved keys, so that a partition of a single
-// key is nearly free to move; unavailable time counts the load that a handover interrupts.
-func (s *state) worth(p int, from, to int32) float64 {
-	weights := s.in.Rules.Weights
-	a, b := &s.nodes[from], &s.nodes[to]
-	load := s.loads[p] / s.unit
-	removed := load * ((a.ratio()-b.ratio())/s.mean - s.loads[p]*(1/a.capacity+1/b.capacity)/(2*s.mean))
-	keys := 1.0
-	if p >= s.in.Map.HashPartitions() {
-		keys = 0
-	}
-	interrupted := load * s.in.Rules.Handover.Seconds() / DefaultHandover.Seconds()
-	return weights.Imbalance*removed - moveCost*(weights.Churn*keys+weights.Unavailable*interrupted)
-}
