Add the load experiment and correct the policies by its results

Requests cut off by their own deadline no longer shrink the limit: at twice capacity that halved the goodput. Load reports count for 200 ms instead of 2 s, failing targets have precedence over slow ones in the ejection share, and a cold start begins at 30% instead of 10% of the limit.

--- /dev/null
+++ b/measure/load_target.go
@@ -0,0 +1,102 @@
+package measure
+
+import (
+	"io"
+	"text/tabwriter"
+)
+
+// LoadTarget compares a result with its target.
+type LoadTarget struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Bound float64 `json:"bound"`
+	// AtLeast tells that the bound is a lower one.
+	AtLeast bool `json:"at_least"`
+	Met     bool `json:"met"`
+}
+
+const (
+	minGoodputShare  = 0.9
+	maxP99Growth     = 2.0
+	maxOthersLoss    = 0.001
+	maxOthersSlowing = 1.1
+	maxRetryShare    = 0.1
+)
+
+// LoadTargets checks the rows of SimulateLoads in which all policies are in use.
+func LoadTargets(rows []LoadRow) []LoadTarget {
+	steady, freeze := loadSeries(rows, LoadSteady), loadSeries(rows, LoadFreeze)
+	peak, retries, loss, slowing := 0.0, 0.0, 0.0, 0.0
+	for load, row := range steady {
+		peak = max(peak, row.Goodput)
+		other, ok := freeze[load]
+		if !ok || row.Others.OK == 0 || row.Others.P99 == 0 {
+			continue
+		}
+		loss = max(loss, 1-float64(other.Others.OK)/float64(row.Others.OK))
+		slowing = max(slowing, float64(other.Others.P99)/float64(row.Others.P99))
+	}
+	for _, row := range rows {
+		if row.Variant == "all" {
+			retries = max(retries, row.RetryShare)
+		}
+	}
+	half, twice := steady[Loads[0]], steady[Loads[len(Loads)-1]]
+	growth := ratio(float64(twice.importantP99()), float64(half.importantP99()))
+	return []LoadTarget{
+		atLeast("goodput at twice capacity / peak goodput", ratio(twice.Goodput, peak), minGoodputShare),
+		atMost("p99 of the most important route at twice capacity / at half load", growth, maxP99Growth),
+		atMost("share of other keys' requests lost when an upstream freezes", loss, maxOthersLoss),
+		atMost("other keys' p99 when an upstream freezes / when none does", slowing, maxOthersSlowing),
+		atMost("retries / first attempts", retries, maxRetryShare),
+	}
+}
+
+func loadSeries(rows []LoadRow, scenario LoadScenario) map[float64]LoadRow {
+	series := make(map[float64]LoadRow)
+	for _, row := range rows {
+		if row.Scenario == scenario && row.Variant == "all" {
+			series[row.Load] = row
+		}
+	}
+	return series
+}
+
+func (r LoadRow) importantP99() int64 {
+	if len(r.Routes) == 0 {
+		return 0
+	}
+	return int64(r.Routes[0].P99)
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func atLeast(name string, value, bound float64) LoadTarget {
+	return LoadTarget{Name: name, Value: value, Bound: bound, AtLeast: true, Met: value >= bound}
+}
+
+func atMost(name string, value, bound float64) LoadTarget {
+	return LoadTarget{Name: name, Value: value, Bound: bound, Met: value <= bound}
+}
+
+// WriteLoadTargets prints targets as a table.
+func WriteLoadTargets(w io.Writer, targets []LoadTarget) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	cells(table, "target\tvalue\tbound\tresult\n")
+	for _, target := range targets {
+		sign, result := "at most", "missed"
+		if target.AtLeast {
+			sign = "at least"
+		}
+		if target.Met {
+			result = "met"
+		}
+		cells(table, "%s\t%.4f\t%s %g\t%s\n", target.Name, target.Value, sign, target.Bound, result)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/measure/measure.go
@@ -0,0 +1,2 @@
+// Package measure holds the experiments of the measure commands.
+package measure
--- /dev/null
+++ b/measure_load.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"sapphiretray/measure"
+)
+
+// MeasureLoadCommand measures the load policies.
+type MeasureLoadCommand struct {
+	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
+	Duration time.Duration `default:"20s" help:"Time of each run: virtual, or with --real (8 runs) real. Simulated faults start at 8s."`
+	Real     bool          `help:"Run over loopback HTTP instead of simulating; needs about 1,100 connections."`
+	JSON     bool          `name:"json" help:"Print JSON."`
+}
+
+type loadReport struct {
+	Seed     uint64               `json:"seed"`
+	Duration time.Duration        `json:"duration_ns"`
+	Loads    []measure.LoadRow    `json:"loads"`
+	Targets  []measure.LoadTarget `json:"targets,omitempty"`
+	Choices  []measure.ChoiceRow  `json:"choices,omitempty"`
+}
+
+// Run prints the results.
+func (c *MeasureLoadCommand) Run() error {
+	report := loadReport{Seed: c.Seed, Duration: c.Duration}
+	if c.Real {
+		rows, err := measure.RealLoads(context.Background(), c.Seed, c.Duration)
+		if err != nil {
+			return err
+		}
+		report.Loads = rows
+	} else {
+		report.Loads = measure.SimulateLoads(c.Seed, c.Duration)
+		report.Targets = measure.LoadTargets(report.Loads)
+		report.Choices = measure.SimulateChoices(c.Seed)
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	return report.write(os.Stdout)
+}
+
+func (r loadReport) write(w io.Writer) error {
+	if err := measure.WriteLoads(w, r.Loads); err != nil {
+		return err
+	}
+	if r.Targets == nil {
+		return nil
+	}
+	if err := measure.WriteLoadTargets(w, r.Targets); err != nil {
+		return err
+	}
+	return measure.WriteChoices(w, r.Choices)
+}
--- a/policy/adaptive.go
+++ b/policy/adaptive.go
@@ -14,7 +14,10 @@
 	maxShrink       = 0.5
 	growth          = 1
 	failureShrink   = 0.8
-	maxFailureShare = 0.1
+	maxFailureShare = 0.05
+	// Failures alone don't shrink the limit below this share of the slots, since they may come from one kind of request
+	// that always fails.
+	failureFloor = 0.25
 	// Weights of a window's mean in the baseline.
 	baselineWeight = 0.2
 )
@@ -75,13 +78,13 @@
 			factor = min(1, max(maxShrink, latencyTolerance*l.baseline/mean))
 		}
 	}
-	if float64(w.failures) > maxFailureShare*float64(w.samples+w.failures) {
+	if float64(w.failures) > maxFailureShare*float64(w.samples+w.failures) && l.value*failureShrink >= failureFloor*l.slots {
 		factor = min(factor, failureShrink)
 	}
 	switch {
 	case factor < 1:
 		l.value *= factor
-	case w.peak >= int(l.value):
+	case w.failures == 0 && w.peak >= int(l.value):
 		l.value += growth
 	}
 	l.value = min(max(l.value, 1), l.maximum)
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -131,14 +131,20 @@
 }
 
 // Leave ends a ticket. For a running one, latency and ok describe the upstream's work; ok is false when the upstream
-// failed, timed out or shed the request. Leave does nothing for a ticket that has ended.
+// shed the request, timed out or failed to answer. Leave does nothing for a ticket that has ended.
 func (a *Admission) Leave(now time.Time, ticket *Ticket, latency time.Duration, ok bool) {
-	if ticket.state == ticketRunning && a.limit.value > 0 {
+	if ticket.state == ticketRunning && a.limit.value > 0 && (ok || !a.cutOff(now, ticket, latency)) {
 		a.limit.observe(now, a.inFlight, latency, ok)
 	}
 	a.leave(now, ticket, latency, ok)
 }
 
+// cutOff reports whether a request failed because it started too close to its deadline. Counting that as a failure of
+// the upstream would shrink the limit under overload, which makes more requests start late.
+func (a *Admission) cutOff(now time.Time, ticket *Ticket, latency time.Duration) bool {
+	return later(now, ticket.deadline) && latency.Seconds() <= latencyTolerance*a.limit.baseline
+}
+
 // Cancel ends a ticket whose caller gave up after the given latency. This is not a failure of the upstream.
 func (a *Admission) Cancel(now time.Time, ticket *Ticket, latency time.Duration) {
 	a.leave(now, ticket, latency, false)
--- a/policy/choice.go
+++ b/policy/choice.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
-// reportLifetime is the age at which a load report no longer counts.
-const reportLifetime = 2 * time.Second
+// reportLifetime is the age at which a load report no longer counts. Older reports make the choice worse than none, since
+// a target's load changes within a few service times.
+const reportLifetime = 200 * time.Millisecond
 
 // Chooser chooses the less loaded of two random targets. The load of a target is the larger of its last report, whose
-// weight falls to 0 over 2 s, and the number of the chooser's own requests in flight there; so a stale or low report
+// weight falls to 0 over 200 ms, and the number of the chooser's own requests in flight there; so a stale or low report
 // can't attract all requests. The zero value is ready to use with an arbitrary seed.
 type Chooser[K comparable] struct {
 	mu      sync.Mutex
--- a/policy/ejector.go
+++ b/policy/ejector.go
@@ -37,6 +37,8 @@
 	latency  float64 // Seconds.
 	until    time.Time
 	level    int
+	// slow tells that the ejection was for the latency.
+	slow bool
 	// eased is the time up to which the recovery of level has been counted.
 	eased time.Time
 }
@@ -71,18 +73,18 @@
 	if now.Before(health.until) {
 		return
 	}
-	var suspect bool
-	if ok {
-		health.failures = 0
-		health.record(latency.Seconds())
-		// The median is not computed for each report, since there may be thousands of targets.
-		suspect = health.samples%ejectMinSamples == 0 && e.slow(health)
-	} else {
+	if !ok {
 		health.failures++
-		suspect = health.failures%ejectFailures == 0
+		if health.failures%ejectFailures == 0 && (e.mayEject(now) || e.restoreSlow(now)) {
+			health.eject(now, false)
+		}
+		return
 	}
-	if suspect && e.mayEject(now) {
-		health.eject(now)
+	health.failures = 0
+	health.record(latency.Seconds())
+	// The median is not computed for each report, since there may be thousands of targets.
+	if health.samples%ejectMinSamples == 0 && e.slow(health) && e.mayEject(now) {
+		health.eject(now, true)
 	}
 }
 
@@ -124,7 +126,26 @@
 }
 
 func (e *Ejector[K]) mayEject(now time.Time) bool {
-	return e.ejected(now)+1 <= int(ejectShare*float64(len(e.targets)))
+	return e.ejected(now) < e.allowed()
+}
+
+func (e *Ejector[K]) allowed() int { return int(ejectShare * float64(len(e.targets))) }
+
+// restoreSlow puts one target that is out for its latency back into use: the one that would return first. Failing targets
+// have precedence: otherwise slow ones could use up the share, and a target that fails each request at once would stay
+// in use.
+func (e *Ejector[K]) restoreSlow(now time.Time) bool {
+	var first *targetHealth
+	for _, health := range e.targets {
+		if health.slow && now.Before(health.until) && (first == nil || health.until.Before(first.until)) {
+			first = health
+		}
+	}
+	if first == nil {
+		return false
+	}
+	first.until = now
+	return true
 }
 
 func (e *Ejector[K]) slow(health *targetHealth) bool {
@@ -150,12 +171,12 @@
 	h.latency += ejectWeight * (latency - h.latency)
 }
 
-func (h *targetHealth) eject(now time.Time) {
+func (h *targetHealth) eject(now time.Time, slow bool) {
 	for h.level > 0 && now.Sub(h.eased) >= ejectRecovery {
 		h.level--
 		h.eased = h.eased.Add(ejectRecovery)
 	}
 	duration := min(ejectTime<<min(h.level, 16), maxEjectTime)
-	*h = targetHealth{until: now.Add(duration), level: h.level + 1}
+	*h = targetHealth{until: now.Add(duration), level: h.level + 1, slow: slow}
 	h.eased = h.until
 }
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -24,7 +24,8 @@
 // Acquire waits until a request may run. Importance is from 0 to MaxImportance, higher first. A zero deadline means
 // that of ctx, if it has one. The error has code.Shed or code.TooLate; it wraps the cause if ctx ended.
 //
-// The caller calls release with the upstream's latency and whether it worked. Later calls do nothing. When ctx ends
+// The caller calls release with the upstream's latency and ok, which is false when the upstream shed the request, timed
+// out or failed to answer. An answer that only says that the request is wrong counts as ok. Later calls do nothing. When ctx ends
 // first, the slot is released, so that a forgotten release doesn't occupy it for ever: as failed if ctx passed its
 // deadline, and without effect on the limit if it was cancelled. A slot acquired with a ctx that never ends is freed by
 // release alone.
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// slowStartShare is the weight at the moment of a cold start.
-const slowStartShare = 0.1
+// slowStartShare is the weight at the moment of a cold start. Smaller shares cost more goodput in the load experiment,
+// where a cold upstream still works, but slowly at full use.
+const slowStartShare = 0.3
 
-// SlowStart is a weight that grows linearly from 0.1 to 1 over a time after a cold start. The zero value has weight 1.
+// SlowStart is a weight that grows linearly from 0.3 to 1 over a time after a cold start. The zero value has weight 1.
 type SlowStart struct {
 	start    time.Time
 	duration time.Duration
