--- a/measure/load_model.go
+++ b/measure/load_model.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// replay schedules the arrivals one after the other, which keeps the heap of events small.
+func (c *loadClock) replay(arrivals []loadArrival, arrive func(loadArrival)) {
+	if len(arrivals) == 0 {
+		return
+	}
+	c.at(arrivals[0].at, func() {
+		c.replay(arrivals[1:], arrive)
+		arrive(arrivals[0])
+	})
+}
+
 // loadServer models an upstream: it runs as many requests at once as it has slots and queues the others in the order of
 // arrival. It accepts cancellation, unless it is frozen.
 type loadServer struct {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -15,6 +15,12 @@
 	estimateDecay = 0.98
 )
 
+// The errors are created once: creating one takes about 3 µs, and under overload most requests are rejected.
+var (
+	errShed    = code.New(code.Shed, "more important requests fill the queue")
+	errTooLate = code.New(code.TooLate, "the deadline passes before the request can finish")
+)
+
 // Admission decides which requests run at one upstream, which wait, and which are rejected. It is not safe for
 // concurrent use; Limiter is. The zero value admits everything.
 type Admission struct {
@@ -121,12 +127,11 @@
 		return arrived, nil
 	}
 	a.counts.Shed[victim.importance]++
-	err := code.New(code.Shed, "%d requests are running and %d waiting", a.inFlight, a.queue.len())
 	victim.state = ticketDone
 	if victim == arrived {
-		return nil, err
+		return nil, errShed
 	}
-	victim.decided(err)
+	victim.decided(errShed)
 	return arrived, nil
 }
 
@@ -196,7 +201,7 @@
 func (a *Admission) late(ticket *Ticket) error {
 	ticket.state = ticketDone
 	a.counts.Late[ticket.importance]++
-	return code.New(code.TooLate, "the deadline passes before the request can finish")
+	return errTooLate
 }
 
 // waitTime estimates how long a new ticket waits for a slot.
