--- /dev/null
+++ b/measure/path.go
@@ -0,0 +1,202 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// PathTarget is one way to reach the same upstream.
+type PathTarget struct {
+	Name string
+	// URL is the complete URL of the request, without a body, that is repeated.
+	URL string
+	// Processes are the ids of the processes whose processor time counts for this target.
+	Processes []int
+}
+
+// PathSpec describes a measurement of the cost of a request's path.
+type PathSpec struct {
+	// Targets are measured one after the other, so that they don't disturb each other, in each round. The first is the
+	// one that the others are compared with.
+	Targets []PathTarget
+	// Rate is the number of requests per second for each target.
+	Rate float64
+	// Duration is the time for each target in each round. Requests of the first fifth only warm up connections.
+	Duration time.Duration
+	// Rounds is the number of rounds; 0 means 1.
+	Rounds int
+	// Timeout bounds a request; 0 means 5 s.
+	Timeout time.Duration
+	Seed    uint64
+	// ProcessorTime returns the processor time that a process has used. If it is nil, none is reported.
+	ProcessorTime func(process int) (time.Duration, error)
+}
+
+// PathResult is the result for one target over all rounds.
+type PathResult struct {
+	Name     string  `json:"name"`
+	Requests int     `json:"requests"`
+	Failed   int     `json:"failed"`
+	Rate     float64 `json:"requests_per_second"`
+	// P50 and P99 are measured from the intended start, so that waiting for a slow answer counts.
+	P50 time.Duration `json:"p50_ns"`
+	P99 time.Duration `json:"p99_ns"`
+	// SentP50 and SentP99 are measured from the moment of sending. They leave out the delay of the load generator's
+	// timers, which is the same for all targets and would hide a part of the difference between them.
+	SentP50 time.Duration `json:"sent_p50_ns"`
+	SentP99 time.Duration `json:"sent_p99_ns"`
+	// Relative is SentP50 relative to that of the first target.
+	Relative float64 `json:"relative"`
+	// ProcessorTime is the processor time for each request, warm-up included.
+	ProcessorTime time.Duration `json:"processor_ns_per_request"`
+}
+
+const defaultPathTimeout = 5 * time.Second
+
+// Path measures all targets at the same open-loop load. Each round has its own arrival times, which are the same
+// for all targets.
+func Path(ctx context.Context, spec PathSpec) ([]PathResult, error) {
+	if len(spec.Targets) == 0 || spec.Rate <= 0 || spec.Duration <= 0 {
+		return nil, fmt.Errorf("path: targets, rate and duration are needed")
+	}
+	if spec.Timeout == 0 {
+		spec.Timeout = defaultPathTimeout
+	}
+	client := newLoadClient(loadConnections)
+	defer client.CloseIdleConnections()
+	runs := make([]*pathRun, len(spec.Targets))
+	for i, target := range spec.Targets {
+		runs[i] = &pathRun{spec: spec, target: target, client: client, intended: newPathLatencies(), sent: newPathLatencies()}
+	}
+	for round := range max(1, spec.Rounds) {
+		arrivals := drawTimes(spec.Seed+uint64(round), spec.Rate, spec.Duration)
+		for _, run := range runs {
+			if err := run.measure(ctx, arrivals); err != nil {
+				return nil, err
+			}
+		}
+	}
+	results := make([]PathResult, len(runs))
+	for i, run := range runs {
+		results[i] = run.result()
+		results[i].Relative = ratio(float64(results[i].SentP50), float64(results[0].SentP50))
+	}
+	return results, nil
+}
+
+func drawTimes(seed uint64, rate float64, duration time.Duration) []time.Duration {
+	random := rand.New(rand.NewPCG(seed, 4))
+	var times []time.Duration
+	for at := random.ExpFloat64() / rate; at < duration.Seconds(); at += random.ExpFloat64() / rate {
+		times = append(times, time.Duration(at*float64(time.Second)))
+	}
+	return times
+}
+
+// newPathLatencies returns a histogram of nanoseconds up to a minute.
+func newPathLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1000, time.Minute.Nanoseconds(), 3)
+}
+
+// pathRun measures one target.
+type pathRun struct {
+	spec      PathSpec
+	target    PathTarget
+	client    *http.Client
+	mu        sync.Mutex
+	intended  *hdrhistogram.Histogram
+	sent      *hdrhistogram.Histogram
+	requests  int
+	failed    int
+	all       int
+	elapsed   time.Duration
+	processor time.Duration
+}
+
+func (r *pathRun) measure(ctx context.Context, arrivals []time.Duration) error {
+	before, err := r.processorTime()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	warmUp := r.spec.Duration / 5
+	openLoop(ctx, arrivals, func(i int, intended time.Time) { r.send(ctx, intended, arrivals[i] >= warmUp) })
+	r.elapsed += time.Since(start) - warmUp
+	r.all += len(arrivals)
+	after, err := r.processorTime()
+	if err != nil {
+		return err
+	}
+	r.processor += after - before
+	return ctx.Err()
+}
+
+func (r *pathRun) send(ctx context.Context, intended time.Time, counted bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.spec.Timeout)
+	defer cancel()
+	sent := time.Now()
+	err := get(ctx, r.client, r.target.URL)
+	end := time.Now()
+	if !counted {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests++
+	if err != nil {
+		r.failed++
+		return
+	}
+	_ = r.intended.RecordValue(min(end.Sub(intended), time.Minute).Nanoseconds())
+	_ = r.sent.RecordValue(min(end.Sub(sent), time.Minute).Nanoseconds())
+}
+
+func (r *pathRun) processorTime() (time.Duration, error) {
+	if r.spec.ProcessorTime == nil {
+		return 0, nil
+	}
+	var sum time.Duration
+	for _, process := range r.target.Processes {
+		used, err := r.spec.ProcessorTime(process)
+		if err != nil {
+			return 0, fmt.Errorf("path: processor time of %s: %w", r.target.Name, err)
+		}
+		sum += used
+	}
+	return sum, nil
+}
+
+func (r *pathRun) result() PathResult {
+	result := PathResult{
+		Name: r.target.Name, Requests: r.requests, Failed: r.failed,
+		Rate: ratio(float64(r.requests-r.failed), r.elapsed.Seconds()),
+		P50:  time.Duration(r.intended.ValueAtQuantile(50)), P99: time.Duration(r.intended.ValueAtQuantile(99)),
+		SentP50: time.Duration(r.sent.ValueAtQuantile(50)), SentP99: time.Duration(r.sent.ValueAtQuantile(99)),
+	}
+	if r.all > 0 {
+		result.ProcessorTime = r.processor / time.Duration(r.all)
+	}
+	return result
+}
+
+// WritePaths prints results as a table, with times in milliseconds.
+func WritePaths(w io.Writer, results []PathResult) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	cells(table, "path\trequests\tfailed\trequests/s\tp50\tp99\tsent p50\tsent p99\trelative\tprocessor per request\n")
+	for _, r := range results {
+		cells(table, "%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.3f\n", r.Name, r.Requests, r.Failed, r.Rate,
+			inMilliseconds(r.P50), inMilliseconds(r.P99), inMilliseconds(r.SentP50), inMilliseconds(r.SentP99), r.Relative,
+			inMilliseconds(r.ProcessorTime))
+	}
+	return table.Flush()
+}
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
