--- a/policy/admission.go
+++ b/policy/admission.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"sapphiretray/code"
@@ -9,7 +10,13 @@
 const (
 	defaultQueueFactor   = 8
 	defaultMaximumFactor = 4
-	serviceWeight        = 0.1
+	meanWeight           = 0.1
+	// A request that ran for less than this multiple of the usual time was cut off by its deadline, not by the upstream.
+	cutOffFactor = 2
+	// The estimate of the service time follows about the fastest quarter of the requests, since one importance may hold
+	// slow and fast kinds, and a fast request must not be rejected for the slow ones.
+	serviceGrowth = 1.03
+	serviceShrink = 0.9
 	// A rejection lowers the estimate that caused it, so that an estimate that has become too high recovers even if no
 	// request is admitted that would correct it.
 	estimateDecay = 0.98
@@ -139,7 +146,7 @@
 // shed the request, timed out or failed to answer. Leave does nothing for a ticket that has ended.
 func (a *Admission) Leave(now time.Time, ticket *Ticket, latency time.Duration, ok bool) {
 	if ticket.state == ticketRunning && a.limit.value > 0 && (ok || !a.cutOff(now, ticket, latency)) {
-		a.limit.observe(now, a.inFlight, latency, ok)
+		a.limit.observe(now, ticket.importance, a.inFlight, latency, ok)
 	}
 	a.leave(now, ticket, latency, ok)
 }
@@ -147,7 +154,7 @@
 // cutOff reports whether a request failed because it started too close to its deadline. Counting that as a failure of
 // the upstream would shrink the limit under overload, which makes more requests start late.
 func (a *Admission) cutOff(now time.Time, ticket *Ticket, latency time.Duration) bool {
-	return later(now, ticket.deadline) && latency.Seconds() <= latencyTolerance*a.limit.baseline
+	return later(now, ticket.deadline) && latency.Seconds() <= cutOffFactor*math.Exp(a.limit.baseline[ticket.importance])
 }
 
 // Cancel ends a ticket whose caller gave up after the given latency. This is not a failure of the upstream.
@@ -241,14 +248,22 @@
 	if a.limit.value == 0 {
 		return
 	}
-	for _, estimate := range []*float64{&a.mean, &a.service[importance]} {
-		switch {
-		case !ok && latency <= *estimate:
-		case *estimate == 0:
-			*estimate = latency
-		default:
-			*estimate += serviceWeight * (latency - *estimate)
-		}
+	switch {
+	case !ok && latency <= a.mean:
+	case a.mean == 0:
+		a.mean = latency
+	default:
+		a.mean += meanWeight * (latency - a.mean)
+	}
+	service := &a.service[importance]
+	switch {
+	case !ok && latency <= *service:
+	case *service == 0:
+		*service = latency
+	case latency > *service:
+		*service = min(latency, *service*serviceGrowth)
+	default:
+		*service = max(latency, *service*serviceShrink)
 	}
 }
 
--- a/policy/limiter_test.go
+++ b/policy/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -279,3 +280,46 @@
 		})
 	}
 }
+
+// Guards against slow requests of one kind that shrink the limit, or that cause fast ones to be rejected as late.
+func TestAdmissionMixedKinds(t *testing.T) {
+	for _, share := range []float64{0.02, 0.1, 0.5} {
+		for _, slowImportance := range []int{5, 1} {
+			random := rand.New(rand.NewPCG(1, 1))
+			a := policy.NewAdmission(6)
+			now := time.Unix(0, 0)
+			rejected, low := 0, 0
+			for range 5000 {
+				type running struct {
+					ticket  *policy.Ticket
+					latency time.Duration
+				}
+				var all []running
+				for range a.Limit(now) {
+					latency := time.Duration((0.5 + 0.5*random.ExpFloat64()) * float64(10*time.Millisecond))
+					importance, deadline := 5, now.Add(100*time.Millisecond)
+					if random.Float64() < share {
+						latency, importance, deadline = 100*latency, slowImportance, time.Time{}
+					}
+					ticket, err := a.Enter(now, importance, deadline, nil)
+					if err != nil {
+						rejected++
+						continue
+					}
+					all = append(all, running{ticket, latency})
+				}
+				for _, r := range all {
+					a.Leave(now, r.ticket, r.latency, true)
+				}
+				now = now.Add(time.Second)
+				if a.Limit(now) < 6 {
+					low++
+				}
+			}
+			if rejected > 0 || low > 250 {
+				t.Errorf("slow share %v of importance %d: %d rejected, limit below the slots for %d of 5000 steps",
+					share, slowImportance, rejected, low)
+			}
+		}
+	}
+}
