--- a/policy/limiter_test.go
+++ b/policy/limiter_test.go
@@ -185,9 +185,11 @@
 		if !errors.Is(err, context.Canceled) {
 			t.Errorf("error %v does not wrap the cause", err)
 		}
-		forgotten(time.Millisecond, true)
-		if l.InFlight() != 1 || l.Queued() != 0 {
-			t.Errorf("in flight %d, queued %d, want 1 and 0", l.InFlight(), l.Queued())
+		for _, when := range []string{"before", "after"} {
+			if l.InFlight() != 1 || l.Queued() != 0 {
+				t.Errorf("in flight %d, queued %d %s the late release, want 1 and 0", l.InFlight(), l.Queued(), when)
+			}
+			forgotten(time.Millisecond, true)
 		}
 	})
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -200,20 +200,24 @@
 		name     string
 		age      time.Duration
 		load     float64
+		others   float64
 		capacity float64
 		min, max int
 	}{
-		{"equal", 0, 0, 1, 90, 110},
-		{"false report of idleness", 0, 0, 1, 90, 110},
-		{"fresh report of load", 0, 1000, 1, 0, 0},
-		{"stale report of load", 30 * time.Second, 1000, 1, 90, 110},
-		{"four times the capacity", 0, 0, 4, 160, 240},
+		{"equal", 0, 0, 0, 1, 90, 110},
+		{"false report of idleness", 0, 0, 20, 1, 90, 140},
+		{"fresh report of load", 0, 1000, 0, 1, 0, 0},
+		{"stale report of load", 30 * time.Second, 1000, 0, 1, 90, 110},
+		{"four times the capacity", 0, 0, 0, 4, 160, 240},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			c := policy.NewChooser[int](7)
 			c.Report(now.Add(-test.age), 0, test.load, test.capacity)
+			for target := 1; target < 10 && test.others > 0; target++ {
+				c.Report(now, target, test.others, 1)
+			}
 			counts := make([]int, 10)
 			targets := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
 			for range 1000 {
