--- a/demo/node.go
+++ b/demo/node.go
@@ -143,7 +143,11 @@
 }
 
 // Status asks the instance for its state.
-func (n *Node) Status(ctx context.Context) (instance.Status, error) { return admin.Status(ctx, n.admin) }
+func (n *Node) Status(ctx context.Context) (instance.Status, error) {
+	return admin.Status(ctx, n.admin)
+}
 
 // Events asks the instance for its events.
-func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) { return admin.Events(ctx, n.admin) }
+func (n *Node) Events(ctx context.Context) ([]timeline.Event, error) {
+	return admin.Events(ctx, n.admin)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -216,10 +216,7 @@
 		return err
 	}
 	for {
-		s, err := i.join(stop, running)
-		if err != nil {
-			return err
-		}
+		s := i.join(stop, running)
 		if s == nil {
 			return nil
 		}
--- a/instance/join.go
+++ b/instance/join.go
@@ -19,16 +19,15 @@
 )
 
 // join announces a new incarnation in the table. It returns nil if a planned stop begins first.
-func (i *Instance) join(stop, running context.Context) (*session, error) {
+func (i *Instance) join(stop, running context.Context) *session {
 	for {
 		record, version, err := i.tryJoin(stop)
 		if err == nil {
 			_ = i.state.Fire("joined", record.Incarnation.String())
-			return newSession(i, running, record, version), nil
+			return newSession(running, i, record, version)
 		}
 		if stop.Err() != nil {
-			//nolint:nilerr // A planned stop before the instance has joined is no failure.
-			return nil, nil
+			return nil
 		}
 		klog.Warningf("instance: join failed: %v", err)
 		select {
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -30,6 +30,7 @@
 		planner.WithServices(i.plannedServices),
 		planner.WithLoads(i.collectLoads),
 		planner.WithExpired(i.provedExpired),
+		planner.WithSettled(i.settled),
 		planner.WithReport(i.reportPlan),
 		planner.WithPause(pausedBy),
 		planner.WithSheet(i.sheets.rules),
--- a/instance/session.go
+++ b/instance/session.go
@@ -48,7 +48,7 @@
 
 var errEnded = errors.New("the incarnation has ended")
 
-func newSession(i *Instance, running context.Context, record member.Record, version uint64) *session {
+func newSession(running context.Context, i *Instance, record member.Record, version uint64) *session {
 	ctx, cancel := context.WithCancelCause(running)
 	s := &session{
 		instance: i, self: record.Incarnation, record: record, recordVersion: version, ctx: ctx, cancel: cancel,
--- a/main_test.go
+++ b/main_test.go
@@ -118,12 +118,12 @@
 	ts.Check(err)
 }
 
-type instance struct {
+type memberStub struct {
 	peer.Peer
 	version uint64
 }
 
-func (i instance) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
+func (i memberStub) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
 	return &peer.FetchResponse{Version: i.version}, nil
 }
 
@@ -135,7 +135,7 @@
 	if len(args) > 1 {
 		version, err := strconv.ParseUint(args[1], 10, 64)
 		ts.Check(err)
-		server := httptest.NewServer(peer.NewPeerServer(instance{version: version}))
+		server := httptest.NewServer(peer.NewPeerServer(memberStub{version: version}))
 		ts.Defer(server.Close)
 		address = server.Listener.Addr().String()
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -91,6 +91,9 @@
 	Budget int
 	// Hold is the reason why each move that changes who serves is held back; empty if none is.
 	Hold string
+	// Settled reports whether the owner of an entry serves it, so that the next entry needn't list the incarnations in From;
+	// nil stands for never.
+	Settled func(p int, e partition.Entry) bool
 }
 
 // Kind is the cause of a move.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/member"
+	"sapphiretray/partition"
 	"sapphiretray/placement"
 	"sapphiretray/table"
 
@@ -72,6 +73,7 @@
 	sheet       func(context.Context, table.Row, string) (Sheet, error)
 	paused      func(table.Row, string) (string, error)
 	expired     func(context.Context, member.Record) bool
+	settled     func(int, partition.Entry) bool
 	report      func(Event)
 
 	writes uint64
@@ -132,6 +134,12 @@
 	return func(p *Planner) { p.expired = f }
 }
 
+// WithSettled sets the function that reports whether the owner of an entry serves it. The owner then has the promises of all
+// incarnations in the entry's From, which the next entry of the partition leaves out.
+func WithSettled(f func(p int, e partition.Entry) bool) Option {
+	return func(p *Planner) { p.settled = f }
+}
+
 // WithReport sets the function that is called for each change that took effect, was held back or can't be made.
 func WithReport(f func(Event)) Option {
 	return func(p *Planner) { p.report = f }
@@ -144,6 +152,7 @@
 		loads:   func(context.Context, string) (Loads, error) { return Loads{}, nil },
 		sheet:   func(context.Context, table.Row, string) (Sheet, error) { return Sheet{}, nil },
 		expired: func(context.Context, member.Record) bool { return false },
+		settled: func(int, partition.Entry) bool { return false },
 		report:  func(Event) {},
 		states:  make(map[string]*serviceState),
 		held:    make(map[string][]placement.Held),
--- a/planner/step.go
+++ b/planner/step.go
@@ -247,7 +247,7 @@
 }
 
 func (p *Planner) input(ctx context.Context, v *view, service string, s *serviceState) (placement.Input, error) {
-	in := placement.Input{Map: s.current}
+	in := placement.Input{Map: s.current, Settled: p.settled}
 	sheet, err := p.sheet(ctx, v.sheet, service)
 	if err != nil {
 		return in, err
