--- a/measure/load_test.go
+++ b/measure/load_test.go
@@ -35,7 +35,9 @@
 			for _, load := range measure.Loads {
 				rows = append(rows, simulate(measure.LoadSteady, test.policies, load, seed))
 			}
-			rows = append(rows, simulate(measure.LoadFreeze, test.policies, 0.9, seed), simulate(measure.LoadShed, test.policies, 1.2, seed))
+			rows = append(rows,
+				simulate(measure.LoadFreeze, test.policies, 0.9, seed),
+				simulate(measure.LoadShed, test.policies, 1.2, seed))
 			for i, target := range measure.LoadTargets(rows) {
 				if target.Met != test.met[i] {
 					t.Errorf("%s: %v, bound %v: met %t, want %t", target.Name, target.Value, target.Bound, target.Met, test.met[i])
