--- /dev/null
+++ b/demo/events.go
@@ -0,0 +1,21 @@
+package demo
+
+import (
+	"context"
+
+	"sapphiretray/admin"
+	"sapphiretray/object"
+	"sapphiretray/timeline"
+)
+
+// Events returns the merged events of all instances: those that the running ones hold, and the batches of all in the object
+// store as far as it answers.
+func (d *Deployment) Events(ctx context.Context) []timeline.Event {
+	logs, _ := admin.StoredEvents(ctx, object.New(d.PlatformURL()))
+	for _, n := range d.nodes {
+		if events, err := n.Events(ctx); err == nil {
+			logs = append(logs, events)
+		}
+	}
+	return timeline.Merge(logs...)
+}
--- a/member/member.go
+++ b/member/member.go
@@ -27,8 +27,13 @@
 // IsZero reports whether i names no incarnation.
 func (i Incarnation) IsZero() bool { return i == Incarnation{} }
 
-// String returns the form "north-1#7".
-func (i Incarnation) String() string { return i.slot + "#" + strconv.FormatUint(i.number, 10) }
+// String returns the form "north-1#7", and "none" for the zero value.
+func (i Incarnation) String() string {
+	if i.IsZero() {
+		return "none"
+	}
+	return i.slot + "#" + strconv.FormatUint(i.number, 10)
+}
 
 // ParseIncarnation is the inverse of String.
 func ParseIncarnation(text string) (Incarnation, error) {
@@ -97,6 +102,8 @@
 	HeartbeatAddress string `json:"heartbeat_address"`
 	// CallerAddress is the host:port for callers.
 	CallerAddress string `json:"caller_address"`
+	// AdminAddress is the host:port for metrics and status.
+	AdminAddress string `json:"admin_address,omitempty"`
 	// Capacity is relative to other members of the service.
 	Capacity float64 `json:"capacity"`
 	// Witnesses are the slots that witness this incarnation's lease.
