--- a/placement/placement.go
+++ b/placement/placement.go
@@ -91,6 +91,10 @@
 	Budget int
 	// Hold is the reason why each move that changes who serves is held back; empty if none is.
 	Hold string
+	// Settled reports whether the owner of an entry has been seen serving it. Then all incarnations in its From have
+	// promised not to serve, and the next entry leaves them out; else From would grow with each move. Nil stands for
+	// never.
+	Settled func(p int, entry partition.Entry) bool
 }
 
 // Kind is the cause of a move.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -329,6 +329,37 @@
 	}
 }
 
+// Guards against From that grows with each move, and against one that is cut before the owner was seen serving.
+func TestSettled(t *testing.T) {
+	members := fresh(cluster(10, 1))
+	for _, settled := range []bool{false, true} {
+		in := placement.Input{Members: members, Map: empty(t, 256), Budget: placement.NoLimit}
+		in.Settled = func(int, partition.Entry) bool { return settled }
+		in.Map = settle(t, in)
+		longest := 0
+		for round := range 20 {
+			in.Members = slices.Clone(members)
+			in.Members[round%10].Record.State = member.Draining
+			before := in.Map
+			var plan placement.Plan
+			in.Map, plan = apply(t, in)
+			for _, c := range plan.Changes {
+				longest = max(longest, len(c.Move.Entry.From))
+				old := before.Entry(c.Move.Partition)
+				for _, i := range append(old.Members, old.From...) {
+					kept := i == c.New || slices.Contains(c.Move.Entry.From, i)
+					if !kept && (!settled || slices.Contains(old.Members, i)) {
+						t.Fatalf("partition %d: %s may still serve and is not in From", c.Move.Partition, i)
+					}
+				}
+			}
+		}
+		if settled && longest > partition.Replicas || !settled && longest <= partition.Replicas {
+			t.Errorf("settled %t: From has up to %d incarnations", settled, longest)
+		}
+	}
+}
+
 // Guards against moves on the word of old reports: without recent ones members count by capacity.
 func TestOldReports(t *testing.T) {
 	members := fresh(cluster(10, 1))
--- a/placement/state.go
+++ b/placement/state.go
@@ -206,6 +206,9 @@
 			continue
 		}
 		old := s.entry(p)
+		if len(old.From) > 0 && p < s.in.Map.Partitions() && s.in.Settled != nil && s.in.Settled(p, old) {
+			old.From = nil
+		}
 		members = members[:0]
 		for _, n := range s.ranks[p] {
 			if n != none {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/member"
+	"sapphiretray/partition"
 	"sapphiretray/placement"
 	"sapphiretray/table"
 
@@ -72,6 +73,7 @@
 	sheet       func(context.Context, table.Row, string) (Sheet, error)
 	paused      func(table.Row, string) (string, error)
 	expired     func(context.Context, member.Record) bool
+	settled     func(service string, p int, entry partition.Entry) bool
 	report      func(Event)
 
 	writes uint64
@@ -132,6 +134,12 @@
 	return func(p *Planner) { p.expired = f }
 }
 
+// WithSettled sets the function that reports whether the owner of an entry has been seen serving it, see
+// placement.Input. It must not return true for an owner that only may serve.
+func WithSettled(f func(service string, p int, entry partition.Entry) bool) Option {
+	return func(p *Planner) { p.settled = f }
+}
+
 // WithReport sets the function that is called for each change that took effect, was held back or can't be made.
 func WithReport(f func(Event)) Option {
 	return func(p *Planner) { p.report = f }
--- a/planner/step.go
+++ b/planner/step.go
@@ -267,6 +267,9 @@
 	}
 	in.Rules, in.Loads, in.HotKeys = sheet.Rules, loads.Partitions, loads.HotKeys
 	in.Budget = s.budget(sheet)
+	if p.settled != nil {
+		in.Settled = func(part int, entry partition.Entry) bool { return p.settled(service, part, entry) }
+	}
 	for _, record := range v.records[service] {
 		if capacity, ok := sheet.Capacities[record.Incarnation.Slot()]; ok {
 			record.Capacity = capacity
