--- a/measure_placement.go
+++ b/measure_placement.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -15,28 +13,22 @@
 type MeasurePlacementCommand struct {
 	Members  []int         `default:"12,10,500" help:"Numbers of members; 5200 takes about four minutes."`
 	Seed     uint64        `default:"1" help:"Seed of the keys."`
-	JSON     bool          `name:"json" help:"Print JSON instead of tables."`
 	Handover time.Duration `default:"20ms" help:"Time for which a planned move interrupts a partition."`
 	Takeover time.Duration `default:"620ms" help:"Time for which the loss of an owner interrupts a partition."`
 }
 
 // Run prints the results.
-func (c *MeasurePlacementCommand) Run() error {
+func (c *MeasurePlacementCommand) Run(o *output) error {
 	report, err := measure.Placement(measure.PlacementOptions{
 		Members: c.Members, Seed: c.Seed, Handover: c.Handover, Takeover: c.Takeover,
 	})
 	if err != nil {
-		return err
+		return usageError{err.Error()}
 	}
-	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", " ")
-		return encoder.Encode(report)
-	}
-	return printPlacement(os.Stdout, report)
+	return o.write(report, func() { printPlacement(o.stdout, report) })
 }
 
-func printPlacement(out io.Writer, report measure.PlacementReport) error {
+func printPlacement(out io.Writer, report measure.PlacementReport) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "seed %d\n", report.Seed)
 	_, _ = fmt.Fprintln(w, "members\tcapacities\tcase\tpolicy\timbalance\tkeys moved %\tleast %\tload moved %\t"+
@@ -49,5 +41,5 @@
 	for _, p := range report.Curve {
 		_, _ = fmt.Fprintf(w, "%d\t%g\t%.3f\t%.2f\t%.2f\n", p.Members, p.Churn, p.Imbalance, 100*p.KeyChurn, 100*p.LoadChurn)
 	}
-	return w.Flush()
+	_ = w.Flush()
 }
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -1,9 +1,12 @@
 package placement_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"sapphiretray/member"
+	"sapphiretray/partition"
 	"sapphiretray/placement"
 )
 
@@ -44,11 +47,29 @@
 func BenchmarkOwner(b *testing.B) {
 	in := placement.Input{Members: fresh(cluster(benchMembers, 4)), Map: empty(b, benchPartitions), Budget: placement.NoLimit}
 	m, _ := apply(b, in)
-	keys := []string{"booking/1", "booking/22", "booking/333", "booking/4444"}
+	b.Run("overrides=0", func(b *testing.B) { lookUp(b, m) })
+	hashes := make([]uint64, placement.MaxOverrides)
+	random := rand.New(rand.NewPCG(1, 1))
+	for n := range hashes {
+		hashes[n] = random.Uint64()
+	}
+	m, err := m.Change(m.Version()+1, hashes, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("overrides=65536", func(b *testing.B) { lookUp(b, m) })
+}
+
+func lookUp(b *testing.B, m *partition.Map) {
+	b.Helper()
 	b.ReportAllocs()
+	keys := make([]string, 1<<16)
+	for n := range keys {
+		keys[n] = fmt.Sprintf("booking/%d", n)
+	}
 	n := 0
 	for b.Loop() {
-		if _, ok := m.Owner(m.Partition(keys[n&3])); !ok {
+		if _, ok := m.Owner(m.Partition(keys[n&(1<<16-1)])); !ok {
 			b.Fatal("no owner")
 		}
 		n++
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,7 +17,7 @@
 	// NoLimit is a budget that holds nothing back.
 	NoLimit = -1
 	// MaxOverrides bounds the partitions of single keys of a service, which each reader of the map keeps in memory.
-	MaxOverrides = 1 << 14
+	MaxOverrides = 1 << 16
 )
 
 // Member is an instance of the service with its newest load report.
