--- a/measure/placement.go
+++ b/measure/placement.go
@@ -85,8 +85,10 @@
 
 // scene is what a policy sees. Members keep their position through all scenes of an experiment.
 type scene struct {
-	members    []placement.Member
+	members []placement.Member
+	// alive are the members that are to own partitions, drains those of the others that still serve until they don't.
 	alive      []bool
+	drains     map[int]bool
 	partitions int
 	traffic    traffic
 	// factor is the share of the true load that a member reports.
@@ -159,7 +161,7 @@
 }
 
 // compare fills in what it cost to get from one assignment to another.
-func (s scene) compare(r *PlacementResult, o PlacementOptions, old, next assignment, aliveAfter []bool) {
+func (s scene) compare(r *PlacementResult, o PlacementOptions, old, next assignment) {
 	total, changed := 0.0, 0.0
 	for p, load := range s.traffic.base {
 		total += load
@@ -168,7 +170,7 @@
 		}
 		changed += load
 		r.KeyChurn++
-		r.count(aliveAfter[old.owners[p]])
+		r.count(s.serves(old.owners[p]))
 	}
 	for _, k := range s.traffic.hot {
 		total += k.load
@@ -178,7 +180,7 @@
 		}
 		changed += k.load
 		if _, single := next.keys[k.hash]; single {
-			r.count(aliveAfter[from])
+			r.count(s.serves(from))
 		}
 	}
 	r.KeyChurn /= float64(s.partitions)
@@ -186,6 +188,8 @@
 	r.Unavailable = float64(r.Moves)*o.Handover.Seconds() + float64(r.Takeovers)*o.Takeover.Seconds()
 }
 
+func (s scene) serves(n int32) bool { return s.alive[n] || s.drains[int(n)] }
+
 func (r *PlacementResult) count(planned bool) {
 	if planned {
 		r.Moves++
@@ -220,6 +224,15 @@
 	return t
 }
 
+// evenTraffic has the same load in each partition.
+func evenTraffic(partitions int) traffic {
+	t := traffic{base: make([]float64, partitions)}
+	for p := range t.base {
+		t.base[p] = 1
+	}
+	return t
+}
+
 func newKeys(random *rand.Rand, count int) []hotKey {
 	hot := make([]hotKey, count)
 	for n := range hot {
--- a/measure/placement_cases.go
+++ b/measure/placement_cases.go
@@ -44,8 +44,16 @@
 	x.add("zipf", func(before, _ *scene) { before.unknown = true }, base, 0)
 	x.add("hot set moves", func(_, after *scene) { after.traffic = after.traffic.movedHot(random) }, base, 0)
 	joining := base.members[size].Record.Capacity
-	x.add("join", func(_, after *scene) { after.alive[size] = true }, base, joining/(total+joining))
-	x.add("leave", func(_, after *scene) { after.alive[0] = false }, base, base.members[0].Record.Capacity/total)
+	leaving := base.members[0].Record.Capacity / total
+	join := func(_, after *scene) { after.alive[size] = true }
+	leave := func(_, after *scene) { after.alive[0], after.drains = false, map[int]bool{0: true} }
+	even := base
+	even.traffic = evenTraffic(base.partitions)
+	x.add("join, even keys", join, even, joining/(total+joining))
+	x.add("leave, even keys", leave, even, leaving)
+	x.add("join", join, base, joining/(total+joining))
+	x.add("leave", leave, base, leaving)
+	x.add("lost member", func(_, after *scene) { after.alive[0] = false }, base, leaving)
 	lost := 0.0
 	x.add("lost data centre", func(_, after *scene) {
 		for n := range size {
@@ -117,7 +125,7 @@
 	old := p.Decide(c.before)
 	next := p.Decide(c.after)
 	r.Imbalance = c.after.imbalance(next)
-	c.after.compare(&r, x.options, old, next, c.after.alive)
+	c.after.compare(&r, x.options, old, next)
 	return r
 }
 
--- a/measure/placement_policies.go
+++ b/measure/placement_policies.go
@@ -57,6 +57,9 @@
 		if !s.alive[n] {
 			m.Record.State = member.Left
 		}
+		if s.drains[n] {
+			m.Record.State = member.Draining
+		}
 		members = append(members, m)
 	}
 	for range settleSteps {
--- a/measure/placement_test.go
+++ b/measure/placement_test.go
@@ -39,6 +39,10 @@
 			t.Errorf("seed %d: %d moves on old reports: %+v", seed, r.Moves, r)
 		}
 		return
+	case "join, even keys", "leave, even keys":
+		if r.KeyChurn > 1.1*r.LeastChurn {
+			t.Errorf("seed %d: more than 1.1 of the least share moves: %+v", seed, r)
+		}
 	case "join":
 		if r.LoadChurn > 1.1*r.LeastChurn {
 			t.Errorf("seed %d: a join moves more than 1.1 of the least share: %+v", seed, r)
