--- a/instance/planner.go
+++ b/instance/planner.go
@@ -178,7 +178,7 @@
 }
 
 // settled reports whether the owner of an entry serves it, which means that it has the promises of all earlier members.
-func (i *Instance) settled(p int, entry partition.Entry) bool {
+func (i *Instance) settled(_ string, p int, entry partition.Entry) bool {
 	if len(entry.Members) == 0 {
 		return false
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,7 +17,7 @@
 	// NoLimit is a budget that holds nothing back.
 	NoLimit = -1
 	// MaxOverrides bounds the partitions of single keys of a service, which each reader of the map keeps in memory.
-	MaxOverrides = 1 << 14
+	MaxOverrides = 1 << 16
 )
 
 // Member is an instance of the service with its newest load report.
@@ -91,9 +91,10 @@
 	Budget int
 	// Hold is the reason why each move that changes who serves is held back; empty if none is.
 	Hold string
-	// Settled reports whether the owner of an entry serves it, so that the next entry needn't list the incarnations in From;
-	// nil stands for never.
-	Settled func(p int, e partition.Entry) bool
+	// Settled reports whether the owner of an entry has been seen serving it. Then all incarnations in its From have
+	// promised not to serve, and the next entry leaves them out; else From would grow with each move. Nil stands for
+	// never.
+	Settled func(p int, entry partition.Entry) bool
 }
 
 // Kind is the cause of a move.
--- a/placement/state.go
+++ b/placement/state.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		old := s.entry(p)
-		if s.in.Settled != nil && s.in.Settled(p, old) {
+		if len(old.From) > 0 && p < s.in.Map.Partitions() && s.in.Settled != nil && s.in.Settled(p, old) {
 			old.From = nil
 		}
 		members = members[:0]
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -73,7 +73,7 @@
 	sheet       func(context.Context, table.Row, string) (Sheet, error)
 	paused      func(table.Row, string) (string, error)
 	expired     func(context.Context, member.Record) bool
-	settled     func(int, partition.Entry) bool
+	settled     func(service string, p int, entry partition.Entry) bool
 	report      func(Event)
 
 	writes uint64
@@ -134,9 +134,9 @@
 	return func(p *Planner) { p.expired = f }
 }
 
-// WithSettled sets the function that reports whether the owner of an entry serves it. The owner then has the promises of all
-// incarnations in the entry's From, which the next entry of the partition leaves out.
-func WithSettled(f func(p int, e partition.Entry) bool) Option {
+// WithSettled sets the function that reports whether the owner of an entry has been seen serving it, see
+// placement.Input. It must not return true for an owner that only may serve.
+func WithSettled(f func(service string, p int, entry partition.Entry) bool) Option {
 	return func(p *Planner) { p.settled = f }
 }
 
@@ -152,7 +152,6 @@
 		loads:   func(context.Context, string) (Loads, error) { return Loads{}, nil },
 		sheet:   func(context.Context, table.Row, string) (Sheet, error) { return Sheet{}, nil },
 		expired: func(context.Context, member.Record) bool { return false },
-		settled: func(int, partition.Entry) bool { return false },
 		report:  func(Event) {},
 		states:  make(map[string]*serviceState),
 		held:    make(map[string][]placement.Held),
