--- /dev/null
+++ b/heartbeat/heartbeat_test.go
@@ -0,0 +1,253 @@
+package heartbeat
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/witness"
+)
+
+var versions = &peer.Versions{
+	Config: 22000, Sheet: 365, Pause: 120,
+	Maps: map[string]uint64{"bookings": 180000, "documents": 180000, "monitors": 180000, "rosters": 180000},
+}
+
+// TestNoFault guards against leases that expire although nothing fails.
+func TestNoFault(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, witness.Timing{}, false)
+	c.acquire(t)
+	time.Sleep(3 * time.Second)
+	if len(c.changes) > 0 || len(c.expiries) > 0 {
+		t.Errorf("%d changes of the lease and %d reports of an expiry, want none", len(c.changes), len(c.expiries))
+	}
+	if lease := c.holder.Lease(); !lease.Valid() || lease.Generation() != 1 || time.Until(lease.Expires()) < 300*time.Millisecond {
+		t.Errorf("valid %v, generation %d, left %v", lease.Valid(), lease.Generation(), time.Until(lease.Expires()))
+	}
+}
+
+// TestCuts guards against a lease that outlives the loss of its majority, one that is lost with a minority, and one that
+// can't be re-acquired without the platform.
+func TestCuts(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		cut     func(links []*link)
+		expires bool
+	}{
+		{"heartbeats to one witness", func(l []*link) { l[0].toWitness.Store(true) }, false},
+		{"acknowledgements of one witness", func(l []*link) { l[0].toHolder.Store(true) }, false},
+		{"heartbeats to two witnesses", func(l []*link) { l[0].toWitness.Store(true); l[1].toWitness.Store(true) }, true},
+		{"acknowledgements of two witnesses", func(l []*link) { l[0].toHolder.Store(true); l[1].toHolder.Store(true) }, true},
+		{"one direction of each of two", func(l []*link) { l[0].toWitness.Store(true); l[1].toHolder.Store(true) }, true},
+		{"everything", func(l []*link) { l[0].cut(true); l[1].cut(true); l[2].cut(true) }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, witness.Timing{}, false)
+			c.acquire(t)
+			time.Sleep(200 * time.Millisecond)
+			start := time.Now()
+			test.cut(c.links)
+			// The calls are cut too, so that the lease isn't re-acquired during the cut.
+			for _, l := range c.links {
+				l.calls.Store(test.expires)
+			}
+			lease := c.holder.Lease()
+			if test.expires {
+				await(t, 2*time.Second, "expiry", func() bool { return !lease.Valid() })
+				if took := time.Since(start); took > witness.DefaultLease+20*time.Millisecond || took < witness.DefaultLease/2 {
+					t.Errorf("expired after %v, want at most %v", took, witness.DefaultLease)
+				}
+				c.expect(t, false)
+			}
+			time.Sleep(time.Until(start.Add(time.Second)))
+			for _, l := range c.links {
+				l.cut(false)
+			}
+			if test.expires {
+				c.expect(t, true)
+			}
+			if len(c.changes) > 0 || !lease.Valid() || lease.Lost() || (lease.Generation() > 1) != test.expires {
+				t.Errorf("%d more changes, valid %v, lost %v, generation %d",
+					len(c.changes), lease.Valid(), lease.Lost(), lease.Generation())
+			}
+		})
+	}
+}
+
+// TestTakeover guards against an expiry that is confirmed while the lease is valid, one that can't be proved in time,
+// and a holder that returns after the proof.
+func TestTakeover(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		ownSlot bool
+	}{{"three other witnesses", false}, {"own slot among the witnesses", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, witness.Timing{}, test.ownSlot)
+			// Witnesses must be past their silent period to confirm.
+			time.Sleep(700 * time.Millisecond)
+			c.acquire(t)
+			short, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+			defer cancel()
+			if expired, err := c.prover().Expired(short, c.holder.self, c.witnesses); expired || err != nil {
+				t.Fatalf("expiry of a valid lease: got %v, %v", expired, err)
+			}
+			start := time.Now()
+			for _, l := range c.links {
+				l.cut(true)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			expired, err := c.prover().Expired(ctx, c.holder.self, c.witnesses)
+			took := time.Since(start)
+			if !expired || err != nil || took > time.Second || took < witness.DefaultLease-2*witness.DefaultInterval {
+				t.Errorf("proof: got %v, %v after %v", expired, err, took)
+			}
+			if c.holder.Lease().Valid() {
+				t.Error("the lease is valid after the proof of its expiry")
+			}
+			<-c.expiries
+			for _, l := range c.links {
+				l.cut(false)
+			}
+			await(t, 2*time.Second, "refusal", c.holder.Lease().Lost)
+			if c.holder.Lease().Valid() {
+				t.Error("the lease is valid after it was refused")
+			}
+		})
+	}
+}
+
+// TestProverWithoutWitnesses guards against a missing answer being taken for a valid lease or for a proof.
+func TestProverWithoutWitnesses(t *testing.T) {
+	t.Parallel()
+	prover := NewProver(func(string) (peer.Peer, error) { return nil, errCut }, witness.Timing{})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	expired, err := prover.Expired(ctx, member.NewIncarnation("o-0", 1), []string{"w-0", "w-1", "w-2"})
+	if expired || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %v, %v, want false and a missed deadline", expired, err)
+	}
+}
+
+// TestRelease guards against a planned stop that makes its successor wait for the end of the lease.
+func TestRelease(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, witness.Timing{}, false)
+	c.acquire(t)
+	// Witnesses confirm nothing in their silent period.
+	time.Sleep(700 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	start := time.Now()
+	if err := c.holder.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if lease := c.holder.Lease(); lease.Valid() || !lease.Lost() {
+		t.Errorf("after the release: valid %v, lost %v", lease.Valid(), lease.Lost())
+	}
+	expired, err := c.prover().Expired(ctx, c.holder.self, c.witnesses)
+	if took := time.Since(start); !expired || err != nil || took > 200*time.Millisecond {
+		t.Errorf("proof after a release: got %v, %v after %v", expired, err, took)
+	}
+	<-c.expiries
+	if reason := c.expect(t, false); reason != "resigned" {
+		t.Errorf("reason: got %q", reason)
+	}
+}
+
+// TestSilentFlows guards against a lease that is lost because existing flows stop delivering while new ones work.
+func TestSilentFlows(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, witness.Timing{}, false)
+	c.acquire(t)
+	time.Sleep(300 * time.Millisecond)
+	var before int
+	for _, l := range c.links {
+		before += l.silence()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	after := 0
+	for _, l := range c.links {
+		after += l.flowCount()
+	}
+	if after != before+len(c.links) {
+		t.Errorf("%d flows before and %d after, want one more for each of %d witnesses", before, after, len(c.links))
+	}
+	if len(c.changes) > 0 {
+		t.Errorf("the lease changed: %v", <-c.changes)
+	}
+}
+
+// TestVersions guards against versions that don't travel in both directions.
+func TestVersions(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	heard := make(map[string]uint64)
+	c := newCluster(t, witness.Timing{}, false, WithVersions(func() *peer.Versions { return versions }),
+		WithNews(func(slot string, v *peer.Versions) {
+			mu.Lock()
+			defer mu.Unlock()
+			heard[slot] = v.GetMaps()["rosters"]
+		}))
+	c.acquire(t)
+	await(t, 2*time.Second, "versions of all four", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(heard) == 4 && heard["o-0"] == 180000 && heard["w-1"] == 180000
+	})
+}
+
+// TestHeartbeatSize guards against heartbeats that exceed the bytes a node may spend.
+func TestHeartbeatSize(t *testing.T) {
+	datagram, err := encodeHeartbeat(witness.Heartbeat{
+		Holder: member.NewIncarnation("central-1207", 4000), Sequence: 50_000_000, EchoRun: 1 << runBits, EchoSequence: 50_000_000,
+	}, versions)
+	if err != nil || len(datagram) >= 120 {
+		t.Errorf("got %d bytes, %v, want less than 120", len(datagram), err)
+	}
+	t.Logf("%d bytes", len(datagram))
+}
+
+// TestRefusedInput guards against malformed datagrams and calls, and against a change of the witnesses.
+func TestRefusedInput(t *testing.T) {
+	t.Parallel()
+	e := New(member.NewIncarnation("o-0", 1))
+	for _, datagram := range [][]byte{nil, {0xff}, {0x0a, 0x00}, {0x12, 0x00}} {
+		if _, _, ok := decodeHeartbeat(datagram); ok {
+			t.Errorf("heartbeat %x was accepted", datagram)
+		}
+	}
+	_, confirm := e.ConfirmExpiry(t.Context(), &peer.ConfirmExpiryRequest{})
+	_, vote := e.Reacquire(t.Context(), &peer.ReacquireRequest{})
+	_, resign := e.Resign(t.Context(), &peer.ResignRequest{})
+	if confirm == nil || vote == nil || resign == nil {
+		t.Errorf("calls without a holder: got %v, %v, %v", confirm, vote, resign)
+	}
+	first := e.SetWitnesses([]Target{NewTarget("w-0", "127.0.0.1:1")})
+	moved := e.SetWitnesses([]Target{NewTarget("w-0", "127.0.0.1:2")})
+	other := e.SetWitnesses([]Target{NewTarget("w-1", "127.0.0.1:1")})
+	if first != nil || moved != nil || !errors.Is(other, witness.ErrWitnessesFixed) {
+		t.Errorf("witnesses: got %v, %v, %v", first, moved, other)
+	}
+}
+
+// BenchmarkLeaseValid measures the check on the request path.
+func BenchmarkLeaseValid(b *testing.B) {
+	e := New(member.NewIncarnation("o-0", 1))
+	term := witness.Term{}
+	e.term.Store(&term)
+	lease := e.Lease()
+	b.ReportAllocs()
+	for b.Loop() {
+		lease.Valid()
+	}
+}
--- /dev/null
+++ b/heartbeat/hold.go
@@ -0,0 +1,217 @@
+package heartbeat
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"sapphiretray/peer"
+	"sapphiretray/witness"
+)
+
+// flow is the socket over which heartbeats to one witness are sent and acknowledged.
+type flow struct {
+	target Target
+	conn   *net.UDPConn
+	// heard is the time of the newest acknowledgement or, before the first, of the opening.
+	heard time.Time
+}
+
+// hold sends heartbeats while the lease is valid and starts rounds of votes once it has expired.
+func (e *Endpoint) hold(ctx context.Context) error {
+	defer e.closeFlows()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var nextBeat, nextRound time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-e.holderWake:
+			nextBeat = time.Time{}
+		}
+		now := time.Now()
+		state, expires := e.look(now)
+		switch state {
+		case witness.Expired:
+			if !now.Before(nextRound) {
+				nextRound = now.Add(2 * e.timing.Interval())
+				e.startRound(ctx)
+			}
+			timer.Reset(max(nextRound.Sub(now), 0))
+		case witness.Resigned:
+			timer.Reset(e.timing.Interval())
+		default:
+			if !now.Before(nextBeat) {
+				if nextBeat = nextBeat.Add(e.timing.Interval()); nextBeat.Before(now) {
+					nextBeat = now.Add(e.timing.Interval())
+				}
+				e.beat()
+			}
+			wait := nextBeat.Sub(now)
+			if state == witness.Valid {
+				wait = min(wait, expires.Sub(now))
+			}
+			timer.Reset(max(wait, 0))
+		}
+	}
+}
+
+// look returns the state of the own lease and publishes an expiry.
+func (e *Endpoint) look(now time.Time) (witness.State, time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder.State() == witness.Valid && !e.holder.Valid(now) {
+		e.publish()
+	}
+	return e.holder.State(), e.holder.Expires()
+}
+
+func (e *Endpoint) beat() {
+	versions := e.versions()
+	e.mu.Lock()
+	// The sending time is read as late as possible, since the lease runs from it.
+	now := time.Now()
+	heartbeats := e.holder.Heartbeats(now)
+	conns := make([]*net.UDPConn, len(heartbeats))
+	for i, heartbeat := range heartbeats {
+		if heartbeat.Witness == e.self.Slot() {
+			if ack, ok := e.witness.Heartbeat(heartbeat, now); ok {
+				e.holder.Acknowledge(ack, now)
+				e.publish()
+			}
+			continue
+		}
+		conns[i] = e.flow(heartbeat.Witness, now)
+	}
+	e.mu.Unlock()
+	for i, heartbeat := range heartbeats {
+		if conns[i] == nil {
+			continue
+		}
+		if datagram, err := encodeHeartbeat(heartbeat, versions); err == nil {
+			e.traffic.send(len(datagram))
+			// A lost heartbeat is made up for by the next one.
+			_, _ = conns[i].Write(datagram)
+		}
+	}
+}
+
+// flow returns the socket to a witness, or nil if it can't be opened. A flow that has not been acknowledged for two
+// intervals (300 ms by default) moves to a new socket and thus to a new source port, since a path may stop delivering one
+// flow for good while new ones work. The lock is held.
+func (e *Endpoint) flow(slot string, now time.Time) *net.UDPConn {
+	var target Target
+	for _, t := range e.targets {
+		if t.slot == slot {
+			target = t
+		}
+	}
+	current := e.flows[slot]
+	if current != nil && current.target == target && now.Sub(current.heard) < 2*e.timing.Interval() {
+		return current.conn
+	}
+	if current != nil {
+		_ = current.conn.Close()
+		delete(e.flows, slot)
+	}
+	address, err := net.ResolveUDPAddr("udp", target.address)
+	if err != nil {
+		return nil
+	}
+	conn, err := net.DialUDP("udp", nil, address)
+	if err != nil {
+		return nil
+	}
+	f := &flow{target: target, conn: conn, heard: now}
+	e.flows[slot] = f
+	e.group.Go(func() error { return e.listenTo(f) })
+	return conn
+}
+
+// listenTo takes the acknowledgements of one flow until its socket is closed.
+func (e *Endpoint) listenTo(f *flow) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := f.conn.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// The witness's port is closed; the socket stays usable.
+			continue
+		}
+		e.traffic.receive(n)
+		ack, versions, ok := decodeAck(buffer[:n])
+		if !ok || ack.Witness != f.target.slot {
+			continue
+		}
+		e.mu.Lock()
+		now := time.Now()
+		f.heard = now
+		e.holder.Acknowledge(ack, now)
+		e.publish()
+		e.mu.Unlock()
+		if versions != nil {
+			e.news(ack.Witness, versions)
+		}
+	}
+}
+
+func (e *Endpoint) closeFlows() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.flows {
+		_ = f.conn.Close()
+	}
+}
+
+// startRound asks all witnesses to vote for the re-acquisition of the expired lease.
+func (e *Endpoint) startRound(ctx context.Context) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.holder.Lost() {
+		return
+	}
+	round, ok := e.holder.StartRound(now)
+	if !ok {
+		return
+	}
+	for _, target := range e.targets {
+		if target.slot == e.self.Slot() {
+			e.holder.TakeVote(e.witness.Reacquire(e.self, round, now), now)
+			e.publish()
+			continue
+		}
+		if e.dial != nil {
+			e.group.Go(func() error {
+				e.askVote(ctx, target.slot, round)
+				return nil
+			})
+		}
+	}
+}
+
+// askVote takes one witness's vote. A witness that can't be reached is asked again in the next round.
+func (e *Endpoint) askVote(ctx context.Context, slot string, round uint64) {
+	ctx, cancel := context.WithTimeout(ctx, e.timing.Lease())
+	defer cancel()
+	to, err := e.dial(slot)
+	if err != nil {
+		return
+	}
+	response, err := to.Reacquire(ctx, &peer.ReacquireRequest{Holder: toWire(e.self), Round: round})
+	if err != nil || response.GetWitness() != slot {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holder.TakeVote(witness.Vote{
+		Holder: e.self, Witness: slot, Run: response.GetRun(), Round: response.GetRound(), Granted: response.GetGranted(),
+	}, time.Now())
+	e.publish()
+	wake(e.holderWake)
+}
--- a/witness/holder.go
+++ b/witness/holder.go
@@ -69,6 +69,7 @@
 	sent      map[uint64]reading
 	round     uint64
 	asked     reading
+	suspended bool
 	rules     holderRules
 }
 
@@ -254,6 +255,10 @@
 // State returns the state as of the last call.
 func (h *Holder) State() State { return h.state }
 
+// Suspended reports whether only the wall clock showed the newest expiry: the machine was suspended or its wall clock was
+// set forward.
+func (h *Holder) Suspended() bool { return h.suspended }
+
 // Lost reports whether the lease can't become valid any more, because a blocking number of witnesses refuse this
 // incarnation. The instance has to rejoin as a new incarnation.
 func (h *Holder) Lost() bool {
@@ -277,6 +282,7 @@
 	}
 	if h.state == Valid && !h.term.covers(at) {
 		h.state = Expired
+		h.suspended = at.mono.Sub(h.term.base.mono) < h.term.lease
 	}
 	return at
 }
