--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return nil
 	}
-	conn, err := net.DialUDP("udp", nil, address)
+	conn, err := net.DialUDP("udp", e.localAddress(), address)
 	if err != nil {
 		return nil
 	}
@@ -131,6 +131,16 @@
 	return conn
 }
 
+// localAddress returns the IP address that heartbeats leave from, with any port: the one listened on, so that others see one
+// address of an instance that has several.
+func (e *Endpoint) localAddress() *net.UDPAddr {
+	local, ok := e.conn.LocalAddr().(*net.UDPAddr)
+	if !ok || local.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.UDPAddr{IP: local.IP, Zone: local.Zone}
+}
+
 // listenTo takes the acknowledgements of one flow until its socket is closed.
 func (e *Endpoint) listenTo(f *flow) error {
 	buffer := make([]byte, maxDatagram)
