--- a/demo/deployment_test.go
+++ b/demo/deployment_test.go
@@ -82,6 +82,10 @@
 
 func dump(t *testing.T, d *demo.Deployment) {
 	t.Helper()
+	for _, n := range d.Nodes() {
+		log := n.Log()
+		t.Logf("log of %s:\n%s", n.Slot(), log[max(0, len(log)-1500):])
+	}
 	for _, e := range d.Events(context.Background()) {
 		t.Log(e)
 	}
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -15,6 +15,7 @@
 const (
 	showService    = "bookings"
 	showPartitions = 16
+	loopback       = "127.0.0.1"
 	showKeys       = 12
 	showTimeout    = 10 * time.Second
 	// ServedAgainTarget is the longest time that a key may have no owner after a loss.
@@ -31,11 +32,15 @@
 	upstream := func(slots int, service time.Duration) []fake.UpstreamOption {
 		return []fake.UpstreamOption{fake.WithSlots(slots), fake.WithServiceTime(service), fake.WithGrantCheck()}
 	}
-	return []Spec{
-		{Slot: "north-1", DataCentre: "north", Service: showService, IP: "127.0.0.1", Capacity: 4, Slots: 6, Options: upstream(6, time.Millisecond)},
-		{Slot: "central-1", DataCentre: "central", Service: showService, IP: "127.0.0.1", Capacity: 2, Slots: 4, Options: upstream(4, 2*time.Millisecond)},
-		{Slot: "south-1", DataCentre: "south", Service: showService, IP: "127.0.0.1", Capacity: 1, Slots: 2, Options: upstream(2, 4*time.Millisecond)},
+	specs := []Spec{
+		{Slot: "north-1", DataCentre: "north", Capacity: 4, Slots: 6, Options: upstream(6, time.Millisecond)},
+		{Slot: "central-1", DataCentre: "central", Capacity: 2, Slots: 4, Options: upstream(4, 2*time.Millisecond)},
+		{Slot: "south-1", DataCentre: "south", Capacity: 1, Slots: 2, Options: upstream(2, 4*time.Millisecond)},
 	}
+	for n := range specs {
+		specs[n].Service, specs[n].IP = showService, loopback
+	}
+	return specs
 }
 
 // Report counts what a scenario saw.
--- a/instance/status.go
+++ b/instance/status.go
@@ -10,7 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"sapphiretray/member"
+	"sapphiretray/pause"
 	"sapphiretray/policy"
+	"sapphiretray/sheet"
 )
 
 // Status is the state of an instance as it reports it. Its fields are exported because it is sent as JSON.
@@ -24,7 +26,10 @@
 	Upstream    string             `json:"upstream"`
 	// Revision is the revision of the table that is in effect here.
 	Revision uint64 `json:"revision"`
-	Config   uint64 `json:"config"`
+	// Config, Sheet and Pause are the accepted versions in effect here.
+	Config uint64 `json:"config"`
+	Sheet  uint64 `json:"sheet"`
+	Pause  uint64 `json:"pause"`
 	// Maps are the versions of the maps by service.
 	Maps map[string]uint64 `json:"maps"`
 	// Serving are the epochs of the partitions served here.
@@ -43,6 +48,7 @@
 		Upstream: i.health.machine.State(), Revision: i.rows.Revision(), Maps: make(map[string]uint64),
 		Load: float64(i.limiter.InFlight() + i.limiter.Queued()), Uptime: time.Since(i.started).Seconds(),
 	}
+	status.Sheet, status.Pause = i.acceptedVersion(sheet.RowKey), i.acceptedVersion(pause.RowKey)
 	if current := i.routes.current.Load(); current != nil {
 		status.Config = current.Version()
 		for _, s := range current.Services() {
--- a/main.go
+++ b/main.go
@@ -34,15 +34,17 @@
 type commands struct {
 	Globals
 
-	Run     RunCommand     `cmd:"" help:"Run the process beside one upstream until SIGTERM or SIGINT."`
-	Demo    DemoCommand    `cmd:"" help:"Show a deployment on loopback: requests, the loss of an owner, its keys served again."`
-	Check   CheckCommand   `cmd:"" help:"Check a settings file, a sheet or a configuration without the platform."`
-	Config  ConfigCommand  `cmd:"" help:"Accept or show the configuration: services, routes, limits and weights."`
-	Sheet   SheetCommand   `cmd:"" help:"Plan, accept or report on the operators' sheet."`
-	Pause   PauseCommand   `cmd:"" help:"Pause automatic moves of services at once. Keys keep their single owner."`
-	Resume  ResumeCommand  `cmd:"" help:"End a pause of automatic moves."`
-	Codes   CodesCommand   `cmd:"" help:"Print the table of result codes."`
-	Measure MeasureCommand `cmd:"" help:"Run the experiments behind the decisions."`
+	Run      RunCommand      `cmd:"" help:"Run the process beside one upstream until SIGTERM or SIGINT."`
+	Demo     DemoCommand     `cmd:"" help:"Show a deployment on loopback: requests, the loss of an owner, its keys served again."`
+	Check    CheckCommand    `cmd:"" help:"Check a settings file, a sheet or a configuration without the platform."`
+	Config   ConfigCommand   `cmd:"" help:"Accept or show the configuration: services, routes, limits and weights."`
+	Sheet    SheetCommand    `cmd:"" help:"Plan, accept or report on the operators' sheet."`
+	Pause    PauseCommand    `cmd:"" help:"Pause automatic moves of services at once. Keys keep their single owner."`
+	Resume   ResumeCommand   `cmd:"" help:"End a pause of automatic moves."`
+	Status   StatusCommand   `cmd:"" help:"Print the state of all instances."`
+	Timeline TimelineCommand `cmd:"" help:"Print the merged events of all instances."`
+	Codes    CodesCommand    `cmd:"" help:"Print the table of result codes."`
+	Measure  MeasureCommand  `cmd:"" help:"Run the experiments behind the decisions."`
 }
 
 func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/measure_load.go
+++ b/measure_load.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
-	"os"
 	"time"
 
 	"sapphiretray/measure"
@@ -15,7 +13,6 @@
 	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
 	Duration time.Duration `default:"20s" help:"Time of each run: virtual, or with --real (8 runs) real. Simulated faults start at 8s."`
 	Real     bool          `help:"Run over loopback HTTP instead of simulating; needs about 1,100 connections."`
-	JSON     bool          `name:"json" help:"Print JSON."`
 }
 
 type loadReport struct {
@@ -27,10 +24,10 @@
 }
 
 // Run prints the results.
-func (c *MeasureLoadCommand) Run() error {
+func (c *MeasureLoadCommand) Run(ctx context.Context, o *output) error {
 	report := loadReport{Seed: c.Seed, Duration: c.Duration}
 	if c.Real {
-		rows, err := measure.RealLoads(context.Background(), c.Seed, c.Duration)
+		rows, err := measure.RealLoads(ctx, c.Seed, c.Duration)
 		if err != nil {
 			return err
 		}
@@ -40,12 +37,10 @@
 		report.Targets = measure.LoadTargets(report.Loads)
 		report.Choices = measure.SimulateChoices(c.Seed)
 	}
-	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(report)
+	if o.json {
+		return writeJSON(o.stdout, report)
 	}
-	return report.write(os.Stdout)
+	return report.write(o.stdout)
 }
 
 func (r loadReport) write(w io.Writer) error {
--- a/measure_path.go
+++ b/measure_path.go
@@ -2,51 +2,78 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 	"time"
 
+	"sapphiretray/demo"
 	"sapphiretray/measure"
 )
 
 // MeasurePathCommand measures what the instances add to a request.
 type MeasurePathCommand struct {
-	Direct   string        `required:"" help:"URL of a request to the upstream."`
-	Owner    string        `required:"" help:"URL of the request to the instance that owns the key."`
-	NonOwner string        `required:"" help:"URL of the request to another instance."`
+	Direct   string        `help:"URL of a request to the upstream; without it, a deployment on loopback is brought up."`
+	Owner    string        `help:"URL of the request to the instance that owns the key."`
+	NonOwner string        `help:"URL of the request to another instance."`
 	Rate     float64       `default:"500" help:"Requests per second to each URL."`
 	Duration time.Duration `default:"3s" help:"Time for each URL in each round."`
 	Rounds   int           `default:"3" help:"Number of rounds; the URLs take turns in each."`
 	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
 
-	DirectProcess   []int `help:"Ids of the processes on the direct path, for processor time."`
-	OwnerProcess    []int `help:"Ids of the processes on the path through the owner."`
+	OwnerProcess    []int `help:"Ids of the processes on the path through the owner, for processor time."`
 	NonOwnerProcess []int `help:"Ids of the processes on the path through another instance."`
-
-	JSON bool `name:"json" help:"Print JSON."`
 }
 
 // Run prints the results.
-func (c *MeasurePathCommand) Run() error {
-	results, err := measure.Path(context.Background(), measure.PathSpec{
-		Targets: []measure.PathTarget{
-			{Name: "direct", URL: c.Direct, Processes: c.DirectProcess},
-			{Name: "owner", URL: c.Owner, Processes: c.OwnerProcess},
-			{Name: "non-owner", URL: c.NonOwner, Processes: c.NonOwnerProcess},
-		},
-		Rate: c.Rate, Duration: c.Duration, Rounds: c.Rounds, Seed: c.Seed, ProcessorTime: measure.ProcessorTime,
+func (c *MeasurePathCommand) Run(ctx context.Context, o *output) error {
+	targets := []measure.PathTarget{
+		{Name: "direct", URL: c.Direct},
+		{Name: "owner", URL: c.Owner, Processes: c.OwnerProcess},
+		{Name: "non-owner", URL: c.NonOwner, Processes: c.NonOwnerProcess},
+	}
+	switch given := c.Direct != ""; {
+	case given != (c.Owner != "") || given != (c.NonOwner != ""):
+		return usageError{"--direct, --owner and --non-owner are given together"}
+	case !given:
+		d, err := c.bringUp(ctx, targets)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = d.Close() }()
+	}
+	results, err := measure.Path(ctx, measure.PathSpec{
+		Targets: targets, Rate: c.Rate, Duration: c.Duration, Rounds: c.Rounds, Seed: c.Seed, ProcessorTime: measure.ProcessorTime,
 	})
 	if err != nil {
 		return err
 	}
-	targets := measure.PathTargets(results[0], results[1], results[2])
-	if c.JSON {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(map[string]any{"seed": c.Seed, "paths": results, "targets": targets})
+	bounds := measure.PathTargets(results[0], results[1], results[2])
+	if o.json {
+		return writeJSON(o.stdout, map[string]any{"seed": c.Seed, "paths": results, "targets": bounds})
 	}
-	if err := measure.WritePaths(os.Stdout, results); err != nil {
+	if err := measure.WritePaths(o.stdout, results); err != nil {
 		return err
 	}
-	return measure.WriteLoadTargets(os.Stdout, targets)
+	return measure.WriteLoadTargets(o.stdout, bounds)
+}
+
+// bringUp starts a deployment on loopback and fills in the URLs of one key.
+func (c *MeasurePathCommand) bringUp(ctx context.Context, targets []measure.PathTarget) (*demo.Deployment, error) {
+	executable, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "sapphiretray-path-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	d, owner, other, err := demo.StartPath(ctx, executable, dir)
+	if err != nil {
+		return nil, err
+	}
+	const path = "/bookings/" + demo.PathKey
+	targets[0].URL = owner.UpstreamURL() + path
+	targets[1].URL, targets[1].Processes = owner.URL()+path, []int{owner.PID()}
+	targets[2].URL, targets[2].Processes = other.URL()+path, []int{owner.PID(), other.PID()}
+	return d, nil
 }
--- /dev/null
+++ b/status.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"sapphiretray/admin"
+	"sapphiretray/instance"
+	"sapphiretray/member"
+)
+
+// StatusCommand prints the state of all instances.
+type StatusCommand struct {
+	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table, for when the platform is down." placeholder:"ADDRESS"`
+}
+
+// Run asks each instance for its state. Instances that don't answer are listed with the reason.
+func (c *StatusCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	members, err := findMembers(ctx, c.Instance, g)
+	if err != nil {
+		return err
+	}
+	answers := admin.Ask(ctx, members, admin.Status)
+	return o.write(statusRows(answers), func() { printStatus(o, answers) })
+}
+
+// findMembers returns the members in the table, or stand-ins with only the admin addresses given.
+func findMembers(ctx context.Context, addresses []string, g *Globals) ([]member.Record, error) {
+	if len(addresses) > 0 {
+		members := make([]member.Record, len(addresses))
+		for n, address := range addresses {
+			members[n] = member.Record{AdminAddress: address, State: member.Ready}
+		}
+		return members, nil
+	}
+	t, err := g.tableClient()
+	if err != nil {
+		return nil, err
+	}
+	return admin.Members(ctx, t)
+}
+
+type statusRow struct {
+	Record member.Record    `json:"record"`
+	Status *instance.Status `json:"status,omitempty"`
+	Error  string           `json:"error,omitempty"`
+}
+
+func statusRows(answers []admin.Answer[instance.Status]) []statusRow {
+	rows := make([]statusRow, len(answers))
+	for n, a := range answers {
+		rows[n].Record = a.Record
+		if a.Err != nil {
+			rows[n].Error = a.Err.Error()
+			continue
+		}
+		rows[n].Status = &a.Value
+	}
+	return rows
+}
+
+func printStatus(o *output, answers []admin.Answer[instance.Status]) {
+	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "INSTANCE\tSERVICE\tDATA CENTRE\tSTATE\tLEASE\tUPSTREAM\tPARTITIONS\tLOAD\tREVISION\tCONFIG\tSHEET")
+	for _, a := range answers {
+		if a.Err != nil {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\tno answer: %v\n", a.Record.Incarnation, a.Record.Service, a.Record.DataCentre, a.Record.State, a.Err)
+			continue
+		}
+		s, lease := a.Value, "expired"
+		if s.LeaseValid {
+			lease = "valid"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.0f\t%d\t%d\t%d\n", s.Incarnation, s.Service, s.DataCentre, s.State, lease,
+			s.Upstream, len(s.Serving), s.Load, s.Revision, s.Config, s.Sheet)
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/timeline.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+
+	"sapphiretray/admin"
+	"sapphiretray/object"
+	"sapphiretray/timeline"
+)
+
+// TimelineCommand prints the merged events of all processes.
+type TimelineCommand struct {
+	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table, for when the platform is down." placeholder:"ADDRESS"`
+	Chart    string   `help:"Print only events of one state chart or part, such as lease, partition or planner."`
+	Last     int      `help:"Number of the last events to print; 0 prints all." default:"0"`
+}
+
+// Run collects the events that running instances hold and the batches in the object store. A part that doesn't answer is
+// named on standard error and leaves a gap.
+func (c *TimelineCommand) Run(ctx context.Context, o *output, g *Globals) error {
+	members, err := findMembers(ctx, c.Instance, g)
+	if err != nil {
+		return err
+	}
+	var logs [][]timeline.Event
+	if g.Object != "" {
+		if logs, err = admin.StoredEvents(ctx, object.New(g.Object)); err != nil {
+			o.note("timeline: events of lost instances are missing: %v", err)
+		}
+	}
+	for _, a := range admin.Ask(ctx, members, admin.Events) {
+		if a.Err != nil {
+			o.note("timeline: no answer from %s: %v", a.Record.Incarnation, a.Err)
+			continue
+		}
+		logs = append(logs, a.Value)
+	}
+	events := c.selected(timeline.Merge(logs...))
+	return o.write(events, func() {
+		for _, e := range events {
+			o.printf("%s", e)
+		}
+	})
+}
+
+func (c *TimelineCommand) selected(events []timeline.Event) []timeline.Event {
+	chosen := []timeline.Event{}
+	for _, e := range events {
+		if c.Chart == "" || e.Chart == c.Chart {
+			chosen = append(chosen, e)
+		}
+	}
+	if c.Last > 0 && len(chosen) > c.Last {
+		chosen = chosen[len(chosen)-c.Last:]
+	}
+	return chosen
+}
