Use five witnesses where a region has five other instances

Cause: with three witnesses, the loss of two of five instances took the majority from survivors that had both as witnesses; their leases expired and 16 partitions stayed unserved until they had joined again (2.7 s, TestFailures/second_loss). Ruled out: the takeover, which the time line shows 0.6 s after the first loss. Deployments with fewer than six instances in a region still tolerate one loss at a time.

--- a/instance/join.go
+++ b/instance/join.go
@@ -106,7 +106,7 @@
 				others++
 			}
 		}
-		if others >= witnessCount || time.Now().After(deadline) || ctx.Err() != nil {
+		if others >= manyWitnesses || time.Now().After(deadline) || ctx.Err() != nil {
 			return members
 		}
 		time.Sleep(joinPoll)
--- a/instance/status.go
+++ b/instance/status.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -99,6 +100,8 @@
 		events, _ := i.log.After(after)
 		writeJSON(w, events)
 	})
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return mux
 }
 
--- a/instance/witnesses.go
+++ b/instance/witnesses.go
@@ -9,8 +9,12 @@
 	"sapphiretray/member"
 )
 
-// witnessCount is the number of witnesses of an incarnation. Its majority outlives the loss of one data centre.
-const witnessCount = 3
+// The number of witnesses of an incarnation. With five, a lease outlives the loss of two of them at once; deployments with
+// fewer than five other instances in a region use three.
+const (
+	manyWitnesses = 5
+	fewWitnesses  = 3
+)
 
 // chooseWitnesses returns the slots that witness a new incarnation in a slot: members of its region in as many data centres
 // as possible, by rendezvous hashing, so that each member witnesses about as many others as it has witnesses. The own slot
@@ -23,9 +27,13 @@
 	slices.SortFunc(others, func(a, b member.Record) int {
 		return cmp.Or(cmp.Compare(pairHash(slot, b), pairHash(slot, a)), cmp.Compare(a.Incarnation.Slot(), b.Incarnation.Slot()))
 	})
+	count := fewWitnesses
+	if len(others) >= manyWitnesses {
+		count = manyWitnesses
+	}
 	used := map[string]int{}
 	var witnesses []string
-	for len(witnesses) < witnessCount && len(others) > 0 {
+	for len(witnesses) < count && len(others) > 0 {
 		best := 0
 		for n, m := range others {
 			if used[m.DataCentre] < used[others[best].DataCentre] {
@@ -36,7 +44,7 @@
 		witnesses = append(witnesses, others[best].Incarnation.Slot())
 		others = slices.Delete(others, best, best+1)
 	}
-	if len(witnesses) < witnessCount {
+	if len(witnesses) < count {
 		witnesses = append(witnesses, slot)
 	}
 	return witnesses
