--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -54,6 +54,8 @@
 	lost    atomic.Bool
 	traffic traffic
 
+	announcer announcer
+
 	holderWake  chan struct{}
 	witnessWake chan struct{}
 	changeWake  chan struct{}
@@ -152,11 +154,12 @@
 		if !ok {
 			continue
 		}
+		now := time.Now()
 		e.mu.Lock()
-		ack, ok := e.witness.Heartbeat(heartbeat, time.Now())
+		ack, ok := e.witness.Heartbeat(heartbeat, now)
 		e.mu.Unlock()
 		if ok {
-			if datagram, err := encodeAck(ack, e.versions()); err == nil {
+			if datagram, err := encodeAck(ack, e.ackVersions(versions, now)); err == nil {
 				e.traffic.send(len(datagram))
 				// A lost acknowledgement is made up for by the next one.
 				_, _ = e.conn.WriteToUDPAddrPort(datagram, from)
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/witness"
+
+	"google.golang.org/protobuf/proto"
 )
 
 var versions = &peer.Versions{
@@ -187,23 +190,45 @@
 	}
 }
 
-// TestVersions guards against versions that don't travel in both directions.
+// TestVersions guards against versions that don't travel in both directions, that travel late after a change, or that
+// are sent so often that they exceed a node's bytes.
 func TestVersions(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
-	heard := make(map[string]uint64)
-	c := newCluster(t, witness.Timing{}, false, WithVersions(func() *peer.Versions { return versions }),
+	heard, count := make(map[string]uint64), 0
+	witnessed := atomic.Pointer[peer.Versions]{}
+	witnessed.Store(versions)
+	c := newCluster(t, witness.Timing{}, false, WithVersions(witnessed.Load),
 		WithNews(func(slot string, v *peer.Versions) {
 			mu.Lock()
 			defer mu.Unlock()
-			heard[slot] = v.GetMaps()["rosters"]
+			heard[slot] = v.GetConfig()
+			count++
 		}))
 	c.acquire(t)
-	await(t, 2*time.Second, "versions of all four", func() bool {
+	all := func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return len(heard) == 4 && heard["o-0"] == 180000 && heard["w-1"] == 180000
-	})
+		want := witnessed.Load().GetConfig()
+		return heard["o-0"] == want && heard["w-0"] == want && heard["w-1"] == want && heard["w-2"] == want
+	}
+	await(t, 2*time.Second, "first versions", all)
+	next := proto.CloneOf(versions)
+	next.Config++
+	witnessed.Store(next)
+	await(t, time.Second, "changed versions", all)
+	time.Sleep(400 * time.Millisecond)
+	mu.Lock()
+	count = 0
+	mu.Unlock()
+	before := c.holder.Traffic()
+	time.Sleep(1200 * time.Millisecond)
+	after := c.holder.Traffic()
+	mu.Lock()
+	defer mu.Unlock()
+	if sent := int(after.sent - before.sent); count == 0 || count*2 > sent {
+		t.Errorf("%d of %d heartbeats carried unchanged versions, want about a quarter", count, sent)
+	}
 }
 
 // TestHeartbeatSize guards against heartbeats that exceed the bytes a node may spend.
--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -70,7 +70,6 @@
 }
 
 func (e *Endpoint) beat() {
-	versions := e.versions()
 	e.mu.Lock()
 	// The sending time is read as late as possible, since the lease runs from it.
 	now := time.Now()
@@ -87,6 +86,10 @@
 		conns[i] = e.flow(heartbeat.Witness, now)
 	}
 	e.mu.Unlock()
+	if len(heartbeats) == 0 {
+		return
+	}
+	versions := e.heartbeatVersions(heartbeats[0].Sequence, now)
 	for i, heartbeat := range heartbeats {
 		if conns[i] == nil {
 			continue
--- a/heartbeat/options.go
+++ b/heartbeat/options.go
@@ -28,8 +28,9 @@
 // WithTiming sets the timing, which must be the same in the whole deployment.
 func WithTiming(timing witness.Timing) Option { return func(c *config) { c.timing = timing } }
 
-// WithVersions sets the source of the versions that are sent with each heartbeat and acknowledgement. It is called from
-// several goroutines.
+// WithVersions sets the source of the versions that are sent to the witnesses and to the holders that this instance
+// witnesses, at once after a change and then about every fourth interval. It is called from several goroutines and must
+// return a new message after a change; a message that it has returned must not be modified.
 func WithVersions(versions func() *peer.Versions) Option {
 	return func(c *config) { c.versions = versions }
 }
