--- a/heartbeat/measure_test.go
+++ b/heartbeat/measure_test.go
@@ -149,7 +149,9 @@
 	}
 	const kills, atOnce = 200, 20
 	for _, timing := range []witness.Timing{
-		{}, witness.NewTiming(600*time.Millisecond, 200*time.Millisecond, 0), witness.NewTiming(400*time.Millisecond, 100*time.Millisecond, 0),
+		{},
+		witness.NewTiming(600*time.Millisecond, 200*time.Millisecond, 0),
+		witness.NewTiming(400*time.Millisecond, 100*time.Millisecond, 0),
 	} {
 		t.Run(fmt.Sprint(timing.Lease(), timing.Interval()), func(t *testing.T) {
 			histogram := hdrhistogram.New(1, 10_000_000, 3)
