Report each expiry and each change of the own lease

A witness that had confirmed an expiry to one successor before its timer fired didn't notify the others. An expiry that was noticed while a heartbeat was built wasn't reported to the holder's instance.

--- a/heartbeat/cluster_test.go
+++ b/heartbeat/cluster_test.go
@@ -273,3 +273,13 @@
 	}
 	return ""
 }
+
+// expectExpiry waits until a witness reports the expiry.
+func (c *cluster) expectExpiry(t *testing.T) {
+	t.Helper()
+	select {
+	case <-c.expiries:
+	case <-time.After(5 * time.Second):
+		t.Fatal("no witness reported the expiry")
+	}
+}
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -55,16 +55,22 @@
 			c := newCluster(t, witness.Timing{}, false)
 			c.acquire(t)
 			time.Sleep(200 * time.Millisecond)
-			start := time.Now()
 			test.cut(c.links)
+			start := time.Now()
 			// The calls are cut too, so that the lease isn't re-acquired during the cut.
 			for _, l := range c.links {
 				l.calls.Store(test.expires)
 			}
 			lease := c.holder.Lease()
 			if test.expires {
-				await(t, 2*time.Second, "expiry", func() bool { return !lease.Valid() })
-				if took := time.Since(start); took > witness.DefaultLease+20*time.Millisecond || took < witness.DefaultLease/2 {
+				expires := lease.Expires()
+				await(t, 2*time.Second, "expiry", func() bool {
+					if at := lease.Expires(); !at.IsZero() {
+						expires = at
+					}
+					return !lease.Valid()
+				})
+				if took := expires.Sub(start); took > witness.DefaultLease || took < witness.DefaultLease/2 {
 					t.Errorf("expired after %v, want at most %v", took, witness.DefaultLease)
 				}
 				c.expect(t, false)
@@ -117,7 +123,7 @@
 			if c.holder.Lease().Valid() {
 				t.Error("the lease is valid after the proof of its expiry")
 			}
-			<-c.expiries
+			c.expectExpiry(t)
 			for _, l := range c.links {
 				l.cut(false)
 			}
@@ -161,7 +167,7 @@
 	if took := time.Since(start); !expired || err != nil || took > 200*time.Millisecond {
 		t.Errorf("proof after a release: got %v, %v after %v", expired, err, took)
 	}
-	<-c.expiries
+	c.expectExpiry(t)
 	if reason := c.expect(t, false); reason != "resigned" {
 		t.Errorf("reason: got %q", reason)
 	}
@@ -267,12 +273,16 @@
 
 // BenchmarkLeaseValid measures the check on the request path.
 func BenchmarkLeaseValid(b *testing.B) {
-	e := New(member.NewIncarnation("o-0", 1))
-	term := witness.Term{}
-	e.term.Store(&term)
+	e := New(member.NewIncarnation("o-0", 1), WithTiming(witness.NewTiming(time.Hour, time.Minute, 0)))
+	if err := e.SetWitnesses([]Target{NewTarget("o-0", "")}); err != nil {
+		b.Fatal(err)
+	}
+	e.beat()
 	lease := e.Lease()
 	b.ReportAllocs()
 	for b.Loop() {
-		lease.Valid()
+		if !lease.Valid() {
+			b.Fatal("the lease is not valid")
+		}
 	}
 }
--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -63,9 +63,9 @@
 func (e *Endpoint) look(now time.Time) (witness.State, time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.holder.State() == witness.Valid && !e.holder.Valid(now) {
-		e.publish()
-	}
+	// Any call of the holder may have noticed the expiry.
+	e.holder.Valid(now)
+	e.publish()
 	return e.holder.State(), e.holder.Expires()
 }
 
@@ -79,12 +79,12 @@
 		if heartbeat.Witness == e.self.Slot() {
 			if ack, ok := e.witness.Heartbeat(heartbeat, now); ok {
 				e.holder.Acknowledge(ack, now)
-				e.publish()
 			}
 			continue
 		}
 		conns[i] = e.flow(heartbeat.Witness, now)
 	}
+	e.publish()
 	e.mu.Unlock()
 	if len(heartbeats) == 0 {
 		return
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -127,7 +127,7 @@
 	if left := r.acked.Add(w.wait()).Sub(now); left > 0 && r.resigned.IsZero() {
 		return Confirmation{Run: r.run, Wait: left}
 	}
-	r.confirmed, r.reported = now, true
+	r.confirmed = now
 	answer := Confirmation{Run: r.run, Expired: true}
 	if w.rules.forgetAtOnce {
 		delete(w.records, holder)
@@ -182,7 +182,8 @@
 }
 
 // Expired returns the holders whose leases have expired since the last call, so that successors can be notified. It
-// doesn't confirm the expiry: a holder that nobody claims may return. It also drops old records.
+// doesn't confirm the expiry: a holder that nobody claims may return. A holder whose expiry was confirmed to one successor
+// before is reported too, since it may have others. The call also drops old records.
 func (w *Witness) Expired(now time.Time) []member.Incarnation {
 	var expired []member.Incarnation
 	for holder, r := range w.records {
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -31,6 +31,23 @@
 	}
 }
 
+// TestReportAfterConfirmation guards against successors that are never notified because another one asked first.
+func TestReportAfterConfirmation(t *testing.T) {
+	now := time.Now()
+	w := NewWitness(member.NewIncarnation("w-0", 1), Timing{}, 1, now)
+	holder := member.NewIncarnation("o-0", 1)
+	now = w.SilentUntil()
+	w.Heartbeat(Heartbeat{Holder: holder, Sequence: 1}, now)
+	now = now.Add(Timing{}.Wait())
+	if !w.ConfirmExpiry(holder, now).Expired {
+		t.Fatal("the expiry was not confirmed")
+	}
+	first, second := w.Expired(now), w.Expired(now)
+	if len(first) != 1 || len(second) != 0 {
+		t.Errorf("reports: got %d, then %d, want 1, then 0", len(first), len(second))
+	}
+}
+
 // TestReadings guards against a suspended machine's lease that outlives its time on the wall clock, and against a wall
 // clock that is set back and prolongs a lease.
 func TestReadings(t *testing.T) {
