--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestExpiryNoticedLate guards against an expiry that is noticed while a heartbeat is built and never reported.
+func TestExpiryNoticedLate(t *testing.T) {
+	t.Parallel()
+	e := New(member.NewIncarnation("o-0", 1), WithTiming(witness.NewTiming(20*time.Millisecond, 5*time.Millisecond, 0)))
+	if err := e.SetWitnesses([]Target{NewTarget("o-0", "")}); err != nil {
+		t.Fatal(err)
+	}
+	e.beat()
+	time.Sleep(30 * time.Millisecond)
+	e.beat()
+	if len(e.changes) != 2 || e.changes[1].generation != 0 || e.Lease().Generation() != 0 {
+		t.Errorf("changes %v, generation %d, want an acquisition and an expiry", e.changes, e.Lease().Generation())
+	}
+}
+
 // TestTakeover guards against an expiry that is confirmed while the lease is valid, one that can't be proved in time,
 // and a holder that returns after the proof.
 func TestTakeover(t *testing.T) {
