--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -49,6 +49,7 @@
 	flows   map[string]*flow
 	changes []change
 	seen    change
+	stopped bool
 
 	term    atomic.Pointer[witness.Term]
 	lost    atomic.Bool
@@ -122,15 +123,15 @@
 	}
 }
 
-// Run serves until ctx ends or the UDP address fails. An endpoint runs once.
+// Run serves until ctx ends or the UDP address fails. An endpoint runs once; calls to it fail afterwards.
 func (e *Endpoint) Run(ctx context.Context) error {
 	if _, err := e.Listen(); err != nil {
 		return err
 	}
+	defer e.stop()
 	group, ctx := errgroup.WithContext(ctx)
 	e.group = group
-	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
-	defer stop()
+	defer context.AfterFunc(ctx, func() { _ = e.conn.Close() })()
 	group.Go(func() error { return e.receive() })
 	group.Go(func() error { return e.watch(ctx) })
 	group.Go(func() error { return e.report(ctx) })
@@ -138,6 +139,12 @@
 	return group.Wait()
 }
 
+func (e *Endpoint) stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+}
+
 // receive acknowledges the heartbeats of others.
 func (e *Endpoint) receive() error {
 	buffer := make([]byte, maxDatagram)
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -263,7 +263,8 @@
 	t.Logf("%d bytes", len(datagram))
 }
 
-// TestRefusedInput guards against malformed datagrams and calls, and against a change of the witnesses.
+// TestRefusedInput guards against malformed datagrams and calls, a change of the witnesses, and calls that are answered
+// after the end, when the next endpoint may run in the same slot.
 func TestRefusedInput(t *testing.T) {
 	t.Parallel()
 	e := New(member.NewIncarnation("o-0", 1))
@@ -284,6 +285,14 @@
 	if first != nil || moved != nil || !errors.Is(other, witness.ErrWitnessesFixed) {
 		t.Errorf("witnesses: got %v, %v, %v", first, moved, other)
 	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := e.Run(ended); err != nil {
+		t.Errorf("run: %v", err)
+	}
+	if _, err := e.ConfirmExpiry(t.Context(), &peer.ConfirmExpiryRequest{Holder: toWire(e.self)}); err == nil {
+		t.Error("a stopped endpoint answered")
+	}
 }
 
 // BenchmarkLeaseValid measures the check on the request path.
--- a/heartbeat/server.go
+++ b/heartbeat/server.go
@@ -12,12 +12,12 @@
 
 // ConfirmExpiry answers a successor that asks whether a lease has expired.
 func (e *Endpoint) ConfirmExpiry(_ context.Context, request *peer.ConfirmExpiryRequest) (*peer.ConfirmExpiryResponse, error) {
-	holder, err := holderOf(request.GetHolder())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holder, err := e.admit(request.GetHolder())
 	if err != nil {
 		return nil, err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	confirmation := e.witness.ConfirmExpiry(holder, time.Now())
 	wait := (confirmation.Wait + time.Millisecond - 1) / time.Millisecond
 	return &peer.ConfirmExpiryResponse{
@@ -27,30 +27,35 @@
 
 // Reacquire votes in a round by which a holder re-acquires its expired lease.
 func (e *Endpoint) Reacquire(_ context.Context, request *peer.ReacquireRequest) (*peer.ReacquireResponse, error) {
-	holder, err := holderOf(request.GetHolder())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holder, err := e.admit(request.GetHolder())
 	if err != nil {
 		return nil, err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	vote := e.witness.Reacquire(holder, request.GetRound(), time.Now())
 	return &peer.ReacquireResponse{Witness: vote.Witness, Run: vote.Run, Round: vote.Round, Granted: vote.Granted}, nil
 }
 
 // Resign notes that a holder has given up its lease.
 func (e *Endpoint) Resign(_ context.Context, request *peer.ResignRequest) (*peer.ResignResponse, error) {
-	holder, err := holderOf(request.GetHolder())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holder, err := e.admit(request.GetHolder())
 	if err != nil {
 		return nil, err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.witness.Resign(holder, time.Now())
 	wake(e.witnessWake)
 	return &peer.ResignResponse{}, nil
 }
 
-func holderOf(i *peer.Incarnation) (member.Incarnation, error) {
+// admit returns the holder that a call names. A stopped endpoint answers nothing: the next one in the same slot is
+// another run of this witness, and two runs at once could support both a lease and a takeover. The lock is held.
+func (e *Endpoint) admit(i *peer.Incarnation) (member.Incarnation, error) {
+	if e.stopped {
+		return member.Incarnation{}, twirp.Unavailable.Error("the heartbeat endpoint is stopped")
+	}
 	if i.GetSlot() == "" || i.GetNumber() == 0 {
 		return member.Incarnation{}, twirp.RequiredArgumentError("holder")
 	}
