Send responses to uploads that are still being read

HTTP/1.1 servers read the rest of a body before the response begins unless full duplex is switched on; a streamed upload whose response began early was stuck until its deadline.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -281,6 +281,25 @@
 
 func (refusing) Retry() bool { return false }
 
+// lapsing is a Limiter during whose wait the lease expires.
+type lapsing struct{ lapse func() }
+
+func (l lapsing) Acquire(context.Context, int, time.Time) (func(time.Duration, bool), error) {
+	l.lapse()
+	return func(time.Duration, bool) {}, nil
+}
+
+// TestLeaseLostWhileWaiting guards against a request that is handed to the upstream after the lease has expired.
+func TestLeaseLostWhileWaiting(t *testing.T) {
+	c := newCluster(t, 1, testSettings{options: []Option{WithHold(50 * time.Millisecond)}})
+	i := c.instances[0]
+	i.server.limiter = lapsing{i.lapse}
+	a := i.send(t.Context(), sending{method: "POST", path: "/plain/k", id: "x", body: "b"})
+	if a.code != code.NoOwner || a.ran != code.RanNo || c.effects("x") != 0 {
+		t.Fatalf("%v: %d effects", a, c.effects("x"))
+	}
+}
+
 // TestLimits guards against requests that pass a limit, and against "not run" for an unknown outcome after the budget for
 // retries is spent.
 func TestLimits(t *testing.T) {
--- a/caller/path_test.go
+++ b/caller/path_test.go
@@ -1,9 +1,13 @@
 package caller
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"sapphiretray/code"
 	"sapphiretray/fake"
@@ -72,5 +76,42 @@
 				t.Fatalf("%s, %s: no error after %d bytes, status %d", name, mode, len(a.body), a.status)
 			}
 		}
+		c.instances[0].upstream.SetFault(fake.UpstreamFault{Fault: fake.Fault{Mode: fake.CloseMidway, Count: 1}})
+		a = i.send(t.Context(), sending{method: http.MethodGet, path: "/read/k?bytes=1000000&chunked=1"})
+		if a.err == nil || a.status != http.StatusOK {
+			t.Fatalf("%s, without a length: no error after %d bytes, status %d", name, len(a.body), a.status)
+		}
+	}
+}
+
+// TestLeaseLostInDownload guards against the rest of a response that is delivered after the lease has expired.
+func TestLeaseLostInDownload(t *testing.T) {
+	c := newCluster(t, 2, testSettings{})
+	reader, writer := io.Pipe()
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.instances[1].url+"/plain/k?echo=1", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := fake.Payload(SmallBody * 2)
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = writer.Write(part) })
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, part); err != nil {
+		t.Fatal(err)
+	}
+	c.instances[0].lapse()
+	group.Go(func() {
+		_, _ = writer.Write(part)
+		_ = writer.Close()
+	})
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Errorf("response ended in order after %d more bytes", n)
 	}
+	_ = resp.Body.Close()
+	group.Wait()
 }
--- a/caller/query.go
+++ b/caller/query.go
@@ -133,7 +133,7 @@
 }
 
 // readPrefix reads the first bytes of the body.
-func (q *query) readPrefix() error {
+func (q *query) readPrefix(w http.ResponseWriter) error {
 	r := q.request
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
@@ -155,6 +155,8 @@
 		q.rest = &boundedReader{reader: r.Body, left: limit - int64(len(prefix))}
 	}
 	q.consumed = &flagReader{reader: q.rest}
+	// Without this, the HTTP/1.1 server reads the rest of the body itself before it sends the response.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	return nil
 }
 
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -60,7 +60,7 @@
 	if q.forwarded {
 		return s.serveForwarded(ctx, w, q)
 	}
-	if err := q.readPrefix(); err != nil {
+	if err := q.readPrefix(w); err != nil {
 		return failed(err)
 	}
 	s.budget.Attempt()
@@ -74,7 +74,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	if err := q.readPrefix(); err != nil {
+	if err := q.readPrefix(w); err != nil {
 		admission.Done()
 		return failed(err)
 	}
--- a/fake/serve.go
+++ b/fake/serve.go
@@ -180,7 +180,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Sapphire-Ran", "yes")
-	u.faults.write(w, body)
+	u.faults.write(w, body, r.URL.Query().Get("chunked") != "")
 }
 
 func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
--- a/fake/upstream_faults.go
+++ b/fake/upstream_faults.go
@@ -106,13 +106,15 @@
 	})
 }
 
-// write sends the response with the current fault.
-func (f *upstreamFaults) write(w http.ResponseWriter, body []byte) {
+// write sends the response with the current fault, in chunks if the length isn't to be announced.
+func (f *upstreamFaults) write(w http.ResponseWriter, body []byte, chunked bool) {
 	mode, _ := f.take(CloseBefore, CloseMidway, Truncate)
 	if mode == CloseBefore {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	switch mode {
 	case CloseMidway:
 		_, _ = w.Write(body[:len(body)/2])
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -249,6 +249,11 @@
 			u, c := start(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 			defer cancel()
+			var group sync.WaitGroup
+			for range 6 {
+				group.Go(func() { _, _ = c.Probe(ctx) }) // Leaves several idle connections.
+			}
+			group.Wait()
 			begun := time.Now()
 			probes, down := 0, false
 			c.Watch(ctx, func(p upstream.Probe) {
