Hold requests while an upstream starts cold, is drained or refuses connections

A refused connection takes one retry from the budget per request and not one per paced attempt, so that a lost upstream doesn't use up the budget before a successor serves.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -323,3 +323,32 @@
 		}
 	}
 }
+
+// TestUpstreamNotReady guards against requests that fail although the upstream becomes ready, or its keys get another
+// owner, within the time to hold them.
+func TestUpstreamNotReady(t *testing.T) {
+	tests := []struct {
+		name     string
+		settings []fake.UpstreamOption
+		change   func(*testing.T, *testCluster)
+	}{
+		{"cold start", []fake.UpstreamOption{fake.WithColdStart(200 * time.Millisecond)}, nil},
+		{"drained", nil, func(t *testing.T, c *testCluster) {
+			t.Helper()
+			if err := c.instances[0].client.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(100*time.Millisecond, func() { c.takeOver(t, c.instances[0], c.instances[1]) })
+		}},
+	}
+	for _, test := range tests {
+		c := newCluster(t, 2, testSettings{upstream: test.settings})
+		if test.change != nil {
+			test.change(t, c)
+		}
+		a := c.instances[1].send(t.Context(), sending{method: "POST", path: "/plain/k", id: "x", body: "b"})
+		if a.code != code.OK || c.effects("x") != 1 {
+			t.Errorf("%s: %v", test.name, a)
+		}
+	}
+}
--- a/caller/hold.go
+++ b/caller/hold.go
@@ -18,6 +18,8 @@
 	members int
 	delay   time.Duration
 	started time.Time
+	// paid tells that a retry was taken from the budget.
+	paid bool
 }
 
 // next moves on to the next member and returns false after the last.
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -145,13 +145,14 @@
 	if err := ctx.Err(); err != nil {
 		return false, ended(a, err)
 	}
-	if kind == retryBudget {
+	if kind == retryBudget || kind == retryOnce && !h.paid {
 		if !s.budget.Retry() {
 			if a.notRun() {
 				return false, code.New(code.RetryBudget, "after %s", a.code)
 			}
 			return false, nil
 		}
+		h.paid = true
 		s.metrics.retries.Inc()
 	}
 	if kind == retryNext && h.next() {
@@ -183,6 +184,9 @@
 	retryNext
 	// retryHold waits for the partition's owner.
 	retryHold
+	// retryOnce waits like retryHold, but takes a retry from the budget the first time. Later attempts are paced and meet
+	// an upstream that refuses connections, so they cost it nothing until a successor serves.
+	retryOnce
 	// retryBudget waits and takes a retry from the budget, as the attempt may have cost an upstream work.
 	retryBudget
 )
@@ -194,10 +198,10 @@
 	switch a.code {
 	case code.NotOwner:
 		return retryNext
-	case code.NoOwner, code.Moved, code.Draining:
+	case code.NoOwner, code.Moved, code.Draining, code.UpstreamNotWarmed:
 		return retryHold
-	case code.UpstreamRefused, code.UpstreamNotWarmed:
-		return retryBudget
+	case code.UpstreamRefused:
+		return retryOnce
 	case code.PeerFailed:
 		if a.notRun() {
 			return retryNext
--- a/fake/serve.go
+++ b/fake/serve.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"sapphiretray/code"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -53,7 +55,10 @@
 	ctx, cancel := deadline(r)
 	defer cancel()
 	c := u.call(r)
-	if status := u.refusal(c); status != 0 {
+	if status, number := u.refusal(c); status != 0 {
+		if number != 0 {
+			w.Header().Set("Sapphire-Code", strconv.Itoa(int(number)))
+		}
 		reject(w, status)
 		return
 	}
@@ -75,20 +80,23 @@
 	return c
 }
 
-// refusal returns the status with which a request is rejected on arrival, or 0.
-func (u *Upstream) refusal(c *call) int {
+// refusal returns the status and the result code, if any, with which a request is rejected on arrival, or status 0.
+func (u *Upstream) refusal(c *call) (int, code.Code) {
 	if !u.granted(c.partition, c.fence) {
-		return http.StatusConflict
+		return http.StatusConflict, 0
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.draining || !u.warm() {
-		return http.StatusServiceUnavailable
-	}
-	if u.shedAbove > 0 && u.queued >= u.shedAbove {
-		return http.StatusTooManyRequests
+	switch {
+	case u.draining:
+		return http.StatusServiceUnavailable, code.Draining
+	case !u.warm():
+		return http.StatusServiceUnavailable, code.UpstreamNotWarmed
+	case u.shedAbove > 0 && u.queued >= u.shedAbove:
+		return http.StatusTooManyRequests, 0
+	default:
+		return 0, 0
 	}
-	return 0
 }
 
 func (u *Upstream) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
