--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -352,3 +354,37 @@
 		}
 	}
 }
+
+// TestStuckCaller guards against a caller that neither sends nor reads and keeps a partition from being handed over.
+func TestStuckCaller(t *testing.T) {
+	tests := map[string]string{
+		"body never ends":       "PUT /read/k HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc",
+		"large body never ends": "PUT /read/k HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nabc",
+		"response is not read":  "GET /read/k?bytes=50000000 HTTP/1.1\r\nHost: h\r\n\r\n",
+	}
+	for name, request := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, testSettings{timeout: 300 * time.Millisecond})
+			i := c.instances[0]
+			conn, err := net.Dial("tcp", strings.TrimPrefix(i.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := conn.Write([]byte(request)); err != nil {
+				t.Fatal(err)
+			}
+			for start := time.Now(); i.server.InFlight() == 0 && time.Since(start) < time.Second; {
+				time.Sleep(time.Millisecond)
+			}
+			start := time.Now()
+			for i.server.InFlight() > 0 {
+				time.Sleep(10 * time.Millisecond)
+				if time.Since(start) > 2*time.Second {
+					t.Fatal("still in flight")
+				}
+			}
+		})
+	}
+}
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -33,6 +33,9 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
 	maxStreams        = 10_000
+	// stuckSlack is the time after a request's deadline for which a caller that neither sends nor reads is borne. It keeps
+	// a reached deadline from looking like a caller that left.
+	stuckSlack = 200 * time.Millisecond
 	// continueTimeout is the time that the owner has to ask for a large body before it is sent unasked.
 	continueTimeout = 2 * time.Second
 	// connectTimeout is well below the lease, so that a lost host is noticed before its successor may serve.
--- a/caller/query.go
+++ b/caller/query.go
@@ -140,6 +140,9 @@
 	}
 	limit := q.route.MaxBodyBytes()
 	prefix, err := io.ReadAll(io.LimitReader(r.Body, SmallBody+1))
+	if err != nil && !time.Now().Before(q.deadline) {
+		return code.Wrap(code.TooLate, err, "read the request's body")
+	}
 	if err != nil {
 		return code.Wrap(code.CallerGone, err, "read the request's body")
 	}
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -57,6 +57,9 @@
 	defer s.metrics.inFlight.Dec()
 	ctx, cancel := context.WithDeadline(q.request.Context(), q.deadline)
 	defer cancel()
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(q.deadline.Add(stuckSlack))
+	_ = controller.SetWriteDeadline(q.deadline.Add(stuckSlack))
 	if q.forwarded {
 		return s.serveForwarded(ctx, w, q)
 	}
