--- a/caller/body.go
+++ b/caller/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
@@ -24,11 +25,19 @@
 	return n, err
 }
 
-// copyBody sends a response's body to the caller and flushes each part. It checks before each part that the response may
+const bufferSize = 32 << 10
+
+// buffers are shared by requests, so that a small request allocates none.
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// copyBody sends a response's body to the caller and flushes each part but the last. It checks before each part that the response may
 // still be used. The result is nil only if the body was complete.
-func copyBody(w http.ResponseWriter, body io.Reader, usable func() bool) error {
+func copyBody(w http.ResponseWriter, body io.Reader, length int64, usable func() bool) error {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, 32<<10)
+	pooled := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
+	sent := int64(0)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
@@ -45,7 +54,8 @@
 		if err != nil {
 			return err
 		}
-		if n < len(buffer) {
+		sent += int64(n)
+		if n < len(buffer) && sent != length {
 			_ = controller.Flush()
 		}
 	}
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -128,7 +128,7 @@
 	stripHop(resp.Header)
 	stripOwn(resp.Header)
 	writeHeader(w, q, resp.StatusCode, resp.Header, resp.ContentLength)
-	err := copyBody(w, resp.Body, func() bool { return true })
+	err := copyBody(w, resp.Body, resp.ContentLength, func() bool { return true })
 	if err == nil {
 		copyTrailer(w.Header(), resp.Trailer)
 		return result{reply: reply{code: code.OK, ran: code.RanYes}, written: true, path: pathForwarded}
--- a/caller/local.go
+++ b/caller/local.go
@@ -151,7 +151,7 @@
 	ctx context.Context, w http.ResponseWriter, q *query, admission Admission, resp *upstream.Response, start []byte, guard *Run,
 ) result {
 	writeHeader(w, q, resp.Status, resp.Header, resp.ContentLength)
-	err := copyBody(w, io.MultiReader(bytes.NewReader(start), resp.Body), admission.Valid)
+	err := copyBody(w, io.MultiReader(bytes.NewReader(start), resp.Body), resp.ContentLength, admission.Valid)
 	if err == nil {
 		copyTrailer(w.Header(), resp.Trailer())
 		return result{reply: reply{code: code.OK, ran: code.RanYes}, written: true, path: pathLocal}
