--- a/placement/successors.go
+++ b/placement/successors.go
@@ -83,6 +83,9 @@
 	best, grade := s.present(p, kept)
 	present := best != none
 	for dc := range s.dcs {
+		if s.dcs[dc].region != s.nodes[kept[0]].record.Region {
+			continue
+		}
 		shared := s.shared(dc, kept)
 		if best != none && (shared > grade || present && shared == grade) {
 			continue
@@ -129,14 +132,14 @@
 
 func (s *state) duty(n int32) float64 { return s.nodes[n].duty / s.nodes[n].capacity }
 
-// leastDuty returns the member of a data centre with the least duty that isn't kept yet, or none. All members of a data
-// centre are in one region, so only the kept ones need to be looked past.
+// leastDuty returns the member of a data centre with the least duty that isn't kept yet, or none. Only the kept ones
+// need to be looked past.
 func (s *state) leastDuty(p, dc int, kept []int32) int32 {
-	if s.dcs[dc].region != s.nodes[kept[0]].record.Region {
-		return none
-	}
 	best, least := int32(none), ranked{}
 	entries := s.byDuty[dc].entries
+	if len(entries) > 0 && s.permits(p, entries[0].node) && !slices.Contains(kept, entries[0].node) {
+		return entries[0].node
+	}
 	for _, e := range entries[:min(len(entries), heapLayers)] {
 		if s.permits(p, e.node) && !slices.Contains(kept, e.node) && (best == none || e.before(least)) {
 			best, least = e.node, e
