--- a/placement/state.go
+++ b/placement/state.go
@@ -240,14 +240,13 @@
 		old.load -= s.loads[p]
 		s.fix(ranks[0])
 	}
-	kept := []int32{n}
-	for _, other := range append(ranks[1:len(ranks):len(ranks)], ranks[0]) {
+	next := [partition.Replicas]int32{n, none, none}
+	kept := next[:1]
+	for _, other := range [...]int32{ranks[1], ranks[2], ranks[0]} {
 		if other != none && other != n && len(kept) < partition.Replicas && s.fits(kept, other) {
 			kept = append(kept, other)
 		}
 	}
-	next := [partition.Replicas]int32{none, none, none}
-	copy(next[:], kept)
 	s.setSuccessors(p, next)
 	s.nodes[n].owned = append(s.nodes[n].owned, int32(p))
 	s.nodes[n].load += s.loads[p]
