--- a/caller/caller.go
+++ b/caller/caller.go
@@ -29,7 +29,7 @@
 
 // Owner decides which partitions of the local service this incarnation may serve now.
 type Owner interface {
-	// Admit returns an error that carries code.NotOwner, code.Moved, code.NoOwner, code.Draining or code.LeaseLapsed if the
+	// Admit returns an error that carries code.NotOwner, code.Moved, code.NoOwner, code.Draining or code.LeaseExpired if the
 	// partition may not be served now.
 	Admit(partition int) (Admission, error)
 }
--- a/caller/local.go
+++ b/caller/local.go
@@ -129,7 +129,7 @@
 		small, readErr = io.ReadAll(io.LimitReader(resp.Body, MaxStoredBody+1))
 	}
 	if !admission.Valid() {
-		return result{reply: replyOf(code.New(code.LeaseLapsed, "lease expired while request %s ran", q.id)), path: pathLocal}
+		return result{reply: replyOf(code.New(code.LeaseExpired, "lease expired while request %s ran", q.id)), path: pathLocal}
 	}
 	if readErr != nil {
 		claim.Ran(resp.Status)
@@ -159,7 +159,7 @@
 	a := replyOf(err)
 	switch {
 	case errors.Is(err, errLeaseLost):
-		a.code = code.LeaseLapsed
+		a.code = code.LeaseExpired
 	case q.request.Context().Err() != nil:
 		a.code = code.CallerGone
 	default:
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -99,7 +99,7 @@
 		return admission, nil
 	}
 	c, ok := code.Of(err)
-	if !ok || c == code.LeaseLapsed {
+	if !ok || c == code.LeaseExpired {
 		// The code of an expired lease says that a request may have run; this one has not.
 		return nil, code.Wrap(code.NoOwner, err, "partition %d", q.partition)
 	}
@@ -209,7 +209,7 @@
 		if a.notRun() {
 			return retryNext
 		}
-	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseLapsed:
+	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired:
 	default:
 		return retryNever
 	}
--- a/code/code.go
+++ b/code/code.go
@@ -33,13 +33,13 @@
 	BadToken   Code = 1105
 	TooLarge   Code = 1106
 
-	NotOwner    Code = 1201
-	NoOwner     Code = 1202
-	Moved       Code = 1203
-	TokenNeeded Code = 1204
-	TokenTooOld Code = 1205
-	AlreadyRun  Code = 1206
-	LeaseLapsed Code = 1207
+	NotOwner     Code = 1201
+	NoOwner      Code = 1202
+	Moved        Code = 1203
+	TokenNeeded  Code = 1204
+	TokenTooOld  Code = 1205
+	AlreadyRun   Code = 1206
+	LeaseExpired Code = 1207
 
 	Shed        Code = 1301
 	TooLate     Code = 1302
@@ -108,7 +108,7 @@
 		"This attempt did not run; an earlier one with the same id may have. Check before using a new id.",
 	},
 	{AlreadyRun, "already-run", http.StatusConflict, RanYes, "A request with this id ran before; its answer is no longer kept."},
-	{LeaseLapsed, "lease-lapsed", http.StatusGatewayTimeout, RanUnknown, "The owner lost its lease while the request ran."},
+	{LeaseExpired, "lease-expired", http.StatusGatewayTimeout, RanUnknown, "The owner lost its lease while the request ran."},
 	{Shed, "shed", http.StatusTooManyRequests, RanNo, "The upstream is overloaded. Repeat after the time in Retry-After."},
 	{TooLate, "too-late", http.StatusServiceUnavailable, RanNo, "The deadline passed before the request could start."},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, RanNo, "This request crashed upstreams and is refused for a time."},
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -96,7 +96,7 @@
 	}
 	subject, to := partitionName(e.Service, e.Partition), e.New.String()
 	if e.Kind == planner.Expired {
-		subject, to = e.Old.String(), string(member.Lapsed)
+		subject, to = e.Old.String(), string(member.Expired)
 	}
 	i.log.Add(timeline.Event{Chart: "planner", Subject: subject, From: e.Old.String(), To: to, Trigger: trigger, Reason: e.Reason})
 	select {
--- a/member/member.go
+++ b/member/member.go
@@ -83,12 +83,12 @@
 	Draining State = "draining"
 	// Left means that the incarnation stopped and serves nothing.
 	Left State = "left"
-	// Lapsed means that witnesses have proved the lease lapsed and it was not re-acquired.
-	Lapsed State = "lapsed"
+	// Expired means that witnesses have proved the lease expired and it was not re-acquired.
+	Expired State = "expired"
 )
 
 // Gone reports whether an incarnation in this state never serves again.
-func (s State) Gone() bool { return s == Left || s == Lapsed }
+func (s State) Gone() bool { return s == Left || s == Expired }
 
 // Record is an incarnation's row in the table service, under the key "slot/<slot>".
 type Record struct {
--- a/planner/step.go
+++ b/planner/step.go
@@ -109,20 +109,20 @@
 	if err != nil {
 		return nil, err
 	}
-	var lapsed []expiry
+	var expired []expiry
 	for _, row := range rows {
 		var record member.Record
 		if err := json.Unmarshal(row.Value, &record); err != nil {
 			klog.ErrorS(err, "planner: a member's record is unreadable", "row", row.Key)
 			continue
 		}
-		if !record.State.Gone() && len(lapsed) < expiredAtOnce && p.expired(ctx, record) {
-			lapsed = append(lapsed, expiry{row, record})
+		if !record.State.Gone() && len(expired) < expiredAtOnce && p.expired(ctx, record) {
+			expired = append(expired, expiry{row, record})
 			continue
 		}
 		v.records[record.Service] = append(v.records[record.Service], record)
 	}
-	return v, p.recordExpired(ctx, v, lapsed)
+	return v, p.recordExpired(ctx, v, expired)
 }
 
 // expiry is a record of a member whose lease is proved to have expired.
@@ -137,7 +137,7 @@
 	for len(expiries) > 0 {
 		var transaction table.Transaction
 		for _, e := range expiries {
-			e.record.State = member.Lapsed
+			e.record.State = member.Expired
 			value, err := json.Marshal(e.record)
 			if err != nil {
 				return err
@@ -155,7 +155,7 @@
 			return err
 		}
 		for _, e := range expiries {
-			e.record.State = member.Lapsed
+			e.record.State = member.Expired
 			v.records[e.record.Service] = append(v.records[e.record.Service], e.record)
 			p.report(Event{
 				Service: e.record.Service, Kind: Expired, Old: e.record.Incarnation, Reason: "witnesses proved that its lease expired",
