--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	startTimeout  = 20 * time.Second
+	startTimeout  = time.Minute
 	pollInterval  = 20 * time.Millisecond
 	headerTimeout = 5 * time.Second
 )
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -9,7 +9,9 @@
 
 	"sapphiretray/config"
 	"sapphiretray/fake"
+	"sapphiretray/object"
 	"sapphiretray/partition"
+	"sapphiretray/sheet"
 )
 
 const (
@@ -27,6 +29,15 @@
   "routes": [{"prefix": "/bookings", "service": "bookings", "key": "path:2", "importance": 5, "timeout": "5s"}]
 }`
 
+const showSheet = `kind,service,name,data_centre,value,reason
+service,bookings,,,16,island bookings
+place,bookings,north-1,north,4,large machine
+place,bookings,central-1,central,2,medium machine
+place,bookings,south-1,south,1,small machine
+weight,bookings,churn,,3,each move may lose a booking
+budget,bookings,,,30,at most 30 moves a minute
+`
+
 // ShowSpecs are three instances whose upstreams differ in speed and size.
 func ShowSpecs() []Spec {
 	upstream := func(slots int, service time.Duration) []fake.UpstreamOption {
@@ -91,6 +102,9 @@
 		return s.report, err
 	}
 	s.say("all %d partitions of %s are served", showPartitions, showService)
+	if err := s.acceptSheet(ctx); err != nil {
+		return s.report, err
+	}
 	if err := s.requests(ctx, "before"); err != nil {
 		return s.report, err
 	}
@@ -108,6 +122,22 @@
 	_, _ = fmt.Fprintf(s.Out, "demo: "+format+"\n", args...)
 }
 
+// acceptSheet accepts the sample sheet and prints what it changes.
+func (s *Scenario) acceptSheet(ctx context.Context) error {
+	platform := sheet.Platform{Table: s.Deployment.table, Object: object.New(s.Deployment.PlatformURL())}
+	accepted, changes, err := sheet.Accept(ctx, platform, sheet.Request{
+		Content: []byte(showSheet), Mode: sheet.Apply, By: "demo", Why: "sample sheet",
+	})
+	if err != nil {
+		return err
+	}
+	s.say("sheet version %d is accepted with %d changes:", accepted.Version, len(changes))
+	for _, line := range sheet.Lines(changes) {
+		s.say("  %s", line)
+	}
+	return nil
+}
+
 // requests books once per key, each through an instance that doesn't own the key.
 func (s *Scenario) requests(ctx context.Context, label string) error {
 	m, err := partition.New(showService, showPartitions)
--- a/measure_control.go
+++ b/measure_control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -25,6 +26,7 @@
 		return err
 	}
 	var results []demo.ControlResult
+	var failure error
 	for _, processes := range c.Processes {
 		if processes < 1 || processes > maxProcesses {
 			return usageError{"--processes takes 1 to 200"}
@@ -38,9 +40,10 @@
 		})
 		_ = os.RemoveAll(dir)
 		if err != nil {
-			return err
+			failure = err
+			break
 		}
 		results = append(results, result)
 	}
-	return o.write(results, func() { _ = demo.WriteControl(o.stdout, results) })
+	return errors.Join(failure, o.write(results, func() { _ = demo.WriteControl(o.stdout, results) }))
 }
