--- a/instance/instance.go
+++ b/instance/instance.go
@@ -33,6 +33,7 @@
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = time.Second
 	retryDelay        = 200 * time.Millisecond
+	maxRejoinDelay    = 30 * time.Second
 )
 
 // Instance is one process beside one upstream.
@@ -96,7 +97,7 @@
 		started:   time.Now(),
 	}
 	i.traffic.Count(control)
-	i.sheets.objects = i.objects
+	i.sheets.objects, i.sheets.log = i.objects, log
 	i.health.machine = chart.New(chart.MustLoad("upstream"), s.Slot(), log)
 	i.quarantine = caller.NewQuarantine(caller.WithOnChange(i.spreadQuarantine))
 	i.registerMetrics()
@@ -219,7 +220,9 @@
 	if err := i.silence(running); err != nil {
 		return err
 	}
+	delay := retryDelay
 	for {
+		began := time.Now()
 		s := i.join(stop, running)
 		if s == nil {
 			return nil
@@ -228,7 +231,12 @@
 		if err != nil || left {
 			return err
 		}
-		klog.Infof("instance: %s ends; joining again", s.self)
+		// Incarnations that end soon after each other would cost the table three writes each, just when it is overloaded.
+		if delay = min(2*delay, maxRejoinDelay); time.Since(began) > maxRejoinDelay {
+			delay = retryDelay
+		}
+		klog.Infof("instance: %s ends; joining again in %v", s.self, delay)
+		sleep(stop, delay)
 	}
 }
 
--- a/instance/sheets.go
+++ b/instance/sheets.go
@@ -6,12 +6,12 @@
 	"sync"
 
 	"sapphiretray/object"
-	"sapphiretray/partition"
 	"sapphiretray/pause"
 	"sapphiretray/placement"
 	"sapphiretray/planner"
 	"sapphiretray/sheet"
 	"sapphiretray/table"
+	"sapphiretray/timeline"
 )
 
 // pausedBy returns the reason why moves of a service are paused, or an empty text.
@@ -29,6 +29,7 @@
 // sheets keeps the sheet in effect for the planner.
 type sheets struct {
 	objects *object.Client
+	log     *timeline.Log
 	mu      sync.Mutex
 	version uint64
 	entry   sheet.Entry
@@ -50,9 +51,23 @@
 		return sheet.Sheet{}, sheet.Entry{}, err
 	}
 	s.version, s.entry, s.current = row.Version, accepted.Value, current
+	s.reportPins(current)
 	return current, accepted.Value, nil
 }
 
+// reportPins names the pins in the time line. They aren't given to the planner, because it would give the key a partition of its
+// own, and package ownership can't yet make a member that doesn't know that partition promise not to serve the key.
+func (s *sheets) reportPins(current sheet.Sheet) {
+	for _, service := range current.Services() {
+		for _, pin := range current.Of(sheet.Pin, service) {
+			s.log.Add(timeline.Event{
+				Chart: "sheet", Subject: service + " " + pin.Name(), Trigger: "pin-not-in-effect",
+				Reason: "pins of single keys are not in effect in this version",
+			})
+		}
+	}
+}
+
 // rules returns what the sheet named by a row says about a service.
 func (s *sheets) rules(ctx context.Context, row table.Row, service string) (planner.Sheet, error) {
 	if row.Version == 0 {
@@ -84,12 +99,6 @@
 			*weight = value
 		}
 	}
-	for _, pin := range current.Of(sheet.Pin, service) {
-		slot, dataCentre := current.PinTarget(service, pin.Name())
-		rules.Pins = append(rules.Pins, placement.Pin{
-			Key: pin.Name(), Hash: partition.Hash(pin.Name()), Slot: slot, DataCentre: dataCentre,
-		})
-	}
 	for _, allow := range current.Of(sheet.Allow, service) {
 		centres, _ := current.Allowed(service, allow.Name())
 		rules.Allow = append(rules.Allow, placement.Allow{Prefix: allow.Name(), DataCentres: centres})
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -21,6 +21,10 @@
 		t.mu.Unlock()
 		return nil, code.New(code.NoOwner, "no map is known yet")
 	}
+	if p >= t.current.Partitions() {
+		t.mu.Unlock()
+		return nil, code.New(code.NoOwner, "partition %d is not in the map known here", p)
+	}
 	h := t.holding(p)
 	served := h.state() == stateServing || h.state() == stateReleasing
 	if !request.GetCommit() {
