witness: support only holders that receive the answers

When only the answers to a lease holder were lost, its heartbeats and Reacquire requests went on extending the support of its witnesses, and no successor could take over until the cut ended.

A heartbeat whose echo is more than 2 heartbeats old is now acknowledged without support, and one whose echo is 2 old with support that lasts half an interval less. A vote is granted only if the request echoes the same run's answer to the previous round since the expiry; a second round follows at once when a majority has answered the first.

Tests: the exploration cuts everything that is sent to a process.

--- a/heartbeat/cluster_test.go
+++ b/heartbeat/cluster_test.go
@@ -24,6 +24,7 @@
 	toWitness atomic.Bool // heartbeats are dropped
 	toHolder  atomic.Bool // acknowledgements are dropped
 	calls     atomic.Bool // control calls fail
+	answers   atomic.Bool // control calls arrive, but their answers are lost
 	mu        sync.Mutex
 	flows     map[string]*net.UDPConn
 	silent    map[string]bool
@@ -128,6 +129,7 @@
 	peer.Peer
 	to   *Endpoint
 	fail func() bool
+	lose func() bool // the answer is lost; nil stands for never
 }
 
 var errCut = errors.New("connection is cut")
@@ -143,7 +145,11 @@
 	if c.fail() {
 		return nil, errCut
 	}
-	return c.to.Reacquire(ctx, r)
+	response, err := c.to.Reacquire(ctx, r)
+	if c.lose != nil && c.lose() {
+		return nil, errCut
+	}
+	return response, err
 }
 
 func (c callee) Resign(ctx context.Context, r *peer.ResignRequest) (*peer.ResignResponse, error) {
@@ -206,7 +212,10 @@
 			c.changes <- change{generation, reason}
 		}),
 		WithDial(func(slot string) (peer.Peer, error) {
-			return callee{to: c.endpoints[slot], fail: func() bool { return links[slot].calls.Load() }}, nil
+			return callee{
+				to: c.endpoints[slot], fail: func() bool { return links[slot].calls.Load() },
+				lose: func() bool { return links[slot].answers.Load() },
+			}, nil
 		}),
 	}, options...)...)
 	c.endpoints[slot] = c.holder
--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -50,6 +50,8 @@
 	changes []change
 	seen    change
 	stopped bool
+	// earlyRound is set once the newest regular round was followed by one that echoes its answers.
+	earlyRound bool
 
 	term    atomic.Pointer[witness.Term]
 	lost    atomic.Bool
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// TestAnswersLost guards against witnesses that support a holder without end because its heartbeats and rounds reach them,
+// although none of their answers reaches it.
+func TestAnswersLost(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, witness.Timing{}, false)
+	// Witnesses must be past their silent period to confirm.
+	time.Sleep(700 * time.Millisecond)
+	c.acquire(t)
+	time.Sleep(300 * time.Millisecond)
+	start := time.Now()
+	for _, l := range c.links {
+		l.toHolder.Store(true)
+		l.answers.Store(true)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	expired, err := c.prover().Expired(ctx, c.holder.self, c.witnesses)
+	took := time.Since(start)
+	t.Logf("proof %v after the cut", took)
+	if !expired || err != nil || took > time.Second {
+		t.Errorf("proof: got %v, %v after %v", expired, err, took)
+	}
+	if c.holder.Lease().Valid() {
+		t.Error("the lease is valid after the proof of its expiry")
+	}
+}
+
 // TestProverWithoutWitnesses guards against a missing answer being taken for a valid lease or for a proof.
 func TestProverWithoutWitnesses(t *testing.T) {
 	t.Parallel()
--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -38,7 +38,7 @@
 		case witness.Expired:
 			if !now.Before(nextRound) {
 				nextRound = now.Add(2 * e.timing.Interval())
-				e.startRound(ctx)
+				e.startRound(ctx, false)
 			}
 			timer.Reset(max(nextRound.Sub(now), 0))
 		case witness.Resigned:
@@ -181,27 +181,26 @@
 	}
 }
 
-// startRound asks all witnesses to vote for the re-acquisition of the expired lease.
-func (e *Endpoint) startRound(ctx context.Context) {
+// startRound asks all witnesses to vote for the re-acquisition of the expired lease. An early round follows a regular one
+// as soon as a majority has answered that, since witnesses vote only if a request echoes their last answer. There is at
+// most one for each regular round, so that unexpected answers can't cause rounds without a pause.
+func (e *Endpoint) startRound(ctx context.Context, early bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.holder.Lost() {
+	if e.holder.Lost() || (early && (e.earlyRound || !e.holder.RoundAnswered())) {
 		return
 	}
-	round, ok := e.holder.StartRound(now)
-	if !ok {
-		return
-	}
-	for _, target := range e.targets {
-		if target.slot == e.self.Slot() {
-			e.holder.TakeVote(e.witness.Reacquire(e.self, round, now), now)
+	e.earlyRound = early
+	for _, request := range e.holder.StartRound(now) {
+		if request.Witness == e.self.Slot() {
+			e.holder.TakeVote(e.witness.Reacquire(request, now), now)
 			e.publish()
 			continue
 		}
 		if e.dial != nil {
 			e.group.Go(func() error {
-				e.askVote(ctx, target.slot, round)
+				e.askVote(ctx, request)
 				return nil
 			})
 		}
@@ -209,22 +208,27 @@
 }
 
 // askVote takes one witness's vote. A witness that can't be reached is asked again in the next round.
-func (e *Endpoint) askVote(ctx context.Context, slot string, round uint64) {
+func (e *Endpoint) askVote(ctx context.Context, request witness.VoteRequest) {
+	slot := request.Witness
 	ctx, cancel := context.WithTimeout(ctx, e.timing.Lease())
 	defer cancel()
 	to, err := e.dial(slot)
 	if err != nil {
 		return
 	}
-	response, err := to.Reacquire(ctx, &peer.ReacquireRequest{Holder: toWire(e.self), Round: round})
+	response, err := to.Reacquire(ctx, &peer.ReacquireRequest{
+		Holder: toWire(e.self), Round: request.Round, EchoRun: request.EchoRun, EchoRound: request.EchoRound,
+	})
 	if err != nil || response.GetWitness() != slot {
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.holder.TakeVote(witness.Vote{
 		Holder: e.self, Witness: slot, Run: response.GetRun(), Round: response.GetRound(), Granted: response.GetGranted(),
+		Unproved: response.GetUnproved(),
 	}, time.Now())
 	e.publish()
+	e.mu.Unlock()
+	e.startRound(ctx, true)
 	wake(e.holderWake)
 }
--- a/heartbeat/server.go
+++ b/heartbeat/server.go
@@ -6,6 +6,7 @@
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/witness"
 
 	"github.com/twitchtv/twirp"
 )
@@ -33,8 +34,13 @@
 	if err != nil {
 		return nil, err
 	}
-	vote := e.witness.Reacquire(holder, request.GetRound(), time.Now())
-	return &peer.ReacquireResponse{Witness: vote.Witness, Run: vote.Run, Round: vote.Round, Granted: vote.Granted}, nil
+	vote := e.witness.Reacquire(witness.VoteRequest{
+		Holder: holder, Witness: e.self.Slot(), Round: request.GetRound(),
+		EchoRun: request.GetEchoRun(), EchoRound: request.GetEchoRound(),
+	}, time.Now())
+	return &peer.ReacquireResponse{
+		Witness: vote.Witness, Run: vote.Run, Round: vote.Round, Granted: vote.Granted, Unproved: vote.Unproved,
+	}, nil
 }
 
 // Resign notes that a holder has given up its lease.
--- a/heartbeat/wire.go
+++ b/heartbeat/wire.go
@@ -33,6 +33,7 @@
 func encodeAck(a witness.Ack, versions *peer.Versions) ([]byte, error) {
 	return proto.Marshal(&peer.Datagram{Content: &peer.Datagram_Ack{Ack: &peer.HeartbeatAck{
 		Holder: toWire(a.Holder), Sequence: a.Sequence, Witness: a.Witness, Run: a.Run, Refused: a.Refused, Versions: versions,
+		Unsupported: a.Unsupported, Reduced: a.Reduced,
 	}}})
 }
 
@@ -62,6 +63,7 @@
 	}
 	return witness.Ack{
 		Holder: fromWire(a.GetHolder()), Sequence: a.GetSequence(), Witness: a.GetWitness(), Run: a.GetRun(), Refused: a.GetRefused(),
+		Unsupported: a.GetUnsupported(), Reduced: a.GetReduced(),
 	}, a.GetVersions(), true
 }
 
--- a/witness/explore_test.go
+++ b/witness/explore_test.go
@@ -70,7 +70,7 @@
 }
 
 // chances are the probabilities of one run; they differ between runs, so that rare combinations come up.
-type chances struct{ loss, copy, slow, cut, restart, freeze, suspend, resign, ask, round float64 }
+type chances struct{ loss, copy, slow, cut, deaf, restart, freeze, suspend, resign, ask, round float64 }
 
 type simulation struct {
 	random    *rand.Rand
@@ -96,7 +96,7 @@
 	}
 	pick := func(values ...float64) float64 { return values[s.random.IntN(len(values))] }
 	s.chances = chances{
-		loss: pick(0, 0.05, 0.3), copy: pick(0, 0.2), slow: pick(0, 0.1, 0.4), cut: pick(0, 0.3, 1),
+		loss: pick(0, 0.05, 0.3), copy: pick(0, 0.2), slow: pick(0, 0.1, 0.4), cut: pick(0, 0.3, 1), deaf: pick(0, 0, 0.2),
 		restart: pick(0, 0.1, 0.4), freeze: pick(0, 0.1, 0.3), suspend: pick(0, 0, 0.2),
 		resign: pick(0, 0, 0.05), ask: pick(0.1, 0.3, 0.8), round: pick(0.1, 0.5),
 	}
@@ -167,7 +167,7 @@
 	p.witness.rules = s.off.witness
 	p.witness.rules.retention = s.retention
 	if s.off.ackedRule {
-		p.witness.rules.reacquire = func(_ member.Incarnation, r *record) bool { return r != nil && !r.acked.IsZero() }
+		p.witness.rules.reacquire = func(_ member.Incarnation, r *record) bool { return r != nil && !r.heard.IsZero() }
 	}
 	if s.off.startedRule {
 		p.witness.rules.reacquire = func(holder member.Incarnation, _ *record) bool {
@@ -262,9 +262,7 @@
 		s.heartbeat(p, heartbeat)
 	}
 	if s.chance(s.chances.round) {
-		if round, ok := p.holder.StartRound(s.clock(p)); ok {
-			s.round(p, round)
-		}
+		s.round(p, p.holder.StartRound(s.clock(p)))
 	}
 	for below, claim := range p.claims {
 		if s.valid[s.rankOf(claim)] < 0 && !s.off.early {
@@ -305,12 +303,12 @@
 	})
 }
 
-func (s *simulation) round(p *process, round uint64) {
+func (s *simulation) round(p *process, requests []VoteRequest) {
 	holder := p.holder
-	for _, slot := range s.witnesses {
-		to := s.find(slot)
+	for _, request := range requests {
+		to := s.find(request.Witness)
 		s.send(p, to, func() {
-			vote := to.witness.Reacquire(holder.self, round, s.clock(to))
+			vote := to.witness.Reacquire(request, s.clock(to))
 			s.send(to, p, func() { holder.TakeVote(vote, s.clock(p)) })
 		})
 	}
@@ -337,6 +335,12 @@
 			s.cuts[[2]*process{other, p}] = s.now + duration
 		}
 	}
+	// Everything that is sent to the process is lost, while its own messages arrive.
+	if s.chance(s.chances.deaf) {
+		for _, other := range s.processes {
+			s.cuts[[2]*process{other, p}] = s.now + duration
+		}
+	}
 	if p.frozen || p.down {
 		return
 	}
--- a/witness/holder.go
+++ b/witness/holder.go
@@ -79,6 +79,7 @@
 	resumeByHeartbeat bool
 	sendExpired       bool
 	votesOfAnyRound   bool
+	noReduction       bool
 	read              func(now time.Time) reading
 }
 
@@ -91,6 +92,10 @@
 	sequence uint64
 	refused  bool
 	granted  uint64
+	// voteRun and voteRound are echoed in the next round. They are cleared when the lease becomes valid, so that an
+	// answer from before an expiry proves nothing after it.
+	voteRun   uint64
+	voteRound uint64
 }
 
 // NewHolder returns the state machine of an incarnation that has no lease yet.
@@ -156,13 +161,21 @@
 		return
 	}
 	s.run, s.sequence, s.refused = ack.Run, ack.Sequence, false
+	if ack.Unsupported {
+		return
+	}
+	if ack.Reduced && !h.rules.noReduction {
+		sent = sent.before(h.timing.reduction())
+	}
 	if h.rules.leaseFromArrival {
 		sent = at
 	}
 	if h.state == Resigned || (h.state == Expired && !h.rules.resumeByHeartbeat) {
 		return
 	}
-	s.acked = sent
+	if sent.mono.After(s.acked.mono) {
+		s.acked = sent
+	}
 	h.extend(at)
 }
 
@@ -184,19 +197,40 @@
 	}
 	h.term = Term{base: base, lease: h.timing.Lease(), generation: generation}
 	h.state = Valid
+	for i := range h.witnesses {
+		h.witnesses[i].voteRun, h.witnesses[i].voteRound = 0, 0
+	}
 }
 
-// StartRound starts a round of votes by which an expired lease is re-acquired and returns the round's number. The lease
-// will run from now. Only a round that was requested after the expiry counts, and only its own votes: a vote
-// of an earlier round may be older than a confirmation by the same witness.
-func (h *Holder) StartRound(now time.Time) (round uint64, ok bool) {
+// StartRound starts a round of votes by which an expired lease is re-acquired and returns the request to each witness, or
+// none if the lease hasn't expired. The lease will run from now. Only a round that was requested after the expiry counts,
+// and only its own votes: a vote of an earlier round may be older than a confirmation by the same witness.
+func (h *Holder) StartRound(now time.Time) []VoteRequest {
 	at := h.advance(now)
 	if h.state != Expired {
-		return 0, false
+		return nil
 	}
 	h.round++
 	h.asked = at
-	return h.round, true
+	requests := make([]VoteRequest, 0, len(h.witnesses))
+	for _, s := range h.witnesses {
+		requests = append(requests, VoteRequest{
+			Holder: h.self, Witness: s.slot, Round: h.round, EchoRun: s.voteRun, EchoRound: s.voteRound,
+		})
+	}
+	return requests
+}
+
+// RoundAnswered reports whether a majority has answered the newest round without a refusal but the lease is still
+// expired. The next round can then succeed, since it echoes these answers.
+func (h *Holder) RoundAnswered() bool {
+	answered := 0
+	for _, s := range h.witnesses {
+		if s.voteRound == h.round && !s.refused {
+			answered++
+		}
+	}
+	return h.state == Expired && h.round > 0 && answered >= majority(len(h.witnesses))
 }
 
 // TakeVote takes a witness's answer to a round.
@@ -207,11 +241,21 @@
 	if s == nil || vote.Holder != h.self || h.state != Expired || !ofRound {
 		return
 	}
+	s.voteRun, s.voteRound = vote.Run, vote.Round
+	if vote.Unproved {
+		s.refused = false
+		return
+	}
 	if !vote.Granted {
 		s.refused = true
 		return
 	}
 	s.granted = vote.Round
+	h.countVotes(at)
+}
+
+// countVotes begins a new term if a majority has granted the newest round.
+func (h *Holder) countVotes(at reading) {
 	granted := 0
 	for _, s := range h.witnesses {
 		if s.granted == h.round || (h.rules.votesOfAnyRound && s.granted > 0) {
--- a/witness/message.go
+++ b/witness/message.go
@@ -27,6 +27,10 @@
 	Run uint64
 	// Refused means that the witness has confirmed the expiry of the holder's lease.
 	Refused bool
+	// Unsupported means that the acknowledgement doesn't extend the lease. The holder echoes it like any other.
+	Unsupported bool
+	// Reduced means that the support lasts half an interval less, since the echo was old.
+	Reduced bool
 }
 
 // Confirmation answers a successor's question whether a lease has expired.
@@ -37,6 +41,17 @@
 	Wait time.Duration
 }
 
+// VoteRequest asks one witness for its vote in a round in which a holder re-acquires its expired lease.
+type VoteRequest struct {
+	Holder member.Incarnation
+	// Witness is the slot that the request is for.
+	Witness string
+	Round   uint64
+	// EchoRun and EchoRound repeat the newest answer of this witness that the holder has received since the expiry.
+	EchoRun   uint64
+	EchoRound uint64
+}
+
 // Vote answers a request of a round in which a holder re-acquires its expired lease.
 type Vote struct {
 	Holder  member.Incarnation
@@ -44,4 +59,6 @@
 	Run     uint64
 	Round   uint64
 	Granted bool
+	// Unproved means that the witness would have granted a request that echoes its answer to the round before.
+	Unproved bool
 }
--- a/witness/rules_test.go
+++ b/witness/rules_test.go
@@ -113,6 +113,7 @@
 		{"a vote is support", 184, switches{witness: witnessRules{voteIsNoSupport: true}}},
 		{"records kept for a wait", 1283, switches{witness: witnessRules{forgetAtOnce: true}}},
 		{"a run for each record", 215, switches{witness: witnessRules{oneRun: true}}},
+		{"reduced support", 1, switches{holder: holderRules{noReduction: true}}},
 		{"clocks compared by the holder", 1, switches{holderMono: true}},
 		{"no confirmation of the own slot", 1, switches{witness: witnessRules{confirmSelf: true}}},
 		{"all lower ranks proved", 1, switches{oneClaim: true}},
--- a/witness/timing.go
+++ b/witness/timing.go
@@ -42,6 +42,10 @@
 	return t.interval
 }
 
+// reduction returns the time by which the support of a heartbeat with an old echo is shorter. Without it, two intervals and
+// a wait could pass from a cut of the acknowledgements to the proof of the expiry: 1.006 s at the default timing.
+func (t Timing) reduction() time.Duration { return t.Interval() / 2 }
+
 // Drift returns the bound on the relative difference between the rates of any two clocks: while one clock advances by
 // d, no other advances by more than d + drift*d. Two clocks that each err by half the bound satisfy it.
 func (t Timing) Drift() float64 {
@@ -72,4 +76,9 @@
 	return max(r.mono.Sub(earlier.mono), r.wall.Sub(earlier.wall))
 }
 
+// before returns the reading that both clocks showed the given time earlier.
+func (r reading) before(d time.Duration) reading {
+	return reading{mono: r.mono.Add(-d), wall: r.wall.Add(-d)}
+}
+
 func majority(witnesses int) int { return witnesses/2 + 1 }
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -13,6 +13,10 @@
 	// maxRecords bounds the memory. An instance witnesses about 3 holders; one that has reached the bound gives no
 	// support and no confirmation to others.
 	maxRecords = 4096
+	// maxEchoAge is the number of heartbeats by which the echo of a supported heartbeat may be behind. It is the age at
+	// which a cut of the acknowledgements is noticed: at the default timing, the last support is 400 ms after the last
+	// heartbeat whose acknowledgement arrived, and its expiry is confirmed 506 ms later.
+	maxEchoAge = 2
 )
 
 // Witness is the state machine of a witness of other incarnations' leases. It keeps its records in memory only.
@@ -37,6 +41,7 @@
 	voteIsNoSupport bool
 	confirmSelf     bool
 	oneRun          bool
+	noEchoAge       bool // support doesn't depend on the age of an echo
 	// reacquire replaces the condition on the echo; the record is nil if there is none.
 	reacquire func(holder member.Incarnation, r *record) bool
 	retention int
@@ -45,7 +50,8 @@
 // record is what a witness remembers of one holder.
 type record struct {
 	run       uint64
-	acked     time.Time
+	acked     time.Time // newest support
+	heard     time.Time // newest heartbeat, supported or not
 	sequence  uint64
 	echoed    bool
 	confirmed time.Time
@@ -57,7 +63,7 @@
 
 func (r *record) lastUse() time.Time {
 	last := r.acked
-	for _, at := range []time.Time{r.confirmed, r.resigned} {
+	for _, at := range []time.Time{r.heard, r.confirmed, r.resigned} {
 		if at.After(last) {
 			last = at
 		}
@@ -83,6 +89,10 @@
 //
 // The holder in the witness's own process is acknowledged even in the silent period: no earlier run can have known this
 // incarnation, and the witness never confirms its expiry.
+//
+// A heartbeat whose echo is too old is acknowledged without support: if the holder receives no acknowledgements, support
+// would only delay a takeover after its lease has expired. Once the holder echoes such an acknowledgement, the support
+// resumes. The first heartbeats of a holder need no echo.
 func (w *Witness) Heartbeat(heartbeat Heartbeat, now time.Time) (Ack, bool) {
 	ack := Ack{Holder: heartbeat.Holder, Witness: w.self.Slot(), Sequence: heartbeat.Sequence, Run: w.run}
 	if heartbeat.Holder == w.self {
@@ -103,10 +113,25 @@
 	if heartbeat.Sequence <= r.sequence {
 		return Ack{}, false
 	}
-	r.sequence, r.acked, r.reported = heartbeat.Sequence, now, false
+	r.sequence, r.heard = heartbeat.Sequence, now
+	var echo uint64
 	if heartbeat.EchoRun == r.run && heartbeat.EchoSequence > 0 {
 		r.echoed = true
+		echo = heartbeat.EchoSequence
+	}
+	if heartbeat.Sequence > echo+maxEchoAge && !w.rules.noEchoAge {
+		ack.Unsupported = true
+		return ack, true
+	}
+	acked := now
+	if heartbeat.Sequence == echo+maxEchoAge && echo > 0 && !w.rules.noEchoAge {
+		ack.Reduced = true
+		acked = now.Add(-w.timing.reduction())
+	}
+	if acked.After(r.acked) {
+		r.acked = acked
 	}
+	r.reported = false
 	return ack, true
 }
 
@@ -140,9 +165,11 @@
 // was valid after the witness could acknowledge: had a takeover counted a confirmation of an earlier run, then the lease
 // would have expired before. A heartbeat alone may have been delayed since before the expiry.
 //
-// A granted vote supports the lease like an acknowledgement.
-func (w *Witness) Reacquire(holder member.Incarnation, round uint64, now time.Time) Vote {
-	vote := Vote{Holder: holder, Witness: w.self.Slot(), Run: w.run, Round: round}
+// A granted vote supports the lease like an acknowledgement. It is therefore granted only if the request echoes the
+// answer to the round before: rounds of a holder that receives no answers would extend the support without end.
+func (w *Witness) Reacquire(request VoteRequest, now time.Time) Vote {
+	holder := request.Holder
+	vote := Vote{Holder: holder, Witness: w.self.Slot(), Run: w.run, Round: request.Round}
 	if holder == w.self {
 		vote.Granted = true
 		return vote
@@ -156,7 +183,10 @@
 		return vote
 	}
 	vote.Run = r.run
-	vote.Granted = r.echoed && (!r.refuses() || w.rules.noRefusal)
+	willing := r.echoed && (!r.refuses() || w.rules.noRefusal)
+	proved := request.EchoRun == r.run && request.EchoRound > 0 && request.Round <= request.EchoRound+1
+	vote.Granted = willing && (proved || w.rules.noEchoAge)
+	vote.Unproved = willing && !vote.Granted
 	if vote.Granted && !w.rules.voteIsNoSupport {
 		r.acked, r.reported = now, false
 	}
