--- a/instance/directory.go
+++ b/instance/directory.go
@@ -78,6 +78,19 @@
 	return records
 }
 
+// precede returns how many ready members of a data centre come before a slot in the order of the hash of their slots.
+func (d *directory) precede(region, dataCentre, slot string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	own, count := partition.Hash(slot), 0
+	for name, m := range d.members {
+		if m.DataCentre == dataCentre && m.Region == region && m.State == member.Ready && partition.Hash(name) < own {
+			count++
+		}
+	}
+	return count
+}
+
 // Map returns the newest map of a service, or nil.
 func (d *directory) Map(service string) *partition.Map {
 	d.mu.RLock()
--- a/instance/news.go
+++ b/instance/news.go
@@ -1,10 +1,8 @@
 package instance
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,7 +11,6 @@
 
 	"sapphiretray/config"
 	"sapphiretray/member"
-	"sapphiretray/partition"
 	"sapphiretray/peer"
 	"sapphiretray/planner"
 	"sapphiretray/table"
@@ -57,17 +54,7 @@
 	if s == nil || !s.lease().Valid() {
 		return true
 	}
-	var ready []member.Record
-	for _, m := range i.directory.all() {
-		if m.DataCentre == i.settings.DataCentre() && m.Region == i.settings.Region() && m.State == member.Ready {
-			ready = append(ready, m)
-		}
-	}
-	slices.SortFunc(ready, func(a, b member.Record) int {
-		return cmp.Compare(partition.Hash(a.Incarnation.Slot()), partition.Hash(b.Incarnation.Slot()))
-	})
-	position := slices.IndexFunc(ready, func(m member.Record) bool { return m.Incarnation.Slot() == i.settings.Slot() })
-	return position < readersPerDataCentre
+	return i.directory.precede(i.settings.Region(), i.settings.DataCentre(), i.settings.Slot()) < readersPerDataCentre
 }
 
 // versions are what the instance announces with each heartbeat.
