--- a/demo/control.go
+++ b/demo/control.go
@@ -72,9 +72,8 @@
 	if err != nil {
 		return ControlResult{}, err
 	}
-	d, err := Start(ctx, executable, c, controlSpecs(spec.Processes), WithDir(dir), WithTable(func(t *table.Client, o *object.Client) error {
-		return populate(ctx, t, o, spec)
-	}))
+	write := func(t *table.Client, o *object.Client) error { return populate(ctx, t, o, spec) }
+	d, err := Start(ctx, executable, c, controlSpecs(spec.Processes), WithDir(dir), WithTable(write))
 	if err != nil {
 		return ControlResult{}, err
 	}
@@ -101,7 +100,8 @@
 	for k := range specs {
 		specs[k] = Spec{
 			Slot: fmt.Sprintf("node-%d", k+1), DataCentre: fmt.Sprintf("centre-%d", k%5+1), Service: controlService,
-			IP: fmt.Sprintf("127.0.%d.%d", 1+k/200, 1+k%200), Capacity: 1, Slots: 6, Options: []fake.UpstreamOption{fake.WithSlots(6), fake.WithGrantCheck()},
+			IP: fmt.Sprintf("127.0.%d.%d", 1+k/200, 1+k%200), Capacity: 1, Slots: 6,
+			Options: []fake.UpstreamOption{fake.WithSlots(6), fake.WithGrantCheck()},
 		}
 	}
 	return specs
@@ -270,10 +270,11 @@
 // WriteControl prints results as a table.
 func WriteControl(w io.Writer, results []ControlResult) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "processes\tmembers\tpartitions\tcpu %\tmax\tmemory MB\tmax\tsent KB/s\tmax\treceived KB/s\treads/s\twrites/s\texpiries\tconfig s")
+	_, _ = fmt.Fprintln(t, "processes\tmembers\tpartitions\tcpu %\tmax\tmemory MB\tmax\tsent KB/s\tmax\treceived KB/s\t"+
+		"reads/s\twrites/s\texpiries\tconfig s")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(t, "%d\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%d\t%.2f\n", r.Processes, r.Members, r.Partitions,
-			r.CPUPercent, r.CPUPercentMax, r.MemoryMB, r.MemoryMBMax, r.SentKBps, r.SentKBpsMax, r.ReceivedKBps,
+		_, _ = fmt.Fprintf(t, "%d\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%d\t%.2f\n", r.Processes,
+			r.Members, r.Partitions, r.CPUPercent, r.CPUPercentMax, r.MemoryMB, r.MemoryMBMax, r.SentKBps, r.SentKBpsMax, r.ReceivedKBps,
 			r.TableReadsPerSec, r.TableWritesPerSec, r.Expiries, r.ConfigSeconds)
 	}
 	return t.Flush()
--- a/measure.go
+++ b/measure.go
@@ -2,7 +2,7 @@
 
 // MeasureCommand holds the experiments.
 type MeasureCommand struct {
-	Control   MeasureControlCommand   `cmd:"" help:"Measure what control costs a node: processor time, memory, messages, time of a configuration to take effect."`
+	Control   MeasureControlCommand   `cmd:"" help:"Measure what control costs a node: processor time, memory, messages, news."`
 	Load      MeasureLoadCommand      `cmd:"" help:"Measure admission, load shedding and retries under overload and faults."`
 	Losses    MeasureLossesCommand    `cmd:"" help:"Kill owners and measure how long their keys are not served."`
 	Path      MeasurePathCommand      `cmd:"" help:"Compare direct requests with those through the owner and through another instance."`
--- a/status.go
+++ b/status.go
@@ -12,7 +12,7 @@
 
 // StatusCommand prints the state of all instances.
 type StatusCommand struct {
-	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table, for when the platform is down." placeholder:"ADDRESS"`
+	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table." placeholder:"ADDRESS"`
 }
 
 // Run asks each instance for its state. Instances that don't answer are listed with the reason.
@@ -64,8 +64,8 @@
 	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "INSTANCE\tSERVICE\tDATA CENTRE\tSTATE\tLEASE\tUPSTREAM\tPARTITIONS\tLOAD\tREVISION\tCONFIG\tSHEET")
 	for _, a := range answers {
-		if a.Err != nil {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\tno answer: %v\n", a.Record.Incarnation, a.Record.Service, a.Record.DataCentre, a.Record.State, a.Err)
+		if r := a.Record; a.Err != nil {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\tno answer: %v\n", r.Incarnation, r.Service, r.DataCentre, r.State, a.Err)
 			continue
 		}
 		s, lease := a.Value, "expired"
--- a/timeline.go
+++ b/timeline.go
@@ -10,7 +10,7 @@
 
 // TimelineCommand prints the merged events of all processes.
 type TimelineCommand struct {
-	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table, for when the platform is down." placeholder:"ADDRESS"`
+	Instance []string `help:"Admin addresses (host:port) to ask instead of those in the table." placeholder:"ADDRESS"`
 	Chart    string   `help:"Print only events of one state chart or part, such as lease, partition or planner."`
 	Last     int      `help:"Number of the last events to print; 0 prints all." default:"0"`
 }
