--- a/run.go
+++ b/run.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"os"
-	"runtime/debug"
 	"strconv"
 
 	"k8s.io/klog/v2"
@@ -13,9 +11,6 @@
 	"sapphiretray/settings"
 )
 
-// gcPercent lets the heap grow by less than half of the live data: an instance allocates little and has 32 MB for control.
-const gcPercent = 40
-
 // RunCommand runs the process beside one upstream.
 type RunCommand struct {
 	Settings string `help:"YAML file with the settings of this process." required:"" type:"existingfile"`
@@ -30,9 +25,6 @@
 	if err := setVerbosity(s.Verbosity()); err != nil {
 		return err
 	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
 	defer klog.Flush()
 	return instance.New(s).Run(ctx)
 }
