Use one transport between instances

Cause: forwarded requests of an instance went over a transport without the wait for 100-continue that package caller's own had, so a misrouted upload was sent before its owner was known.

--- a/caller/headers.go
+++ b/caller/headers.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,27 +24,15 @@
 )
 
 const (
-	pingAfter         = 100 * time.Millisecond
-	pingTimeout       = 200 * time.Millisecond
 	serverPingAfter   = 10 * time.Second
 	serverPingTimeout = 5 * time.Second
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = time.Minute
 	maxStreams        = 10_000
 	// stuckSlack is the time after a request's deadline for which a caller that neither sends nor reads is borne. It keeps
 	// a reached deadline from looking like a caller that left.
 	stuckSlack = 200 * time.Millisecond
-	// continueTimeout is the time that the owner has to ask for a large body before it is sent unasked.
-	continueTimeout = 2 * time.Second
-	// connectTimeout is well below the lease, so that a lost host is noticed before its successor may serve.
-	connectTimeout = 250 * time.Millisecond
 )
 
-func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return dialer.DialContext(ctx, network, address)
-}
-
 // hopHeaders concern one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/caller/server.go
+++ b/caller/server.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"sapphiretray/peer"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -61,7 +63,7 @@
 		option(s)
 	}
 	if s.forward == nil {
-		s.forward = NewTransport()
+		s.forward = peer.NewTransport("", peer.ForwardIdle)
 	}
 	if s.dedup == nil {
 		s.dedup = NewDedup(directory.Self())
@@ -116,15 +118,3 @@
 		},
 	}
 }
-
-// NewTransport returns the transport to other instances: HTTP/2 without TLS. A connection that is silent for 100 ms is
-// checked by a ping and closed unless the reply arrives within 200 ms.
-func NewTransport() *http.Transport {
-	p := &http.Protocols{}
-	p.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		Protocols: p, DisableCompression: true, IdleConnTimeout: idleTimeout, DialContext: dialPeer,
-		ExpectContinueTimeout: continueTimeout,
-		HTTP2:                 &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
-}
--- a/demo/failure_test.go
+++ b/demo/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -113,12 +114,13 @@
 	var through atomic.Value
 	through.Store(d.Nodes())
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan *demo.History, 1)
+	var history *demo.History
+	var callers sync.WaitGroup
 	workload := demo.Workload{
 		Callers: 24, Keys: keys, Prefix: "/bookings/", Timeout: 6 * time.Second, Pause: 5 * time.Millisecond, Seed: seed,
 		Through: func() []*demo.Node { return through.Load().([]*demo.Node) },
 	}
-	go func() { done <- workload.Run(ctx) }()
+	callers.Go(func() { history = workload.Run(ctx) })
 	sleepFor(time.Second)
 	if dead {
 		through.Store(s.others[2:])
@@ -129,7 +131,8 @@
 	sleepFor(2500 * time.Millisecond)
 	ended := time.Now()
 	cancel()
-	operations := (<-done).Operations()
+	callers.Wait()
+	operations := history.Operations()
 	for _, fault := range append(demo.CheckRuns(operations, d.Effects()), demo.CheckFences(d.Effects())...) {
 		t.Error(fault)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -16,12 +16,15 @@
 // Idle connections are pinged as well, so those for control calls, which are rare, are closed soon: pings on idle ones took
 // half of the processor time of control.
 const (
-	ControlIdle  = 300 * time.Millisecond
-	ForwardIdle  = 5 * time.Second
-	PingAfter    = 100 * time.Millisecond
-	PingTimeout  = 200 * time.Millisecond
-	DialTimeout  = 300 * time.Millisecond
-	maxIdleConns = 64
+	ControlIdle = 300 * time.Millisecond
+	ForwardIdle = 5 * time.Second
+	PingAfter   = 100 * time.Millisecond
+	PingTimeout = 200 * time.Millisecond
+	// DialTimeout is well below the lease, so that a lost host is noticed before its successor may serve.
+	DialTimeout = 250 * time.Millisecond
+	// ContinueTimeout is the time that the owner has to ask for a large body before it is sent unasked.
+	ContinueTimeout = 2 * time.Second
+	maxIdleConns    = 64
 )
 
 // NewTransport returns an HTTP/2 transport without TLS. Connections leave from localIP if it isn't empty, and are closed once
@@ -40,6 +43,8 @@
 
 		IdleConnTimeout:    idle,
 		DisableCompression: true,
+
+		ExpectContinueTimeout: ContinueTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: PingAfter,
 			PingTimeout:     PingTimeout,
