Decode the operators' pause in one place

Cause: the planner's default decoder expected another form of the row than the one that operators write, and was only right because run replaced it.

--- a/instance/planner.go
+++ b/instance/planner.go
@@ -32,7 +32,6 @@
 		planner.WithExpired(i.provedExpired),
 		planner.WithSettled(i.settled),
 		planner.WithReport(i.reportPlan),
-		planner.WithPause(pausedBy),
 		planner.WithSheet(i.sheets.rules),
 	)
 	for ctx.Err() == nil {
--- a/instance/sheets.go
+++ b/instance/sheets.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 
 	"sapphiretray/object"
-	"sapphiretray/pause"
 	"sapphiretray/placement"
 	"sapphiretray/planner"
 	"sapphiretray/sheet"
@@ -14,18 +12,6 @@
 	"sapphiretray/timeline"
 )
 
-// pausedBy returns the reason why moves of a service are paused, or an empty text.
-func pausedBy(row table.Row, service string) (string, error) {
-	accepted, err := table.Decode[pause.State](row)
-	if err != nil {
-		return "", err
-	}
-	if p, ok := accepted.Value.Paused(service); ok {
-		return fmt.Sprintf("paused by %s: %s", p.By, p.Why), nil
-	}
-	return "", nil
-}
-
 // sheets keeps the sheet in effect for the planner.
 type sheets struct {
 	objects *object.Client
--- a/planner/failure_test.go
+++ b/planner/failure_test.go
@@ -9,6 +9,7 @@
 
 	"sapphiretray/fake"
 	"sapphiretray/member"
+	"sapphiretray/pause"
 	"sapphiretray/placement"
 	"sapphiretray/planner"
 	"sapphiretray/table"
@@ -198,7 +199,9 @@
 func (l *pausing) Commit(ctx context.Context, transaction table.Transaction) ([]table.Row, error) {
 	if transaction.Writes[0].Key == planner.MapKey(service) && !l.done {
 		l.done = true
-		l.w.put(planner.PauseKey, planner.PauseRow{Services: []string{service}, By: "ana", Reason: "audit"})
+		if _, err := pause.Set(ctx, l.w.table, service, "ana", "audit"); err != nil {
+			l.w.Error(err)
+		}
 	}
 	return l.Client.Commit(ctx, transaction)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -13,6 +13,7 @@
 	"sapphiretray/code"
 	"sapphiretray/member"
 	"sapphiretray/partition"
+	"sapphiretray/pause"
 	"sapphiretray/placement"
 	"sapphiretray/table"
 
@@ -222,28 +223,14 @@
 	return 0, code.New(code.Conflict, "row %s was not written", last)
 }
 
-// PauseRow is the value of the row "pause".
-type PauseRow struct {
-	All      bool     `json:"all,omitempty"`
-	Services []string `json:"services,omitempty"`
-	By       string   `json:"by,omitempty"`
-	Reason   string   `json:"reason,omitempty"`
-}
-
-// Paused returns the reason why a service is paused by the row "pause", or an empty text.
+// Paused returns the reason why a service is paused by the operators' row, or an empty text.
 func Paused(row table.Row, service string) (string, error) {
-	if row.Version == 0 {
-		return "", nil
-	}
-	var pause PauseRow
-	if err := json.Unmarshal(row.Value, &pause); err != nil {
-		return "", code.Wrap(code.PlatformDown, err, "pause row")
-	}
-	for _, name := range pause.Services {
-		pause.All = pause.All || name == service
+	accepted, err := table.Decode[pause.State](row)
+	if err != nil {
+		return "", err
 	}
-	if !pause.All {
-		return "", nil
+	if p, ok := accepted.Value.Paused(service); ok {
+		return fmt.Sprintf("paused by %s: %s", p.By, p.Why), nil
 	}
-	return fmt.Sprintf("paused by %s: %s", pause.By, pause.Reason), nil
+	return "", nil
 }
