--- a/partition/change_test.go
+++ b/partition/change_test.go
@@ -74,3 +74,19 @@
 		}
 	}
 }
+
+// Guards against an owner look-up that allocates, since each request makes one.
+func TestLookUpDoesNotAllocate(t *testing.T) {
+	m, err := partition.New("bookings", 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err = m.WithOverride(1, partition.Hash("club-1")); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"club-1", "club-2"} {
+		if n := testing.AllocsPerRun(100, func() { _, _ = m.Owner(m.Partition(key)) }); n != 0 {
+			t.Errorf("%s: %v allocations", key, n)
+		}
+	}
+}
