--- a/instance/instance.go
+++ b/instance/instance.go
@@ -38,16 +38,18 @@
 
 // Instance is one process beside one upstream.
 type Instance struct {
-	settings  settings.Settings
-	table     *table.Client
-	objects   *object.Client
-	clock     *timeline.Clock
-	log       *timeline.Log
-	state     *chart.Machine
-	rows      rows
-	directory *directory
-	routes    routes
-	dialer    *peer.Dialer
+	settings settings.Settings
+	table    *table.Client
+	objects  *object.Client
+	clock    *timeline.Clock
+	log      *timeline.Log
+	state    *chart.Machine
+	// sheetState follows the operators' sheet and pauses.
+	sheetState *chart.Machine
+	rows       rows
+	directory  *directory
+	routes     routes
+	dialer     *peer.Dialer
 	// transport carries forwarded requests; control calls have connections of their own.
 	transport *http.Transport
 	traffic   peer.Traffic
@@ -85,16 +87,18 @@
 		log:       log,
 		state:     chart.New(chart.MustLoad("instance"), s.Slot(), log),
 		directory: newDirectory(),
-		dialer:    peer.NewDialer(control),
-		transport: peer.NewTransport(local, peer.ForwardIdle),
-		upstream:  upstream.New(s.UpstreamURL().Host),
-		limiter:   policy.NewLimiter(s.UpstreamSlots()),
-		budget:    &policy.Budget{},
-		registry:  prometheus.NewRegistry(),
-		ready:     make(chan struct{}),
-		fetches:   make(chan string, 1),
-		changed:   make(chan struct{}, 1),
-		started:   time.Now(),
+
+		sheetState: chart.New(chart.MustLoad("sheet"), s.Slot(), log),
+		dialer:     peer.NewDialer(control),
+		transport:  peer.NewTransport(local, peer.ForwardIdle),
+		upstream:   upstream.New(s.UpstreamURL().Host),
+		limiter:    policy.NewLimiter(s.UpstreamSlots()),
+		budget:     &policy.Budget{},
+		registry:   prometheus.NewRegistry(),
+		ready:      make(chan struct{}),
+		fetches:    make(chan string, 1),
+		changed:    make(chan struct{}, 1),
+		started:    time.Now(),
 	}
 	i.traffic.Count(control)
 	i.sheets.objects, i.sheets.log = i.objects, log
--- a/instance/news.go
+++ b/instance/news.go
@@ -11,8 +11,10 @@
 
 	"sapphiretray/config"
 	"sapphiretray/member"
+	"sapphiretray/pause"
 	"sapphiretray/peer"
 	"sapphiretray/planner"
+	"sapphiretray/sheet"
 	"sapphiretray/table"
 	"sapphiretray/timeline"
 )
@@ -114,6 +116,10 @@
 			i.applyMap(ctx, row)
 		case row.Key == config.RowKey:
 			i.applyConfig(row)
+		case row.Key == sheet.RowKey:
+			_ = i.sheetState.Fire("accepted", "version "+strconv.FormatUint(i.acceptedVersion(row.Key), 10)+" is in effect")
+		case row.Key == pause.RowKey:
+			i.applyPause(row)
 		}
 	}
 }
@@ -163,6 +169,21 @@
 	klog.Infof("config: version %d is in effect", accepted.Version)
 }
 
+// applyPause records that moves are held back or go on; the planner reads the row itself before it writes a move.
+func (i *Instance) applyPause(row table.Row) {
+	accepted, err := table.Decode[pause.State](row)
+	if err != nil {
+		klog.Errorf("pause: row can't be decoded: %v", err)
+		return
+	}
+	trigger := "resumed"
+	targets := accepted.Value.Targets()
+	if len(targets) > 0 {
+		trigger = "paused"
+	}
+	_ = i.sheetState.Fire(trigger, "paused: "+strings.Join(targets, ", "))
+}
+
 // acceptedVersion returns the version of an operators' row that is in effect here, and 0 if there is none.
 func (i *Instance) acceptedVersion(key string) uint64 {
 	accepted, err := table.Decode[json.RawMessage](i.rows.get(key))
