Write each batch of events once, under a name that holds both ends

Cause, found by reading: a planned stop wrote all events again under the name of the first batch. Objects are written once, so the write was refused, or it made the flush at the end of the process fail; and a batch whose answer was lost was refused for good when more events had come. The flush at the end of the process already writes the last batch, so the one in the planned stop goes. The planner's option for another decoder of the pause row is removed: nothing used it since the row is decoded in one place. No test covers the lost answer of a batch.

--- a/instance/events.go
+++ b/instance/events.go
@@ -13,7 +13,7 @@
 const flushInterval = 10 * time.Second
 
 // flushEvents writes new events to the object store, where they outlive the instance. Batches that can't be written are
-// kept as long as the ring holds them.
+// kept as long as the ring holds them. The last batch is written when ctx ends.
 func (i *Instance) flushEvents(ctx context.Context) {
 	var done uint64
 	for ctx.Err() == nil {
@@ -39,6 +39,8 @@
 	if err != nil {
 		return done, err
 	}
-	name := fmt.Sprintf("events/%s/%d/%d", s.self.Slot(), s.self.Number(), events[0].Sequence)
-	return events[len(events)-1].Sequence, i.objects.Put(ctx, name, content)
+	// The name holds both ends: a batch that is repeated after a lost answer has more events, and objects are written once.
+	first, last := events[0].Sequence, events[len(events)-1].Sequence
+	name := fmt.Sprintf("events/%s/%d/%d-%d", s.self.Slot(), s.self.Number(), first, last)
+	return last, i.objects.Put(ctx, name, content)
 }
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -43,5 +43,4 @@
 		klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 	}
 	_ = i.state.Fire(trigger, "planned stop has finished")
-	_, _ = i.flushOnce(ctx, 0)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -72,7 +72,6 @@
 	services    func(context.Context) ([]Service, error)
 	loads       func(context.Context, string) (Loads, error)
 	sheet       func(context.Context, table.Row, string) (Sheet, error)
-	paused      func(table.Row, string) (string, error)
 	expired     func(context.Context, member.Record) bool
 	settled     func(service string, p int, entry partition.Entry) bool
 	report      func(Event)
@@ -124,11 +123,6 @@
 	return func(p *Planner) { p.sheet = f }
 }
 
-// WithPause replaces the decoder of the row "pause", Paused. It returns the reason of the pause, or an empty text.
-func WithPause(f func(row table.Row, service string) (string, error)) Option {
-	return func(p *Planner) { p.paused = f }
-}
-
 // WithExpired sets the function that reports whether the witnesses have proved that a member's lease expired and can't
 // be re-acquired. It is called for each member in each step and must be quick for those whose lease is valid.
 func WithExpired(f func(ctx context.Context, record member.Record) bool) Option {
@@ -149,7 +143,7 @@
 // New returns a planner. WithPlatform, WithIncarnation and WithServices are required.
 func New(options ...Option) *Planner {
 	p := &Planner{
-		interval: DefaultInterval, length: DefaultLease, paused: Paused,
+		interval: DefaultInterval, length: DefaultLease,
 		loads:   func(context.Context, string) (Loads, error) { return Loads{}, nil },
 		sheet:   func(context.Context, table.Row, string) (Sheet, error) { return Sheet{}, nil },
 		expired: func(context.Context, member.Record) bool { return false },
--- a/planner/step.go
+++ b/planner/step.go
@@ -252,7 +252,7 @@
 	if err != nil {
 		return in, err
 	}
-	if in.Hold, err = p.paused(v.pause, service); err != nil {
+	if in.Hold, err = Paused(v.pause, service); err != nil {
 		// An unreadable pause may be one of this service.
 		klog.ErrorS(err, "planner: the pause row is unreadable")
 		in.Hold = "the pause row is unreadable"
