--- /dev/null
+++ b/forward/server.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+)
+
+// maxRequestBytes bounds a forwarded body. The instance that took it from the caller applies the configured limit.
+const maxRequestBytes = 128 << 20
+
+// IsForwarded reports whether a request was forwarded by another instance, as opposed to a control call.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(headerCall) != "" }
+
+// Handler runs forwarded requests at the local upstream.
+func Handler(g *gateway.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := decodeCall(r.Header.Get(headerCall), time.Now())
+		if err != nil {
+			writeFailure(w, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}, g.Load())
+			return
+		}
+		r.Header.Del(headerCall)
+		r.Header.Del("Content-Length")
+		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
+		if request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxRequestBytes)); err != nil {
+			writeFailure(w, &gateway.Failure{Code: code.CallerGone, Reason: err.Error()}, g.Load())
+			return
+		}
+		response, err := g.Do(r.Context(), request)
+		if err != nil {
+			var f *gateway.Failure
+			if !errors.As(err, &f) {
+				f = &gateway.Failure{Code: code.UpstreamFailed, Reason: err.Error()}
+			}
+			writeFailure(w, f, g.Load())
+			return
+		}
+		writeResponse(w, response, g.Load())
+	})
+}
+
+func writeResponse(w http.ResponseWriter, response *gateway.Response, load gateway.Load) {
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	header.Set(headerResult, encodeResult(code.OK, response.Status, 0, load))
+	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	header["Date"] = nil
+	w.WriteHeader(http.StatusOK)
+	// A failed write ends the connection, which the other instance notices.
+	_, _ = w.Write(response.Body)
+}
+
+func writeFailure(w http.ResponseWriter, f *gateway.Failure, load gateway.Load) {
+	header := w.Header()
+	header.Set(headerResult, encodeResult(f.Code, 0, f.RetryAfter, load))
+	header.Set("Content-Type", "text/plain")
+	header["Date"] = nil
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, f.Reason)
+}
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// defaultKeep is assumed of an upstream that doesn't say how long it keeps idle connections.
+	defaultKeep = 10 * time.Second
+	// maxIdle bounds the idle time of a connection that is used for a request that may be repeated; maxIdleOnce for one that
+	// may not, since an upstream may forget idle connections.
+	maxIdle     = 4 * time.Second
+	maxIdleOnce = time.Second
+	// dialTimeout bounds a new connection. The upstream is on this machine.
+	dialTimeout = 300 * time.Millisecond
+)
+
+// pool holds the connections to the upstream.
+type pool struct {
+	address string
+	matches func(http.Header, string) bool
+	group   *errgroup.Group
+	// opened counts the connections.
+	opened func()
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// get returns an idle connection, the one used last, or a new one.
+func (p *pool) get(ctx context.Context, tolerance time.Duration) (c *conn, reused bool, err error) {
+	if c := p.take(time.Now(), tolerance); c != nil {
+		return c, true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, false, fmt.Errorf("connect to the upstream: %w", err)
+	}
+	p.opened()
+	c = newConn(raw, p.matches)
+	p.group.Go(func() error {
+		c.read()
+		return nil
+	})
+	return c, false, nil
+}
+
+func (p *pool) take(now time.Time, tolerance time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		c := p.idle[n]
+		if c.usable(now, tolerance) {
+			p.idle = append(p.idle[:n], p.idle[n+1:]...)
+			return c
+		}
+	}
+	return nil
+}
+
+// put returns a connection after a complete response, and closes those that have been idle for long.
+func (p *pool) put(c *conn) {
+	if c.isClosed() {
+		_ = c.Close()
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	var old []*conn
+	kept := p.idle[:0]
+	for _, other := range p.idle {
+		if other.usable(now, maxIdle) {
+			kept = append(kept, other)
+		} else {
+			old = append(old, other)
+		}
+	}
+	p.idle = append(kept, c)
+	p.mu.Unlock()
+	for _, other := range old {
+		other.fail(errClosed)
+	}
+}
+
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.fail(errClosed)
+	}
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/code"
+	"sapphiretray/policy"
+)
+
+const (
+	// leaveMargin is kept between the last request to a leaving upstream and the time at which none may arrive any more.
+	leaveMargin = 500 * time.Millisecond
+	// reviewInterval is how often waiting requests are checked for hope.
+	reviewInterval = 20 * time.Millisecond
+	// keyWait bounds the wait for a key that is being claimed.
+	keyWait = 600 * time.Millisecond
+	// downRetry is the Retry-After while the upstream's address refuses connections.
+	downRetry = 300 * time.Millisecond
+	// minLeft is the least time that must remain for a request to be worth sending.
+	minLeft = 10 * time.Millisecond
+	// answerMargin is taken off the deadline that the upstream is told, so that its own answer arrives before the caller gives up.
+	answerMargin = 10 * time.Millisecond
+	// retryIn is the Retry-After of a request whose upstream shed it.
+	retryIn = 100 * time.Millisecond
+)
+
+// Gateway sends requests to the local upstream. Create it with New.
+type Gateway struct {
+	service    string
+	protocol   Protocol
+	keys       func() Keys
+	changed    func()
+	demand     func(key uint16, service time.Duration)
+	drainLimit time.Duration
+	pool       pool
+	estimates  estimates
+
+	mu       sync.Mutex
+	registry registry
+	gate     *policy.Gate
+	down     bool
+	stats    Stats
+}
+
+// Stats are a gateway's totals.
+type Stats struct {
+	Connections uint64
+	Sent        uint64
+	Refused     uint64
+	Unknown     uint64
+}
+
+// Option changes a Gateway under construction.
+type Option func(*Gateway)
+
+// WithKeys sets the source of the keys that the upstream may serve. It returns nil if the service isn't divided by key.
+func WithKeys(keys func() Keys) Option { return func(g *Gateway) { g.keys = keys } }
+
+// WithOnChange sets a function that is called after the upstream's state has changed.
+func WithOnChange(changed func()) Option { return func(g *Gateway) { g.changed = changed } }
+
+// WithDemand sets a function that is told of each request with a key and the time that the upstream is expected to need.
+func WithDemand(demand func(key uint16, service time.Duration)) Option {
+	return func(g *Gateway) { g.demand = demand }
+}
+
+// WithDrainLimit sets how long requests may be sent to an upstream that has said that it leaves.
+func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
+
+// New returns the gateway to the upstream of a service at an address. Its goroutines run in the group.
+func New(group *errgroup.Group, service, address string, protocol Protocol, options ...Option) *Gateway {
+	g := &Gateway{
+		service: service, protocol: protocol,
+		keys: func() Keys { return nil }, changed: func() {}, demand: func(uint16, time.Duration) {},
+		gate: policy.NewGate(1),
+	}
+	g.pool = pool{address: address, matches: protocol.Matches, group: group, opened: g.countConnection}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+func (g *Gateway) countConnection() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stats.Connections++
+}
+
+// Stats returns the totals since the start.
+func (g *Gateway) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stats
+}
+
+// Load returns the requests that run and wait, and the slots.
+func (g *Gateway) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots()}
+}
+
+// Review refuses waiting requests that have become hopeless, until ctx ends.
+func (g *Gateway) Review(ctx context.Context) {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.mu.Lock()
+			if g.gate.Waiting() > 0 {
+				g.gate.Review(now)
+			}
+			g.mu.Unlock()
+		}
+	}
+}
+
+// Do sends a request to the upstream and returns its whole response. The error is a *Failure.
+func (g *Gateway) Do(ctx context.Context, r *Request) (*Response, error) {
+	if f := g.unusable(r); f != nil {
+		return nil, g.refuse(f)
+	}
+	if f := g.admitKey(ctx, r); f != nil {
+		return nil, g.refuse(f)
+	}
+	if r.Key != NoKey {
+		g.demand(uint16(r.Key), g.estimates.get(r.Route))
+	}
+	place, f := g.enter(ctx, r)
+	if f != nil {
+		return nil, g.refuse(f)
+	}
+	defer g.finish(place)
+	// The upstream may have left, or the key moved, while the request waited.
+	if f := g.unusable(r); f != nil {
+		return nil, g.refuse(f)
+	}
+	if f := g.admitKey(ctx, r); f != nil {
+		return nil, g.refuse(f)
+	}
+	return g.send(ctx, r)
+}
+
+// unusable returns the reason why no request may be sent now.
+func (g *Gateway) unusable(r *Request) *Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := r.Deadline.Sub(time.Now())
+	switch {
+	case r.Service != g.service:
+		return &Failure{Code: code.NotOwner, Reason: "service " + r.Service + " isn't served here"}
+	case left < minLeft:
+		return &Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v are left", left)}
+	case !g.registry.known:
+		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetry, Reason: "the upstream has not registered yet"}
+	case g.registry.leaving && time.Since(g.registry.leftAt) > g.drainLimit-leaveMargin:
+		return &Failure{Code: code.Draining, Reason: "the upstream leaves"}
+	case g.down:
+		return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetry, Reason: "the upstream refuses connections"}
+	}
+	return nil
+}
+
+func (g *Gateway) admitKey(ctx context.Context, r *Request) *Failure {
+	keys := g.keys()
+	if keys == nil || r.Key == NoKey {
+		return nil
+	}
+	until := time.Now().Add(keyWait)
+	if r.Objective.Before(until) {
+		until = r.Objective
+	}
+	err := keys.Admit(ctx, uint16(r.Key), until)
+	if err == nil {
+		return nil
+	}
+	c, _ := code.Of(err)
+	return &Failure{Code: c, RetryAfter: downRetry, Reason: err.Error()}
+}
+
+// enter waits for a slot.
+func (g *Gateway) enter(ctx context.Context, r *Request) (*policy.Place, *Failure) {
+	decided := make(chan policy.Verdict, 1)
+	d := policy.Demand{
+		Priority: r.Priority, Nested: r.Nested, Returning: r.Returning, Objective: r.Objective, Deadline: r.Deadline,
+		Service: g.estimates.get(r.Route),
+	}
+	g.mu.Lock()
+	place, verdict := g.gate.Offer(time.Now(), d, func(v policy.Verdict) { decided <- v })
+	waiting := place.Waiting()
+	g.mu.Unlock()
+	if waiting {
+		select {
+		case verdict = <-decided:
+		case <-ctx.Done():
+			g.mu.Lock()
+			g.gate.Withdraw(place)
+			g.gate.Finish(time.Now(), place)
+			g.mu.Unlock()
+			return nil, &Failure{Code: code.CallerGone, Reason: "the caller left while the request waited"}
+		}
+	}
+	if !verdict.Admitted {
+		return nil, &Failure{Code: code.Shed, RetryAfter: verdict.RetryAfter, Reason: "no slot is free in time"}
+	}
+	return place, nil
+}
+
+func (g *Gateway) finish(place *policy.Place) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Finish(time.Now(), place)
+}
+
+func (g *Gateway) refuse(f *Failure) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.NotRun() {
+		g.stats.Refused++
+	} else {
+		g.stats.Unknown++
+	}
+	return f
+}
+
+// send exchanges the request for the response. A request of which no byte was sent is sent on another connection.
+func (g *Gateway) send(ctx context.Context, r *Request) (*Response, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	tolerance := maxIdle
+	if !r.Kind.Repeatable() {
+		tolerance = maxIdleOnce
+	}
+	for {
+		c, reused, err := g.pool.get(ctx, tolerance)
+		if err != nil {
+			return nil, g.refuse(g.unreached(err))
+		}
+		started := time.Now()
+		a, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.start)
+		if err == nil {
+			g.estimates.observe(r.Route, time.Since(started))
+			g.pool.put(c)
+			return g.accept(r, a)
+		}
+		if !sent && reused && ctx.Err() == nil {
+			continue
+		}
+		return nil, g.refuse(g.interrupted(ctx, sent, err))
+	}
+}
+
+func (g *Gateway) start(f func()) {
+	g.pool.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// unreached returns the failure of a request for which there was no connection.
+func (g *Gateway) unreached(err error) *Failure {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.mu.Lock()
+		first := !g.down
+		g.down = true
+		g.gate.RefuseAll(downRetry)
+		g.mu.Unlock()
+		if first {
+			klog.InfoS("upstream: refuses connections", "life", g.State().Life)
+			g.changed()
+		}
+	}
+	return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetry, Reason: err.Error()}
+}
+
+// interrupted returns the failure of a request whose connection failed or whose time ended.
+func (g *Gateway) interrupted(ctx context.Context, sent bool, err error) *Failure {
+	switch {
+	case !sent:
+		return &Failure{Code: code.UpstreamRefused, RetryAfter: retryIn, Reason: err.Error()}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &Failure{Code: code.UpstreamTimeout, Reason: "no response until the deadline"}
+	case ctx.Err() != nil:
+		return &Failure{Code: code.CallerGone, Reason: "the caller left while the request ran"}
+	default:
+		return &Failure{Code: code.UpstreamFailed, Reason: err.Error()}
+	}
+}
+
+// accept checks a whole response before it is passed on.
+func (g *Gateway) accept(r *Request, a *answer) (*Response, error) {
+	reading := g.protocol.Read(a.status, a.header)
+	g.mu.Lock()
+	g.stats.Sent++
+	g.mu.Unlock()
+	switch {
+	case reading.Misdirected:
+		return nil, g.refuse(&Failure{Code: code.NotOwner, RetryAfter: retryIn, Reason: "the upstream doesn't hold the key or isn't the one expected"})
+	case reading.NotRun:
+		return nil, g.refuse(&Failure{Code: code.Shed, RetryAfter: retryIn, Reason: "the upstream refused with status " + strconv.Itoa(a.status)})
+	case a.status < http.StatusMultipleChoices && !reading.Genuine:
+		return nil, g.refuse(&Failure{Code: code.WrongAnswer, Reason: "the response lacks the upstream's mark"})
+	}
+	removeHopHeaders(a.header)
+	return &Response{Status: a.status, Header: a.header, Body: a.body}, nil
+}
+
+// head returns the request line and the headers.
+func (g *Gateway) head(r *Request) []byte {
+	header := r.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	g.protocol.Prepare(header, r, g.State().ID, time.Until(r.Deadline)-answerMargin)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	var head bytes.Buffer
+	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// Writing to a buffer can't fail.
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
+	return head.Bytes()
+}
--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -114,6 +114,17 @@
 	return nil
 }
 
+// Adopt makes the endpoint hold the lease of another incarnation in the same slot, which begins without a lease and without
+// witnesses. What it knows as a witness of others is kept.
+func (e *Endpoint) Adopt(self member.Incarnation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.self, e.holder, e.targets, e.earlyRound, e.seen = self, witness.NewHolder(self, e.timing), nil, false, change{}
+	e.witness.Adopt(self)
+	e.publish()
+	wake(e.holderWake)
+}
+
 // Lease returns the view of the own lease.
 func (e *Endpoint) Lease() Lease { return Lease{term: &e.term, lost: &e.lost} }
 
@@ -265,7 +276,7 @@
 	e.mu.Lock()
 	e.holder.Resign()
 	e.publish()
-	targets := e.targets
+	self, targets := e.self, e.targets
 	e.mu.Unlock()
 	if e.dial == nil {
 		return nil
@@ -273,13 +284,13 @@
 	failures := make([]error, len(targets))
 	var calls sync.WaitGroup
 	for i, target := range targets {
-		if target.slot == e.self.Slot() {
+		if target.slot == self.Slot() {
 			continue
 		}
 		calls.Go(func() {
 			witness, err := e.dial(target.slot)
 			if err == nil {
-				_, err = witness.Resign(ctx, &peer.ResignRequest{Holder: toWire(e.self)})
+				_, err = witness.Resign(ctx, &peer.ResignRequest{Holder: toWire(self)})
 			}
 			if err != nil {
 				failures[i] = fmt.Errorf("notify witness %s: %w", target.slot, err)
--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -217,14 +217,14 @@
 		return
 	}
 	response, err := to.Reacquire(ctx, &peer.ReacquireRequest{
-		Holder: toWire(e.self), Round: request.Round, EchoRun: request.EchoRun, EchoRound: request.EchoRound,
+		Holder: toWire(request.Holder), Round: request.Round, EchoRun: request.EchoRun, EchoRound: request.EchoRound,
 	})
 	if err != nil || response.GetWitness() != slot {
 		return
 	}
 	e.mu.Lock()
 	e.holder.TakeVote(witness.Vote{
-		Holder: e.self, Witness: slot, Run: response.GetRun(), Round: response.GetRound(), Granted: response.GetGranted(),
+		Holder: request.Holder, Witness: slot, Run: response.GetRun(), Round: response.GetRound(), Granted: response.GetGranted(),
 		Unproved: response.GetUnproved(),
 	}, time.Now())
 	e.publish()
--- /dev/null
+++ b/ingress/choose.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"sapphiretray/gateway"
+)
+
+const (
+	// reportAge is the age at which a load report counts half; older reports say little, since the load changes within a few
+	// service times.
+	reportAge = 250 * time.Millisecond
+	// remoteCost is the load, as a share of the slots, that a target in another data centre must be better by: bytes between
+	// data centres are dear.
+	remoteCost = 0.35
+	// suspectFor is how long a target that failed is not chosen while there are others.
+	suspectFor = 500 * time.Millisecond
+)
+
+// chooser chooses among the instances of a service that isn't divided by key, by their load.
+type chooser struct {
+	dc      string
+	mu      sync.Mutex
+	targets map[string]*targetLoad
+}
+
+type targetLoad struct {
+	// own is the number of this instance's requests there.
+	own int
+	// sent is the number of requests sent there since the report.
+	sent     int
+	reported gateway.Load
+	at       time.Time
+	suspect  time.Time
+}
+
+func newChooser(dc string) *chooser { return &chooser{dc: dc, targets: make(map[string]*targetLoad)} }
+
+func (c *chooser) load(slot string) *targetLoad {
+	l := c.targets[slot]
+	if l == nil {
+		l = &targetLoad{}
+		c.targets[slot] = l
+	}
+	return l
+}
+
+// choose returns the best target that was not tried, and false if there is none.
+func (c *chooser) choose(now time.Time, targets []Target, tried map[string]bool) (Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best Target
+	bestCost, found := 0.0, false
+	for _, t := range targets {
+		if tried[t.Slot] {
+			continue
+		}
+		cost := c.cost(now, t)
+		if !found || cost < bestCost {
+			best, bestCost, found = t, cost, true
+		}
+	}
+	return best, found
+}
+
+// cost is the expected share of the target's slots in use, more if requests wait there.
+func (c *chooser) cost(now time.Time, t Target) float64 {
+	l := c.load(t.Slot)
+	slots := float64(max(l.reported.Slots, 1))
+	used := float64(l.own)
+	if !l.at.IsZero() {
+		weight := 1 / (1 + float64(now.Sub(l.at))/float64(reportAge))
+		used = max(used, weight*float64(l.reported.Running+2*l.reported.Waiting+l.sent))
+	} else {
+		slots = 6
+	}
+	cost := (used + 0.5) / slots
+	if t.DataCentre != c.dc {
+		cost += remoteCost
+	}
+	if now.Before(l.suspect) {
+		cost += 100
+	}
+	return cost
+}
+
+// begin notes a request to a target; the result must be called with what the target said of its load.
+func (c *chooser) begin(slot string) func(load gateway.Load, failed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.load(slot)
+	l.own++
+	l.sent++
+	return func(load gateway.Load, failed bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		l.own--
+		if load.Slots > 0 {
+			l.reported, l.at, l.sent = load, time.Now(), 0
+		}
+		if failed {
+			l.suspect = time.Now().Add(suspectFor)
+		}
+	}
+}
--- /dev/null
+++ b/ingress/dispatch.go
@@ -0,0 +1,182 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/routing"
+)
+
+const (
+	// ownerWait is the pause before a key's owner is looked up again, unless the directory changes earlier.
+	ownerWait = 30 * time.Millisecond
+	// ownerRetry is the Retry-After of a request whose key has no owner for longer than it can wait.
+	ownerRetry = 300 * time.Millisecond
+	// holdShare is the part of the time to the objective for which a request may wait for a key's owner; the rest is for
+	// the upstream.
+	holdShare = 0.5
+	// maxTargets bounds the instances that a request without a key is offered to.
+	maxTargets = 3
+)
+
+// attempt is the state of one request at this instance.
+type attempt struct {
+	request *gateway.Request
+	route   *routing.Route
+	// arrivals counts the upstreams that the request may have reached.
+	arrivals int
+	// unknown is the newest failure after which the request may have run.
+	unknown *gateway.Failure
+	// tried are the instances that refused it.
+	tried map[string]bool
+	// holdUntil bounds the wait for the key's owner.
+	holdUntil time.Time
+}
+
+// dispatch sends the request to instances until one yields a final result.
+func (s *Server) dispatch(ctx context.Context, request *gateway.Request, route *routing.Route) (*gateway.Response, error) {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	now := time.Now()
+	a := &attempt{
+		request: request, route: route, tried: make(map[string]bool),
+		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))),
+	}
+	s.budgets.get(request.Service).Attempt()
+	for {
+		target, f := s.target(ctx, a)
+		if f != nil {
+			return nil, a.final(f)
+		}
+		response, err := s.try(ctx, a, target)
+		if err == nil && !s.worthRepeating(a, response) {
+			return response, nil
+		}
+		var failure *gateway.Failure
+		if err != nil && !errors.As(err, &failure) {
+			return nil, err
+		}
+		if !s.again(ctx, a, target, failure) {
+			if failure != nil {
+				return nil, a.final(failure)
+			}
+			return response, err
+		}
+	}
+}
+
+// final returns the failure to report: after an attempt that may have run, "not run" would not be true.
+func (a *attempt) final(f *gateway.Failure) *gateway.Failure {
+	if a.unknown != nil && f.NotRun() {
+		return a.unknown
+	}
+	return f
+}
+
+// target returns the instance to try next.
+func (s *Server) target(ctx context.Context, a *attempt) (Target, *gateway.Failure) {
+	if a.request.Key == gateway.NoKey {
+		target, ok := s.chooser.choose(time.Now(), s.directory.Targets(a.request.Service), a.tried)
+		if !ok {
+			return Target{}, &gateway.Failure{Code: code.NoOwner, RetryAfter: ownerRetry, Reason: "no instance of the service takes work"}
+		}
+		return target, nil
+	}
+	for {
+		changed := s.directory.Changed()
+		if target, ok := s.directory.Owner(a.request.Service, uint16(a.request.Key)); ok {
+			return target, nil
+		}
+		if !s.wait(ctx, a, changed) {
+			return Target{}, &gateway.Failure{Code: code.NoOwner, RetryAfter: ownerRetry, Reason: "the key has no owner"}
+		}
+	}
+}
+
+// wait waits for a change of the directory, and returns false if the request can't wait any more.
+func (s *Server) wait(ctx context.Context, a *attempt, changed <-chan struct{}) bool {
+	left := time.Until(a.holdUntil)
+	if left <= 0 || ctx.Err() != nil {
+		return false
+	}
+	timer := time.NewTimer(min(left, ownerWait))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// try sends the request to one instance.
+func (s *Server) try(ctx context.Context, a *attempt, target Target) (*gateway.Response, error) {
+	done := s.chooser.begin(target.Slot)
+	if target.Slot == s.directory.Self() {
+		response, err := s.local.Do(ctx, a.request)
+		done(s.local.Load(), false)
+		return response, err
+	}
+	result, err := s.forwarder.Do(ctx, target.Address, a.request)
+	unreachable := isUnreachable(err)
+	if unreachable {
+		s.directory.Unreachable(target.Slot)
+	}
+	done(result.Load, unreachable)
+	return result.Response, err
+}
+
+func isUnreachable(err error) bool {
+	var f *gateway.Failure
+	return errors.As(err, &f) && (f.Code == code.PeerFailed || f.Code == code.NoOwner)
+}
+
+// worthRepeating reports whether a response is a failure that another upstream may not have.
+func (s *Server) worthRepeating(a *attempt, response *gateway.Response) bool {
+	return response.Status == http.StatusInternalServerError && a.request.Key == gateway.NoKey && a.route.Kind.Repeatable()
+}
+
+// again decides whether the request is tried once more after a failure; nil stands for a response that is worth repeating.
+func (s *Server) again(ctx context.Context, a *attempt, target Target, f *gateway.Failure) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	keyed := a.request.Key != gateway.NoKey
+	if f != nil && f.NotRun() {
+		switch {
+		case keyed && moving(f.Code):
+			return s.wait(ctx, a, s.directory.Changed())
+		case keyed, f.Code == code.TooLate:
+			return false
+		}
+		a.tried[target.Slot] = true
+		return len(a.tried) < maxTargets && len(a.tried) < len(s.directory.Targets(a.request.Service))
+	}
+	a.arrivals++
+	if f != nil {
+		a.unknown = f
+	}
+	if !a.route.Kind.Repeatable() || a.arrivals >= a.route.MaxAttempts || (f != nil && f.Code == code.UpstreamTimeout) {
+		return false
+	}
+	if !s.budgets.get(a.request.Service).Retry() {
+		return false
+	}
+	a.tried[target.Slot] = true
+	return keyed || len(a.tried) < len(s.directory.Targets(a.request.Service))
+}
+
+// moving reports whether a failure means that the key's owner changes.
+func moving(c code.Code) bool {
+	switch c {
+	case code.NotOwner, code.NoOwner, code.Moved, code.Draining, code.UpstreamRefused, code.UpstreamNotWarmed:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,195 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/policy"
+	"sapphiretray/routing"
+)
+
+// noConfigRetry is the Retry-After while no configuration is known.
+const noConfigRetry = 200 * time.Millisecond
+
+// Server serves callers. Create it with New.
+type Server struct {
+	protocol  Protocol
+	routes    Routes
+	directory Directory
+	forwarder Forwarder
+	local     Local
+	origin    string
+	dc        string
+	budgets   budgets
+	shares    shares
+	patience  patience
+	chooser   *chooser
+	stopping  func() bool
+}
+
+// Config holds what a Server needs.
+type Config struct {
+	Protocol  Protocol
+	Routes    Routes
+	Directory Directory
+	Forwarder Forwarder
+	Local     Local
+	// Service is the service of the instance's upstream, and DataCentre where the instance runs.
+	Service    string
+	DataCentre string
+	// Stopping reports whether callers are to close their connections.
+	Stopping func() bool
+}
+
+// New returns a server.
+func New(c Config) *Server {
+	return &Server{
+		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
+		origin: c.Service, dc: c.DataCentre, stopping: c.Stopping,
+		budgets: budgets{create: func() Budget { return &policy.Budget{} }},
+		chooser: newChooser(c.DataCentre),
+	}
+}
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if s.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	request, route, f := s.accept(w, r, arrived)
+	if f != nil {
+		s.fail(w, r, request, f, arrived)
+		return
+	}
+	response, err := s.dispatch(r.Context(), request, route)
+	if err != nil {
+		if !errors.As(err, &f) {
+			f = &gateway.Failure{Code: code.PeerFailed, Reason: err.Error()}
+		}
+		s.fail(w, r, request, f, arrived)
+		return
+	}
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	w.WriteHeader(response.Status)
+	// A failed write ends the connection, which the caller notices.
+	_, _ = w.Write(response.Body)
+}
+
+// accept reads a request, its route and its body.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, *routing.Route, *gateway.Failure) {
+	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.origin}
+	call, err := s.protocol.Parse(r)
+	if err != nil {
+		return request, nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
+	}
+	request.ID = call.ID
+	table := s.routes()
+	if table == nil {
+		return request, nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetry, Reason: "no configuration is known yet"}
+	}
+	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
+	if route == nil {
+		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: "no route of configuration " + strconv.FormatUint(table.Version(), 10)}
+	}
+	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes); f != nil {
+		return request, route, f
+	}
+	s.describe(request, route, table, call, arrived)
+	request.Header = gateway.EndToEnd(r.Header)
+	return request, route, nil
+}
+
+// describe fills in what the route says of the request.
+func (s *Server) describe(request *gateway.Request, route *routing.Route, table *routing.Table, call Call, arrived time.Time) {
+	request.Route, request.Kind, request.Priority, request.Nested = route.Name, route.Kind, route.Priority, call.Nested
+	request.Service = s.shares.next(route)
+	request.Key = gateway.NoKey
+	if service, ok := table.Service(request.Service); ok && service.Keyed {
+		request.Key = call.Key
+	}
+	left, spent, returning := s.patience.observe(route.Name, call.Left)
+	request.Returning = returning
+	if left == 0 || left > route.Timeout {
+		left = route.Timeout
+	}
+	request.Deadline = arrived.Add(left)
+	request.Objective = arrived.Add(route.Objective - spent)
+	if request.Objective.After(request.Deadline) {
+		request.Objective = request.Deadline
+	}
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64) *gateway.Failure {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil
+	}
+	reader := r.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, r.Body, limit)
+	}
+	body, err := io.ReadAll(reader)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &gateway.Failure{Code: code.TooLarge, Reason: err.Error()}
+	case err != nil:
+		return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
+	}
+	request.Body = body
+	return nil
+}
+
+// hostname returns the host without a port.
+func hostname(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// fail answers a request that has no response of an upstream. What did not run and may be sent again is answered with 503 and the
+// time after which it is worth that.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, request *gateway.Request, f *gateway.Failure, arrived time.Time) {
+	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
+		"code", f.Code, "reason", f.Reason, "retryAfter", f.RetryAfter, "took", time.Since(arrived), "nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline), "aimLeft", time.Until(request.Objective))
+	if r.Context().Err() != nil {
+		// Nobody reads the answer.
+		panic(http.ErrAbortHandler)
+	}
+	entry := f.Code.Entry()
+	status := entry.Status()
+	switch {
+	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge:
+	case f.NotRun():
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", retryAfter(f.RetryAfter))
+	case status < http.StatusInternalServerError:
+		status = http.StatusBadGateway
+	}
+	http.Error(w, fmt.Sprintf("%s: %s", f.Code, f.Reason), status)
+}
+
+// retryAfter writes a time in seconds with three decimals.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(max(d, 0).Seconds(), 'f', 3, 64)
+}
--- a/instance/service.go
+++ b/instance/service.go
@@ -13,6 +13,7 @@
 
 // service answers the calls of other instances.
 type service struct {
+	peer.Unimplemented
 	instance *Instance
 }
 
--- /dev/null
+++ b/keyspace/plan.go
@@ -0,0 +1,209 @@
+package keyspace
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"sapphiretray/member"
+)
+
+// Candidate is an instance that keys may be assigned to.
+type Candidate struct {
+	Instance member.Incarnation
+	// Capacity is how much load the upstream carries, in slots of an upstream of mean speed.
+	Capacity float64
+	// Settled is the newest map version whose assignments to the instance are all served.
+	Settled uint64
+}
+
+// SpanLoad is the load of a span of keys, in slots of an upstream of mean speed.
+type SpanLoad struct {
+	Range
+	Load float64
+}
+
+// Problem is what a plan is computed from.
+type Problem struct {
+	Service string
+	Current *Map
+	// Candidates are the instances that may own keys.
+	Candidates []Candidate
+	// Gone reports whether an incarnation can't serve any more.
+	Gone func(member.Incarnation) bool
+	// Keep reports whether an owner that isn't a candidate keeps its keys for now.
+	Keep func(member.Incarnation) bool
+	// Loads holds the loads of spans that don't overlap.
+	Loads []SpanLoad
+}
+
+// Move is a change of owner with its reason.
+type Move struct {
+	Range
+	From, To member.Incarnation
+	Reason   string
+}
+
+// Plan returns the next map and its moves, or nil if nothing has to change.
+func Plan(p Problem) (*Map, []Move) {
+	if len(p.Candidates) == 0 {
+		return nil, nil
+	}
+	slices.SortFunc(p.Candidates, func(a, b Candidate) int { return cmp.Compare(a.Instance.Slot(), b.Instance.Slot()) })
+	b := newBuilder(p)
+	if len(p.Current.Entries()) == 0 {
+		b.initial()
+	} else {
+		b.adoptOrphans()
+		b.balance()
+	}
+	if len(b.moves) == 0 {
+		return nil, nil
+	}
+	m, err := NewMap(b.version, b.entries)
+	if err != nil {
+		// The builder only splits and reassigns entries of a valid map.
+		panic(err)
+	}
+	return m, b.moves
+}
+
+// builder holds the entries of the next map while it is made.
+type builder struct {
+	problem Problem
+	version uint64
+	entries []Entry
+	moves   []Move
+	density density
+	// carried is the load of each candidate.
+	carried map[member.Incarnation]float64
+	byID    map[member.Incarnation]Candidate
+}
+
+func newBuilder(p Problem) *builder {
+	b := &builder{
+		problem: p, version: p.Current.Version() + 1, density: newDensity(p.Loads),
+		carried: make(map[member.Incarnation]float64), byID: make(map[member.Incarnation]Candidate),
+	}
+	for _, c := range p.Candidates {
+		b.byID[c.Instance] = c
+	}
+	for _, e := range p.Current.Entries() {
+		e.Previous = b.pending(e)
+		b.entries = append(b.entries, e)
+		b.carried[e.Owner()] += b.density.load(e.Range)
+	}
+	return b
+}
+
+// pending returns the earlier holders of an entry that its owner has not replaced yet, as far as is known.
+func (b *builder) pending(e Entry) []member.Incarnation {
+	if c, ok := b.byID[e.Owner()]; ok && c.Settled >= b.problem.Current.Version() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(e.Previous), b.problem.Gone)
+}
+
+// initial divides the keys evenly by capacity.
+func (b *builder) initial() {
+	total := 0.0
+	for _, c := range b.problem.Candidates {
+		total += c.Capacity
+	}
+	first, sum := 0, 0.0
+	for n, c := range b.problem.Candidates {
+		sum += c.Capacity
+		last := int(sum/total*float64(int(MaxKey)+1)) - 1
+		if n == len(b.problem.Candidates)-1 {
+			last = int(MaxKey)
+		}
+		if last < first {
+			continue
+		}
+		e := Entry{Range: Range{First: Key(first), Last: Key(last)}, Epoch: b.version, Members: []member.Incarnation{c.Instance}}
+		b.entries = append(b.entries, e)
+		b.moves = append(b.moves, Move{Range: e.Range, To: c.Instance, Reason: "first assignment"})
+		first = last + 1
+	}
+}
+
+// adoptOrphans gives the keys of owners that can't go on to others: to the next incarnation in the same slot, whose upstream
+// may have them still, or to the candidates with the most room.
+func (b *builder) adoptOrphans() {
+	for n := 0; n < len(b.entries); n++ {
+		owner := b.entries[n].Owner()
+		if _, ok := b.byID[owner]; ok || b.problem.Keep(owner) {
+			continue
+		}
+		if next, ok := b.sameSlot(owner); ok {
+			b.assign(n, next, fmt.Sprintf("%s continues %s", next, owner))
+			continue
+		}
+		n = b.share(n, fmt.Sprintf("%s can't serve", owner))
+	}
+}
+
+// share divides an entry among a few of the candidates with the most room and returns the position of its last part.
+func (b *builder) share(n int, reason string) int {
+	parts := min(maxParts, len(b.problem.Candidates), max(1, b.entries[n].Size()/minSplit))
+	part := b.density.load(b.entries[n].Range) / float64(parts)
+	for range parts - 1 {
+		cut := b.density.cut(b.entries[n].Range, part)
+		if cut >= b.entries[n].Last {
+			break
+		}
+		b.split(n, cut)
+		b.assign(n, b.roomiest(), reason)
+		n++
+	}
+	b.assign(n, b.roomiest(), reason)
+	return n
+}
+
+func (b *builder) sameSlot(i member.Incarnation) (member.Incarnation, bool) {
+	for _, c := range b.problem.Candidates {
+		if c.Instance.Slot() == i.Slot() && c.Instance.Number() > i.Number() {
+			return c.Instance, true
+		}
+	}
+	return member.Incarnation{}, false
+}
+
+// maxParts bounds the candidates among which one range is divided, so that the number of ranges stays small.
+const maxParts = 3
+
+// minSplit is the smallest number of keys for which a range without load is split.
+const minSplit = 64
+
+// split ends entry n at a key; the rest becomes entry n+1.
+func (b *builder) split(n int, last Key) {
+	rest := b.entries[n]
+	rest.Members, rest.Previous = slices.Clone(rest.Members), slices.Clone(rest.Previous)
+	rest.First = last + 1
+	b.entries[n].Last = last
+	b.entries = slices.Insert(b.entries, n+1, rest)
+}
+
+// assign gives an entry to a new owner.
+func (b *builder) assign(n int, to member.Incarnation, reason string) {
+	e := &b.entries[n]
+	from := e.Owner()
+	previous := make([]member.Incarnation, 0, len(e.Previous)+1)
+	for _, i := range append([]member.Incarnation{from}, e.Previous...) {
+		if !i.IsZero() && i != to && !b.problem.Gone(i) && !slices.Contains(previous, i) {
+			previous = append(previous, i)
+		}
+	}
+	load := b.density.load(e.Range)
+	b.carried[from] -= load
+	b.carried[to] += load
+	e.Members, e.Previous, e.Epoch = []member.Incarnation{to}, previous, b.version
+	b.moves = append(b.moves, Move{Range: e.Range, From: from, To: to, Reason: reason})
+}
+
+// use returns the share of a candidate's capacity that is used.
+func (b *builder) use(c Candidate) float64 { return b.carried[c.Instance] / c.Capacity }
+
+func (b *builder) roomiest() member.Incarnation {
+	return slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.use(a), b.use(c)) }).Instance
+}
--- a/main.go
+++ b/main.go
@@ -35,6 +35,7 @@
 	Globals
 
 	Run      RunCommand      `cmd:"" help:"Run the process beside one upstream until SIGTERM or SIGINT."`
+	Platform PlatformCommand `cmd:"" help:"Run the process beside one upstream on the users' platform, with its settings file."`
 	Demo     DemoCommand     `cmd:"" help:"Show a deployment on loopback: requests, the loss of an owner, its keys served again."`
 	Check    CheckCommand    `cmd:"" help:"Check a settings file, a sheet or a configuration without the platform."`
 	Config   ConfigCommand   `cmd:"" help:"Accept or show the configuration: services, routes, limits and weights."`
--- a/member/member.go
+++ b/member/member.go
@@ -106,6 +106,10 @@
 	AdminAddress string `json:"admin_address,omitempty"`
 	// Capacity is relative to other members of the service.
 	Capacity float64 `json:"capacity"`
+	// Name is what people call the machine.
+	Name string `json:"name,omitempty"`
+	// Upstream names the run of the upstream beside the instance; empty if none has registered.
+	Upstream string `json:"upstream,omitempty"`
 	// Witnesses are the slots that witness this incarnation's lease.
 	Witnesses []string `json:"witnesses"`
 	State     State    `json:"state"`
--- /dev/null
+++ b/mesh/directory.go
@@ -0,0 +1,198 @@
+package mesh
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/ingress"
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/store"
+)
+
+// directory knows the instances and the maps of keys from their rows. It implements ingress.Directory.
+type directory struct {
+	self string
+
+	mu      sync.RWMutex
+	records map[string]member.Record
+	history map[string][]member.Record
+	maps    map[string]mapRow
+	// unreachable holds the slots that are not to be chosen until they answer again.
+	unreachable map[string]bool
+	changed     chan struct{}
+}
+
+// mapRow is a map with its row's version.
+type mapRow struct {
+	keys    *keyspace.Map
+	version uint64
+}
+
+func newDirectory(self string) *directory {
+	return &directory{
+		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record), maps: make(map[string]mapRow),
+		unreachable: make(map[string]bool), changed: make(chan struct{}),
+	}
+}
+
+// apply takes changed rows.
+func (d *directory) apply(rows []store.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, row := range rows {
+		if slot, ok := strings.CutPrefix(row.Key, member.RowPrefix); ok {
+			d.applyRecord(slot, row)
+		} else if service, ok := strings.CutPrefix(row.Key, keyspace.RowPrefix); ok {
+			d.applyMap(service, row)
+		}
+	}
+	d.notify()
+}
+
+func (d *directory) applyRecord(slot string, row store.Row) {
+	if row.Deleted {
+		delete(d.records, slot)
+		delete(d.unreachable, slot)
+		return
+	}
+	var record member.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		klog.ErrorS(err, "directory: record can't be read", "slot", slot, "version", row.Version)
+		return
+	}
+	if d.records[slot].Incarnation != record.Incarnation {
+		delete(d.unreachable, slot)
+	}
+	d.records[slot] = record
+	d.remember(record)
+}
+
+func (d *directory) applyMap(service string, row store.Row) {
+	if row.Deleted {
+		return
+	}
+	keys, err := keyspace.Decode(row.Value)
+	if err != nil {
+		klog.ErrorS(err, "directory: map can't be read", "service", service, "version", row.Version)
+		return
+	}
+	if keys.Version() > d.maps[service].keys.Version() {
+		d.maps[service] = mapRow{keys: keys, version: row.Version}
+	}
+}
+
+// notify wakes those that wait for a change. The lock is held.
+func (d *directory) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Self implements ingress.Directory.
+func (d *directory) Self() string { return d.self }
+
+// Changed implements ingress.Directory.
+func (d *directory) Changed() <-chan struct{} {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changed
+}
+
+// Targets implements ingress.Directory.
+func (d *directory) Targets(service string) []ingress.Target {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var targets []ingress.Target
+	for slot, r := range d.records {
+		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] {
+			targets = append(targets, target(r))
+		}
+	}
+	return targets
+}
+
+func target(r member.Record) ingress.Target {
+	return ingress.Target{Slot: r.Incarnation.Slot(), Address: r.PeerAddress, DataCentre: r.DataCentre}
+}
+
+// Owner implements ingress.Directory.
+func (d *directory) Owner(service string, key uint16) (ingress.Target, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e, ok := d.maps[service].keys.Find(key)
+	if !ok {
+		return ingress.Target{}, false
+	}
+	slot := e.Owner().Slot()
+	r, ok := d.records[slot]
+	if !ok || d.unreachable[slot] {
+		return ingress.Target{}, false
+	}
+	return target(r), true
+}
+
+// Unreachable implements ingress.Directory.
+func (d *directory) Unreachable(slot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slot == d.self || d.unreachable[slot] {
+		return
+	}
+	klog.InfoS("directory: instance unreachable", "slot", slot, "name", d.records[slot].Name)
+	d.unreachable[slot] = true
+}
+
+// reachable notes that an instance answers again.
+func (d *directory) reachable(slot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.unreachable[slot] {
+		return
+	}
+	klog.InfoS("directory: instance reachable", "slot", slot, "name", d.records[slot].Name)
+	delete(d.unreachable, slot)
+	d.notify()
+}
+
+// unreachableSlots returns the instances that did not answer.
+func (d *directory) unreachableSlots() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	slots := make([]string, 0, len(d.unreachable))
+	for slot := range d.unreachable {
+		slots = append(slots, slot)
+	}
+	return slots
+}
+
+// record returns the record of a slot.
+func (d *directory) record(slot string) (member.Record, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	r, ok := d.records[slot]
+	return r, ok
+}
+
+// all returns all records in the order of their slots.
+func (d *directory) all() []member.Record {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	records := make([]member.Record, 0, len(d.records))
+	for _, r := range d.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b member.Record) int { return cmp.Compare(a.Incarnation.Slot(), b.Incarnation.Slot()) })
+	return records
+}
+
+// keys returns the map of a service and its row's version.
+func (d *directory) keys(service string) mapRow {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.maps[service]
+}
--- /dev/null
+++ b/mesh/loads.go
@@ -0,0 +1,78 @@
+package mesh
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"sapphiretray/keyspace"
+)
+
+const (
+	// loadMemory is the time over which the load of a key is averaged. Hot spans change within seconds.
+	loadMemory = 2 * time.Second
+	// spanLoad is the load, in slots, of a reported span: about the least that is worth a move of its own.
+	spanLoad = 0.08
+	// forgottenLoad is the load below which a key is no longer remembered.
+	forgottenLoad = 0.001
+)
+
+// loads measures the load of each key: the time that its requests need, as a share of the time that passes. The zero value
+// is ready to use.
+type loads struct {
+	mu   sync.Mutex
+	keys map[keyspace.Key]*keyLoad
+}
+
+type keyLoad struct {
+	load float64
+	at   time.Time
+}
+
+// observe counts a request and the time that the upstream is expected to need for it.
+func (l *loads) observe(key uint16, service time.Duration) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keys == nil {
+		l.keys = make(map[keyspace.Key]*keyLoad)
+	}
+	k := l.keys[key]
+	if k == nil {
+		k = &keyLoad{at: now}
+		l.keys[key] = k
+	}
+	k.load = k.decayed(now) + service.Seconds()/loadMemory.Seconds()
+	k.at = now
+}
+
+func (k *keyLoad) decayed(now time.Time) float64 {
+	return k.load * math.Exp(-now.Sub(k.at).Seconds()/loadMemory.Seconds())
+}
+
+// spans returns the loads of the spans that together hold all loaded keys, and forgets keys without load.
+func (l *loads) spans(now time.Time) []keyspace.SpanLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keys := make([]keyspace.Key, 0, len(l.keys))
+	for key, k := range l.keys {
+		if k.decayed(now) < forgottenLoad {
+			delete(l.keys, key)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	var spans []keyspace.SpanLoad
+	for _, key := range keys {
+		load := l.keys[key].decayed(now)
+		if n := len(spans); n > 0 && spans[n-1].Load+load <= spanLoad {
+			spans[n-1].Last = key
+			spans[n-1].Load += load
+			continue
+		}
+		spans = append(spans, keyspace.SpanLoad{Range: keyspace.Range{First: key, Last: key}, Load: load})
+	}
+	return spans
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,251 @@
+// Package mesh is one process beside one upstream: it registers the upstream, knows the other instances, serves callers and
+// forwarded requests, and keeps the keys that its upstream may serve.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/caller"
+	"sapphiretray/forward"
+	"sapphiretray/gateway"
+	"sapphiretray/grant"
+	"sapphiretray/heartbeat"
+	"sapphiretray/ingress"
+	"sapphiretray/peer"
+	"sapphiretray/routing"
+	"sapphiretray/store"
+	"sapphiretray/witness"
+)
+
+// Table is the store's table with the instances' records and the maps of keys.
+const Table = "sapphiretray"
+
+// Settings are the settings of one process.
+type Settings struct {
+	// Slot names the place that the process runs in; no two processes have the same at a time.
+	Slot string
+	// Name is what people call the machine.
+	Name       string
+	Service    string
+	DataCentre string
+	Region     string
+	// CallerAddress, PeerAddress, ReadyAddress and RegistrationAddress are listened on for callers, for other instances, for the
+	// platform's question whether the process can serve, and for the upstream's heartbeats.
+	CallerAddress       string
+	PeerAddress         string
+	ReadyAddress        string
+	RegistrationAddress string
+	// HeartbeatAddress is the UDP address for the heartbeats of other instances.
+	HeartbeatAddress string
+	// AdminAddress is listened on for metrics, if it isn't empty.
+	AdminAddress    string
+	UpstreamAddress string
+	// DrainLimit is how long requests may be sent to an upstream that has said that it leaves.
+	DrainLimit time.Duration
+	// StopTimeout is the time within which the process has to end once it was told to.
+	StopTimeout time.Duration
+}
+
+// Ports connect a process to the systems around it.
+type Ports struct {
+	Store    store.Store
+	Upstream gateway.Protocol
+	Grants   grant.Upstream
+	Callers  ingress.Protocol
+	// ConfigTable and ConfigKey name the row with the configuration, and DecodeConfig reads it.
+	ConfigTable  string
+	ConfigKey    string
+	DecodeConfig func(content []byte) (*routing.Table, error)
+	// Registrations returns the handler of the upstream's heartbeats.
+	Registrations func(r Registrar) http.Handler
+	// Ready returns the handler of the question whether the process can serve.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Registrar takes what an upstream says of itself.
+type Registrar interface {
+	Register(r gateway.Registration) error
+	Deregister(id string)
+}
+
+// Mesh is one process. Create it with New.
+type Mesh struct {
+	settings  Settings
+	ports     Ports
+	gateway   *gateway.Gateway
+	endpoint  *heartbeat.Endpoint
+	dialer    *peer.Dialer
+	directory *directory
+	rows      *store.Follower
+	config    *store.Follower
+	routes    atomic.Pointer[routing.Table]
+	session   atomic.Pointer[session]
+	planner   planner
+	loads     loads
+	stopping  atomic.Bool
+	group     *errgroup.Group
+	started   time.Time
+	// wake asks the session loop to look at the state again.
+	wake chan struct{}
+	// news holds the slots of instances that have newer rows.
+	news chan string
+}
+
+// New returns a process that Run starts.
+func New(s Settings, p Ports) *Mesh {
+	m := &Mesh{
+		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
+		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
+	}
+	m.directory = newDirectory(s.Slot)
+	m.rows = store.NewFollower(p.Store, Table, m.applyRows)
+	m.config = store.NewFollower(p.Store, p.ConfigTable, m.applyConfig)
+	return m
+}
+
+// Run serves until ctx ends; it then stops gracefully.
+func (m *Mesh) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, running := errgroup.WithContext(running)
+	m.group = group
+	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
+		gateway.WithKeys(m.keys), gateway.WithOnChange(m.wakeUp), gateway.WithDrainLimit(m.settings.DrainLimit), gateway.WithDemand(m.loads.observe))
+	m.endpoint = heartbeat.New(m.firstIncarnation(),
+		heartbeat.WithListen(m.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(m.dialSlot),
+		heartbeat.WithVersions(m.versions), heartbeat.WithNews(m.observe), heartbeat.WithOnChange(m.leaseChanged))
+	servers, err := m.listen(running)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("process: started", "name", m.settings.Name, "slot", m.settings.Slot, "service", m.settings.Service)
+	for _, s := range servers {
+		group.Go(func() error { return s.serve(running) })
+	}
+	group.Go(func() error { return m.endpoint.Run(running) })
+	group.Go(func() error { return m.rows.Run(running) })
+	group.Go(func() error { return m.config.Run(running) })
+	m.background(running, group, m.gateway.Review, m.runSessions, m.fetchNews, m.probeUnreachable, m.report, m.plan)
+	group.Go(func() error {
+		defer cancel()
+		m.awaitStop(ctx, running, servers)
+		return nil
+	})
+	err = group.Wait()
+	klog.InfoS("process: stopped", "name", m.settings.Name, "err", err)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (m *Mesh) background(ctx context.Context, group *errgroup.Group, tasks ...func(context.Context)) {
+	for _, task := range tasks {
+		group.Go(func() error {
+			task(ctx)
+			return nil
+		})
+	}
+}
+
+// timing returns the timing of leases, which all instances share.
+func timing() witness.Timing { return witness.NewTiming(leaseDuration, leaseInterval, leaseDrift) }
+
+const (
+	// leaseDuration bounds how long keys have no owner after a loss; leaseInterval leaves two heartbeats that may be lost.
+	leaseDuration = 900 * time.Millisecond
+	leaseInterval = 300 * time.Millisecond
+	// leaseDrift bounds the relative difference in rate of two clocks.
+	leaseDrift = 0.01
+	// readHeaderTimeout bounds the reading of a request's headers from another instance or the platform.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// server is an HTTP server with its listener.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func (s *server) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// listen binds all addresses.
+func (m *Mesh) listen(ctx context.Context) ([]*server, error) {
+	callers := ingress.New(ingress.Config{
+		Protocol: m.ports.Callers, Routes: m.routes.Load, Directory: m.directory, Local: m.gateway,
+		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdle)),
+		Service:   m.settings.Service, DataCentre: m.settings.DataCentre, Stopping: m.stopping.Load,
+	})
+	plain := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	}
+	servers := []*server{
+		{name: "registrations", http: plain(m.ports.Registrations(m.gateway))},
+		{name: "ready", http: plain(m.ports.Ready(m.ready))},
+		{name: "peers", http: caller.NewHTTPServer(m.peerHandler())},
+		{name: "callers", http: plain(callers)},
+	}
+	addresses := []string{
+		m.settings.RegistrationAddress, m.settings.ReadyAddress, m.settings.PeerAddress, m.settings.CallerAddress,
+	}
+	var config net.ListenConfig
+	for n, s := range servers {
+		listener, err := config.Listen(ctx, "tcp", addresses[n])
+		if err != nil {
+			return nil, err
+		}
+		s.listener = listener
+	}
+	return servers, nil
+}
+
+func (m *Mesh) peerHandler() http.Handler {
+	calls := peer.NewPeerServer(&service{mesh: m})
+	forwarded := forward.Handler(m.gateway)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forward.IsForwarded(r) {
+			forwarded.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// ready reports whether the process can serve callers.
+func (m *Mesh) ready() bool {
+	return m.routes.Load() != nil && !m.stopping.Load() && m.rows.Version() > 0
+}
+
+// wakeUp makes the session loop look at the upstream's state.
+func (m *Mesh) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/mesh/plan.go
@@ -0,0 +1,155 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/store"
+)
+
+const (
+	// planInterval is the pause between two plans.
+	planInterval = 250 * time.Millisecond
+	// firstPlanWait gives the instances of a new service time to report before its keys are divided for the first time.
+	firstPlanWait = 1500 * time.Millisecond
+)
+
+// plan divides the keys of the local service while this instance gets the reports of its instances.
+func (m *Mesh) plan(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	var first time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		reports := m.planner.fresh(time.Now())
+		if len(reports) == 0 || !m.rows.Reachable() {
+			first = time.Time{}
+			continue
+		}
+		if first.IsZero() {
+			first = time.Now()
+		}
+		current := m.directory.keys(m.settings.Service)
+		if current.keys == nil && time.Since(first) < firstPlanWait {
+			continue
+		}
+		m.proveMissing(ctx, current.keys, reports)
+		next, moves := keyspace.Plan(m.problem(current.keys, reports))
+		if next == nil {
+			continue
+		}
+		if err := m.commitMap(ctx, current, next); err != nil {
+			klog.InfoS("plan: not written", "service", m.settings.Service, "version", next.Version(), "err", err)
+			continue
+		}
+		for _, move := range moves {
+			klog.InfoS("plan: moved", "service", m.settings.Service, "version", next.Version(), "keys", move.Range,
+				"from", move.From, "to", move.To, "reason", move.Reason)
+		}
+	}
+}
+
+func (m *Mesh) problem(current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) keyspace.Problem {
+	p := keyspace.Problem{Service: m.settings.Service, Current: current, Gone: m.gone, Loads: spanLoads(reports)}
+	for i, r := range reports {
+		if r.GetUsable() {
+			p.Candidates = append(p.Candidates, keyspace.Candidate{
+				Instance: i, Capacity: float64(max(r.GetSlots(), 1)), Settled: r.GetSettled(),
+			})
+		}
+	}
+	p.Keep = func(owner member.Incarnation) bool {
+		r, reported := reports[owner]
+		if reported {
+			return !r.GetLeaving()
+		}
+		return !m.gone(owner)
+	}
+	return p
+}
+
+// gone reports whether an incarnation can't serve any more.
+func (m *Mesh) gone(i member.Incarnation) bool {
+	if m.directory.ended(i) {
+		return true
+	}
+	m.planner.mu.Lock()
+	defer m.planner.mu.Unlock()
+	return m.planner.gone[i]
+}
+
+// proveMissing asks the witnesses of owners that don't report whether their leases have expired.
+func (m *Mesh) proveMissing(ctx context.Context, current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) {
+	for _, e := range current.Entries() {
+		owner := e.Owner()
+		if _, ok := reports[owner]; ok || m.gone(owner) || !m.planner.startProof(owner) {
+			continue
+		}
+		m.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, reportLifetime)
+			defer cancel()
+			proved, err := m.Expired(ctx, owner)
+			m.planner.endProof(owner, err == nil && proved)
+			if proved {
+				klog.InfoS("plan: lease expired", "instance", owner)
+			}
+			return nil
+		})
+	}
+}
+
+func (p *planner) startProof(i member.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.proving == nil {
+		p.proving, p.gone = make(map[member.Incarnation]bool), make(map[member.Incarnation]bool)
+	}
+	if p.proving[i] {
+		return false
+	}
+	p.proving[i] = true
+	return true
+}
+
+func (p *planner) endProof(i member.Incarnation, proved bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.proving, i)
+	if proved {
+		p.gone[i] = true
+	}
+}
+
+// commitMap writes the next map over the current one. If the outcome is unknown, the feed shows it.
+func (m *Mesh) commitMap(ctx context.Context, current mapRow, next *keyspace.Map) error {
+	value, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	key := keyspace.RowKey(m.settings.Service)
+	version, err := m.ports.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Table: Table, Key: key, Version: current.version}},
+		Writes:     []store.Write{{Table: Table, Key: key, Value: value}},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		m.rows.Merge(conflict.Rows())
+	}
+	if err != nil {
+		return err
+	}
+	m.rows.Merge([]store.Row{{Table: Table, Key: key, Value: value, Version: version}})
+	return nil
+}
--- /dev/null
+++ b/mesh/report.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/peer"
+)
+
+const (
+	// reportInterval is how often an instance reports to its planner.
+	reportInterval = 400 * time.Millisecond
+	// reportTimeout bounds a report; a planner that doesn't answer is replaced by the next.
+	reportTimeout = 250 * time.Millisecond
+	// reportLifetime is the age at which a report no longer counts.
+	reportLifetime = 1200 * time.Millisecond
+	// silentLimit is how long an upstream may leave grants unanswered before its keys are moved away.
+	silentLimit = 700 * time.Millisecond
+)
+
+// planner collects the reports of a service's instances. The zero value is ready to use.
+type planner struct {
+	mu      sync.Mutex
+	reports map[member.Incarnation]report
+	gone    map[member.Incarnation]bool
+	proving map[member.Incarnation]bool
+	// wake asks for a plan at once.
+	wake chan struct{}
+}
+
+type report struct {
+	at      time.Time
+	message *peer.ReportRequest
+}
+
+// report sends a report to the planner of the local service whenever something changes and at regular intervals.
+func (m *Mesh) report(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s := m.session.Load(); s != nil && s.keeper != nil && m.keyed() {
+			m.sendReport(ctx, s.report())
+		}
+	}
+}
+
+// report describes the incarnation for the planner.
+func (s *session) report() *peer.ReportRequest {
+	m := s.mesh
+	state := m.gateway.State()
+	silent := s.keeper.Silent() > silentLimit
+	r := &peer.ReportRequest{
+		Service: m.settings.Service, Instance: peer.FromIncarnation(s.self()),
+		Settled: s.keeper.Settled(), Slots: uint32(state.Slots),
+	}
+	leaving := !state.Usable() || state.Life != s.life || silent || m.stopping.Load()
+	r.Leaving = leaving
+	r.Usable = !leaving && m.endpoint.Lease().Valid()
+	switch {
+	case m.stopping.Load():
+		r.Reason = "the process stops"
+	case state.Leaving:
+		r.Reason = "the upstream leaves"
+	case state.Down:
+		r.Reason = "the upstream refuses connections"
+	case silent:
+		r.Reason = "the upstream leaves grants unanswered"
+	}
+	for _, span := range m.loads.spans(time.Now()) {
+		r.Load += span.Load
+		r.Keys = append(r.Keys, &peer.KeyLoad{First: uint32(span.First), Last: uint32(span.Last), Load: span.Load})
+	}
+	return r
+}
+
+// sendReport sends a report to the first instance, in the order of the service's planners, that takes it.
+func (m *Mesh) sendReport(ctx context.Context, r *peer.ReportRequest) {
+	for _, slot := range m.planners() {
+		if slot == m.settings.Slot {
+			if m.takeReport(r) {
+				return
+			}
+			continue
+		}
+		client, err := m.dialSlot(slot)
+		if err != nil {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		answer, err := client.Report(call, r)
+		cancel()
+		if err == nil && answer.GetAccepted() {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("report: not accepted", "planner", slot, "err", err)
+	}
+}
+
+// planners returns the slots of all instances in the order in which they act as the planner of the local service. Instances that
+// did not answer come last.
+func (m *Mesh) planners() []string {
+	records := m.directory.all()
+	unreachable := m.directory.unreachableSlots()
+	service := m.settings.Service
+	slots := make([]string, 0, len(records))
+	for _, r := range records {
+		if r.Service == service && r.State != member.Left {
+			slots = append(slots, r.Incarnation.Slot())
+		}
+	}
+	rank := func(slot string) uint64 { return xxhash.Sum64String(service + "\x00" + slot) }
+	slices.SortFunc(slots, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(slices.Index(unreachable, a), slices.Index(unreachable, b)),
+			cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
+	})
+	return slots
+}
+
+// takeReport keeps a report if this instance can plan.
+func (m *Mesh) takeReport(r *peer.ReportRequest) bool {
+	if !m.rows.Reachable() || m.stopping.Load() || r.GetService() != m.settings.Service {
+		return false
+	}
+	p := &m.planner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reports == nil {
+		p.reports = make(map[member.Incarnation]report)
+	}
+	p.reports[r.GetInstance().Member()] = report{at: time.Now(), message: r}
+	return true
+}
+
+// fresh returns the reports that still count.
+func (p *planner) fresh(now time.Time) map[member.Incarnation]*peer.ReportRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := make(map[member.Incarnation]*peer.ReportRequest)
+	for i, r := range p.reports {
+		if now.Sub(r.at) > reportLifetime {
+			delete(p.reports, i)
+			continue
+		}
+		fresh[i] = r.message
+	}
+	return fresh
+}
+
+func spanLoads(reports map[member.Incarnation]*peer.ReportRequest) []keyspace.SpanLoad {
+	var spans []keyspace.SpanLoad
+	for _, r := range reports {
+		for _, k := range r.GetKeys() {
+			spans = append(spans, keyspace.SpanLoad{
+				Range: keyspace.Range{First: keyspace.Key(k.GetFirst()), Last: keyspace.Key(k.GetLast())}, Load: k.GetLoad(),
+			})
+		}
+	}
+	return spans
+}
--- /dev/null
+++ b/mesh/service.go
@@ -0,0 +1,136 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"sapphiretray/code"
+	"sapphiretray/grant"
+	"sapphiretray/heartbeat"
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/store"
+)
+
+// service answers the calls of other instances.
+type service struct {
+	peer.Unimplemented
+	mesh *Mesh
+}
+
+// ConfirmExpiry answers as a witness.
+func (v *service) ConfirmExpiry(ctx context.Context, r *peer.ConfirmExpiryRequest) (*peer.ConfirmExpiryResponse, error) {
+	return v.mesh.endpoint.ConfirmExpiry(ctx, r)
+}
+
+// Reacquire votes as a witness.
+func (v *service) Reacquire(ctx context.Context, r *peer.ReacquireRequest) (*peer.ReacquireResponse, error) {
+	return v.mesh.endpoint.Reacquire(ctx, r)
+}
+
+// Resign takes note, as a witness, that a holder has given up its lease.
+func (v *service) Resign(ctx context.Context, r *peer.ResignRequest) (*peer.ResignResponse, error) {
+	return v.mesh.endpoint.Resign(ctx, r)
+}
+
+// Fetch returns the rows of a table that are newer than a version.
+func (v *service) Fetch(_ context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
+	var rows []store.Row
+	switch r.GetKind() {
+	case Table:
+		rows = v.mesh.rows.After(r.GetHave())
+	case v.mesh.ports.ConfigTable:
+		rows = v.mesh.config.After(r.GetHave())
+	}
+	value, err := json.Marshal(rows)
+	if err != nil {
+		return nil, err
+	}
+	return &peer.FetchResponse{Value: value}, nil
+}
+
+// ReleaseKeys gives keys up to another instance.
+func (v *service) ReleaseKeys(ctx context.Context, r *peer.ReleaseKeysRequest) (*peer.ReleaseKeysResponse, error) {
+	request := grant.Request{
+		Range:   keyspace.Range{First: keyspace.Key(r.GetFirst()), Last: keyspace.Key(r.GetLast())},
+		Service: r.GetService(), Epoch: r.GetEpoch(), Holder: r.GetHolder().Member(), Successor: r.GetSuccessor().Member(),
+	}
+	handovers, err := v.mesh.release(ctx, request)
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	answer := &peer.ReleaseKeysResponse{}
+	for _, h := range handovers {
+		answer.Handovers = append(answer.Handovers, &peer.KeyHandover{First: uint32(h.First), Last: uint32(h.Last), Token: h.Token})
+	}
+	return answer, nil
+}
+
+// release gives up keys of the current incarnation or of an earlier one in this slot.
+func (m *Mesh) release(ctx context.Context, r grant.Request) ([]grant.Handover, error) {
+	if r.Holder.Slot() != m.settings.Slot || r.Service != m.settings.Service {
+		return nil, code.New(code.BadRequest, "this is %s with service %s", m.settings.Slot, m.settings.Service)
+	}
+	s := m.session.Load()
+	if s == nil || s.keeper == nil || s.self().Number() < r.Holder.Number() {
+		return nil, code.New(code.NoOwner, "%s has not joined here", r.Holder)
+	}
+	if s.self().Number() > r.Holder.Number() {
+		// What an earlier incarnation granted has ended by then.
+		pause(ctx, time.Until(s.started.Add(grant.MaxHold+grant.MaxHold/20)))
+		r.Holder = s.self()
+	}
+	return s.keeper.Release(ctx, r)
+}
+
+// Report takes the report of an instance of the service, if this instance acts as its planner.
+func (v *service) Report(_ context.Context, r *peer.ReportRequest) (*peer.ReportResponse, error) {
+	return &peer.ReportResponse{Accepted: v.mesh.takeReport(r)}, nil
+}
+
+// dialSlot returns the client of the instance in a slot.
+func (m *Mesh) dialSlot(slot string) (peer.Peer, error) {
+	r, ok := m.directory.record(slot)
+	if !ok {
+		return nil, code.New(code.PeerFailed, "slot %s is unknown", slot)
+	}
+	return m.dialer.Dial(r.PeerAddress)
+}
+
+// Release implements grant.Peers.
+func (m *Mesh) Release(ctx context.Context, r grant.Request) ([]grant.Handover, error) {
+	client, err := m.dialSlot(r.Holder.Slot())
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.ReleaseKeys(ctx, &peer.ReleaseKeysRequest{
+		Service: r.Service, First: uint32(r.First), Last: uint32(r.Last), Epoch: r.Epoch,
+		Holder: peer.FromIncarnation(r.Holder), Successor: peer.FromIncarnation(r.Successor),
+	})
+	if err != nil {
+		return nil, err
+	}
+	handovers := make([]grant.Handover, 0, len(answer.GetHandovers()))
+	for _, h := range answer.GetHandovers() {
+		handovers = append(handovers, grant.Handover{
+			Range: keyspace.Range{First: keyspace.Key(h.GetFirst()), Last: keyspace.Key(h.GetLast())}, Token: h.GetToken(),
+		})
+	}
+	return handovers, nil
+}
+
+// Expired implements grant.Peers.
+func (m *Mesh) Expired(ctx context.Context, i member.Incarnation) (bool, error) {
+	names, ok := m.directory.witnessesOf(i)
+	if !ok {
+		return false, code.New(code.NoOwner, "the witnesses of %s aren't known", i)
+	}
+	return heartbeat.NewProver(m.dialSlot, timing()).Expired(ctx, i, names)
+}
+
+// Ended implements grant.Peers.
+func (m *Mesh) Ended(i member.Incarnation) bool { return m.directory.ended(i) }
--- /dev/null
+++ b/mesh/session.go
@@ -0,0 +1,338 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/grant"
+	"sapphiretray/heartbeat"
+	"sapphiretray/member"
+	"sapphiretray/store"
+)
+
+const (
+	// witnesses is the number of witnesses of a lease; it outlives the loss of one of them.
+	witnesses = 3
+	// memberWait bounds the wait for enough other instances to choose witnesses from.
+	memberWait = 2 * time.Second
+	// retryWait is the pause after a failed step.
+	retryWait = 150 * time.Millisecond
+	// rejoinAfter is how long an expired lease may be re-acquired before the instance joins as a new incarnation.
+	rejoinAfter = 1200 * time.Millisecond
+	// commitTimeout bounds a write.
+	commitTimeout = 3 * time.Second
+)
+
+// session is the time of one incarnation: one run of the upstream under one lease.
+type session struct {
+	mesh    *Mesh
+	record  member.Record
+	version uint64
+	life    gateway.Life
+	// keeper is nil if the service isn't divided by key.
+	keeper  *grant.Keeper
+	started time.Time
+	// expired is when the lease was found to be expired.
+	expired time.Time
+	ctx     context.Context
+}
+
+func (s *session) self() member.Incarnation { return s.record.Incarnation }
+
+// firstIncarnation names the process until it has joined. Incarnations that join have higher numbers.
+func (m *Mesh) firstIncarnation() member.Incarnation {
+	return member.NewIncarnation(m.settings.Slot, 0)
+}
+
+// keys returns the keys that the upstream may serve, or nil if the service isn't divided by key.
+func (m *Mesh) keys() gateway.Keys {
+	if !m.keyed() {
+		return nil
+	}
+	s := m.session.Load()
+	if s == nil || s.keeper == nil {
+		return noKeys{}
+	}
+	return s.keeper
+}
+
+// keyed reports whether the local service is divided by key.
+func (m *Mesh) keyed() bool {
+	table := m.routes.Load()
+	if table == nil {
+		return false
+	}
+	service, _ := table.Service(m.settings.Service)
+	return service.Keyed
+}
+
+// runSessions joins as a new incarnation whenever the last one has ended.
+func (m *Mesh) runSessions(ctx context.Context) {
+	if m.rows.Wait(ctx) != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if !m.awaitUpstream(ctx) {
+			return
+		}
+		s, err := m.join(ctx)
+		if err != nil {
+			klog.ErrorS(err, "session: join failed")
+			pause(ctx, retryWait)
+			continue
+		}
+		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.life, "witnesses", s.record.Witnesses)
+		s.run(ctx)
+		klog.InfoS("session: ended", "instance", s.self(), "upstream", s.life)
+	}
+}
+
+// awaitUpstream waits until the upstream has registered and the configuration says whether its service is divided by key.
+func (m *Mesh) awaitUpstream(ctx context.Context) bool {
+	for {
+		if m.gateway.State().Usable() && m.routes.Load() != nil {
+			return true
+		}
+		select {
+		case <-m.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// join writes the record of a new incarnation.
+func (m *Mesh) join(ctx context.Context) (*session, error) {
+	s := &session{mesh: m, started: time.Now(), life: m.gateway.State().Life, ctx: ctx}
+	row := m.rows.Get(member.RowKey(m.settings.Slot))
+	var old member.Record
+	if row.Version > 0 && !row.Deleted {
+		if err := json.Unmarshal(row.Value, &old); err != nil {
+			return nil, err
+		}
+	}
+	s.version = row.Version
+	if row.Deleted {
+		s.version = 0
+	}
+	s.record = member.Record{
+		Incarnation: member.NewIncarnation(m.settings.Slot, old.Incarnation.Number()+1), Name: m.settings.Name,
+		Service: m.settings.Service, DataCentre: m.settings.DataCentre, Region: m.settings.Region,
+		PeerAddress: m.settings.PeerAddress, HeartbeatAddress: m.settings.HeartbeatAddress, CallerAddress: m.settings.CallerAddress,
+		Capacity: float64(m.gateway.State().Slots), Upstream: s.life.String(), State: member.Ready,
+	}
+	if m.keyed() {
+		if len(m.others()) < witnesses {
+			// Others need the address of this instance, to choose it as a witness.
+			if err := s.write(ctx); err != nil {
+				return nil, err
+			}
+			m.awaitOthers(ctx)
+		}
+		s.record.Witnesses = m.chooseWitnesses()
+	}
+	return s, s.write(ctx)
+}
+
+// write replaces the own record. A write whose answer was lost is found in the follower's copy.
+func (s *session) write(ctx context.Context) error {
+	value, err := json.Marshal(s.record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	key := member.RowKey(s.self().Slot())
+	version, err := s.mesh.ports.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Table: Table, Key: key, Version: s.version}},
+		Writes:     []store.Write{{Table: Table, Key: key, Value: value}},
+	})
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		s.version = version
+		s.mesh.rows.Merge([]store.Row{{Table: Table, Key: key, Value: value, Version: version}})
+	case errors.As(err, &conflict):
+		s.mesh.rows.Merge(conflict.Rows())
+		if row := s.mesh.rows.Get(key); string(row.Value) == string(value) {
+			s.version = row.Version
+			return nil
+		}
+	}
+	return err
+}
+
+// others returns the records of the other instances of the region.
+func (m *Mesh) others() []member.Record {
+	return slices.DeleteFunc(m.directory.all(), func(r member.Record) bool {
+		return r.Incarnation.Slot() == m.settings.Slot || r.Region != m.settings.Region || r.State.Gone()
+	})
+}
+
+func (m *Mesh) awaitOthers(ctx context.Context) {
+	deadline := time.Now().Add(memberWait)
+	for time.Now().Before(deadline) && ctx.Err() == nil && len(m.others()) < 2*witnesses {
+		pause(ctx, retryWait)
+	}
+}
+
+// chooseWitnesses returns slots in as many data centres as possible, by rendezvous hashing, so that each instance witnesses
+// about as many others. Instances that don't answer are left out where there are enough others.
+func (m *Mesh) chooseWitnesses() []string {
+	others := m.others()
+	unreachable := m.directory.unreachableSlots()
+	rank := func(r member.Record) uint64 {
+		return xxhash.Sum64String(m.settings.Slot + "\x00" + r.Incarnation.Slot())
+	}
+	bad := func(r member.Record) int {
+		if slices.Contains(unreachable, r.Incarnation.Slot()) {
+			return 1
+		}
+		return 0
+	}
+	used := make(map[string]int)
+	var chosen []string
+	for len(chosen) < witnesses && len(others) > 0 {
+		best := slices.MinFunc(others, func(a, b member.Record) int {
+			return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(used[a.DataCentre], used[b.DataCentre]), cmp.Compare(rank(a), rank(b)))
+		})
+		used[best.DataCentre]++
+		chosen = append(chosen, best.Incarnation.Slot())
+		others = slices.DeleteFunc(others, func(r member.Record) bool { return r.Incarnation == best.Incarnation })
+	}
+	if len(chosen) < witnesses {
+		chosen = append(chosen, m.settings.Slot)
+	}
+	return chosen
+}
+
+// targets returns the addresses of the witnesses.
+func (m *Mesh) targets(slots []string) []heartbeat.Target {
+	targets := make([]heartbeat.Target, 0, len(slots))
+	for _, slot := range slots {
+		address := m.settings.HeartbeatAddress
+		if r, ok := m.directory.record(slot); ok {
+			address = r.HeartbeatAddress
+		}
+		targets = append(targets, heartbeat.NewTarget(slot, address))
+	}
+	return targets
+}
+
+// run serves as one incarnation until the upstream has another life or the lease is lost.
+func (s *session) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m := s.mesh
+	group, ctx := errgroup.WithContext(ctx)
+	if m.keyed() {
+		m.endpoint.Adopt(s.self())
+		if err := m.endpoint.SetWitnesses(m.targets(s.record.Witnesses)); err != nil {
+			klog.ErrorS(err, "session: witnesses refused", "instance", s.self())
+			return
+		}
+		s.keeper = grant.New(ctx, m.settings.Service, s.self(), m.endpoint.Lease(), m.ports.Grants, m)
+		group.Go(func() error {
+			s.keeper.Run(ctx)
+			return nil
+		})
+	}
+	m.session.Store(s)
+	s.update()
+	group.Go(func() error {
+		defer cancel()
+		s.follow(ctx)
+		return nil
+	})
+	// The goroutines return no errors.
+	_ = group.Wait()
+	if s.keeper != nil {
+		s.keeper.Wait()
+	}
+}
+
+// update takes a newer map.
+func (s *session) update() {
+	if s.keeper == nil {
+		return
+	}
+	if keys := s.mesh.directory.keys(s.mesh.settings.Service).keys; keys != nil {
+		s.keeper.Update(keys)
+	}
+}
+
+// follow keeps the record in step with the upstream's state and returns when the incarnation can't go on.
+func (s *session) follow(ctx context.Context) {
+	ticker := time.NewTicker(retryWait)
+	defer ticker.Stop()
+	for {
+		state := s.mesh.gateway.State()
+		if state.Life != s.life || s.leaseLost() {
+			return
+		}
+		wanted := member.Ready
+		if !state.Usable() || s.mesh.stopping.Load() {
+			wanted = member.Draining
+		}
+		if wanted != s.record.State {
+			s.record.State = wanted
+			if err := s.write(ctx); err != nil && ctx.Err() == nil {
+				klog.V(1).InfoS("session: record not written", "instance", s.self(), "state", wanted, "err", err)
+				s.record.State = ""
+			} else {
+				klog.InfoS("session: state", "instance", s.self(), "state", wanted)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.mesh.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// leaseLost reports whether the lease can't be expected to become valid again.
+func (s *session) leaseLost() bool {
+	if s.keeper == nil {
+		return false
+	}
+	lease := s.mesh.endpoint.Lease()
+	if lease.Valid() {
+		s.expired = time.Time{}
+		return false
+	}
+	if s.expired.IsZero() {
+		s.expired = time.Now()
+	}
+	limit := rejoinAfter
+	if lease.Generation() == 0 && time.Since(s.started) < 2*memberWait {
+		// The first lease may take longer: witnesses are silent after their start.
+		limit = 2 * memberWait
+	}
+	return lease.Lost() || time.Since(s.expired) > limit && s.mesh.rows.Reachable()
+}
+
+// leaseChanged logs each change of the own lease.
+func (m *Mesh) leaseChanged(valid bool, reason string) {
+	klog.InfoS("lease: changed", "valid", valid, "reason", reason)
+	m.wakeUp()
+}
+
+// noKeys admits no key: the instance has not joined yet.
+type noKeys struct{}
+
+// Admit implements gateway.Keys.
+func (noKeys) Admit(_ context.Context, key uint16, _ time.Time) error {
+	return code.New(code.NotOwner, "key %d isn't served here: the instance has not joined", key)
+}
--- /dev/null
+++ b/store/follower.go
@@ -0,0 +1,233 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// feedWait is how long one call waits for changes. Longer calls save calls; an end is needed because a call may hang.
+	feedWait = 10 * time.Second
+	// minRetry and maxRetry bound the pause after a failed call. The longest is well below the time within which a
+	// configuration has to be in force after an outage.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 800 * time.Millisecond
+)
+
+// Follower keeps a copy of one table. Create it with NewFollower.
+type Follower struct {
+	store   Store
+	table   string
+	changed func(rows []Row)
+
+	// delivering keeps the calls of changed in order.
+	delivering sync.Mutex
+
+	mu        sync.Mutex
+	rows      map[string]Row
+	version   uint64
+	newest    uint64
+	listed    bool
+	reachable bool
+	refreshed chan struct{}
+}
+
+// NewFollower returns a follower that calls changed, in order and from one goroutine at a time, with each batch of rows that are
+// newer than those known before. Deleted rows have Deleted set.
+func NewFollower(s Store, table string, changed func(rows []Row)) *Follower {
+	return &Follower{store: s, table: table, changed: changed, rows: make(map[string]Row), refreshed: make(chan struct{})}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	retry := minRetry
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			retry = minRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, ErrHistoryLost) {
+			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
+			f.relist()
+			continue
+		}
+		f.report(err)
+		pause(ctx, retry/2+rand.N(retry/2))
+		retry = min(2*retry, maxRetry)
+	}
+	return nil
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	listed, after := f.listed, f.version
+	f.mu.Unlock()
+	if !listed {
+		rows, version, err := f.store.List(ctx, f.table)
+		if err != nil {
+			return err
+		}
+		f.replace(rows, version)
+		return nil
+	}
+	rows, version, err := f.store.Changes(ctx, f.table, after, feedWait)
+	if err != nil {
+		return err
+	}
+	f.report(nil)
+	f.Merge(rows)
+	f.mu.Lock()
+	f.version = max(f.version, version)
+	f.mu.Unlock()
+	return nil
+}
+
+// replace takes a full listing. Rows that were known and are missing from it were deleted.
+func (f *Follower) replace(rows []Row, version uint64) {
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[row.Key] = true
+	}
+	f.mu.Lock()
+	for key, row := range f.rows {
+		if !present[key] && row.Version <= version && !row.Deleted {
+			rows = append(rows, Row{Table: f.table, Key: key, Version: version, Deleted: true})
+		}
+	}
+	f.mu.Unlock()
+	f.Merge(rows)
+	f.mu.Lock()
+	f.version, f.listed = max(f.version, version), true
+	close(f.refreshed)
+	f.refreshed = make(chan struct{})
+	f.mu.Unlock()
+	f.report(nil)
+}
+
+func (f *Follower) relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+}
+
+// report logs when the store is lost and when it is back.
+func (f *Follower) report(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil && !f.reachable:
+		klog.InfoS("store: reachable", "table", f.table, "version", f.version)
+	case err != nil && f.reachable:
+		klog.InfoS("store: lost", "table", f.table, "version", f.version, "err", err)
+	}
+	f.reachable = err == nil
+}
+
+// Merge takes rows from elsewhere, such as another instance or the answer to a transaction. Rows that aren't newer than the
+// known ones are ignored.
+func (f *Follower) Merge(rows []Row) {
+	f.delivering.Lock()
+	defer f.delivering.Unlock()
+	if newer := f.take(rows); len(newer) > 0 && f.changed != nil {
+		f.changed(newer)
+	}
+}
+
+// take stores the rows that are newer than the known ones and returns them.
+func (f *Follower) take(rows []Row) []Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer := make([]Row, 0, len(rows))
+	for _, row := range rows {
+		if known, ok := f.rows[row.Key]; ok && row.Version <= known.Version || row.Version == 0 {
+			continue
+		}
+		row.Table = f.table
+		f.rows[row.Key] = row
+		f.newest = max(f.newest, row.Version)
+		newer = append(newer, row)
+	}
+	return newer
+}
+
+// Get returns a row; one that isn't known has version 0.
+func (f *Follower) Get(key string) Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[key]
+	if !ok {
+		return Row{Table: f.table, Key: key}
+	}
+	return row
+}
+
+// After returns the known rows that are newer than a version.
+func (f *Follower) After(version uint64) []Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []Row
+	for _, row := range f.rows {
+		if row.Version > version {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// Version returns the version up to which the copy is complete, as far as the store has said.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Newest returns the version of the newest row that is known.
+func (f *Follower) Newest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+// Table returns the table's name.
+func (f *Follower) Table() string { return f.table }
+
+// Reachable reports whether the last call to the store succeeded.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachable
+}
+
+// Wait returns once the table has been listed since the start, or the error of ctx.
+func (f *Follower) Wait(ctx context.Context) error {
+	f.mu.Lock()
+	listed, refreshed := f.listed, f.refreshed
+	f.mu.Unlock()
+	if listed {
+		return nil
+	}
+	select {
+	case <-refreshed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// Adopt names a newer incarnation in the witness's own process.
+func (w *Witness) Adopt(self member.Incarnation) { w.self = self }
+
 // SilentUntil returns the end of the silent period. A witness has lost its record of earlier acknowledgements and
 // confirmations when it starts. After the silence, each lease that it supported and each confirmation that it gave in
 // an earlier run is too old to count.
