Balance keys by pace and queueing cost, fence per connection, and follow SIGHUP

Cause: each upstream was taken to be as fast as any other, and the loads of keys that had just moved were dropped where the spans of the old and the new owner overlapped, so the planner took busy upstreams for idle ones.

--- a/forward/client.go
+++ b/forward/client.go
@@ -73,11 +73,11 @@
 	case errors.As(err, &operation) && operation.Op == "dial":
 		return &gateway.Failure{Code: code.NoOwner, Reason: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &gateway.Failure{Code: code.UpstreamTimeout, Reason: "no response until the deadline"}
+		return &gateway.Failure{Code: code.UpstreamTimeout, Arrived: true, Reason: "no response until the deadline"}
 	case ctx.Err() != nil:
 		return &gateway.Failure{Code: code.CallerGone, Reason: "the caller left while the request ran"}
 	default:
-		return &gateway.Failure{Code: code.PeerFailed, Reason: err.Error()}
+		return &gateway.Failure{Code: code.PeerFailed, Arrived: true, Reason: err.Error()}
 	}
 }
 
@@ -88,11 +88,13 @@
 	}
 	result := Result{Load: fields.load}
 	if fields.code != code.OK {
-		return result, &gateway.Failure{Code: fields.code, RetryAfter: fields.retryAfter, Reason: string(body)}
+		return result, &gateway.Failure{Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, Reason: string(body)}
 	}
 	response.Header.Del(headerResult)
 	// Added by the other instance's HTTP server.
 	response.Header.Del("Date")
-	result.Response = &gateway.Response{Status: fields.status, Header: response.Header, Body: body}
+	result.Response = &gateway.Response{
+		Status: fields.status, Header: response.Header, Body: body, Waited: fields.waited, Took: fields.took,
+	}
 	return result, nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,7 +22,8 @@
 const (
 	// headerCall holds the fields of callFields, separated by commas.
 	headerCall = "S-Call"
-	// headerResult holds the result code, the upstream's status, the Retry-After in milliseconds and the load.
+	// headerResult holds the result code, the upstream's status, the Retry-After in milliseconds, whether the request
+	// reached the upstream, the load, and the times that it waited and took.
 	headerResult = "S-Res"
 )
 
@@ -82,25 +83,35 @@
 	Load gateway.Load
 }
 
-func encodeResult(c code.Code, status int, retryAfter time.Duration, load gateway.Load) string {
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%d", int(c), status, retryAfter.Milliseconds(), load.Running, load.Waiting, load.Slots)
+func encodeResult(r resultFields) string {
+	arrived := 0
+	if r.arrived {
+		arrived = 1
+	}
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
+		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds())
 }
 
 type resultFields struct {
 	code       code.Code
 	status     int
 	retryAfter time.Duration
+	arrived    bool
 	load       gateway.Load
+	waited     time.Duration
+	took       time.Duration
 }
 
 func decodeResult(header http.Header) (resultFields, error) {
-	var c, status, retry int
+	var c, status, retry, arrived, waited, took int
 	var load gateway.Load
-	_, err := fmt.Sscanf(header.Get(headerResult), "%d,%d,%d,%d,%d,%d", &c, &status, &retry, &load.Running, &load.Waiting, &load.Slots)
+	_, err := fmt.Sscanf(header.Get(headerResult), "%d,%d,%d,%d,%d,%d,%d,%d,%d", &c, &status, &retry, &arrived,
+		&load.Running, &load.Waiting, &load.Slots, &waited, &took)
 	if err != nil {
 		return resultFields{}, fmt.Errorf("%s: %w", headerResult, err)
 	}
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	return resultFields{
-		code: code.Code(c), status: status, retryAfter: time.Duration(retry) * time.Millisecond, load: load,
+		code: code.Code(c), status: status, retryAfter: ms(retry), arrived: arrived != 0, load: load, waited: ms(waited), took: ms(took),
 	}, nil
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -50,7 +50,9 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
-	header.Set(headerResult, encodeResult(code.OK, response.Status, 0, load))
+	header.Set(headerResult, encodeResult(resultFields{
+		code: code.OK, status: response.Status, load: load, waited: response.Waited, took: response.Took,
+	}))
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
@@ -60,7 +62,7 @@
 
 func writeFailure(w http.ResponseWriter, f *gateway.Failure, load gateway.Load) {
 	header := w.Header()
-	header.Set(headerResult, encodeResult(f.Code, 0, f.RetryAfter, load))
+	header.Set(headerResult, encodeResult(resultFields{code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load}))
 	header.Set("Content-Type", "text/plain")
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -58,6 +58,7 @@
 
 // exchange is a request that waits for its response.
 type exchange struct {
+	// id is the id that the response must have, or empty if it has none.
 	id     string
 	method string
 	done   chan result
@@ -123,7 +124,7 @@
 		return nil, fmt.Errorf("response body after %d bytes: %w", n, err)
 	case n > maxAnswerBytes:
 		return nil, errTooLarge
-	case !c.matches(response.Header, pending.id):
+	case pending.id != "" && !c.matches(response.Header, pending.id):
 		return nil, nil
 	}
 	c.mu.Lock()
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -40,3 +41,13 @@
 	}
 	e.means[route] = mean + time.Duration(estimateWeight*float64(took-mean))
 }
+
+// all returns the means of all routes that have been served.
+func (e *estimates) all() map[string]time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.means)
+}
+
+// ServiceTimes returns the mean time that the upstream needs for the requests of each route it has served.
+func (g *Gateway) ServiceTimes() map[string]time.Duration { return g.estimates.all() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,11 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Waited is how long the request waited for a slot, and Took how long the upstream needed.
+	Waited time.Duration
+	Took   time.Duration
+	// Slot names the instance whose upstream answered.
+	Slot string
 }
 
 // Failure is the reason why a request has no response from the upstream.
@@ -54,7 +59,9 @@
 	Code code.Code
 	// RetryAfter is when the request may be worth sending again, or 0.
 	RetryAfter time.Duration
-	Reason     string
+	// Arrived means that the request reached the upstream.
+	Arrived bool
+	Reason  string
 }
 
 // Error implements error.
--- /dev/null
+++ b/gateway/order.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+)
+
+// Order is a call that tells the upstream what it may do, as opposed to a request of a caller.
+type Order struct {
+	Method string
+	Target string
+	Body   []byte
+}
+
+// Order sends an order and returns the response's status and headers. The order is made once the connection is known: fresh
+// tells that it is a new one, at whose other end may be another run of the upstream.
+func (g *Gateway) Order(ctx context.Context, order func(fresh bool) Order) (int, http.Header, error) {
+	c, reused, err := g.pool.get(ctx, maxIdle)
+	if err != nil {
+		return 0, nil, err
+	}
+	o := order(!reused)
+	var head bytes.Buffer
+	head.WriteString(o.Method + " " + o.Target + " HTTP/1.1\r\nHost: " + g.pool.address +
+		"\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(o.Body)) + "\r\n\r\n")
+	a, _, err := c.do(ctx, "", o.Method, head.Bytes(), o.Body, g.start)
+	if err != nil {
+		return 0, nil, err
+	}
+	g.pool.put(c)
+	return a.status, a.header, nil
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -132,6 +132,7 @@
 
 // Do sends a request to the upstream and returns its whole response. The error is a *Failure.
 func (g *Gateway) Do(ctx context.Context, r *Request) (*Response, error) {
+	arrived := time.Now()
 	if f := g.unusable(r); f != nil {
 		return nil, g.refuse(f)
 	}
@@ -153,7 +154,12 @@
 	if f := g.admitKey(ctx, r); f != nil {
 		return nil, g.refuse(f)
 	}
-	return g.send(ctx, r)
+	waited := time.Since(arrived)
+	response, err := g.send(ctx, r)
+	if response != nil {
+		response.Waited = waited
+	}
+	return response, err
 }
 
 // unusable returns the reason why no request may be sent now.
@@ -254,9 +260,10 @@
 		started := time.Now()
 		a, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.start)
 		if err == nil {
-			g.estimates.observe(r.Route, time.Since(started))
+			took := time.Since(started)
+			g.estimates.observe(r.Route, took)
 			g.pool.put(c)
-			return g.accept(r, a)
+			return g.accept(a, took)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -294,30 +301,34 @@
 	case !sent:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: retryIn, Reason: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &Failure{Code: code.UpstreamTimeout, Reason: "no response until the deadline"}
+		return &Failure{Code: code.UpstreamTimeout, Arrived: true, Reason: "no response until the deadline"}
 	case ctx.Err() != nil:
-		return &Failure{Code: code.CallerGone, Reason: "the caller left while the request ran"}
+		return &Failure{Code: code.CallerGone, Arrived: true, Reason: "the caller left while the request ran"}
 	default:
-		return &Failure{Code: code.UpstreamFailed, Reason: err.Error()}
+		return &Failure{Code: code.UpstreamFailed, Arrived: true, Reason: err.Error()}
 	}
 }
 
 // accept checks a whole response before it is passed on.
-func (g *Gateway) accept(r *Request, a *answer) (*Response, error) {
+func (g *Gateway) accept(a *answer, took time.Duration) (*Response, error) {
 	reading := g.protocol.Read(a.status, a.header)
 	g.mu.Lock()
 	g.stats.Sent++
 	g.mu.Unlock()
 	switch {
 	case reading.Misdirected:
-		return nil, g.refuse(&Failure{Code: code.NotOwner, RetryAfter: retryIn, Reason: "the upstream doesn't hold the key or isn't the one expected"})
+		return nil, g.refuse(&Failure{
+			Code: code.NotOwner, RetryAfter: retryIn, Arrived: true, Reason: "the upstream doesn't hold the key or isn't the one expected",
+		})
 	case reading.NotRun:
-		return nil, g.refuse(&Failure{Code: code.Shed, RetryAfter: retryIn, Reason: "the upstream refused with status " + strconv.Itoa(a.status)})
+		return nil, g.refuse(&Failure{
+			Code: code.Shed, RetryAfter: retryIn, Arrived: true, Reason: "the upstream refused with status " + strconv.Itoa(a.status),
+		})
 	case a.status < http.StatusMultipleChoices && !reading.Genuine:
-		return nil, g.refuse(&Failure{Code: code.WrongAnswer, Reason: "the response lacks the upstream's mark"})
+		return nil, g.refuse(&Failure{Code: code.WrongAnswer, Arrived: true, Reason: "the response lacks the upstream's mark"})
 	}
 	removeHopHeaders(a.header)
-	return &Response{Status: a.status, Header: a.header, Body: a.body}, nil
+	return &Response{Status: a.status, Header: a.header, Body: a.body, Took: took}, nil
 }
 
 // head returns the request line and the headers.
--- a/grant/claim.go
+++ b/grant/claim.go
@@ -30,7 +30,7 @@
 	for k.ctx.Err() == nil {
 		err := k.tryClaim(e)
 		if err == nil {
-			klog.InfoS("grant: serving", "keys", e.Range, "fence", e.Fence(0), "from", e.Previous, "took", time.Since(started))
+			klog.InfoS("grant: serving", "keys", e.Range, "epoch", e.Epoch, "from", e.Previous, "took", time.Since(started))
 			return
 		}
 		if errors.Is(err, errSuperseded) || errors.Is(err, ErrFenced) {
@@ -153,6 +153,6 @@
 			p.epoch = max(p.epoch, e.Epoch)
 		}
 	})
-	g := Grant{Range: h.Range, Fence: e.Fence(0), Hold: hold, Handover: h.Token}
+	g := Grant{Range: h.Range, Fence: k.fence(e.Epoch), Hold: hold, Handover: h.Token}
 	return k.order(k.ctx, g, e.Epoch, stateClaiming, stateServing)
 }
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -15,7 +15,9 @@
 // Grant allows the upstream to serve a range of keys for a time that runs from the arrival of the call.
 type Grant struct {
 	keyspace.Range
-	Fence uint64
+	// Fence returns the fencing token; fresh tells that the order goes over a new connection, at whose other end may be another
+	// run of the upstream.
+	Fence func(fresh bool) uint64
 	Hold  time.Duration
 	// Handover is what the upstream that served the keys before gave when it released them, or empty.
 	Handover string
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -47,6 +48,8 @@
 	lease    Lease
 	upstream Upstream
 	peers    Peers
+	// generation grows with each new connection to the upstream.
+	generation atomic.Uint64
 
 	mu      sync.Mutex
 	current *keyspace.Map
@@ -243,6 +246,17 @@
 	return err
 }
 
+// fence returns the source of the fencing token for an order under an epoch. The upstream at the other end of a new connection
+// may be another run, which has to get a higher token than the one before.
+func (k *Keeper) fence(epoch uint64) func(fresh bool) uint64 {
+	return func(fresh bool) uint64 {
+		if fresh {
+			return keyspace.Fence(epoch, k.generation.Add(1))
+		}
+		return keyspace.Fence(epoch, k.generation.Load())
+	}
+}
+
 // beginOrder notes that a grant is on its way. A release waits for its answer, since a grant that arrives later would give
 // the upstream the keys again.
 func (k *Keeper) beginOrder(r *keyspace.Range, epoch uint64, heldUntil time.Time, states []state) bool {
@@ -325,9 +339,8 @@
 	if hold == 0 {
 		return
 	}
-	e := keyspace.Entry{Epoch: s.Epoch}
-	err := k.order(ctx, Grant{Range: s.Range, Fence: e.Fence(0), Hold: hold}, s.Epoch, stateServing)
+	err := k.order(ctx, Grant{Range: s.Range, Fence: k.fence(s.Epoch), Hold: hold}, s.Epoch, stateServing)
 	if err != nil && ctx.Err() == nil {
-		klog.V(1).InfoS("grant: renewal failed", "keys", s.Range, "fence", e.Fence(0), "err", err)
+		klog.V(1).InfoS("grant: renewal failed", "keys", s.Range, "epoch", s.Epoch, "err", err)
 	}
 }
--- a/grant/release.go
+++ b/grant/release.go
@@ -84,23 +84,22 @@
 	for changed, ordered := k.ordered(p.Range); ordered; changed, ordered = k.ordered(p.Range) {
 		<-changed
 	}
-	e := keyspace.Entry{Epoch: p.epoch}
 	var token string
 	for time.Now().Before(p.heldUntil) {
 		try, cancel := context.WithTimeout(ctx, min(releaseTimeout, time.Until(p.heldUntil)))
-		handover, err := k.upstream.Release(try, p.Range, e.Fence(0))
+		handover, err := k.upstream.Release(try, p.Range, k.fence(p.epoch)(false))
 		cancel()
 		if err == nil {
 			token = handover
 			break
 		}
-		klog.V(1).InfoS("grant: release failed", "keys", p.Range, "fence", e.Fence(0), "err", err)
+		klog.V(1).InfoS("grant: release failed", "keys", p.Range, "epoch", p.epoch, "err", err)
 		if errors.Is(err, ErrUpstreamGone) {
 			break
 		}
 		time.Sleep(retryDelay)
 	}
-	klog.InfoS("grant: released", "keys", p.Range, "fence", e.Fence(0), "handover", token != "", "took", time.Since(started))
+	klog.InfoS("grant: released", "keys", p.Range, "epoch", p.epoch, "handover", token != "", "took", time.Since(started))
 	k.set(p.Range, func(p *piece) {
 		if p.state == stateReleasing {
 			p.state, p.handover, p.usableUntil = stateNone, token, time.Time{}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -120,6 +120,9 @@
 	if target.Slot == s.directory.Self() {
 		response, err := s.local.Do(ctx, a.request)
 		done(s.local.Load(), false)
+		if response != nil {
+			response.Slot = target.Slot
+		}
 		return response, err
 	}
 	result, err := s.forwarder.Do(ctx, target.Address, a.request)
@@ -128,6 +131,9 @@
 		s.directory.Unreachable(target.Slot)
 	}
 	done(result.Load, unreachable)
+	if result.Response != nil {
+		result.Response.Slot = target.Slot
+	}
 	return result.Response, err
 }
 
@@ -146,29 +152,36 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	keyed := a.request.Key != gateway.NoKey
-	if f != nil && f.NotRun() {
-		switch {
-		case keyed && moving(f.Code):
-			return s.wait(ctx, a, s.directory.Changed())
-		case keyed, f.Code == code.TooLate:
-			return false
-		}
-		a.tried[target.Slot] = true
-		return len(a.tried) < maxTargets && len(a.tried) < len(s.directory.Targets(a.request.Service))
+	if f != nil && f.NotRun() && !f.Arrived {
+		return s.elsewhere(ctx, a, target, f)
 	}
 	a.arrivals++
-	if f != nil {
+	if f != nil && !f.NotRun() {
 		a.unknown = f
 	}
-	if !a.route.Kind.Repeatable() || a.arrivals >= a.route.MaxAttempts || (f != nil && f.Code == code.UpstreamTimeout) {
+	repeatable := a.route.Kind.Repeatable() || f != nil && f.NotRun()
+	if !repeatable || a.arrivals >= a.route.MaxAttempts || f != nil && f.Code == code.UpstreamTimeout {
 		return false
 	}
-	if !s.budgets.get(a.request.Service).Retry() {
-		return false
+	if a.request.Key != gateway.NoKey {
+		return s.budgets.get(a.request.Service).Retry()
+	}
+	a.tried[target.Slot] = true
+	return s.untried(a) && s.budgets.get(a.request.Service).Retry()
+}
+
+// elsewhere decides whether a request that reached no upstream is offered to another instance, or to the same one later.
+func (s *Server) elsewhere(ctx context.Context, a *attempt, target Target, f *gateway.Failure) bool {
+	if a.request.Key != gateway.NoKey {
+		return moving(f.Code) && s.wait(ctx, a, s.directory.Changed())
 	}
 	a.tried[target.Slot] = true
-	return keyed || len(a.tried) < len(s.directory.Targets(a.request.Service))
+	return f.Code != code.TooLate && len(a.tried) < maxTargets && s.untried(a)
+}
+
+// untried reports whether there are instances that were not asked yet.
+func (s *Server) untried(a *attempt) bool {
+	return len(a.tried) < len(s.directory.Targets(a.request.Service))
 }
 
 // moving reports whether a failure means that the key's owner changes.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -79,6 +79,9 @@
 		s.fail(w, r, request, f, arrived)
 		return
 	}
+	klog.V(1).InfoS("request: served", "id", request.ID, "route", request.Route, "key", request.Key, "status", response.Status,
+		"slot", response.Slot, "waited", response.Waited, "took", response.Took, "total", time.Since(arrived),
+		"aimLeft", time.Until(request.Objective), "returning", request.Returning)
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -3,64 +3,121 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
 const (
 	// maxMoves bounds the moves of load in one plan.
 	maxMoves = 8
-	// tolerance is the difference in use, as a share of the capacity, that isn't worth a move.
-	tolerance = 0.12
-	// minUse is the use below which a candidate has room enough as it is.
-	minUse = 0.35
+	// worthwhile is the ratio of two costs that is worth a move. Measured loads differ from the true ones by about a fifth.
+	worthwhile = 1.15
+	// leastLoad is the least load, in busy slots, that is worth a move.
+	leastLoad = 0.15
+	// caution is the share of the load to be moved that is moved at once.
+	caution = 0.8
 )
 
-// balance moves spans from the candidates with the highest use to those with the lowest.
+// balance moves spans from the candidates with the highest cost to those with the lowest.
 func (b *builder) balance() {
 	for range maxMoves {
-		busiest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.use(a), b.use(c)) })
-		idlest := slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.use(a), b.use(c)) })
-		gap := b.use(busiest) - b.use(idlest)
-		if gap < tolerance || b.use(busiest) < minUse {
+		dearest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
+		cheapest := slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int {
+			return cmp.Compare(b.cost(a, leastLoad), b.cost(c, leastLoad))
+		})
+		if b.cost(dearest, 0) < worthwhile*b.cost(cheapest, leastLoad) {
 			return
 		}
-		// Moving this load makes the use of both equal.
-		wanted := gap * busiest.Capacity * idlest.Capacity / (busiest.Capacity + idlest.Capacity)
-		if !b.moveLoad(busiest, idlest, wanted) {
+		wanted := caution * b.equalizing(dearest, cheapest)
+		if wanted < leastLoad || !b.moveLoad(dearest, cheapest, wanted) {
 			return
 		}
 	}
 }
 
+// equalizing returns the load whose move makes the costs of two candidates equal.
+func (b *builder) equalizing(from, to Candidate) float64 {
+	low, high := 0.0, b.carried[from.Instance]
+	for range 20 {
+		middle := (low + high) / 2
+		if b.cost(from, -middle) > b.cost(to, middle) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// part is a beginning, an end or the whole of an entry.
+type part struct {
+	entry int
+	// last is the last key of the beginning, or of what stays if the end moves.
+	last Key
+	end  bool
+	load float64
+}
+
 // moveLoad moves a span with about the wanted load and returns false if there is none.
 func (b *builder) moveLoad(from, to Candidate, wanted float64) bool {
-	best, bestLoad := -1, 0.0
+	best, found := part{}, false
 	for n, e := range b.entries {
 		if e.Owner() != from.Instance || len(e.Previous) > 0 {
 			continue
 		}
-		if load := b.density.load(e.Range); best < 0 || load > bestLoad {
-			best, bestLoad = n, load
+		for _, p := range b.parts(n, wanted) {
+			if p.load >= leastLoad/2 && p.load <= excess*wanted && (!found || p.load > best.load) {
+				best, found = p, true
+			}
 		}
 	}
-	if best < 0 || bestLoad <= 0 {
+	if !found {
 		return false
 	}
-	reason := fmt.Sprintf("use of %s is %.2f, of %s %.2f", from.Instance, b.use(from), to.Instance, b.use(to))
-	if bestLoad > 1.2*wanted && b.entries[best].Size() > 1 {
-		cut := b.density.cut(b.entries[best].Range, wanted)
-		if cut >= b.entries[best].Last {
-			return false
+	reason := fmt.Sprintf("%.2f of %.2f busy slots from cost %.2f (pace %.2f, load %.1f) to cost %.2f (pace %.2f, load %.1f)",
+		best.load, wanted, b.cost(from, 0), from.Pace, b.carried[from.Instance], b.cost(to, 0), to.Pace, b.carried[to.Instance])
+	n := best.entry
+	if best.last < b.entries[n].Last {
+		b.split(n, best.last)
+		if best.end {
+			n++
 		}
-		b.split(best, cut)
-	} else if bestLoad > 2*wanted {
-		return false
 	}
-	b.assign(best, to.Instance, reason)
+	b.assign(n, to.Instance, reason)
 	return true
 }
 
-// density is the load of the keys: spans that cover all keys, each with a load that is spread evenly over it.
+// excess is how much more than the wanted load may be moved, because keys can't be divided.
+const excess = 1.2
+
+// parts returns the parts of an entry whose load is next to the wanted one.
+func (b *builder) parts(n int, wanted float64) []part {
+	e := b.entries[n]
+	load := b.density.load(e.Range)
+	if load <= excess*wanted || e.Size() == 1 {
+		return []part{{entry: n, last: e.Last, load: load}}
+	}
+	var parts []part
+	add := func(last int, end bool) {
+		if last < int(e.First) || last >= int(e.Last) {
+			return
+		}
+		p := part{entry: n, last: Key(last), end: end, load: b.density.load(Range{First: e.First, Last: Key(last)})}
+		if end {
+			p.load = load - p.load
+		}
+		parts = append(parts, p)
+	}
+	cut := int(b.density.cut(e.Range, wanted))
+	add(cut, false)
+	add(cut-1, false)
+	cut = int(b.density.cut(e.Range, load-wanted))
+	add(cut, true)
+	add(cut-1, true)
+	return parts
+}
+
+// density is the load of the keys: spans that cover all keys in order, each with a load that is spread evenly over it.
 type density struct {
 	spans []SpanLoad
 	sums  []float64
@@ -69,32 +126,32 @@
 // backgroundLoad is added over all keys, so that keys without known load are divided evenly too.
 const backgroundLoad = 0.01
 
+// newDensity adds up the loads. Spans may overlap: for a time after a move, the earlier owner's average still holds the part of
+// the load that the new owner's doesn't hold yet.
 func newDensity(loads []SpanLoad) density {
-	sorted := slices.Clone(loads)
-	slices.SortFunc(sorted, func(a, b SpanLoad) int { return cmp.Compare(a.First, b.First) })
+	steps := map[int]float64{0: backgroundLoad / float64(int(MaxKey)+1)}
+	for _, s := range loads {
+		rate := s.Load / float64(s.Size())
+		steps[int(s.First)] += rate
+		steps[int(s.Last)+1] -= rate
+	}
 	var d density
-	next := 0
-	add := func(first, last int, load float64) {
+	rate, sum := 0.0, 0.0
+	keys := slices.Sorted(maps.Keys(steps))
+	for n, first := range keys {
+		rate += steps[first]
+		last := int(MaxKey)
+		if n+1 < len(keys) {
+			last = keys[n+1] - 1
+		}
 		if first > last {
-			return
+			break
 		}
 		r := Range{First: Key(first), Last: Key(last)}
-		load += backgroundLoad * float64(r.Size()) / float64(int(MaxKey)+1)
-		sum := load
-		if n := len(d.sums); n > 0 {
-			sum += d.sums[n-1]
-		}
+		load := max(rate, 0) * float64(r.Size())
+		sum += load
 		d.spans, d.sums = append(d.spans, SpanLoad{Range: r, Load: load}), append(d.sums, sum)
 	}
-	for _, s := range sorted {
-		if int(s.First) < next {
-			continue
-		}
-		add(next, int(s.First)-1, 0)
-		add(int(s.First), int(s.Last), s.Load)
-		next = int(s.Last) + 1
-	}
-	add(next, int(MaxKey), 0)
 	return d
 }
 
--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -37,8 +37,14 @@
 // String returns the form "100-199".
 func (r Range) String() string { return fmt.Sprintf("%d-%d", r.First, r.Last) }
 
-// rankBits is the number of bits of a fencing token that hold the rank; the others hold the epoch.
-const rankBits = 4
+// generationBits is the number of bits of a fencing token that hold the generation; the others hold the epoch.
+const generationBits = 20
+
+// Fence returns a fencing token. It is greater than that of each older epoch, and than that of each older generation of the same
+// epoch.
+func Fence(epoch, generation uint64) uint64 {
+	return epoch<<generationBits | min(generation, 1<<generationBits-1)
+}
 
 // Entry says who may serve a range.
 type Entry struct {
@@ -62,9 +68,6 @@
 // Rank returns the rank of an incarnation, or -1 if it isn't a member.
 func (e Entry) Rank(i member.Incarnation) int { return slices.Index(e.Members, i) }
 
-// Fence returns the fencing token of the member at a rank. It is greater than that of each lower rank and older epoch.
-func (e Entry) Fence(rank int) uint64 { return e.Epoch<<rankBits | uint64(rank) }
-
 // Map assigns all keys of a service. It is immutable; the zero value assigns none.
 type Map struct {
 	version uint64
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"sapphiretray/member"
@@ -11,13 +12,15 @@
 // Candidate is an instance that keys may be assigned to.
 type Candidate struct {
 	Instance member.Incarnation
-	// Capacity is how much load the upstream carries, in slots of an upstream of mean speed.
-	Capacity float64
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int
+	// Pace is the time that the upstream needs for a request, relative to the mean of the upstreams.
+	Pace float64
 	// Settled is the newest map version whose assignments to the instance are all served.
 	Settled uint64
 }
 
-// SpanLoad is the load of a span of keys, in slots of an upstream of mean speed.
+// SpanLoad is the load of a span of keys, in busy slots of an upstream of mean pace.
 type SpanLoad struct {
 	Range
 	Load float64
@@ -108,11 +111,11 @@
 func (b *builder) initial() {
 	total := 0.0
 	for _, c := range b.problem.Candidates {
-		total += c.Capacity
+		total += float64(c.Slots)
 	}
 	first, sum := 0, 0.0
 	for n, c := range b.problem.Candidates {
-		sum += c.Capacity
+		sum += float64(c.Slots)
 		last := int(sum/total*float64(int(MaxKey)+1)) - 1
 		if n == len(b.problem.Candidates)-1 {
 			last = int(MaxKey)
@@ -201,9 +204,33 @@
 	b.moves = append(b.moves, Move{Range: e.Range, From: from, To: to, Reason: reason})
 }
 
-// use returns the share of a candidate's capacity that is used.
-func (b *builder) use(c Candidate) float64 { return b.carried[c.Instance] / c.Capacity }
+// use returns the share of a candidate's slots that is busy with the given load.
+func (c Candidate) use(load float64) float64 { return load * c.Pace / float64(c.Slots) }
 
+// cost is the mean time until a request is answered, relative to the mean pace, at a load: the upstream's own time and the wait
+// for a slot. Beyond full use the wait grows without bound, so the cost goes on as a line.
+func (c Candidate) cost(load float64) float64 {
+	use := c.use(load)
+	below := min(use, fullUse)
+	return c.Pace * (1 + math.Pow(below, waitPower)/(waitDivisor*(1-below)) + overloadSlope*(use-below))
+}
+
+// The wait for one of several slots is fitted to the M/M/6 queue: 0.07 service times at a use of 0.6, 0.5 at 0.8.
+const (
+	waitPower     = 5
+	waitDivisor   = 3
+	fullUse       = 0.94
+	overloadSlope = 20
+)
+
+// cost returns the cost at a candidate with its load and some more.
+func (b *builder) cost(c Candidate, more float64) float64 {
+	return c.cost(b.carried[c.Instance] + more)
+}
+
+// roomiest returns the candidate at which a request is answered first.
 func (b *builder) roomiest() member.Incarnation {
-	return slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.use(a), b.use(c)) }).Instance
+	return slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int {
+		return cmp.Or(cmp.Compare(b.cost(a, leastLoad), b.cost(c, leastLoad)), cmp.Compare(b.carried[a.Instance], b.carried[c.Instance]))
+	}).Instance
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -58,8 +58,9 @@
 type Ports struct {
 	Store    store.Store
 	Upstream gateway.Protocol
-	Grants   grant.Upstream
 	Callers  ingress.Protocol
+	// Grants returns the way in which keys are granted to the upstream.
+	Grants func(*gateway.Gateway) grant.Upstream
 	// ConfigTable and ConfigKey name the row with the configuration, and DecodeConfig reads it.
 	ConfigTable  string
 	ConfigKey    string
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -44,7 +44,13 @@
 			continue
 		}
 		m.proveMissing(ctx, current.keys, reports)
-		next, moves := keyspace.Plan(m.problem(current.keys, reports))
+		problem := m.problem(current.keys, reports)
+		next, moves := keyspace.Plan(problem)
+		if klog.V(2).Enabled() {
+			for _, c := range problem.Candidates {
+				klog.V(2).InfoS("plan: candidate", "instance", c.Instance, "pace", c.Pace, "settled", c.Settled, "load", reports[c.Instance].GetLoad(), "version", current.keys.Version(), "spans", len(reports[c.Instance].GetKeys()), "reports", len(reports))
+			}
+		}
 		if next == nil {
 			continue
 		}
@@ -60,11 +66,12 @@
 }
 
 func (m *Mesh) problem(current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) keyspace.Problem {
-	p := keyspace.Problem{Service: m.settings.Service, Current: current, Gone: m.gone, Loads: spanLoads(reports)}
+	paces := paces(reports)
+	p := keyspace.Problem{Service: m.settings.Service, Current: current, Gone: m.gone, Loads: spanLoads(reports, paces)}
 	for i, r := range reports {
 		if r.GetUsable() {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
-				Instance: i, Capacity: float64(max(r.GetSlots(), 1)), Settled: r.GetSettled(),
+				Instance: i, Slots: int(max(r.GetSlots(), 1)), Pace: paces[i], Settled: r.GetSettled(),
 			})
 		}
 	}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -83,6 +83,9 @@
 		r.Load += span.Load
 		r.Keys = append(r.Keys, &peer.KeyLoad{First: uint32(span.First), Last: uint32(span.Last), Load: span.Load})
 	}
+	for route, mean := range m.gateway.ServiceTimes() {
+		r.Routes = append(r.Routes, &peer.RouteTime{Route: route, Seconds: mean.Seconds()})
+	}
 	return r
 }
 
@@ -163,12 +166,43 @@
 	return fresh
 }
 
-func spanLoads(reports map[member.Incarnation]*peer.ReportRequest) []keyspace.SpanLoad {
-	var spans []keyspace.SpanLoad
+// paces returns the time that each upstream needs for a request, relative to the mean of the upstreams on the same route.
+func paces(reports map[member.Incarnation]*peer.ReportRequest) map[member.Incarnation]float64 {
+	sums, counts := make(map[string]float64), make(map[string]float64)
 	for _, r := range reports {
+		for _, t := range r.GetRoutes() {
+			sums[t.GetRoute()] += t.GetSeconds()
+			counts[t.GetRoute()]++
+		}
+	}
+	paces := make(map[member.Incarnation]float64)
+	for i, r := range reports {
+		pace, routes := 0.0, 0.0
+		for _, t := range r.GetRoutes() {
+			if mean := sums[t.GetRoute()] / counts[t.GetRoute()]; mean > 0 {
+				pace += t.GetSeconds() / mean
+				routes++
+			}
+		}
+		paces[i] = 1
+		if routes > 0 {
+			paces[i] = max(pace/routes, minPace)
+		}
+	}
+	return paces
+}
+
+// minPace bounds the relative pace of an upstream, so that loads stay finite.
+const minPace = 0.1
+
+// spanLoads returns the loads of all spans as they would be at an upstream of mean pace.
+func spanLoads(reports map[member.Incarnation]*peer.ReportRequest, paces map[member.Incarnation]float64) []keyspace.SpanLoad {
+	var spans []keyspace.SpanLoad
+	for i, r := range reports {
 		for _, k := range r.GetKeys() {
 			spans = append(spans, keyspace.SpanLoad{
-				Range: keyspace.Range{First: keyspace.Key(k.GetFirst()), Last: keyspace.Key(k.GetLast())}, Load: k.GetLoad(),
+				Range: keyspace.Range{First: keyspace.Key(k.GetFirst()), Last: keyspace.Key(k.GetLast())},
+				Load:  k.GetLoad() / paces[i],
 			})
 		}
 	}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -241,7 +241,7 @@
 			klog.ErrorS(err, "session: witnesses refused", "instance", s.self())
 			return
 		}
-		s.keeper = grant.New(ctx, m.settings.Service, s.self(), m.endpoint.Lease(), m.ports.Grants, m)
+		s.keeper = grant.New(ctx, m.settings.Service, s.self(), m.endpoint.Lease(), m.ports.Grants(m.gateway), m)
 		group.Go(func() error {
 			s.keeper.Run(ctx)
 			return nil
--- a/platform.go
+++ b/platform.go
@@ -22,10 +22,6 @@
 	if err != nil {
 		return err
 	}
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		return err
-	}
 	defer klog.Flush()
-	return platform.Run(ctx, s)
+	return platform.Run(ctx, path)
 }
