--- /dev/null
+++ b/fake/rowstore.go
@@ -0,0 +1,245 @@
+package fake
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// StoredRow is a row of a RowStore.
+type StoredRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// RowStore is a stand-in of the users' store of rows. The zero value is empty and ready to use.
+type RowStore struct {
+	faults Faults
+
+	mu      sync.Mutex
+	rows    map[rowName]StoredRow
+	history []StoredRow
+	// dropped is the version up to which the history is gone.
+	dropped uint64
+	ver     uint64
+	started time.Time
+	changed chan struct{}
+	refused map[string]bool
+	calls   int
+}
+
+type rowName struct{ table, part, key string }
+
+// Faults returns the injector of the store's faults.
+func (s *RowStore) Faults() *Faults { return &s.faults }
+
+// Refuse makes the store turn away the calls from an IP address, or serve them again.
+func (s *RowStore) Refuse(ip string, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil {
+		s.refused = make(map[string]bool)
+	}
+	s.refused[ip] = refuse
+}
+
+// DropHistory forgets all changes up to now.
+func (s *RowStore) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped, s.history = s.ver, nil
+	s.notify()
+}
+
+// Calls returns the number of calls that arrived.
+func (s *RowStore) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as the operator does.
+func (s *RowStore) Put(table, key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.set(StoredRow{Table: table, Key: key, Value: value, Ver: s.ver})
+	s.notify()
+	return s.ver
+}
+
+// Get returns a row with an empty part.
+func (s *RowStore) Get(table, key string) (StoredRow, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[rowName{table: table, key: key}]
+	return row, ok
+}
+
+// Handler serves the store's calls.
+func (s *RowStore) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/rows-tx", s.transact)
+	mux.HandleFunc("GET /-/rows-get", s.list)
+	mux.HandleFunc("GET /-/rows-feed", s.feed)
+	faulty := s.faults.wrap(mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		s.mu.Lock()
+		s.calls++
+		refused := s.refused[host]
+		s.mu.Unlock()
+		if refused {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		faulty.ServeHTTP(w, r)
+	})
+}
+
+func (s *RowStore) set(row StoredRow) {
+	if s.rows == nil {
+		s.rows = make(map[rowName]StoredRow)
+	}
+	name := rowName{row.Table, row.Part, row.Key}
+	if row.Deleted {
+		delete(s.rows, name)
+	} else {
+		s.rows[name] = row
+	}
+	s.history = append(s.history, row)
+}
+
+// notify wakes the calls that wait for changes. The lock is held.
+func (s *RowStore) notify() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+func (s *RowStore) transact(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []StoredRow `json:"expected"`
+		SetKeys  []StoredRow `json:"set_keys"`
+		Removals []StoredRow `json:"removals"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := make([]StoredRow, 0, len(body.Expected))
+	failed := false
+	for _, e := range body.Expected {
+		row, ok := s.rows[rowName{e.Table, e.Part, e.Key}]
+		if !ok {
+			row = StoredRow{Table: e.Table, Part: e.Part, Key: e.Key}
+		}
+		current = append(current, row)
+		failed = failed || row.Ver != e.Ver
+	}
+	if failed {
+		s.answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current})
+		return
+	}
+	s.ver++
+	for _, row := range body.SetKeys {
+		row.Ver = s.ver
+		s.set(row)
+	}
+	for _, row := range body.Removals {
+		row.Ver, row.Deleted = s.ver, true
+		s.set(row)
+	}
+	s.notify()
+	s.answer(w, http.StatusOK, map[string]any{})
+}
+
+// answer writes a body with the newest version. The lock is held.
+func (s *RowStore) answer(w http.ResponseWriter, status int, body map[string]any) {
+	if s.started.IsZero() {
+		s.started = time.Now()
+	}
+	body["ver"], body["now"] = s.ver, strconv.FormatInt(time.Since(s.started).Milliseconds(), 10)+"ms"
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *RowStore) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := []StoredRow{}
+	for name, row := range s.rows {
+		if name.table == query.Get("table") && name.part == query.Get("part") && name.key >= query.Get("from") {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b StoredRow) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	truncated := len(rows) > limit
+	if truncated {
+		rows = rows[:limit]
+	}
+	s.answer(w, http.StatusOK, map[string]any{"rows": rows, "truncated": truncated})
+}
+
+func (s *RowStore) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.dropped {
+			s.answer(w, http.StatusGone, map[string]any{})
+			s.mu.Unlock()
+			return
+		}
+		rows := []StoredRow{}
+		for _, row := range s.history {
+			if row.Ver > after && row.Table == query.Get("table") {
+				rows = append(rows, row)
+			}
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		if len(rows) > 0 {
+			s.answer(w, http.StatusOK, map[string]any{"rows": rows})
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			s.mu.Lock()
+			s.answer(w, http.StatusOK, map[string]any{"rows": rows})
+			s.mu.Unlock()
+			return
+		}
+	}
+}
--- a/forward/client.go
+++ b/forward/client.go
@@ -24,10 +24,13 @@
 // Client forwards requests.
 type Client struct {
 	transport http.RoundTripper
+	news      News
 }
 
 // NewClient returns a client that reaches other instances through a transport.
-func NewClient(transport http.RoundTripper) *Client { return &Client{transport: transport} }
+func NewClient(transport http.RoundTripper, news News) *Client {
+	return &Client{transport: transport, news: news}
+}
 
 // Do forwards a request to the instance at an address. The error is a *gateway.Failure; it has code.PeerFailed if the
 // outcome is unknown and code.NoOwner if the instance could not be reached.
@@ -41,7 +44,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(headerCall, encodeCall(r, now))
+	header.Set(headerCall, encodeCall(r, now, c.news.Versions()))
 	request := (&http.Request{
 		Method: r.Method, URL: target, Host: address, Header: header,
 		ContentLength: int64(len(r.Body)), Body: http.NoBody,
@@ -63,7 +66,7 @@
 	if err != nil {
 		return Result{}, failed(ctx, err)
 	}
-	return interpret(response, body)
+	return c.interpret(response, body)
 }
 
 // failed returns the failure of a request that was not answered.
@@ -81,11 +84,12 @@
 	}
 }
 
-func interpret(response *http.Response, body []byte) (Result, error) {
+func (c *Client) interpret(response *http.Response, body []byte) (Result, error) {
 	fields, err := decodeResult(response.Header)
 	if err != nil {
 		return Result{}, &gateway.Failure{Code: code.PeerFailed, Reason: err.Error()}
 	}
+	c.news.Heard(fields.versions)
 	result := Result{Load: fields.load}
 	if fields.code != code.OK {
 		return result, &gateway.Failure{Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, Reason: string(body)}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,11 +23,12 @@
 	// headerCall holds the fields of callFields, separated by commas.
 	headerCall = "S-Call"
 	// headerResult holds the result code, the upstream's status, the Retry-After in milliseconds, whether the request
-	// reached the upstream, the load, and the times that it waited and took.
+	// reached the upstream, the load, the times that it waited and took, and
+	// the versions of the instance.
 	headerResult = "S-Res"
 )
 
-const callFields = 11
+const callFields = 12
 
 // Flags of a call.
 const (
@@ -37,8 +38,46 @@
 
 var errMalformed = errors.New("malformed header")
 
+// Versions are the newest versions that an instance knows. They travel with requests and responses, so that an instance which the
+// store turns away learns of news from others.
+type Versions struct {
+	// Slot names the place of the instance, which has the news.
+	Slot string
+	// Config is the version of the row with the configuration, Rows that of the newest record or map.
+	Config, Rows uint64
+}
+
+// String returns the form that travels.
+func (v Versions) String() string {
+	return v.Slot + "/" + strconv.FormatUint(v.Config, versionBase) + "/" + strconv.FormatUint(v.Rows, versionBase)
+}
+
+const versionBase = 36
+
+// parseVersions is the inverse of String. Versions that can't be read are none.
+func parseVersions(text string) Versions {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 {
+		return Versions{}
+	}
+	config, configErr := strconv.ParseUint(parts[1], versionBase, 64)
+	rows, rowsErr := strconv.ParseUint(parts[2], versionBase, 64)
+	if configErr != nil || rowsErr != nil {
+		return Versions{}
+	}
+	return Versions{Slot: parts[0], Config: config, Rows: rows}
+}
+
+// News exchanges versions with other instances.
+type News interface {
+	// Versions returns the versions of this instance.
+	Versions() Versions
+	// Heard takes the versions of another instance.
+	Heard(v Versions)
+}
+
 // encodeCall returns the header of a request. Times are sent as what is left of them, in milliseconds.
-func encodeCall(r *gateway.Request, now time.Time) string {
+func encodeCall(r *gateway.Request, now time.Time, v Versions) string {
 	flags := ""
 	if r.Nested {
 		flags += flagNested
@@ -49,21 +88,21 @@
 	left := func(t time.Time) string { return strconv.FormatInt(t.Sub(now).Milliseconds(), 10) }
 	return strings.Join([]string{
 		r.ID, r.Service, r.Origin, r.Route, strconv.Itoa(r.Key), strconv.Itoa(int(r.Kind)), strconv.Itoa(r.Priority), flags,
-		left(r.Objective), left(r.Deadline), r.Host,
+		left(r.Objective), left(r.Deadline), r.Host, v.String(),
 	}, ",")
 }
 
 // decodeCall is the inverse of encodeCall.
-func decodeCall(text string, now time.Time) (*gateway.Request, error) {
+func decodeCall(text string, now time.Time) (*gateway.Request, Versions, error) {
 	fields := strings.Split(text, ",")
 	if len(fields) != callFields {
-		return nil, fmt.Errorf("%s: %w", headerCall, errMalformed)
+		return nil, Versions{}, fmt.Errorf("%s: %w", headerCall, errMalformed)
 	}
 	var numbers [5]int
 	for n, position := range []int{4, 5, 6, 8, 9} {
 		value, err := strconv.Atoi(fields[position])
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", headerCall, err)
+			return nil, Versions{}, fmt.Errorf("%s: %w", headerCall, err)
 		}
 		numbers[n] = value
 	}
@@ -73,7 +112,7 @@
 		Key: numbers[0], Kind: routing.Kind(numbers[1]), Priority: numbers[2],
 		Nested: strings.Contains(fields[7], flagNested), Returning: strings.Contains(fields[7], flagReturning),
 		Objective: after(numbers[3]), Deadline: after(numbers[4]), Host: fields[10],
-	}, nil
+	}, parseVersions(fields[11]), nil
 }
 
 // Result is what became of a forwarded request.
@@ -88,8 +127,8 @@
 	if r.arrived {
 		arrived = 1
 	}
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
-		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds())
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%s", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
+		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds(), r.versions)
 }
 
 type resultFields struct {
@@ -100,18 +139,29 @@
 	load       gateway.Load
 	waited     time.Duration
 	took       time.Duration
+	versions   Versions
 }
 
+// resultNumbers is the number of numeric fields of a result; the versions follow.
+const resultNumbers = 9
+
 func decodeResult(header http.Header) (resultFields, error) {
-	var c, status, retry, arrived, waited, took int
-	var load gateway.Load
-	_, err := fmt.Sscanf(header.Get(headerResult), "%d,%d,%d,%d,%d,%d,%d,%d,%d", &c, &status, &retry, &arrived,
-		&load.Running, &load.Waiting, &load.Slots, &waited, &took)
-	if err != nil {
-		return resultFields{}, fmt.Errorf("%s: %w", headerResult, err)
+	fields := strings.Split(header.Get(headerResult), ",")
+	if len(fields) != resultNumbers+1 {
+		return resultFields{}, fmt.Errorf("%s: %w", headerResult, errMalformed)
+	}
+	var numbers [resultNumbers]int
+	for n := range numbers {
+		value, err := strconv.Atoi(fields[n])
+		if err != nil {
+			return resultFields{}, fmt.Errorf("%s: %w", headerResult, err)
+		}
+		numbers[n] = value
 	}
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	return resultFields{
-		code: code.Code(c), status: status, retryAfter: ms(retry), arrived: arrived != 0, load: load, waited: ms(waited), took: ms(took),
+		code: code.Code(numbers[0]), status: numbers[1], retryAfter: ms(numbers[2]), arrived: numbers[3] != 0,
+		load:   gateway.Load{Running: numbers[4], Waiting: numbers[5], Slots: numbers[6]},
+		waited: ms(numbers[7]), took: ms(numbers[8]), versions: parseVersions(fields[resultNumbers]),
 	}, nil
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -18,18 +18,19 @@
 func IsForwarded(r *http.Request) bool { return r.Header.Get(headerCall) != "" }
 
 // Handler runs forwarded requests at the local upstream.
-func Handler(g *gateway.Gateway) http.Handler {
+func Handler(g *gateway.Gateway, news News) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, err := decodeCall(r.Header.Get(headerCall), time.Now())
+		request, versions, err := decodeCall(r.Header.Get(headerCall), time.Now())
 		if err != nil {
-			writeFailure(w, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}, g.Load())
+			writeFailure(w, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}, g.Load(), news.Versions())
 			return
 		}
+		news.Heard(versions)
 		r.Header.Del(headerCall)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
 		if request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxRequestBytes)); err != nil {
-			writeFailure(w, &gateway.Failure{Code: code.CallerGone, Reason: err.Error()}, g.Load())
+			writeFailure(w, &gateway.Failure{Code: code.CallerGone, Reason: err.Error()}, g.Load(), news.Versions())
 			return
 		}
 		response, err := g.Do(r.Context(), request)
@@ -38,20 +39,20 @@
 			if !errors.As(err, &f) {
 				f = &gateway.Failure{Code: code.UpstreamFailed, Reason: err.Error()}
 			}
-			writeFailure(w, f, g.Load())
+			writeFailure(w, f, g.Load(), news.Versions())
 			return
 		}
-		writeResponse(w, response, g.Load())
+		writeResponse(w, response, g.Load(), news.Versions())
 	})
 }
 
-func writeResponse(w http.ResponseWriter, response *gateway.Response, load gateway.Load) {
+func writeResponse(w http.ResponseWriter, response *gateway.Response, load gateway.Load, v Versions) {
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
 	}
 	header.Set(headerResult, encodeResult(resultFields{
-		code: code.OK, status: response.Status, load: load, waited: response.Waited, took: response.Took,
+		code: code.OK, status: response.Status, load: load, waited: response.Waited, took: response.Took, versions: v,
 	}))
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	header["Date"] = nil
@@ -60,9 +61,9 @@
 	_, _ = w.Write(response.Body)
 }
 
-func writeFailure(w http.ResponseWriter, f *gateway.Failure, load gateway.Load) {
+func writeFailure(w http.ResponseWriter, f *gateway.Failure, load gateway.Load, v Versions) {
 	header := w.Header()
-	header.Set(headerResult, encodeResult(resultFields{code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load}))
+	header.Set(headerResult, encodeResult(resultFields{code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load, versions: v}))
 	header.Set("Content-Type", "text/plain")
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,9 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// open holds all connections until their reader has ended.
+	open   map[*conn]struct{}
+	closed bool
 }
 
 // get returns an idle connection, the one used last, or a new one.
@@ -47,13 +52,48 @@
 	}
 	p.opened()
 	c = newConn(raw, p.matches)
+	if !p.add(c) {
+		_ = raw.Close()
+		return nil, false, errClosed
+	}
 	p.group.Go(func() error {
+		defer p.remove(c)
 		c.read()
 		return nil
 	})
 	return c, false, nil
 }
 
+func (p *pool) add(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	if p.open == nil {
+		p.open = make(map[*conn]struct{})
+	}
+	p.open[c] = struct{}{}
+	return true
+}
+
+func (p *pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
+// close closes all connections for good, so that their readers end.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	open := slices.Collect(maps.Keys(p.open))
+	p.mu.Unlock()
+	for _, c := range open {
+		c.fail(errClosed)
+	}
+}
+
 func (p *pool) take(now time.Time, tolerance time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,15 +116,14 @@
 	now := time.Now()
 	p.mu.Lock()
 	var old []*conn
-	kept := p.idle[:0]
-	for _, other := range p.idle {
+	p.idle = slices.DeleteFunc(p.idle, func(other *conn) bool {
 		if other.usable(now, maxIdle) {
-			kept = append(kept, other)
-		} else {
-			old = append(old, other)
+			return false
 		}
-	}
-	p.idle = append(kept, c)
+		old = append(old, other)
+		return true
+	})
+	p.idle = append(p.idle, c)
 	p.mu.Unlock()
 	for _, other := range old {
 		other.fail(errClosed)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -112,8 +112,9 @@
 	return Load{Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots()}
 }
 
-// Review refuses waiting requests that have become hopeless, until ctx ends.
-func (g *Gateway) Review(ctx context.Context) {
+// Run refuses waiting requests that have become hopeless. When ctx ends, it closes the connections to the upstream.
+func (g *Gateway) Run(ctx context.Context) {
+	defer g.pool.close()
 	ticker := time.NewTicker(reviewInterval)
 	defer ticker.Stop()
 	for {
@@ -166,7 +167,7 @@
 func (g *Gateway) unusable(r *Request) *Failure {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	left := r.Deadline.Sub(time.Now())
+	left := time.Until(r.Deadline)
 	switch {
 	case r.Service != g.service:
 		return &Failure{Code: code.NotOwner, Reason: "service " + r.Service + " isn't served here"}
--- a/grant/claim.go
+++ b/grant/claim.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -108,18 +110,37 @@
 	return cover(e.Range, released), nil
 }
 
+// release asks an earlier holder for the keys. If it doesn't answer soon, its witnesses are asked meanwhile whether its lease has
+// expired.
 func (k *Keeper) release(e keyspace.Entry, holder member.Incarnation) ([]Handover, error) {
 	ctx, cancel := context.WithTimeout(k.ctx, peerTimeout)
 	defer cancel()
+	var expired atomic.Bool
+	var proof sync.WaitGroup
+	defer proof.Wait()
+	defer cancel()
+	proof.Go(func() {
+		select {
+		case <-time.After(proofDelay):
+		case <-ctx.Done():
+			return
+		}
+		if proved, err := k.peers.Expired(ctx, holder); err == nil && proved {
+			expired.Store(true)
+			cancel()
+		}
+	})
 	handovers, err := k.peers.Release(ctx, Request{
 		Range: e.Range, Service: k.service, Epoch: e.Epoch, Holder: holder, Successor: k.self,
 	})
 	if err == nil {
 		return handovers, nil
 	}
-	proof, cancelProof := context.WithTimeout(k.ctx, proofTimeout)
-	defer cancelProof()
-	if expired, proofErr := k.peers.Expired(proof, holder); proofErr == nil && expired {
+	if ctx.Err() == nil {
+		// The holder can't be reached, or refuses; only a proof helps.
+		proof.Wait()
+	}
+	if expired.Load() {
 		klog.InfoS("grant: the earlier holder's lease has expired", "keys", e.Range, "holder", holder)
 		return nil, nil
 	}
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -33,8 +33,8 @@
 	releaseTimeout = 700 * time.Millisecond
 	// retryDelay is the pause after a failed step of a claim.
 	retryDelay = 50 * time.Millisecond
-	// proofTimeout bounds one try to prove that an earlier holder's lease has expired.
-	proofTimeout = 2 * time.Second
+	// proofDelay is the time that an earlier holder has to answer before its witnesses are asked.
+	proofDelay = 150 * time.Millisecond
 	// peerTimeout bounds a request to an earlier holder: it may wait for the work on the keys and for the end of the hold.
 	peerTimeout = 2500 * time.Millisecond
 	// maxOrders bounds the grants that are renewed at once.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -112,7 +112,8 @@
 	}
 	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
 	if route == nil {
-		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: "no route of configuration " + strconv.FormatUint(table.Version(), 10)}
+		reason := "no route of configuration " + strconv.FormatUint(table.Version(), 10)
+		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
 	}
 	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes); f != nil {
 		return request, route, f
@@ -174,7 +175,8 @@
 // time after which it is worth that.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, request *gateway.Request, f *gateway.Failure, arrived time.Time) {
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
-		"code", f.Code, "reason", f.Reason, "retryAfter", f.RetryAfter, "took", time.Since(arrived), "nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline), "aimLeft", time.Until(request.Objective))
+		"code", f.Code, "reason", f.Reason, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
+		"nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline))
 	if r.Context().Err() != nil {
 		// Nobody reads the answer.
 		panic(http.ErrAbortHandler)
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		for _, p := range b.parts(n, wanted) {
-			if p.load >= leastLoad/2 && p.load <= excess*wanted && (!found || p.load > best.load) {
+			if p.load >= min(leastLoad, wanted)/2 && p.load <= excess*wanted && (!found || p.load > best.load) {
 				best, found = p, true
 			}
 		}
--- /dev/null
+++ b/keyspace/keyspace_test.go
@@ -0,0 +1,321 @@
+package keyspace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+)
+
+func instanceName(n int) member.Incarnation { return member.NewIncarnation(fmt.Sprintf("10.0.0.%d", n), 1) }
+
+func candidates(paces ...float64) []keyspace.Candidate {
+	list := make([]keyspace.Candidate, 0, len(paces))
+	for n, pace := range paces {
+		list = append(list, keyspace.Candidate{Instance: instanceName(n), Slots: 6, Pace: pace})
+	}
+	return list
+}
+
+func never(member.Incarnation) bool { return false }
+
+func problem(current *keyspace.Map, c []keyspace.Candidate, loads []keyspace.SpanLoad) keyspace.Problem {
+	return keyspace.Problem{Service: "bookings", Current: current, Candidates: c, Gone: never, Keep: never, Loads: loads}
+}
+
+// settle marks all candidates as serving what the map assigns to them.
+func settle(c []keyspace.Candidate, m *keyspace.Map) []keyspace.Candidate {
+	settled := slices.Clone(c)
+	for n := range settled {
+		settled[n].Settled = m.Version()
+	}
+	return settled
+}
+
+func mustPlan(t *testing.T, p keyspace.Problem) *keyspace.Map {
+	t.Helper()
+	m, _ := keyspace.Plan(p)
+	if m == nil {
+		t.Fatal("no plan")
+	}
+	return m
+}
+
+// converge plans until nothing changes and returns the last map and the number of plans.
+func converge(t *testing.T, m *keyspace.Map, c []keyspace.Candidate, loads []keyspace.SpanLoad) (*keyspace.Map, int) {
+	t.Helper()
+	for n := range 50 {
+		next, _ := keyspace.Plan(problem(m, settle(c, m), loads))
+		if next == nil {
+			return m, n
+		}
+		m = next
+	}
+	t.Fatal("the plans don't converge")
+	return nil, 0
+}
+
+// carried returns the load of each instance under a map.
+func carried(m *keyspace.Map, loads []keyspace.SpanLoad) map[member.Incarnation]float64 {
+	sums := make(map[member.Incarnation]float64)
+	for _, s := range loads {
+		for k := int(s.First); k <= int(s.Last); k++ {
+			e, _ := m.Find(keyspace.Key(k))
+			sums[e.Owner()] += s.Load / float64(s.Size())
+		}
+	}
+	return sums
+}
+
+// TestMapCoversAllKeys guards against keys without an owner.
+func TestMapCoversAllKeys(t *testing.T) {
+	owner := []member.Incarnation{instanceName(1)}
+	tests := []struct {
+		name    string
+		entries []keyspace.Entry
+		valid   bool
+	}{
+		{"whole", []keyspace.Entry{{Range: keyspace.Range{First: 0, Last: keyspace.MaxKey}, Members: owner}}, true},
+		{"gap", []keyspace.Entry{
+			{Range: keyspace.Range{First: 0, Last: 9}}, {Range: keyspace.Range{First: 11, Last: keyspace.MaxKey}},
+		}, false},
+		{"overlap", []keyspace.Entry{
+			{Range: keyspace.Range{First: 0, Last: 9}}, {Range: keyspace.Range{First: 9, Last: keyspace.MaxKey}},
+		}, false},
+		{"short", []keyspace.Entry{{Range: keyspace.Range{First: 0, Last: 9}}}, false},
+		{"empty", nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if _, err := keyspace.NewMap(1, test.entries); (err == nil) != test.valid {
+				t.Errorf("error %v, want valid %v", err, test.valid)
+			}
+		})
+	}
+}
+
+// TestEncode guards against a map that reads back differently from its row.
+func TestEncode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 9).Draw(t, "candidates")
+		paces := make([]float64, count)
+		for n := range paces {
+			paces[n] = 1
+		}
+		c := candidates(paces...)
+		m, _ := keyspace.Plan(problem(nil, c, nil))
+		if count > 1 {
+			next, _ := keyspace.Plan(problem(m, settle(c[1:], m), nil))
+			m = next
+		}
+		content, err := m.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := keyspace.Decode(content)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fmt.Sprint(decoded.Entries()) != fmt.Sprint(m.Entries()) || decoded.Version() != m.Version() {
+			t.Errorf("decoded %v, want %v", decoded.Entries(), m.Entries())
+		}
+	})
+}
+
+// TestDecodeRefusesDamage guards against a crash or a wrong map from a damaged row.
+func TestDecodeRefusesDamage(t *testing.T) {
+	m := mustPlan(t, problem(nil, candidates(1, 1, 1), nil))
+	content, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range len(content) {
+		if decoded, err := keyspace.Decode(content[:cut]); err == nil && decoded == nil {
+			t.Errorf("cut at %d: no map and no error", cut)
+		}
+	}
+}
+
+// TestFence guards the order of fencing tokens: a newer epoch is above all generations of an older one.
+func TestFence(t *testing.T) {
+	if keyspace.Fence(1, 1<<30) >= keyspace.Fence(2, 0) || keyspace.Fence(2, 1) <= keyspace.Fence(2, 0) {
+		t.Error("fencing tokens are out of order")
+	}
+}
+
+// TestOrphans guards against keys that stay with an owner that can't serve, and against a new owner that doesn't know whom it
+// has to ask for them.
+func TestOrphans(t *testing.T) {
+	c := candidates(1, 1, 1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	lost := c[0].Instance
+	next := mustPlan(t, problem(m, settle(c[1:], m), nil))
+	for _, e := range next.Entries() {
+		if e.Owner() == lost {
+			t.Errorf("keys %s stay with the lost owner", e.Range)
+		}
+		before, _ := m.Find(e.First)
+		moved := before.Owner() != e.Owner()
+		if moved && (!slices.Contains(e.Previous, lost) || e.Epoch <= before.Epoch) {
+			t.Errorf("moved keys %s: previous %v, epoch %d after %d", e.Range, e.Previous, e.Epoch, before.Epoch)
+		}
+		if !moved && e.Epoch != before.Epoch {
+			t.Errorf("keys %s stay but get epoch %d after %d", e.Range, e.Epoch, before.Epoch)
+		}
+	}
+}
+
+// TestUnsettledPreviousAreKept guards against two owners: an owner that was replaced before it had taken over doesn't end the
+// duty to ask the one before it.
+func TestUnsettledPreviousAreKept(t *testing.T) {
+	c := candidates(1, 1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	first, second := c[0].Instance, c[1].Instance
+	afterFirst := mustPlan(t, problem(m, settle(c[1:], m), nil))
+	afterSecond := mustPlan(t, problem(afterFirst, []keyspace.Candidate{c[2]}, nil))
+	for _, e := range afterSecond.Entries() {
+		before, _ := afterFirst.Find(e.First)
+		if before.Owner() == second && slices.Contains(before.Previous, first) && !slices.Contains(e.Previous, first) {
+			t.Errorf("keys %s: previous %v lacks %s, which the second owner had not replaced", e.Range, e.Previous, first)
+		}
+	}
+}
+
+// TestSameSlotContinues guards against moves of keys whose upstream is still there when only the process was restarted.
+func TestSameSlotContinues(t *testing.T) {
+	c := candidates(1, 1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	restarted := slices.Clone(c)
+	restarted[0].Instance = member.NewIncarnation(c[0].Instance.Slot(), 2)
+	next := mustPlan(t, problem(m, settle(restarted, m), nil))
+	for _, e := range next.Entries() {
+		before, _ := m.Find(e.First)
+		if before.Owner().Slot() != e.Owner().Slot() {
+			t.Errorf("keys %s moved from %s to %s", e.Range, before.Owner(), e.Owner())
+		}
+	}
+}
+
+// uniform returns a load that is spread evenly over all keys.
+func uniform(total float64) []keyspace.SpanLoad {
+	return []keyspace.SpanLoad{{Range: keyspace.Range{First: 0, Last: keyspace.MaxKey}, Load: total}}
+}
+
+// TestBalanceHotSpan answers the pattern of 200 neighbouring keys that take 45% of a class: one upstream must not keep them all.
+func TestBalanceHotSpan(t *testing.T) {
+	c := candidates(1, 1, 1, 1, 1, 1, 1, 1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	loads := append(uniform(16), keyspace.SpanLoad{Range: keyspace.Range{First: 30000, Last: 30199}, Load: 13})
+	m, plans := converge(t, m, c, loads)
+	for i, load := range carried(m, loads) {
+		if use := load / 6; use > 0.8 {
+			t.Errorf("%s is used at %.2f after %d plans", i, use, plans)
+		}
+	}
+	if plans > 4 {
+		t.Errorf("%d plans; each costs a fraction of a second of a hot span that lasts for five", plans)
+	}
+}
+
+// TestBalanceUnequalPaces answers upstreams with paces of 1 to 2.7: the fast ones must carry most at a low load, and none may be
+// overloaded at a high one.
+func TestBalanceUnequalPaces(t *testing.T) {
+	paces := []float64{0.6, 0.6, 0.6, 1, 1, 1, 1.6, 1.6, 1.6}
+	tests := []struct {
+		name   string
+		load   float64
+		maxUse float64
+		// slowShare is the largest share of the load that the three slow upstreams may carry.
+		slowShare float64
+	}{
+		{"low load", 16, 0.75, 0.12},
+		{"high load", 48, 1.0, 0.3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := candidates(paces...)
+			m, _ := converge(t, mustPlan(t, problem(nil, c, nil)), c, uniform(test.load))
+			loads := carried(m, uniform(test.load))
+			slow := 0.0
+			for n, candidate := range c {
+				load := loads[candidate.Instance]
+				if use := load * candidate.Pace / 6; use > test.maxUse {
+					t.Errorf("%s at pace %.1f is used at %.2f", candidate.Instance, candidate.Pace, use)
+				}
+				if n >= 6 {
+					slow += load
+				}
+			}
+			if slow > test.slowShare*test.load {
+				t.Errorf("the slow upstreams carry %.1f of %.1f", slow, test.load)
+			}
+		})
+	}
+}
+
+// TestBalanceOneHotKey guards against endless moves of a single key that exceeds an upstream.
+func TestBalanceOneHotKey(t *testing.T) {
+	c := candidates(1, 1, 1)
+	loads := append(uniform(6), keyspace.SpanLoad{Range: keyspace.Range{First: 7, Last: 7}, Load: 8})
+	m, plans := converge(t, mustPlan(t, problem(nil, c, nil)), c, loads)
+	owner, _ := m.Find(7)
+	if load := carried(m, loads)[owner.Owner()]; load > 8.6 {
+		t.Errorf("the owner of the hot key carries %.1f beside other keys' load after %d plans", load-8, plans)
+	}
+}
+
+// TestBalanceAfterMove guards against a new owner that is taken for idle: for a time its reports hold only part of the load, and
+// those of the old owner the rest.
+func TestBalanceAfterMove(t *testing.T) {
+	c := candidates(1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	half := keyspace.Range{First: 0, Last: keyspace.MaxKey / 2}
+	rest := keyspace.Range{First: keyspace.MaxKey/2 + 1, Last: keyspace.MaxKey}
+	loads := []keyspace.SpanLoad{{Range: half, Load: 1.5}, {Range: half, Load: 1.5}, {Range: rest, Load: 3}}
+	if next, moves := keyspace.Plan(problem(m, settle(c, m), loads)); next != nil {
+		t.Errorf("balanced loads are moved: %+v", moves)
+	}
+}
+
+// TestPlanNeverBreaksMap guards against gaps, overlaps and epochs that don't grow, for arbitrary loads and losses.
+func TestPlanNeverBreaksMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		c := candidates(0.6, 1, 1.6, 1, 0.6)
+		m, _ := keyspace.Plan(problem(nil, c, nil))
+		for range 12 {
+			var alive []keyspace.Candidate
+			for _, candidate := range c {
+				if random.IntN(5) > 0 {
+					candidate.Settled = m.Version() - uint64(random.IntN(2))
+					alive = append(alive, candidate)
+				}
+			}
+			var loads []keyspace.SpanLoad
+			for range random.IntN(20) {
+				first := random.IntN(int(keyspace.MaxKey))
+				last := min(first+random.IntN(500), int(keyspace.MaxKey))
+				loads = append(loads, keyspace.SpanLoad{
+					Range: keyspace.Range{First: keyspace.Key(first), Last: keyspace.Key(last)}, Load: 3 * random.Float64(),
+				})
+			}
+			next, moves := keyspace.Plan(problem(m, alive, loads))
+			if next == nil {
+				continue
+			}
+			for _, move := range moves {
+				before, _ := m.Find(move.First)
+				after, _ := next.Find(move.First)
+				if after.Epoch <= before.Epoch && before.Owner() != after.Owner() {
+					t.Fatalf("move %+v: epoch %d after %d", move, after.Epoch, before.Epoch)
+				}
+			}
+			m = next
+		}
+	})
+}
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -58,6 +58,7 @@
 		b.initial()
 	} else {
 		b.adoptOrphans()
+		b.admitNewcomers()
 		b.balance()
 	}
 	if len(b.moves) == 0 {
@@ -163,6 +164,29 @@
 	return n
 }
 
+// newcomerShare is the part of an even share of the keys that a candidate without keys gets at once. The balance does the rest
+// once it is known how fast the upstream is.
+const newcomerShare = 0.3
+
+// admitNewcomers gives keys to candidates that have none, from the one that carries most.
+func (b *builder) admitNewcomers() {
+	owned := make(map[member.Incarnation]bool)
+	total := 0.0
+	for _, e := range b.entries {
+		owned[e.Owner()] = true
+		total += b.density.load(e.Range)
+	}
+	for _, c := range b.problem.Candidates {
+		if owned[c.Instance] {
+			continue
+		}
+		busiest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
+		if busiest.Instance != c.Instance {
+			b.moveLoad(busiest, c, newcomerShare*total/float64(len(b.problem.Candidates)))
+		}
+	}
+}
+
 func (b *builder) sameSlot(i member.Incarnation) (member.Incarnation, bool) {
 	for _, c := range b.problem.Candidates {
 		if c.Instance.Slot() == i.Slot() && c.Instance.Number() > i.Number() {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -119,7 +119,8 @@
 	group, running := errgroup.WithContext(running)
 	m.group = group
 	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
-		gateway.WithKeys(m.keys), gateway.WithOnChange(m.wakeUp), gateway.WithDrainLimit(m.settings.DrainLimit), gateway.WithDemand(m.loads.observe))
+		gateway.WithKeys(m.keys), gateway.WithOnChange(m.wakeUp), gateway.WithDrainLimit(m.settings.DrainLimit),
+		gateway.WithDemand(m.loads.observe))
 	m.endpoint = heartbeat.New(m.firstIncarnation(),
 		heartbeat.WithListen(m.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(m.dialSlot),
 		heartbeat.WithVersions(m.versions), heartbeat.WithNews(m.observe), heartbeat.WithOnChange(m.leaseChanged))
@@ -132,9 +133,8 @@
 		group.Go(func() error { return s.serve(running) })
 	}
 	group.Go(func() error { return m.endpoint.Run(running) })
-	group.Go(func() error { return m.rows.Run(running) })
-	group.Go(func() error { return m.config.Run(running) })
-	m.background(running, group, m.gateway.Review, m.runSessions, m.fetchNews, m.probeUnreachable, m.report, m.plan)
+	m.background(running, group, m.rows.Run, m.config.Run, m.gateway.Run, m.runSessions, m.fetchNews, m.probeUnreachable,
+		m.report, m.plan)
 	group.Go(func() error {
 		defer cancel()
 		m.awaitStop(ctx, running, servers)
@@ -194,7 +194,7 @@
 func (m *Mesh) listen(ctx context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
 		Protocol: m.ports.Callers, Routes: m.routes.Load, Directory: m.directory, Local: m.gateway,
-		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdle, peer.WithPings(pingAfter, pingTimeout))),
+		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdle, peer.WithPings(pingAfter, pingTimeout)), m),
 		Service:   m.settings.Service, DataCentre: m.settings.DataCentre, Stopping: m.stopping.Load,
 	})
 	plain := func(h http.Handler) *http.Server {
@@ -222,7 +222,7 @@
 
 func (m *Mesh) peerHandler() http.Handler {
 	calls := peer.NewPeerServer(&service{mesh: m})
-	forwarded := forward.Handler(m.gateway)
+	forwarded := forward.Handler(m.gateway, m)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if forward.IsForwarded(r) {
 			forwarded.ServeHTTP(w, r)
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/forward"
 	"sapphiretray/peer"
 	"sapphiretray/store"
 )
@@ -58,11 +59,21 @@
 	return &peer.Versions{Config: m.config.Newest(), Table: m.rows.Newest()}
 }
 
-// observe takes what another instance announced.
+// observe takes what another instance announced with a heartbeat.
 func (m *Mesh) observe(slot string, v *peer.Versions) {
-	if v.GetConfig() > m.config.Newest() || v.GetTable() > m.rows.Newest() {
+	m.Heard(forward.Versions{Slot: slot, Config: v.GetConfig(), Rows: v.GetTable()})
+}
+
+// Versions implements forward.News.
+func (m *Mesh) Versions() forward.Versions {
+	return forward.Versions{Slot: m.settings.Slot, Config: m.config.Newest(), Rows: m.rows.Newest()}
+}
+
+// Heard implements forward.News.
+func (m *Mesh) Heard(v forward.Versions) {
+	if v.Config > m.config.Newest() || v.Rows > m.rows.Newest() {
 		select {
-		case m.news <- slot:
+		case m.news <- v.Slot:
 		default:
 		}
 	}
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -46,11 +46,7 @@
 		m.proveMissing(ctx, current.keys, reports)
 		problem := m.problem(current.keys, reports)
 		next, moves := keyspace.Plan(problem)
-		if klog.V(2).Enabled() {
-			for _, c := range problem.Candidates {
-				klog.V(2).InfoS("plan: candidate", "instance", c.Instance, "pace", c.Pace, "settled", c.Settled, "load", reports[c.Instance].GetLoad(), "version", current.keys.Version(), "spans", len(reports[c.Instance].GetKeys()), "reports", len(reports))
-			}
-		}
+		logCandidates(problem, reports)
 		if next == nil {
 			continue
 		}
@@ -160,3 +156,14 @@
 	m.rows.Merge([]store.Row{{Table: Table, Key: key, Value: value, Version: version}})
 	return nil
 }
+
+// logCandidates logs what a plan is computed from.
+func logCandidates(p keyspace.Problem, reports map[member.Incarnation]*peer.ReportRequest) {
+	if !klog.V(2).Enabled() {
+		return
+	}
+	for _, c := range p.Candidates {
+		klog.V(2).InfoS("plan: candidate", "instance", c.Instance, "pace", c.Pace, "settled", c.Settled,
+			"load", reports[c.Instance].GetLoad(), "version", p.Current.Version(), "reports", len(reports))
+	}
+}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -32,8 +32,6 @@
 	reports map[member.Incarnation]report
 	gone    map[member.Incarnation]bool
 	proving map[member.Incarnation]bool
-	// wake asks for a plan at once.
-	wake chan struct{}
 }
 
 type report struct {
--- a/store/follower.go
+++ b/store/follower.go
@@ -44,27 +44,23 @@
 }
 
 // Run follows the table until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
+func (f *Follower) Run(ctx context.Context) {
 	retry := minRetry
 	for ctx.Err() == nil {
 		err := f.step(ctx)
-		if err == nil {
+		switch {
+		case err == nil:
 			retry = minRetry
-			continue
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		if errors.Is(err, ErrHistoryLost) {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
 			f.relist()
-			continue
+		default:
+			f.report(err)
+			pause(ctx, retry/2+rand.N(retry/2))
+			retry = min(2*retry, maxRetry)
 		}
-		f.report(err)
-		pause(ctx, retry/2+rand.N(retry/2))
-		retry = min(2*retry, maxRetry)
 	}
-	return nil
 }
 
 func (f *Follower) step(ctx context.Context) error {
