--- a/grant/claim.go
+++ b/grant/claim.go
@@ -98,7 +98,8 @@
 func (k *Keeper) collect(e keyspace.Entry) ([]Handover, error) {
 	var released []Handover
 	for _, holder := range e.Previous {
-		if holder == k.self || k.peers.Ended(holder) {
+		if holder.Slot() == k.self.Slot() || k.peers.Ended(holder) {
+			// An earlier process in this slot has ended, and the grants here go to the same upstream.
 			continue
 		}
 		handovers, err := k.release(e, holder)
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -231,17 +231,24 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := k.upstream.Grant(ctx, g)
+	if err != nil {
+		// The order may be carried out later. The next one gets a higher token, after which the upstream refuses this one.
+		k.generation.Add(1)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.orders, &g.Range)
 	if err == nil {
 		k.asked = time.Time{}
-		k.pieces.change(g.Range, func(p *piece) {
-			if p.epoch == epoch && (p.state == stateServing || p.state == stateClaiming) {
-				p.state, p.handover, p.usableUntil = stateServing, "", sent.Add(g.Hold)
-			}
-		})
 	}
+	k.pieces.change(g.Range, func(p *piece) {
+		switch {
+		case err != nil:
+			p.unanswered = true
+		case p.epoch == epoch && (p.state == stateServing || p.state == stateClaiming):
+			p.state, p.handover, p.usableUntil, p.unanswered = stateServing, "", sent.Add(g.Hold), false
+		}
+	})
 	k.notify()
 	return err
 }
--- a/grant/keeper_test.go
+++ b/grant/keeper_test.go
@@ -26,8 +26,9 @@
 	fresh bool
 	// busyUntil is when work on released keys ends.
 	busyUntil time.Time
-	fenced    int
-	orders    int
+	// last is the newest order that was left unanswered, with its token.
+	last      grant.Grant
+	lastFence uint64
 }
 
 func newUpstream() *upstreamDouble {
@@ -37,13 +38,13 @@
 func (u *upstreamDouble) Grant(ctx context.Context, g grant.Grant) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.orders++
 	if u.gone {
 		return grant.ErrUpstreamGone
 	}
 	fence := g.Fence(u.fresh)
 	u.fresh = false
 	if u.unanswered {
+		u.last, u.lastFence = g, fence
 		u.mu.Unlock()
 		<-ctx.Done()
 		u.mu.Lock()
@@ -51,7 +52,6 @@
 	}
 	for _, k := range []keyspace.Key{g.First, g.Last} {
 		if fence < u.fences[k] {
-			u.fenced++
 			return grant.ErrFenced
 		}
 		u.fences[k], u.until[k] = fence, time.Now().Add(g.Hold)
@@ -384,3 +384,25 @@
 		}
 	})
 }
+
+// TestLateOrderIsRefused guards against an order that the upstream left unanswered and carries out after the keys have moved to
+// another upstream: the upstream must have seen a higher token before it releases the keys.
+func TestLateOrderIsRefused(t *testing.T) {
+	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+		a.upstream.set(func(u *upstreamDouble) { u.unanswered = true })
+		time.Sleep(450 * time.Millisecond)
+		a.upstream.mu.Lock()
+		late := a.upstream.last
+		a.upstream.unanswered = false
+		a.upstream.mu.Unlock()
+		b.keeper.Update(assign(t, 2, b.self, a.self))
+		time.Sleep(time.Second)
+		if !b.keeper.Serves(5) {
+			t.Fatal("the successor doesn't serve")
+		}
+		late.Fence = func(bool) uint64 { return a.upstream.lastFence }
+		if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+			t.Errorf("a late order with token %d is carried out: %v", a.upstream.lastFence, err)
+		}
+	})
+}
--- a/grant/piece.go
+++ b/grant/piece.go
@@ -31,6 +31,8 @@
 	promised uint64
 	// handover is kept after a release, because the answer to the successor may be lost and asked for again.
 	handover string
+	// unanswered means that the upstream may yet carry out an order with the newest token that it has seen.
+	unanswered bool
 	// usableUntil is the earliest and heldUntil the latest time at which the upstream's hold may end.
 	usableUntil time.Time
 	heldUntil   time.Time
--- a/grant/release.go
+++ b/grant/release.go
@@ -86,9 +86,7 @@
 	}
 	var token string
 	for time.Now().Before(p.heldUntil) {
-		try, cancel := context.WithTimeout(ctx, min(releaseTimeout, time.Until(p.heldUntil)))
-		handover, err := k.upstream.Release(try, p.Range, k.fence(p.epoch)(false))
-		cancel()
+		handover, err := k.tryRelease(ctx, &p)
 		if err == nil {
 			token = handover
 			break
@@ -107,6 +105,26 @@
 	})
 }
 
+// tryRelease releases the keys. If the upstream has left an order for them unanswered, it gets a higher token first: otherwise it
+// could carry out that order after the keys have gone to another upstream.
+func (k *Keeper) tryRelease(ctx context.Context, p *piece) (string, error) {
+	// The higher token comes with what is left of the hold, so that the wait for its end doesn't grow.
+	left := time.Duration(float64(time.Until(p.heldUntil)-orderTimeout) / heldShare)
+	if p.unanswered && left > minHold {
+		order, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := k.upstream.Grant(order, Grant{Range: p.Range, Fence: k.fence(p.epoch), Hold: left})
+		cancel()
+		if err != nil {
+			k.generation.Add(1)
+			return "", err
+		}
+		p.unanswered = false
+	}
+	try, cancel := context.WithTimeout(ctx, min(releaseTimeout, time.Until(p.heldUntil)))
+	defer cancel()
+	return k.upstream.Release(try, p.Range, k.fence(p.epoch)(false))
+}
+
 func (k *Keeper) handovers(r keyspace.Range) []Handover {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -71,16 +71,23 @@
 			})
 		}
 	}
-	p.Keep = func(owner member.Incarnation) bool {
-		r, reported := reports[owner]
-		if reported {
-			return !r.GetLeaving()
-		}
-		return !m.gone(owner)
-	}
+	p.Keep = func(owner member.Incarnation) bool { return m.keeps(owner, reports) }
 	return p
 }
 
+// keeps reports whether an owner that can't get keys keeps those it has.
+func (m *Mesh) keeps(owner member.Incarnation, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	if r, ok := reports[owner]; ok {
+		return !r.GetLeaving()
+	}
+	if record, ok := m.directory.record(owner.Slot()); ok && record.Incarnation.Number() > owner.Number() {
+		// The process was restarted. Its successor will serve the keys if it is about to get its lease.
+		r, ok := reports[record.Incarnation]
+		return ok && !r.GetLeaving() && !r.GetUsable()
+	}
+	return !m.gone(owner)
+}
+
 // gone reports whether an incarnation can't serve any more.
 func (m *Mesh) gone(i member.Incarnation) bool {
 	if m.directory.ended(i) {
