Serve what can still be on time first, and ask before sending large bodies to other instances

Cause: returning requests went before fresh ones, so under overload every slot went to a late answer and fresh requests were refused until they were late too.

--- a/forward/client.go
+++ b/forward/client.go
@@ -17,6 +17,9 @@
 const (
 	// maxResponseBytes bounds a response that is held in memory.
 	maxResponseBytes = 16 << 20
+	// unaskedBody is the size of a body that is sent without asking first whether the other instance will take the request. A
+	// question costs a round trip.
+	unaskedBody = 2 << 10
 	// answerSlack is how much longer than the deadline the other instance is waited for, so that its own failure arrives.
 	answerSlack = 50 * time.Millisecond
 )
@@ -51,8 +54,9 @@
 	}).WithContext(ctx)
 	if len(r.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(r.Body))
-	} else if r.Method != http.MethodGet {
-		request.ContentLength = 0
+	}
+	if len(r.Body) > unaskedBody {
+		header.Set("Expect", "100-continue")
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "")
--- a/forward/server.go
+++ b/forward/server.go
@@ -29,10 +29,10 @@
 		r.Header.Del(headerCall)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
-		if request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxRequestBytes)); err != nil {
-			writeFailure(w, &gateway.Failure{Code: code.CallerGone, Reason: err.Error()}, g.Load(), news.Versions())
-			return
+		if r.ContentLength != 0 {
+			request.ReadBody = func() ([]byte, error) { return io.ReadAll(io.LimitReader(r.Body, maxRequestBytes)) }
 		}
+		r.Header.Del("Expect")
 		response, err := g.Do(r.Context(), request)
 		if err != nil {
 			var f *gateway.Failure
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,10 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the whole body. If it is nil, ReadBody returns it; it is called once the request has a slot, so that the body of a
+	// refused request need not be sent.
+	Body     []byte
+	ReadBody func() ([]byte, error)
 	// Route is the name of the route, by which service times are learnt.
 	Route string
 	// Service is the service that the request is for and Origin that of the instance where it began.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -156,6 +156,13 @@
 		return nil, g.refuse(f)
 	}
 	waited := time.Since(arrived)
+	if r.Body == nil && r.ReadBody != nil {
+		body, err := r.ReadBody()
+		if err != nil {
+			return nil, g.refuse(&Failure{Code: code.CallerGone, Reason: "the body ended early: " + err.Error()})
+		}
+		r.Body = body
+	}
 	response, err := g.send(ctx, r)
 	if response != nil {
 		response.Waited = waited
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -14,6 +14,8 @@
 	// remoteCost is the load, as a share of the slots, that a target in another data centre must be better by: bytes between
 	// data centres are dear.
 	remoteCost = 0.35
+	// remoteBytes is the size of a body that doubles remoteCost.
+	remoteBytes = 10 << 10
 	// suspectFor is how long a target that failed is not chosen while there are others.
 	suspectFor = 500 * time.Millisecond
 )
@@ -46,8 +48,8 @@
 	return l
 }
 
-// choose returns the best target that was not tried, and false if there is none.
-func (c *chooser) choose(now time.Time, targets []Target, tried map[string]bool) (Target, bool) {
+// choose returns the best target that was not tried, for a request with a body of the given size, and false if there is none.
+func (c *chooser) choose(now time.Time, targets []Target, tried map[string]bool, bytes int) (Target, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best Target
@@ -56,7 +58,7 @@
 		if tried[t.Slot] {
 			continue
 		}
-		cost := c.cost(now, t)
+		cost := c.cost(now, t, bytes)
 		if !found || cost < bestCost {
 			best, bestCost, found = t, cost, true
 		}
@@ -65,7 +67,7 @@
 }
 
 // cost is the expected share of the target's slots in use, more if requests wait there.
-func (c *chooser) cost(now time.Time, t Target) float64 {
+func (c *chooser) cost(now time.Time, t Target, bytes int) float64 {
 	l := c.load(t.Slot)
 	slots := float64(max(l.reported.Slots, 1))
 	used := float64(l.own)
@@ -77,7 +79,7 @@
 	}
 	cost := (used + 0.5) / slots
 	if t.DataCentre != c.dc {
-		cost += remoteCost
+		cost += remoteCost * (1 + float64(bytes)/remoteBytes)
 	}
 	if now.Before(l.suspect) {
 		cost += 100
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -80,7 +80,7 @@
 // target returns the instance to try next.
 func (s *Server) target(ctx context.Context, a *attempt) (Target, *gateway.Failure) {
 	if a.request.Key == gateway.NoKey {
-		target, ok := s.chooser.choose(time.Now(), s.directory.Targets(a.request.Service), a.tried)
+		target, ok := s.chooser.choose(time.Now(), s.directory.Targets(a.request.Service), a.tried, len(a.request.Body))
 		if !ok {
 			return Target{}, &gateway.Failure{Code: code.NoOwner, RetryAfter: ownerRetry, Reason: "no instance of the service takes work"}
 		}
--- a/policy/gate.go
+++ b/policy/gate.go
@@ -60,8 +60,9 @@
 // expected, so that its client can return then. A returning request may also wait for a late answer, because its client
 // has no further attempt.
 //
-// Waiting requests are served in the order of urgency: nested ones, then by priority, returning ones first, then by
-// objective. A Gate isn't safe for concurrent use. Create it with NewGate.
+// Waiting requests are served in the order of urgency: nested ones, then by priority, then those that can still be answered
+// within their objective, the earliest objective first, then the late ones. Late answers have less benefit, so they must not
+// make others late. A Gate isn't safe for concurrent use. Create it with NewGate.
 type Gate struct {
 	slots    int
 	sequence uint64
@@ -75,7 +76,7 @@
 // SetSlots changes the number of requests that may run at once. Running requests aren't affected.
 func (g *Gate) SetSlots(now time.Time, slots int) {
 	g.slots = max(slots, 1)
-	g.fill(now)
+	g.Review(now)
 }
 
 // Slots returns the number of requests that may run at once.
@@ -100,10 +101,8 @@
 		g.start(now, p)
 		return p, Verdict{Admitted: true}
 	}
-	at, _ := slices.BinarySearchFunc(g.waiting, p, comparePlaces)
-	g.waiting = slices.Insert(g.waiting, at, p)
-	g.refuseHopeless(now)
-	g.fill(now)
+	g.waiting = append(g.waiting, p)
+	g.Review(now)
 	switch p.state {
 	case placeRunning:
 		return p, Verdict{Admitted: true}
@@ -122,7 +121,9 @@
 	}
 	p.state = placeDone
 	g.running = slices.DeleteFunc(g.running, func(other *Place) bool { return other == p })
-	g.fill(now)
+	if len(g.waiting) > 0 {
+		g.Review(now)
+	}
 }
 
 // Withdraw removes a waiting request whose client has left.
@@ -134,8 +135,9 @@
 	g.waiting = slices.DeleteFunc(g.waiting, func(other *Place) bool { return other == p })
 }
 
-// Review refuses the waiting requests that have become hopeless since the last event.
+// Review puts the waiting requests in order and refuses those that have become hopeless since the last event.
 func (g *Gate) Review(now time.Time) {
+	slices.SortFunc(g.waiting, func(a, b *Place) int { return comparePlaces(now, a, b) })
 	g.refuseHopeless(now)
 	g.fill(now)
 }
@@ -243,11 +245,14 @@
 	free[n-1] = used
 }
 
-func comparePlaces(a, b *Place) int {
+// late reports whether the request would miss its objective even if it started now.
+func (p *Place) late(now time.Time) bool { return now.Add(p.demand.Service).After(p.demand.Objective) }
+
+func comparePlaces(now time.Time, a, b *Place) int {
 	return cmp.Or(
 		-compareBool(a.demand.Nested, b.demand.Nested),
 		cmp.Compare(a.demand.Priority, b.demand.Priority),
-		-compareBool(a.demand.Returning, b.demand.Returning),
+		compareBool(a.late(now), b.late(now)),
 		a.demand.Objective.Compare(b.demand.Objective),
 		cmp.Compare(a.sequence, b.sequence),
 	)
