--- a/gateway/order.go
+++ b/gateway/order.go
@@ -23,8 +23,11 @@
 	}
 	o := order(!reused)
 	var head bytes.Buffer
-	head.WriteString(o.Method + " " + o.Target + " HTTP/1.1\r\nHost: " + g.pool.address +
-		"\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(o.Body)) + "\r\n\r\n")
+	head.WriteString(o.Method + " " + o.Target + " HTTP/1.1\r\nHost: " + g.pool.address + "\r\n")
+	if len(o.Body) > 0 {
+		head.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(o.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
 	a, _, err := c.do(ctx, "", o.Method, head.Bytes(), o.Body, g.start)
 	if err != nil {
 		return 0, nil, err
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -9,13 +11,19 @@
 
 // Life names one run of an upstream. The same id with another start is another run, which holds nothing of the earlier one.
 type Life struct {
-	ID      string
+	ID string
+	// Started is the start in milliseconds since 1970, or 0 while it isn't known.
 	Started int64
 }
 
 // IsZero reports whether no upstream is named.
 func (l Life) IsZero() bool { return l == Life{} }
 
+// Same reports whether two names may mean the same run. A start that isn't known may be any.
+func (l Life) Same(other Life) bool {
+	return l.ID == other.ID && (l.Started == other.Started || l.Started == 0 || other.Started == 0)
+}
+
 // String returns the id and the start in milliseconds.
 func (l Life) String() string { return fmt.Sprintf("%s@%d", l.ID, l.Started) }
 
@@ -58,6 +66,8 @@
 		}
 	}
 	switch {
+	case r.known && r.current.Started == 0 && n.ID == r.current.ID:
+		r.current = n
 	case !r.known || n.Started > r.current.Started:
 		if r.known {
 			r.end(r.current.Life)
@@ -120,6 +130,30 @@
 	return nil
 }
 
+// Assume takes the upstream for known until its first heartbeat arrives. It does nothing if one has arrived.
+func (g *Gateway) Assume(r Registration) {
+	g.mu.Lock()
+	assumed := !g.registry.known
+	if assumed {
+		g.registry.current, g.registry.known = r, true
+		g.gate.SetSlots(time.Now(), r.Slots)
+	}
+	g.mu.Unlock()
+	if assumed {
+		klog.InfoS("upstream: assumed until its first heartbeat", "life", r.Life, "slots", r.Slots)
+		g.changed()
+	}
+}
+
+// Identify asks the upstream for its id at the path of its health check. It returns an empty id if the upstream isn't healthy.
+func (g *Gateway) Identify(ctx context.Context, path string) (string, error) {
+	status, header, err := g.Order(ctx, func(bool) Order { return Order{Method: http.MethodGet, Target: path} })
+	if err != nil || status != http.StatusOK {
+		return "", err
+	}
+	return g.protocol.Read(status, header).UpstreamID, nil
+}
+
 // Deregister takes the last message of an upstream. It serves for a short time yet, like one that said that it leaves.
 func (g *Gateway) Deregister(id string) {
 	g.mu.Lock()
--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -125,6 +125,14 @@
 	wake(e.holderWake)
 }
 
+// SetBaseline names the newest incarnation of each slot that was registered at some time after the process started; see
+// witness.Witness.
+func (e *Endpoint) SetBaseline(newest map[string]uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.witness.SetBaseline(newest)
+}
+
 // Lease returns the view of the own lease.
 func (e *Endpoint) Lease() Lease { return Lease{term: &e.term, lost: &e.lost} }
 
--- a/member/member.go
+++ b/member/member.go
@@ -108,8 +108,10 @@
 	Capacity float64 `json:"capacity"`
 	// Name is what people call the machine.
 	Name string `json:"name,omitempty"`
-	// Upstream names the run of the upstream beside the instance; empty if none has registered.
+	// Upstream is the id of the upstream beside the instance; empty if none has registered.
 	Upstream string `json:"upstream,omitempty"`
+	// UpstreamStarted is the upstream's start in milliseconds since 1970, or 0 if it isn't known.
+	UpstreamStarted int64 `json:"upstream_started,omitempty"`
 	// Witnesses are the slots that witness this incarnation's lease.
 	Witnesses []string `json:"witnesses"`
 	State     State    `json:"state"`
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -190,6 +190,17 @@
 	return records
 }
 
+// newest returns the number of the newest incarnation of each slot.
+func (d *directory) newest() map[string]uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	newest := make(map[string]uint64, len(d.records))
+	for slot, r := range d.records {
+		newest[slot] = r.Incarnation.Number()
+	}
+	return newest
+}
+
 // keys returns the map of a service and its row's version.
 func (d *directory) keys(service string) mapRow {
 	d.mu.RLock()
--- a/mesh/history.go
+++ b/mesh/history.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "sapphiretray/member"
+import (
+	"sapphiretray/gateway"
+	"sapphiretray/member"
+)
 
 // maxHistory bounds the remembered records of earlier incarnations of one slot.
 const maxHistory = 16
@@ -45,5 +48,10 @@
 		return false
 	}
 	past, known := d.past(i)
-	return known && current.Incarnation.Number() > i.Number() && current.Upstream != past.Upstream
+	return known && current.Incarnation.Number() > i.Number() && !lifeOf(current).Same(lifeOf(past))
+}
+
+// lifeOf returns the run of the upstream that a record names.
+func lifeOf(r member.Record) gateway.Life {
+	return gateway.Life{ID: r.Upstream, Started: r.UpstreamStarted}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -96,6 +96,8 @@
 	started   time.Time
 	// wake asks the session loop to look at the state again.
 	wake chan struct{}
+	// reporting and planning ask for a report and a plan at once.
+	reporting, planning chan struct{}
 	// news holds the slots of instances that have newer rows.
 	news chan string
 }
@@ -104,6 +106,7 @@
 func New(s Settings, p Ports) *Mesh {
 	m := &Mesh{
 		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
+		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
 	}
 	m.directory = newDirectory(s.Slot)
@@ -119,7 +122,7 @@
 	group, running := errgroup.WithContext(running)
 	m.group = group
 	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
-		gateway.WithKeys(m.keys), gateway.WithOnChange(m.wakeUp), gateway.WithDrainLimit(m.settings.DrainLimit),
+		gateway.WithKeys(m.keys), gateway.WithOnChange(m.upstreamChanged), gateway.WithDrainLimit(m.settings.DrainLimit),
 		gateway.WithDemand(m.loads.observe))
 	m.endpoint = heartbeat.New(m.firstIncarnation(),
 		heartbeat.WithListen(m.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(m.dialSlot),
@@ -174,11 +177,28 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
+// Names of servers whose requests a stop waits for.
+const (
+	peersServer   = "peers"
+	callersServer = "callers"
+)
+
 // server is an HTTP server with its listener.
 type server struct {
 	name     string
 	listener net.Listener
 	http     *http.Server
+	// inFlight is the number of requests that are being served.
+	inFlight atomic.Int64
+}
+
+// counted makes a handler count the requests in flight.
+func (s *server) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		h.ServeHTTP(w, r)
+	})
 }
 
 func (s *server) serve(ctx context.Context) error {
@@ -203,14 +223,15 @@
 	servers := []*server{
 		{name: "registrations", http: plain(m.ports.Registrations(m.gateway))},
 		{name: "ready", http: plain(m.ports.Ready(m.ready))},
-		{name: "peers", http: caller.NewHTTPServer(m.peerHandler())},
-		{name: "callers", http: plain(callers)},
+		{name: peersServer, http: caller.NewHTTPServer(m.peerHandler())},
+		{name: callersServer, http: plain(callers)},
 	}
 	addresses := []string{
 		m.settings.RegistrationAddress, m.settings.ReadyAddress, m.settings.PeerAddress, m.settings.CallerAddress,
 	}
 	var config net.ListenConfig
 	for n, s := range servers {
+		s.http.Handler = s.counted(s.http.Handler)
 		listener, err := config.Listen(ctx, "tcp", addresses[n])
 		if err != nil {
 			return nil, err
@@ -237,6 +258,12 @@
 	return m.routes.Load() != nil && !m.stopping.Load() && m.rows.Version() > 0
 }
 
+// upstreamChanged tells the session and the planner of a change of the upstream's state.
+func (m *Mesh) upstreamChanged() {
+	m.wakeUp()
+	m.reportSoon()
+}
+
 // wakeUp makes the session loop look at the upstream's state.
 func (m *Mesh) wakeUp() {
 	select {
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -16,6 +16,8 @@
 const (
 	// planInterval is the pause between two plans.
 	planInterval = 250 * time.Millisecond
+	// gatherTime is the time between a report that calls for a plan and the plan.
+	gatherTime = 40 * time.Millisecond
 	// firstPlanWait gives the instances of a new service time to report before its keys are divided for the first time.
 	firstPlanWait = 1500 * time.Millisecond
 )
@@ -30,6 +32,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-m.planning:
+			// Reports of the same event follow each other closely.
+			pause(ctx, gatherTime)
 		}
 		reports := m.planner.fresh(time.Now())
 		if len(reports) == 0 || !m.rows.Reachable() {
@@ -61,6 +66,14 @@
 	}
 }
 
+// planSoon makes the planner plan without waiting for the next interval.
+func (m *Mesh) planSoon() {
+	select {
+	case m.planning <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Mesh) problem(current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) keyspace.Problem {
 	paces := paces(reports)
 	p := keyspace.Problem{Service: m.settings.Service, Current: current, Gone: m.gone, Loads: spanLoads(reports, paces)}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -48,6 +48,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-m.reporting:
 		}
 		if s := m.session.Load(); s != nil && s.keeper != nil && m.keyed() {
 			m.sendReport(ctx, s.report())
@@ -55,6 +56,14 @@
 	}
 }
 
+// reportSoon makes the instance report without waiting for the next interval.
+func (m *Mesh) reportSoon() {
+	select {
+	case m.reporting <- struct{}{}:
+	default:
+	}
+}
+
 // report describes the incarnation for the planner.
 func (s *session) report() *peer.ReportRequest {
 	m := s.mesh
@@ -145,7 +154,12 @@
 	if p.reports == nil {
 		p.reports = make(map[member.Incarnation]report)
 	}
-	p.reports[r.GetInstance().Member()] = report{at: time.Now(), message: r}
+	instance := r.GetInstance().Member()
+	before := p.reports[instance].message
+	if before.GetUsable() != r.GetUsable() || before.GetLeaving() != r.GetLeaving() {
+		m.planSoon()
+	}
+	p.reports[instance] = report{at: time.Now(), message: r}
 	return true
 }
 
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -27,6 +27,8 @@
 	memberWait = 2 * time.Second
 	// retryWait is the pause after a failed step.
 	retryWait = 150 * time.Millisecond
+	// identifyTimeout bounds the question to the upstream who it is.
+	identifyTimeout = 300 * time.Millisecond
 	// rejoinAfter is how long an expired lease may be re-acquired before the instance joins as a new incarnation.
 	rejoinAfter = 1200 * time.Millisecond
 	// commitTimeout bounds a write.
@@ -81,6 +83,8 @@
 	if m.rows.Wait(ctx) != nil {
 		return
 	}
+	m.endpoint.SetBaseline(m.directory.newest())
+	m.assumeUpstream(ctx)
 	for ctx.Err() == nil {
 		if !m.awaitUpstream(ctx) {
 			return
@@ -97,6 +101,34 @@
 	}
 }
 
+// assumeUpstream asks the upstream who it is when the process was restarted beside it. Its next heartbeat may be more than a second
+// away.
+func (m *Mesh) assumeUpstream(ctx context.Context) {
+	record, ok := m.directory.record(m.settings.Slot)
+	if !ok || record.Upstream == "" || record.Service != m.settings.Service || m.config.Wait(ctx) != nil {
+		return
+	}
+	table := m.routes.Load()
+	if table == nil {
+		return
+	}
+	service, _ := table.Service(m.settings.Service)
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	id, err := m.gateway.Identify(ctx, service.HealthPath)
+	if err != nil || id == "" {
+		klog.InfoS("upstream: doesn't say who it is; its heartbeat is awaited", "err", err)
+		return
+	}
+	life := gateway.Life{ID: id}
+	if id == record.Upstream {
+		life.Started = record.UpstreamStarted
+	}
+	m.gateway.Assume(gateway.Registration{
+		Life: life, Service: record.Service, Address: m.settings.UpstreamAddress, DataCentre: record.DataCentre, Slots: int(record.Capacity),
+	})
+}
+
 // awaitUpstream waits until the upstream has registered and the configuration says whether its service is divided by key.
 func (m *Mesh) awaitUpstream(ctx context.Context) bool {
 	for {
@@ -129,7 +161,8 @@
 		Incarnation: member.NewIncarnation(m.settings.Slot, old.Incarnation.Number()+1), Name: m.settings.Name,
 		Service: m.settings.Service, DataCentre: m.settings.DataCentre, Region: m.settings.Region,
 		PeerAddress: m.settings.PeerAddress, HeartbeatAddress: m.settings.HeartbeatAddress, CallerAddress: m.settings.CallerAddress,
-		Capacity: float64(m.gateway.State().Slots), Upstream: s.life.String(), State: member.Ready,
+		Capacity: float64(m.gateway.State().Slots), Upstream: s.life.ID, UpstreamStarted: s.life.Started,
+		State: member.Ready,
 	}
 	if m.keyed() {
 		if len(m.others()) < witnesses {
@@ -277,7 +310,7 @@
 	defer ticker.Stop()
 	for {
 		state := s.mesh.gateway.State()
-		if state.Life != s.life || s.leaseLost() {
+		if !state.Same(s.life) || s.leaseLost() {
 			return
 		}
 		wanted := member.Ready
@@ -327,6 +360,7 @@
 func (m *Mesh) leaseChanged(valid bool, reason string) {
 	klog.InfoS("lease: changed", "valid", valid, "reason", reason)
 	m.wakeUp()
+	m.reportSoon()
 }
 
 // noKeys admits no key: the instance has not joined yet.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +11,9 @@
 	// notReadyTime is how long callers may still come after the process has said that it isn't ready: the platform asks once a
 	// second and takes it out after two answers.
 	notReadyTime = 2200 * time.Millisecond
+	// quietInterval and quietChecks are how long no request may be in flight before the process ends.
+	quietInterval = 20 * time.Millisecond
+	quietChecks   = 5
 	// stopMargin is kept between the end of the process and the time at which it is killed.
 	stopMargin = 700 * time.Millisecond
 )
@@ -30,15 +32,24 @@
 	pause(running, notReadyTime)
 	drain, cancel := context.WithDeadline(running, begun.Add(m.settings.StopTimeout-stopMargin))
 	defer cancel()
-	var group sync.WaitGroup
 	for _, s := range servers {
-		if s.name == "callers" || s.name == "peers" {
-			group.Go(func() {
+		if s.name == callersServer {
+			// New callers are turned away; the connections in use are closed after their responses.
+			m.group.Go(func() error {
 				if err := s.http.Shutdown(drain); err != nil {
-					klog.InfoS("process: requests cut off", "server", s.name, "err", err)
+					klog.InfoS("process: connections cut off", "server", s.name, "err", err)
 				}
+				return nil
 			})
 		}
 	}
-	group.Wait()
+	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
+		for _, s := range servers {
+			if (s.name == callersServer || s.name == peersServer) && s.inFlight.Load() > 0 {
+				quiet = 0
+			}
+		}
+		pause(drain, quietInterval)
+	}
+	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -29,7 +29,10 @@
 	// nextRun is the run of the next record. Each record has its own run, so that a record that was dropped and made
 	// again is to its holder the same as a restart.
 	nextRun uint64
-	rules   witnessRules
+	// baseline holds the newest incarnation of each slot that was registered when the process started; it is nil while that isn't
+	// known.
+	baseline map[string]uint64
+	rules    witnessRules
 }
 
 // witnessRules switches off rules in tests, to show that the exploration notices their absence.
@@ -83,6 +86,11 @@
 // Adopt names a newer incarnation in the witness's own process.
 func (w *Witness) Adopt(self member.Incarnation) { w.self = self }
 
+// SetBaseline names the newest incarnation of each slot that was registered at some time after the witness's process started. The
+// witness isn't silent towards incarnations that are newer: no earlier run of it can have supported them or confirmed their
+// expiry. Without that, all leases of a deployment that was restarted as a whole would wait for the silent period.
+func (w *Witness) SetBaseline(newest map[string]uint64) { w.baseline = newest }
+
 // SilentUntil returns the end of the silent period. A witness has lost its record of earlier acknowledgements and
 // confirmations when it starts. After the silence, each lease that it supported and each confirmation that it gave in
 // an earlier run is too old to count.
@@ -101,7 +109,7 @@
 	if heartbeat.Holder == w.self {
 		return ack, true
 	}
-	if w.silent(now) {
+	if w.silent(heartbeat.Holder, now) {
 		return Ack{}, false
 	}
 	r := w.record(heartbeat.Holder)
@@ -145,7 +153,7 @@
 	if holder.Slot() == w.self.Slot() && !w.rules.confirmSelf {
 		return Confirmation{Run: w.run, Wait: w.wait()}
 	}
-	if w.silent(now) {
+	if w.silent(holder, now) {
 		return Confirmation{Run: w.run, Wait: w.SilentUntil().Sub(now)}
 	}
 	r := w.record(holder)
@@ -182,7 +190,7 @@
 		r = w.record(holder)
 		r.echoed = true
 	}
-	if r == nil || w.silent(now) {
+	if r == nil || w.silent(holder, now) {
 		return vote
 	}
 	vote.Run = r.run
@@ -272,7 +280,10 @@
 	return r
 }
 
-func (w *Witness) silent(now time.Time) bool {
+func (w *Witness) silent(holder member.Incarnation, now time.Time) bool {
+	if w.baseline != nil && holder.Number() > w.baseline[holder.Slot()] {
+		return false
+	}
 	return !w.rules.noSilence && now.Before(w.SilentUntil())
 }
 
