--- a/forward/server.go
+++ b/forward/server.go
@@ -17,8 +17,9 @@
 // IsForwarded reports whether a request was forwarded by another instance, as opposed to a control call.
 func IsForwarded(r *http.Request) bool { return r.Header.Get(headerCall) != "" }
 
-// Handler runs forwarded requests at the local upstream.
-func Handler(g *gateway.Gateway, news News) http.Handler {
+// Handler runs forwarded requests at the local upstream. Once stopping returns true, requests without a key are refused: another
+// instance can serve them, and this one is about to end.
+func Handler(g *gateway.Gateway, news News, stopping func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, versions, err := decodeCall(r.Header.Get(headerCall), time.Now())
 		if err != nil {
@@ -26,6 +27,10 @@
 			return
 		}
 		news.Heard(versions)
+		if stopping() && request.Key == gateway.NoKey {
+			writeFailure(w, &gateway.Failure{Code: code.Draining, Reason: "the instance stops"}, g.Load(), news.Versions())
+			return
+		}
 		r.Header.Del(headerCall)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,7 @@
 	registry registry
 	gate     *policy.Gate
 	down     bool
+	closing  bool
 	stats    Stats
 }
 
@@ -131,6 +132,13 @@
 	}
 }
 
+// Close refuses all further requests. Those that run are not affected.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing = true
+}
+
 // Do sends a request to the upstream and returns its whole response. The error is a *Failure.
 func (g *Gateway) Do(ctx context.Context, r *Request) (*Response, error) {
 	arrived := time.Now()
@@ -180,6 +188,8 @@
 		return &Failure{Code: code.NotOwner, Reason: "service " + r.Service + " isn't served here"}
 	case left < minLeft:
 		return &Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v are left", left)}
+	case g.closing:
+		return &Failure{Code: code.Draining, Reason: "the instance stops"}
 	case !g.registry.known:
 		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetry, Reason: "the upstream has not registered yet"}
 	case g.registry.leaving && time.Since(g.registry.leftAt) > g.drainLimit-leaveMargin:
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -130,6 +130,9 @@
 	if unreachable {
 		s.directory.Unreachable(target.Slot)
 	}
+	if isLeaving(err) {
+		s.directory.Leaving(target.Slot)
+	}
 	done(result.Load, unreachable)
 	if result.Response != nil {
 		result.Response.Slot = target.Slot
@@ -142,6 +145,11 @@
 	return errors.As(err, &f) && (f.Code == code.PeerFailed || f.Code == code.NoOwner)
 }
 
+func isLeaving(err error) bool {
+	var f *gateway.Failure
+	return errors.As(err, &f) && f.Code == code.Draining
+}
+
 // worthRepeating reports whether a response is a failure that another upstream may not have.
 func (s *Server) worthRepeating(a *attempt, response *gateway.Response) bool {
 	return response.Status == http.StatusInternalServerError && a.request.Key == gateway.NoKey && a.route.Kind.Repeatable()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -48,6 +48,8 @@
 	Owner(service string, key uint16) (Target, bool)
 	// Changed returns a channel that is closed when owners or members change.
 	Changed() <-chan struct{}
+	// Leaving tells that an instance takes no more work.
+	Leaving(slot string)
 	// Unreachable tells that an instance could not be reached.
 	Unreachable(slot string)
 }
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -25,7 +25,9 @@
 	maps    map[string]mapRow
 	// unreachable holds the slots that are not to be chosen until they answer again.
 	unreachable map[string]bool
-	changed     chan struct{}
+	// leaving holds the incarnations that have said that they take no more work.
+	leaving map[member.Incarnation]bool
+	changed chan struct{}
 }
 
 // mapRow is a map with its row's version.
@@ -37,7 +39,7 @@
 func newDirectory(self string) *directory {
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record), maps: make(map[string]mapRow),
-		unreachable: make(map[string]bool), changed: make(chan struct{}),
+		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
 
@@ -66,8 +68,9 @@
 		klog.ErrorS(err, "directory: record can't be read", "slot", slot, "version", row.Version)
 		return
 	}
-	if d.records[slot].Incarnation != record.Incarnation {
+	if known := d.records[slot].Incarnation; known != record.Incarnation {
 		delete(d.unreachable, slot)
+		delete(d.leaving, known)
 	}
 	d.records[slot] = record
 	d.remember(record)
@@ -109,7 +112,7 @@
 	defer d.mu.RUnlock()
 	var targets []ingress.Target
 	for slot, r := range d.records {
-		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] {
+		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] && !d.leaving[r.Incarnation] {
 			targets = append(targets, target(r))
 		}
 	}
@@ -147,6 +150,13 @@
 	d.unreachable[slot] = true
 }
 
+// Leaving implements ingress.Directory.
+func (d *directory) Leaving(slot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving[d.records[slot].Incarnation] = true
+}
+
 // reachable notes that an instance answers again.
 func (d *directory) reachable(slot string) {
 	d.mu.Lock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -243,7 +243,7 @@
 
 func (m *Mesh) peerHandler() http.Handler {
 	calls := peer.NewPeerServer(&service{mesh: m})
-	forwarded := forward.Handler(m.gateway, m)
+	forwarded := forward.Handler(m.gateway, m, m.stopping.Load)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if forward.IsForwarded(r) {
 			forwarded.ServeHTTP(w, r)
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -30,6 +30,7 @@
 	m.wakeUp()
 	begun := time.Now()
 	pause(running, notReadyTime)
+	m.gateway.Close()
 	drain, cancel := context.WithDeadline(running, begun.Add(m.settings.StopTimeout-stopMargin))
 	defer cancel()
 	for _, s := range servers {
