--- a/forward/client.go
+++ b/forward/client.go
@@ -96,7 +96,9 @@
 	c.news.Heard(fields.versions)
 	result := Result{Load: fields.load}
 	if fields.code != code.OK {
-		return result, &gateway.Failure{Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, Reason: string(body)}
+		return result, &gateway.Failure{
+			Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, Owner: fields.owner, Reason: string(body),
+		}
 	}
 	response.Header.Del(headerResult)
 	// Added by the other instance's HTTP server.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,8 +23,8 @@
 	// headerCall holds the fields of callFields, separated by commas.
 	headerCall = "S-Call"
 	// headerResult holds the result code, the upstream's status, the Retry-After in milliseconds, whether the request
-	// reached the upstream, the load, the times that it waited and took, and
-	// the versions of the instance.
+	// reached the upstream, the load, the times that it waited and took, the
+	// versions of the instance, and the slot of the key's owner if it is another.
 	headerResult = "S-Res"
 )
 
@@ -127,8 +127,8 @@
 	if r.arrived {
 		arrived = 1
 	}
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%s", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
-		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds(), r.versions)
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%s,%s", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
+		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds(), r.versions, r.owner)
 }
 
 type resultFields struct {
@@ -140,14 +140,15 @@
 	waited     time.Duration
 	took       time.Duration
 	versions   Versions
+	owner      string
 }
 
-// resultNumbers is the number of numeric fields of a result; the versions follow.
+// resultNumbers is the number of numeric fields of a result; the versions and the owner of the key follow.
 const resultNumbers = 9
 
 func decodeResult(header http.Header) (resultFields, error) {
 	fields := strings.Split(header.Get(headerResult), ",")
-	if len(fields) != resultNumbers+1 {
+	if len(fields) != resultNumbers+2 {
 		return resultFields{}, fmt.Errorf("%s: %w", headerResult, errMalformed)
 	}
 	var numbers [resultNumbers]int
@@ -163,5 +164,6 @@
 		code: code.Code(numbers[0]), status: numbers[1], retryAfter: ms(numbers[2]), arrived: numbers[3] != 0,
 		load:   gateway.Load{Running: numbers[4], Waiting: numbers[5], Slots: numbers[6]},
 		waited: ms(numbers[7]), took: ms(numbers[8]), versions: parseVersions(fields[resultNumbers]),
+		owner: fields[resultNumbers+1],
 	}, nil
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -68,7 +68,9 @@
 
 func writeFailure(w http.ResponseWriter, f *gateway.Failure, load gateway.Load, v Versions) {
 	header := w.Header()
-	header.Set(headerResult, encodeResult(resultFields{code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load, versions: v}))
+	header.Set(headerResult, encodeResult(resultFields{
+		code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load, versions: v, owner: f.Owner,
+	}))
 	header.Set("Content-Type", "text/plain")
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,9 @@
 	RetryAfter time.Duration
 	// Arrived means that the request reached the upstream.
 	Arrived bool
-	Reason  string
+	// Owner is the slot of the instance that the request's key was released to, if that is known.
+	Owner  string
+	Reason string
 }
 
 // Error implements error.
@@ -105,5 +107,5 @@
 // Keys decides which keys the upstream may serve now.
 type Keys interface {
 	// Admit returns nil if the upstream may serve a key. It waits until the given time for a key that is being claimed.
-	Admit(ctx context.Context, key uint16, until time.Time) error
+	Admit(ctx context.Context, key uint16, until time.Time) *Failure
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -209,12 +209,7 @@
 	if r.Objective.Before(until) {
 		until = r.Objective
 	}
-	err := keys.Admit(ctx, uint16(r.Key), until)
-	if err == nil {
-		return nil
-	}
-	c, _ := code.Of(err)
-	return &Failure{Code: c, RetryAfter: downRetry, Reason: err.Error()}
+	return keys.Admit(ctx, uint16(r.Key), until)
 }
 
 // enter waits for a slot.
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -116,7 +117,7 @@
 }
 
 // Admit returns nil if the upstream may serve a key now. A key that is being claimed is waited for until the given time.
-// The error carries code.NotOwner or code.Moved; the request did not run.
+// The error is a *NotOwnerError or carries code.Moved; the request did not run.
 func (k *Keeper) Admit(ctx context.Context, key keyspace.Key, until time.Time) error {
 	for {
 		k.mu.Lock()
@@ -128,7 +129,7 @@
 			return nil
 		}
 		if p.state == stateNone || p.state == stateReleasing {
-			return code.New(code.NotOwner, "key %d isn't served by %s", key, k.self)
+			return &NotOwnerError{key: key, self: k.self, successor: p.successor}
 		}
 		if !now.Before(until) {
 			return code.New(code.Moved, "key %d isn't granted to the upstream of %s yet", key, k.self)
@@ -146,6 +147,23 @@
 	}
 }
 
+// NotOwnerError means that a key isn't served by this incarnation.
+type NotOwnerError struct {
+	key             keyspace.Key
+	self, successor member.Incarnation
+}
+
+// Error implements error.
+func (e *NotOwnerError) Error() string {
+	if e.successor.IsZero() {
+		return fmt.Sprintf("key %d isn't served by %s", e.key, e.self)
+	}
+	return fmt.Sprintf("key %d isn't served by %s; it was released to %s", e.key, e.self, e.successor)
+}
+
+// Successor returns the incarnation that the key was released to, if this one had it.
+func (e *NotOwnerError) Successor() member.Incarnation { return e.successor }
+
 // Serves reports whether the upstream may serve a key now.
 func (k *Keeper) Serves(key keyspace.Key) bool {
 	k.mu.Lock()
--- a/grant/keeper_test.go
+++ b/grant/keeper_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"sapphiretray/code"
 	"sapphiretray/grant"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
@@ -228,6 +227,10 @@
 		if a.upstream.holds(0) || !b.upstream.holds(0) {
 			t.Errorf("holds: old %v, new %v", a.upstream.holds(0), b.upstream.holds(0))
 		}
+		var notOwner *grant.NotOwnerError
+		if err := a.keeper.Admit(t.Context(), 5, time.Now()); !errors.As(err, &notOwner) || notOwner.Successor() != b.self {
+			t.Errorf("the old owner doesn't name the new one: %v", err)
+		}
 		if b.keeper.Settled() != 2 {
 			t.Errorf("settled at %d", b.keeper.Settled())
 		}
@@ -343,15 +346,16 @@
 		tests := []struct {
 			name   string
 			keeper *grant.Keeper
-			want   code.Code
+			owner  bool
 		}{
-			{"owner", a.keeper, 0},
-			{"another instance", b.keeper, code.NotOwner},
+			{"owner", a.keeper, true},
+			{"another instance", b.keeper, false},
 		}
 		for _, test := range tests {
 			err := test.keeper.Admit(t.Context(), 5, time.Now().Add(100*time.Millisecond))
-			if got, _ := code.Of(err); got != test.want {
-				t.Errorf("%s: code %s, want %s", test.name, got, test.want)
+			var notOwner *grant.NotOwnerError
+			if (err == nil) != test.owner || errors.As(err, &notOwner) == test.owner {
+				t.Errorf("%s: error %v", test.name, err)
 			}
 		}
 		a.lease.extend(0)
--- a/grant/piece.go
+++ b/grant/piece.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sapphiretray/keyspace"
+	"sapphiretray/member"
 )
 
 // state is the state of a piece of the keys.
@@ -29,6 +30,8 @@
 	epoch uint64
 	// promised is the lowest epoch under which the keys may be served here.
 	promised uint64
+	// successor is the incarnation that the keys were promised to.
+	successor member.Incarnation
 	// handover is kept after a release, because the answer to the successor may be lost and asked for again.
 	handover string
 	// unanswered means that the upstream may yet carry out an order with the newest token that it has seen.
--- a/grant/release.go
+++ b/grant/release.go
@@ -48,7 +48,11 @@
 			return nil, nil, code.New(code.Conflict, "keys %s are served under epoch %d", p.Range, p.epoch)
 		}
 	}
-	k.pieces.change(r.Range, func(p *piece) { p.promised = max(p.promised, r.Epoch) })
+	k.pieces.change(r.Range, func(p *piece) {
+		if r.Epoch >= p.promised {
+			p.promised, p.successor = r.Epoch, r.Successor
+		}
+	})
 	waiting := false
 	for _, p := range k.pieces.within(r.Range) {
 		switch p.state {
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -33,6 +33,8 @@
 	unknown *gateway.Failure
 	// tried are the instances that refused it.
 	tried map[string]bool
+	// owner is the slot that the last instance named as the key's owner.
+	owner string
 	// holdUntil bounds the wait for the key's owner.
 	holdUntil time.Time
 }
@@ -86,6 +88,12 @@
 		}
 		return target, nil
 	}
+	if owner := a.owner; owner != "" {
+		a.owner = ""
+		if target, ok := s.directory.Instance(owner); ok {
+			return target, nil
+		}
+	}
 	for {
 		changed := s.directory.Changed()
 		if target, ok := s.directory.Owner(a.request.Service, uint16(a.request.Key)); ok {
@@ -181,6 +189,12 @@
 // elsewhere decides whether a request that reached no upstream is offered to another instance, or to the same one later.
 func (s *Server) elsewhere(ctx context.Context, a *attempt, target Target, f *gateway.Failure) bool {
 	if a.request.Key != gateway.NoKey {
+		if f.Owner != "" && !a.tried[f.Owner] {
+			// This instance's map is older than that of the instance that answered.
+			a.owner = f.Owner
+			a.tried[f.Owner] = true
+			return true
+		}
 		return moving(f.Code) && s.wait(ctx, a, s.directory.Changed())
 	}
 	a.tried[target.Slot] = true
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -46,6 +46,8 @@
 	Targets(service string) []Target
 	// Owner returns the instance that owns a key, and false if none is known.
 	Owner(service string, key uint16) (Target, bool)
+	// Instance returns the instance in a slot, and false if none is known or it can't be reached.
+	Instance(slot string) (Target, bool)
 	// Changed returns a channel that is closed when owners or members change.
 	Changed() <-chan struct{}
 	// Leaving tells that an instance takes no more work.
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -5,21 +5,23 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"sapphiretray/member"
 )
 
 const (
 	// maxMoves bounds the moves of load in one plan.
-	maxMoves = 8
+	maxMoves = 24
 	// worthwhile is the ratio of two costs that is worth a move. Measured loads differ from the true ones by about a fifth.
 	worthwhile = 1.15
 	// leastLoad is the least load, in busy slots, that is worth a move.
 	leastLoad = 0.15
-	// caution is the share of the load to be moved that is moved at once.
-	caution = 0.8
 )
 
-// balance moves spans from the candidates with the highest cost to those with the lowest.
+// balance moves spans from the candidates with the highest cost to those with the lowest, until each carries about what it would
+// if the cost were the same everywhere.
 func (b *builder) balance() {
+	targets := b.targets()
 	for range maxMoves {
 		dearest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
 		cheapest := slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int {
@@ -28,27 +30,44 @@
 		if b.cost(dearest, 0) < worthwhile*b.cost(cheapest, leastLoad) {
 			return
 		}
-		wanted := caution * b.equalizing(dearest, cheapest)
+		wanted := min(b.carried[dearest.Instance]-targets[dearest.Instance], targets[cheapest.Instance]-b.carried[cheapest.Instance])
 		if wanted < leastLoad || !b.moveLoad(dearest, cheapest, wanted) {
 			return
 		}
 	}
 }
 
-// equalizing returns the load whose move makes the costs of two candidates equal.
-func (b *builder) equalizing(from, to Candidate) float64 {
-	low, high := 0.0, b.carried[from.Instance]
-	for range 20 {
+// targets returns the load that each candidate would carry if the cost were the same everywhere.
+func (b *builder) targets() map[member.Incarnation]float64 {
+	total := 0.0
+	for _, c := range b.problem.Candidates {
+		total += b.carried[c.Instance]
+	}
+	targets := make(map[member.Incarnation]float64, len(b.problem.Candidates))
+	// The cost at which all load is carried lies between that of an idle upstream and that of one with all load.
+	low, high := 0.0, 0.0
+	for _, c := range b.problem.Candidates {
+		high = max(high, c.cost(total))
+	}
+	for range costSteps {
 		middle := (low + high) / 2
-		if b.cost(from, -middle) > b.cost(to, middle) {
+		sum := 0.0
+		for _, c := range b.problem.Candidates {
+			targets[c.Instance] = c.loadAt(middle)
+			sum += targets[c.Instance]
+		}
+		if sum < total {
 			low = middle
 		} else {
 			high = middle
 		}
 	}
-	return low
+	return targets
 }
 
+// costSteps is the number of halvings by which the common cost is found; 30 make it exact to a billionth.
+const costSteps = 30
+
 // part is a beginning, an end or the whole of an entry.
 type part struct {
 	entry int
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -232,13 +232,39 @@
 func (c Candidate) use(load float64) float64 { return load * c.Pace / float64(c.Slots) }
 
 // cost is the mean time until a request is answered, relative to the mean pace, at a load: the upstream's own time and the wait
-// for a slot. Beyond full use the wait grows without bound, so the cost goes on as a line.
-func (c Candidate) cost(load float64) float64 {
-	use := c.use(load)
+// for a slot.
+func (c Candidate) cost(load float64) float64 { return c.Pace * delay(c.use(load)) }
+
+// loadAt returns the load at which a candidate has the given cost, or 0 if it costs more when it is idle.
+func (c Candidate) loadAt(cost float64) float64 {
+	return useAt(cost/c.Pace) * float64(c.Slots) / c.Pace
+}
+
+// delay is the mean time until a request is answered, in service times, at an upstream whose slots are used to the given share.
+// Beyond full use the wait grows without bound, so the delay goes on as a line.
+func delay(use float64) float64 {
 	below := min(use, fullUse)
-	return c.Pace * (1 + math.Pow(below, waitPower)/(waitDivisor*(1-below)) + overloadSlope*(use-below))
+	return 1 + math.Pow(below, waitPower)/(waitDivisor*(1-below)) + overloadSlope*(use-below)
+}
+
+// useAt is the inverse of delay; it is 0 for delays below that of an idle upstream.
+func useAt(wanted float64) float64 {
+	atFull := delay(fullUse)
+	if wanted >= atFull {
+		return fullUse + (wanted-atFull)/overloadSlope
+	}
+	n, _ := slices.BinarySearch(delays[:], wanted)
+	return float64(n) / float64(len(delays)) * fullUse
 }
 
+// delays holds the delay at uses from 0 to fullUse.
+var delays = func() (table [256]float64) {
+	for n := range table {
+		table[n] = delay(float64(n) / float64(len(table)) * fullUse)
+	}
+	return table
+}()
+
 // The wait for one of several slots is fitted to the M/M/6 queue: 0.07 service times at a use of 0.6, 0.5 at 0.8.
 const (
 	waitPower     = 5
--- /dev/null
+++ b/mesh/admission.go
@@ -0,0 +1,42 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/grant"
+)
+
+// movedRetry is the Retry-After of a request whose key changes its owner.
+const movedRetry = 300 * time.Millisecond
+
+// admission tells the gateway which keys the upstream may serve.
+type admission struct{ keeper *grant.Keeper }
+
+// Admit implements gateway.Keys.
+func (a admission) Admit(ctx context.Context, key uint16, until time.Time) *gateway.Failure {
+	err := a.keeper.Admit(ctx, key, until)
+	var notOwner *grant.NotOwnerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &notOwner):
+		return &gateway.Failure{Code: code.NotOwner, RetryAfter: movedRetry, Owner: notOwner.Successor().Slot(), Reason: err.Error()}
+	default:
+		return &gateway.Failure{Code: code.Moved, RetryAfter: movedRetry, Reason: err.Error()}
+	}
+}
+
+// noKeys admits no key: the instance has not joined yet.
+type noKeys struct{}
+
+// Admit implements gateway.Keys.
+func (noKeys) Admit(_ context.Context, key uint16, _ time.Time) *gateway.Failure {
+	return &gateway.Failure{
+		Code: code.NotOwner, RetryAfter: movedRetry, Reason: fmt.Sprintf("key %d isn't served here: the instance has not joined", key),
+	}
+}
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -131,7 +131,17 @@
 	if !ok {
 		return ingress.Target{}, false
 	}
-	slot := e.Owner().Slot()
+	return d.instance(e.Owner().Slot())
+}
+
+// Instance implements ingress.Directory.
+func (d *directory) Instance(slot string) (ingress.Target, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.instance(slot)
+}
+
+func (d *directory) instance(slot string) (ingress.Target, bool) {
 	r, ok := d.records[slot]
 	if !ok || d.unreachable[slot] {
 		return ingress.Target{}, false
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
-	"sapphiretray/code"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
@@ -65,7 +64,7 @@
 	if s == nil || s.keeper == nil {
 		return noKeys{}
 	}
-	return s.keeper
+	return admission{keeper: s.keeper}
 }
 
 // keyed reports whether the local service is divided by key.
@@ -362,11 +361,3 @@
 	m.wakeUp()
 	m.reportSoon()
 }
-
-// noKeys admits no key: the instance has not joined yet.
-type noKeys struct{}
-
-// Admit implements gateway.Keys.
-func (noKeys) Admit(_ context.Context, key uint16, _ time.Time) error {
-	return code.New(code.NotOwner, "key %d isn't served here: the instance has not joined", key)
-}
--- a/store/follower.go
+++ b/store/follower.go
@@ -13,6 +13,8 @@
 const (
 	// feedWait is how long one call waits for changes. Longer calls save calls; an end is needed because a call may hang.
 	feedWait = 10 * time.Second
+	// settleTime is the pause between two calls for changes. Changes come in groups, and each call is priced.
+	settleTime = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call. The longest is well below the time within which a
 	// configuration has to be in force after an outage.
 	minRetry = 100 * time.Millisecond
@@ -51,6 +53,7 @@
 		switch {
 		case err == nil:
 			retry = minRetry
+			pause(ctx, settleTime)
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
