--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,474 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/routing"
+)
+
+// Headers of the test's protocol.
+const (
+	headerID     = "Test-Id"
+	headerMark   = "Test-Mark"
+	headerNotRun = "Test-Not-Run"
+	headerExpect = "Test-Expect"
+)
+
+// testProtocol implements gateway.Protocol.
+type testProtocol struct{}
+
+func (testProtocol) Prepare(header http.Header, r *gateway.Request, upstreamID string, _ time.Duration) {
+	header.Set(headerID, r.ID)
+	header.Set(headerExpect, upstreamID)
+}
+
+func (testProtocol) Matches(header http.Header, id string) bool { return header.Get(headerID) == id }
+
+func (testProtocol) Read(status int, header http.Header) gateway.Reading {
+	return gateway.Reading{
+		Genuine: header.Get(headerMark) != "", NotRun: header.Get(headerNotRun) != "",
+		Misdirected: status == http.StatusMisdirectedRequest, UpstreamID: "upstream-1",
+	}
+}
+
+// rawUpstream answers each request with the bytes that answer writes to the connection. It counts requests.
+type rawUpstream struct {
+	listener net.Listener
+	answer   func(conn net.Conn, r *http.Request, id string, number int64)
+	requests atomic.Int64
+	conns    atomic.Int64
+	group    sync.WaitGroup
+}
+
+func newRawUpstream(t *testing.T, answer func(conn net.Conn, r *http.Request, id string, number int64)) *rawUpstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &rawUpstream{listener: listener, answer: answer}
+	u.group.Go(u.serve)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		u.group.Wait()
+	})
+	return u
+}
+
+func (u *rawUpstream) serve() {
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.conns.Add(1)
+		u.group.Go(func() { u.converse(conn) })
+	}
+}
+
+func (u *rawUpstream) converse(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		u.answer(conn, request, request.Header.Get(headerID), u.requests.Add(1))
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+	}
+}
+
+// ok is a complete response.
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: m\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerMark, len(body), body)
+}
+
+// start returns the gateway to an upstream that has registered.
+func start(t *testing.T, u *rawUpstream, options ...gateway.Option) *gateway.Gateway {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	g := gateway.New(group, "bookings", u.listener.Addr().String(), testProtocol{},
+		append([]gateway.Option{gateway.WithDrainLimit(2 * time.Second)}, options...)...)
+	group.Go(func() error {
+		g.Run(ctx)
+		return nil
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	register(t, g, u, gateway.Registration{Slots: 2, Sequence: 1})
+	return g
+}
+
+func register(t *testing.T, g *gateway.Gateway, u *rawUpstream, r gateway.Registration) {
+	t.Helper()
+	r.Service, r.Address = "bookings", u.listener.Addr().String()
+	if r.ID == "" {
+		r.Life = gateway.Life{ID: "upstream-1", Started: 1000}
+	}
+	if err := g.Register(r); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func request(id string, kind routing.Kind) *gateway.Request {
+	now := time.Now()
+	r := &gateway.Request{
+		ID: id, Method: http.MethodGet, Target: "/a?b=c", Host: "club.example", Service: "bookings", Route: "browse",
+		Key: gateway.NoKey, Kind: kind, Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(time.Second),
+	}
+	if kind != routing.Idempotent {
+		r.Method, r.Body = http.MethodPost, []byte("body")
+	}
+	return r
+}
+
+// failureOf returns the code of a failure, or 0 if there is none.
+func failureOf(t *testing.T, err error) code.Code {
+	t.Helper()
+	if err == nil {
+		return 0
+	}
+	var f *gateway.Failure
+	if !errors.As(err, &f) {
+		t.Fatalf("error %v is no failure", err)
+	}
+	return f.Code
+}
+
+// TestAnswers guards against responses that are passed on although they are incomplete or belong to another request, and against
+// "not run" for a request that may have run.
+func TestAnswers(t *testing.T) {
+	write := func(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+	tests := []struct {
+		name   string
+		answer func(conn net.Conn, r *http.Request, id string, number int64)
+		want   code.Code
+		body   string
+	}{
+		{"complete", func(conn net.Conn, _ *http.Request, id string, _ int64) { write(conn, ok(id, "hello")) }, 0, "hello"},
+		{"chunked", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerMark+": m\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+		}, 0, "hello"},
+		{"ends with its connection", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerMark+": m\r\n\r\nhello")
+			_ = conn.Close()
+		}, 0, "hello"},
+		{"interim response", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok(id, "hello"))
+		}, 0, "hello"},
+		{"answer to an earlier request first", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, ok("earlier", "other")+ok(id, "hello"))
+		}, 0, "hello"},
+		{"truncated", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, strings.TrimSuffix(ok(id, "hello"), "lo"))
+			_ = conn.Close()
+		}, code.UpstreamFailed, ""},
+		{"no answer", func(conn net.Conn, _ *http.Request, _ string, _ int64) { _ = conn.Close() }, code.UpstreamFailed, ""},
+		{"not an answer", func(conn net.Conn, _ *http.Request, _ string, _ int64) { write(conn, "garbage\r\n\r\n") }, code.UpstreamFailed, ""},
+		{"without mark", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, strings.Replace(ok(id, "hello"), headerMark, "Other", 1))
+		}, code.WrongAnswer, ""},
+		{"stated not run", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, "HTTP/1.1 503 Full\r\n"+headerID+": "+id+"\r\n"+headerNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+		}, code.Shed, ""},
+		{"another upstream", func(conn net.Conn, _ *http.Request, id string, _ int64) {
+			write(conn, "HTTP/1.1 421 Misdirected\r\n"+headerID+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}, code.NotOwner, ""},
+	}
+	for _, test := range tests {
+		for _, kind := range []routing.Kind{routing.Idempotent, routing.NonIdempotent} {
+			t.Run(test.name+"/"+kind.String(), func(t *testing.T) {
+				u := newRawUpstream(t, test.answer)
+				g := start(t, u)
+				response, err := g.Do(t.Context(), request("r1", kind))
+				if got := failureOf(t, err); got != test.want {
+					t.Fatalf("failure %v, want %s", err, test.want)
+				}
+				if err == nil && string(response.Body) != test.body {
+					t.Errorf("body %q, want %q", response.Body, test.body)
+				}
+				if u.requests.Load() != 1 {
+					t.Errorf("the request arrived %d times", u.requests.Load())
+				}
+			})
+		}
+	}
+}
+
+// TestExtraBytesEndConnection guards against bytes after a response that are taken for the answer to the next request.
+func TestExtraBytesEndConnection(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		text := ok(id, fmt.Sprint(number))
+		if number == 1 {
+			text += "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
+		}
+		_, _ = io.WriteString(conn, text)
+	})
+	g := start(t, u)
+	for n := range 3 {
+		response, err := g.Do(t.Context(), request(fmt.Sprint("r", n), routing.NonIdempotent))
+		if err != nil || string(response.Body) != fmt.Sprint(n+1) {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+}
+
+// TestEarlyAnswer guards against the rest of a long body that reaches the upstream in place of the next request.
+func TestEarlyAnswer(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		if number == 1 {
+			_, _ = io.WriteString(conn, ok(id, "early"))
+			time.Sleep(200 * time.Millisecond)
+			return
+		}
+		_, _ = io.WriteString(conn, ok(id, "second"))
+	})
+	g := start(t, u)
+	long := request("r1", routing.Upload)
+	long.Body = make([]byte, 32<<20)
+	response, err := g.Do(t.Context(), long)
+	if err != nil || string(response.Body) != "early" {
+		t.Fatalf("response %v, error %v", response, err)
+	}
+	response, err = g.Do(t.Context(), request("r2", routing.NonIdempotent))
+	if err != nil || string(response.Body) != "second" {
+		t.Fatalf("response %v, error %v", response, err)
+	}
+	if u.conns.Load() < 2 {
+		t.Error("the connection of the early answer was used again")
+	}
+}
+
+// TestSilence guards against a request that waits beyond its deadline, and against its connection being used again.
+func TestSilence(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		if number > 1 {
+			_, _ = io.WriteString(conn, ok(id, "hello"))
+		}
+	})
+	g := start(t, u)
+	r := request("r1", routing.NonIdempotent)
+	r.Deadline = time.Now().Add(200 * time.Millisecond)
+	started := time.Now()
+	_, err := g.Do(t.Context(), r)
+	if got := failureOf(t, err); got != code.UpstreamTimeout || time.Since(started) > 400*time.Millisecond {
+		t.Errorf("failure %v after %v", err, time.Since(started))
+	}
+	if _, err := g.Do(t.Context(), request("r2", routing.NonIdempotent)); err != nil {
+		t.Errorf("the next request: %v", err)
+	}
+	if u.conns.Load() != 2 {
+		t.Errorf("%d connections, want a new one after the silence", u.conns.Load())
+	}
+}
+
+// TestCallerLeaves guards against work for callers that have left: the upstream learns of it by the end of its connection.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, _ int64) {
+		// The end of the connection is the only thing that can arrive.
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	g := start(t, u)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := g.Do(ctx, request("r1", routing.Idempotent))
+	if got := failureOf(t, err); got != code.CallerGone {
+		t.Errorf("failure %v", err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Error("the connection stays open")
+	}
+}
+
+// TestRefusedConnection guards against "may have run" for a request that reached nobody, and against further requests to an upstream
+// that has ended.
+func TestRefusedConnection(t *testing.T) {
+	u := newRawUpstream(t, nil)
+	changes := atomic.Int32{}
+	g := start(t, u, gateway.WithOnChange(func() { changes.Add(1) }))
+	_ = u.listener.Close()
+	for range 2 {
+		_, err := g.Do(t.Context(), request("r1", routing.NonIdempotent))
+		var f *gateway.Failure
+		if !errors.As(err, &f) || !f.NotRun() || f.RetryAfter == 0 {
+			t.Errorf("failure %v", err)
+		}
+	}
+	if !g.State().Down || g.State().Usable() || changes.Load() != 2 {
+		t.Errorf("state %+v after %d changes", g.State(), changes.Load())
+	}
+	register(t, g, u, gateway.Registration{Life: gateway.Life{ID: "upstream-2", Started: 2000}, Slots: 2, Sequence: 1})
+	if g.State().Down {
+		t.Error("a new run is taken for down")
+	}
+}
+
+// TestRegistrations guards against old, late and foreign heartbeats that change what is known of the upstream.
+func TestRegistrations(t *testing.T) {
+	life := gateway.Life{ID: "upstream-1", Started: 1000}
+	tests := []struct {
+		name  string
+		beat  gateway.Registration
+		after gateway.State
+	}{
+		{
+			"newer sequence leaves",
+			gateway.Registration{Life: life, Slots: 2, Sequence: 2, Leaving: true},
+			gateway.State{Registration: gateway.Registration{Life: life, Sequence: 2}, Leaving: true},
+		},
+		{
+			"older sequence",
+			gateway.Registration{Life: life, Slots: 2, Sequence: 1, Leaving: true},
+			gateway.State{Registration: gateway.Registration{Life: life, Sequence: 1}},
+		},
+		{
+			"an earlier run",
+			gateway.Registration{Life: gateway.Life{ID: "upstream-0", Started: 900}, Slots: 2, Sequence: 9},
+			gateway.State{Registration: gateway.Registration{Life: life, Sequence: 1}},
+		},
+		{
+			"the same id started again",
+			gateway.Registration{Life: gateway.Life{ID: "upstream-1", Started: 1500}, Slots: 2, Sequence: 1},
+			gateway.State{Registration: gateway.Registration{Life: gateway.Life{ID: "upstream-1", Started: 1500}, Sequence: 1}},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newRawUpstream(t, nil)
+			g := start(t, u)
+			register(t, g, u, test.beat)
+			got := g.State()
+			if got.Life != test.after.Life || got.Sequence != test.after.Sequence || got.Leaving != test.after.Leaving {
+				t.Errorf("state %+v, want %+v", got, test.after)
+			}
+		})
+	}
+	u := newRawUpstream(t, nil)
+	g := start(t, u)
+	foreign := gateway.Registration{Life: life, Service: "other", Address: u.listener.Addr().String(), Slots: 2, Sequence: 5}
+	if err := g.Register(foreign); err == nil {
+		t.Error("a heartbeat of another service is taken")
+	}
+}
+
+// TestEndedRunStaysEnded guards against a delayed heartbeat of a run that was replaced.
+func TestEndedRunStaysEnded(t *testing.T) {
+	u := newRawUpstream(t, nil)
+	g := start(t, u)
+	second := gateway.Life{ID: "upstream-2", Started: 2000}
+	register(t, g, u, gateway.Registration{Life: second, Slots: 2, Sequence: 1})
+	register(t, g, u, gateway.Registration{Slots: 2, Sequence: 7})
+	if g.State().Life != second {
+		t.Errorf("state %+v", g.State())
+	}
+}
+
+// TestAssumedUpstream guards against a new session when the first heartbeat confirms what was assumed, and against an assumption
+// that outlives a heartbeat of another run.
+func TestAssumedUpstream(t *testing.T) {
+	tests := []struct {
+		name    string
+		assumed gateway.Life
+		beat    gateway.Life
+		same    bool
+	}{
+		{"confirmed", gateway.Life{ID: "a", Started: 5}, gateway.Life{ID: "a", Started: 5}, true},
+		{"start not known", gateway.Life{ID: "a"}, gateway.Life{ID: "a", Started: 5}, true},
+		{"started again", gateway.Life{ID: "a", Started: 5}, gateway.Life{ID: "a", Started: 6}, false},
+		{"another upstream", gateway.Life{ID: "a"}, gateway.Life{ID: "b", Started: 6}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newRawUpstream(t, nil)
+			group, _ := errgroup.WithContext(t.Context())
+			g := gateway.New(group, "bookings", u.listener.Addr().String(), testProtocol{})
+			g.Assume(gateway.Registration{Life: test.assumed, Slots: 3})
+			before := g.State().Life
+			register(t, g, u, gateway.Registration{Life: test.beat, Slots: 3, Sequence: 4})
+			if g.State().Life != test.beat || before.Same(g.State().Life) != test.same {
+				t.Errorf("life %s after %s", g.State().Life, before)
+			}
+		})
+	}
+}
+
+// TestDrainLimit guards against requests that reach an upstream after the time at which none may arrive any more.
+func TestDrainLimit(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { _, _ = io.WriteString(conn, ok(id, "")) })
+	g := start(t, u, gateway.WithDrainLimit(700*time.Millisecond))
+	g.Deregister("upstream-1")
+	if _, err := g.Do(t.Context(), request("r1", routing.Idempotent)); err != nil {
+		t.Errorf("refused at once: %v", err)
+	}
+	time.Sleep(250 * time.Millisecond)
+	_, err := g.Do(t.Context(), request("r2", routing.Idempotent))
+	if got := failureOf(t, err); got != code.Draining {
+		t.Errorf("failure %v", err)
+	}
+}
+
+// TestClose guards against requests that begin while the process ends.
+func TestClose(t *testing.T) {
+	u := newRawUpstream(t, nil)
+	g := start(t, u)
+	g.Close()
+	_, err := g.Do(t.Context(), request("r1", routing.Idempotent))
+	if got := failureOf(t, err); got != code.Draining || u.requests.Load() != 0 {
+		t.Errorf("failure %v, %d requests", err, u.requests.Load())
+	}
+}
+
+// TestBodyIsReadWithSlot guards against large bodies that are fetched for requests that are refused.
+func TestBodyIsReadWithSlot(t *testing.T) {
+	release := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) {
+		<-release
+		_, _ = io.WriteString(conn, ok(id, ""))
+	})
+	g := start(t, u)
+	var group sync.WaitGroup
+	for n := range 2 {
+		group.Go(func() { _, _ = g.Do(t.Context(), request(fmt.Sprint("r", n), routing.NonIdempotent)) })
+	}
+	for g.Load().Running < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	read := false
+	r := request("late", routing.Upload)
+	r.Body, r.Objective = nil, time.Now().Add(time.Millisecond)
+	r.ReadBody = func() ([]byte, error) {
+		read = true
+		return []byte("body"), nil
+	}
+	_, err := g.Do(t.Context(), r)
+	if got := failureOf(t, err); got != code.Shed || read {
+		t.Errorf("failure %v, body read %v", err, read)
+	}
+	close(release)
+	group.Wait()
+}
