--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -168,7 +168,8 @@
 	}{
 		{"complete", func(conn net.Conn, _ *http.Request, id string, _ int64) { write(conn, ok(id, "hello")) }, 0, "hello"},
 		{"chunked", func(conn net.Conn, _ *http.Request, id string, _ int64) {
-			write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerMark+": m\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+			write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerMark+": m\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 		}, 0, "hello"},
 		{"ends with its connection", func(conn net.Conn, _ *http.Request, id string, _ int64) {
 			write(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerMark+": m\r\n\r\nhello")
@@ -185,7 +186,9 @@
 			_ = conn.Close()
 		}, code.UpstreamFailed, ""},
 		{"no answer", func(conn net.Conn, _ *http.Request, _ string, _ int64) { _ = conn.Close() }, code.UpstreamFailed, ""},
-		{"not an answer", func(conn net.Conn, _ *http.Request, _ string, _ int64) { write(conn, "garbage\r\n\r\n") }, code.UpstreamFailed, ""},
+		{"not an answer", func(conn net.Conn, _ *http.Request, _ string, _ int64) {
+			write(conn, "garbage\r\n\r\n")
+		}, code.UpstreamFailed, ""},
 		{"without mark", func(conn net.Conn, _ *http.Request, id string, _ int64) {
 			write(conn, strings.Replace(ok(id, "hello"), headerMark, "Other", 1))
 		}, code.WrongAnswer, ""},
--- a/grant/keeper_test.go
+++ b/grant/keeper_test.go
@@ -187,8 +187,15 @@
 	return m
 }
 
+// scene is what a test plays with.
+type scene struct {
+	t       *testing.T
+	cluster *cluster
+	a, b    *node
+}
+
 // run starts two nodes under the test's clock, of which the first serves all keys.
-func run(t *testing.T, test func(t *testing.T, c *cluster, a, b *node)) {
+func run(t *testing.T, test func(s scene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -203,7 +210,7 @@
 		if !a.keeper.Serves(5) {
 			t.Fatal("the first owner doesn't serve")
 		}
-		test(t, c, a, b)
+		test(scene{t: t, cluster: c, a: a, b: b})
 		cancel()
 		group.Wait()
 		a.keeper.Wait()
@@ -213,7 +220,8 @@
 
 // TestMove guards the planned move: never two upstreams with a key, and the handover reaches the new one.
 func TestMove(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		a.upstream.set(func(u *upstreamDouble) { u.busyUntil = time.Now().Add(300 * time.Millisecond) })
 		next := assign(t, 2, b.self, a.self)
 		b.keeper.Update(next)
@@ -239,7 +247,8 @@
 
 // TestPromiseBindsAgainstOlderMap guards against an owner that takes released keys back because it has not seen the new map yet.
 func TestPromiseBindsAgainstOlderMap(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		b.keeper.Update(assign(t, 3, b.self, a.self))
 		time.Sleep(50 * time.Millisecond)
 		a.keeper.Update(assign(t, 2, a.self))
@@ -252,7 +261,8 @@
 
 // TestTakeoverWaitsForProof guards against two owners when the old one can't be reached.
 func TestTakeoverWaitsForProof(t *testing.T) {
-	run(t, func(t *testing.T, c *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, c, a, b := s.t, s.cluster, s.a, s.b
 		c.mu.Lock()
 		c.cut[a.self] = true
 		c.mu.Unlock()
@@ -273,7 +283,8 @@
 
 // TestHoldEndsWithLease guards against an upstream that holds keys after the lease that a successor waits for.
 func TestHoldEndsWithLease(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, _ *node) {
+	run(t, func(s scene) {
+		t, a := s.t, s.a
 		a.lease.extend(time.Second)
 		time.Sleep(1100 * time.Millisecond)
 		if a.upstream.holds(0) || a.keeper.Serves(5) {
@@ -292,7 +303,8 @@
 // TestSilentUpstream guards the release of keys by an instance whose upstream doesn't answer: it may say that they are released only
 // after the hold must have ended.
 func TestSilentUpstream(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		a.upstream.set(func(u *upstreamDouble) { u.unanswered = true })
 		time.Sleep(time.Second)
 		if a.keeper.Silent() == 0 {
@@ -313,7 +325,8 @@
 
 // TestUpstreamGone guards against a wait for the hold of an upstream whose process has ended.
 func TestUpstreamGone(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		a.upstream.set(func(u *upstreamDouble) { u.gone = true })
 		b.keeper.Update(assign(t, 2, b.self, a.self))
 		time.Sleep(250 * time.Millisecond)
@@ -326,7 +339,8 @@
 // TestNewConnectionRaisesFence guards against a renewal that reaches another run of the upstream with a token that the earlier run
 // had seen.
 func TestNewConnectionRaisesFence(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, _ *node) {
+	run(t, func(s scene) {
+		t, a := s.t, s.a
 		a.upstream.mu.Lock()
 		before := a.upstream.fences[0]
 		a.upstream.fresh = true
@@ -342,7 +356,8 @@
 
 // TestAdmit guards the errors by which requests find the way to the owner.
 func TestAdmit(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		tests := []struct {
 			name   string
 			keeper *grant.Keeper
@@ -368,7 +383,8 @@
 
 // TestRepeatedRelease guards against a handover that is lost with the answer to the release.
 func TestRepeatedRelease(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		request := grant.Request{
 			Range: keyspace.Range{First: 100, Last: 199}, Service: "bookings", Epoch: 2, Holder: a.self, Successor: b.self,
 		}
@@ -392,7 +408,8 @@
 // TestLateOrderIsRefused guards against an order that the upstream left unanswered and carries out after the keys have moved to
 // another upstream: the upstream must have seen a higher token before it releases the keys.
 func TestLateOrderIsRefused(t *testing.T) {
-	run(t, func(t *testing.T, _ *cluster, a, b *node) {
+	run(t, func(s scene) {
+		t, a, b := s.t, s.a, s.b
 		a.upstream.set(func(u *upstreamDouble) { u.unanswered = true })
 		time.Sleep(450 * time.Millisecond)
 		a.upstream.mu.Lock()
--- a/keyspace/keyspace_test.go
+++ b/keyspace/keyspace_test.go
@@ -12,7 +12,9 @@
 	"sapphiretray/member"
 )
 
-func instanceName(n int) member.Incarnation { return member.NewIncarnation(fmt.Sprintf("10.0.0.%d", n), 1) }
+func instanceName(n int) member.Incarnation {
+	return member.NewIncarnation(fmt.Sprintf("10.0.0.%d", n), 1)
+}
 
 func candidates(paces ...float64) []keyspace.Candidate {
 	list := make([]keyspace.Candidate, 0, len(paces))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -100,17 +101,20 @@
 	reporting, planning chan struct{}
 	// news holds the slots of instances that have newer rows.
 	news chan string
+	// heard holds the newest versions that each instance has announced, if they were news.
+	heardMu sync.Mutex
+	heard   map[string]forward.Versions
 }
 
 // New returns a process that Run starts.
 func New(s Settings, p Ports) *Mesh {
 	m := &Mesh{
 		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
-		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1),
+		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1), heard: make(map[string]forward.Versions),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
 	}
 	m.directory = newDirectory(s.Slot)
-	m.rows = store.NewFollower(p.Store, Table, m.applyRows)
+	m.rows = store.NewFollower(p.Store, Table, m.applyRows, store.WithEager(m.isReader))
 	m.config = store.NewFollower(p.Store, p.ConfigTable, m.applyConfig)
 	return m
 }
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/forward"
@@ -14,6 +17,8 @@
 )
 
 const (
+	// readersPerDataCentre is the number of instances in a data centre that await changes of the rows; one may fail.
+	readersPerDataCentre = 2
 	// fetchTimeout bounds the fetch of rows from another instance.
 	fetchTimeout = time.Second
 	// feedHeadStart is how long the store's own feed has before rows are fetched from the instance that announced them.
@@ -71,7 +76,10 @@
 
 // Heard implements forward.News.
 func (m *Mesh) Heard(v forward.Versions) {
-	if v.Config > m.config.Newest() || v.Rows > m.rows.Newest() {
+	if m.behind(v) {
+		m.heardMu.Lock()
+		m.heard[v.Slot] = v
+		m.heardMu.Unlock()
 		select {
 		case m.news <- v.Slot:
 		default:
@@ -79,23 +87,72 @@
 	}
 }
 
-// fetchNews fetches rows that the store's feed has not delivered from the instances that announced them.
+// isReader reports whether this instance awaits changes of the rows at the store: a few in each data centre do, and the planner.
+// The others get them from these. Each call to the store is priced, and every change would cost one for each instance.
+func (m *Mesh) isReader() bool {
+	if m.planner.active(time.Now()) {
+		return true
+	}
+	return slices.Index(m.readers(m.settings.DataCentre), m.settings.Slot) >= 0
+}
+
+// readers returns the slots that await changes of the rows in a data centre. Instances that don't answer are left out.
+func (m *Mesh) readers(dataCentre string) []string {
+	unreachable := m.directory.unreachableSlots()
+	var slots []string
+	for _, r := range m.directory.all() {
+		slot := r.Incarnation.Slot()
+		if r.DataCentre == dataCentre && !r.State.Gone() && !slices.Contains(unreachable, slot) {
+			slots = append(slots, slot)
+		}
+	}
+	slices.SortFunc(slots, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return slots[:min(len(slots), readersPerDataCentre)]
+}
+
+// fetchNews fetches rows from other instances that announced them: from a reader of the own data centre first, since bytes between
+// data centres are dear.
 func (m *Mesh) fetchNews(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case slot := <-m.news:
+			wanted := m.newsOf(slot)
 			pause(ctx, feedHeadStart)
-			for _, f := range []*store.Follower{m.config, m.rows} {
-				if err := m.fetch(ctx, slot, f); err != nil && ctx.Err() == nil {
-					klog.V(1).InfoS("news: fetch failed", "slot", slot, "err", err)
+			sources := append(m.readers(m.settings.DataCentre), slot)
+			for _, source := range sources {
+				if source != m.settings.Slot && m.behind(wanted) && ctx.Err() == nil {
+					m.fetchFrom(ctx, source, wanted)
 				}
 			}
 		}
 	}
 }
 
+// newsOf returns the newest versions that an instance has announced.
+func (m *Mesh) newsOf(slot string) forward.Versions {
+	m.heardMu.Lock()
+	defer m.heardMu.Unlock()
+	return m.heard[slot]
+}
+
+// behind reports whether versions are newer than what is known here.
+func (m *Mesh) behind(v forward.Versions) bool {
+	return v.Config > m.config.Newest() || v.Rows > m.rows.Newest()
+}
+
+func (m *Mesh) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
+	for _, f := range []*store.Follower{m.config, m.rows} {
+		if f == m.config && wanted.Config <= f.Newest() || f == m.rows && wanted.Rows <= f.Newest() {
+			continue
+		}
+		if err := m.fetch(ctx, slot, f); err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "err", err)
+		}
+	}
+}
+
 func (m *Mesh) fetch(ctx context.Context, slot string, f *store.Follower) error {
 	client, err := m.dialSlot(slot)
 	if err != nil {
@@ -111,7 +168,7 @@
 	if err := json.Unmarshal(answer.GetValue(), &rows); err != nil {
 		return err
 	}
-	f.Merge(rows)
+	f.MergeUpTo(rows, answer.GetVersion())
 	return nil
 }
 
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -59,6 +60,7 @@
 			klog.InfoS("plan: not written", "service", m.settings.Service, "version", next.Version(), "err", err)
 			continue
 		}
+		m.pushMap(ctx, moves)
 		for _, move := range moves {
 			klog.InfoS("plan: moved", "service", m.settings.Service, "version", next.Version(), "keys", move.Range,
 				"from", move.From, "to", move.To, "reason", move.Reason)
@@ -66,6 +68,35 @@
 	}
 }
 
+// pushMap brings the newest map to the instances that get keys, so that they claim them at once.
+func (m *Mesh) pushMap(ctx context.Context, moves []keyspace.Move) {
+	value, err := json.Marshal([]store.Row{m.rows.Get(keyspace.RowKey(m.settings.Service))})
+	if err != nil {
+		klog.ErrorS(err, "plan: map can't be pushed")
+		return
+	}
+	pushed := make(map[string]bool)
+	for _, move := range moves {
+		slot := move.To.Slot()
+		if pushed[slot] || slot == m.settings.Slot {
+			continue
+		}
+		pushed[slot] = true
+		m.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+			defer cancel()
+			client, err := m.dialSlot(slot)
+			if err == nil {
+				_, err = client.Push(ctx, &peer.PushRequest{Kind: Table, Value: value})
+			}
+			if err != nil && ctx.Err() == nil {
+				klog.V(1).InfoS("plan: map not pushed", "slot", slot, "err", err)
+			}
+			return nil
+		})
+	}
+}
+
 // planSoon makes the planner plan without waiting for the next interval.
 func (m *Mesh) planSoon() {
 	select {
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -163,6 +163,18 @@
 	return true
 }
 
+// active reports whether instances report here.
+func (p *planner) active(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.reports {
+		if now.Sub(r.at) <= reportLifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // fresh returns the reports that still count.
 func (p *planner) fresh(now time.Time) map[member.Incarnation]*peer.ReportRequest {
 	p.mu.Lock()
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -39,18 +39,29 @@
 
 // Fetch returns the rows of a table that are newer than a version.
 func (v *service) Fetch(_ context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
-	var rows []store.Row
-	switch r.GetKind() {
-	case Table:
-		rows = v.mesh.rows.After(r.GetHave())
-	case v.mesh.ports.ConfigTable:
-		rows = v.mesh.config.After(r.GetHave())
+	f := v.mesh.rows
+	if r.GetKind() == v.mesh.ports.ConfigTable {
+		f = v.mesh.config
 	}
-	value, err := json.Marshal(rows)
+	// Rows that arrive meanwhile are sent too, but not promised.
+	version := f.Version()
+	value, err := json.Marshal(f.After(r.GetHave()))
 	if err != nil {
 		return nil, err
 	}
-	return &peer.FetchResponse{Value: value}, nil
+	return &peer.FetchResponse{Value: value, Version: version}, nil
+}
+
+// Push takes rows that another instance has written.
+func (v *service) Push(_ context.Context, r *peer.PushRequest) (*peer.PushResponse, error) {
+	var rows []store.Row
+	if err := json.Unmarshal(r.GetValue(), &rows); err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	if r.GetKind() == Table {
+		v.mesh.rows.Merge(rows)
+	}
+	return &peer.PushResponse{}, nil
 }
 
 // ReleaseKeys gives keys up to another instance.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -124,7 +124,8 @@
 		life.Started = record.UpstreamStarted
 	}
 	m.gateway.Assume(gateway.Registration{
-		Life: life, Service: record.Service, Address: m.settings.UpstreamAddress, DataCentre: record.DataCentre, Slots: int(record.Capacity),
+		Life: life, Service: record.Service, Address: m.settings.UpstreamAddress, DataCentre: record.DataCentre,
+		Slots: int(record.Capacity),
 	})
 }
 
--- a/peer/unimplemented.go
+++ b/peer/unimplemented.go
@@ -50,3 +50,8 @@
 func (Unimplemented) Report(context.Context, *ReportRequest) (*ReportResponse, error) {
 	return nil, errUnimplemented
 }
+
+// Push is refused.
+func (Unimplemented) Push(context.Context, *PushRequest) (*PushResponse, error) {
+	return nil, errUnimplemented
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -12,7 +12,9 @@
 
 const (
 	// feedWait is how long one call waits for changes. Longer calls save calls; an end is needed because a call may hang.
-	feedWait = 10 * time.Second
+	feedWait = 20 * time.Second
+	// lazyInterval is the pause between two questions for changes while they aren't awaited.
+	lazyInterval = 6 * time.Second
 	// settleTime is the pause between two calls for changes. Changes come in groups, and each call is priced.
 	settleTime = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call. The longest is well below the time within which a
@@ -26,6 +28,7 @@
 	store   Store
 	table   string
 	changed func(rows []Row)
+	eager   func() bool
 
 	// delivering keeps the calls of changed in order.
 	delivering sync.Mutex
@@ -41,10 +44,24 @@
 
 // NewFollower returns a follower that calls changed, in order and from one goroutine at a time, with each batch of rows that are
 // newer than those known before. Deleted rows have Deleted set.
-func NewFollower(s Store, table string, changed func(rows []Row)) *Follower {
-	return &Follower{store: s, table: table, changed: changed, rows: make(map[string]Row), refreshed: make(chan struct{})}
+func NewFollower(s Store, table string, changed func(rows []Row), options ...Option) *Follower {
+	f := &Follower{
+		store: s, table: table, changed: changed, rows: make(map[string]Row), refreshed: make(chan struct{}),
+		eager: func() bool { return true },
+	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
+// Option changes a Follower under construction.
+type Option func(*Follower)
+
+// WithEager sets a function that tells whether changes are awaited. While it returns false, they are only asked for every few
+// seconds, because the rows arrive from elsewhere through Merge.
+func WithEager(eager func() bool) Option { return func(f *Follower) { f.eager = eager } }
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	retry := minRetry
@@ -53,7 +70,6 @@
 		switch {
 		case err == nil:
 			retry = minRetry
-			pause(ctx, settleTime)
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
@@ -78,7 +94,11 @@
 		f.replace(rows, version)
 		return nil
 	}
-	rows, version, err := f.store.Changes(ctx, f.table, after, feedWait)
+	wait, rest := feedWait, settleTime
+	if !f.eager() {
+		wait, rest = 0, lazyInterval
+	}
+	rows, version, err := f.store.Changes(ctx, f.table, after, wait)
 	if err != nil {
 		return err
 	}
@@ -87,9 +107,20 @@
 	f.mu.Lock()
 	f.version = max(f.version, version)
 	f.mu.Unlock()
+	f.rest(ctx, rest)
 	return nil
 }
 
+// rest waits for a time, or until the follower is to await changes.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
+		pause(ctx, min(settleTime, time.Until(end)))
+		if d > settleTime && f.eager() {
+			return
+		}
+	}
+}
+
 // replace takes a full listing. Rows that were known and are missing from it were deleted.
 func (f *Follower) replace(rows []Row, version uint64) {
 	present := make(map[string]bool, len(rows))
@@ -141,6 +172,16 @@
 	}
 }
 
+// MergeUpTo takes all rows after Version of a copy that is complete up to the given version.
+func (f *Follower) MergeUpTo(rows []Row, version uint64) {
+	f.Merge(rows)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed {
+		f.version = max(f.version, version)
+	}
+}
+
 // take stores the rows that are newer than the known ones and returns them.
 func (f *Follower) take(rows []Row) []Row {
 	f.mu.Lock()
