--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,230 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/store"
+)
+
+// memory is a store in memory with faults.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[string]store.Row
+	history []store.Row
+	version uint64
+	dropped uint64
+	away    bool
+	silent  bool
+	changed chan struct{}
+	calls   int
+}
+
+func newMemory() *memory {
+	return &memory{rows: make(map[string]store.Row), changed: make(chan struct{})}
+}
+
+func (m *memory) put(key, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+	row := store.Row{Table: "t", Key: key, Value: []byte(value), Version: m.version}
+	m.rows[key] = row
+	m.history = append(m.history, row)
+	m.notify()
+}
+
+func (m *memory) drop(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+	delete(m.rows, key)
+	m.history = append(m.history, store.Row{Table: "t", Key: key, Version: m.version, Deleted: true})
+	m.notify()
+}
+
+func (m *memory) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) set(change func(m *memory)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m)
+	m.notify()
+}
+
+func (m *memory) Commit(context.Context, store.Transaction) (uint64, error) {
+	return 0, errors.ErrUnsupported
+}
+
+func (m *memory) List(context.Context, string) ([]store.Row, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	rows := make([]store.Row, 0, len(m.rows))
+	for _, row := range m.rows {
+		rows = append(rows, row)
+	}
+	return rows, m.version, nil
+}
+
+func (m *memory) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Row, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	m.mu.Lock()
+	m.calls++
+	m.mu.Unlock()
+	for {
+		m.mu.Lock()
+		away, silent, dropped, changed := m.away, m.silent, after < m.dropped, m.changed
+		var rows []store.Row
+		for _, row := range m.history {
+			if row.Version > after {
+				rows = append(rows, row)
+			}
+		}
+		version := m.version
+		m.mu.Unlock()
+		switch {
+		case away:
+			return nil, 0, store.ErrUnavailable
+		case dropped:
+			return nil, 0, store.ErrHistoryLost
+		case len(rows) > 0 && !silent:
+			return rows, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// follow runs a test with a follower under the test's clock.
+func follow(t *testing.T, test func(m *memory, f *store.Follower), options ...store.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		m.put("a", "1")
+		f := store.NewFollower(m, "t", nil, options...)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { f.Run(ctx) })
+		if err := f.Wait(ctx); err != nil {
+			t.Fatal(err)
+		}
+		test(m, f)
+		cancel()
+		group.Wait()
+	})
+}
+
+func value(f *store.Follower, key string) string { return string(f.Get(key).Value) }
+
+// TestFollowerRecovers guards against a copy that stays old after the store was away, dropped its history or deleted rows.
+func TestFollowerRecovers(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(m *memory)
+	}{
+		{"change", func(m *memory) { m.put("a", "2") }},
+		{"away for a while", func(m *memory) {
+			m.set(func(m *memory) { m.away = true })
+			m.put("a", "2")
+			time.Sleep(9 * time.Second)
+			m.set(func(m *memory) { m.away = false })
+		}},
+		{"history dropped", func(m *memory) {
+			m.put("a", "2")
+			m.set(func(m *memory) { m.dropped, m.history = m.version, nil })
+		}},
+		{"deleted while the history was dropped", func(m *memory) {
+			m.put("b", "1")
+			time.Sleep(time.Second)
+			m.drop("b")
+			m.put("a", "2")
+			m.set(func(m *memory) { m.dropped, m.history = m.version, nil })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(m *memory, f *store.Follower) {
+				test.events(m)
+				time.Sleep(time.Second)
+				if got := value(f, "a"); got != "2" {
+					t.Errorf("a is %q a second later, want 2", got)
+				}
+				if row := f.Get("b"); row.Version > 0 && !row.Deleted {
+					t.Errorf("b is %+v, want none", row)
+				}
+				if !f.Reachable() {
+					t.Error("the store counts as lost")
+				}
+			})
+		})
+	}
+}
+
+// TestFollowerNeverGoesBack guards against an older row that replaces a newer one.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	follow(t, func(_ *memory, f *store.Follower) {
+		f.Merge([]store.Row{{Key: "a", Value: []byte("9"), Version: 9}})
+		f.Merge([]store.Row{{Key: "a", Value: []byte("5"), Version: 5}})
+		if got := value(f, "a"); got != "9" {
+			t.Errorf("a is %q, want 9", got)
+		}
+	})
+}
+
+// TestFollowerSavesCalls guards against a call for each change of a group, and against calls while changes aren't awaited.
+func TestFollowerSavesCalls(t *testing.T) {
+	tests := []struct {
+		name     string
+		eager    bool
+		maxCalls int
+	}{
+		{"awaiting", true, 20},
+		{"not awaiting", false, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(m *memory, _ *store.Follower) {
+				for n := range 300 {
+					m.put("a", string(rune('a'+n%26)))
+					time.Sleep(10 * time.Millisecond)
+				}
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				if m.calls > test.maxCalls {
+					t.Errorf("%d calls for 300 changes in 3 s", m.calls)
+				}
+			}, store.WithEager(func() bool { return test.eager }))
+		})
+	}
+}
+
+// TestFollowerMergeUpTo guards against rows that are missing because a copy counted as complete too early.
+func TestFollowerMergeUpTo(t *testing.T) {
+	follow(t, func(_ *memory, f *store.Follower) {
+		f.Merge([]store.Row{{Key: "b", Value: []byte("1"), Version: 20}})
+		if f.Version() != 1 || f.Newest() != 20 {
+			t.Errorf("complete up to %d, newest %d", f.Version(), f.Newest())
+		}
+		f.MergeUpTo(nil, 20)
+		if f.Version() != 20 {
+			t.Errorf("complete up to %d, want 20", f.Version())
+		}
+	}, store.WithEager(func() bool { return false }))
+}
--- a/table/update_test.go
+++ b/table/update_test.go
@@ -20,6 +20,7 @@
 // service is a platform with faults that meet only writes, or reads that follow a write.
 type service struct {
 	fake.Platform
+	url    string
 	client *table.Client
 	// lose is the number of writes whose answers are lost; after runs behind each of them, before the client reads back.
 	lose  atomic.Int32
@@ -42,6 +43,7 @@
 		panic(http.ErrAbortHandler)
 	}))
 	t.Cleanup(server.Close)
+	s.url = server.URL
 	s.client = table.New(server.URL, table.WithTimeout(100*time.Millisecond))
 	return s
 }
@@ -106,6 +108,8 @@
 	check(t, err, code.WriteUnknown)
 	s.check(t, "a")
 
+	// On a busy machine the updates take longer than the service's client waits, which would read back before they are done.
+	s.client = table.New(s.url, table.WithTimeout(5*time.Second))
 	s.after = func() {
 		for n := range uint64(20) {
 			if _, err := update(t.Context(), s.client, n+2, "x"); err != nil {
