--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,9 @@
 	// Arrived means that the request reached the upstream.
 	Arrived bool
 	// Owner is the slot of the instance that the request's key was released to, if that is known.
-	Owner  string
+	Owner string
+	// Slot names the instance that failed to serve the request.
+	Slot   string
 	Reason string
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -143,31 +143,31 @@
 func (g *Gateway) Do(ctx context.Context, r *Request) (*Response, error) {
 	arrived := time.Now()
 	if f := g.unusable(r); f != nil {
-		return nil, g.refuse(f)
+		return nil, g.refuse(r, f)
 	}
 	if f := g.admitKey(ctx, r); f != nil {
-		return nil, g.refuse(f)
+		return nil, g.refuse(r, f)
 	}
 	if r.Key != NoKey {
 		g.demand(uint16(r.Key), g.estimates.get(r.Route))
 	}
 	place, f := g.enter(ctx, r)
 	if f != nil {
-		return nil, g.refuse(f)
+		return nil, g.refuse(r, f)
 	}
 	defer g.finish(place)
 	// The upstream may have left, or the key moved, while the request waited.
 	if f := g.unusable(r); f != nil {
-		return nil, g.refuse(f)
+		return nil, g.refuse(r, f)
 	}
 	if f := g.admitKey(ctx, r); f != nil {
-		return nil, g.refuse(f)
+		return nil, g.refuse(r, f)
 	}
 	waited := time.Since(arrived)
 	if r.Body == nil && r.ReadBody != nil {
 		body, err := r.ReadBody()
 		if err != nil {
-			return nil, g.refuse(&Failure{Code: code.CallerGone, Reason: "the body ended early: " + err.Error()})
+			return nil, g.refuse(r, &Failure{Code: code.CallerGone, Reason: "the body ended early: " + err.Error()})
 		}
 		r.Body = body
 	}
@@ -246,7 +246,11 @@
 	g.gate.Finish(time.Now(), place)
 }
 
-func (g *Gateway) refuse(f *Failure) error {
+func (g *Gateway) refuse(r *Request, f *Failure) error {
+	load := g.Load()
+	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
+		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.estimates.get(r.Route), "objectiveLeft", time.Until(r.Objective),
+		"left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if f.NotRun() {
@@ -268,7 +272,7 @@
 	for {
 		c, reused, err := g.pool.get(ctx, tolerance)
 		if err != nil {
-			return nil, g.refuse(g.unreached(err))
+			return nil, g.refuse(r, g.unreached(err))
 		}
 		started := time.Now()
 		a, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.start)
@@ -276,12 +280,12 @@
 			took := time.Since(started)
 			g.estimates.observe(r.Route, took)
 			g.pool.put(c)
-			return g.accept(a, took)
+			return g.accept(r, a, took)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
 		}
-		return nil, g.refuse(g.interrupted(ctx, sent, err))
+		return nil, g.refuse(r, g.interrupted(ctx, sent, err))
 	}
 }
 
@@ -323,22 +327,22 @@
 }
 
 // accept checks a whole response before it is passed on.
-func (g *Gateway) accept(a *answer, took time.Duration) (*Response, error) {
+func (g *Gateway) accept(r *Request, a *answer, took time.Duration) (*Response, error) {
 	reading := g.protocol.Read(a.status, a.header)
 	g.mu.Lock()
 	g.stats.Sent++
 	g.mu.Unlock()
 	switch {
 	case reading.Misdirected:
-		return nil, g.refuse(&Failure{
+		return nil, g.refuse(r, &Failure{
 			Code: code.NotOwner, RetryAfter: retryIn, Arrived: true, Reason: "the upstream doesn't hold the key or isn't the one expected",
 		})
 	case reading.NotRun:
-		return nil, g.refuse(&Failure{
+		return nil, g.refuse(r, &Failure{
 			Code: code.Shed, RetryAfter: retryIn, Arrived: true, Reason: "the upstream refused with status " + strconv.Itoa(a.status),
 		})
 	case a.status < http.StatusMultipleChoices && !reading.Genuine:
-		return nil, g.refuse(&Failure{Code: code.WrongAnswer, Arrived: true, Reason: "the response lacks the upstream's mark"})
+		return nil, g.refuse(r, &Failure{Code: code.WrongAnswer, Arrived: true, Reason: "the response lacks the upstream's mark"})
 	}
 	removeHopHeaders(a.header)
 	return &Response{Status: a.status, Header: a.header, Body: a.body, Took: took}, nil
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"sapphiretray/code"
 	"sapphiretray/gateway"
 	"sapphiretray/routing"
@@ -62,6 +64,9 @@
 		if err != nil && !errors.As(err, &failure) {
 			return nil, err
 		}
+		if failure != nil {
+			failure.Slot = target.Slot
+		}
 		if !s.again(ctx, a, target, failure) {
 			if failure != nil {
 				return nil, a.final(failure)
@@ -179,11 +184,18 @@
 	if !repeatable || a.arrivals >= a.route.MaxAttempts || f != nil && f.Code == code.UpstreamTimeout {
 		return false
 	}
-	if a.request.Key != gateway.NoKey {
-		return s.budgets.get(a.request.Service).Retry()
+	if a.request.Key == gateway.NoKey {
+		a.tried[target.Slot] = true
+		if !s.untried(a) {
+			return false
+		}
 	}
-	a.tried[target.Slot] = true
-	return s.untried(a) && s.budgets.get(a.request.Service).Retry()
+	if !s.budgets.get(a.request.Service).Retry() {
+		klog.InfoS("request: not repeated, the retry budget is spent", "id", a.request.ID, "service", a.request.Service)
+		return false
+	}
+	s.metrics.repeats.Inc()
+	return true
 }
 
 // elsewhere decides whether a request that reached no upstream is offered to another instance, or to the same one later.
--- /dev/null
+++ b/ingress/metrics.go
@@ -0,0 +1,60 @@
+package ingress
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/routing"
+)
+
+// metrics counts what became of callers' requests.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	waited   prometheus.Histogram
+	repeats  prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphiretray_requests_total", Help: "Requests of callers by kind and result code.",
+		}, []string{"kind", "code"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sapphiretray_request_seconds", Help: "Time from the arrival of a request to its answer, by kind and whether it was served.",
+			Buckets: prometheus.ExponentialBuckets(0.004, 2, 11),
+		}, []string{"kind", "served"}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sapphiretray_queue_seconds", Help: "Time for which served requests waited for a slot of their upstream.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 11),
+		}),
+		repeats: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sapphiretray_repeats_total", Help: "Requests that were sent to an upstream once more within the retry budget.",
+		}),
+	}
+	registerer.MustRegister(m.requests, m.latency, m.waited, m.repeats)
+	return m
+}
+
+func (m *metrics) served(kind routing.Kind, response *gateway.Response, took time.Duration) {
+	m.requests.WithLabelValues(kind.String(), codeLabel(code.OK)).Inc()
+	m.latency.WithLabelValues(kind.String(), "yes").Observe(took.Seconds())
+	m.waited.Observe(response.Waited.Seconds())
+}
+
+func (m *metrics) failed(kind routing.Kind, c code.Code, took time.Duration) {
+	m.requests.WithLabelValues(kind.String(), codeLabel(c)).Inc()
+	m.latency.WithLabelValues(kind.String(), "no").Observe(took.Seconds())
+}
+
+// codeLabel keeps the label's values to the codes that exist, as another instance could send any number.
+func codeLabel(c code.Code) string {
+	if _, ok := code.Lookup(c); !ok {
+		return "unknown"
+	}
+	return strconv.Itoa(int(c))
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
@@ -34,6 +35,7 @@
 	patience  patience
 	chooser   *chooser
 	stopping  func() bool
+	metrics   *metrics
 }
 
 // Config holds what a Server needs.
@@ -46,6 +48,8 @@
 	// Service is the service of the instance's upstream, and DataCentre where the instance runs.
 	Service    string
 	DataCentre string
+	// Registerer registers the metrics.
+	Registerer prometheus.Registerer
 	// Stopping reports whether callers are to close their connections.
 	Stopping func() bool
 }
@@ -56,7 +60,7 @@
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		origin: c.Service, dc: c.DataCentre, stopping: c.Stopping,
 		budgets: budgets{create: func() Budget { return &policy.Budget{} }},
-		chooser: newChooser(c.DataCentre),
+		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
 }
 
@@ -79,9 +83,10 @@
 		s.fail(w, r, request, f, arrived)
 		return
 	}
-	klog.V(1).InfoS("request: served", "id", request.ID, "route", request.Route, "key", request.Key, "status", response.Status,
+	s.metrics.served(request.Kind, response, time.Since(arrived))
+	klog.InfoS("request: served", "id", request.ID, "route", request.Route, "key", request.Key, "status", response.Status,
 		"slot", response.Slot, "waited", response.Waited, "took", response.Took, "total", time.Since(arrived),
-		"aimLeft", time.Until(request.Objective), "returning", request.Returning)
+		"objectiveLeft", time.Until(request.Objective), "returning", request.Returning, "config", s.version())
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -174,9 +179,10 @@
 // fail answers a request that has no response of an upstream. What did not run and may be sent again is answered with 503 and the
 // time after which it is worth that.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, request *gateway.Request, f *gateway.Failure, arrived time.Time) {
+	s.metrics.failed(request.Kind, f.Code, time.Since(arrived))
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
-		"code", f.Code, "reason", f.Reason, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
-		"nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline))
+		"code", f.Code, "reason", f.Reason, "slot", f.Slot, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
+		"nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline), "config", s.version())
 	if r.Context().Err() != nil {
 		// Nobody reads the answer.
 		panic(http.ErrAbortHandler)
@@ -194,6 +200,14 @@
 	http.Error(w, fmt.Sprintf("%s: %s", f.Code, f.Reason), status)
 }
 
+// version returns the version of the configuration in force.
+func (s *Server) version() uint64 {
+	if table := s.routes(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
 // retryAfter writes a time in seconds with three decimals.
 func retryAfter(d time.Duration) string {
 	return strconv.FormatFloat(max(d, 0).Seconds(), 'f', 3, 64)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -46,7 +48,7 @@
 	RegistrationAddress string
 	// HeartbeatAddress is the UDP address for the heartbeats of other instances.
 	HeartbeatAddress string
-	// AdminAddress is listened on for metrics, if it isn't empty.
+	// AdminAddress is listened on for metrics.
 	AdminAddress    string
 	UpstreamAddress string
 	// DrainLimit is how long requests may be sent to an upstream that has said that it leaves.
@@ -94,6 +96,7 @@
 	loads     loads
 	stopping  atomic.Bool
 	group     *errgroup.Group
+	registry  *prometheus.Registry
 	started   time.Time
 	// wake asks the session loop to look at the state again.
 	wake chan struct{}
@@ -111,7 +114,8 @@
 	m := &Mesh{
 		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
 		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1), heard: make(map[string]forward.Versions),
-		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
+		registry: prometheus.NewRegistry(),
+		dialer:   peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
 	}
 	m.directory = newDirectory(s.Slot)
 	m.rows = store.NewFollower(p.Store, Table, m.applyRows, store.WithEager(m.isReader))
@@ -131,6 +135,7 @@
 	m.endpoint = heartbeat.New(m.firstIncarnation(),
 		heartbeat.WithListen(m.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(m.dialSlot),
 		heartbeat.WithVersions(m.versions), heartbeat.WithNews(m.observe), heartbeat.WithOnChange(m.leaseChanged))
+	m.registerMetrics()
 	servers, err := m.listen(running)
 	if err != nil {
 		return err
@@ -219,7 +224,7 @@
 	callers := ingress.New(ingress.Config{
 		Protocol: m.ports.Callers, Routes: m.routes.Load, Directory: m.directory, Local: m.gateway,
 		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdle, peer.WithPings(pingAfter, pingTimeout)), m),
-		Service:   m.settings.Service, DataCentre: m.settings.DataCentre, Stopping: m.stopping.Load,
+		Service:   m.settings.Service, DataCentre: m.settings.DataCentre, Registerer: m.registry, Stopping: m.stopping.Load,
 	})
 	plain := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
@@ -229,9 +234,10 @@
 		{name: "ready", http: plain(m.ports.Ready(m.ready))},
 		{name: peersServer, http: caller.NewHTTPServer(m.peerHandler())},
 		{name: callersServer, http: plain(callers)},
+		{name: "metrics", http: plain(promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))},
 	}
 	addresses := []string{
-		m.settings.RegistrationAddress, m.settings.ReadyAddress, m.settings.PeerAddress, m.settings.CallerAddress,
+		m.settings.RegistrationAddress, m.settings.ReadyAddress, m.settings.PeerAddress, m.settings.CallerAddress, m.settings.AdminAddress,
 	}
 	var config net.ListenConfig
 	for n, s := range servers {
--- /dev/null
+++ b/mesh/metrics.go
@@ -0,0 +1,60 @@
+package mesh
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sapphiretray/gateway"
+)
+
+// registerMetrics registers what the process knows of itself. The values are read when they are asked for.
+func (m *Mesh) registerMetrics() {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "sapphiretray_" + name, Help: help}, value))
+	}
+	counter := func(name, help string, value func(gateway.Stats) uint64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "sapphiretray_" + name, Help: help},
+			func() float64 { return float64(value(m.gateway.Stats())) }))
+	}
+	truth := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge("upstream_running", "Requests that run at the upstream.", func() float64 { return float64(m.gateway.Load().Running) })
+	gauge("upstream_waiting", "Requests that wait for a slot.", func() float64 { return float64(m.gateway.Load().Waiting) })
+	gauge("upstream_slots", "Requests that may run at once.", func() float64 { return float64(m.gateway.Load().Slots) })
+	gauge("upstream_usable", "1 if the upstream takes work.", func() float64 { return truth(m.gateway.State().Usable()) })
+	gauge("lease_valid", "1 if the lease of the instance is valid.", func() float64 { return truth(m.endpoint.Lease().Valid()) })
+	gauge("lease_generation", "How often the lease was acquired.", func() float64 { return float64(m.endpoint.Lease().Generation()) })
+	gauge("keys_served", "Keys that the upstream may serve now.", m.keysServed)
+	gauge("map_version", "Version of the newest map of the local service.", func() float64 {
+		return float64(m.directory.keys(m.settings.Service).keys.Version())
+	})
+	gauge("config_version", "Version of the configuration in force.", func() float64 {
+		if table := m.routes.Load(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	gauge("store_reachable", "1 if the last call to the store succeeded.", func() float64 { return truth(m.rows.Reachable()) })
+	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
+		return float64(len(m.directory.unreachableSlots()))
+	})
+	counter("upstream_connections_total", "Connections that were opened to the upstream.", func(s gateway.Stats) uint64 { return s.Connections })
+	counter("upstream_answers_total", "Responses of the upstream.", func(s gateway.Stats) uint64 { return s.Sent })
+	counter("upstream_refused_total", "Requests that were refused beside the upstream.", func(s gateway.Stats) uint64 { return s.Refused })
+	counter("upstream_unknown_total", "Requests with an unknown outcome.", func(s gateway.Stats) uint64 { return s.Unknown })
+}
+
+func (m *Mesh) keysServed() float64 {
+	s := m.session.Load()
+	if s == nil || s.keeper == nil {
+		return 0
+	}
+	served := 0
+	for _, span := range s.keeper.Serving() {
+		served += span.Size()
+	}
+	return float64(served)
+}
--- a/platform.go
+++ b/platform.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"os"
+	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"sapphiretray/platform"
+	"sapphiretray/stdout"
 )
 
 // PlatformCommand runs the process beside one upstream on the users' platform.
@@ -22,6 +26,35 @@
 	if err != nil {
 		return err
 	}
-	defer klog.Flush()
-	return platform.Run(ctx, path)
+	// Logs never block a request: what standard output doesn't take in time is left out and counted.
+	log := stdout.New(os.Stdout)
+	klog.LogToStderr(false)
+	if err := setLogFlag("stderrthreshold", "FATAL"); err != nil {
+		return err
+	}
+	klog.SetOutput(log)
+	var logging sync.WaitGroup
+	stop := make(chan struct{})
+	logging.Go(func() { log.Run(stop) })
+	err = platform.Run(ctx, path)
+	klog.Flush()
+	close(stop)
+	waitAtMost(&logging, logFlushTimeout)
+	return err
+}
+
+// logFlushTimeout bounds the wait for a reader of the last log lines.
+const logFlushTimeout = 200 * time.Millisecond
+
+func waitAtMost(group *sync.WaitGroup, d time.Duration) {
+	done := make(chan struct{})
+	var waiter sync.WaitGroup
+	waiter.Go(func() {
+		group.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
 }
--- a/run.go
+++ b/run.go
@@ -29,8 +29,11 @@
 	return instance.New(s).Run(ctx)
 }
 
-func setVerbosity(level int) error {
+func setVerbosity(level int) error { return setLogFlag("v", strconv.Itoa(level)) }
+
+// setLogFlag sets one of klog's flags, which it offers in no other way.
+func setLogFlag(name, value string) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	return flags.Set("v", strconv.Itoa(level))
+	return flags.Set(name, value)
 }
