Move narrow spans, and join quiet ranges to their neighbours

Entries of one owner are merged, ranges without load join a neighbour while there are more than eight for each instance, and a move prefers few keys.

--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -180,10 +180,22 @@
 	if f != nil && !f.NotRun() {
 		a.unknown = f
 	}
-	repeatable := a.route.Kind.Repeatable() || f != nil && f.NotRun()
-	if !repeatable || a.arrivals >= a.route.MaxAttempts || f != nil && f.Code == code.UpstreamTimeout {
+	return a.repeatable(f) && s.repeat(a, target)
+}
+
+// repeatable reports whether the request may be sent to an upstream once more after a failure.
+func (a *attempt) repeatable(f *gateway.Failure) bool {
+	if a.arrivals >= a.route.MaxAttempts {
 		return false
 	}
+	if f == nil {
+		return a.route.Kind.Repeatable()
+	}
+	return f.Code != code.UpstreamTimeout && (a.route.Kind.Repeatable() || f.NotRun())
+}
+
+// repeat takes a further arrival from the retry budget, if there is another instance to send the request to.
+func (s *Server) repeat(a *attempt, target Target) bool {
 	if a.request.Key == gateway.NoKey {
 		a.tried[target.Slot] = true
 		if !s.untried(a) {
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -25,7 +25,8 @@
 			Name: "sapphiretray_requests_total", Help: "Requests of callers by kind and result code.",
 		}, []string{"kind", "code"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "sapphiretray_request_seconds", Help: "Time from the arrival of a request to its answer, by kind and whether it was served.",
+			Name:    "sapphiretray_request_seconds",
+			Help:    "Time from the arrival of a request to its answer, by kind and whether it was served.",
 			Buckets: prometheus.ExponentialBuckets(0.004, 2, 11),
 		}, []string{"kind", "served"}),
 		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		for _, p := range b.parts(n, wanted) {
-			if p.load >= min(leastLoad, wanted)/2 && p.load <= excess*wanted && (!found || p.load > best.load) {
+			if p.load >= min(leastLoad, wanted)/2 && p.load <= excess*wanted && (!found || b.better(p, best, wanted)) {
 				best, found = p, true
 			}
 		}
@@ -106,6 +106,31 @@
 	return true
 }
 
+// better reports whether a part suits a move better than another: it has enough of the wanted load, and the fewest keys.
+func (b *builder) better(p, than part, wanted float64) bool {
+	enough, thanEnough := p.load >= enoughShare*wanted, than.load >= enoughShare*wanted
+	switch {
+	case enough != thanEnough:
+		return enough
+	case enough:
+		return b.size(p) < b.size(than)
+	default:
+		return p.load > than.load
+	}
+}
+
+// size returns the number of keys of a part.
+func (b *builder) size(p part) int {
+	e := b.entries[p.entry]
+	if p.end {
+		return int(e.Last) - int(p.last)
+	}
+	return int(p.last) - int(e.First) + 1
+}
+
+// enoughShare is the share of the wanted load above which the number of keys decides: each key that changes hands has a price.
+const enoughShare = 0.6
+
 // excess is how much more than the wanted load may be moved, because keys can't be divided.
 const excess = 1.2
 
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -64,6 +64,8 @@
 	if len(b.moves) == 0 {
 		return nil, nil
 	}
+	b.merge()
+	b.defragment()
 	m, err := NewMap(b.version, b.entries)
 	if err != nil {
 		// The builder only splits and reassigns entries of a valid map.
@@ -187,6 +189,78 @@
 	}
 }
 
+const (
+	// maxRanges is the number of ranges for each candidate above which ranges without much load join their neighbours.
+	maxRanges = 8
+	// maxJoins bounds the ranges that join a neighbour in one plan.
+	maxJoins = 8
+	// quietLoad is the load, in busy slots, below which a range may join a neighbour for the sake of their number alone.
+	quietLoad = 0.1
+)
+
+// defragment gives ranges without much load to the owner of a neighbour, while there are more ranges than is reasonable.
+func (b *builder) defragment() {
+	for range maxJoins {
+		if len(b.entries) <= maxRanges*len(b.problem.Candidates) {
+			return
+		}
+		best, bestLoad, to := -1, quietLoad, member.Incarnation{}
+		for n, e := range b.entries {
+			load := b.density.load(e.Range)
+			if load >= bestLoad || len(e.Previous) > 0 || !b.isCandidate(e.Owner()) {
+				continue
+			}
+			if owner, ok := b.neighbour(n); ok {
+				best, bestLoad, to = n, load, owner
+			}
+		}
+		if best < 0 {
+			return
+		}
+		b.assign(best, to, "its neighbour has the same owner then")
+	}
+}
+
+// neighbour returns another owner of a range next to entry n, the one whose use is lower.
+func (b *builder) neighbour(n int) (member.Incarnation, bool) {
+	var owner member.Incarnation
+	found := false
+	for _, other := range []int{n - 1, n + 1} {
+		if other < 0 || other >= len(b.entries) {
+			continue
+		}
+		candidate, ok := b.byID[b.entries[other].Owner()]
+		if !ok || candidate.Instance == b.entries[n].Owner() {
+			continue
+		}
+		if !found || b.cost(candidate, 0) < b.cost(b.byID[owner], 0) {
+			owner, found = candidate.Instance, true
+		}
+	}
+	return owner, found
+}
+
+// merge joins neighbouring entries of one owner that no earlier holder may still serve. Each entry costs grants, and moves leave many.
+// The joined entry has a new epoch, since its owner has to grant it as a whole.
+func (b *builder) merge() {
+	joined := b.entries[:1]
+	for _, e := range b.entries[1:] {
+		last := &joined[len(joined)-1]
+		settled := len(last.Previous) == 0 && len(e.Previous) == 0 && b.isCandidate(e.Owner())
+		if settled && last.Owner() == e.Owner() {
+			last.Last, last.Epoch = e.Last, b.version
+			continue
+		}
+		joined = append(joined, e)
+	}
+	b.entries = joined
+}
+
+func (b *builder) isCandidate(i member.Incarnation) bool {
+	_, ok := b.byID[i]
+	return ok
+}
+
 func (b *builder) sameSlot(i member.Incarnation) (member.Incarnation, bool) {
 	for _, c := range b.problem.Candidates {
 		if c.Instance.Slot() == i.Slot() && c.Instance.Number() > i.Number() {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -41,10 +41,14 @@
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(m.directory.unreachableSlots()))
 	})
-	counter("upstream_connections_total", "Connections that were opened to the upstream.", func(s gateway.Stats) uint64 { return s.Connections })
-	counter("upstream_answers_total", "Responses of the upstream.", func(s gateway.Stats) uint64 { return s.Sent })
-	counter("upstream_refused_total", "Requests that were refused beside the upstream.", func(s gateway.Stats) uint64 { return s.Refused })
-	counter("upstream_unknown_total", "Requests with an unknown outcome.", func(s gateway.Stats) uint64 { return s.Unknown })
+	counter("upstream_connections_total", "Connections that were opened to the upstream.",
+		func(s gateway.Stats) uint64 { return s.Connections })
+	counter("upstream_answers_total", "Responses of the upstream.",
+		func(s gateway.Stats) uint64 { return s.Sent })
+	counter("upstream_refused_total", "Requests that were refused beside the upstream.",
+		func(s gateway.Stats) uint64 { return s.Refused })
+	counter("upstream_unknown_total", "Requests with an unknown outcome.",
+		func(s gateway.Stats) uint64 { return s.Unknown })
 }
 
 func (m *Mesh) keysServed() float64 {
--- a/stdout/writer.go
+++ b/stdout/writer.go
@@ -137,7 +137,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for message, count := range w.leftOut {
-		fmt.Fprintf(&w.pending, "I%s log] \"log: lines left out\" message=%q count=%d\n", time.Now().Format("0102 15:04:05.000000"), message, count)
+		at := time.Now().Format("0102 15:04:05.000000")
+		fmt.Fprintf(&w.pending, "I%s log] \"log: lines left out\" message=%q count=%d\n", at, message, count)
 		delete(w.leftOut, message)
 	}
 }
--- /dev/null
+++ b/stdout/writer_test.go
@@ -0,0 +1,95 @@
+package stdout_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/stdout"
+)
+
+// sink collects what is written; while it is blocked, writes wait.
+type sink struct {
+	mu      sync.Mutex
+	text    strings.Builder
+	blocked chan struct{}
+}
+
+func (s *sink) Write(p []byte) (int, error) {
+	if s.blocked != nil {
+		<-s.blocked
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func (s *sink) count(text string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Count(s.text.String(), text)
+}
+
+func line(message string, n int) []byte {
+	return fmt.Appendf(nil, "I0101 00:00:00.000000 1 file.go:1] %q n=%d\n", message, n)
+}
+
+// run runs a writer under the test's clock until the test ends.
+func run(t *testing.T, s *sink, test func(w *stdout.Writer), options ...stdout.Option) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		w := stdout.New(s, options...)
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		group.Go(func() { w.Run(stop) })
+		test(w)
+		close(stop)
+		group.Wait()
+	})
+}
+
+// TestBoundedVolume guards against a log that grows with the load, and against lines that are lost without a word.
+func TestBoundedVolume(t *testing.T) {
+	s := &sink{}
+	run(t, s, func(w *stdout.Writer) {
+		for n := range 10000 {
+			_, _ = w.Write(line("request: failed", n))
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = w.Write(line("lease: changed", 0))
+		time.Sleep(2 * time.Second)
+	})
+	if got := s.count("request: failed\" n="); got < 300 || got > 400 {
+		t.Errorf("%d lines of 10,000 in 10 s, want 100 at once and 25 a second", got)
+	}
+	if s.count("lease: changed") != 1 {
+		t.Error("a rare line was left out beside a frequent one")
+	}
+	if s.count("lines left out") == 0 {
+		t.Error("nothing says that lines were left out")
+	}
+}
+
+// TestBlockedReader guards against requests that wait for a reader of the log.
+func TestBlockedReader(t *testing.T) {
+	s := &sink{blocked: make(chan struct{})}
+	run(t, s, func(w *stdout.Writer) {
+		started := time.Now()
+		for n := range 10000 {
+			_, _ = w.Write(line(fmt.Sprint("message ", n), n))
+		}
+		if time.Since(started) > 0 {
+			t.Error("writes waited for the reader")
+		}
+		if w.LeftOut() == 0 {
+			t.Error("a full buffer holds everything")
+		}
+		close(s.blocked)
+	}, stdout.WithBuffer(10000))
+	if s.count("message") == 0 {
+		t.Error("no line after the reader came back")
+	}
+}
