--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -475,3 +475,18 @@
 	close(release)
 	group.Wait()
 }
+
+// TestCrashingRequest guards against a request that crashes one upstream after the other.
+func TestCrashingRequest(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, _ int64) { _ = conn.Close() })
+	var told atomic.Int32
+	g := start(t, u, gateway.WithOnCrash(func(fingerprints []uint64) { told.Add(int32(len(fingerprints))) }))
+	_, err := g.Do(t.Context(), request("r1", routing.Idempotent))
+	if got := failureOf(t, err); got != code.UpstreamFailed {
+		t.Fatalf("failure %v", err)
+	}
+	_ = u.listener.Close()
+	if _, err := g.Do(t.Context(), request("r2", routing.NonIdempotent)); err == nil || told.Load() != 1 {
+		t.Errorf("error %v, %d requests told", err, told.Load())
+	}
+}
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 )
 
 // Order is a call that tells the upstream what it may do, as opposed to a request of a caller.
@@ -18,6 +20,9 @@
 // tells that it is a new one, at whose other end may be another run of the upstream.
 func (g *Gateway) Order(ctx context.Context, order func(fresh bool) Order) (int, http.Header, error) {
 	c, reused, err := g.pool.get(ctx, maxIdle)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.markDown()
+	}
 	if err != nil {
 		return 0, nil, err
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,6 +31,8 @@
 	minLeft = 10 * time.Millisecond
 	// answerMargin is taken off the deadline that the upstream is told, so that its own answer arrives before the caller gives up.
 	answerMargin = 10 * time.Millisecond
+	// quarantineRetry is the Retry-After of a request that crashes upstreams.
+	quarantineRetry = 10 * time.Second
 	// retryIn is the Retry-After of a request whose upstream shed it.
 	retryIn = 100 * time.Millisecond
 )
@@ -45,6 +47,8 @@
 	drainLimit time.Duration
 	pool       pool
 	estimates  estimates
+	suspects   policy.Suspects
+	onCrash    func(fingerprints []uint64)
 
 	mu       sync.Mutex
 	registry registry
@@ -52,6 +56,8 @@
 	down     bool
 	closing  bool
 	stats    Stats
+	// interrupted holds the requests whose connections failed lately.
+	interrupted []interruption
 }
 
 // Stats are a gateway's totals.
@@ -76,6 +82,11 @@
 	return func(g *Gateway) { g.demand = demand }
 }
 
+// WithOnCrash sets a function that is told of the requests that ran when the upstream ended.
+func WithOnCrash(onCrash func(fingerprints []uint64)) Option {
+	return func(g *Gateway) { g.onCrash = onCrash }
+}
+
 // WithDrainLimit sets how long requests may be sent to an upstream that has said that it leaves.
 func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
 
@@ -84,7 +95,8 @@
 	g := &Gateway{
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, changed: func() {}, demand: func(uint16, time.Duration) {},
-		gate: policy.NewGate(1),
+		onCrash: func([]uint64) {},
+		gate:    policy.NewGate(1),
 	}
 	g.pool = pool{address: address, matches: protocol.Matches, group: group, opened: g.countConnection}
 	for _, option := range options {
@@ -171,6 +183,9 @@
 		}
 		r.Body = body
 	}
+	if g.suspects.Refused(time.Now(), fingerprint(r)) {
+		return nil, g.refuse(r, &Failure{Code: code.Quarantined, RetryAfter: quarantineRetry, Reason: "upstreams crashed while it ran"})
+	}
 	response, err := g.send(ctx, r)
 	if response != nil {
 		response.Waited = waited
@@ -279,13 +294,14 @@
 		if err == nil {
 			took := time.Since(started)
 			g.estimates.observe(r.Route, took)
+			g.suspects.Served(fingerprint(r))
 			g.pool.put(c)
 			return g.accept(r, a, took)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
 		}
-		return nil, g.refuse(r, g.interrupted(ctx, sent, err))
+		return nil, g.refuse(r, g.failure(ctx, r, sent, err))
 	}
 }
 
@@ -299,21 +315,13 @@
 // unreached returns the failure of a request for which there was no connection.
 func (g *Gateway) unreached(err error) *Failure {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.mu.Lock()
-		first := !g.down
-		g.down = true
-		g.gate.RefuseAll(downRetry)
-		g.mu.Unlock()
-		if first {
-			klog.InfoS("upstream: refuses connections", "life", g.State().Life)
-			g.changed()
-		}
+		g.markDown()
 	}
 	return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetry, Reason: err.Error()}
 }
 
-// interrupted returns the failure of a request whose connection failed or whose time ended.
-func (g *Gateway) interrupted(ctx context.Context, sent bool, err error) *Failure {
+// failure returns the failure of a request whose connection failed or whose time ended.
+func (g *Gateway) failure(ctx context.Context, r *Request, sent bool, err error) *Failure {
 	switch {
 	case !sent:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: retryIn, Reason: err.Error()}
@@ -322,6 +330,9 @@
 	case ctx.Err() != nil:
 		return &Failure{Code: code.CallerGone, Arrived: true, Reason: "the caller left while the request ran"}
 	default:
+		g.mu.Lock()
+		g.interruptedBy(r, time.Now())
+		g.mu.Unlock()
 		return &Failure{Code: code.UpstreamFailed, Arrived: true, Reason: err.Error()}
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -131,7 +131,7 @@
 	m.group = group
 	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
 		gateway.WithKeys(m.keys), gateway.WithOnChange(m.upstreamChanged), gateway.WithDrainLimit(m.settings.DrainLimit),
-		gateway.WithDemand(m.loads.observe))
+		gateway.WithDemand(m.loads.observe), gateway.WithOnCrash(m.spreadCrash))
 	m.endpoint = heartbeat.New(m.firstIncarnation(),
 		heartbeat.WithListen(m.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(m.dialSlot),
 		heartbeat.WithVersions(m.versions), heartbeat.WithNews(m.observe), heartbeat.WithOnChange(m.leaseChanged))
