Throttle the least urgent requests by the pressure where their calls go

The instance beside a server now learns from each answer to a nested call how many requests the called one refuses, and admits fewer of the least urgent requests while that share is over 0.12 and over the own one. A call is nested if its id is made from that of a request that runs here; until now each request without a key counted as nested.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -127,8 +127,9 @@
 	if r.arrived {
 		arrived = 1
 	}
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%s,%s", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
-		r.load.Running, r.load.Waiting, r.load.Slots, r.waited.Milliseconds(), r.took.Milliseconds(), r.versions, r.owner)
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%s,%s", int(r.code), r.status, r.retryAfter.Milliseconds(), arrived,
+		r.load.Running, r.load.Waiting, r.load.Slots, int(percent*r.load.Pressure), r.waited.Milliseconds(), r.took.Milliseconds(),
+		r.versions, r.owner)
 }
 
 type resultFields struct {
@@ -144,7 +145,10 @@
 }
 
 // resultNumbers is the number of numeric fields of a result; the versions and the owner of the key follow.
-const resultNumbers = 9
+const resultNumbers = 10
+
+// percent is the factor with which shares travel.
+const percent = 100
 
 func decodeResult(header http.Header) (resultFields, error) {
 	fields := strings.Split(header.Get(headerResult), ",")
@@ -162,8 +166,10 @@
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	return resultFields{
 		code: code.Code(numbers[0]), status: numbers[1], retryAfter: ms(numbers[2]), arrived: numbers[3] != 0,
-		load:   gateway.Load{Running: numbers[4], Waiting: numbers[5], Slots: numbers[6]},
-		waited: ms(numbers[7]), took: ms(numbers[8]), versions: parseVersions(fields[resultNumbers]),
+		load: gateway.Load{
+			Running: numbers[4], Waiting: numbers[5], Slots: numbers[6], Pressure: float64(numbers[7]) / percent,
+		},
+		waited: ms(numbers[8]), took: ms(numbers[9]), versions: parseVersions(fields[resultNumbers]),
 		owner: fields[resultNumbers+1],
 	}, nil
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,13 +28,8 @@
 
 // interruptedBy remembers a request whose connection failed. The lock is held.
 func (g *Gateway) interruptedBy(r *Request, now time.Time) {
-	kept := g.interrupted[:0]
-	for _, i := range g.interrupted {
-		if now.Sub(i.at) <= crashWindow {
-			kept = append(kept, i)
-		}
-	}
-	g.interrupted = append(kept, interruption{fingerprint: fingerprint(r), at: now})
+	g.interrupted = slices.DeleteFunc(g.interrupted, func(i interruption) bool { return now.Sub(i.at) > crashWindow })
+	g.interrupted = append(g.interrupted, interruption{fingerprint: fingerprint(r), at: now})
 }
 
 // crashed takes the requests that may have ended the upstream. The lock is held.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	// Objective is when the full benefit ends, Deadline when the caller gives up or the route's timeout ends.
 	Objective time.Time
 	Deadline  time.Time
+	// throttled is set while the request counts among the least urgent ones.
+	throttled bool
 }
 
 // Response is the upstream's whole response.
@@ -82,6 +84,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pressure is the share of requests that were refused lately for want of slots.
+	Pressure float64
 }
 
 // Reading is what a response of the upstream says apart from its content.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,9 +53,19 @@
 	mu       sync.Mutex
 	registry registry
 	gate     *policy.Gate
-	down     bool
-	closing  bool
-	stats    Stats
+	pressure policy.Pressure
+	// lowPressure is the pressure of the least urgent requests.
+	lowPressure policy.Pressure
+	// throttle limits the least urgent requests by the pressure at the services that the upstream calls.
+	throttle *policy.Throttle
+	// leastUrgent is the rank of these requests, and throttled their number.
+	leastUrgent int
+	throttled   int
+	down        bool
+	closing     bool
+	// ids are the requests that run.
+	ids   map[string]struct{}
+	stats Stats
 	// interrupted holds the requests whose connections failed lately.
 	interrupted []interruption
 }
@@ -96,7 +106,7 @@
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, changed: func() {}, demand: func(uint16, time.Duration) {},
 		onCrash: func([]uint64) {},
-		gate:    policy.NewGate(1),
+		gate:    policy.NewGate(1), ids: make(map[string]struct{}),
 	}
 	g.pool = pool{address: address, matches: protocol.Matches, group: group, opened: g.countConnection}
 	for _, option := range options {
@@ -118,11 +128,21 @@
 	return g.stats
 }
 
+// Runs reports whether the upstream runs a request with this id now.
+func (g *Gateway) Runs(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.ids[id]
+	return ok
+}
+
 // Load returns the requests that run and wait, and the slots.
 func (g *Gateway) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots()}
+	return Load{
+		Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots(), Pressure: g.pressure.Share(time.Now()),
+	}
 }
 
 // Run refuses waiting requests that have become hopeless. When ctx ends, it closes the connections to the upstream.
@@ -167,7 +187,10 @@
 	if f != nil {
 		return nil, g.refuse(r, f)
 	}
-	defer g.finish(place)
+	defer g.finish(r, place)
+	g.mu.Lock()
+	g.ids[r.ID] = struct{}{}
+	g.mu.Unlock()
 	// The upstream may have left, or the key moved, while the request waited.
 	if f := g.unusable(r); f != nil {
 		return nil, g.refuse(r, f)
@@ -228,12 +251,16 @@
 }
 
 // enter waits for a slot.
-func (g *Gateway) enter(ctx context.Context, r *Request) (*policy.Place, *Failure) {
+func (g *Gateway) enter(ctx context.Context, r *Request) (p *policy.Place, f *Failure) {
 	decided := make(chan policy.Verdict, 1)
 	d := policy.Demand{
 		Priority: r.Priority, Nested: r.Nested, Returning: r.Returning, Objective: r.Objective, Deadline: r.Deadline,
 		Service: g.estimates.get(r.Route),
 	}
+	defer func() { g.observePressure(r, f) }()
+	if !g.enterThrottle(r) {
+		return nil, &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: "the service that its calls need is short of room"}
+	}
 	g.mu.Lock()
 	place, verdict := g.gate.Offer(time.Now(), d, func(v policy.Verdict) { decided <- v })
 	waiting := place.Waiting()
@@ -255,10 +282,12 @@
 	return place, nil
 }
 
-func (g *Gateway) finish(place *policy.Place) {
+func (g *Gateway) finish(r *Request, place *policy.Place) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.gate.Finish(time.Now(), place)
+	g.leaveThrottle(r)
+	delete(g.ids, r.ID)
 }
 
 func (g *Gateway) refuse(r *Request, f *Failure) error {
--- /dev/null
+++ b/gateway/throttle.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/policy"
+)
+
+const (
+	// throttleRetry is the Retry-After of a request whose calls would be refused.
+	throttleRetry = 300 * time.Millisecond
+	// throttleMaximum is the number of the least urgent requests that may run or wait without pressure, in multiples of the slots.
+	throttleMaximum = 2
+)
+
+// NestedCall takes the answer to a call that the upstream made while it served a request: the load where the call went. Under
+// pressure there, fewer of the least urgent requests are admitted here.
+func (g *Gateway) NestedCall(load Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.throttle == nil {
+		g.throttle = policy.NewThrottle(throttleMaximum * g.gate.Slots())
+	}
+	now := time.Now()
+	g.throttle.Observe(now, load.Pressure, g.lowPressure.Share(now))
+}
+
+// enterThrottle counts a request of the least urgent rank and returns false if there are too many. Nested requests aren't limited:
+// what called them holds a slot already.
+func (g *Gateway) enterThrottle(r *Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leastUrgent = max(g.leastUrgent, r.Priority)
+	if r.Priority < g.leastUrgent || r.Nested {
+		return true
+	}
+	if g.throttle != nil && g.throttled >= g.throttle.Limit(time.Now()) {
+		return false
+	}
+	g.throttled++
+	r.throttled = true
+	return true
+}
+
+// leaveThrottle ends what enterThrottle counted. The lock is held.
+func (g *Gateway) leaveThrottle(r *Request) {
+	if r.throttled {
+		g.throttled--
+		r.throttled = false
+	}
+}
+
+// observePressure counts a request that was admitted or refused for want of slots.
+func (g *Gateway) observePressure(r *Request, f *Failure) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f == nil || f.Code == code.Shed {
+		g.pressure.Observe(time.Now(), f != nil)
+		if r.Priority >= g.leastUrgent {
+			g.lowPressure.Observe(time.Now(), f != nil)
+		}
+	}
+	if f != nil {
+		g.leaveThrottle(r)
+	}
+}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -147,6 +147,9 @@
 		s.directory.Leaving(target.Slot)
 	}
 	done(result.Load, unreachable)
+	if a.request.Nested {
+		s.local.NestedCall(result.Load)
+	}
 	if result.Response != nil {
 		result.Response.Slot = target.Slot
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,8 +20,8 @@
 	Left time.Duration
 	// Key is the request's key or gateway.NoKey.
 	Key int
-	// Nested requests come from the upstream, which serves another request meanwhile.
-	Nested bool
+	// Parent is the id of the request that the upstream may be serving while it sends this one, or empty.
+	Parent string
 }
 
 // Protocol translates between HTTP requests and what the product knows of them.
@@ -65,6 +65,10 @@
 type Local interface {
 	Do(ctx context.Context, r *gateway.Request) (*gateway.Response, error)
 	Load() gateway.Load
+	// Runs reports whether the upstream runs a request with this id now.
+	Runs(id string) bool
+	// NestedCall takes the load where a call of the local upstream went.
+	NestedCall(load gateway.Load)
 }
 
 // Budget bounds repeated arrivals at a service.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -130,7 +130,8 @@
 
 // describe fills in what the route says of the request.
 func (s *Server) describe(request *gateway.Request, route *routing.Route, table *routing.Table, call Call, arrived time.Time) {
-	request.Route, request.Kind, request.Priority, request.Nested = route.Name, route.Kind, route.Priority, call.Nested
+	request.Route, request.Kind, request.Priority = route.Name, route.Kind, route.Priority
+	request.Nested = call.Parent != "" && s.local.Runs(call.Parent)
 	request.Service = s.shares.next(route)
 	request.Key = gateway.NoKey
 	if service, ok := table.Service(request.Service); ok && service.Keyed {
