--- a/code/code.go
+++ b/code/code.go
@@ -32,6 +32,8 @@
 	BadID      Code = 1104
 	BadToken   Code = 1105
 	TooLarge   Code = 1106
+	// HeadersTooLarge stands for headers beyond the configuration's limit.
+	HeadersTooLarge Code = 1107
 
 	NotOwner     Code = 1201
 	NoOwner      Code = 1202
@@ -99,6 +101,10 @@
 	{BadID, "bad-id", http.StatusBadRequest, RanNo, "The request id is longer than 64 characters or not printable."},
 	{BadToken, "bad-token", http.StatusBadRequest, RanNo, "The token can't be parsed. Use the one from the last answer."},
 	{TooLarge, "too-large", http.StatusRequestEntityTooLarge, RanNo, "The request exceeds the route's size limit."},
+	{
+		HeadersTooLarge, "headers-too-large", http.StatusRequestHeaderFieldsTooLarge, RanNo,
+		"The request's headers exceed the configuration's limit.",
+	},
 	{NotOwner, "not-owner", http.StatusMisdirectedRequest, RanNo, "This instance doesn't own the key. Repeat at another instance."},
 	{NoOwner, "no-owner", http.StatusServiceUnavailable, RanNo, "No instance serves the key now. Repeat after a second."},
 	{Moved, "moved", http.StatusServiceUnavailable, RanNo, "The key is being moved and the wait ended. Repeat."},
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -120,7 +120,11 @@
 		reason := "no route of configuration " + strconv.FormatUint(table.Version(), 10)
 		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
 	}
-	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes); f != nil {
+	if limit := table.Limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		reason := fmt.Sprintf("the headers have %d bytes, at most %d are allowed", headerBytes(r), limit)
+		return request, route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
+	}
+	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, arrived.Add(bodyTime(route, call))); f != nil {
 		return request, route, f
 	}
 	s.describe(request, route, table, call, arrived)
@@ -149,10 +153,37 @@
 	}
 }
 
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64) *gateway.Failure {
+// headerBytes returns the size of a request's headers as they are written on the wire.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+// bodyTime returns the time in which a request's body must have arrived: what the caller or the route leaves for the whole request.
+func bodyTime(route *routing.Route, call Call) time.Duration {
+	if call.Left > 0 && call.Left < route.Timeout {
+		return call.Left
+	}
+	return route.Timeout
+}
+
+// readBody reads the body until a deadline, so that a caller that stops sending holds no memory for longer than its request may take.
+func (s *Server) readBody(
+	w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64, deadline time.Time,
+) *gateway.Failure {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil
 	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		klog.V(1).InfoS("request: the reading of the body has no deadline", "id", request.ID, "err", err)
+	}
 	reader := r.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
@@ -166,6 +197,10 @@
 		return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
 	}
 	request.Body = body
+	// The server goes on reading, to notice when the caller leaves.
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		klog.V(1).InfoS("request: the read deadline stays", "id", request.ID, "err", err)
+	}
 	return nil
 }
 
@@ -183,7 +218,7 @@
 	s.metrics.failed(request.Kind, f.Code, time.Since(arrived))
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
 		"code", f.Code, "reason", f.Reason, "slot", f.Slot, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
-		"nested", request.Nested, "returning", request.Returning, "left", time.Until(request.Deadline), "config", s.version())
+		"nested", request.Nested, "returning", request.Returning, "left", timeLeft(request), "config", s.version())
 	if r.Context().Err() != nil {
 		// Nobody reads the answer.
 		panic(http.ErrAbortHandler)
@@ -191,7 +226,7 @@
 	entry := f.Code.Entry()
 	status := entry.Status()
 	switch {
-	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge:
+	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge, f.Code == code.HeadersTooLarge:
 	case f.NotRun():
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfter(f.RetryAfter))
@@ -201,6 +236,14 @@
 	http.Error(w, fmt.Sprintf("%s: %s", f.Code, f.Reason), status)
 }
 
+// timeLeft returns the time to the request's deadline, or zero if its route isn't known.
+func timeLeft(r *gateway.Request) time.Duration {
+	if r.Deadline.IsZero() {
+		return 0
+	}
+	return time.Until(r.Deadline)
+}
+
 // version returns the version of the configuration in force.
 func (s *Server) version() uint64 {
 	if table := s.routes(); table != nil {
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,350 @@
+package ingress_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sapphiretray/code"
+	"sapphiretray/forward"
+	"sapphiretray/gateway"
+	"sapphiretray/ingress"
+	"sapphiretray/routing"
+)
+
+const (
+	objective = 400 * time.Millisecond
+	timeout   = time.Second
+)
+
+// deployment stands for the rest of the system: three instances, of which a is the one under test.
+type deployment struct {
+	mu      sync.Mutex
+	owner   string
+	changed chan struct{}
+	// answers are the outcomes of the requests to each slot, in their order; the last one is repeated.
+	answers map[string][]outcome
+	asked   []string
+	running string
+}
+
+// outcome is a response or a failure.
+type outcome struct {
+	status  int
+	failure gateway.Failure
+}
+
+func newDeployment(owner string, answers map[string][]outcome) *deployment {
+	return &deployment{owner: owner, changed: make(chan struct{}), answers: answers}
+}
+
+func (d *deployment) take(slot string) (*gateway.Response, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked = append(d.asked, slot)
+	left := d.answers[slot]
+	if len(left) == 0 {
+		return nil, &gateway.Failure{Code: code.NotOwner, Reason: "no answer is set for " + slot}
+	}
+	if len(left) > 1 {
+		d.answers[slot] = left[1:]
+	}
+	if f := left[0].failure; f.Code != 0 {
+		return nil, &f
+	}
+	return &gateway.Response{Status: left[0].status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
+}
+
+func (d *deployment) order() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.Join(d.asked, " ")
+}
+
+func (d *deployment) setOwner(owner string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.owner = owner
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (*deployment) Self() string { return "a" }
+
+func (*deployment) Targets(string) []ingress.Target {
+	return []ingress.Target{{Slot: "a"}, {Slot: "b", Address: "b"}, {Slot: "c", Address: "c"}}
+}
+
+func (d *deployment) Owner(string, uint16) (ingress.Target, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return ingress.Target{Slot: d.owner, Address: d.owner}, d.owner != ""
+}
+
+func (*deployment) Instance(slot string) (ingress.Target, bool) {
+	return ingress.Target{Slot: slot, Address: slot}, true
+}
+
+func (d *deployment) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (*deployment) Leaving(string)     {}
+func (*deployment) Unreachable(string) {}
+
+// upstream is the local one of a deployment.
+type upstream struct{ *deployment }
+
+func (u upstream) Do(_ context.Context, r *gateway.Request) (*gateway.Response, error) {
+	return u.take("a")
+}
+
+func (upstream) Load() gateway.Load { return gateway.Load{Slots: 4} }
+
+func (u upstream) Runs(id string) bool   { return id == u.running }
+func (upstream) NestedCall(gateway.Load) {}
+
+// remote forwards to the other instances of a deployment.
+type remote struct{ *deployment }
+
+func (r remote) Do(_ context.Context, address string, _ *gateway.Request) (forward.Result, error) {
+	response, err := r.take(address)
+	return forward.Result{Response: response}, err
+}
+
+// headers is the callers' protocol: plain headers.
+type headers struct{}
+
+var errNoID = errors.New("the request has no id")
+
+func (headers) Parse(r *http.Request) (ingress.Call, error) {
+	call := ingress.Call{ID: r.Header.Get("Id"), Key: gateway.NoKey}
+	if call.ID == "" {
+		return call, errNoID
+	}
+	if key, err := strconv.Atoi(r.Header.Get("Key")); err == nil {
+		call.Key = key
+	}
+	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
+		call.Left = left
+	}
+	return call, nil
+}
+
+func table(t *testing.T) *routing.Table {
+	t.Helper()
+	route := func(prefix, service string, kind routing.Kind) routing.Route {
+		return routing.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: timeout, Objective: objective, MaxAttempts: 2,
+			Shares: []routing.Share{{Service: service, Weight: 1}},
+		}
+	}
+	table, err := routing.New(1, routing.Limits{MaxHeaderBytes: 200, MaxBodyBytes: 10},
+		[]routing.Service{{Name: "keyed", Keyed: true}, {Name: "plain"}},
+		[]routing.Route{
+			route("/keyed/", "keyed", routing.Idempotent), route("/once/", "keyed", routing.NonIdempotent),
+			route("/plain/", "plain", routing.Idempotent), route("/plain-once/", "plain", routing.NonIdempotent),
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func newServer(t *testing.T, d *deployment, table *routing.Table) *ingress.Server {
+	t.Helper()
+	return ingress.New(ingress.Config{
+		Protocol: headers{}, Routes: func() *routing.Table { return table }, Directory: d, Local: upstream{d}, Forwarder: remote{d},
+		Service: "keyed", Registerer: prometheus.NewRegistry(), Stopping: func() bool { return false },
+	})
+}
+
+func request(t *testing.T, path, body string, header ...string) *http.Request {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, bytes.NewBufferString(body))
+	r.Host = "h"
+	r.Header.Set("Id", "x1")
+	for n := 0; n+1 < len(header); n += 2 {
+		r.Header.Set(header[n], header[n+1])
+	}
+	return r
+}
+
+// TestRefusals guards against requests that reach an upstream although they are malformed, over a limit or have no route, and against
+// refusals that don't say when to return.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name       string
+		request    *http.Request
+		table      bool
+		status     int
+		retryAfter bool
+	}{
+		{"no configuration yet", request(t, "/keyed/", ""), false, 503, true},
+		{"no id", request(t, "/keyed/", "", "Id", ""), true, 400, false},
+		{"no route", request(t, "/other/", ""), true, 404, false},
+		{"headers too large", request(t, "/keyed/", "", "Note", strings.Repeat("x", 200)), true, 431, false},
+		{"body too large", request(t, "/keyed/", "eleven byte"), true, 413, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+			var routes *routing.Table
+			if test.table {
+				routes = table(t)
+			}
+			w := httptest.NewRecorder()
+			newServer(t, d, routes).ServeHTTP(w, test.request)
+			if w.Code != test.status || d.order() != "" {
+				t.Errorf("status %d, want %d; asked %q", w.Code, test.status, d.order())
+			}
+			if has := w.Header().Get("Retry-After") != ""; has != test.retryAfter {
+				t.Errorf("Retry-After %q", w.Header().Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// TestDispatch guards against requests that run twice or more often than their route allows, and against refusals that say "not run"
+// after an attempt whose outcome isn't known.
+func TestDispatch(t *testing.T) {
+	refused := outcome{failure: gateway.Failure{Code: code.UpstreamRefused, RetryAfter: time.Second}}
+	shed := outcome{failure: gateway.Failure{Code: code.Shed, RetryAfter: time.Second}}
+	shedThere := outcome{failure: gateway.Failure{Code: code.Shed, Arrived: true}}
+	lost := outcome{failure: gateway.Failure{Code: code.UpstreamFailed, Arrived: true}}
+	slow := outcome{failure: gateway.Failure{Code: code.UpstreamTimeout, Arrived: true}}
+	elsewhere := outcome{failure: gateway.Failure{Code: code.NotOwner, Owner: "c"}}
+	ok, failed := outcome{status: 200}, outcome{status: 500}
+	tests := []struct {
+		name, path string
+		owner      string
+		answers    map[string][]outcome
+		asked      string
+		status     int
+	}{
+		{"served by the owner", "/keyed/", "b", map[string][]outcome{"b": {ok}}, "b", 200},
+		{"served here", "/keyed/", "a", map[string][]outcome{"a": {ok}}, "a", 200},
+		{"the owner names its successor", "/once/", "b", map[string][]outcome{"b": {elsewhere}, "c": {ok}}, "b c", 200},
+		{"lost answer of an idempotent request", "/keyed/", "b", map[string][]outcome{"b": {lost, ok}}, "b b", 200},
+		{"lost answer of another request", "/once/", "b", map[string][]outcome{"b": {lost, ok}}, "b", 502},
+		{"refused after a lost answer", "/keyed/", "b", map[string][]outcome{"b": {lost, shed}}, "b b", 502},
+		{"upstream refuses what arrived", "/once/", "b", map[string][]outcome{"b": {shedThere, ok}}, "b b", 200},
+		{"no more than the route's attempts", "/keyed/", "b", map[string][]outcome{"b": {lost, lost, ok}}, "b b", 502},
+		{"no attempt after a timeout", "/keyed/", "b", map[string][]outcome{"b": {slow, ok}}, "b", 504},
+		{"a full owner has no substitute", "/keyed/", "b", map[string][]outcome{"b": {shed}}, "b", 503},
+		{"down, then back", "/once/", "b", map[string][]outcome{"b": {refused, ok}}, "b b", 200},
+		{"without a key, another instance is offered it", "/plain-once/", "", map[string][]outcome{"a": {shed}, "b": {ok}}, "a b", 200},
+		{"without a key, all are full", "/plain/", "", map[string][]outcome{"a": {shed}, "b": {shed}, "c": {shed}}, "a b c", 503},
+		{"without a key, a failure is repeated elsewhere", "/plain/", "", map[string][]outcome{"a": {failed}, "b": {ok}}, "a b", 200},
+		{"without a key, a failure that isn't idempotent", "/plain-once/", "", map[string][]outcome{"a": {failed}}, "a", 500},
+		{"a failure with a key is the answer", "/keyed/", "b", map[string][]outcome{"b": {failed}}, "b", 500},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(test.owner, test.answers)
+				w := httptest.NewRecorder()
+				newServer(t, d, table(t)).ServeHTTP(w, request(t, test.path, "body", "Key", "7", "Left", "1s"))
+				if d.order() != test.asked || w.Code != test.status {
+					t.Errorf("asked %q, want %q; status %d, want %d", d.order(), test.asked, w.Code, test.status)
+				}
+				if w.Code == http.StatusOK && w.Body.String() != "from "+w.Header().Get("X-From") {
+					t.Errorf("body %q", w.Body)
+				}
+				if w.Code == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
+					t.Error("no Retry-After")
+				}
+			})
+		})
+	}
+}
+
+// TestRetryBudget guards against upstreams that are flooded with repeats while all of their answers are lost.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := outcome{failure: gateway.Failure{Code: code.UpstreamFailed, Arrived: true}}
+		d := newDeployment("b", map[string][]outcome{"b": {lost}})
+		server := newServer(t, d, table(t))
+		const requests = 100
+		for range requests {
+			server.ServeHTTP(httptest.NewRecorder(), request(t, "/keyed/", "", "Key", "7"))
+		}
+		if repeats := len(d.asked) - requests; repeats < 1 || repeats > requests/10 {
+			t.Errorf("%d repeats of %d requests, at most a tenth is allowed", repeats, requests)
+		}
+	})
+}
+
+// TestKeyWithoutOwner answers the pattern of keys that change owner under load: a request waits while it can still be answered within
+// its objective; one whose caller has come back already waits longer, because the caller has no further attempt.
+func TestKeyWithoutOwner(t *testing.T) {
+	tests := []struct {
+		name   string
+		left   time.Duration
+		after  time.Duration
+		status int
+	}{
+		{"owner in time", timeout, objective / 4, 200},
+		{"too late for the objective", timeout, objective * 3 / 4, 503},
+		{"a returning request waits for a late answer", timeout * 3 / 4, objective * 3 / 4, 200},
+		{"but not to its end", timeout * 3 / 4, timeout / 2, 503},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment("b", map[string][]outcome{"b": {{status: 200}}})
+				server := newServer(t, d, table(t))
+				// The first request tells how patient the callers of the route are.
+				server.ServeHTTP(httptest.NewRecorder(), request(t, "/keyed/", "", "Key", "7", "Left", timeout.String()))
+				d.setOwner("")
+				time.AfterFunc(test.after, func() { d.setOwner("b") })
+				w := httptest.NewRecorder()
+				server.ServeHTTP(w, request(t, "/keyed/", "", "Key", "7", "Left", test.left.String()))
+				if w.Code != test.status {
+					t.Errorf("status %d, want %d", w.Code, test.status)
+				}
+				time.Sleep(timeout)
+			})
+		})
+	}
+}
+
+// TestBodyThatStops guards against callers that send part of a body and hold a request for ever.
+func TestBodyThatStops(t *testing.T) {
+	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+	server := httptest.NewServer(newServer(t, d, table(t)))
+	defer server.Close()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	begun := time.Now()
+	_, _ = io.WriteString(conn, "POST /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\nLeft: 300ms\r\nContent-Length: 8\r\n\r\npart")
+	_ = conn.SetReadDeadline(begun.Add(2 * timeout))
+	// The end of the connection is an answer too, as the caller's time has passed.
+	if answer, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection is open after %v; answer %q", time.Since(begun), answer)
+	}
+	if took := time.Since(begun); took > timeout {
+		t.Errorf("ended after %v", took)
+	}
+	if d.order() != "" {
+		t.Errorf("asked %q", d.order())
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -82,10 +82,12 @@
 
 // Mesh is one process. Create it with New.
 type Mesh struct {
-	settings  Settings
-	ports     Ports
-	gateway   *gateway.Gateway
-	endpoint  *heartbeat.Endpoint
+	settings Settings
+	ports    Ports
+	gateway  *gateway.Gateway
+	endpoint *heartbeat.Endpoint
+	// callers holds the connections of callers.
+	callers   *ingress.Connections
 	dialer    *peer.Dialer
 	directory *directory
 	rows      *store.Follower
@@ -117,6 +119,7 @@
 		registry: prometheus.NewRegistry(),
 		dialer:   peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
 	}
+	m.callers = ingress.NewConnections(m.limits)
 	m.directory = newDirectory(s.Slot)
 	m.rows = store.NewFollower(p.Store, Table, m.applyRows, store.WithEager(m.isReader))
 	m.config = store.NewFollower(p.Store, p.ConfigTable, m.applyConfig)
@@ -146,7 +149,7 @@
 	}
 	group.Go(func() error { return m.endpoint.Run(running) })
 	m.background(running, group, m.rows.Run, m.config.Run, m.gateway.Run, m.runSessions, m.fetchNews, m.probeUnreachable,
-		m.report, m.plan)
+		m.report, m.plan, m.callers.Run)
 	group.Go(func() error {
 		defer cancel()
 		m.awaitStop(ctx, running, servers)
@@ -242,6 +245,11 @@
 	var config net.ListenConfig
 	for n, s := range servers {
 		s.http.Handler = s.counted(s.http.Handler)
+		if s.name == callersServer {
+			// The limits of the configuration count instead.
+			s.http.ReadHeaderTimeout = 0
+			m.callers.Attach(s.http)
+		}
 		listener, err := config.Listen(ctx, "tcp", addresses[n])
 		if err != nil {
 			return nil, err
@@ -251,6 +259,14 @@
 	return servers, nil
 }
 
+// limits returns the limits of the configuration in force.
+func (m *Mesh) limits() routing.Limits {
+	if table := m.routes.Load(); table != nil {
+		return table.Limits()
+	}
+	return routing.Limits{HeaderTimeout: readHeaderTimeout}
+}
+
 func (m *Mesh) peerHandler() http.Handler {
 	calls := peer.NewPeerServer(&service{mesh: m})
 	forwarded := forward.Handler(m.gateway, m, m.stopping.Load)
