Give up the slots of dropped requests; avoid upstreams that fail requests; estimate from served requests only

Cause: some upstreams never answer what they can't queue. Such a request held its slot until its deadline, though the upstream did not run it, and requests without a key went on to a grey upstream as it seemed to be the least loaded. Refusals, which take next to no time, also lowered the estimate of service times. Targets count their share of faults.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -183,7 +183,9 @@
 	if r.Key != NoKey {
 		g.demand(uint16(r.Key), g.estimates.get(r.Route))
 	}
-	place, f := g.enter(ctx, r)
+	ctx, stall := context.WithCancelCause(ctx)
+	defer stall(nil)
+	place, f := g.enter(ctx, r, func() { stall(errStalled) })
 	if f != nil {
 		return nil, g.refuse(r, f)
 	}
@@ -251,12 +253,16 @@
 }
 
 // enter waits for a slot.
-func (g *Gateway) enter(ctx context.Context, r *Request) (p *policy.Place, f *Failure) {
+func (g *Gateway) enter(ctx context.Context, r *Request, stall func()) (p *policy.Place, f *Failure) {
 	decided := make(chan policy.Verdict, 1)
 	d := policy.Demand{
 		Priority: r.Priority, Nested: r.Nested, Returning: r.Returning, Objective: r.Objective, Deadline: r.Deadline,
 		Service: g.estimates.get(r.Route),
 	}
+	if r.Kind.Repeatable() {
+		// Others keep waiting: if they ran after all, their answer must not be lost.
+		d.Stalled = stall
+	}
 	defer func() { g.observePressure(r, f) }()
 	if !g.enterThrottle(r) {
 		return nil, &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: "the service that its calls need is short of room"}
@@ -321,11 +327,9 @@
 		started := time.Now()
 		a, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.start)
 		if err == nil {
-			took := time.Since(started)
-			g.estimates.observe(r.Route, took)
 			g.suspects.Served(fingerprint(r))
 			g.pool.put(c)
-			return g.accept(r, a, took)
+			return g.accept(r, a, time.Since(started))
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -341,6 +345,8 @@
 	})
 }
 
+var errStalled = errors.New("the request is stalled")
+
 // unreached returns the failure of a request for which there was no connection.
 func (g *Gateway) unreached(err error) *Failure {
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -354,6 +360,8 @@
 	switch {
 	case !sent:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: retryIn, Reason: err.Error()}
+	case errors.Is(context.Cause(ctx), errStalled):
+		return &Failure{Code: code.UpstreamStalled, Arrived: true, Reason: "the upstream answered later requests and not this one"}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failure{Code: code.UpstreamTimeout, Arrived: true, Reason: "no response until the deadline"}
 	case ctx.Err() != nil:
@@ -384,6 +392,8 @@
 	case a.status < http.StatusMultipleChoices && !reading.Genuine:
 		return nil, g.refuse(r, &Failure{Code: code.WrongAnswer, Arrived: true, Reason: "the response lacks the upstream's mark"})
 	}
+	// Refusals take next to no time and would spoil the estimate.
+	g.estimates.observe(r.Route, took)
 	removeHopHeaders(a.header)
 	return &Response{Status: a.status, Header: a.header, Body: a.body, Took: took}, nil
 }
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -18,6 +19,12 @@
 	remoteBytes = 10 << 10
 	// suspectFor is how long a target that failed is not chosen while there are others.
 	suspectFor = 500 * time.Millisecond
+	// faultMemory is the time over which the share of faults of a target is averaged, faultWeight the weight of one request, and
+	// faultCost the load that a target which fails each request must be better by. Spreading all work evenly costs less than
+	// sending it where it fails, but a target that fails a few in a hundred is still better than a full one.
+	faultMemory = 3 * time.Second
+	faultWeight = 0.1
+	faultCost   = 3
 )
 
 // chooser chooses among the instances of a service that isn't divided by key, by their load.
@@ -35,6 +42,35 @@
 	reported gateway.Load
 	at       time.Time
 	suspect  time.Time
+	// faults is the share of requests that the upstream there failed lately, at faultAt.
+	faults  float64
+	faultAt time.Time
+}
+
+// outcome is what became of a request at a target.
+type outcome int
+
+const (
+	// outcomeServed also stands for refusals of the gateway, which say nothing about its upstream.
+	outcomeServed outcome = iota
+	// outcomeFault means that the upstream failed or refused the request.
+	outcomeFault
+	// outcomeUnreachable means that the instance could not be reached.
+	outcomeUnreachable
+)
+
+// faultShare returns the share of faults. It fades, so that a target that is avoided gets another chance.
+func (l *targetLoad) faultShare(now time.Time) float64 {
+	return l.faults * math.Exp(-now.Sub(l.faultAt).Seconds()/faultMemory.Seconds())
+}
+
+func (l *targetLoad) observe(now time.Time, o outcome) {
+	target := 0.0
+	if o == outcomeFault {
+		target = 1
+	}
+	share := l.faultShare(now)
+	l.faults, l.faultAt = share+faultWeight*(target-share), now
 }
 
 func newChooser(dc string) *chooser { return &chooser{dc: dc, targets: make(map[string]*targetLoad)} }
@@ -81,6 +117,7 @@
 	if t.DataCentre != c.dc {
 		cost += remoteCost * (1 + float64(bytes)/remoteBytes)
 	}
+	cost += faultCost * l.faultShare(now)
 	if now.Before(l.suspect) {
 		cost += 100
 	}
@@ -88,20 +125,21 @@
 }
 
 // begin notes a request to a target; the result must be called with what the target said of its load.
-func (c *chooser) begin(slot string) func(load gateway.Load, failed bool) {
+func (c *chooser) begin(slot string) func(load gateway.Load, o outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.load(slot)
 	l.own++
 	l.sent++
-	return func(load gateway.Load, failed bool) {
+	return func(load gateway.Load, o outcome) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		l.own--
 		if load.Slots > 0 {
 			l.reported, l.at, l.sent = load, time.Now(), 0
 		}
-		if failed {
+		l.observe(time.Now(), o)
+		if o == outcomeUnreachable {
 			l.suspect = time.Now().Add(suspectFor)
 		}
 	}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -141,21 +141,20 @@
 	done := s.chooser.begin(target.Slot)
 	if target.Slot == s.directory.Self() {
 		response, err := s.local.Do(ctx, a.request)
-		done(s.local.Load(), false)
+		done(s.local.Load(), outcomeOf(response, err))
 		if response != nil {
 			response.Slot = target.Slot
 		}
 		return response, err
 	}
 	result, err := s.forwarder.Do(ctx, target.Address, a.request)
-	unreachable := isUnreachable(err)
-	if unreachable {
+	if isUnreachable(err) {
 		s.directory.Unreachable(target.Slot)
 	}
 	if isLeaving(err) {
 		s.directory.Leaving(target.Slot)
 	}
-	done(result.Load, unreachable)
+	done(result.Load, outcomeOf(result.Response, err))
 	if a.request.Nested {
 		s.local.NestedCall(result.Load)
 	}
@@ -165,6 +164,21 @@
 	return result.Response, err
 }
 
+// outcomeOf returns what a result says about the target.
+func outcomeOf(response *gateway.Response, err error) outcome {
+	var f *gateway.Failure
+	switch {
+	case isUnreachable(err):
+		return outcomeUnreachable
+	case errors.As(err, &f) && f.Arrived && f.Code != code.CallerGone && f.Code != code.NotOwner:
+		return outcomeFault
+	case response != nil && response.Status == http.StatusInternalServerError:
+		return outcomeFault
+	default:
+		return outcomeServed
+	}
+}
+
 func isUnreachable(err error) bool {
 	var f *gateway.Failure
 	return errors.As(err, &f) && (f.Code == code.PeerFailed || f.Code == code.NoOwner)
--- a/policy/gate.go
+++ b/policy/gate.go
@@ -13,6 +13,12 @@
 	minRetryAfter = 50 * time.Millisecond
 	// lateQueueFactor bounds, as a multiple of the slots, the requests that wait although they will miss their objective.
 	lateQueueFactor = 1
+	// A running request is stalled once it has run stallFactor times as long as usual, and at least stallMinimum, while
+	// stallOvertakers requests that started later have ended. Regular service times vary by less than this, and an upstream that is
+	// slow as a whole ends no later request either.
+	stallFactor     = 5
+	stallMinimum    = 60 * time.Millisecond
+	stallOvertakers = 3
 )
 
 // Demand describes a request that is offered to a Gate.
@@ -28,6 +34,8 @@
 	Deadline  time.Time
 	// Service is the time that the upstream is expected to need.
 	Service time.Duration
+	// Stalled is called if the running request is found to be stalled. It may be nil.
+	Stalled func()
 }
 
 // Verdict is the decision on a Demand that doesn't wait any more.
@@ -45,6 +53,10 @@
 	started  time.Time
 	state    placeState
 	decided  func(Verdict)
+	// overtakers is the number of requests that started later and have ended.
+	overtakers int
+	// stalled requests run, but the upstream has dropped them: they use no slot.
+	stalled bool
 }
 
 type placeState int
@@ -62,7 +74,10 @@
 //
 // Waiting requests are served in the order of urgency: nested ones, then by priority, then those that can still be answered
 // within their objective, the earliest objective first, then the late ones. Late answers have less benefit, so they must not
-// make others late. A Gate isn't safe for concurrent use. Create it with NewGate.
+// make others late.
+//
+// Some upstreams never answer what they can't queue. Such a request would hold its slot until its deadline, so one that is stalled
+// gives it up. A Gate isn't safe for concurrent use. Create it with NewGate.
 type Gate struct {
 	slots    int
 	sequence uint64
@@ -97,7 +112,7 @@
 		p.state = placeDone
 		return p, Verdict{RetryAfter: minRetryAfter}
 	}
-	if len(g.running) < g.slots && len(g.waiting) == 0 {
+	if g.used() < g.slots && len(g.waiting) == 0 {
 		g.start(now, p)
 		return p, Verdict{Admitted: true}
 	}
@@ -121,11 +136,43 @@
 	}
 	p.state = placeDone
 	g.running = slices.DeleteFunc(g.running, func(other *Place) bool { return other == p })
+	g.overtake(now, p)
 	if len(g.waiting) > 0 {
 		g.Review(now)
 	}
 }
 
+// overtake counts the end of a request against those that started before it, and finds the stalled ones.
+func (g *Gate) overtake(now time.Time, ended *Place) {
+	if ended.stalled {
+		return
+	}
+	for _, p := range g.running {
+		if p.started.Before(ended.started) {
+			p.overtakers++
+		}
+		limit := max(stallFactor*p.demand.Service, stallMinimum)
+		if p.stalled || p.overtakers < stallOvertakers || now.Sub(p.started) < limit {
+			continue
+		}
+		p.stalled = true
+		if p.demand.Stalled != nil {
+			p.demand.Stalled()
+		}
+	}
+}
+
+// used returns the number of slots in use.
+func (g *Gate) used() int {
+	used := 0
+	for _, p := range g.running {
+		if !p.stalled {
+			used++
+		}
+	}
+	return used
+}
+
 // Withdraw removes a waiting request whose client has left.
 func (g *Gate) Withdraw(p *Place) {
 	if p.state != placeWaiting {
@@ -162,7 +209,7 @@
 
 // fill starts waiting requests while slots are free.
 func (g *Gate) fill(now time.Time) {
-	for len(g.running) < g.slots && len(g.waiting) > 0 {
+	for g.used() < g.slots && len(g.waiting) > 0 {
 		p := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
 		if !p.demand.Deadline.After(now) {
@@ -217,6 +264,9 @@
 func (g *Gate) slotTimes(now time.Time) []time.Time {
 	free := make([]time.Time, 0, max(g.slots, len(g.running)))
 	for _, p := range g.running {
+		if p.stalled {
+			continue
+		}
 		end := p.started.Add(p.demand.Service)
 		if overdue := now.Add(time.Duration(overdueShare * float64(p.demand.Service))); end.Before(overdue) {
 			end = overdue
--- a/policy/gate_test.go
+++ b/policy/gate_test.go
@@ -156,3 +156,56 @@
 		t.Errorf("verdict %+v, waiting %d", verdict, g.Waiting())
 	}
 }
+
+// TestStalled answers the pattern of an upstream that never answers what it can't queue: its slots must not stay in use until the
+// deadlines of such requests, and slow requests must not be taken for stalled ones while nothing overtakes them.
+func TestStalled(t *testing.T) {
+	const service = 20 * time.Millisecond
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name string
+		// ends is how many later requests end, each after the usual time.
+		ends    int
+		age     time.Duration
+		stalled bool
+	}{
+		{"overtaken for long", 10, 10 * service, true},
+		{"overtaken, not for long", 10, 2 * service, false},
+		{"not overtaken", 0, 20 * service, false},
+		{"overtaken by few", 2, 20 * service, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gate := policy.NewGate(2)
+			stalled := false
+			demand := policy.Demand{Objective: start.Add(time.Minute), Deadline: start.Add(time.Minute), Service: service}
+			muted := demand
+			muted.Stalled = func() { stalled = true }
+			if _, v := gate.Offer(start, muted, nil); !v.Admitted {
+				t.Fatal("not admitted")
+			}
+			for n := range test.ends {
+				now := start.Add(test.age * time.Duration(n+1) / time.Duration(test.ends))
+				p, v := gate.Offer(now.Add(-time.Millisecond), demand, nil)
+				if !v.Admitted {
+					t.Fatal("not admitted")
+				}
+				gate.Finish(now, p)
+			}
+			now := start.Add(test.age)
+			admitted := 0
+			for range 3 {
+				if _, v := gate.Offer(now, demand, func(policy.Verdict) {}); v.Admitted {
+					admitted++
+				}
+			}
+			want := 1
+			if test.stalled {
+				want = 2
+			}
+			if stalled != test.stalled || admitted != want {
+				t.Errorf("stalled %v, want %v; %d more admitted, want %d", stalled, test.stalled, admitted, want)
+			}
+		})
+	}
+}
