Give keys to upstreams that join an idle deployment

The planner looked for the candidate with the highest cost, which without load is the one with the slowest pace, often the newcomer itself; and with next to no load no part of an entry is worth a move. The newcomer is left out of the search, and gets half of the largest entry when there is no load to go by. TestNewcomerOfIdleDeployment fails without the change.

--- a/keyspace/keyspace_test.go
+++ b/keyspace/keyspace_test.go
@@ -260,6 +260,36 @@
 	}
 }
 
+// TestNewcomerOfIdleDeployment guards against an upstream that joins while there is no load, or is expected to be slow, and stays
+// without keys.
+func TestNewcomerOfIdleDeployment(t *testing.T) {
+	tests := []struct {
+		name  string
+		pace  float64
+		loads []keyspace.SpanLoad
+	}{
+		{"no load", 1, nil},
+		{"a slow newcomer", 3, nil},
+		{"a little load on one key", 3, []keyspace.SpanLoad{{Range: keyspace.Range{First: 7, Last: 7}, Load: 0.002}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := mustPlan(t, problem(nil, candidates(1, 1), nil))
+			c := candidates(1, 1, test.pace)
+			m, _ = converge(t, m, c, test.loads)
+			keys := 0
+			for _, e := range m.Entries() {
+				if e.Owner() == c[2].Instance {
+					keys += e.Size()
+				}
+			}
+			if keys < 1000 {
+				t.Errorf("the newcomer has %d keys", keys)
+			}
+		})
+	}
+}
+
 // TestBalanceOneHotKey guards against endless moves of a single key that exceeds an upstream.
 func TestBalanceOneHotKey(t *testing.T) {
 	c := candidates(1, 1, 1)
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -182,13 +182,36 @@
 		if owned[c.Instance] {
 			continue
 		}
-		busiest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
-		if busiest.Instance != c.Instance {
-			b.moveLoad(busiest, c, newcomerShare*total/float64(len(b.problem.Candidates)))
+		// A slow candidate without load may have the highest cost, so the newcomer itself is left out.
+		others := slices.DeleteFunc(slices.Clone(b.problem.Candidates), func(o Candidate) bool { return o.Instance == c.Instance })
+		if len(others) == 0 {
+			continue
+		}
+		busiest := slices.MaxFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
+		share := total / float64(len(b.problem.Candidates))
+		if !b.moveLoad(busiest, c, newcomerShare*share) && share < leastLoad {
+			b.giveHalf(c)
 		}
 	}
 }
 
+// giveHalf gives a candidate half of the keys of the largest entry that isn't on its way to an owner. Next to no load says which part
+// to move, and the candidate is to be of use once there is some.
+func (b *builder) giveHalf(to Candidate) {
+	largest := -1
+	for n, e := range b.entries {
+		if len(e.Previous) == 0 && e.Size() > 1 && (largest < 0 || e.Size() > b.entries[largest].Size()) {
+			largest = n
+		}
+	}
+	if largest < 0 {
+		return
+	}
+	e := b.entries[largest]
+	b.split(largest, e.First+Key(e.Size()/2)-1)
+	b.assign(largest+1, to.Instance, "it has no keys yet")
+}
+
 const (
 	// maxRanges is the number of ranges for each candidate above which ranges without much load join their neighbours.
 	maxRanges = 8
