Take the bounds of retries from the platform's settings

Cause: the retry budget was fixed at a tenth and 3 for each instance. The platform states the budget of all instances together: on a deployment with a stricter one, or with so many instances that their minima add up to more than its slack (300 instances: 900), it would have been exceeded. The budget's terms now come from the settings, less a margin, and the minimum is divided by the instances.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,7 +14,6 @@
 
 	"sapphiretray/code"
 	"sapphiretray/gateway"
-	"sapphiretray/policy"
 	"sapphiretray/routing"
 )
 
@@ -50,6 +49,8 @@
 	DataCentre string
 	// Registerer registers the metrics.
 	Registerer prometheus.Registerer
+	// NewBudget returns the retry budget of a service.
+	NewBudget func() Budget
 	// Stopping reports whether callers are to close their connections.
 	Stopping func() bool
 }
@@ -59,7 +60,7 @@
 	return &Server{
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		origin: c.Service, dc: c.DataCentre, stopping: c.Stopping,
-		budgets: budgets{create: func() Budget { return &policy.Budget{} }},
+		budgets: budgets{create: c.NewBudget},
 		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -22,6 +22,7 @@
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
 	"sapphiretray/ingress"
+	"sapphiretray/policy"
 	"sapphiretray/routing"
 )
 
@@ -170,7 +171,8 @@
 	t.Helper()
 	return ingress.New(ingress.Config{
 		Protocol: headers{}, Routes: func() *routing.Table { return table }, Directory: d, Local: upstream{d}, Forwarder: remote{d},
-		Service: "keyed", Registerer: prometheus.NewRegistry(), Stopping: func() bool { return false },
+		NewBudget: func() ingress.Budget { return &policy.Budget{} },
+		Service:   "keyed", Registerer: prometheus.NewRegistry(), Stopping: func() bool { return false },
 	})
 }
 
--- a/mesh/directory.go
+++ b/mesh/directory.go
@@ -210,6 +210,13 @@
 	return records
 }
 
+// size returns the number of known instances.
+func (d *directory) size() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.records)
+}
+
 // newest returns the number of the newest incarnation of each slot.
 func (d *directory) newest() map[string]uint64 {
 	d.mu.RLock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -23,6 +23,7 @@
 	"sapphiretray/heartbeat"
 	"sapphiretray/ingress"
 	"sapphiretray/peer"
+	"sapphiretray/policy"
 	"sapphiretray/routing"
 	"sapphiretray/store"
 	"sapphiretray/witness"
@@ -55,6 +56,8 @@
 	DrainLimit time.Duration
 	// StopTimeout is the time within which the process has to end once it was told to.
 	StopTimeout time.Duration
+	// Retries bounds the repeated requests at a service: its ratio and its minimum hold for all instances together.
+	Retries policy.BudgetTerms
 }
 
 // Ports connect a process to the systems around it.
@@ -185,6 +188,13 @@
 	// between data centres if they are sent more often.
 	pingAfter   = 700 * time.Millisecond
 	pingTimeout = 300 * time.Millisecond
+	// budgetMargin is the share of the retry budget that is used: repeats arrive up to a second after they were counted, when some
+	// first attempts have left the window.
+	budgetMargin = 0.85
+	// budgetRatio is the most that is used of a larger budget: with 0.17 instead, days with refusing upstreams served no more.
+	budgetRatio = 0.1
+	// budgetMinimum is the number of retries that an instance with few requests may send in a window.
+	budgetMinimum = 3
 	// readHeaderTimeout bounds the reading of a request's headers from another instance or the platform.
 	readHeaderTimeout = 5 * time.Second
 )
@@ -228,6 +238,7 @@
 		Protocol: m.ports.Callers, Routes: m.routes.Load, Directory: m.directory, Local: m.gateway,
 		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdle, peer.WithPings(pingAfter, pingTimeout)), m),
 		Service:   m.settings.Service, DataCentre: m.settings.DataCentre, Registerer: m.registry, Stopping: m.stopping.Load,
+		NewBudget: func() ingress.Budget { return policy.NewBudget(m.budgetTerms) },
 	})
 	plain := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
@@ -259,6 +270,15 @@
 	return servers, nil
 }
 
+// budgetTerms returns this instance's part of the retry budget that all instances share.
+func (m *Mesh) budgetTerms() policy.BudgetTerms {
+	terms := m.settings.Retries
+	terms.Ratio = min(budgetRatio, budgetMargin*terms.Ratio)
+	// A minimum counts at each instance, however few requests it gets.
+	terms.Minimum = min(budgetMinimum, int(budgetMargin*float64(terms.Minimum))/max(1, m.directory.size()))
+	return terms
+}
+
 // limits returns the limits of the configuration in force.
 func (m *Mesh) limits() routing.Limits {
 	if table := m.routes.Load(); table != nil {
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -6,30 +6,52 @@
 )
 
 const (
-	budgetWindow  = 10 * time.Second
 	budgetBuckets = 20
-	budgetBucket  = budgetWindow / budgetBuckets
-	// budgetDivisor allows one retry for each 10 first attempts.
-	budgetDivisor = 10
-	// budgetMinimum lets a process with few requests retry.
-	budgetMinimum = 3
+	// roundingError is more than products of the ratio with counts are off by.
+	roundingError = 1e-6
 )
 
+// BudgetTerms say how many retries are allowed: in any Window, Ratio for each first attempt, or Minimum if that is more.
+type BudgetTerms struct {
+	Ratio   float64
+	Minimum int
+	Window  time.Duration
+}
+
+// defaultBudget allows one retry for each 10 first attempts in 10 s, and lets a process with few requests retry.
+func defaultBudget() BudgetTerms {
+	return BudgetTerms{Ratio: 0.1, Minimum: 3, Window: 10 * time.Second}
+}
+
 // Budget bounds retries: whenever one is allowed, the last 10 s hold at most one retry for each 10 first attempts, or 3
-// retries if that is more. The zero value is ready to use.
+// retries if that is more. NewBudget returns one with other terms. The zero value is ready to use.
 //
-// Time is counted in half-second buckets. Attempts are counted over at most 10 s and retries over at least 10 s, so that
-// the rounding never allows more.
+// Time is counted in twentieths of the window. Attempts are counted over at most the window and retries over at least the window, so
+// that the rounding never allows more.
 type Budget struct {
+	terms   func() BudgetTerms
 	mu      sync.Mutex
 	buckets [budgetBuckets + 1]budgetCount
 	origin  time.Time
+	// bucket is the time that one bucket covers.
+	bucket  time.Duration
 	current int64
 	totals  BudgetCounts
 }
 
 type budgetCount struct{ attempts, retries uint64 }
 
+// NewBudget returns a budget whose terms may change, but for the window, which must be positive and is that of the first use.
+func NewBudget(terms func() BudgetTerms) *Budget { return &Budget{terms: terms} }
+
+// inForce returns the terms in force.
+func (b *Budget) inForce() BudgetTerms {
+	if b.terms == nil {
+		return defaultBudget()
+	}
+	return b.terms()
+}
+
 // BudgetCounts are a budget's totals.
 type BudgetCounts struct{ Attempts, Retries, Refused uint64 }
 
@@ -60,7 +82,8 @@
 			attempts += b.buckets[i].attempts
 		}
 	}
-	if retries >= max(attempts/budgetDivisor, budgetMinimum) {
+	terms := b.inForce()
+	if float64(retries+1) > max(terms.Ratio*float64(attempts)+roundingError, float64(terms.Minimum)) {
 		b.totals.Refused++
 		return false
 	}
@@ -81,8 +104,9 @@
 func (b *Budget) advance(now time.Time) *budgetCount {
 	if b.origin.IsZero() {
 		b.origin = now
+		b.bucket = b.inForce().Window / budgetBuckets
 	}
-	number := max(b.current, int64(now.Sub(b.origin)/budgetBucket))
+	number := max(b.current, int64(now.Sub(b.origin)/b.bucket))
 	first := max(b.current+1, number-budgetBuckets)
 	for n := first; n <= number; n++ {
 		b.buckets[b.slot(n)] = budgetCount{}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -51,6 +51,37 @@
 	})
 }
 
+// TestBudgetTerms guards against a deployment whose terms are stricter than the default ones, and against terms that change.
+func TestBudgetTerms(t *testing.T) {
+	terms := policy.BudgetTerms{Ratio: 0.05, Minimum: 1, Window: 4 * time.Second}
+	b := policy.NewBudget(func() policy.BudgetTerms { return terms })
+	now := time.Unix(0, 0)
+	allowed := func() int {
+		n := 0
+		for b.RetryAt(now) {
+			n++
+		}
+		return n
+	}
+	if got := allowed(); got != 1 {
+		t.Errorf("%d retries without attempts, want 1", got)
+	}
+	for range 100 {
+		b.AttemptAt(now)
+	}
+	if got := allowed(); got != 4 {
+		t.Errorf("%d more retries for 100 attempts, want 4", got)
+	}
+	now = now.Add(5 * time.Second)
+	if got := allowed(); got != 1 {
+		t.Errorf("%d retries after the window, want 1", got)
+	}
+	terms.Minimum = 3
+	if got := allowed(); got != 2 {
+		t.Errorf("%d more retries with a higher minimum, want 2", got)
+	}
+}
+
 // Guards against a lightly used process that can't retry, a busy one that can't use its 10%, and a window that never ends.
 func TestBudgetAllows(t *testing.T) {
 	tests := []struct {
