Choose witnesses that answer

Four of seven instances joined every 4 s with the same three witnesses, of which two were on machines that had been removed before; their records stay in the store as draining. Witnesses whose instances leave now come last, like unreachable ones, and a session that ends without a lease notes which witnesses were silent, so that the next one avoids them for 30 s.

Ruled out: the store (reachable 0.1 s after the start), the upstreams (registered at once), the plan (made, but nobody could claim).

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -47,6 +47,8 @@
 	witness *witness.Witness
 	targets []Target
 	flows   map[string]*flow
+	// heard is when each witness last acknowledged a heartbeat, since the incarnation was adopted.
+	heard   map[string]time.Time
 	changes []change
 	seen    change
 	stopped bool
@@ -73,7 +75,7 @@
 // New returns an endpoint for an incarnation. Its silent period as a witness begins now.
 func New(self member.Incarnation, options ...Option) *Endpoint {
 	e := &Endpoint{
-		self: self, config: newConfig(options), flows: make(map[string]*flow),
+		self: self, config: newConfig(options), flows: make(map[string]*flow), heard: make(map[string]time.Time),
 		holderWake: make(chan struct{}, 1), witnessWake: make(chan struct{}, 1), changeWake: make(chan struct{}, 1),
 	}
 	run := rand.Uint64N(1<<runBits) + 1
@@ -120,6 +122,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.self, e.holder, e.targets, e.earlyRound, e.seen = self, witness.NewHolder(self, e.timing), nil, false, change{}
+	clear(e.heard)
 	e.witness.Adopt(self)
 	e.publish()
 	wake(e.holderWake)
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -34,6 +34,22 @@
 	}
 }
 
+// TestSilent guards against a holder that can't tell a witness that is gone from one that answers.
+func TestSilent(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, witness.Timing{}, false)
+	c.acquire(t)
+	const limit = 400 * time.Millisecond
+	if silent := c.holder.Silent(time.Now(), limit); len(silent) != 0 {
+		t.Errorf("%v are silent though all answer", silent)
+	}
+	c.links[0].cut(true)
+	time.Sleep(2 * limit)
+	if silent := c.holder.Silent(time.Now(), limit); len(silent) != 1 || silent[0] != c.witnesses[0] {
+		t.Errorf("silent witnesses %v, want %v", silent, c.witnesses[0])
+	}
+}
+
 // TestCuts guards against a lease that outlives the loss of its majority, one that is lost with a minority, and one that
 // can't be re-acquired without the platform.
 func TestCuts(t *testing.T) {
--- a/heartbeat/hold.go
+++ b/heartbeat/hold.go
@@ -164,6 +164,7 @@
 		e.mu.Lock()
 		now := time.Now()
 		f.heard = now
+		e.heard[ack.Witness] = now
 		e.holder.Acknowledge(ack, now)
 		e.publish()
 		e.mu.Unlock()
@@ -173,6 +174,20 @@
 	}
 }
 
+// Silent returns the slots of the witnesses that have acknowledged no heartbeat for longer than d. A refusal counts as an
+// acknowledgement, since somebody answers.
+func (e *Endpoint) Silent(now time.Time, d time.Duration) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var silent []string
+	for _, target := range e.targets {
+		if target.slot != e.self.Slot() && now.Sub(e.heard[target.slot]) > d {
+			silent = append(silent, target.slot)
+		}
+	}
+	return silent
+}
+
 func (e *Endpoint) closeFlows() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -103,6 +103,8 @@
 	group     *errgroup.Group
 	registry  *prometheus.Registry
 	started   time.Time
+	// silent is when witnesses were found not to answer, by slot. Only the session loop uses it.
+	silent map[string]time.Time
 	// wake asks the session loop to look at the state again.
 	wake chan struct{}
 	// reporting and planning ask for a report and a plan at once.
@@ -119,8 +121,8 @@
 	m := &Mesh{
 		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
 		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1), heard: make(map[string]forward.Versions),
-		registry: prometheus.NewRegistry(),
-		dialer:   peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
+		registry: prometheus.NewRegistry(), silent: make(map[string]time.Time),
+		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
 	}
 	m.callers = ingress.NewConnections(m.limits)
 	m.directory = newDirectory(s.Slot)
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -1,14 +1,11 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -96,6 +93,7 @@
 		}
 		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.life, "witnesses", s.record.Witnesses)
 		s.run(ctx)
+		m.noteSilentWitnesses(s)
 		klog.InfoS("session: ended", "instance", s.self(), "upstream", s.life)
 	}
 }
@@ -205,13 +203,6 @@
 	return err
 }
 
-// others returns the records of the other instances of the region.
-func (m *Mesh) others() []member.Record {
-	return slices.DeleteFunc(m.directory.all(), func(r member.Record) bool {
-		return r.Incarnation.Slot() == m.settings.Slot || r.Region != m.settings.Region || r.State.Gone()
-	})
-}
-
 func (m *Mesh) awaitOthers(ctx context.Context) {
 	deadline := time.Now().Add(memberWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil && len(m.others()) < 2*witnesses {
@@ -219,36 +210,6 @@
 	}
 }
 
-// chooseWitnesses returns slots in as many data centres as possible, by rendezvous hashing, so that each instance witnesses
-// about as many others. Instances that don't answer are left out where there are enough others.
-func (m *Mesh) chooseWitnesses() []string {
-	others := m.others()
-	unreachable := m.directory.unreachableSlots()
-	rank := func(r member.Record) uint64 {
-		return xxhash.Sum64String(m.settings.Slot + "\x00" + r.Incarnation.Slot())
-	}
-	bad := func(r member.Record) int {
-		if slices.Contains(unreachable, r.Incarnation.Slot()) {
-			return 1
-		}
-		return 0
-	}
-	used := make(map[string]int)
-	var chosen []string
-	for len(chosen) < witnesses && len(others) > 0 {
-		best := slices.MinFunc(others, func(a, b member.Record) int {
-			return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(used[a.DataCentre], used[b.DataCentre]), cmp.Compare(rank(a), rank(b)))
-		})
-		used[best.DataCentre]++
-		chosen = append(chosen, best.Incarnation.Slot())
-		others = slices.DeleteFunc(others, func(r member.Record) bool { return r.Incarnation == best.Incarnation })
-	}
-	if len(chosen) < witnesses {
-		chosen = append(chosen, m.settings.Slot)
-	}
-	return chosen
-}
-
 // targets returns the addresses of the witnesses.
 func (m *Mesh) targets(slots []string) []heartbeat.Target {
 	targets := make([]heartbeat.Target, 0, len(slots))
--- /dev/null
+++ b/mesh/witnesses.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"sapphiretray/member"
+)
+
+const (
+	// witnessSilence is the time without an acknowledgement after which a witness counts as silent: three heartbeats.
+	witnessSilence = 3 * leaseInterval
+	// silentMemory is how long a silent witness is avoided. Machines that are cut off or restart are back by then.
+	silentMemory = 30 * time.Second
+)
+
+// Reasons against a witness; a higher one is worse.
+const (
+	witnessFine = iota
+	// witnessLeaving processes often end soon after their upstreams.
+	witnessLeaving
+	witnessUnreachable
+)
+
+// noteSilentWitnesses remembers the witnesses that did not answer a session that ends without a lease. Records of machines that are
+// gone for good stay in the store, and the next incarnation would choose the same ones again.
+func (m *Mesh) noteSilentWitnesses(s *session) {
+	if s.keeper == nil || m.endpoint.Lease().Valid() {
+		return
+	}
+	now := time.Now()
+	silent := m.endpoint.Silent(now, witnessSilence)
+	for _, slot := range silent {
+		m.silent[slot] = now
+	}
+	if len(silent) > 0 {
+		klog.InfoS("session: witnesses don't answer", "instance", s.self(), "silent", silent)
+	}
+}
+
+// others returns the records of the other instances of the region.
+func (m *Mesh) others() []member.Record {
+	return slices.DeleteFunc(m.directory.all(), func(r member.Record) bool {
+		return r.Incarnation.Slot() == m.settings.Slot || r.Region != m.settings.Region || r.State.Gone()
+	})
+}
+
+// chooseWitnesses returns slots in as many data centres as possible, by rendezvous hashing, so that each instance witnesses
+// about as many others. Instances that leave or don't answer are left out where there are enough others.
+func (m *Mesh) chooseWitnesses() []string {
+	others := m.others()
+	unreachable := m.directory.unreachableSlots()
+	rank := func(r member.Record) uint64 {
+		return xxhash.Sum64String(m.settings.Slot + "\x00" + r.Incarnation.Slot())
+	}
+	bad := func(r member.Record) int {
+		slot := r.Incarnation.Slot()
+		silentAt, silent := m.silent[slot]
+		switch {
+		case slices.Contains(unreachable, slot), silent && time.Since(silentAt) < silentMemory:
+			return witnessUnreachable
+		case r.State != member.Ready:
+			return witnessLeaving
+		default:
+			return witnessFine
+		}
+	}
+	used := make(map[string]int)
+	var chosen []string
+	for len(chosen) < witnesses && len(others) > 0 {
+		best := slices.MinFunc(others, func(a, b member.Record) int {
+			return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(used[a.DataCentre], used[b.DataCentre]), cmp.Compare(rank(a), rank(b)))
+		})
+		used[best.DataCentre]++
+		chosen = append(chosen, best.Incarnation.Slot())
+		others = slices.DeleteFunc(others, func(r member.Record) bool { return r.Incarnation == best.Incarnation })
+	}
+	if len(chosen) < witnesses {
+		chosen = append(chosen, m.settings.Slot)
+	}
+	return chosen
+}
--- /dev/null
+++ b/mesh/witnesses_test.go
@@ -0,0 +1,79 @@
+package mesh
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"sapphiretray/member"
+	"sapphiretray/store"
+)
+
+// newMember returns a process that knows nine instances in three data centres, which are in the given states.
+func newMember(t *testing.T, states map[int]member.State) *Mesh {
+	t.Helper()
+	m := &Mesh{
+		settings: Settings{Slot: "slot-0", Region: "island", DataCentre: "dc-0"}, directory: newDirectory("slot-0"),
+		silent: make(map[string]time.Time),
+	}
+	var rows []store.Row
+	for n := range 9 {
+		state := member.Ready
+		if s, ok := states[n]; ok {
+			state = s
+		}
+		slot := fmt.Sprint("slot-", n)
+		value, err := json.Marshal(member.Record{
+			Incarnation: member.NewIncarnation(slot, 1), Region: "island", DataCentre: fmt.Sprint("dc-", n%3), State: state,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, store.Row{Table: Table, Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)})
+	}
+	m.directory.apply(rows)
+	return m
+}
+
+// TestChooseWitnesses guards against an instance that can never hold a lease, because most of its witnesses are gone for good while
+// their records remain.
+func TestChooseWitnesses(t *testing.T) {
+	before := newMember(t, nil).chooseWitnesses()
+	if len(before) != witnesses || slices.Contains(before, "slot-0") {
+		t.Fatalf("witnesses %v", before)
+	}
+	numbers := make([]int, 0, len(before))
+	for _, slot := range before {
+		numbers = append(numbers, int(slot[len("slot-")]-'0'))
+	}
+	tests := []struct {
+		name   string
+		states map[int]member.State
+		change func(m *Mesh)
+		kept   bool
+	}{
+		{"nothing changed", nil, func(*Mesh) {}, true},
+		{"two leave", map[int]member.State{numbers[0]: member.Draining, numbers[1]: member.Draining}, func(*Mesh) {}, false},
+		{"two are silent", nil, func(m *Mesh) { m.silent[before[0]], m.silent[before[1]] = time.Now(), time.Now() }, false},
+		{"two can't be reached", nil, func(m *Mesh) { m.directory.Unreachable(before[0]); m.directory.Unreachable(before[1]) }, false},
+		{
+			"two were silent long ago", nil,
+			func(m *Mesh) {
+				m.silent[before[0]], m.silent[before[1]] = time.Now().Add(-time.Hour), time.Now().Add(-time.Hour)
+			}, true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newMember(t, test.states)
+			test.change(m)
+			chosen := m.chooseWitnesses()
+			kept := slices.Contains(chosen, before[0]) && slices.Contains(chosen, before[1])
+			if len(chosen) != witnesses || kept != test.kept {
+				t.Errorf("witnesses %v, before %v", chosen, before)
+			}
+		})
+	}
+}
