Test the limits of connections without depending on the speed of the machine

TestConnections/limit_lowered_meanwhile failed once beside a load of 22 on 6 processors: the limits were lowered before the server had reported the connection as idle. The cases now run on the test's clock with a reported state; a second test covers a real server.

--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -19,33 +22,68 @@
 // TestConnections guards against callers that hold connections for ever: idle ones, and ones whose headers never end. A connection
 // must survive a pause of up to four fifths of the limit, also while the limit is lowered.
 func TestConnections(t *testing.T) {
-	const limit = 600 * time.Millisecond
+	const limit = 5 * time.Second
+	limits := routing.Limits{IdleTimeout: limit, HeaderTimeout: limit}
+	low := routing.Limits{IdleTimeout: limit / 8, HeaderTimeout: limit / 8}
 	tests := []struct {
-		name string
-		// first is sent at once, second after the pause.
-		first, second string
-		pause         time.Duration
-		// lowered limits are in force from the start of the pause if they aren't zero.
-		lowered routing.Limits
+		name  string
+		state http.ConnState
+		pause time.Duration
+		// changed limits are in force from the start of the pause.
+		changed routing.Limits
 		open    bool
 	}{
-		{"in time", get, get, limit * 4 / 5, routing.Limits{}, true},
-		{"idle for too long", get, get, 2 * limit, routing.Limits{}, false},
-		{"idle from the start", "", get, 2 * limit, routing.Limits{}, false},
-		{"incomplete headers", "GET / HTTP/1.1\r\nHost:", " a\r\n\r\n", 2 * limit, routing.Limits{}, false},
-		{"slow headers", "GET / HTTP/1.1\r\nHost:", " a\r\n\r\n", limit / 2, routing.Limits{}, true},
-		{
-			"limit lowered meanwhile", get, get, limit * 4 / 5,
-			routing.Limits{IdleTimeout: limit / 8, HeaderTimeout: limit / 8},
-			true,
-		},
+		{"new, in time", http.StateNew, limit * 4 / 5, limits, true},
+		{"new, for too long", http.StateNew, limit * 6 / 5, limits, false},
+		{"idle, in time", http.StateIdle, limit * 4 / 5, limits, true},
+		{"idle for too long", http.StateIdle, limit * 6 / 5, limits, false},
+		{"headers, in time", http.StateActive, limit * 4 / 5, limits, true},
+		{"headers incomplete for too long", http.StateActive, limit * 6 / 5, limits, false},
+		{"limit lowered meanwhile", http.StateIdle, limit * 4 / 5, low, true},
+		{"limit raised meanwhile", http.StateIdle, limit * 6 / 5, routing.Limits{IdleTimeout: 2 * limit}, true},
+		{"no limits", http.StateIdle, 100 * limit, routing.Limits{}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				current := limits
+				connections := ingress.NewConnections(func() routing.Limits { return current })
+				server := &http.Server{Handler: http.NotFoundHandler()}
+				connections.Attach(server)
+				near, far := net.Pipe()
+				defer func() { _, _ = near.Close(), far.Close() }()
+				server.ConnState(near, test.state)
+				current = test.changed
+				ctx, cancel := context.WithTimeout(t.Context(), test.pause)
+				defer cancel()
+				connections.Run(ctx)
+				// A write to a closed pipe fails at once; one to an open pipe waits for a reader.
+				_ = near.SetWriteDeadline(time.Now().Add(time.Millisecond))
+				_, err := near.Write([]byte("x"))
+				if open := errors.Is(err, os.ErrDeadlineExceeded); open != test.open {
+					t.Errorf("open %v, want %v (%v)", open, test.open, err)
+				}
+			})
+		})
+	}
+}
+
+// TestConnectionsOfServer guards against connections that the server doesn't report, and against a request that is cut off while it
+// is being served for longer than the limits.
+func TestConnectionsOfServer(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	tests := []struct {
+		name  string
+		first string
+	}{
+		{"idle from the start", ""},
+		{"incomplete headers", "GET / HTTP/1.1\r\nHost:"},
+		{"idle after a request", get},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			var limits atomic.Pointer[routing.Limits]
-			limits.Store(&routing.Limits{IdleTimeout: limit, HeaderTimeout: limit})
-			address := serveLimited(t, func() routing.Limits { return *limits.Load() })
+			address := serveLimited(t, routing.Limits{IdleTimeout: limit, HeaderTimeout: limit}, 4*limit)
 			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 			if err != nil {
 				t.Fatal(err)
@@ -54,29 +92,35 @@
 			answers := bufio.NewReader(conn)
 			_, _ = io.WriteString(conn, test.first)
 			if test.first == get {
-				readAnswer(t, answers, true)
+				response, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
 			}
-			if test.lowered != (routing.Limits{}) {
-				limits.Store(&test.lowered)
+			// The test's own limit ends it if the server doesn't close the connection.
+			if _, err := answers.ReadByte(); err == nil {
+				t.Error("the connection is open and has more to read")
 			}
-			time.Sleep(test.pause)
-			_, _ = io.WriteString(conn, test.second)
-			readAnswer(t, answers, test.open)
 		})
 	}
 }
 
 const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
-// serveLimited serves requests with limits on the connections until the test ends.
-func serveLimited(t *testing.T, limits func() routing.Limits) string {
+// serveLimited serves requests that take the given time, with limits on the connections, until the test ends.
+func serveLimited(t *testing.T, limits routing.Limits, took time.Duration) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	connections := ingress.NewConnections(limits)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "ok") })}
+	connections := ingress.NewConnections(func() routing.Limits { return limits })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(took)
+		_, _ = fmt.Fprint(w, "ok")
+	})}
 	connections.Attach(server)
 	var group errgroup.Group
 	group.Go(func() error { return server.Serve(listener) })
@@ -90,15 +134,3 @@
 	})
 	return listener.Addr().String()
 }
-
-func readAnswer(t *testing.T, answers *bufio.Reader, want bool) {
-	t.Helper()
-	response, err := http.ReadResponse(answers, nil)
-	if (err == nil) != want {
-		t.Fatalf("answer with error %v, want one: %v", err, want)
-	}
-	if err == nil {
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-	}
-}
