--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -23,12 +23,6 @@
 	leaveMargin = 500 * time.Millisecond
 	// reviewInterval is how often waiting requests are checked for hope.
 	reviewInterval = 20 * time.Millisecond
-	// maxTransfers is the number of bodies that other instances may send here at once. More only divide the link, so that all of
-	// them arrive later.
-	maxTransfers = 3
-	// slowBodyShare is the share of the usual service time above which a body is read before the request has a slot. Faster ones are
-	// read afterwards, since the body of a request that is refused in the end was sent in vain.
-	slowBodyShare = 0.1
 	// keyWait bounds the wait for a key that is being claimed.
 	keyWait = 600 * time.Millisecond
 	// downRetry is the Retry-After while the upstream's address refuses connections.
@@ -268,71 +262,6 @@
 	}
 }
 
-// isBodySlow reports whether a body is still to come and needs much of the time that the upstream will need for the request.
-func (g *Gateway) isBodySlow(r *Request) bool {
-	if r.Body != nil || r.ReadBody == nil {
-		return false
-	}
-	return float64(g.transfers.get(r.Route)) > slowBodyShare*float64(g.estimates.get(r.Route))
-}
-
-// expectBody reads a slow body before the request has a slot, if it is expected to be served.
-func (g *Gateway) expectBody(ctx context.Context, r *Request) *Failure {
-	d := g.describe(r)
-	d.Service += g.transfers.get(r.Route)
-	g.mu.Lock()
-	place, verdict := g.gate.Announce(time.Now(), d)
-	g.mu.Unlock()
-	if !verdict.Admitted {
-		f := &Failure{Code: code.Shed, RetryAfter: verdict.RetryAfter, Reason: "no slot is free in time"}
-		g.observePressure(r, f)
-		return f
-	}
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.gate.Retract(place)
-	}()
-	if !g.awaitTransfer(ctx, d) {
-		return &Failure{Code: code.Shed, RetryAfter: retryIn, Reason: "too many other bodies are on their way"}
-	}
-	defer func() { <-g.transferring }()
-	return g.readBody(r)
-}
-
-// readBody reads the body, if it isn't there yet.
-func (g *Gateway) readBody(r *Request) *Failure {
-	if r.Body != nil || r.ReadBody == nil {
-		return nil
-	}
-	begun := time.Now()
-	body, err := r.ReadBody()
-	if err != nil {
-		return &Failure{Code: code.CallerGone, Reason: "the body ended early: " + err.Error()}
-	}
-	g.transfers.observe(r.Route, time.Since(begun))
-	r.Body = body
-	return nil
-}
-
-// awaitTransfer waits until a body may be sent, and returns false if the request can't be served in time any more.
-func (g *Gateway) awaitTransfer(ctx context.Context, d policy.Demand) bool {
-	end := d.Objective
-	if d.Returning {
-		end = d.Deadline
-	}
-	timer := time.NewTimer(time.Until(end) - d.Service)
-	defer timer.Stop()
-	select {
-	case g.transferring <- struct{}{}:
-		return true
-	case <-timer.C:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // enter waits for a slot.
 func (g *Gateway) enter(ctx context.Context, r *Request) (p *policy.Place, f *Failure) {
 	decided := make(chan policy.Verdict, 1)
