--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -17,7 +17,7 @@
 	Clock    int64   `json:"clock"`
 }
 
-// Probe is the result of one health probe.
+// Probe is the result of one health check.
 type Probe struct {
 	Health Health
 	// Err is nil if the upstream answered in time.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -1,4 +1,4 @@
-// Package upstream is the client of the local upstream: grants, requests, health probes and drain.
+// Package upstream is the client of the local upstream: grants, requests, health checks and drain.
 package upstream
 
 import (
@@ -17,9 +17,9 @@
 )
 
 const (
-	// DefaultProbeInterval is the time between two health probes.
+	// DefaultProbeInterval is the time between two health checks.
 	DefaultProbeInterval = 200 * time.Millisecond
-	// DefaultProbeTimeout bounds one health probe.
+	// DefaultProbeTimeout bounds one health check.
 	DefaultProbeTimeout = 150 * time.Millisecond
 	// FailuresInARow is the number of failed probes after which the upstream counts as down.
 	FailuresInARow = 3
@@ -53,7 +53,7 @@
 // Option changes a Client under construction.
 type Option func(*Client)
 
-// WithProbes sets the interval and the timeout of health probes.
+// WithProbes sets the interval and the timeout of health checks.
 func WithProbes(interval, timeout time.Duration) Option {
 	return func(c *Client) { c.probeInterval, c.probeTimeout = interval, timeout }
 }
