Compute a request's fingerprint once; drop what nothing uses; name the weights of the choice

The hash over method, target and body ran two or three times for each request; it is kept with the request now. Keeper.Stop, its flag and Mesh.started had no callers. The version of a table that isn't known is 0 in one place instead of two.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -29,7 +29,7 @@
 // interruptedBy remembers a request whose connection failed. The lock is held.
 func (g *Gateway) interruptedBy(r *Request, now time.Time) {
 	g.interrupted = slices.DeleteFunc(g.interrupted, func(i interruption) bool { return now.Sub(i.at) > crashWindow })
-	g.interrupted = append(g.interrupted, interruption{fingerprint: fingerprint(r), at: now})
+	g.interrupted = append(g.interrupted, interruption{fingerprint: r.fingerprint, at: now})
 }
 
 // crashed takes the requests that may have ended the upstream. The lock is held.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	Deadline  time.Time
 	// throttled is set while the request counts among the least urgent ones.
 	throttled bool
+	// fingerprint is that of the method, target and body; it is set once the body is there.
+	fingerprint uint64
 }
 
 // Response is the upstream's whole response.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -210,7 +210,8 @@
 	if f := g.readBody(r); f != nil {
 		return nil, g.refuse(r, f)
 	}
-	if g.suspects.Refused(time.Now(), fingerprint(r)) {
+	r.fingerprint = fingerprint(r)
+	if g.suspects.Refused(time.Now(), r.fingerprint) {
 		return nil, g.refuse(r, &Failure{Code: code.Quarantined, RetryAfter: quarantineRetry, Reason: "upstreams crashed while it ran"})
 	}
 	response, err := g.send(ctx, r)
@@ -330,7 +331,7 @@
 		started := time.Now()
 		a, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.start)
 		if err == nil {
-			g.suspects.Served(fingerprint(r))
+			g.suspects.Served(r.fingerprint)
 			g.pool.put(c)
 			return g.accept(r, a, time.Since(started))
 		}
--- a/grant/claim.go
+++ b/grant/claim.go
@@ -53,7 +53,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, ok := k.current.Find(e.First)
-	if k.stopped || !ok || now.Range != e.Range || now.Epoch != e.Epoch || !k.wanting(e) {
+	if !ok || now.Range != e.Range || now.Epoch != e.Epoch || !k.wanting(e) {
 		return false
 	}
 	k.pieces.change(e.Range, func(p *piece) {
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -60,8 +60,6 @@
 	claims  map[keyspace.Range]uint64
 	// orders are the ranges of grants that were sent and not yet answered.
 	orders map[*keyspace.Range]struct{}
-	// stopped is set once the upstream takes no more keys.
-	stopped bool
 	// asked is the time of the oldest order since the newest answer.
 	asked time.Time
 
@@ -94,9 +92,6 @@
 
 // claimAll starts a claim for each entry of this incarnation that isn't served yet. The lock is held.
 func (k *Keeper) claimAll() {
-	if k.stopped {
-		return
-	}
 	for _, e := range k.current.Entries() {
 		if e.Owner() != k.self || k.claims[e.Range] == e.Epoch || !k.wanting(e) {
 			continue
@@ -218,13 +213,6 @@
 	return time.Since(k.asked)
 }
 
-// Stop ends claims for good; keys are given up as others claim them.
-func (k *Keeper) Stop() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.stopped = true
-}
-
 // notify wakes the requests that wait for keys. The lock is held.
 func (k *Keeper) notify() {
 	close(k.changed)
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -17,6 +17,14 @@
 	remoteCost = 0.35
 	// remoteBytes is the size of a body that doubles remoteCost.
 	remoteBytes = 10 << 10
+	// assumedSlots are those of a target that has not reported yet.
+	assumedSlots = 6
+	// waitingWeight is the load of a waiting request in running ones: it stands for work that delays all later requests. ownShare is
+	// the load of the request that is to be placed.
+	waitingWeight = 2
+	ownShare      = 0.5
+	// suspectCost is higher than any load, so that a suspect is the last choice.
+	suspectCost = 100
 	// suspectFor is how long a target that failed is not chosen while there are others.
 	suspectFor = 500 * time.Millisecond
 	// faultMemory is the time over which the share of faults of a target is averaged, faultWeight the weight of one request, and
@@ -109,17 +117,17 @@
 	used := float64(l.own)
 	if !l.at.IsZero() {
 		weight := 1 / (1 + float64(now.Sub(l.at))/float64(reportAge))
-		used = max(used, weight*float64(l.reported.Running+2*l.reported.Waiting+l.sent))
+		used = max(used, weight*float64(l.reported.Running+waitingWeight*l.reported.Waiting+l.sent))
 	} else {
-		slots = 6
+		slots = assumedSlots
 	}
-	cost := (used + 0.5) / slots
+	cost := (used + ownShare) / slots
 	if t.DataCentre != c.dc {
 		cost += remoteCost * (1 + float64(bytes)/remoteBytes)
 	}
 	cost += faultCost * l.faultShare(now)
 	if now.Before(l.suspect) {
-		cost += 100
+		cost += suspectCost
 	}
 	return cost
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -87,7 +87,7 @@
 	s.metrics.served(request.Kind, response, time.Since(arrived))
 	klog.InfoS("request: served", "id", request.ID, "route", request.Route, "key", request.Key, "status", response.Status,
 		"slot", response.Slot, "waited", response.Waited, "took", response.Took, "total", time.Since(arrived),
-		"objectiveLeft", time.Until(request.Objective), "returning", request.Returning, "config", s.version())
+		"objectiveLeft", time.Until(request.Objective), "returning", request.Returning, "config", s.routes().Version())
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -219,7 +219,7 @@
 	s.metrics.failed(request.Kind, f.Code, time.Since(arrived))
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
 		"code", f.Code, "reason", f.Reason, "slot", f.Slot, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
-		"nested", request.Nested, "returning", request.Returning, "left", timeLeft(request), "config", s.version())
+		"nested", request.Nested, "returning", request.Returning, "left", timeLeft(request), "config", s.routes().Version())
 	if r.Context().Err() != nil {
 		// Nobody reads the answer.
 		panic(http.ErrAbortHandler)
@@ -245,14 +245,6 @@
 	return time.Until(r.Deadline)
 }
 
-// version returns the version of the configuration in force.
-func (s *Server) version() uint64 {
-	if table := s.routes(); table != nil {
-		return table.Version()
-	}
-	return 0
-}
-
 // retryAfter writes a time in seconds with three decimals.
 func retryAfter(d time.Duration) string {
 	return strconv.FormatFloat(max(d, 0).Seconds(), 'f', 3, 64)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,7 +102,6 @@
 	stopping  atomic.Bool
 	group     *errgroup.Group
 	registry  *prometheus.Registry
-	started   time.Time
 	// silent is when witnesses were found not to answer, by slot. Only the session loop uses it.
 	silent map[string]time.Time
 	// wake asks the session loop to look at the state again.
@@ -119,7 +118,7 @@
 // New returns a process that Run starts.
 func New(s Settings, p Ports) *Mesh {
 	m := &Mesh{
-		settings: s, ports: p, started: time.Now(), wake: make(chan struct{}, 1), news: make(chan string, 1),
+		settings: s, ports: p, wake: make(chan struct{}, 1), news: make(chan string, 1),
 		reporting: make(chan struct{}, 1), planning: make(chan struct{}, 1), heard: make(map[string]forward.Versions),
 		registry: prometheus.NewRegistry(), silent: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdle)),
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -31,12 +31,7 @@
 	gauge("map_version", "Version of the newest map of the local service.", func() float64 {
 		return float64(m.directory.keys(m.settings.Service).keys.Version())
 	})
-	gauge("config_version", "Version of the configuration in force.", func() float64 {
-		if table := m.routes.Load(); table != nil {
-			return float64(table.Version())
-		}
-		return 0
-	})
+	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(m.routes.Load().Version()) })
 	gauge("store_reachable", "1 if the last call to the store succeeded.", func() float64 { return truth(m.rows.Reachable()) })
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(m.directory.unreachableSlots()))
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -108,8 +108,13 @@
 	return t, nil
 }
 
-// Version returns the version, which grows with each configuration.
-func (t *Table) Version() uint64 { return t.version }
+// Version returns the version, which grows with each configuration; it is 0 for nil, while none is known.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
 
 // Limits returns what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
