Serve keys again within a second when the answers to an owner are lost

Requests that found the owner unreachable tried it again after 200 ms and waited 300 ms for its dead connection, although a successor served already; and the proof of the expiry took up to 906 ms after a cut of the acknowledgements, which left less than 100 ms for the takeover and the callers' next attempt.

Change: requests go on past an unreachable member at once, and it is probed beside them; support for a heartbeat with an old echo is shorter by an interval and not by half of one, so the proof takes at most 806 ms. Cuts of 350 ms still cost no lease (TestAnswersReturn).

Ruled out: the proof itself, which takes 5 ms once the witnesses confirm (logged). A lease of 540 ms with an interval of 180 ms, or 570 and 170, kept the second too but lost leases at cuts of 350 ms.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -33,8 +33,8 @@
 	if !ok || record.State.Gone() {
 		return refused(code.NotOwner, "no record of "+target.String())
 	}
-	if s.unreachable.recent(target) {
-		return refused(code.NotOwner, target.String()+" was unreachable a moment ago")
+	if s.unreachable.avoid(target, func() bool { return s.probe(record.PeerAddress) }) {
+		return refused(code.NotOwner, target.String()+" can't be reached")
 	}
 	return s.forwardTo(ctx, w, q, target, record.PeerAddress)
 }
--- a/witness/message.go
+++ b/witness/message.go
@@ -29,7 +29,7 @@
 	Refused bool
 	// Unsupported means that the acknowledgement doesn't extend the lease. The holder echoes it like any other.
 	Unsupported bool
-	// Reduced means that the support lasts half an interval less, since the echo was old.
+	// Reduced means that the support lasts one interval less, since the echo was old.
 	Reduced bool
 }
 
--- a/witness/oneway_test.go
+++ b/witness/oneway_test.go
@@ -121,7 +121,11 @@
 // test would show nothing.
 func TestAnswersCut(t *testing.T) {
 	t.Parallel()
-	const limit = 5 * time.Second
+	const (
+		limit = 5 * time.Second
+		// The takeover and the callers' next attempt need the rest of the second within which a key is served again.
+		want = 850 * time.Millisecond
+	)
 	var slowest time.Duration
 	for phase := time.Duration(0); phase < onewayInterval; phase += time.Millisecond {
 		for _, off := range []bool{false, true} {
@@ -140,8 +144,8 @@
 				continue
 			}
 			slowest = max(slowest, took)
-			if took > time.Second {
-				t.Errorf("cut at phase %v: the support ended after %v, want at most 1 s", phase, took)
+			if took > want {
+				t.Errorf("cut at phase %v: the support ended after %v, want at most %v", phase, took, want)
 			}
 			for _, w := range o.witnesses {
 				if o.holder.Valid(o.now) || !w.ConfirmExpiry(o.holder.self, o.now).Expired {
--- a/witness/timing.go
+++ b/witness/timing.go
@@ -42,9 +42,11 @@
 	return t.interval
 }
 
-// reduction returns the time by which the support of a heartbeat with an old echo is shorter. Without it, two intervals and
-// a wait could pass from a cut of the acknowledgements to the proof of the expiry: 1.006 s at the default timing.
-func (t Timing) reduction() time.Duration { return t.Interval() / 2 }
+// reduction returns the time by which the support of a heartbeat with an old echo is shorter. With a whole interval, such
+// support ends no later than that of the heartbeat before, so at most one interval and a wait pass from a cut of the
+// acknowledgements to the proof of the expiry: 806 ms at the default timing. It would be 906 ms with half an interval, which
+// left too little of the second within which a key is served again for the takeover and the callers' next attempt.
+func (t Timing) reduction() time.Duration { return t.Interval() }
 
 // Drift returns the bound on the relative difference between the rates of any two clocks: while one clock advances by
 // d, no other advances by more than d + drift*d. Two clocks that each err by half the bound satisfy it.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -15,7 +15,7 @@
 	maxRecords = 4096
 	// maxEchoAge is the number of heartbeats by which the echo of a supported heartbeat may be behind. It is the age at
 	// which a cut of the acknowledgements is noticed: at the default timing, the last support is 400 ms after the last
-	// heartbeat whose acknowledgement arrived, and its expiry is confirmed 506 ms later.
+	// heartbeat whose acknowledgement arrived, and its expiry is confirmed 406 ms later.
 	maxEchoAge = 2
 )
 
