Apply the deployment's longest hold; write rows in one place; wait in one place

bounds.max_hold was read and not applied: with less than 1.8 s, upstreams would have refused the grants. Package grant now takes it as an option (TestMaxHold fails without it).

session.write and commitMap repeated one conditional write, now replaceRow; five copies of a wait that ends with its context are now package wait.

--- a/fake/serve.go
+++ b/fake/serve.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"sapphiretray/wait"
+
 	"sapphiretray/code"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,7 +103,7 @@
 
 func (u *Upstream) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
 	if r.URL.Query().Get("echo") != "" {
-		if sleep(ctx, u.service(r)) {
+		if wait.For(ctx, u.service(r)) {
 			u.effect(r, c)
 			u.echo(w, r)
 		}
@@ -109,7 +111,7 @@
 	}
 	// The server notices that the client closed the connection only after the body has been read.
 	u.readBody(r, c)
-	if !sleep(ctx, u.service(r)) {
+	if !wait.For(ctx, u.service(r)) {
 		reject(w, http.StatusGatewayTimeout)
 		return
 	}
@@ -224,17 +226,3 @@
 	w.Header().Set("Sapphire-Ran", "no")
 	w.WriteHeader(status)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -49,6 +49,7 @@
 	lease    Lease
 	upstream Upstream
 	peers    Peers
+	maxHold  time.Duration
 	// generation grows with each new connection to the upstream.
 	generation atomic.Uint64
 
@@ -67,13 +68,32 @@
 	group sync.WaitGroup
 }
 
+// Option changes a Keeper under construction.
+type Option func(*Keeper)
+
+// WithMaxHold lowers the longest time for which keys are granted, for upstreams that accept less than MaxHold. A time that
+// isn't positive changes nothing.
+func WithMaxHold(d time.Duration) Option {
+	return func(k *Keeper) {
+		if d > 0 {
+			k.maxHold = min(d, MaxHold)
+		}
+	}
+}
+
 // New returns a keeper without keys. Its goroutines run until ctx ends; Wait waits for them.
-func New(ctx context.Context, service string, self member.Incarnation, lease Lease, upstream Upstream, peers Peers) *Keeper {
-	return &Keeper{
-		service: service, self: self, lease: lease, upstream: upstream, peers: peers, ctx: ctx,
+func New(ctx context.Context, service string, self member.Incarnation, lease Lease, upstream Upstream, peers Peers,
+	options ...Option,
+) *Keeper {
+	k := &Keeper{
+		service: service, self: self, lease: lease, upstream: upstream, peers: peers, ctx: ctx, maxHold: MaxHold,
 		pieces: newPieces(), changed: make(chan struct{}), claims: make(map[keyspace.Range]uint64),
 		orders: make(map[*keyspace.Range]struct{}),
 	}
+	for _, option := range options {
+		option(k)
+	}
+	return k
 }
 
 // Wait returns when all goroutines have ended, after the keeper's context has.
@@ -313,7 +333,7 @@
 	if left < minHold {
 		return 0
 	}
-	return min(left, MaxHold)
+	return min(left, k.maxHold)
 }
 
 // Run renews the grants until ctx ends.
--- a/grant/keeper_test.go
+++ b/grant/keeper_test.go
@@ -28,6 +28,8 @@
 	// last is the newest order that was left unanswered, with its token.
 	last      grant.Grant
 	lastFence uint64
+	// longestHold is the longest hold of a grant.
+	longestHold time.Duration
 }
 
 // slowClock returns how long a hold lasts at an upstream whose clock runs 2% slow, the most that the platform states.
@@ -43,6 +45,7 @@
 	if u.gone {
 		return grant.ErrUpstreamGone
 	}
+	u.longestHold = max(u.longestHold, g.Hold)
 	fence := g.Fence(u.fresh)
 	u.fresh = false
 	if u.unanswered {
@@ -93,6 +96,12 @@
 	return time.Now().Before(u.until[k])
 }
 
+func (u *upstreamDouble) longest() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.longestHold
+}
+
 func (u *upstreamDouble) set(change func(*upstreamDouble)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -161,10 +170,10 @@
 	keeper   *grant.Keeper
 }
 
-func newNode(ctx context.Context, c *cluster, slot string) *node {
+func newNode(ctx context.Context, c *cluster, slot string, options ...grant.Option) *node {
 	n := &node{self: member.NewIncarnation(slot, 1), upstream: newUpstream(), lease: &leaseDouble{}}
 	n.lease.extend(time.Hour)
-	n.keeper = grant.New(ctx, "bookings", n.self, n.lease, n.upstream, c)
+	n.keeper = grant.New(ctx, "bookings", n.self, n.lease, n.upstream, c, options...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keepers[n.self] = n.keeper
@@ -304,6 +313,27 @@
 	}
 }
 
+// TestMaxHold guards against a hold that is longer than the upstreams of a deployment accept, which they refuse, and against
+// one that is lengthened by a generous deployment.
+func TestMaxHold(t *testing.T) {
+	tests := []struct{ limit, want time.Duration }{
+		{0, grant.MaxHold}, {10 * time.Second, grant.MaxHold}, {500 * time.Millisecond, 500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			n := newNode(ctx, newCluster(), "a", grant.WithMaxHold(test.limit))
+			n.keeper.Update(assign(t, 1, n.self))
+			time.Sleep(10 * time.Millisecond)
+			if got := n.upstream.longest(); got != test.want {
+				t.Errorf("with a limit of %v, the longest hold is %v, want %v", test.limit, got, test.want)
+			}
+			cancel()
+			n.keeper.Wait()
+		})
+	}
+}
+
 // TestSilentUpstream guards the release of keys by an instance whose upstream doesn't answer: it may say that they are released only
 // after the hold must have ended.
 func TestSilentUpstream(t *testing.T) {
--- a/instance/events.go
+++ b/instance/events.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"sapphiretray/wait"
+
 	"k8s.io/klog/v2"
 )
 
@@ -17,7 +19,7 @@
 func (i *Instance) flushEvents(ctx context.Context) {
 	var done uint64
 	for ctx.Err() == nil {
-		sleep(ctx, flushInterval)
+		wait.For(ctx, flushInterval)
 		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
 		last, err := i.flushOnce(flush, done)
 		cancel()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"sapphiretray/wait"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
@@ -240,7 +242,7 @@
 			delay = retryDelay
 		}
 		klog.Infof("instance: %s ends; joining again in %v", s.self, delay)
-		sleep(stop, delay)
+		wait.For(stop, delay)
 	}
 }
 
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"sapphiretray/wait"
+
 	"k8s.io/klog/v2"
 
 	"sapphiretray/member"
@@ -29,7 +31,7 @@
 		klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 	}
 	for until := time.Now().Add(moveTime); len(s.owned.Serving()) > 0 && time.Now().Before(until) && ctx.Err() == nil; {
-		sleep(ctx, leavePoll)
+		wait.For(ctx, leavePoll)
 	}
 	if err := s.server.Drain(ctx); err != nil {
 		klog.Warningf("instance: requests are still in flight after the stop timeout: %v", err)
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"sapphiretray/wait"
+
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
@@ -36,7 +38,7 @@
 	)
 	for ctx.Err() == nil {
 		if !i.isReader() || !s.lease().Valid() || s.state() != member.Ready {
-			sleep(ctx, candidatePoll)
+			wait.For(ctx, candidatePoll)
 			continue
 		}
 		candidate, cancel := context.WithCancel(ctx)
@@ -44,7 +46,7 @@
 		group.Go(func() error { return p.Run(candidate) })
 		group.Go(func() error {
 			for candidate.Err() == nil && i.isReader() && s.lease().Valid() && s.state() == member.Ready {
-				sleep(candidate, candidatePoll)
+				wait.For(candidate, candidatePoll)
 			}
 			cancel()
 			return nil
--- a/instance/session.go
+++ b/instance/session.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"sapphiretray/wait"
+
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -168,14 +170,14 @@
 			}
 			klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 		}
-		sleep(ctx, retryDelay/4)
+		wait.For(ctx, retryDelay/4)
 	}
 }
 
 // watchLease ends the incarnation if its lease stays expired while the platform answers, since it then can join again.
 func (s *session) watchLease(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, retryDelay)
+		wait.For(ctx, retryDelay)
 		s.mu.Lock()
 		expired := !s.expiredAt.IsZero() && time.Since(s.expiredAt) > rejoinAfter
 		s.mu.Unlock()
@@ -195,7 +197,7 @@
 				klog.V(1).Infof("upstream: renewal of grants failed: %v", err)
 			}
 		}
-		sleep(ctx, s.instance.settings.Interval())
+		wait.For(ctx, s.instance.settings.Interval())
 	}
 }
 
@@ -276,10 +278,3 @@
 	}
 	return a, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -54,6 +54,8 @@
 	UpstreamAddress string
 	// DrainLimit is how long requests may be sent to an upstream that has said that it leaves.
 	DrainLimit time.Duration
+	// MaxHold is the longest time for which the upstream accepts keys; 0 leaves it to package grant.
+	MaxHold time.Duration
 	// StopTimeout is the time within which the process has to end once it was told to.
 	StopTimeout time.Duration
 	// Retries bounds the repeated requests at a service: its ratio and its minimum hold for all instances together.
@@ -323,13 +325,3 @@
 	default:
 	}
 }
-
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"sapphiretray/wait"
+
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
@@ -119,7 +121,7 @@
 			return
 		case slot := <-m.news:
 			wanted := m.newsOf(slot)
-			pause(ctx, feedHeadStart)
+			wait.For(ctx, feedHeadStart)
 			sources := append(m.readers(m.settings.DataCentre), slot)
 			for _, source := range sources {
 				if source != m.settings.Slot && m.behind(wanted) && ctx.Err() == nil {
@@ -175,7 +177,7 @@
 // probeUnreachable checks the instances that did not answer until they do.
 func (m *Mesh) probeUnreachable(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, probeInterval)
+		wait.For(ctx, probeInterval)
 		for _, slot := range m.directory.unreachableSlots() {
 			r, ok := m.directory.record(slot)
 			if !ok {
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
+	"sapphiretray/wait"
+
 	"k8s.io/klog/v2"
 
 	"sapphiretray/keyspace"
@@ -35,7 +36,7 @@
 		case <-ticker.C:
 		case <-m.planning:
 			// Reports of the same event follow each other closely.
-			pause(ctx, gatherTime)
+			wait.For(ctx, gatherTime)
 		}
 		reports := m.planner.fresh(time.Now())
 		if len(reports) == 0 || !m.rows.Reachable() {
@@ -190,22 +191,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	key := keyspace.RowKey(m.settings.Service)
-	version, err := m.ports.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Table: Table, Key: key, Version: current.version}},
-		Writes:     []store.Write{{Table: Table, Key: key, Value: value}},
-	})
-	var conflict *store.ConflictError
-	if errors.As(err, &conflict) {
-		m.rows.Merge(conflict.Rows())
-	}
-	if err != nil {
-		return err
-	}
-	m.rows.Merge([]store.Row{{Table: Table, Key: key, Value: value, Version: version}})
-	return nil
+	_, err = m.replaceRow(ctx, keyspace.RowKey(m.settings.Service), current.version, value)
+	return err
 }
 
 // logCandidates logs what a plan is computed from.
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"sapphiretray/wait"
+
 	"github.com/twitchtv/twirp"
 
 	"sapphiretray/code"
@@ -92,7 +94,7 @@
 	}
 	if s.self().Number() > r.Holder.Number() {
 		// What an earlier incarnation granted has ended by then.
-		pause(ctx, time.Until(s.started.Add(grant.MaxHold+grant.MaxHold/20)))
+		wait.For(ctx, time.Until(s.started.Add(grant.MaxHold+grant.MaxHold/20)))
 		r.Holder = s.self()
 	}
 	return s.keeper.Release(ctx, r)
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
+	"sapphiretray/wait"
+
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -13,7 +14,6 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/member"
-	"sapphiretray/store"
 )
 
 const (
@@ -88,7 +88,7 @@
 		s, err := m.join(ctx)
 		if err != nil {
 			klog.ErrorS(err, "session: join failed")
-			pause(ctx, retryWait)
+			wait.For(ctx, retryWait)
 			continue
 		}
 		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.life, "witnesses", s.record.Witnesses)
@@ -175,38 +175,24 @@
 	return s, s.write(ctx)
 }
 
-// write replaces the own record. A write whose answer was lost is found in the follower's copy.
+// write replaces the own record.
 func (s *session) write(ctx context.Context) error {
 	value, err := json.Marshal(s.record)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	key := member.RowKey(s.self().Slot())
-	version, err := s.mesh.ports.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Table: Table, Key: key, Version: s.version}},
-		Writes:     []store.Write{{Table: Table, Key: key, Value: value}},
-	})
-	var conflict *store.ConflictError
-	switch {
-	case err == nil:
-		s.version = version
-		s.mesh.rows.Merge([]store.Row{{Table: Table, Key: key, Value: value, Version: version}})
-	case errors.As(err, &conflict):
-		s.mesh.rows.Merge(conflict.Rows())
-		if row := s.mesh.rows.Get(key); string(row.Value) == string(value) {
-			s.version = row.Version
-			return nil
-		}
+	version, err := s.mesh.replaceRow(ctx, member.RowKey(s.self().Slot()), s.version, value)
+	if err != nil {
+		return err
 	}
-	return err
+	s.version = version
+	return nil
 }
 
 func (m *Mesh) awaitOthers(ctx context.Context) {
 	deadline := time.Now().Add(memberWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil && len(m.others()) < 2*witnesses {
-		pause(ctx, retryWait)
+		wait.For(ctx, retryWait)
 	}
 }
 
@@ -235,7 +221,8 @@
 			klog.ErrorS(err, "session: witnesses refused", "instance", s.self())
 			return
 		}
-		s.keeper = grant.New(ctx, m.settings.Service, s.self(), m.endpoint.Lease(), m.ports.Grants(m.gateway), m)
+		s.keeper = grant.New(ctx, m.settings.Service, s.self(), m.endpoint.Lease(), m.ports.Grants(m.gateway), m,
+			grant.WithMaxHold(m.settings.MaxHold))
 		group.Go(func() error {
 			s.keeper.Run(ctx)
 			return nil
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"sapphiretray/wait"
+
 	"k8s.io/klog/v2"
 )
 
@@ -29,7 +31,7 @@
 	m.stopping.Store(true)
 	m.wakeUp()
 	begun := time.Now()
-	pause(running, notReadyTime)
+	wait.For(running, notReadyTime)
 	m.gateway.Close()
 	drain, cancel := context.WithDeadline(running, begun.Add(m.settings.StopTimeout-stopMargin))
 	defer cancel()
@@ -50,7 +52,7 @@
 				quiet = 0
 			}
 		}
-		pause(drain, quietInterval)
+		wait.For(drain, quietInterval)
 	}
 	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"sapphiretray/wait"
+
 	"k8s.io/klog/v2"
 )
 
@@ -76,7 +78,7 @@
 			f.relist()
 		default:
 			f.report(err)
-			pause(ctx, retry/2+rand.N(retry/2))
+			wait.For(ctx, retry/2+rand.N(retry/2))
 			retry = min(2*retry, maxRetry)
 		}
 	}
@@ -114,7 +116,7 @@
 // rest waits for a time, or until the follower is to await changes.
 func (f *Follower) rest(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
-		pause(ctx, min(settleTime, time.Until(end)))
+		wait.For(ctx, min(settleTime, time.Until(end)))
 		if d > settleTime && f.eager() {
 			return
 		}
@@ -262,12 +264,3 @@
 		return ctx.Err()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/table/update.go
+++ b/table/update.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"sapphiretray/wait"
+
 	"sapphiretray/code"
 
 	"github.com/oklog/ulid/v2"
@@ -201,7 +203,7 @@
 	}
 	lost := false
 	for attempt := range settleAttempts {
-		if attempt > 0 && !sleep(ctx, settleDelay<<attempt) {
+		if attempt > 0 && !wait.For(ctx, settleDelay<<attempt) {
 			break
 		}
 		_, err := c.Commit(ctx, transaction)
@@ -250,14 +252,3 @@
 	}
 	return code.Wrap(code.Conflict, e, "not accepted")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/wait/wait_test.go
@@ -0,0 +1,35 @@
+package wait_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/wait"
+)
+
+// TestFor guards against a wait that outlasts its context, and one that reports a time that hasn't passed.
+func TestFor(t *testing.T) {
+	tests := []struct {
+		wait, life, took time.Duration
+		want             bool
+	}{
+		{time.Second, time.Minute, time.Second, true},
+		{time.Minute, time.Second, time.Second, false},
+		{0, time.Second, 0, true},
+		{-time.Second, time.Second, 0, true},
+		{-time.Second, 0, 0, false},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), test.life)
+			defer cancel()
+			start := time.Now()
+			if got := wait.For(ctx, test.wait); got != test.want || time.Since(start) != test.took {
+				t.Errorf("%v with a life of %v: %v after %v, want %v after %v", test.wait, test.life, got, time.Since(start),
+					test.want, test.took)
+			}
+		})
+	}
+}
