Count an upstream whose start is learnt later as the one that was joined with

Cause: after a loss of power an instance asks its upstream for its id and joins before the first heartbeat. The id doesn't tell the start; once the heartbeat did, the instance reported itself as leaving, because it compared the two names as a whole, and it got no keys as long as its upstream lived.

Ruled out: noise of the processor time (the logs of a bad run name the reason), the lease (valid after 2 s at the latest).

A service without load gives a newcomer half of the largest range and not the only range of another but for one key.

--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -184,14 +184,17 @@
 		}
 		// A slow candidate without load may have the highest cost, so the newcomer itself is left out.
 		others := slices.DeleteFunc(slices.Clone(b.problem.Candidates), func(o Candidate) bool { return o.Instance == c.Instance })
-		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
 		share := total / float64(len(b.problem.Candidates))
-		// The one that carries most may have a single key, or keys that are on their way.
-		given := slices.ContainsFunc(others, func(from Candidate) bool {
-			return b.moveLoad(from, c, newcomerShare*share, false)
-		})
-		if !given && share < leastLoad {
+		if share < leastLoad {
 			b.giveHalf(c)
+			continue
+		}
+		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
+		for _, from := range others {
+			// The one that carries most may have a single key, or keys that are on their way.
+			if b.moveLoad(from, c, newcomerShare*share, false) {
+				break
+			}
 		}
 	}
 }
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -73,7 +73,7 @@
 		Service: m.settings.Service, Instance: peer.FromIncarnation(s.self()),
 		Settled: s.keeper.Settled(), Slots: uint32(state.Slots),
 	}
-	leaving := !state.Usable() || state.Life != s.life || silent || m.stopping.Load()
+	leaving := !state.Usable() || !s.life.continues(state.Life) || silent || m.stopping.Load()
 	r.Leaving = leaving
 	r.Usable = !leaving && m.endpoint.Lease().Valid()
 	switch {
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -36,7 +36,7 @@
 	mesh    *Mesh
 	record  member.Record
 	version uint64
-	life    gateway.Life
+	life    upstreamLife
 	// keeper is nil if the service isn't divided by key.
 	keeper  *grant.Keeper
 	started time.Time
@@ -91,10 +91,10 @@
 			wait.For(ctx, retryWait)
 			continue
 		}
-		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.life, "witnesses", s.record.Witnesses)
+		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.life.get(), "witnesses", s.record.Witnesses)
 		s.run(ctx)
 		m.noteSilentWitnesses(s)
-		klog.InfoS("session: ended", "instance", s.self(), "upstream", s.life)
+		klog.InfoS("session: ended", "instance", s.self(), "upstream", s.life.get())
 	}
 }
 
@@ -143,7 +143,8 @@
 
 // join writes the record of a new incarnation.
 func (m *Mesh) join(ctx context.Context) (*session, error) {
-	s := &session{mesh: m, started: time.Now(), life: m.gateway.State().Life, ctx: ctx}
+	life := m.gateway.State().Life
+	s := &session{mesh: m, started: time.Now(), life: upstreamLife{life: life}, ctx: ctx}
 	row := m.rows.Get(member.RowKey(m.settings.Slot))
 	var old member.Record
 	if row.Version > 0 && !row.Deleted {
@@ -159,7 +160,7 @@
 		Incarnation: member.NewIncarnation(m.settings.Slot, old.Incarnation.Number()+1), Name: m.settings.Name,
 		Service: m.settings.Service, DataCentre: m.settings.DataCentre, Region: m.settings.Region,
 		PeerAddress: m.settings.PeerAddress, HeartbeatAddress: m.settings.HeartbeatAddress, CallerAddress: m.settings.CallerAddress,
-		Capacity: float64(m.gateway.State().Slots), Upstream: s.life.ID, UpstreamStarted: s.life.Started,
+		Capacity: float64(m.gateway.State().Slots), Upstream: life.ID, UpstreamStarted: life.Started,
 		State: member.Ready,
 	}
 	if m.keyed() {
@@ -258,7 +259,7 @@
 	defer ticker.Stop()
 	for {
 		state := s.mesh.gateway.State()
-		if !state.Same(s.life) || s.leaseLost() {
+		if !s.life.continues(state.Life) || s.leaseLost() {
 			return
 		}
 		wanted := member.Ready
