--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -87,15 +87,7 @@
 		if e.Owner() != from.Instance || len(e.Previous) > 0 {
 			continue
 		}
-		for _, p := range b.parts(n, wanted) {
-			switch {
-			case !only || b.size(p) < e.Size():
-			case e.Size() > 1:
-				p.last--
-				p.load = b.density.load(Range{First: e.First, Last: p.last})
-			case !lastKey:
-				continue
-			}
+		for _, p := range b.movable(n, wanted, only, lastKey) {
 			if p.load >= min(leastLoad, wanted)/2 && p.load <= excess*wanted && (!found || b.better(p, best, wanted)) {
 				best, found = p, true
 			}
@@ -117,6 +109,22 @@
 	return true
 }
 
+// movable returns the parts of an entry that may move; only tells that its owner has no other entry.
+func (b *builder) movable(n int, wanted float64, only, lastKey bool) []part {
+	parts, e := b.parts(n, wanted), b.entries[n]
+	if !only || len(parts) != 1 || b.size(parts[0]) < e.Size() {
+		return parts
+	}
+	if e.Size() == 1 {
+		if lastKey {
+			return parts
+		}
+		return nil
+	}
+	last := e.Last - 1
+	return []part{{entry: n, last: last, load: b.density.load(Range{First: e.First, Last: last})}}
+}
+
 // ranges returns the number of entries of an instance.
 func (b *builder) ranges(i member.Incarnation) int {
 	n := 0
