Measure a called service's pressure by the requests of its own callers

Cause: the throttle of requests that call another service compares the share of them that is refused with the share refused there. That share counted the calls too, which go first and are most of the requests, so it stayed at a third while 95 of 100 requests of the service's own callers were refused, and the throttle opened.

TestPressureOfCallers fails without it (pressure 0.13).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -510,6 +512,55 @@
 	group.Wait()
 }
 
+// TestPressureOfCallers guards against calls of upstreams that hide how many other requests they displace: they go first and are
+// most of the requests, so the share of all that is refused stays low while nearly all others are refused.
+func TestPressureOfCallers(t *testing.T) {
+	var release atomic.Pointer[chan struct{}]
+	u := newRawUpstream(t, func(conn net.Conn, r *http.Request, id string, _ int64) {
+		if r.URL.Path == "/slow" {
+			<-*release.Load()
+		}
+		_, _ = io.WriteString(conn, ok(id, ""))
+	})
+	g := start(t, u)
+	call := func(target string) {
+		r := request("call"+strconv.FormatInt(rand.Int64(), 36), routing.Idempotent)
+		r.Nested, r.Target = true, target
+		if _, err := g.Do(t.Context(), r); err != nil {
+			t.Error(err)
+		}
+	}
+	for round := range 6 {
+		var running, refused sync.WaitGroup
+		held := make(chan struct{})
+		release.Store(&held)
+		for range g.Load().Slots {
+			running.Go(func() { call("/slow") })
+		}
+		for g.Load().Running < g.Load().Slots {
+			time.Sleep(time.Millisecond)
+		}
+		for n := range 6 {
+			refused.Go(func() {
+				r := request(fmt.Sprint("caller", round, "-", n), routing.Idempotent)
+				r.Deadline = time.Now().Add(100 * time.Millisecond)
+				if _, err := g.Do(t.Context(), r); failureOf(t, err) != code.Shed {
+					t.Errorf("a request without a slot ended with %v", err)
+				}
+			})
+		}
+		refused.Wait()
+		close(held)
+		running.Wait()
+		for range 40 {
+			call("/fast")
+		}
+	}
+	if pressure := g.Load().Pressure; pressure < 0.5 {
+		t.Errorf("pressure %.2f while all requests of callers are refused", pressure)
+	}
+}
+
 // TestCrashingRequest guards against a request that crashes one upstream after the other.
 func TestCrashingRequest(t *testing.T) {
 	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, _ int64) { _ = conn.Close() })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,8 @@
 	registry registry
 	gate     *policy.Gate
 	pressure policy.Pressure
+	// callerPressure is the pressure of the requests that no upstream has called for.
+	callerPressure policy.Pressure
 	// lowPressure is the pressure of the least urgent requests.
 	lowPressure policy.Pressure
 	// throttle limits the least urgent requests by the pressure at the services that the upstream calls.
@@ -144,7 +146,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Load{
-		Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots(), Pressure: g.pressure.Share(time.Now()),
+		Running: g.gate.Running(), Waiting: g.gate.Waiting(), Slots: g.gate.Slots(), Pressure: max(g.pressure.Share(time.Now()), g.callerPressure.Share(time.Now())),
 	}
 }
 
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -57,6 +57,10 @@
 	defer g.mu.Unlock()
 	if f == nil || f.Code == code.Shed {
 		g.pressure.Observe(time.Now(), f != nil)
+		if !r.Nested {
+			// Calls of upstreams go first, so the share of all requests hides how many others they displace.
+			g.callerPressure.Observe(time.Now(), f != nil)
+		}
 		if r.Priority >= g.leastUrgent {
 			g.lowPressure.Observe(time.Now(), f != nil)
 		}
