Shorten the time that a forwarded request has left by what it was held up on its way

Cause: the time left travels as a duration. Request and cancellation had waited together before an instance that took the request for a fresh one.

Change: requests carry the time of sending by a clock of the sending process that never steps. The receiver compares it with the fastest request of that process, allows 3% for clocks that run slow, and takes the rest off.

TestHeldUpRequest fails without it by construction: it is the first test of the arrival time.

--- a/forward/client.go
+++ b/forward/client.go
@@ -28,11 +28,12 @@
 type Client struct {
 	transport http.RoundTripper
 	news      News
+	started   time.Time
 }
 
 // NewClient returns a client that reaches other instances through a transport.
 func NewClient(transport http.RoundTripper, news News) *Client {
-	return &Client{transport: transport, news: news}
+	return &Client{transport: transport, news: news, started: time.Now()}
 }
 
 // Do forwards a request to the instance at an address. The error is a *gateway.Failure; it has code.PeerFailed if the
@@ -47,7 +48,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(headerCall, encodeCall(r, now, c.news.Versions()))
+	header.Set(headerCall, encodeCall(r, now, c.news.Versions(), stampOf(c.started, now)))
 	request := (&http.Request{
 		Method: r.Method, URL: target, Host: address, Header: header,
 		ContentLength: int64(len(r.Body)), Body: http.NoBody,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,7 +28,7 @@
 	headerResult = "S-Res"
 )
 
-const callFields = 12
+const callFields = 13
 
 // Flags of a call.
 const (
@@ -77,7 +77,7 @@
 }
 
 // encodeCall returns the header of a request. Times are sent as what is left of them, in milliseconds.
-func encodeCall(r *gateway.Request, now time.Time, v Versions) string {
+func encodeCall(r *gateway.Request, now time.Time, v Versions, s stamp) string {
 	flags := ""
 	if r.Nested {
 		flags += flagNested
@@ -88,12 +88,12 @@
 	left := func(t time.Time) string { return strconv.FormatInt(t.Sub(now).Milliseconds(), 10) }
 	return strings.Join([]string{
 		r.ID, r.Service, r.Origin, r.Route, strconv.Itoa(r.Key), strconv.Itoa(int(r.Kind)), strconv.Itoa(r.Priority), flags,
-		left(r.Objective), left(r.Deadline), r.Host, v.String(),
+		left(r.Objective), left(r.Deadline), r.Host, v.String(), s.String(),
 	}, ",")
 }
 
-// decodeCall is the inverse of encodeCall.
-func decodeCall(text string, now time.Time) (*gateway.Request, Versions, error) {
+// decodeCall is the inverse of encodeCall. The times that are left are shortened by what the request was held up on its way.
+func decodeCall(text string, now time.Time, t *transit) (*gateway.Request, Versions, error) {
 	fields := strings.Split(text, ",")
 	if len(fields) != callFields {
 		return nil, Versions{}, fmt.Errorf("%s: %w", headerCall, errMalformed)
@@ -106,13 +106,19 @@
 		}
 		numbers[n] = value
 	}
-	after := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	s, err := parseStamp(fields[12])
+	if err != nil {
+		return nil, Versions{}, fmt.Errorf("%s: %w", headerCall, err)
+	}
+	versions := parseVersions(fields[11])
+	sent := now.Add(-t.late(versions.Slot, s, now))
+	after := func(ms int) time.Time { return sent.Add(time.Duration(ms) * time.Millisecond) }
 	return &gateway.Request{
 		ID: fields[0], Service: fields[1], Origin: fields[2], Route: fields[3],
 		Key: numbers[0], Kind: routing.Kind(numbers[1]), Priority: numbers[2],
 		Nested: strings.Contains(fields[7], flagNested), Returning: strings.Contains(fields[7], flagReturning),
 		Objective: after(numbers[3]), Deadline: after(numbers[4]), Host: fields[10],
-	}, parseVersions(fields[11]), nil
+	}, versions, nil
 }
 
 // Result is what became of a forwarded request.
--- a/forward/server.go
+++ b/forward/server.go
@@ -20,8 +20,9 @@
 // Handler runs forwarded requests at the local upstream. Once stopping returns true, requests without a key are refused: another
 // instance can serve them, and this one is about to end.
 func Handler(g *gateway.Gateway, news News, stopping func() bool) http.Handler {
+	var arrivals transit
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, versions, err := decodeCall(r.Header.Get(headerCall), time.Now())
+		request, versions, err := decodeCall(r.Header.Get(headerCall), time.Now(), &arrivals)
 		if err != nil {
 			writeFailure(w, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}, g.Load(), news.Versions())
 			return
--- /dev/null
+++ b/forward/transit_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/gateway"
+)
+
+// TestHeldUpRequest guards against work for callers that have left: a request that was held up for seconds on its way, or by its
+// receiver, has that much less time left. Neither a slow clock nor a new process of the sender may shorten punctual requests.
+func TestHeldUpRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var arrivals transit
+		started := time.Now().Add(-time.Hour)
+		left := func(heldUp time.Duration, rate float64) time.Duration {
+			now := time.Now()
+			s := stampOf(started, started.Add(time.Duration(rate*float64(now.Sub(started)))))
+			call := encodeCall(&gateway.Request{Deadline: now.Add(time.Second)}, now, Versions{Slot: "a"}, s)
+			time.Sleep(heldUp)
+			r, _, err := decodeCall(call, time.Now(), &arrivals)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return time.Until(r.Deadline)
+		}
+		check := func(what string, got, least, most time.Duration) {
+			t.Helper()
+			if got < least || got > most {
+				t.Errorf("%s: %v left, want %v to %v", what, got, least, most)
+			}
+		}
+		check("first", left(2*time.Millisecond, 1), time.Second, time.Second)
+		time.Sleep(time.Second)
+		check("punctual", left(5*time.Millisecond, 1), 990*time.Millisecond, time.Second)
+		check("held up", left(3*time.Second, 1), -2100*time.Millisecond, -1900*time.Millisecond)
+		check("punctual after it", left(2*time.Millisecond, 1), 990*time.Millisecond, time.Second)
+		started = time.Now()
+		check("new process", left(2*time.Millisecond, 1), time.Second, time.Second)
+		for range 100 {
+			time.Sleep(500 * time.Millisecond)
+			check("slow clock", left(2*time.Millisecond, 0.98), 990*time.Millisecond, time.Second)
+		}
+	})
+}
