Wait for the last callers before a stopping process closes its connections

Cause: the process closed its connections to callers 2.2 s after SIGTERM, when the platform has taken it out of use on an idle machine.

Change: connections stay open until no caller has come for 250 ms, at most 1.3 s longer.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -218,12 +218,15 @@
 	http     *http.Server
 	// inFlight is the number of requests that are being served.
 	inFlight atomic.Int64
+	// taken is the number of requests that have begun.
+	taken atomic.Int64
 }
 
 // counted makes a handler count the requests in flight.
 func (s *server) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
+		s.taken.Add(1)
 		defer s.inFlight.Add(-1)
 		h.ServeHTTP(w, r)
 	})
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -13,6 +13,11 @@
 	// notReadyTime is how long callers may still come after the process has said that it isn't ready: the platform asks once a
 	// second and takes it out after two answers.
 	notReadyTime = 2200 * time.Millisecond
+	// callersGone is how long no caller may come before the process closes its connections to them, and stragglersTime the longest
+	// wait for that: on machines that are short of processor time, the platform's questions and the callers' requests are
+	// answered late, so callers come for longer, and a request that hasn't been read when its connection is closed is lost.
+	callersGone    = 250 * time.Millisecond
+	stragglersTime = 1300 * time.Millisecond
 	// quietInterval and quietChecks are how long no request may be in flight before the process ends.
 	quietInterval = 20 * time.Millisecond
 	quietChecks   = 5
@@ -33,6 +38,11 @@
 	begun := time.Now()
 	wait.For(running, notReadyTime)
 	m.gateway.Close()
+	for _, s := range servers {
+		if s.name == callersServer {
+			s.awaitQuiet(running, begun.Add(notReadyTime+stragglersTime))
+		}
+	}
 	drain, cancel := context.WithDeadline(running, begun.Add(m.settings.StopTimeout-stopMargin))
 	defer cancel()
 	for _, s := range servers {
@@ -56,3 +66,14 @@
 	}
 	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
+
+// awaitQuiet returns once no request has begun for callersGone, at the given time, or when ctx ends.
+func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
+	last, since := s.taken.Load(), time.Now()
+	for ctx.Err() == nil && time.Since(since) < callersGone && time.Now().Before(until) {
+		wait.For(ctx, quietInterval)
+		if taken := s.taken.Load(); taken != last {
+			last, since = taken, time.Now()
+		}
+	}
+}
