--- a/fake/serve.go
+++ b/fake/serve.go
@@ -12,9 +12,8 @@
 	"strings"
 	"time"
 
-	"sapphiretray/wait"
-
 	"sapphiretray/code"
+	"sapphiretray/wait"
 
 	"github.com/cespare/xxhash/v2"
 )
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"sapphiretray/wait"
-
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
@@ -29,6 +27,7 @@
 	"sapphiretray/table"
 	"sapphiretray/timeline"
 	"sapphiretray/upstream"
+	"sapphiretray/wait"
 )
 
 const (
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"sapphiretray/wait"
-
 	"k8s.io/klog/v2"
 
 	"sapphiretray/member"
+	"sapphiretray/wait"
 )
 
 const (
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -6,13 +6,12 @@
 	"sync"
 	"time"
 
-	"sapphiretray/wait"
-
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
 	"sapphiretray/planner"
 	"sapphiretray/timeline"
+	"sapphiretray/wait"
 
 	"golang.org/x/sync/errgroup"
 )
--- a/instance/session.go
+++ b/instance/session.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"sapphiretray/wait"
-
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -18,6 +16,7 @@
 	"sapphiretray/ownership"
 	"sapphiretray/peer"
 	"sapphiretray/upstream"
+	"sapphiretray/wait"
 	"sapphiretray/witness"
 )
 
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -8,14 +8,13 @@
 	"slices"
 	"time"
 
-	"sapphiretray/wait"
-
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/forward"
 	"sapphiretray/peer"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 const (
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -5,14 +5,13 @@
 	"encoding/json"
 	"time"
 
-	"sapphiretray/wait"
-
 	"k8s.io/klog/v2"
 
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 const (
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 // instances, the first ones report about 0.3 s before the last; without the wait, they would get all keys.
 const restartWait = 600 * time.Millisecond
 
+// reportMemory is how long an incarnation is remembered that has not reported in time; until then it isn't awaited again.
+const reportMemory = time.Minute
+
 // awaits reports whether the first report of an incarnation may still be on its way.
 func (p *planner) awaits(i member.Incarnation, now time.Time) bool {
 	p.mu.Lock()
@@ -49,6 +53,7 @@
 	}
 	since, ok := p.awaited[i]
 	if !ok {
+		maps.DeleteFunc(p.awaited, func(_ member.Incarnation, since time.Time) bool { return now.Sub(since) > reportMemory })
 		since = now
 		p.awaited[i] = now
 	}
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"sapphiretray/wait"
-
 	"github.com/twitchtv/twirp"
 
 	"sapphiretray/code"
@@ -16,6 +14,7 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // service answers the calls of other instances.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"sapphiretray/wait"
-
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -14,6 +12,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/member"
+	"sapphiretray/wait"
 )
 
 const (
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -21,6 +21,8 @@
 	// quietInterval and quietChecks are how long no request may be in flight before the process ends.
 	quietInterval = 20 * time.Millisecond
 	quietChecks   = 5
+	// inFlightTime is left for the requests in flight, where the time to stop is short.
+	inFlightTime = 500 * time.Millisecond
 	// stopMargin is kept between the end of the process and the time at which it is killed.
 	stopMargin = 700 * time.Millisecond
 )
@@ -36,14 +38,19 @@
 	m.stopping.Store(true)
 	m.wakeUp()
 	begun := time.Now()
+	end := begun.Add(m.settings.StopTimeout - stopMargin)
+	stragglersUntil := begun.Add(notReadyTime + stragglersTime)
+	if latest := end.Add(-inFlightTime); latest.Before(stragglersUntil) {
+		stragglersUntil = latest
+	}
 	wait.For(running, notReadyTime)
 	m.gateway.Close()
 	for _, s := range servers {
 		if s.name == callersServer {
-			s.awaitQuiet(running, begun.Add(notReadyTime+stragglersTime))
+			s.awaitQuiet(running, stragglersUntil)
 		}
 	}
-	drain, cancel := context.WithDeadline(running, begun.Add(m.settings.StopTimeout-stopMargin))
+	drain, cancel := context.WithDeadline(running, end)
 	defer cancel()
 	for _, s := range servers {
 		if s.name == callersServer {
--- a/table/update.go
+++ b/table/update.go
@@ -11,9 +11,8 @@
 	"strings"
 	"time"
 
-	"sapphiretray/wait"
-
 	"sapphiretray/code"
+	"sapphiretray/wait"
 
 	"github.com/oklog/ulid/v2"
 )
