Use one wait, one ticker loop, and compute each thing once

A request's headers are measured once; the callers' server is looked up once when the process stops; an arrival is noted in one place; no variable hides package wait.

--- a/caller/hold.go
+++ b/caller/hold.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sapphiretray/wait"
 )
 
 const (
@@ -43,14 +45,7 @@
 	if delay <= 0 {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, delay)
 }
 
 func (h *hold) end() {
--- a/fake/faults.go
+++ b/fake/faults.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"sapphiretray/wait"
 )
 
 // Mode is the kind of fault that a stand-in shows.
@@ -78,10 +80,8 @@
 		case Down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case Slow:
-			select {
-			case <-time.After(time.Duration(fault.DelayMS) * time.Millisecond):
+			if wait.For(r.Context(), time.Duration(fault.DelayMS)*time.Millisecond) {
 				next.ServeHTTP(w, r)
-			case <-r.Context().Done():
 			}
 		case LostAnswer:
 			next.ServeHTTP(httptest.NewRecorder(), r)
--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"sapphiretray/wait"
 )
 
 // heartbeatEvery is the time between two heartbeats of a KeyedUpstream.
@@ -109,10 +111,7 @@
 func (u *KeyedUpstream) Beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		u.beat(ctx)
-		select {
-		case <-time.After(heartbeatEvery):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, heartbeatEvery)
 	}
 }
 
@@ -234,10 +233,7 @@
 	work := u.work
 	u.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
-	select {
-	case <-time.After(work):
-	case <-r.Context().Done():
-	}
+	wait.For(r.Context(), work)
 	u.mu.Lock()
 	u.running--
 	u.mu.Unlock()
--- a/forward/transit.go
+++ b/forward/transit.go
@@ -62,16 +62,12 @@
 	if t.senders == nil {
 		t.senders = make(map[string]sender)
 	}
-	known, ok := t.senders[slot]
-	if !ok || known.process != s.process {
-		t.senders[slot] = sender{process: s.process, sent: s.sent, at: now}
-		return 0
+	if known, ok := t.senders[slot]; ok && known.process == s.process {
+		passed := now.Sub(known.at)
+		if delay := passed - (s.sent - known.sent); delay > time.Duration(transitDrift*float64(passed)) {
+			return delay
+		}
 	}
-	passed := now.Sub(known.at)
-	delay := passed - (s.sent - known.sent)
-	if delay <= time.Duration(transitDrift*float64(passed)) {
-		t.senders[slot] = sender{process: s.process, sent: s.sent, at: now}
-		return 0
-	}
-	return delay
+	t.senders[slot] = sender{process: s.process, sent: s.sent, at: now}
+	return 0
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/policy"
+	"sapphiretray/wait"
 )
 
 const (
@@ -155,20 +156,13 @@
 // Run refuses waiting requests that have become hopeless. When ctx ends, it closes the connections to the upstream.
 func (g *Gateway) Run(ctx context.Context) {
 	defer g.pool.close()
-	ticker := time.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.mu.Lock()
-			if g.gate.Waiting() > 0 {
-				g.gate.Review(now)
-			}
-			g.mu.Unlock()
+	wait.Every(ctx, reviewInterval, func(now time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.gate.Waiting() > 0 {
+			g.gate.Review(now)
 		}
-	}
+	})
 }
 
 // Close refuses all further requests. Those that run are not affected.
--- a/grant/claim.go
+++ b/grant/claim.go
@@ -11,6 +11,7 @@
 
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
+	"sapphiretray/wait"
 )
 
 var (
@@ -41,10 +42,7 @@
 			return
 		}
 		klog.V(1).InfoS("grant: claim failed", "keys", e.Range, "epoch", e.Epoch, "err", err)
-		select {
-		case <-k.ctx.Done():
-		case <-time.After(retryDelay):
-		}
+		wait.For(k.ctx, retryDelay)
 	}
 }
 
@@ -121,9 +119,7 @@
 	defer proof.Wait()
 	defer cancel()
 	proof.Go(func() {
-		select {
-		case <-time.After(proofDelay):
-		case <-ctx.Done():
+		if !wait.For(ctx, proofDelay) {
 			return
 		}
 		if proved, err := k.peers.Expired(ctx, holder); err == nil && proved {
--- a/grant/keeper.go
+++ b/grant/keeper.go
@@ -13,6 +13,7 @@
 	"sapphiretray/code"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
+	"sapphiretray/wait"
 )
 
 const (
@@ -338,16 +339,7 @@
 
 // Run renews the grants until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.renew(ctx)
-		}
-	}
+	wait.Every(ctx, renewInterval, func(time.Time) { k.renew(ctx) })
 }
 
 func (k *Keeper) renew(ctx context.Context) {
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/routing"
+	"sapphiretray/wait"
 )
 
 // sweepInterval is the time between two looks at the callers' connections, and so the most by which one outlasts its limit.
@@ -90,16 +91,7 @@
 
 // Run closes connections that are over a limit until ctx ends.
 func (c *Connections) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.sweep(time.Now())
-		}
-	}
+	wait.Every(ctx, sweepInterval, c.sweep)
 }
 
 func (c *Connections) sweep(now time.Time) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -121,9 +121,11 @@
 		reason := "no route of configuration " + strconv.FormatUint(table.Version(), 10)
 		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
 	}
-	if limit := table.Limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
-		reason := fmt.Sprintf("the headers have %d bytes, at most %d are allowed", headerBytes(r), limit)
-		return request, route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
+	if limit := table.Limits().MaxHeaderBytes; limit > 0 {
+		if size := headerBytes(r); size > limit {
+			reason := fmt.Sprintf("the headers have %d bytes, at most %d are allowed", size, limit)
+			return request, route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
+		}
 	}
 	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, arrived.Add(bodyTime(route, call))); f != nil {
 		return request, route, f
--- a/instance/health.go
+++ b/instance/health.go
@@ -8,6 +8,7 @@
 	"sapphiretray/chart"
 	"sapphiretray/code"
 	"sapphiretray/upstream"
+	"sapphiretray/wait"
 )
 
 const warmPoll = 20 * time.Millisecond
@@ -50,9 +51,7 @@
 		if probe, known := i.health.get(); known && probe.Err == nil && probe.Health.Ready {
 			return nil
 		}
-		select {
-		case <-time.After(warmPoll):
-		case <-ctx.Done():
+		if !wait.For(ctx, warmPoll) {
 			return code.Wrap(code.UpstreamNotWarmed, ctx.Err(), "wait for the upstream")
 		}
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -248,13 +248,11 @@
 // silence waits until every acknowledgement to an earlier process on the same addresses has gone out of date, so that the
 // record of the new incarnation proves the expiry of the older ones.
 func (i *Instance) silence(ctx context.Context) error {
-	wait := time.Duration(float64(i.settings.Lease()) * (1 + i.settings.Drift()))
-	select {
-	case <-time.After(wait - time.Since(i.started)):
-		return nil
-	case <-ctx.Done():
+	silent := time.Duration(float64(i.settings.Lease()) * (1 + i.settings.Drift()))
+	if !wait.For(ctx, silent-time.Since(i.started)) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // targets returns the addresses of witnesses. A slot that isn't known yet has none until its record arrives.
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -94,7 +94,7 @@
 	if m.planner.active(time.Now()) {
 		return true
 	}
-	return slices.Index(m.readers(m.settings.DataCentre), m.settings.Slot) >= 0
+	return slices.Contains(m.readers(m.settings.DataCentre), m.settings.Slot)
 }
 
 // readers returns the slots that await changes of the rows in a data centre. Instances that don't answer are left out.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sapphiretray/wait"
@@ -45,35 +46,31 @@
 	}
 	wait.For(running, notReadyTime)
 	m.gateway.Close()
-	for _, s := range servers {
-		if s.name == callersServer {
-			s.awaitQuiet(running, stragglersUntil)
-		}
-	}
+	callers, peers := named(servers, callersServer), named(servers, peersServer)
+	callers.awaitQuiet(running, stragglersUntil)
 	drain, cancel := context.WithDeadline(running, end)
 	defer cancel()
-	for _, s := range servers {
-		if s.name == callersServer {
-			// New callers are turned away; the connections in use are closed after their responses.
-			m.group.Go(func() error {
-				if err := s.http.Shutdown(drain); err != nil {
-					klog.InfoS("process: connections cut off", "server", s.name, "err", err)
-				}
-				return nil
-			})
+	// New callers are turned away; the connections in use are closed after their responses.
+	m.group.Go(func() error {
+		if err := callers.http.Shutdown(drain); err != nil {
+			klog.InfoS("process: connections cut off", "server", callers.name, "err", err)
 		}
-	}
+		return nil
+	})
 	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
-		for _, s := range servers {
-			if (s.name == callersServer || s.name == peersServer) && s.inFlight.Load() > 0 {
-				quiet = 0
-			}
+		if callers.inFlight.Load() > 0 || peers.inFlight.Load() > 0 {
+			quiet = 0
 		}
 		wait.For(drain, quietInterval)
 	}
 	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
 
+// named returns the server with a name; listen makes one for each.
+func named(servers []*server, name string) *server {
+	return servers[slices.IndexFunc(servers, func(s *server) bool { return s.name == name })]
+}
+
 // awaitQuiet returns once no request has begun for callersGone, at the given time, or when ctx ends.
 func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
 	last, since := s.taken.Load(), time.Now()
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -10,6 +10,7 @@
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
+	"sapphiretray/wait"
 )
 
 var errSuperseded = errors.New("a newer epoch replaces the claim")
@@ -59,10 +60,8 @@
 		if err == nil || !again {
 			return
 		}
-		select {
-		case <-t.ctx.Done():
+		if !wait.For(t.ctx, retryDelay) {
 			return
-		case <-time.After(retryDelay):
 		}
 	}
 }
--- a/sheet/store.go
+++ b/sheet/store.go
@@ -11,6 +11,7 @@
 	"sapphiretray/code"
 	"sapphiretray/object"
 	"sapphiretray/table"
+	"sapphiretray/wait"
 
 	"github.com/oklog/ulid/v2"
 )
@@ -156,10 +157,7 @@
 	var err error
 	for attempt := range putAttempts {
 		if attempt > 0 {
-			select {
-			case <-time.After(putDelay << attempt):
-			case <-ctx.Done():
-			}
+			wait.For(ctx, putDelay<<attempt)
 		}
 		err = c.Put(ctx, name, content)
 		if number, _ := code.Of(err); err == nil || number != code.WriteUnknown {
--- a/store/follower.go
+++ b/store/follower.go
@@ -96,11 +96,11 @@
 		f.replace(rows, version)
 		return nil
 	}
-	wait, rest := feedWait, settleTime
+	longest, rest := feedWait, settleTime
 	if !f.eager() {
-		wait, rest = 0, lazyInterval
+		longest, rest = 0, lazyInterval
 	}
-	rows, version, err := f.store.Changes(ctx, f.table, after, wait)
+	rows, version, err := f.store.Changes(ctx, f.table, after, longest)
 	if err != nil {
 		return err
 	}
--- a/upstream/do.go
+++ b/upstream/do.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/wait"
 )
 
 // Names of the headers between an instance and its upstream.
@@ -306,9 +307,7 @@
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
 		_ = conn.Close()
-		select {
-		case <-time.After(goneInterval):
-		case <-ctx.Done():
+		if !wait.For(ctx, goneInterval) {
 			return false
 		}
 	}
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait pauses a goroutine for as long as its context lasts.
+// Package wait pauses a goroutine, once or again and again, for as long as its context lasts.
 package wait
 
 import (
@@ -21,3 +21,18 @@
 		return false
 	}
 }
+
+// Every calls a function after each interval with the time until ctx ends. A call that takes longer than the interval delays
+// the next ones.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
--- a/wait/wait_test.go
+++ b/wait/wait_test.go
@@ -33,3 +33,21 @@
 		})
 	}
 }
+
+// TestEvery guards against calls that go on after the context, and against one before the first interval.
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		start, calls := time.Now(), 0
+		wait.Every(ctx, time.Second, func(now time.Time) {
+			calls++
+			if want := start.Add(time.Duration(calls) * time.Second); !now.Equal(want) {
+				t.Errorf("call %d at %v, want %v", calls, now.Sub(start), want.Sub(start))
+			}
+		})
+		if calls != 3 || time.Since(start) != 3500*time.Millisecond {
+			t.Errorf("%d calls in %v", calls, time.Since(start))
+		}
+	})
+}
