Remember each unreachable member; avoid witnesses that ended a long session

A member that could not be reached was forgotten if another one failed before the next request, because its first probe was marked by a time that counts as old (TestUnreachable fails without the change). And the rule that spares witnesses which started after a session also spared those that had restarted during a long one and then stopped answering, so the next session could choose them again; the rule now holds only before the first lease (TestWitnessesStartedLater).

--- a/caller/unreachable.go
+++ b/caller/unreachable.go
@@ -43,8 +43,8 @@
 		}
 	}
 	if _, ok := u.probed[i]; !ok {
-		// The zero time makes the next request start a probe.
-		u.probed[i] = time.Time{}
+		// The next request starts a probe.
+		u.probed[i] = now.Add(-probeInterval)
 	}
 }
 
@@ -62,7 +62,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	probed, ok := u.probed[i]
-	if !ok || !probed.IsZero() && now.Sub(probed) >= unreachableAge {
+	if !ok || now.Sub(probed) >= unreachableAge {
 		return false
 	}
 	if now.Sub(probed) >= probeInterval {
--- a/caller/unreachable_test.go
+++ b/caller/unreachable_test.go
@@ -25,6 +25,8 @@
 			t.Error("a member that never failed is avoided")
 		}
 		u.add(lost)
+		// Another failure before the first request must not make it forgotten.
+		u.add(member.NewIncarnation("slot-3", 1))
 		for range 1000 {
 			if !u.avoid(lost, probe) {
 				t.Fatal("a request tries the lost member")
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -299,7 +299,7 @@
 	if s.expired.IsZero() {
 		s.expired = time.Now()
 	}
-	if lease.Generation() == 0 && s.witnessesStartedLater() {
+	if s.witnessesStartedLater(lease.Generation()) {
 		klog.InfoS("session: witnesses have started after it joined", "instance", s.self(), "witnesses", s.record.Witnesses)
 		return true
 	}
--- a/mesh/witnesses.go
+++ b/mesh/witnesses.go
@@ -29,7 +29,10 @@
 // noteSilentWitnesses remembers the witnesses that did not answer a session that ends without a lease. Records of machines that are
 // gone for good stay in the store, and the next incarnation would choose the same ones again.
 func (m *Mesh) noteSilentWitnesses(s *session) {
-	if s.keeper == nil || m.endpoint.Lease().Valid() || s.witnessesStartedLater() {
+	if s.keeper == nil {
+		return
+	}
+	if lease := m.endpoint.Lease(); lease.Valid() || s.witnessesStartedLater(lease.Generation()) {
 		return
 	}
 	now := time.Now()
@@ -85,10 +88,13 @@
 	return chosen
 }
 
-// witnessesStartedLater reports whether too few witnesses for a lease have run since the session began. A witness is silent for a
-// lease after its start towards incarnations that are older than its process, since it may have forgotten what it told them;
-// a new incarnation needn't wait for it.
-func (s *session) witnessesStartedLater() bool {
+// witnessesStartedLater reports whether a session has no first lease because too few of its witnesses have run since it began. A
+// witness is silent for a lease after its start towards incarnations that are older than its process, since it may have forgotten
+// what it told them; a new incarnation needn't wait for it. The generation is that of the lease, 0 before the first.
+func (s *session) witnessesStartedLater(generation uint64) bool {
+	if generation > 0 {
+		return false
+	}
 	steady := 0
 	for slot, number := range s.mesh.directory.numbers(s.record.Witnesses) {
 		if slot == s.mesh.settings.Slot || number == s.chosen[slot] {
--- a/mesh/witnesses_test.go
+++ b/mesh/witnesses_test.go
@@ -97,9 +97,12 @@
 		if n > 0 {
 			restart(s.record.Witnesses[n-1], uint64(100+n))
 		}
-		if got := s.witnessesStartedLater(); got != want {
+		if got := s.witnessesStartedLater(0); got != want {
 			t.Errorf("after the start of %d of %d witnesses: %v, want %v", n, witnesses, got, want)
 		}
+		if s.witnessesStartedLater(1) {
+			t.Error("witnesses that supported the lease before they were restarted count as started later")
+		}
 	}
 }
 
