Log and measure when a process stands still, and slow plans

Each process now reads its clock every 0.1 s, logs a lateness of 0.15 s and more with the processor time used, and keeps a histogram; the planner logs plans that take 20 ms or more.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -155,7 +155,7 @@
 	}
 	group.Go(func() error { return m.endpoint.Run(running) })
 	m.background(running, group, m.rows.Run, m.config.Run, m.gateway.Run, m.runSessions, m.fetchNews, m.probeUnreachable,
-		m.report, m.plan, m.callers.Run)
+		m.report, m.plan, m.callers.Run, m.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		m.awaitStop(ctx, running, servers)
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -19,6 +19,8 @@
 	planInterval = 250 * time.Millisecond
 	// gatherTime is the time between a report that calls for a plan and the plan.
 	gatherTime = 40 * time.Millisecond
+	// slowPlan is the time for the computation of a plan above which it is logged: as much as the objective of a request allows.
+	slowPlan = 20 * time.Millisecond
 	// firstPlanWait gives the instances of a new service time to report before its keys are divided for the first time.
 	firstPlanWait = 1500 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 		if first.IsZero() {
 			first = time.Now()
 		}
+		started, used := time.Now(), processorTime()
 		current := m.directory.keys(m.settings.Service)
 		if current.keys == nil && time.Since(first) < firstPlanWait {
 			continue
@@ -52,6 +55,10 @@
 		m.proveMissing(ctx, current.keys, reports)
 		problem := m.problem(current.keys, reports)
 		next, moves := keyspace.Plan(problem)
+		if took := time.Since(started); took >= slowPlan {
+			klog.InfoS("plan: slow", "service", m.settings.Service, "took", took, "processorTime", processorTime()-used,
+				"ranges", len(current.keys.Entries()), "loads", len(problem.Loads), "candidates", len(problem.Candidates))
+		}
 		logCandidates(problem, reports)
 		if next == nil {
 			continue
