Balance the other upstreams beside those that can't give load

Cause: balance() ended at the first upstream with the highest cost that had nothing to give: a single hot key, keys on their way, a slow upstream without load. Such upstreams are now left out and the others balanced among themselves.

So a mean is told to the planner only after five requests, the first ones count alike, and upstreams whose cost is at most 1.3 service times keep their load. A range with one key that exceeds its upstream goes to the fastest one.

--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -9,6 +8,9 @@
 const (
 	// estimateWeight is the weight of the newest service time in a route's mean.
 	estimateWeight = 0.1
+	// knownCount is the number of requests after which a mean is told to others. Service times spread by half their mean, so that the
+	// mean of fewer than five may be wrong by a half, and single requests made upstreams look five times as fast as the others.
+	knownCount = 5
 	// firstEstimate is assumed of a route that has not been served yet.
 	firstEstimate = 100 * time.Millisecond
 )
@@ -16,14 +18,20 @@
 // estimates hold the mean time that the upstream needs for the requests of each route. The zero value is ready to use.
 type estimates struct {
 	mu    sync.Mutex
-	means map[string]time.Duration
+	means map[string]mean
+}
+
+// mean is the mean time of a route and the number of requests that it was measured with.
+type mean struct {
+	took  time.Duration
+	count int
 }
 
 func (e *estimates) get(route string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if mean, ok := e.means[route]; ok {
-		return mean
+	if m, ok := e.means[route]; ok {
+		return m.took
 	}
 	return firstEstimate
 }
@@ -32,22 +40,28 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.means == nil {
-		e.means = make(map[string]time.Duration)
+		e.means = make(map[string]mean)
 	}
-	mean, ok := e.means[route]
-	if !ok {
-		e.means[route] = took
-		return
-	}
-	e.means[route] = mean + time.Duration(estimateWeight*float64(took-mean))
+	m := e.means[route]
+	m.count++
+	// The first requests count alike; the very first one alone may be far from the mean.
+	weight := max(estimateWeight, 1/float64(m.count))
+	m.took += time.Duration(weight * float64(took-m.took))
+	e.means[route] = m
 }
 
-// all returns the means of all routes that have been served.
-func (e *estimates) all() map[string]time.Duration {
+// known returns the means of all routes that were measured with enough requests.
+func (e *estimates) known() map[string]time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return maps.Clone(e.means)
+	known := make(map[string]time.Duration, len(e.means))
+	for route, m := range e.means {
+		if m.count >= knownCount {
+			known[route] = m.took
+		}
+	}
+	return known
 }
 
-// ServiceTimes returns the mean time that the upstream needs for the requests of each route it has served.
-func (g *Gateway) ServiceTimes() map[string]time.Duration { return g.estimates.all() }
+// ServiceTimes returns the mean time that the upstream needs for the requests of each route it has served often enough.
+func (g *Gateway) ServiceTimes() map[string]time.Duration { return g.estimates.known() }
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -14,45 +14,86 @@
 	maxMoves = 24
 	// worthwhile is the ratio of two costs that is worth a move. Measured loads differ from the true ones by about a fifth.
 	worthwhile = 1.15
+	// bearable is the cost, in service times at a mean upstream, below which an upstream keeps its load: objectives are three
+	// times the service times and more, and each move makes requests wait.
+	bearable = 1.3
+	// fasterRatio is how much faster an upstream has to be for a key of which it can't carry all load either.
+	fasterRatio = 1.3
 	// leastLoad is the least load, in busy slots, that is worth a move.
 	leastLoad = 0.15
 )
 
 // balance moves spans from the candidates with the highest cost to those with the lowest, until each carries about what it would
-// if the cost were the same everywhere.
+// if the cost were the same everywhere. Candidates that can't give load, because it is a single key or on its way, are left as
+// they are, and the others are balanced among themselves.
 func (b *builder) balance() {
-	targets := b.targets()
-	for range maxMoves {
-		dearest := slices.MaxFunc(b.problem.Candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
-		cheapest := slices.MinFunc(b.problem.Candidates, func(a, c Candidate) int {
+	candidates := slices.Clone(b.problem.Candidates)
+	targets := b.targets(candidates)
+	for moves := 0; moves < maxMoves && len(candidates) > 1; {
+		dearest := slices.MaxFunc(candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
+		cheapest := slices.MinFunc(candidates, func(a, c Candidate) int {
 			return cmp.Compare(b.cost(a, leastLoad), b.cost(c, leastLoad))
 		})
-		if b.cost(dearest, 0) < worthwhile*b.cost(cheapest, leastLoad) {
+		if b.cost(dearest, 0) < max(bearable, worthwhile*b.cost(cheapest, leastLoad)) {
 			return
 		}
-		wanted := min(b.carried[dearest.Instance]-targets[dearest.Instance], targets[cheapest.Instance]-b.carried[cheapest.Instance])
-		if wanted < leastLoad || !b.moveLoad(dearest, cheapest, wanted, true) {
+		surplus := b.carried[dearest.Instance] - targets[dearest.Instance]
+		room := targets[cheapest.Instance] - b.carried[cheapest.Instance]
+		if room < leastLoad {
 			return
 		}
+		if surplus >= leastLoad && b.moveLoad(dearest, cheapest, min(surplus, room), true) {
+			moves++
+			continue
+		}
+		left := dearest.Instance
+		fastest := b.fastest(candidates)
+		if dearest.use(b.carried[left]) >= fullUse && dearest.Pace >= fasterRatio*fastest.Pace && b.moveHotRange(dearest, fastest) {
+			// Its other keys move away with the next plans.
+			moves++
+			left = fastest.Instance
+		}
+		candidates = slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Instance == left })
+		targets = b.targets(candidates)
 	}
 }
 
-// targets returns the load that each candidate would carry if the cost were the same everywhere.
-func (b *builder) targets() map[member.Incarnation]float64 {
+// fastest returns the candidate that serves most requests in a given time.
+func (b *builder) fastest(candidates []Candidate) Candidate {
+	return slices.MinFunc(candidates, func(a, c Candidate) int {
+		return cmp.Compare(a.Pace/float64(a.Slots), c.Pace/float64(c.Slots))
+	})
+}
+
+// moveHotRange moves the only range of a candidate that can't be relieved: nearly all of its load is on one key, which exceeds what
+// any upstream can carry. The faster its upstream, the more of its requests are served. It returns false if the candidate has
+// more ranges, or its range is on its way.
+func (b *builder) moveHotRange(from, to Candidate) bool {
+	n := slices.IndexFunc(b.entries, func(e Entry) bool { return e.Owner() == from.Instance })
+	if n < 0 || b.ranges(from.Instance) != 1 || len(b.entries[n].Previous) > 0 {
+		return false
+	}
+	b.assign(n, to.Instance, fmt.Sprintf("%.1f busy slots, nearly all on one key, from pace %.2f to pace %.2f",
+		b.carried[from.Instance], from.Pace, to.Pace))
+	return true
+}
+
+// targets returns the load that each of the candidates would carry if the cost were the same for all of them.
+func (b *builder) targets(candidates []Candidate) map[member.Incarnation]float64 {
 	total := 0.0
-	for _, c := range b.problem.Candidates {
+	for _, c := range candidates {
 		total += b.carried[c.Instance]
 	}
-	targets := make(map[member.Incarnation]float64, len(b.problem.Candidates))
+	targets := make(map[member.Incarnation]float64, len(candidates))
 	// The cost at which all load is carried lies between that of an idle upstream and that of one with all load.
 	low, high := 0.0, 0.0
-	for _, c := range b.problem.Candidates {
+	for _, c := range candidates {
 		high = max(high, c.cost(total))
 	}
 	for range costSteps {
 		middle := (low + high) / 2
 		sum := 0.0
-		for _, c := range b.problem.Candidates {
+		for _, c := range candidates {
 			targets[c.Instance] = c.loadAt(middle)
 			sum += targets[c.Instance]
 		}
