--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -266,8 +266,8 @@
 	decided := make(chan policy.Verdict, 1)
 	d := g.describe(r)
 	defer func() { g.observePressure(r, f) }()
-	if !g.enterThrottle(r) {
-		return nil, &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: "the service that its calls need is short of room"}
+	if limit, ok := g.enterThrottle(r); !ok {
+		return nil, &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: throttleReason(limit)}
 	}
 	g.mu.Lock()
 	place, verdict := g.gate.Offer(time.Now(), d, func(v policy.Verdict) { decided <- v })
--- a/policy/throttle.go
+++ b/policy/throttle.go
@@ -45,6 +45,9 @@
 	return max(1, int(t.limit))
 }
 
+// Maximum returns the limit without pressure.
+func (t *Throttle) Maximum() int { return int(t.maximum) }
+
 func (t *Throttle) adapt(now time.Time) {
 	passed := now.Sub(t.changed)
 	if passed < throttleInterval {
