Ask readers instead of the store, and push new configurations

Calls to the store are priced, and their number grew with the instances: each awaited the configuration at the store, and each that doesn't await the rows asked for them every six seconds. Now four instances of each data centre await the configuration and push a new one to the others, each of which gets it from two; followers that await nothing ask a reader every six seconds and the store once a minute. An instance that knows of no other awaits changes itself instead of asking at intervals. Who misses a push learns of the configuration from heartbeats and forwarded requests, as before.

Small deployments read the configuration at each instance as before.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,8 +102,10 @@
 	planner   planner
 	loads     loads
 	stopping  atomic.Bool
-	group     *errgroup.Group
-	registry  *prometheus.Registry
+	// group and running are those of Run.
+	group    *errgroup.Group
+	running  context.Context
+	registry *prometheus.Registry
 	// silent is when witnesses were found not to answer, by slot. Only the session loop uses it.
 	silent map[string]time.Time
 	// wake asks the session loop to look at the state again.
@@ -127,8 +129,8 @@
 	}
 	m.callers = ingress.NewConnections(m.limits)
 	m.directory = newDirectory(s.Slot)
-	m.rows = store.NewFollower(p.Store, Table, m.applyRows, store.WithEager(m.isReader))
-	m.config = store.NewFollower(p.Store, p.ConfigTable, m.applyConfig)
+	m.rows = store.NewFollower(p.Store, Table, m.applyRows, store.WithEager(m.isReader, m.fetchFromReader))
+	m.config = store.NewFollower(p.Store, p.ConfigTable, m.applyConfig, store.WithEager(m.isConfigReader, m.fetchFromReader))
 	return m
 }
 
@@ -137,7 +139,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, running := errgroup.WithContext(running)
-	m.group = group
+	m.group, m.running = group, running
 	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
 		gateway.WithKeys(m.keys), gateway.WithOnChange(m.upstreamChanged), gateway.WithDrainLimit(m.settings.DrainLimit),
 		gateway.WithDemand(m.loads.observe), gateway.WithOnCrash(m.spreadCrash))
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -1,14 +1,11 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/forward"
@@ -18,8 +15,6 @@
 )
 
 const (
-	// readersPerDataCentre is the number of instances in a data centre that await changes of the rows; one may fail.
-	readersPerDataCentre = 2
 	// fetchTimeout bounds the fetch of rows from another instance.
 	fetchTimeout = time.Second
 	// feedHeadStart is how long the store's own feed has before rows are fetched from the instance that announced them.
@@ -48,6 +43,7 @@
 		m.routes.Store(table)
 		klog.InfoS("config: in force", "version", table.Version(), "row", row.Version)
 		m.wakeUp()
+		m.spreadConfig(row)
 	}
 }
 
@@ -88,29 +84,6 @@
 	}
 }
 
-// isReader reports whether this instance awaits changes of the rows at the store: a few in each data centre do, and the planner.
-// The others get them from these. Each call to the store is priced, and every change would cost one for each instance.
-func (m *Mesh) isReader() bool {
-	if m.planner.active(time.Now()) {
-		return true
-	}
-	return slices.Contains(m.readers(m.settings.DataCentre), m.settings.Slot)
-}
-
-// readers returns the slots that await changes of the rows in a data centre. Instances that don't answer are left out.
-func (m *Mesh) readers(dataCentre string) []string {
-	unreachable := m.directory.unreachableSlots()
-	var slots []string
-	for _, r := range m.directory.all() {
-		slot := r.Incarnation.Slot()
-		if r.DataCentre == dataCentre && !r.State.Gone() && !slices.Contains(unreachable, slot) {
-			slots = append(slots, slot)
-		}
-	}
-	slices.SortFunc(slots, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	return slots[:min(len(slots), readersPerDataCentre)]
-}
-
 // fetchNews fetches rows from other instances that announced them: from a reader of the own data centre first, since bytes between
 // data centres are dear.
 func (m *Mesh) fetchNews(ctx context.Context) {
@@ -121,7 +94,7 @@
 		case slot := <-m.news:
 			wanted := m.newsOf(slot)
 			wait.For(ctx, feedHeadStart)
-			sources := append(m.readers(m.settings.DataCentre), slot)
+			sources := append(m.readers(readersPerDataCentre), slot)
 			for _, source := range sources {
 				if source != m.settings.Slot && m.behind(wanted) && ctx.Err() == nil {
 					m.fetchFrom(ctx, source, wanted)
--- a/store/follower.go
+++ b/store/follower.go
@@ -15,8 +15,10 @@
 const (
 	// feedWait is how long one call waits for changes. Longer calls save calls; an end is needed because a call may hang.
 	feedWait = 20 * time.Second
-	// lazyInterval is the pause between two questions for changes while they aren't awaited.
-	lazyInterval = 6 * time.Second
+	// lazyInterval is the pause between two looks elsewhere while changes aren't awaited, and storeInterval the time after which the store
+	// is asked all the same: copies elsewhere may be cut off from it.
+	lazyInterval  = 6 * time.Second
+	storeInterval = time.Minute
 	// settleTime is the pause between two calls for changes. Changes come in groups, and each call is priced.
 	settleTime = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call. The longest is well below the time within which a
@@ -31,6 +33,10 @@
 	table   string
 	changed func(rows []Row)
 	eager   func() bool
+	// elsewhere merges rows of another copy, while changes aren't awaited.
+	elsewhere func(ctx context.Context, f *Follower) bool
+	// asked is when the store was last asked. Only Run uses it.
+	asked time.Time
 
 	// delivering keeps the calls of changed in order.
 	delivering sync.Mutex
@@ -60,9 +66,12 @@
 // Option changes a Follower under construction.
 type Option func(*Follower)
 
-// WithEager sets a function that tells whether changes are awaited. While it returns false, they are only asked for every few
-// seconds, because the rows arrive from elsewhere through Merge.
-func WithEager(eager func() bool) Option { return func(f *Follower) { f.eager = eager } }
+// WithEager sets a function that tells whether changes are awaited at the store. While it returns false, elsewhere is called after each
+// pause of lazyInterval to merge rows of another copy. The store is only asked when elsewhere returns false, or has not been asked for
+// storeInterval.
+func WithEager(eager func() bool, elsewhere func(ctx context.Context, f *Follower) bool) Option {
+	return func(f *Follower) { f.eager, f.elsewhere = eager, elsewhere }
+}
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -89,6 +98,7 @@
 	listed, after := f.listed, f.version
 	f.mu.Unlock()
 	if !listed {
+		f.asked = time.Now()
 		rows, version, err := f.store.List(ctx, f.table)
 		if err != nil {
 			return err
@@ -99,7 +109,12 @@
 	longest, rest := feedWait, settleTime
 	if !f.eager() {
 		longest, rest = 0, lazyInterval
+		if time.Since(f.asked) < storeInterval && f.elsewhere(ctx, f) {
+			f.rest(ctx, rest)
+			return nil
+		}
 	}
+	f.asked = time.Now()
 	rows, version, err := f.store.Changes(ctx, f.table, after, longest)
 	if err != nil {
 		return err
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -188,6 +188,9 @@
 	})
 }
 
+// nowhere is the other copy of a follower that has none.
+func nowhere(context.Context, *store.Follower) bool { return false }
+
 // TestFollowerSavesCalls guards against a call for each change of a group, and against calls while changes aren't awaited.
 func TestFollowerSavesCalls(t *testing.T) {
 	tests := []struct {
@@ -210,7 +213,42 @@
 				if m.calls > test.maxCalls {
 					t.Errorf("%d calls for 300 changes in 3 s", m.calls)
 				}
-			}, store.WithEager(func() bool { return test.eager }))
+			}, store.WithEager(func() bool { return test.eager }, nowhere))
+		})
+	}
+}
+
+// TestFollowerElsewhere guards against calls to the store while another copy answers, and against rows that stay old when none does or
+// when the other copy is cut off from the store.
+func TestFollowerElsewhere(t *testing.T) {
+	tests := []struct {
+		name     string
+		answers  bool
+		maxCalls int
+		maxAge   time.Duration
+	}{
+		{"another copy answers", true, 4, 67 * time.Second},
+		{"no other copy answers", false, 33, 7 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			elsewhere := func(context.Context, *store.Follower) bool { return test.answers }
+			follow(t, func(m *memory, f *store.Follower) {
+				start := time.Now()
+				m.put("b", "1")
+				for value(f, "b") != "1" && time.Since(start) < 3*time.Minute {
+					time.Sleep(time.Second)
+				}
+				if age := time.Since(start); age > test.maxAge {
+					t.Errorf("a row of the store was taken after %v", age)
+				}
+				time.Sleep(time.Until(start.Add(3 * time.Minute)))
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				if m.calls > test.maxCalls {
+					t.Errorf("%d calls in 3 minutes", m.calls)
+				}
+			}, store.WithEager(func() bool { return false }, elsewhere))
 		})
 	}
 }
@@ -226,5 +264,5 @@
 		if f.Version() != 20 {
 			t.Errorf("complete up to %d, want 20", f.Version())
 		}
-	}, store.WithEager(func() bool { return false }))
+	}, store.WithEager(func() bool { return false }, nowhere))
 }
