--- a/mesh/news.go
+++ b/mesh/news.go
@@ -33,6 +33,10 @@
 		if row.Key != m.ports.ConfigKey || row.Deleted {
 			continue
 		}
+		// Also a configuration that is refused below has arrived.
+		m.heardMu.Lock()
+		m.configBehind = time.Time{}
+		m.heardMu.Unlock()
 		table, err := m.ports.DecodeConfig(row.Value)
 		if err != nil {
 			klog.ErrorS(err, "config: refused", "row", row.Version)
@@ -45,9 +49,6 @@
 		}
 		m.routes.Store(table)
 		klog.InfoS("config: in force", "version", table.Version(), "row", row.Version)
-		m.heardMu.Lock()
-		m.configBehind = time.Time{}
-		m.heardMu.Unlock()
 		m.wakeUp()
 	}
 }
@@ -124,12 +125,17 @@
 	return v.Config > m.config.Newest() || v.Rows > m.rows.Newest()
 }
 
-// isConfigOverdue reports whether a newer configuration is to be fetched from another instance: the store has had its time, or can't be
-// reached.
+// isConfigOverdue reports whether a newer configuration is to be fetched from another instance.
 func (m *Mesh) isConfigOverdue(now time.Time) bool {
 	m.heardMu.Lock()
 	defer m.heardMu.Unlock()
-	return !m.config.Reachable() || !m.configBehind.IsZero() && now.Sub(m.configBehind) >= configHeadStart
+	return isOverdue(m.config.Reachable(), m.configBehind, now)
+}
+
+// isOverdue reports whether the store has had its time to deliver a configuration that others have had since the given time, or can't be
+// reached.
+func isOverdue(reachable bool, behind, now time.Time) bool {
+	return !reachable || !behind.IsZero() && now.Sub(behind) >= configHeadStart
 }
 
 func (m *Mesh) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
