Give load only to upstreams with room

Cause: since the balance passes stuck upstreams, it went on in overload, where a small difference of load is a large one of cost, and moved keys between full upstreams; nobody more is served, and each move makes requests wait. Load now goes only to upstreams used up to 0.85.

--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -17,6 +17,8 @@
 	// bearable is the cost, in service times at a mean upstream, below which an upstream keeps its load: objectives are three
 	// times the service times and more, and each move makes requests wait.
 	bearable = 1.3
+	// roomyUse is the use of its slots up to which an upstream gets load. A move between full upstreams serves nobody more.
+	roomyUse = 0.85
 	// fasterRatio is how much faster an upstream has to be for a key of which it can't carry all load either.
 	fasterRatio = 1.3
 	// leastLoad is the least load, in busy slots, that is worth a move.
@@ -39,7 +41,7 @@
 		}
 		surplus := b.carried[dearest.Instance] - targets[dearest.Instance]
 		room := targets[cheapest.Instance] - b.carried[cheapest.Instance]
-		if room < leastLoad {
+		if room < leastLoad || cheapest.use(b.carried[cheapest.Instance]+leastLoad) > roomyUse {
 			return
 		}
 		if surplus >= leastLoad && b.moveLoad(dearest, cheapest, min(surplus, room), true) {
--- a/keyspace/balance_test.go
+++ b/keyspace/balance_test.go
@@ -86,3 +86,14 @@
 		}
 	}
 }
+
+// TestNoMovesBetweenFullUpstreams guards against moves that serve nobody more: where all upstreams are full, small differences of load
+// look like large ones of cost, and each move makes requests wait.
+func TestNoMovesBetweenFullUpstreams(t *testing.T) {
+	c := candidates(1, 1, 1, 1)
+	m := mustPlan(t, problem(nil, c, nil))
+	loads := []keyspace.SpanLoad{span(0, 16383, 9), span(16384, 32767, 7), span(32768, 49151, 6), span(49152, keyspace.MaxKey, 5.5)}
+	if next, moves := keyspace.Plan(problem(m, settle(c, m), loads)); next != nil {
+		t.Errorf("load was moved between full upstreams: %+v", moves)
+	}
+}
