--- a/demo/client.go
+++ b/demo/client.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/caller"
 	"sapphiretray/code"
+	"sapphiretray/wait"
 )
 
 // Client is a caller that follows the protocol: it takes the token from each answer and repeats a request with the same id.
@@ -98,9 +99,7 @@
 		if answer.Code == code.TokenNeeded {
 			continue
 		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
+		if !wait.For(ctx, pollInterval) {
 			return answer, ctx.Err()
 		}
 	}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -19,6 +19,7 @@
 	"sapphiretray/fake"
 	"sapphiretray/object"
 	"sapphiretray/table"
+	"sapphiretray/wait"
 )
 
 const (
@@ -190,9 +191,7 @@
 		if len(served) >= partitions {
 			return nil
 		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
+		if !wait.For(ctx, pollInterval) {
 			return fmt.Errorf("%d of %d partitions of %s are served: %w", len(served), partitions, service, ctx.Err())
 		}
 	}
--- a/demo/losses.go
+++ b/demo/losses.go
@@ -8,6 +8,7 @@
 
 	"sapphiretray/config"
 	"sapphiretray/partition"
+	"sapphiretray/wait"
 )
 
 const (
@@ -108,9 +109,7 @@
 		if status, err := n.Status(ctx); err == nil && status.LeaseValid {
 			return nil
 		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
+		if !wait.For(ctx, pollInterval) {
 			return fmt.Errorf("%s did not join again: %w", n.Slot(), ctx.Err())
 		}
 	}
--- a/heartbeat/prover.go
+++ b/heartbeat/prover.go
@@ -8,6 +8,7 @@
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/wait"
 	"sapphiretray/witness"
 )
 
@@ -71,27 +72,21 @@
 }
 
 func (p *Prover) ask(ctx context.Context, c *collection, slot string) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
+	var pause time.Duration
+	for wait.For(ctx, pause) {
 		request := c.request(slot)
 		response, err := p.call(ctx, c.claim.Holder(), slot)
 		switch {
 		case err != nil || response.GetWitness() != slot:
-			timer.Reset(retryWait)
+			pause = retryWait
 		case response.GetExpired():
 			c.confirm(request)
 			// The confirmation is renewed before it leaves the window.
-			timer.Reset(p.timing.Lease() / 2)
+			pause = p.timing.Lease() / 2
 		default:
 			c.denied.Store(true)
-			wait := time.Duration(response.GetWaitMs()) * time.Millisecond
-			timer.Reset(min(max(wait, minWait), p.timing.Wait()))
+			told := time.Duration(response.GetWaitMs()) * time.Millisecond
+			pause = min(max(told, minWait), p.timing.Wait())
 		}
 	}
 }
--- a/instance/join.go
+++ b/instance/join.go
@@ -10,6 +10,7 @@
 	"sapphiretray/code"
 	"sapphiretray/member"
 	"sapphiretray/table"
+	"sapphiretray/wait"
 )
 
 const (
@@ -30,10 +31,7 @@
 			return nil
 		}
 		klog.Warningf("instance: join failed: %v", err)
-		select {
-		case <-time.After(retryDelay):
-		case <-stop.Done():
-		}
+		wait.For(stop, retryDelay)
 	}
 }
 
--- a/measure/load_real.go
+++ b/measure/load_real.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/policy"
+	"sapphiretray/wait"
 )
 
 // RealLoadSpec describes a run over loopback HTTP against servers in this process.
@@ -139,10 +140,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		select {
-		case <-time.After(time.Duration(work * float64(mean))):
-		case <-r.Context().Done():
-		}
+		wait.For(r.Context(), time.Duration(work*float64(mean)))
 	})}
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
--- a/mesh/stalls.go
+++ b/mesh/stalls.go
@@ -7,6 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
+
+	"sapphiretray/wait"
 )
 
 const (
@@ -47,21 +49,11 @@
 // was not given the processor.
 func (m *Mesh) watchStalls(ctx context.Context) {
 	s := newStalls(m.registry)
-	used := processorTime()
-	s.observe(time.Now(), used)
-	timer := time.NewTimer(stallInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		used = processorTime()
-		if late, busy := s.observe(time.Now(), used); late >= stallLogged {
+	s.observe(time.Now(), processorTime())
+	for wait.For(ctx, stallInterval) {
+		if late, busy := s.observe(time.Now(), processorTime()); late >= stallLogged {
 			klog.InfoS("process: stood still", "late", late, "processorTime", busy, "running", m.gateway.Load().Running)
 		}
-		timer.Reset(stallInterval)
 	}
 }
 
