Encode a pushed map once again, and give refusals and fetches one shape

The map is encoded once for all of them, as before, with the planner's context. - fetch logs its own failure, for its two callers; fetchFrom says what it fetches instead of comparing followers. - enterThrottle returns the failure, like the gateway's other checks, in place of a limit of a type of its own. - Forwarded requests are refused in one place instead of five. - Two names said something else than they hold: time hid the package, and left read as what remains.

Behaviour is unchanged; tests keep their assertions.

--- a/forward/server.go
+++ b/forward/server.go
@@ -25,19 +25,20 @@
 func Handler(g *gateway.Gateway, news News, stopping func() bool) http.Handler {
 	var arrivals transit
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuse := func(f *gateway.Failure) { writeFailure(w, f, g.Load(), news.Versions()) }
 		c, err := decodeCall(r.Header.Get(headerCall), time.Now(), &arrivals)
 		if err != nil {
-			writeFailure(w, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}, g.Load(), news.Versions())
+			refuse(&gateway.Failure{Code: code.BadRequest, Reason: err.Error()})
 			return
 		}
 		request := c.request
 		news.Heard(c.versions)
 		if stopping() && request.Key == gateway.NoKey {
-			writeFailure(w, &gateway.Failure{Code: code.Draining, Reason: "the instance stops"}, g.Load(), news.Versions())
+			refuse(&gateway.Failure{Code: code.Draining, Reason: "the instance stops"})
 			return
 		}
 		if !isStillWanted(r.Context(), c.heldUp) {
-			writeFailure(w, goneOnTheWay(c.heldUp), g.Load(), news.Versions())
+			refuse(&gateway.Failure{Code: code.CallerGone, Reason: fmt.Sprintf("the caller left; held up on the way for %v", c.heldUp)})
 			return
 		}
 		r.Header.Del(headerCall)
@@ -49,7 +50,7 @@
 		if r.ContentLength > 0 && r.ContentLength <= unaskedBody {
 			// A short body comes with the headers. The HTTP server removes the Expect header of others.
 			if request.Body, err = request.ReadBody(); err != nil {
-				writeFailure(w, &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}, g.Load(), news.Versions())
+				refuse(&gateway.Failure{Code: code.BodyFailed, Reason: err.Error()})
 				return
 			}
 		}
@@ -59,7 +60,7 @@
 			if !errors.As(err, &f) {
 				f = &gateway.Failure{Code: code.UpstreamFailed, Reason: err.Error()}
 			}
-			writeFailure(w, f, g.Load(), news.Versions())
+			refuse(f)
 			return
 		}
 		writeResponse(w, response, g.Load(), news.Versions())
@@ -81,10 +82,6 @@
 	return heldUp < heldUpLimit || wait.For(ctx, cancelWait)
 }
 
-func goneOnTheWay(heldUp time.Duration) *gateway.Failure {
-	return &gateway.Failure{Code: code.CallerGone, Reason: fmt.Sprintf("the caller left; held up on the way for %v", heldUp)}
-}
-
 // readBody reads a whole body.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	begun := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -266,8 +266,8 @@
 	decided := make(chan policy.Verdict, 1)
 	d := g.describe(r)
 	defer func() { g.observePressure(r, f) }()
-	if limit, ok := g.enterThrottle(r); !ok {
-		return nil, &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: throttleReason(limit)}
+	if f := g.enterThrottle(r); f != nil {
+		return nil, f
 	}
 	g.mu.Lock()
 	place, verdict := g.gate.Offer(time.Now(), d, func(v policy.Verdict) { decided <- v })
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -27,38 +27,32 @@
 	g.throttle.Observe(now, load.Pressure, g.lowPressure.Share(now))
 }
 
-// throttleLimit is the number of the least urgent requests that may run or wait.
-type throttleLimit struct {
-	now, unlimited int
-}
-
-// throttleReason returns why a request was refused for a limit.
-func throttleReason(l throttleLimit) string {
-	if l.now >= l.unlimited {
-		return fmt.Sprintf("%d of the least urgent requests run or wait already", l.now)
-	}
-	return fmt.Sprintf("the service that its calls need is short of room: %d instead of %d of the least urgent requests may run or wait",
-		l.now, l.unlimited)
-}
-
-// enterThrottle counts a request of the least urgent rank and returns false and the limit if there are too many. Nested requests
-// aren't limited: what called them holds a slot already.
-func (g *Gateway) enterThrottle(r *Request) (throttleLimit, bool) {
+// enterThrottle counts a request of the least urgent rank, or refuses it if there are too many. Nested requests aren't limited: what
+// called them holds a slot already.
+func (g *Gateway) enterThrottle(r *Request) *Failure {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leastUrgent = max(g.leastUrgent, r.Priority)
 	if r.Priority < g.leastUrgent || r.Nested {
-		return throttleLimit{}, true
+		return nil
 	}
 	if g.throttle != nil {
-		limit := throttleLimit{now: g.throttle.Limit(time.Now()), unlimited: g.throttle.Maximum()}
-		if g.throttled >= limit.now {
-			return limit, false
+		if limit := g.throttle.Limit(time.Now()); g.throttled >= limit {
+			return &Failure{Code: code.Shed, RetryAfter: throttleRetry, Reason: throttleReason(limit, g.throttle.Maximum())}
 		}
 	}
 	g.throttled++
 	r.throttled = true
-	return throttleLimit{}, true
+	return nil
+}
+
+// throttleReason returns why a request was refused for a limit, which is at its maximum without pressure.
+func throttleReason(limit, maximum int) string {
+	if limit >= maximum {
+		return fmt.Sprintf("%d of the least urgent requests run or wait already", limit)
+	}
+	return fmt.Sprintf("the service that its calls need is short of room: %d instead of %d of the least urgent requests may run or wait",
+		limit, maximum)
 }
 
 // leaveThrottle ends what enterThrottle counted. The lock is held.
--- a/gateway/throttle_test.go
+++ b/gateway/throttle_test.go
@@ -9,17 +9,17 @@
 // hot key did.
 func TestThrottleReason(t *testing.T) {
 	tests := []struct {
-		limit      throttleLimit
-		blamesCall bool
+		limit, maximum int
+		blamesCall     bool
 	}{
-		{throttleLimit{now: 12, unlimited: 12}, false},
-		{throttleLimit{now: 11, unlimited: 12}, true},
-		{throttleLimit{now: 1, unlimited: 12}, true},
+		{12, 12, false},
+		{11, 12, true},
+		{1, 12, true},
 	}
 	for _, test := range tests {
-		reason := throttleReason(test.limit)
+		reason := throttleReason(test.limit, test.maximum)
 		if got := strings.Contains(reason, "its calls need"); got != test.blamesCall {
-			t.Errorf("%+v: reason %q", test.limit, reason)
+			t.Errorf("%+v: reason %q", test, reason)
 		}
 	}
 }
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -48,14 +48,14 @@
 			moves++
 			continue
 		}
-		left := dearest.Instance
+		omitted := dearest.Instance
 		fastest := b.fastest(candidates)
-		if dearest.use(b.carried[left]) >= fullUse && dearest.Pace >= fasterRatio*fastest.Pace && b.moveHotRange(dearest, fastest) {
+		if dearest.use(b.carried[omitted]) >= fullUse && dearest.Pace >= fasterRatio*fastest.Pace && b.moveHotRange(dearest, fastest) {
 			// Its other keys move away with the next plans.
 			moves++
-			left = fastest.Instance
+			omitted = fastest.Instance
 		}
-		candidates = slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Instance == left })
+		candidates = slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Instance == omitted })
 		targets = b.targets(candidates)
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,10 +102,8 @@
 	planner   planner
 	loads     loads
 	stopping  atomic.Bool
-	// group and running are those of Run.
-	group    *errgroup.Group
-	running  context.Context
-	registry *prometheus.Registry
+	group     *errgroup.Group
+	registry  *prometheus.Registry
 	// silent is when witnesses were found not to answer, by slot. Only the session loop uses it.
 	silent map[string]time.Time
 	// wake asks the session loop to look at the state again.
@@ -141,7 +139,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, running := errgroup.WithContext(running)
-	m.group, m.running = group, running
+	m.group = group
 	m.gateway = gateway.New(group, m.settings.Service, m.settings.UpstreamAddress, m.ports.Upstream,
 		gateway.WithKeys(m.keys), gateway.WithOnChange(m.upstreamChanged), gateway.WithDrainLimit(m.settings.DrainLimit),
 		gateway.WithDemand(m.loads.observe), gateway.WithOnCrash(m.spreadCrash))
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -138,34 +138,44 @@
 	return !reachable || !behind.IsZero() && now.Sub(behind) >= configHeadStart
 }
 
+// fetchFrom fetches what is wanted from an instance, as far as it isn't known yet.
 func (m *Mesh) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
-	for _, f := range []*store.Follower{m.config, m.rows} {
-		if f == m.config && (wanted.Config <= f.Newest() || !m.isConfigOverdue(time.Now())) || f == m.rows && wanted.Rows <= f.Newest() {
-			continue
-		}
-		if err := m.fetch(ctx, slot, f); err != nil && ctx.Err() == nil {
+	if wanted.Config > m.config.Newest() && m.isConfigOverdue(time.Now()) {
+		m.fetch(ctx, slot, m.config)
+	}
+	if wanted.Rows > m.rows.Newest() {
+		m.fetch(ctx, slot, m.rows)
+	}
+}
+
+// fetch merges the rows of a table that an instance has, and returns false if it can't.
+func (m *Mesh) fetch(ctx context.Context, slot string, f *store.Follower) bool {
+	rows, version, err := m.rowsOf(ctx, slot, f)
+	if err != nil {
+		if ctx.Err() == nil {
 			klog.V(1).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "err", err)
 		}
+		return false
 	}
+	f.MergeUpTo(rows, version)
+	return true
 }
 
-func (m *Mesh) fetch(ctx context.Context, slot string, f *store.Follower) error {
+// rowsOf returns the rows that an instance has and a follower lacks, and the version up to which they are complete.
+func (m *Mesh) rowsOf(ctx context.Context, slot string, f *store.Follower) ([]store.Row, uint64, error) {
 	client, err := m.dialSlot(slot)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	answer, err := client.Fetch(ctx, &peer.FetchRequest{Kind: f.Table(), Have: f.Version()})
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	var rows []store.Row
-	if err := json.Unmarshal(answer.GetValue(), &rows); err != nil {
-		return err
-	}
-	f.MergeUpTo(rows, answer.GetVersion())
-	return nil
+	err = json.Unmarshal(answer.GetValue(), &rows)
+	return rows, answer.GetVersion(), err
 }
 
 // probeUnreachable checks the instances that did not answer until they do.
--- a/mesh/plan.go
+++ b/mesh/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -9,6 +10,7 @@
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -65,7 +67,7 @@
 			klog.InfoS("plan: not written", "service", m.settings.Service, "version", next.Version(), "err", err)
 			continue
 		}
-		m.pushMap(moves)
+		m.pushMap(ctx, moves)
 		for _, move := range moves {
 			klog.InfoS("plan: moved", "service", m.settings.Service, "version", next.Version(), "keys", move.Range,
 				"from", move.From, "to", move.To, "reason", move.Reason)
@@ -74,8 +76,12 @@
 }
 
 // pushMap brings the newest map to the instances that get keys, so that they claim them at once.
-func (m *Mesh) pushMap(moves []keyspace.Move) {
-	row := m.rows.Get(keyspace.RowKey(m.settings.Service))
+func (m *Mesh) pushMap(ctx context.Context, moves []keyspace.Move) {
+	value, err := json.Marshal([]store.Row{m.rows.Get(keyspace.RowKey(m.settings.Service))})
+	if err != nil {
+		klog.ErrorS(err, "plan: map can't be pushed")
+		return
+	}
 	pushed := make(map[string]bool)
 	for _, move := range moves {
 		slot := move.To.Slot()
@@ -84,7 +90,15 @@
 		}
 		pushed[slot] = true
 		m.group.Go(func() error {
-			m.pushRow(slot, row)
+			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+			defer cancel()
+			client, err := m.dialSlot(slot)
+			if err == nil {
+				_, err = client.Push(ctx, &peer.PushRequest{Kind: Table, Value: value})
+			}
+			if err != nil && ctx.Err() == nil {
+				klog.V(1).InfoS("plan: map not pushed", "slot", slot, "err", err)
+			}
 			return nil
 		})
 	}
--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -3,14 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"k8s.io/klog/v2"
 
-	"sapphiretray/peer"
 	"sapphiretray/store"
 )
 
@@ -27,17 +24,9 @@
 
 // fetchFromReader merges the rows that a reader of the data centre has, and returns false if none answers.
 func (m *Mesh) fetchFromReader(ctx context.Context, f *store.Follower) bool {
-	for _, slot := range m.readers() {
-		if slot == m.settings.Slot {
-			continue
-		}
-		err := m.fetch(ctx, slot, f)
-		if err == nil {
-			return true
-		}
-		klog.V(1).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "err", err)
-	}
-	return false
+	return slices.ContainsFunc(m.readers(), func(slot string) bool {
+		return slot != m.settings.Slot && m.fetch(ctx, slot, f)
+	})
 }
 
 // readers returns the slots that await changes of the rows in the own data centre. Instances that don't answer are left out.
@@ -53,21 +42,3 @@
 	slices.SortFunc(slots, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
 	return slots[:min(len(slots), readersPerDataCentre)]
 }
-
-// pushRow brings a row of the product's table to another instance.
-func (m *Mesh) pushRow(slot string, row store.Row) {
-	value, err := json.Marshal([]store.Row{row})
-	if err != nil {
-		klog.ErrorS(err, "news: row can't be pushed", "key", row.Key)
-		return
-	}
-	ctx, cancel := context.WithTimeout(m.running, fetchTimeout)
-	defer cancel()
-	client, err := m.dialSlot(slot)
-	if err == nil {
-		_, err = client.Push(ctx, &peer.PushRequest{Kind: Table, Value: value})
-	}
-	if err != nil && m.running.Err() == nil {
-		klog.V(1).InfoS("news: row not pushed", "slot", slot, "key", row.Key, "err", err)
-	}
-}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -116,8 +116,8 @@
 		r.Load += span.Load
 		r.Keys = append(r.Keys, &peer.KeyLoad{First: uint32(span.First), Last: uint32(span.Last), Load: span.Load})
 	}
-	for route, time := range m.gateway.ServiceTimes() {
-		r.Routes = append(r.Routes, &peer.RouteTime{Route: route, Seconds: time.Mean.Seconds(), Requests: uint32(time.Requests)})
+	for route, t := range m.gateway.ServiceTimes() {
+		r.Routes = append(r.Routes, &peer.RouteTime{Route: route, Seconds: t.Mean.Seconds(), Requests: uint32(t.Requests)})
 	}
 	return r
 }
