Keep requests when the connection to an instance is silent

Callers got 502 for requests that another instance had refused, or that an upstream was working on.

The HTTP/2 connection between two instances was closed when a ping wasn't answered within 300 ms, and all requests on it failed with it. An instance that is short of processor time, or a link that carries a large configuration, delays the answer for longer.

The failure detector and the life of the requests are now apart. An instance that doesn't respond to a probe gets no further requests on that connection, but those on it go on until their deadline. One that may be repeated is sent elsewhere meanwhile, and the first response is used. The probe is counted in short steps, so that a stall of the own process isn't taken for silence. The transport closes a dead connection after 8 s, longer than requests last.

TestSlowPeerKeepsRequests failed before with '1406 peer-failed: http2: client connection lost' after 1.02 s; it passes for all kinds of requests. TestSilentConnectionIsReplaced and ingress TestUnresponsiveInstance hold the limits of the new behaviour.

--- a/forward/cancel_test.go
+++ b/forward/cancel_test.go
@@ -17,7 +17,7 @@
 	"sapphiretray/peer"
 )
 
-// link forwards a connection to an address and can stall the bytes of the client.
+// link forwards connections to an address and can stall the bytes of the first client. Further connections aren't stalled.
 type link struct {
 	mu sync.Mutex
 	// left is the number of bytes that are still forwarded before all others are buffered. It is negative while all are forwarded.
@@ -52,6 +52,7 @@
 			_, err := io.Copy(client, server)
 			return err
 		})
+		group.Go(func() error { return relay(t.Context(), &group, listener, address) })
 		buffer := make([]byte, 1<<10)
 		for {
 			n, err := client.Read(buffer)
@@ -72,6 +73,27 @@
 	return l, listener.Addr().String()
 }
 
+// relay accepts connections and forwards them to an address until the listener is closed.
+func relay(ctx context.Context, group *errgroup.Group, listener net.Listener, address string) error {
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		server, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return err
+		}
+		for _, ends := range [][2]net.Conn{{client, server}, {server, client}} {
+			group.Go(func() error {
+				_, err := io.Copy(ends[0], ends[1])
+				_, _ = ends[0].Close(), ends[1].Close()
+				return err
+			})
+		}
+	}
+}
+
 // pass forwards bytes of the client or buffers them.
 func (l *link) pass(p []byte) {
 	l.mu.Lock()
@@ -119,7 +141,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			i := newInstance(t)
 			l, address := newLink(t, i.address)
-			client := forward.NewClient(peer.NewTransport("", time.Minute), &i.exchange)
+			client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Minute), &i.exchange)
 			request := func() *gateway.Request { return newRequest(strings.Repeat("x", test.body)) }
 			if _, err := client.Do(t.Context(), address, request()); err != nil {
 				t.Fatal(err)
--- a/forward/client.go
+++ b/forward/client.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"sapphiretray/code"
 	"sapphiretray/gateway"
 )
@@ -25,34 +27,114 @@
 	responseGrace = 50 * time.Millisecond
 )
 
+// errSilent is the reason why a request may be sent elsewhere although its response may still come.
+var errSilent = errors.New("the other instance doesn't respond; the request may be running")
+
 // Client forwards requests to other instances. Create it with NewClient.
 type Client struct {
-	transport http.RoundTripper
-	exchange  VersionExchange
-	started   time.Time
+	group    *errgroup.Group
+	links    links
+	exchange VersionExchange
+	started  time.Time
+}
+
+// NewClient returns a client that sends requests through copies of a transport, one for each address, and exchanges versions with the
+// instances it calls. Its goroutines run in the group. The transport must not close a connection because the other instance is slow
+// to respond to a ping: that would end the requests on it while their upstreams are at work.
+func NewClient(group *errgroup.Group, transport *http.Transport, exchange VersionExchange) *Client {
+	return &Client{group: group, links: links{transport: transport}, exchange: exchange, started: time.Now()}
+}
+
+// Pending is a request that may still get a response although the other instance doesn't respond at the moment. Either Await or Abandon
+// must be called. Create it with NewPending.
+type Pending struct {
+	await   func() (Result, error)
+	abandon func()
+}
+
+// NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and abandon cancels it.
+func NewPending(await func() (Result, error), abandon func()) *Pending {
+	return &Pending{await: await, abandon: abandon}
 }
 
-// NewClient returns a client that sends requests through a transport and exchanges versions with the instances it calls.
-func NewClient(transport http.RoundTripper, exchange VersionExchange) *Client {
-	return &Client{transport: transport, exchange: exchange, started: time.Now()}
+// Await waits for the response, at most until the request's deadline. The result and the error are those of Client.Do.
+func (p *Pending) Await() (Result, error) { return p.await() }
+
+// Abandon cancels the request.
+func (p *Pending) Abandon() { p.abandon() }
+
+// outcome is what Client.Do returns.
+type outcome struct {
+	result Result
+	err    error
+}
+
+// spawn runs f in a goroutine of the group.
+func (c *Client) spawn(f func()) {
+	c.group.Go(func() error {
+		f()
+		return nil
+	})
 }
 
 // Do forwards a request to the instance at an address. The error is a *gateway.Failure. It has code.NoOwner if the instance could
 // not be reached, code.PeerFailed if the connection failed later or the response is malformed, code.UpstreamTimeout if no response
 // arrived by the deadline, code.CallerGone if ctx was cancelled, and otherwise the code that the other instance sent.
+//
+// If the instance stops responding, a request that may be repeated fails with code.PeerFailed and Result.Pending, so that it can be
+// sent elsewhere. Any other request goes on until its deadline.
 func (c *Client) Do(ctx context.Context, address string, r *gateway.Request) (Result, error) {
-	now := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
-	defer cancel()
+	l := c.links.get(address, time.Now())
+	done := make(chan outcome, 1)
+	c.spawn(func() {
+		defer l.leave()
+		result, err := c.roundTrip(ctx, l, r)
+		done <- outcome{result, err}
+	})
+	silent := l.silent
+	if !r.Kind.Retryable() {
+		silent = nil
+	}
+	check := time.NewTimer(silentAfter)
+	defer check.Stop()
+	for {
+		select {
+		case o := <-done:
+			cancel()
+			return o.result, o.err
+		case <-silent:
+			await := func() (Result, error) {
+				defer cancel()
+				o := <-done
+				return o.result, o.err
+			}
+			return Result{Pending: NewPending(await, cancel)},
+				&gateway.Failure{Code: code.PeerFailed, Arrived: true, Reason: errSilent.Error()}
+		case <-check.C:
+			next := l.needsProbe(time.Now())
+			if next == 0 {
+				// The probe's result concerns all requests on the link, so it doesn't end with this one.
+				c.spawn(func() { l.probe(context.WithoutCancel(ctx), c.spawn) })
+				next = silentAfter
+			}
+			check.Reset(next)
+		}
+	}
+}
+
+// roundTrip sends a request and reads its response.
+func (c *Client) roundTrip(ctx context.Context, l *link, r *gateway.Request) (Result, error) {
+	now := time.Now()
 	// An opaque URL is sent as it is, without being parsed and encoded again.
-	target := &url.URL{Scheme: "http", Host: address, Opaque: r.Target}
+	target := &url.URL{Scheme: "http", Host: l.address, Opaque: r.Target}
 	header := r.Header.Clone()
 	if header == nil {
 		header = make(http.Header)
 	}
 	header.Set(headerCall, encodeCall(r, now, c.exchange.Versions(), newSendTime(c.started, now)))
 	request := (&http.Request{
-		Method: r.Method, URL: target, Host: address, Header: header,
+		Method: r.Method, URL: target, Host: l.address, Header: header,
 		ContentLength: int64(len(r.Body)), Body: http.NoBody,
 	}).WithContext(ctx)
 	if len(r.Body) > 0 {
@@ -65,10 +147,11 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "")
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := l.transport.RoundTrip(request)
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
+	l.observe(time.Now())
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,6 +28,8 @@
 	// slots, pressure in per cent), how long the request waited and ran in milliseconds, the instance's versions, and the slot of the
 	// instance that owns the key if that is another one.
 	headerResult = "S-Res"
+	// headerProbe marks a request that only asks whether the instance responds.
+	headerProbe = "S-Probe"
 )
 
 // callFields is the number of fields of a call header.
@@ -144,6 +146,8 @@
 	Response *gateway.Response
 	// Load is the load that the other instance reported, or the zero value if it reported none.
 	Load gateway.Load
+	// Pending is set together with an error if the response may still come.
+	Pending *Pending
 }
 
 // encodeResult returns the result header of a response.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -46,8 +46,10 @@
 	// received is the number of body bytes that arrived.
 	received atomic.Int64
 	// ran is the number of requests that reached the upstream.
-	ran      atomic.Int64
-	exchange versionCounter
+	ran atomic.Int64
+	// serviceTime is how long the upstream takes, in nanoseconds.
+	serviceTime atomic.Int64
+	exchange    versionCounter
 }
 
 func newInstance(t *testing.T) *instance {
@@ -58,6 +60,7 @@
 	upstream := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		i.ran.Add(1)
 		body, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Duration(i.serviceTime.Load()))
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Note", r.Header.Get("Note"))
 		w.WriteHeader(http.StatusCreated)
@@ -93,6 +96,14 @@
 	return i
 }
 
+// newGroup returns a group for the goroutines of a client. The test waits for them at its end.
+func newGroup(t *testing.T) *errgroup.Group {
+	t.Helper()
+	var group errgroup.Group
+	t.Cleanup(func() { _ = group.Wait() })
+	return &group
+}
+
 func listenAndServe(t *testing.T, group *errgroup.Group, server *http.Server) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -131,7 +142,7 @@
 func TestForward(t *testing.T) {
 	i := newInstance(t)
 	var own versionCounter
-	client := forward.NewClient(peer.NewTransport("", time.Second), &own)
+	client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Second), &own)
 	for _, body := range []string{"", "short", strings.Repeat("long", 50_000)} {
 		r := newRequest(body)
 		result, err := client.Do(t.Context(), i.address, r)
@@ -194,7 +205,7 @@
 			i := newInstance(t)
 			r := newRequest(strings.Repeat("x", 100_000))
 			test.change(i, r)
-			client := forward.NewClient(peer.NewTransport("", time.Second), &versionCounter{})
+			client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Second), &versionCounter{})
 			_, err := client.Do(t.Context(), test.address(t, i), r)
 			var f *gateway.Failure
 			if !errors.As(err, &f) || f.Code != test.want {
@@ -214,7 +225,7 @@
 	i.stopping.Store(true)
 	r := newRequest("")
 	r.Key = 7
-	client := forward.NewClient(peer.NewTransport("", time.Second), &versionCounter{})
+	client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Second), &versionCounter{})
 	if _, err := client.Do(t.Context(), i.address, r); err != nil {
 		t.Error(err)
 	}
--- /dev/null
+++ b/forward/link.go
@@ -0,0 +1,171 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/wait"
+)
+
+const (
+	// silentAfter is how long an instance may send nothing while requests to it are in flight before it is probed.
+	silentAfter = 700 * time.Millisecond
+	// probeStep and probeSteps bound the wait for the response to a probe. It is counted in short steps, so that a stall of this process
+	// counts as one step and the response that arrived in the meantime is still read.
+	probeStep  = 50 * time.Millisecond
+	probeSteps = 6
+	// unusedAfter is how long the link of an address is kept without requests.
+	unusedAfter = time.Minute
+)
+
+// link is a connection to an instance, with the requests on it. Once the instance doesn't respond to a probe, further requests use another
+// link, so that they don't wait for a connection that may be dead. The requests on this one go on: the instance may only be slow, and
+// its upstream may be at work on them.
+type link struct {
+	address   string
+	transport *http.Transport
+	// silent is closed when the instance hasn't responded to a probe.
+	silent chan struct{}
+
+	mu       sync.Mutex
+	inFlight int
+	probing  bool
+	// heard is when the newest response arrived, or when a request was sent while none was in flight, whichever is later.
+	heard time.Time
+}
+
+// links holds the newest link of each address. The zero value is ready to use once transport is set.
+type links struct {
+	// transport is the template of the links' transports.
+	transport *http.Transport
+
+	mu        sync.Mutex
+	byAddress map[string]*link
+}
+
+// get returns the link for a further request to an address, which the request must leave.
+func (l *links) get(address string, now time.Time) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.byAddress[address]
+	if current == nil || current.isSilent() {
+		if l.byAddress == nil {
+			l.byAddress = make(map[string]*link)
+		}
+		l.removeUnused(now)
+		current = &link{address: address, transport: l.transport.Clone(), silent: make(chan struct{})}
+		l.byAddress[address] = current
+	}
+	current.enter(now)
+	return current
+}
+
+// removeUnused removes the links that have had no request for a time. mu must be held.
+func (l *links) removeUnused(now time.Time) {
+	for address, unused := range l.byAddress {
+		if unused.isUnused(now) {
+			unused.transport.CloseIdleConnections()
+			delete(l.byAddress, address)
+		}
+	}
+}
+
+func (l *link) isUnused(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight == 0 && now.Sub(l.heard) >= unusedAfter
+}
+
+func (l *link) isSilent() bool {
+	select {
+	case <-l.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+// enter counts a request in flight.
+func (l *link) enter(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFlight == 0 {
+		l.heard = now
+	}
+	l.inFlight++
+}
+
+// leave ends a request in flight.
+func (l *link) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+}
+
+// observe records that the instance has responded.
+func (l *link) observe(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = now
+}
+
+// needsProbe returns 0 if the instance is to be probed now, which it records, and otherwise the time until the next check.
+func (l *link) needsProbe(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if left := silentAfter - now.Sub(l.heard); left > 0 {
+		return left
+	}
+	if l.probing || l.isSilent() {
+		return silentAfter
+	}
+	l.probing = true
+	return 0
+}
+
+// probe sends a request that the instance answers at once. If no response arrives in time, the link counts as silent.
+func (l *link) probe(ctx context.Context, spawn func(func())) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := make(chan error, 1)
+	spawn(func() { result <- l.sendProbe(ctx) })
+	var err error
+	answered := false
+	for step := 0; step < probeSteps && !answered; step++ {
+		select {
+		case err = <-result:
+			answered = true
+		default:
+			wait.For(ctx, probeStep)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probing = false
+	now := time.Now()
+	if answered && err == nil {
+		l.heard = now
+		return
+	}
+	klog.InfoS("forward: instance doesn't respond; further requests use a new connection", "address", l.address, "inFlight", l.inFlight,
+		"silentFor", now.Sub(l.heard), "err", err)
+	close(l.silent)
+}
+
+// sendProbe sends a probe and returns nil if a response arrives.
+func (l *link) sendProbe(ctx context.Context) error {
+	request := (&http.Request{
+		Method: http.MethodHead, URL: &url.URL{Scheme: "http", Host: l.address, Path: "/"}, Host: l.address,
+		Header: http.Header{headerProbe: {"1"}, "User-Agent": {""}}, Body: http.NoBody,
+	}).WithContext(ctx)
+	response, err := l.transport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -18,14 +18,21 @@
 // connected to.
 const maxRequestBytes = 128 << 20
 
-// IsForwarded reports whether a request between instances is a forwarded one of a caller, as opposed to a control call.
-func IsForwarded(r *http.Request) bool { return r.Header.Get(headerCall) != "" }
+// IsForwarded reports whether a request between instances is for Handler, as opposed to a control call.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(headerCall) != "" || isProbe(r) }
+
+// isProbe reports whether a request only asks whether the instance responds.
+func isProbe(r *http.Request) bool { return r.Header.Get(headerProbe) != "" }
 
 // Handler returns a handler that sends forwarded requests to the local upstream. Once stopping returns true it refuses requests
 // without a key, since other instances can serve them.
 func Handler(g *gateway.Gateway, exchange VersionExchange, stopping func() bool) http.Handler {
 	var delays delayEstimator
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isProbe(r) {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
 		refuse := func(f *gateway.Failure) { writeFailure(w, f, g.Load(), exchange.Versions()) }
 		forwarded, err := decodeCall(r.Header.Get(headerCall), time.Now(), &delays)
 		if err != nil {
--- /dev/null
+++ b/forward/silence_test.go
@@ -0,0 +1,102 @@
+package forward_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphiretray/code"
+	"sapphiretray/forward"
+	"sapphiretray/gateway"
+	"sapphiretray/peer"
+	"sapphiretray/routing"
+)
+
+// newSlowLink returns a client, an instance whose upstream takes 1.3 s, a link to it and the link's address.
+func newSlowLink(t *testing.T) (*forward.Client, *instance, *link, string) {
+	t.Helper()
+	i := newInstance(t)
+	i.serviceTime.Store(int64(1300 * time.Millisecond))
+	l, address := newLink(t, i.address)
+	transport := peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute))
+	return forward.NewClient(newGroup(t), transport, &i.exchange), i, l, address
+}
+
+// TestSlowPeerKeepsRequests guards against requests that are given up while their upstream works on them, because the other instance or
+// the network between stands still for a second.
+func TestSlowPeerKeepsRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		kind routing.Kind
+		// pending is set if the request may be sent elsewhere meanwhile.
+		pending bool
+	}{
+		{"not idempotent", routing.NonIdempotent, false},
+		{"upload", routing.Upload, false},
+		{"idempotent", routing.Idempotent, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			client, i, l, address := newSlowLink(t)
+			var group errgroup.Group
+			group.Go(func() error {
+				r := newRequest("pay")
+				r.Kind = test.kind
+				result, err := client.Do(t.Context(), address, r)
+				if (result.Pending != nil) != test.pending {
+					t.Errorf("pending: %v, error %v", result.Pending != nil, err)
+				}
+				if result.Pending != nil {
+					_, err = result.Pending.Await()
+				}
+				return err
+			})
+			time.Sleep(100 * time.Millisecond)
+			l.stall(0)
+			time.Sleep(1100 * time.Millisecond)
+			l.release()
+			if err := group.Wait(); err != nil {
+				t.Error(err)
+			}
+			if ran := i.ran.Load(); ran != 1 {
+				t.Errorf("the request ran %d times", ran)
+			}
+		})
+	}
+}
+
+// TestSilentConnectionIsReplaced guards against further requests that wait for a connection that has gone silent while new ones work,
+// and against one that waits there for longer than until its deadline.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+	client, i, l, address := newSlowLink(t)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := client.Do(t.Context(), address, newRequest("pay"))
+		return err
+	})
+	time.Sleep(100 * time.Millisecond)
+	l.stall(0)
+	lost := newRequest("pay")
+	started := time.Now()
+	group.Go(func() error {
+		_, err := client.Do(t.Context(), address, lost)
+		return err
+	})
+	time.Sleep(1200 * time.Millisecond)
+	i.serviceTime.Store(0)
+	further := time.Now()
+	if _, err := client.Do(t.Context(), address, newRequest("pay")); err != nil || time.Since(further) > 300*time.Millisecond {
+		t.Errorf("a further request ended after %v with %v", time.Since(further), err)
+	}
+	var f *gateway.Failure
+	if err := group.Wait(); !errors.As(err, &f) || f.Code != code.UpstreamTimeout {
+		t.Errorf("the request on the silent connection ended with %v", err)
+	}
+	if took := time.Since(started); took > 2200*time.Millisecond {
+		t.Errorf("the request on the silent connection ended after %v, its deadline was after 2 s", took)
+	}
+}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/forward"
 	"sapphiretray/gateway"
 	"sapphiretray/routing"
 )
@@ -40,6 +41,8 @@
 	ownerHint string
 	// holdUntil bounds the wait for the key's owner.
 	holdUntil time.Time
+	// pending is an earlier attempt whose instance doesn't respond at the moment, or nil.
+	pending *forward.Pending
 }
 
 // dispatch sends the request to instances until one returns a final result. Errors are *gateway.Failure where the cause is known.
@@ -52,6 +55,28 @@
 		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))),
 	}
 	s.budgets.get(request.Service).Attempt()
+	response, err := s.attempt(ctx, d)
+	return d.settle(response, err)
+}
+
+// settle ends the pending attempt. If the later attempts failed, its response is used if one comes, since its upstream may be at work.
+func (d *dispatchState) settle(response *gateway.Response, err error) (*gateway.Response, error) {
+	switch {
+	case d.pending == nil:
+	case err == nil:
+		d.pending.Abandon()
+	default:
+		result, pendingErr := d.pending.Await()
+		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "failure", err, "pending", pendingErr)
+		if pendingErr == nil {
+			return result.Response, nil
+		}
+	}
+	return response, err
+}
+
+// attempt sends the request to one instance after the other until one returns a final result.
+func (s *Server) attempt(ctx context.Context, d *dispatchState) (*gateway.Response, error) {
 	for {
 		target, f := s.target(ctx, d)
 		if f != nil {
@@ -154,6 +179,12 @@
 	if d.request.Nested {
 		s.local.ObserveNestedCall(result.Load)
 	}
+	if result.Pending != nil {
+		if d.pending != nil {
+			d.pending.Abandon()
+		}
+		d.pending = result.Pending
+	}
 	if result.Response != nil {
 		result.Response.InstanceSlot = target.Slot
 	}
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,12 +43,16 @@
 	requested []string
 	// running is the id of the request that the local upstream is running.
 	running string
+	// abandoned is the number of pending requests that were abandoned.
+	abandoned atomic.Int64
 }
 
 // outcome is a response with a status, or a failure.
 type outcome struct {
 	status  int
 	failure gateway.Failure
+	// pending is the outcome that comes after the failure, if any.
+	pending *outcome
 }
 
 func newDeployment(owner string, outcomes map[string][]outcome) *deployment {
@@ -66,10 +71,15 @@
 	if len(left) > 1 {
 		d.outcomes[slot] = left[1:]
 	}
-	if f := left[0].failure; f.Code != 0 {
+	return left[0].result(slot)
+}
+
+// result returns the outcome as a response of the instance in a slot, or as a failure.
+func (o outcome) result(slot string) (*gateway.Response, error) {
+	if f := o.failure; f.Code != 0 {
 		return nil, &f
 	}
-	return &gateway.Response{Status: left[0].status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
+	return &gateway.Response{Status: o.status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
 }
 
 // order returns the slots that requests were sent to, separated by spaces.
@@ -128,8 +138,18 @@
 type remote struct{ *deployment }
 
 func (r remote) Do(_ context.Context, address string, _ *gateway.Request) (forward.Result, error) {
+	r.mu.Lock()
+	next := append(r.outcomes[address], outcome{})[0]
+	r.mu.Unlock()
 	response, err := r.respond(address)
-	return forward.Result{Response: response}, err
+	result := forward.Result{Response: response}
+	if late := next.pending; late != nil {
+		result.Pending = forward.NewPending(func() (forward.Result, error) {
+			response, err := late.result(address)
+			return forward.Result{Response: response}, err
+		}, func() { r.abandoned.Add(1) })
+	}
+	return result, err
 }
 
 // headers is a protocol with one plain header for each field of a call.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -204,10 +204,10 @@
 	leaseInterval = 320 * time.Millisecond
 	// leaseDrift is the largest relative difference in rate between two clocks.
 	leaseDrift = 0.01
-	// pingAfter and pingTimeout detect dead connections between instances. More frequent pings would be a large part of the
-	// traffic between data centres.
-	pingAfter   = 700 * time.Millisecond
-	pingTimeout = 300 * time.Millisecond
+	// pingAfter and pingTimeout bound how long a dead connection between instances is kept. Their sum is longer than requests last,
+	// because the requests on a connection end with it. Package forward detects instances that don't respond earlier.
+	pingAfter   = 3 * time.Second
+	pingTimeout = 5 * time.Second
 	// budgetMargin is the fraction of the retry budget that is used. Retries arrive up to a second after they were counted, when
 	// some first attempts have already left the window.
 	budgetMargin = 0.85
@@ -264,7 +264,7 @@
 func (sc *Sidecar) listen(ctx context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
 		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Directory: sc.directory, Local: sc.gateway,
-		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
+		Forwarder: forward.NewClient(sc.group, peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
 	})
