Reset a silent connection after the last request on it

A silent connection gets no further requests, so once the last one on it has ended nobody waits for what the network still holds. The connection is reset then, which discards it.

TestSilentConnectionIsReplaced checks it; without the reset it printed 'the silent connection is still open'.

--- a/forward/cancel_test.go
+++ b/forward/cancel_test.go
@@ -25,6 +25,8 @@
 	buffered bytes.Buffer
 	client   net.Conn
 	server   net.Conn
+	// clientErr receives the error with which the first client's connection ended.
+	clientErr chan error
 }
 
 // newLink returns a link to an address, and the address to connect to instead.
@@ -34,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{left: -1}
+	l := &link{left: -1, clientErr: make(chan error, 1)}
 	var group errgroup.Group
 	group.Go(func() error {
 		client, err := listener.Accept()
@@ -58,6 +60,7 @@
 			n, err := client.Read(buffer)
 			l.pass(buffer[:n])
 			if err != nil {
+				l.clientErr <- err
 				return err
 			}
 		}
--- a/forward/link.go
+++ b/forward/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -37,6 +38,42 @@
 	probing  bool
 	// heard is when the newest response arrived, or when a request was sent while none was in flight, whichever is later.
 	heard time.Time
+	// connections are the open ones.
+	connections map[*linkConn]struct{}
+}
+
+// linkConn is a connection of a link.
+type linkConn struct {
+	net.Conn
+	link *link
+}
+
+// Close closes the connection and removes it from its link.
+func (c *linkConn) Close() error {
+	c.link.mu.Lock()
+	delete(c.link.connections, c)
+	c.link.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// newLink returns a link whose connections are opened as by a transport.
+func newLink(address string, template *http.Transport) *link {
+	l := &link{
+		address: address, transport: template.Clone(), silent: make(chan struct{}), connections: make(map[*linkConn]struct{}),
+	}
+	dial := template.DialContext
+	l.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &linkConn{Conn: conn, link: l}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.connections[c] = struct{}{}
+		return c, nil
+	}
+	return l
 }
 
 // links holds the newest link of each address. The zero value is ready to use once transport is set.
@@ -58,7 +95,7 @@
 			l.byAddress = make(map[string]*link)
 		}
 		l.removeUnused(now)
-		current = &link{address: address, transport: l.transport.Clone(), silent: make(chan struct{})}
+		current = newLink(address, l.transport)
 		l.byAddress[address] = current
 	}
 	current.enter(now)
@@ -100,11 +137,27 @@
 	l.inFlight++
 }
 
-// leave ends a request in flight.
+// leave ends a request in flight. After the last one on a silent link, its connections are reset, so that what the network has held up
+// isn't delivered any more: nobody waits for a response.
 func (l *link) leave() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
+	if l.inFlight == 0 && l.isSilent() {
+		l.reset()
+	}
+}
+
+// reset resets the connections. mu must be held.
+func (l *link) reset() {
+	for c := range l.connections {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			// An error means that the connection has been closed.
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+	clear(l.connections)
 }
 
 // observe records that the instance has responded.
@@ -155,6 +208,9 @@
 	klog.InfoS("forward: instance doesn't respond; further requests use a new connection", "address", l.address, "inFlight", l.inFlight,
 		"silentFor", now.Sub(l.heard), "err", err)
 	close(l.silent)
+	if l.inFlight == 0 {
+		l.reset()
+	}
 }
 
 // sendProbe sends a probe and returns nil if a response arrives.
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 }
 
 // TestSilentConnectionIsReplaced guards against further requests that wait for a connection that has gone silent while new ones work,
-// and against one that waits there for longer than until its deadline.
+// against one that waits there for longer than until its deadline, and against requests that the network delivers after that.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	t.Parallel()
 	client, i, l, address := newSlowLink(t)
@@ -99,4 +100,12 @@
 	if took := time.Since(started); took > 2200*time.Millisecond {
 		t.Errorf("the request on the silent connection ended after %v, its deadline was after 2 s", took)
 	}
+	select {
+	case err := <-l.clientErr:
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the silent connection ended with %v, want a reset", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("the silent connection is still open")
+	}
 }
