Ingress: report requests that are read and not answered

When the connection of a caller ended without an answer, nothing was logged, so a lost request looked like one whose caller had left.

Connections now wraps the accepted connections. When one is closed after the headers of a request were read and before its answer was written, it logs "callers: connection ended without an answer" with the request's id, its state, the reason and the age, and counts it in sapphiretray_callers_unanswered_total{reason}. The reason caller_left is kept apart from those that mean a lost request.

--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/routing"
@@ -24,6 +25,8 @@
 	mu     sync.Mutex
 	// waiting holds the connections that are idle or whose request headers are incomplete.
 	waiting map[net.Conn]connection
+	// unanswered counts requests that were read and not answered, by reason.
+	unanswered *prometheus.CounterVec
 }
 
 // connection is the state of a connection that waits for a request.
@@ -46,14 +49,28 @@
 	return limit > 0 && now.Sub(c.since) > limit
 }
 
-// NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none.
-func NewConnections(limits func() routing.Limits) *Connections {
-	return &Connections{limits: limits, waiting: make(map[net.Conn]connection)}
+// NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none. The metrics are
+// registered with registerer.
+func NewConnections(limits func() routing.Limits, registerer prometheus.Registerer) *Connections {
+	c := &Connections{
+		limits: limits, waiting: make(map[net.Conn]connection),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphiretray_callers_unanswered_total",
+			Help: "Requests of callers that were read and whose connection ended without an answer, by reason.",
+		}, []string{"reason"}),
+	}
+	registerer.MustRegister(c.unanswered)
+	return c
 }
 
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
+// Listen returns a listener whose connections are tracked. Use it to serve the server that was passed to Attach.
+func (c *Connections) Listen(listener net.Listener) net.Listener {
+	return callerListener{Listener: listener, connections: c}
+}
+
 // Attach registers hooks with a server to track its connections. Call it before the server starts.
 func (c *Connections) Attach(server *http.Server) {
 	server.ConnState = c.observe
@@ -63,15 +80,23 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The headers are complete, so their timeout no longer applies.
-		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
+		conn, ok := r.Context().Value(connectionKey{}).(net.Conn)
+		if ok {
 			c.forget(conn)
 		}
+		if conn, ok := conn.(*callerConn); ok {
+			conn.serve(next, w, r)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
 // observe is the server's ConnState hook.
 func (c *Connections) observe(conn net.Conn, state http.ConnState) {
+	if conn, ok := conn.(*callerConn); ok {
+		conn.observe(state)
+	}
 	switch state {
 	case http.StateNew, http.StateIdle:
 		c.track(conn, true)
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"sapphiretray/ingress"
@@ -47,7 +48,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				current := limits
-				connections := ingress.NewConnections(func() routing.Limits { return current })
+				connections := ingress.NewConnections(func() routing.Limits { return current }, prometheus.NewRegistry())
 				server := &http.Server{Handler: http.NotFoundHandler()}
 				connections.Attach(server)
 				near, far := net.Pipe()
@@ -117,14 +118,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	connections := ingress.NewConnections(func() routing.Limits { return limits })
+	connections := ingress.NewConnections(func() routing.Limits { return limits }, prometheus.NewRegistry())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(serviceTime)
 		_, _ = fmt.Fprint(w, "ok")
 	})}
 	connections.Attach(server)
 	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return server.Serve(connections.Listen(listener)) })
 	group.Go(func() error {
 		connections.Run(t.Context())
 		return nil
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -114,6 +114,7 @@
 		return request, nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
 	}
 	request.ID = call.ID
+	setRequestID(r, call.ID)
 	table := s.routes()
 	if table == nil {
 		return request, nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetryAfter, Reason: "no configuration is known yet"}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -138,7 +138,7 @@
 		registry: prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
-	sc.callers = ingress.NewConnections(sc.limits)
+	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.applyRows, store.WithWatch(sc.isReader, sc.fetchFromReader))
 	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig)
@@ -296,6 +296,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if s.name == callersServer {
+			listener = sc.callers.Listen(listener)
+		}
 		s.listener = listener
 	}
 	return servers, nil
