Ingress: apply the header timeout to incomplete headers

Callers that sent a part of a request's headers kept their connection for the idle timeout instead of the header timeout, and a connection was closed as idle while the headers of a request were arriving.

Connections took the state of a connection from the server's ConnState hook. net/http reports StateActive only once it has read and parsed all of the headers, so until then the connection counted as idle.

The tracked connection now notes the first byte of a request when it is read. The state of connections moves from the set to the connection, so that the set only has to list those that are open.

Before the fix, TestHeaderTimeout failed in all four cases: "open after 3.003s" with a header timeout of 2s and an idle timeout of 20s (three cases), and "closed after 2.255s" with an idle timeout of 2s while a byte of the headers arrived every 250ms. All pass now.

TestConnections called the ConnState hook with states that net/http doesn't report at those moments. It now has the same cases and bounds with a real server on a pipe.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -10,26 +10,32 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"sapphiretray/routing"
 )
 
 // requestState is how far the newest request of a caller's connection has come.
 type requestState int
 
 const (
-	// requestNone means that no request has been read, or that the last one was answered.
+	// requestNone means that the connection is idle: no byte has been read since it was accepted or the last request was answered.
 	requestNone requestState = iota
+	// requestPartial means that a part of the headers has been read.
+	requestPartial
 	// requestRead means that the headers have been read and the handler hasn't begun.
 	requestRead
 	// requestServed means that the handler runs.
 	requestServed
 	// requestAborted means that the handler has panicked.
 	requestAborted
-	// requestFinished means that the handler has returned. Its response may still be in a buffer.
+	// requestFinished means that there is a response. It may still be in a buffer.
 	requestFinished
 )
 
 func (s requestState) String() string {
 	switch s {
+	case requestPartial:
+		return "partial"
 	case requestRead:
 		return "read"
 	case requestServed:
@@ -59,6 +65,10 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	state requestState
+	// since is when the connection became idle or, in state requestPartial, when the first byte of the request was read. limits were in
+	// effect at that time.
+	since  time.Time
+	limits routing.Limits
 	// id is the id of the newest request, if its headers have been interpreted.
 	id string
 	// began is when the headers of the newest request were complete.
@@ -71,16 +81,38 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.readErr == nil {
-			c.readErr = err
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.state == requestNone {
+		c.await(requestPartial)
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.readErr == nil {
+		c.readErr = err
 	}
 	return n, err
 }
 
+// await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
+func (c *callerConn) await(state requestState) {
+	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
+}
+
+// expired returns the state and reports whether the connection has outlasted the limit for it. A limit of zero is none. The higher ones
+// of the current limits and those that were in effect when the state began apply, since a caller may not know of lower ones yet.
+func (c *callerConn) expired(now time.Time, current routing.Limits) (requestState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var limit time.Duration
+	switch c.state {
+	case requestNone:
+		limit = max(c.limits.IdleTimeout, current.IdleTimeout)
+	case requestPartial:
+		limit = max(c.limits.HeaderTimeout, current.HeaderTimeout)
+	default:
+	}
+	return c.state, limit > 0 && now.Sub(c.since) > limit
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -91,7 +123,7 @@
 		c.writeErr = err
 	case err == nil && c.state == requestRead:
 		// The HTTP server itself responds to malformed requests.
-		c.state = requestNone
+		c.state = requestFinished
 	}
 	return n, err
 }
@@ -113,13 +145,20 @@
 		c.reportUnanswered()
 	}
 	c.mu.Unlock()
+	c.connections.remove(c)
 	return c.Conn.Close()
 }
 
 // reportUnanswered logs and counts the newest request if it was read and not answered. The caller holds mu.
 func (c *callerConn) reportUnanswered() {
-	if c.state == requestNone || c.state == requestFinished && c.writeErr == nil {
+	switch c.state {
+	case requestNone, requestPartial:
 		return
+	case requestFinished:
+		if c.writeErr == nil {
+			return
+		}
+	default:
 	}
 	reason := c.reason()
 	c.connections.unanswered.WithLabelValues(reason).Inc()
@@ -154,7 +193,7 @@
 			c.state, c.id, c.began = requestRead, "", time.Now()
 		}
 	case http.StateIdle:
-		c.state = requestNone
+		c.await(requestNone)
 	default:
 	}
 }
@@ -183,18 +222,3 @@
 	handler.ServeHTTP(w, r)
 	result = requestFinished
 }
-
-// callerListener accepts connections of callers.
-type callerListener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: conn, connections: l.connections}, nil
-}
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -20,49 +20,145 @@
 	"sapphiretray/routing"
 )
 
+// pipeListener accepts the connections that are sent to it. It has no address.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// connectByPipe starts a server whose connections are tracked, until the test ends, and returns a caller's end of a connection.
+func connectByPipe(t *testing.T, limits func() routing.Limits) (*ingress.Connections, net.Conn) {
+	t.Helper()
+	connections := ingress.NewConnections(limits, prometheus.NewRegistry())
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	connections.Attach(server)
+	listener := pipeListener{make(chan net.Conn), make(chan struct{})}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(connections.Listen(listener)) })
+	near, far := net.Pipe()
+	t.Cleanup(func() { _, _, _ = far.Close(), server.Close(), group.Wait() })
+	listener.accepted <- near
+	return connections, far
+}
+
+// isOpen reports whether a connection on which no data is expected is open.
+func isOpen(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // TestConnections guards against callers that hold connections for ever, either idle or with request headers that never end. A
 // connection must survive a pause of up to four fifths of the limit, even if the limit is lowered meanwhile.
 func TestConnections(t *testing.T) {
 	const limit = 5 * time.Second
 	limits := routing.Limits{IdleTimeout: limit, HeaderTimeout: limit}
 	low := routing.Limits{IdleTimeout: limit / 8, HeaderTimeout: limit / 8}
+	const part = "GET / HTTP/1.1\r\nHost:"
 	tests := []struct {
 		name  string
-		state http.ConnState
+		sent  string
 		pause time.Duration
 		// changed holds the limits that are in effect from the start of the pause.
 		changed routing.Limits
 		open    bool
 	}{
-		{"new, in time", http.StateNew, limit * 4 / 5, limits, true},
-		{"new, for too long", http.StateNew, limit * 6 / 5, limits, false},
-		{"idle, in time", http.StateIdle, limit * 4 / 5, limits, true},
-		{"idle for too long", http.StateIdle, limit * 6 / 5, limits, false},
-		{"headers, in time", http.StateActive, limit * 4 / 5, limits, true},
-		{"headers incomplete for too long", http.StateActive, limit * 6 / 5, limits, false},
-		{"limit lowered meanwhile", http.StateIdle, limit * 4 / 5, low, true},
-		{"limit raised meanwhile", http.StateIdle, limit * 6 / 5, routing.Limits{IdleTimeout: 2 * limit}, true},
-		{"limits removed meanwhile", http.StateIdle, 100 * limit, routing.Limits{}, false},
+		{"new, in time", "", limit * 4 / 5, limits, true},
+		{"new, for too long", "", limit * 6 / 5, limits, false},
+		{"idle, in time", get, limit * 4 / 5, limits, true},
+		{"idle for too long", get, limit * 6 / 5, limits, false},
+		{"headers, in time", part, limit * 4 / 5, limits, true},
+		{"headers incomplete for too long", part, limit * 6 / 5, limits, false},
+		{"limit lowered meanwhile", get, limit * 4 / 5, low, true},
+		{"limit raised meanwhile", get, limit * 6 / 5, routing.Limits{IdleTimeout: 2 * limit}, true},
+		{"limits removed meanwhile", get, 100 * limit, routing.Limits{}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				current := limits
-				connections := ingress.NewConnections(func() routing.Limits { return current }, prometheus.NewRegistry())
-				server := &http.Server{Handler: http.NotFoundHandler()}
-				connections.Attach(server)
-				near, far := net.Pipe()
-				defer func() { _, _ = near.Close(), far.Close() }()
-				server.ConnState(near, test.state)
+				connections, far := connectByPipe(t, func() routing.Limits { return current })
+				_, _ = io.WriteString(far, test.sent)
+				if test.sent == get {
+					_ = readStatus(t, far)
+				}
+				synctest.Wait()
 				current = test.changed
 				ctx, cancel := context.WithTimeout(t.Context(), test.pause)
 				defer cancel()
 				connections.Run(ctx)
-				// A write to a closed pipe fails at once; one to an open pipe waits for a reader.
-				_ = near.SetWriteDeadline(time.Now().Add(time.Millisecond))
-				_, err := near.Write([]byte("x"))
-				if open := errors.Is(err, os.ErrDeadlineExceeded); open != test.open {
-					t.Errorf("open %v, want %v (%v)", open, test.open, err)
+				if open := isOpen(far); open != test.open {
+					t.Errorf("open %v, want %v", open, test.open)
+				}
+			})
+		})
+	}
+}
+
+// TestHeaderTimeout guards against incomplete request headers that hold a connection for as long as an idle one may last, and against
+// closing a connection as idle while the headers of a request arrive.
+func TestHeaderTimeout(t *testing.T) {
+	const short, long = 2 * time.Second, 20 * time.Second
+	tests := []struct {
+		name   string
+		kept   bool
+		limits routing.Limits
+		// pause is the time between two bytes of the headers.
+		pause        time.Duration
+		open, closed time.Duration
+	}{
+		{"silent on a new connection", false, routing.Limits{HeaderTimeout: short, IdleTimeout: long}, long, short, short + time.Second},
+		{"silent on a kept connection", true, routing.Limits{HeaderTimeout: short, IdleTimeout: long}, long, short, short + time.Second},
+		{"slow", true, routing.Limits{HeaderTimeout: short, IdleTimeout: long}, short / 8, short, short + time.Second},
+		{"longer than an idle connection may last", true, routing.Limits{HeaderTimeout: long, IdleTimeout: short}, short / 8, short * 2, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				connections, far := connectByPipe(t, func() routing.Limits { return test.limits })
+				ctx, cancel := context.WithCancel(t.Context())
+				var group errgroup.Group
+				group.Go(func() error {
+					connections.Run(ctx)
+					return nil
+				})
+				defer func() { _ = group.Wait() }()
+				defer cancel()
+				if test.kept {
+					_, _ = io.WriteString(far, get)
+					_ = readStatus(t, far)
+				}
+				// The headers never end.
+				begun, sent := time.Now(), 0
+				for last := max(test.open, test.closed); time.Since(begun) < last; {
+					if time.Since(begun) < test.open && !isOpen(far) {
+						t.Fatalf("closed after %v", time.Since(begun))
+					}
+					if time.Since(begun) >= time.Duration(sent)*test.pause {
+						_ = far.SetWriteDeadline(time.Now().Add(time.Millisecond))
+						_, _ = far.Write([]byte("G"))
+						sent++
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				if test.closed > 0 && isOpen(far) {
+					t.Errorf("open after %v", time.Since(begun))
 				}
 			})
 		})
