Ingress: don't close a connection as idle once a request has arrived

Callers lost requests on connections that were closed as idle: the request had reached the handler, and so an upstream, and its answer could not be written; or it had arrived in time and the connection was reset.

All connections look expired after a stall that is longer than a fifth of the idle timeout.

The goroutine that reads closes the connection, and only if its read found no data and none is pending in the socket. Reading a request and closing the connection therefore exclude each other. The read of pending data uses MSG_PEEK, because a read after its deadline fails even if data has arrived.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -69,6 +69,8 @@
 	// effect at that time.
 	since  time.Time
 	limits routing.Limits
+	// interrupted is set while the deadline for reads has passed in order to close the connection.
+	interrupted bool
 	// id is the id of the newest request, if its headers have been interpreted.
 	id string
 	// began is when the headers of the newest request were complete.
@@ -78,18 +80,74 @@
 	closed            bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It closes an interrupted connection if no data has arrived. Expired connections are closed nowhere else, so
+// a request can't be read from a connection while it is being closed.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		n, err := c.Conn.Read(p)
+		again, err := c.observeRead(n, err)
+		if !again {
+			return n, err
+		}
+	}
+}
+
+// observeRead records the result of a read. It returns the error to report, or true if the read is to be repeated.
+func (c *callerConn) observeRead(n int, err error) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && c.state == requestNone {
 		c.await(requestPartial)
 	}
+	if c.interrupted && (n > 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
+		c.resume()
+		if n == 0 && hasPending(c.Conn) {
+			if c.state == requestNone {
+				c.await(requestPartial)
+			}
+			return true, nil
+		}
+		if n == 0 {
+			_ = c.Conn.Close()
+			c.connections.countClosed(c.state)
+			err = net.ErrClosed
+		}
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.readErr == nil {
 		c.readErr = err
 	}
-	return n, err
+	return false, err
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// interrupt ends the pending read, or the next one, if the connection has expired. Read then closes it.
+func (c *callerConn) interrupt(now time.Time, current routing.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired(now, current) && !c.interrupted {
+		c.interrupted = c.Conn.SetReadDeadline(past) == nil
+	}
+}
+
+// resume ends an interruption. The caller holds mu.
+func (c *callerConn) resume() {
+	c.interrupted = false
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil && c.readErr == nil {
+		c.readErr = err
+	}
+}
+
+// SetReadDeadline implements net.Conn. It has no effect while the connection is interrupted: the HTTP server sets deadlines of its own
+// before it reads a request.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
@@ -97,11 +155,9 @@
 	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
 }
 
-// expired returns the state and reports whether the connection has outlasted the limit for it. A limit of zero is none. The higher ones
-// of the current limits and those that were in effect when the state began apply, since a caller may not know of lower ones yet.
-func (c *callerConn) expired(now time.Time, current routing.Limits) (requestState, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// expired reports whether the connection has outlasted the limit for its state. A limit of zero is none. The higher ones of the current
+// limits and those that were in effect when the state began apply, since a caller may not know of lower ones yet. The caller holds mu.
+func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
 	var limit time.Duration
 	switch c.state {
 	case requestNone:
@@ -110,7 +166,7 @@
 		limit = max(c.limits.HeaderTimeout, current.HeaderTimeout)
 	default:
 	}
-	return c.state, limit > 0 && now.Sub(c.since) > limit
+	return limit > 0 && now.Sub(c.since) > limit
 }
 
 // Write implements net.Conn.
@@ -188,6 +244,9 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
+		if c.interrupted {
+			c.resume()
+		}
 		// The server also reports this state when it has failed to read the rest of the headers.
 		if c.readErr == nil {
 			c.state, c.id, c.began = requestRead, "", time.Now()
--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -3,14 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
 
 	"sapphiretray/ingress"
 	"sapphiretray/routing"
@@ -129,3 +132,93 @@
 		})
 	}
 }
+
+// slowListener accepts connections that are read as by a process that is short of processor time: it waits before or after each read
+// that finds data.
+type slowListener struct {
+	net.Listener
+	before, after time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{conn.(*net.TCPConn), l.before, l.after}, nil
+}
+
+type slowConn struct {
+	*net.TCPConn
+	before, after time.Duration
+}
+
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(c.before)
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		time.Sleep(c.after)
+	}
+	return n, err
+}
+
+// TestCloseOfIdleConnection guards against lost requests on connections that are closed as idle although a request has arrived that the
+// process hasn't read or recognized yet. A request must not be served on a connection that has been closed.
+func TestCloseOfIdleConnection(t *testing.T) {
+	const limit, delay = 100 * time.Millisecond, 600 * time.Millisecond
+	tests := []struct {
+		name          string
+		kept          bool
+		before, after time.Duration
+	}{
+		{"arrived on a new connection", false, delay, 0},
+		{"arrived on a kept connection", true, delay, 0},
+		{"read on a new connection", false, 0, delay},
+		{"read on a kept connection", true, 0, delay},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var limited atomic.Bool
+			limits := func() routing.Limits {
+				if limited.Load() {
+					return routing.Limits{IdleTimeout: limit}
+				}
+				return routing.Limits{}
+			}
+			connections := ingress.NewConnections(limits, prometheus.NewRegistry())
+			var served atomic.Int32
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+			server.Listener = connections.Listen(slowListener{server.Listener, test.before, test.after})
+			connections.Attach(server.Config)
+			server.Start()
+			defer server.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error {
+				connections.Run(ctx)
+				return nil
+			})
+			defer func() { _ = group.Wait() }()
+			defer cancel()
+			conn := dial(t, server)
+			if test.kept {
+				_, _ = io.WriteString(conn, get)
+				if status := readStatus(t, conn); status != http.StatusOK {
+					t.Fatalf("the first request got status %d", status)
+				}
+			}
+			limited.Store(true)
+			before := served.Load()
+			_, _ = io.WriteString(conn, get)
+			if status := readStatus(t, conn); status != http.StatusOK {
+				server.Close()
+				t.Fatalf("status %d; %d requests reached the handler", status, served.Load()-before)
+			}
+			// The connection is closed once it is idle.
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v", err)
+			}
+		})
+	}
+}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,8 @@
 	mu     sync.Mutex
 	// open holds the connections that haven't been closed.
 	open map[*callerConn]struct{}
+	// closedIdle and closedIncomplete count the connections that were closed since the last sweep.
+	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
 	unanswered *prometheus.CounterVec
 }
@@ -109,28 +112,27 @@
 	wait.Every(ctx, sweepInterval, c.sweep)
 }
 
-// sweep closes the connections that have expired.
+// sweep closes the connections that have expired, and reports those that were closed since the last call.
 func (c *Connections) sweep(now time.Time) {
 	limits := c.limits()
-	idle, incomplete := 0, 0
 	for _, conn := range c.all() {
-		state, expired := conn.expired(now, limits)
-		if !expired {
-			continue
-		}
-		if state == requestNone {
-			idle++
-		} else {
-			incomplete++
-		}
-		_ = conn.Close()
+		conn.interrupt(now, limits)
 	}
-	if idle+incomplete > 0 {
+	if idle, incomplete := c.closedIdle.Swap(0), c.closedIncomplete.Swap(0); idle+incomplete > 0 {
 		klog.InfoS("callers: connections closed", "idle", idle, "idleTimeout", limits.IdleTimeout, "headersIncomplete", incomplete,
 			"headerTimeout", limits.HeaderTimeout)
 	}
 }
 
+// countClosed counts a connection that was closed without a request, in the given state.
+func (c *Connections) countClosed(state requestState) {
+	if state == requestNone {
+		c.closedIdle.Add(1)
+	} else {
+		c.closedIncomplete.Add(1)
+	}
+}
+
 // all returns the open connections.
 func (c *Connections) all() []*callerConn {
 	c.mu.Lock()
