Stop: answer requests that have arrived on open connections

Around a SIGTERM callers lost requests that the process had read: their connections ended without an answer.

The stop used http.Server.Shutdown. It closes connections that net/http counts as idle, even if a request has arrived on them. Once it has begun, net/http drops every request whose headers it finishes reading: conn.serve returns after readRequest when the server is shutting down, and the connection closes without a response. The stop also ended the process when no handler had been running for 100 ms, so requests whose handler hadn't begun and responses that were still in a buffer didn't count.

The listener is now closed directly, and Connections.Drain closes idle connections in the same way as expired ones, by the goroutine that reads and only if no data is pending. It waits until all connections are closed, which includes requests with incomplete headers and responses that haven't been written, until the end of the time to stop. Requests are answered as before while the process stops.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -155,9 +155,13 @@
 	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
 }
 
-// expired reports whether the connection has outlasted the limit for its state. A limit of zero is none. The higher ones of the current
+// expired reports whether the connection has outlasted the limit for its state, or is idle while connections are drained. A limit of zero
+// is none. The higher ones of the current
 // limits and those that were in effect when the state began apply, since a caller may not know of lower ones yet. The caller holds mu.
 func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
+	if c.state == requestNone && c.connections.draining.Load() {
+		return true
+	}
 	var limit time.Duration
 	switch c.state {
 	case requestNone:
--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -222,3 +222,71 @@
 		})
 	}
 }
+
+// TestDrain guards against requests that are lost when the process stops: those that have arrived or been read when idle connections are
+// closed, those whose headers are incomplete at that time, and those that are being served.
+func TestDrain(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	part, rest := get[:len(get)/2], get[len(get)/2:]
+	tests := []struct {
+		name          string
+		kept          bool
+		before, after time.Duration
+		service       time.Duration
+		// sent and rest are sent to the connection before and during the drain.
+		sent, rest string
+		status     int
+	}{
+		{"arrived on a new connection", false, delay, 0, 0, get, "", http.StatusOK},
+		{"arrived on a kept connection", true, delay, 0, 0, get, "", http.StatusOK},
+		{"read on a new connection", false, 0, delay, 0, get, "", http.StatusOK},
+		{"read on a kept connection", true, 0, delay, 0, get, "", http.StatusOK},
+		{"incomplete on a new connection", false, 0, 0, 0, part, rest, http.StatusOK},
+		{"incomplete on a kept connection", true, 0, 0, 0, part, rest, http.StatusOK},
+		{"being served", true, 0, 0, delay, get, "", http.StatusOK},
+		{"idle", true, 0, 0, 0, "", "", 0},
+		{"without a request", false, 0, 0, 0, "", "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			connections := ingress.NewConnections(noLimits, prometheus.NewRegistry())
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(test.service) }))
+			server.Listener = connections.Listen(slowListener{server.Listener, test.before, test.after})
+			connections.Attach(server.Config)
+			server.Start()
+			defer server.Close()
+			conn := dial(t, server)
+			if test.kept {
+				_, _ = io.WriteString(conn, get)
+				if status := readStatus(t, conn); status != http.StatusOK {
+					t.Fatalf("the first request got status %d", status)
+				}
+			}
+			_, _ = io.WriteString(conn, test.sent)
+			// The connection is accepted and, unless reading is delayed, read.
+			time.Sleep(delay / 3)
+			_ = server.Listener.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+			defer cancel()
+			var group errgroup.Group
+			group.Go(func() error {
+				if left := connections.Drain(ctx); left > 0 {
+					t.Errorf("%d connections are left", left)
+				}
+				return nil
+			})
+			defer func() { _ = group.Wait() }()
+			time.Sleep(delay / 3)
+			_, _ = io.WriteString(conn, test.rest)
+			if test.status > 0 {
+				if status := readStatus(t, conn); status != test.status {
+					t.Fatalf("status %d, want %d", status, test.status)
+				}
+			}
+			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v", err)
+			}
+		})
+	}
+}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -17,8 +17,12 @@
 	"sapphiretray/wait"
 )
 
-// sweepInterval is the time between two checks of the callers' connections. A connection outlasts its limit by at most this much.
-const sweepInterval = 250 * time.Millisecond
+const (
+	// sweepInterval is the time between two checks of the callers' connections. A connection outlasts its limit by at most this much.
+	sweepInterval = 250 * time.Millisecond
+	// drainInterval is the time between two checks while connections are drained.
+	drainInterval = 20 * time.Millisecond
+)
 
 // Connections closes callers' connections that have been idle, or have sent incomplete request headers, for longer than the
 // configuration in effect allows. The timeouts of an http.Server can't be used because they are fixed when it starts. Create it
@@ -28,6 +32,8 @@
 	mu     sync.Mutex
 	// open holds the connections that haven't been closed.
 	open map[*callerConn]struct{}
+	// draining is set once idle connections are to be closed at once.
+	draining atomic.Bool
 	// closedIdle and closedIncomplete count the connections that were closed since the last sweep.
 	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
@@ -133,6 +139,22 @@
 	}
 }
 
+// Drain closes idle connections, and each other one after its response, until there are none left or ctx ends. It returns how many are
+// left. Close the listener before. Unlike http.Server.Shutdown, it drops no request that has arrived on an open connection.
+func (c *Connections) Drain(ctx context.Context) int {
+	c.draining.Store(true)
+	for {
+		open := c.all()
+		if len(open) == 0 || ctx.Err() != nil {
+			return len(open)
+		}
+		for _, conn := range open {
+			conn.interrupt(time.Now(), c.limits())
+		}
+		wait.For(ctx, drainInterval)
+	}
+}
+
 // all returns the open connections.
 func (c *Connections) all() []*callerConn {
 	c.mu.Lock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -254,10 +254,12 @@
 func (s *server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.http.Serve(s.listener)
+	// The listener of callers is closed before the server is.
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // listen creates the servers and binds their addresses.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -20,7 +20,7 @@
 	callerQuietTime = 250 * time.Millisecond
 	lateCallersTime = 1300 * time.Millisecond
 	// quietInterval is the time between checks for requests in flight. The process ends after quietChecks checks in a row of which
-	// only the first may have found any.
+	// only the first may have found any from other instances.
 	quietInterval = 20 * time.Millisecond
 	quietChecks   = 5
 	// inFlightReserve is the time kept for requests in flight if StopTimeout leaves too little time to wait for late callers.
@@ -54,18 +54,21 @@
 	drain, cancel := context.WithDeadline(running, end)
 	defer cancel()
 	// New connections are refused; open ones are closed after the responses to the requests in flight.
-	sc.group.Go(func() error {
-		if err := callers.http.Shutdown(drain); err != nil {
-			klog.InfoS("process: connections were still in use at the end", "server", callers.name, "err", err)
-		}
-		return nil
-	})
+	if err := callers.listener.Close(); err != nil {
+		klog.InfoS("process: failed to close a listener", "server", callers.name, "err", err)
+	}
+	if left := sc.callers.Drain(drain); left > 0 {
+		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
+	}
 	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
-		if callers.inFlight.Load() > 0 || peers.inFlight.Load() > 0 {
+		if peers.inFlight.Load() > 0 {
 			quiet = 0
 		}
 		wait.For(drain, quietInterval)
 	}
+	if err := callers.http.Close(); err != nil {
+		klog.InfoS("process: failed to close connections", "server", callers.name, "err", err)
+	}
 	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
 
