Ingress: answer 408 if a request's body does not arrive in time

Callers whose request body did not arrive before its deadline got status 502, which says that the request may have run. Such a request has reached no upstream, so it can be repeated, also if it isn't idempotent.

A read that ended at the deadline was reported like one that failed, with code 1409. The new code 1410 body-timeout is sent with status 408, which promises that the request did not run.

Before the fix, TestBodyThatStops failed with "status 502, want 408". It passes now.

--- a/code/code.go
+++ b/code/code.go
@@ -58,6 +58,7 @@
 	CallerGone        Code = 1407
 	UpstreamNotWarmed Code = 1408
 	BodyFailed        Code = 1409
+	BodyTimeout       Code = 1410
 
 	PlatformDown    Code = 1501
 	Conflict        Code = 1502
@@ -134,6 +135,7 @@
 	{CallerGone, "caller-gone", 499, RanUnknown, "The caller closed the connection before the answer."},
 	{UpstreamNotWarmed, "upstream-not-warmed", http.StatusServiceUnavailable, RanNo, "The upstream isn't ready after a cold start."},
 	{BodyFailed, "body-failed", http.StatusBadRequest, RanUnknown, "The request body ended early or grew too large while it was sent."},
+	{BodyTimeout, "body-timeout", http.StatusRequestTimeout, RanNo, "The request body did not arrive in time. Repeat."},
 	{PlatformDown, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform is unavailable; nothing was accepted."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "Someone else changed this first; the answer says what. Nothing was accepted."},
 	{
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -201,6 +202,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return &gateway.Failure{Code: code.TooLarge, Reason: err.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &gateway.Failure{Code: code.BodyTimeout, Reason: err.Error()}
 	case err != nil:
 		return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
 	}
@@ -231,7 +234,8 @@
 	entry := f.Code.Entry()
 	status := entry.Status()
 	switch {
-	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge, f.Code == code.HeadersTooLarge:
+	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge, f.Code == code.HeadersTooLarge,
+		f.Code == code.BodyTimeout:
 	case f.NotRun():
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", formatRetryAfter(f.RetryAfter))
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -344,7 +344,7 @@
 }
 
 // TestBodyThatStops guards against callers that hold a request for ever by sending only part of its body, and against closing their
-// connections without an answer.
+// connections without an answer: the request has not run, which status 408 promises.
 func TestBodyThatStops(t *testing.T) {
 	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
 	server := httptest.NewServer(newServer(t, d, table(t)))
@@ -353,8 +353,8 @@
 	begun := time.Now()
 	_, _ = io.WriteString(conn, "POST /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\nLeft: 300ms\r\nContent-Length: 8\r\n\r\npart")
 	_ = conn.SetReadDeadline(begun.Add(2 * timeout))
-	if status := readStatus(t, conn); status != http.StatusBadGateway {
-		t.Errorf("status %d, want 502", status)
+	if status := readStatus(t, conn); status != http.StatusRequestTimeout {
+		t.Errorf("status %d, want 408", status)
 	}
 	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the connection ended with %v after %v", err, time.Since(begun))
