Ingress: bound the wait for the body of a refused request

Callers whose request was refused before its body was read (400, 404, 431, or 503 without a configuration) got no answer as long as the body was incomplete, and their connections stayed open for ever. Such connections also held up the stop of the process.

net/http reads up to 256 KiB of an unread body before it sends the response, or after it if the connection is to be closed. The deadline for reading was only set once a route had been found and the body was read.

Every request with a body now gets a deadline of 1 s for it on arrival, which the one of its route replaces.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -18,8 +18,13 @@
 	"sapphiretray/routing"
 )
 
-// noConfigRetryAfter is the Retry-After while no configuration is known.
-const noConfigRetryAfter = 200 * time.Millisecond
+const (
+	// noConfigRetryAfter is the Retry-After while no configuration is known.
+	noConfigRetryAfter = 200 * time.Millisecond
+	// refusedBodyTimeout is the time within which the body of a request that is refused without reading it must arrive. The HTTP server
+	// reads the rest of a body before it sends the response.
+	refusedBodyTimeout = time.Second
+)
 
 // Server is the HTTP handler for callers. Create it with New.
 type Server struct {
@@ -110,6 +115,9 @@
 // accept reads a request with its body and finds its route. If it fails, the request holds what is known of it so far.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, *routing.Route, *gateway.Failure) {
 	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
+	if hasBody(r) {
+		setReadDeadline(w, arrived.Add(refusedBodyTimeout))
+	}
 	call, err := s.protocol.Parse(r)
 	if err != nil {
 		return request, nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
@@ -186,13 +194,10 @@
 func (s *Server) readBody(
 	w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64, deadline time.Time,
 ) *gateway.Failure {
-	if r.Body == nil || r.ContentLength == 0 {
+	if !hasBody(r) {
 		return nil
 	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
-		klog.V(1).InfoS("request: can't set the read deadline of the body", "id", request.ID, "err", err)
-	}
+	setReadDeadline(w, deadline)
 	reader := r.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
@@ -209,12 +214,20 @@
 	}
 	request.Body = body
 	// The server keeps reading from the connection to notice when the caller closes it, so the deadline must not stay.
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		klog.V(1).InfoS("request: can't clear the read deadline", "id", request.ID, "err", err)
-	}
+	setReadDeadline(w, time.Time{})
 	return nil
 }
 
+// hasBody reports whether a request may have a body.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.ContentLength != 0 }
+
+// setReadDeadline sets the time until which a request's body is read; the zero time removes it.
+func setReadDeadline(w http.ResponseWriter, deadline time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		klog.V(1).InfoS("request: can't set the read deadline of the body", "err", err)
+	}
+}
+
 // hostname returns the host without a port.
 func hostname(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -381,3 +383,49 @@
 		t.Errorf("status %d, want 502", status)
 	}
 }
+
+// TestRefusalBeforeBody guards against refusals that the caller never gets, either because the server waits for the rest of a body that it
+// doesn't need, or because the connection is reset while the caller is still sending. Connections whose body stops must end.
+func TestRefusalBeforeBody(t *testing.T) {
+	const large = 4 << 20
+	tests := []struct {
+		name, path string
+		header     string
+		length     int
+		sent       int
+		stopping   bool
+		status     int
+	}{
+		{"no route, body stops", "/other/", "Id: x1\r\n", 1000, 10, false, 404},
+		{"no route, body stops while stopping", "/other/", "Id: x1\r\n", 1000, 10, true, 404},
+		{"no id, body stops", "/keyed/", "", 1000, 10, false, 400},
+		{"no route, body complete", "/other/", "Id: x1\r\n", 1000, 1000, false, 404},
+		{"no route, large body stops", "/other/", "Id: x1\r\n", large, large / 2, false, 404},
+		{"no route, large body", "/other/", "Id: x1\r\n", large, large, false, 404},
+		{"no route, large body while stopping", "/other/", "Id: x1\r\n", large, large, true, 404},
+		{"body too large", "/keyed/", "Id: x1\r\nKey: 7\r\n", large, large, false, 413},
+		{"body too large while stopping", "/keyed/", "Id: x1\r\nKey: 7\r\n", large, large, true, 413},
+		{"body too large, stops", "/keyed/", "Id: x1\r\nKey: 7\r\n", 1000, 10, false, 408},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+			d.stopping.Store(test.stopping)
+			server := startTracked(t, ingress.NewConnections(noLimits, prometheus.NewRegistry()), newServer(t, d, table(t)))
+			conn := dial(t, server)
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", test.path, test.header, test.length)
+			// Most callers send the whole body before they read the response.
+			_, err := conn.Write(make([]byte, test.sent))
+			_ = conn.SetReadDeadline(time.Now().Add(3 * timeout))
+			if status := readStatus(t, conn); status != test.status {
+				t.Errorf("status %d, want %d; the body was sent with error %v", status, test.status, err)
+			}
+			if test.sent < test.length {
+				if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Error("the connection is still open")
+				}
+			}
+		})
+	}
+}
