Ingress: announce the close of a connection in each response after a stop

Callers whose request arrived just before a SIGTERM were not told that their connection would be closed. They sent their next request on it, which could be reset.

Whether the instance is stopping was checked when a request arrived. It is now checked when its response is written.

Before the fix, both cases of TestCloseWhileStopping failed with `Connection "", want close`. They pass now.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -75,9 +75,6 @@
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	request, route, f := s.accept(w, r, arrived)
 	if f != nil {
 		s.fail(w, request, f, arrived)
@@ -107,11 +104,19 @@
 		header["Content-Type"] = nil
 	}
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	s.closeIfStopping(header)
 	w.WriteHeader(response.Status)
 	// A failed write ends the connection, which the caller notices.
 	_, _ = w.Write(response.Body)
 }
 
+// closeIfStopping tells the caller to close its connection if the instance is stopping.
+func (s *Server) closeIfStopping(header http.Header) {
+	if s.stopping() {
+		header.Set("Connection", "close")
+	}
+}
+
 // accept reads a request with its body and finds its route. If it fails, the request holds what is known of it so far.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, *routing.Route, *gateway.Failure) {
 	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
@@ -243,6 +248,7 @@
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
 		"code", f.Code, "reason", f.Reason, "slot", f.InstanceSlot, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
 		"nested", request.Nested, "returning", request.Retry, "left", timeLeft(request), "config", s.routes().Version())
+	s.closeIfStopping(w.Header())
 	// The response is also written if the request's context has ended: a caller that has only closed its sending side still reads it.
 	entry := f.Code.Entry()
 	status := entry.Status()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -53,6 +53,8 @@
 	failure gateway.Failure
 	// endless is set if the request runs until its context ends.
 	endless bool
+	// run is called while the request runs, if it isn't nil.
+	run func()
 }
 
 func newDeployment(owner string, outcomes map[string][]outcome) *deployment {
@@ -65,6 +67,9 @@
 	if next.endless {
 		<-ctx.Done()
 	}
+	if next.run != nil {
+		next.run()
+	}
 	if f := next.failure; f.Code != 0 {
 		return nil, &f
 	}
@@ -429,3 +434,27 @@
 		})
 	}
 }
+
+// TestCloseWhileStopping guards against callers that send another request on a connection that a stopping process is about to close,
+// because the response to a request that arrived before the stop doesn't say so.
+func TestCloseWhileStopping(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome outcome
+	}{
+		{"served", outcome{status: 200}},
+		{"failed", outcome{failure: gateway.Failure{Code: code.UpstreamTimeout, Arrived: true}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment("a", nil)
+			test.outcome.run = func() { d.stopping.Store(true) }
+			d.outcomes = map[string][]outcome{"a": {test.outcome}}
+			w := httptest.NewRecorder()
+			newServer(t, d, table(t)).ServeHTTP(w, request(t, "/keyed/", "", "Key", "7"))
+			if connection := w.Header().Get("Connection"); connection != "close" {
+				t.Errorf("Connection %q, want close", connection)
+			}
+		})
+	}
+}
