Ingress: answer a request whose handling panics

A panic while a caller's request was handled ended the connection without an answer, and the log had a stack without the request's id.

net/http recovers from a panic of the handler by closing the connection. ServeHTTP now recovers itself: it logs "request: panic" with the id and the stack, and answers 502 with the new code 1411 internal, without the headers that were already set, such as those of the upstream's response. If the response has begun, the connection is aborted as before.

Before the fix, both cases of TestPanic failed with "unexpected EOF", and the log had reason="aborted" for each connection. They pass now. The only known input that panics is a status below 100 in the result of another instance, which none sends.

--- a/code/code.go
+++ b/code/code.go
@@ -59,6 +59,7 @@
 	UpstreamNotWarmed Code = 1408
 	BodyFailed        Code = 1409
 	BodyTimeout       Code = 1410
+	Internal          Code = 1411
 
 	PlatformDown    Code = 1501
 	Conflict        Code = 1502
@@ -136,6 +137,7 @@
 	{UpstreamNotWarmed, "upstream-not-warmed", http.StatusServiceUnavailable, RanNo, "The upstream isn't ready after a cold start."},
 	{BodyFailed, "body-failed", http.StatusBadRequest, RanUnknown, "The request body ended early or grew too large while it was sent."},
 	{BodyTimeout, "body-timeout", http.StatusRequestTimeout, RanNo, "The request body did not arrive in time. Repeat."},
+	{Internal, "internal", http.StatusBadGateway, RanUnknown, "The instance failed because of a defect. Its log has the details."},
 	{PlatformDown, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform is unavailable; nothing was accepted."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "Someone else changed this first; the answer says what. Nothing was accepted."},
 	{
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -75,7 +76,14 @@
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	request, route, f := s.accept(w, r, arrived)
+	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
+	written := false
+	defer func() {
+		if v := recover(); v != nil {
+			s.recovered(w, request, v, written, arrived)
+		}
+	}()
+	route, f := s.accept(w, r, request, arrived)
 	if f != nil {
 		s.fail(w, request, f, arrived)
 		return
@@ -106,6 +114,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	s.closeIfStopping(header)
 	w.WriteHeader(response.Status)
+	written = true
 	// A failed write ends the connection, which the caller notices.
 	_, _ = w.Write(response.Body)
 }
@@ -117,39 +126,50 @@
 	}
 }
 
-// accept reads a request with its body and finds its route. If it fails, the request holds what is known of it so far.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, *routing.Route, *gateway.Failure) {
-	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
+// recovered responds to a request whose handling has panicked with the value v. If the response has begun, the connection is aborted.
+func (s *Server) recovered(w http.ResponseWriter, request *gateway.Request, v any, written bool, arrived time.Time) {
+	klog.ErrorS(nil, "request: panic", "id", request.ID, "route", request.Route, "panic", v, "stack", string(debug.Stack()))
+	if written {
+		panic(http.ErrAbortHandler)
+	}
+	clear(w.Header())
+	s.fail(w, request, &gateway.Failure{Code: code.Internal, Reason: "internal error"}, arrived)
+}
+
+// accept reads a request with its body into request and finds its route. If it fails, the request holds what is known of it so far.
+func (s *Server) accept(
+	w http.ResponseWriter, r *http.Request, request *gateway.Request, arrived time.Time,
+) (*routing.Route, *gateway.Failure) {
 	if hasBody(r) {
 		setReadDeadline(w, arrived.Add(refusedBodyTimeout))
 	}
 	call, err := s.protocol.Parse(r)
 	if err != nil {
-		return request, nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
+		return nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
 	}
 	request.ID = call.ID
 	setRequestID(r, call.ID)
 	table := s.routes()
 	if table == nil {
-		return request, nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetryAfter, Reason: "no configuration is known yet"}
+		return nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetryAfter, Reason: "no configuration is known yet"}
 	}
 	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
 	if route == nil {
 		reason := "no route of configuration " + strconv.FormatUint(table.Version(), 10)
-		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
+		return nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
 	}
 	if limit := table.Limits().MaxHeaderBytes; limit > 0 {
 		if size := headerBytes(r); size > limit {
 			reason := fmt.Sprintf("the headers have %d bytes, at most %d are allowed", size, limit)
-			return request, route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
+			return route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
 		}
 	}
 	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, arrived.Add(bodyTimeout(route, call))); f != nil {
-		return request, route, f
+		return route, f
 	}
 	s.applyRoute(request, route, table, call, arrived)
 	request.Header = gateway.EndToEnd(r.Header)
-	return request, route, nil
+	return route, nil
 }
 
 // applyRoute sets the fields of a request that depend on its route: service, key, priority and deadlines.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -458,3 +459,39 @@
 		})
 	}
 }
+
+// TestPanic guards against a defect in the handling of one request that ends the connection without an answer, and against parts of an
+// upstream's response in the failure that replaces it.
+func TestPanic(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome outcome
+	}{
+		{"while the request runs", outcome{run: func() { panic("test") }}},
+		{"because of a status that can't be sent", outcome{status: 42}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment("a", map[string][]outcome{"a": {test.outcome, {status: 200}}})
+			registry := prometheus.NewRegistry()
+			server := startTracked(t, ingress.NewConnections(noLimits, registry), newServer(t, d, table(t)))
+			conn := dial(t, server)
+			responses := bufio.NewReader(conn)
+			for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
+				_, _ = io.WriteString(conn, "GET /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\n\r\n")
+				response, err := http.ReadResponse(responses, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if response.StatusCode != want || (response.Header.Get("X-From") != "") != (want == http.StatusOK) {
+					t.Errorf("status %d, want %d; header %v", response.StatusCode, want, response.Header)
+				}
+			}
+			if counts := unanswered(t, registry); len(counts) > 0 {
+				t.Errorf("unanswered requests: %v", counts)
+			}
+		})
+	}
+}
