Ingress: honour limits that were in effect for a while

A caller's connection was closed although it had been idle for less than four fifths of the idle timeout that the caller may have known: when the timeout was raised and then lowered while the connection was idle.

Only the limits at the start of the idle time and the current ones were compared.

Before the fix, TestLimitsChangedTwice failed with "open false after 8s, want true": 5s, then 10s for a second, then 1s. It passes now.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -65,8 +65,8 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	state requestState
-	// since is when the connection became idle or, in state requestPartial, when the first byte of the request was read. limits were in
-	// effect at that time.
+	// since is when the connection became idle or, in state requestPartial, when the first byte of the request was read. limits are the
+	// highest that were seen in effect since then.
 	since  time.Time
 	limits routing.Limits
 	// interrupted is set while the deadline for reads has passed in order to close the connection.
@@ -156,18 +156,20 @@
 }
 
 // expired reports whether the connection has outlasted the limit for its state, or is idle while connections are drained. A limit of zero
-// is none. The higher ones of the current
-// limits and those that were in effect when the state began apply, since a caller may not know of lower ones yet. The caller holds mu.
+// is none. The highest of the limits that were in effect since the state began apply, since a caller may not know of lower ones yet. The
+// caller holds mu.
 func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
 	if c.state == requestNone && c.connections.draining.Load() {
 		return true
 	}
+	c.limits.IdleTimeout = max(c.limits.IdleTimeout, current.IdleTimeout)
+	c.limits.HeaderTimeout = max(c.limits.HeaderTimeout, current.HeaderTimeout)
 	var limit time.Duration
 	switch c.state {
 	case requestNone:
-		limit = max(c.limits.IdleTimeout, current.IdleTimeout)
+		limit = c.limits.IdleTimeout
 	case requestPartial:
-		limit = max(c.limits.HeaderTimeout, current.HeaderTimeout)
+		limit = c.limits.HeaderTimeout
 	default:
 	}
 	return limit > 0 && now.Sub(c.since) > limit
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -111,6 +111,35 @@
 	}
 }
 
+// TestLimitsChangedTwice guards against closing a connection that its caller may still use under a limit that was in effect for a while
+// after the connection became idle.
+func TestLimitsChangedTwice(t *testing.T) {
+	tests := []struct {
+		pause time.Duration
+		open  bool
+	}{
+		{8 * time.Second, true},
+		{11 * time.Second, false},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			changes := []time.Duration{5 * time.Second, 10 * time.Second, time.Second}
+			begun := time.Now()
+			connections, far := connectByPipe(t, func() routing.Limits {
+				change := min(int(time.Since(begun)/time.Second), len(changes)-1)
+				return routing.Limits{IdleTimeout: changes[change]}
+			})
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(t.Context(), test.pause)
+			defer cancel()
+			connections.Run(ctx)
+			if open := isOpen(far); open != test.open {
+				t.Errorf("open %v after %v, want %v", open, test.pause, test.open)
+			}
+		})
+	}
+}
+
 // TestHeaderTimeout guards against incomplete request headers that hold a connection for as long as an idle one may last, and against
 // closing a connection as idle while the headers of a request arrive.
 func TestHeaderTimeout(t *testing.T) {
