--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -138,7 +138,7 @@
 		registry: prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
-	sc.callers = ingress.NewConnections(sc.limits)
+	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.applyRows, store.WithWatch(sc.isReader, sc.fetchFromReader))
 	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig)
@@ -254,10 +254,12 @@
 func (s *server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.http.Serve(s.listener)
+	// The listener of callers is closed before the server is.
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // listen creates the servers and binds their addresses.
@@ -296,6 +298,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if s.name == callersServer {
+			listener = sc.callers.Listen(listener)
+		}
 		s.listener = listener
 	}
 	return servers, nil
