Gateway: bound the heads of the responses to a request

An upstream that sent header lines, a status line, interim responses or responses to another request without end was read until the request's deadline. The memory of the process grew all the while, and callers waited for the whole time and got 1405 (timeout).

Cause: http.ReadResponse and its reader have no limit of their own, and readLoop reads interim responses and responses with another request id without counting them.

Now all heads that are read for one request, interim and unrelated ones included, share a limit of 256 KiB.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -76,7 +76,9 @@
 
 // readLoop reads responses until the connection ends.
 func (c *conn) readLoop() {
-	reader := bufio.NewReaderSize(c.Conn, readBufferSize)
+	limited := &limitedReader{Reader: c.Conn}
+	limited.reset()
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	for {
 		_, err := reader.Peek(1)
 		c.mu.Lock()
@@ -89,7 +91,7 @@
 			c.fail(err)
 			return
 		}
-		response, err := c.readResponse(reader, pending)
+		response, err := c.readResponse(reader, limited, pending)
 		if err != nil {
 			c.fail(err)
 			return
@@ -101,17 +103,22 @@
 			// The upstream sent more data than the response, so the connection must not be reused.
 			response.closeAfter = true
 		}
+		limited.reset()
 		c.deliver(response)
 	}
 }
 
 // readResponse reads one response. It returns nil for an interim response and for one that belongs to an earlier request.
-func (c *conn) readResponse(reader *bufio.Reader, pending *exchange) (*rawResponse, error) {
+func (c *conn) readResponse(reader *bufio.Reader, limited *limitedReader, pending *exchange) (*rawResponse, error) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: pending.method})
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	limited.inBody = true
+	defer func() {
+		_ = response.Body.Close()
+		limited.inBody = false
+	}()
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/routing"
+)
+
+const (
+	// kernelBuffers bounds the bytes that a loopback connection holds between the upstream's writes and the gateway's reads.
+	kernelBuffers = 12 << 20
+	// maxHead is the limit of the heads that the gateway reads for one request.
+	maxHead = 256 << 10
+	// endlessDeadline is the deadline of a request whose response doesn't end.
+	endlessDeadline = 10 * time.Second
+)
+
+// writeForever writes prefix once and unit repeatedly until the connection ends, and adds the number of written bytes to written.
+func writeForever(conn net.Conn, prefix, unit string, written *atomic.Int64) {
+	block := []byte(strings.Repeat(unit, 1+(16<<10)/len(unit)))
+	n, err := io.WriteString(conn, prefix)
+	written.Add(int64(n))
+	for err == nil {
+		n, err = conn.Write(block)
+		written.Add(int64(n))
+	}
+}
+
+// endlessResponses are responses that don't end, as a prefix and a repeated unit. ID stands for the request's id.
+var endlessResponses = []struct {
+	name         string
+	prefix, unit string
+	limit        int64
+}{
+	{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n", maxHead},
+	{"one header line", "HTTP/1.1 200 OK\r\nA: ", "bbbbbbbb", maxHead},
+	{"status line", "HTTP/1.1 200 ", "OK", maxHead},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHead},
+	{"responses to another request", "", "HTTP/1.1 200 OK\r\n" + headerID + ": other\r\nContent-Length: 0\r\n\r\n", maxHead},
+}
+
+// TestEndlessResponses guards against reading a response without end until the deadline: the memory of the process must be bounded, and
+// the request must end at once as one that may have run.
+func TestEndlessResponses(t *testing.T) {
+	for _, test := range endlessResponses {
+		t.Run(test.name, func(t *testing.T) {
+			var written atomic.Int64
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+				if number > 1 {
+					_, _ = io.WriteString(conn, ok(id, "hello"))
+					return
+				}
+				writeForever(conn, strings.ReplaceAll(test.prefix, "ID", id), test.unit, &written)
+			})
+			g := start(t, u)
+			r := request("r1", routing.NonIdempotent)
+			r.Deadline = time.Now().Add(endlessDeadline)
+			started := time.Now()
+			_, err := g.Do(t.Context(), r)
+			took := time.Since(started)
+			if got := failureOf(t, err); got != code.UpstreamFailed {
+				t.Errorf("failure %v, want %s", err, code.UpstreamFailed)
+			}
+			if took > endlessDeadline/2 {
+				t.Errorf("the request ended after %v", took)
+			}
+			if n := written.Load(); n > test.limit+kernelBuffers {
+				t.Errorf("the upstream could write %d bytes, limit %d", n, test.limit)
+			}
+			if _, err := g.Do(t.Context(), request("r2", routing.NonIdempotent)); err != nil {
+				t.Errorf("the next request: %v", err)
+			}
+		})
+	}
+}
+
+// TestEndlessControlResponses guards against reading the response to a control request until its deadline.
+func TestEndlessControlResponses(t *testing.T) {
+	for _, test := range endlessResponses {
+		t.Run(test.name, func(t *testing.T) {
+			var written atomic.Int64
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, _ int64) {
+				writeForever(conn, test.prefix, test.unit, &written)
+			})
+			g := start(t, u)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+			defer cancel()
+			started := time.Now()
+			_, _, err := g.SendControlRequest(ctx, func(bool) gateway.ControlRequest {
+				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}
+			})
+			if took := time.Since(started); took > endlessDeadline/2 {
+				t.Errorf("ended after %v with %v", took, err)
+			}
+			if n := written.Load(); n > test.limit+kernelBuffers {
+				t.Errorf("the upstream could write %d bytes, limit %d", n, test.limit)
+			}
+		})
+	}
+}
+
+// TestLargeResponses guards against limits that refuse responses which an upstream may send.
+func TestLargeResponses(t *testing.T) {
+	body := strings.Repeat("b", 16<<20)
+	tests := []struct {
+		name    string
+		respond func(conn net.Conn, id string)
+	}{
+		{"body", func(conn net.Conn, id string) { _, _ = io.WriteString(conn, ok(id, body)) }},
+		{"after a body of the same size for another request", func(conn net.Conn, id string) {
+			_, _ = io.WriteString(conn, ok("other", body[1<<20:])+ok(id, body))
+		}},
+		{"short chunks", func(conn net.Conn, id string) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerGenuine+": m\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("40\r\n"+body[:0x40]+"\r\n", len(body)/0x40)+"0\r\n\r\n")
+		}},
+		{"headers", func(conn net.Conn, id string) {
+			_, _ = io.WriteString(conn, strings.Replace(ok(id, body), "\r\n\r\n", "\r\nA: "+strings.Repeat("a", 200<<10)+"\r\n\r\n", 1))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { test.respond(conn, id) })
+			g := start(t, u)
+			for _, id := range []string{"r1", "r2"} {
+				r := request(id, routing.Idempotent)
+				r.Deadline = time.Now().Add(30 * time.Second)
+				response, err := g.Do(t.Context(), r)
+				if err != nil || string(response.Body) != body {
+					t.Fatalf("request %s: %v", id, err)
+				}
+			}
+			if u.conns.Load() != 1 {
+				t.Errorf("%d connections, want the first one to be reused", u.conns.Load())
+			}
+		})
+	}
+}
