Gateway: end the connection when a response body is too long

A body with a length above 16 MiB, or in chunks without end, was refused after 16 MiB, but the request only ended at its deadline, with 1405 (timeout), and the connection was read until then. Responses to another request were read without any limit, up to 16 MiB of each held in memory.

Cause: the deferred Close of http.ReadResponse's body reads the rest of the body, and readLoop counts no bytes across responses.

The cases of a body without length, of chunk extensions and of trailers passed before.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -109,21 +109,46 @@
 }
 
 // readResponse reads one response. It returns nil for an interim response and for one that belongs to an earlier request.
-func (c *conn) readResponse(reader *bufio.Reader, limited *limitedReader, pending *exchange) (*rawResponse, error) {
+func (c *conn) readResponse(reader *bufio.Reader, limited *limitedReader, pending *exchange) (_ *rawResponse, err error) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: pending.method})
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
 	limited.inBody = true
 	defer func() {
-		_ = response.Body.Close()
 		limited.inBody = false
+		if err != nil {
+			// Otherwise Close would read the rest of the body.
+			limited.stop()
+		}
+		_ = response.Body.Close()
 	}()
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
+	if pending.id != "" && !c.matches(response.Header, pending.id) {
+		if n, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, fmt.Errorf("read response body of an earlier request after %d bytes: %w", n, err)
+		}
+		return nil, nil
+	}
+	body, err := readResponseBody(response)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
+	c.mu.Unlock()
+	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
+}
+
+// readResponseBody reads a whole body of up to maxResponseBytes.
+func readResponseBody(response *http.Response) ([]byte, error) {
 	var body bytes.Buffer
-	if response.ContentLength > 0 && response.ContentLength <= maxResponseBytes {
+	if response.Body != http.NoBody && response.ContentLength > 0 {
+		if response.ContentLength > maxResponseBytes {
+			return nil, errTooLarge
+		}
 		body.Grow(int(response.ContentLength))
 	}
 	n, err := io.Copy(&body, io.LimitReader(response.Body, maxResponseBytes+1))
@@ -132,13 +157,8 @@
 		return nil, fmt.Errorf("read response body after %d bytes: %w", n, err)
 	case n > maxResponseBytes:
 		return nil, errTooLarge
-	case pending.id != "" && !c.matches(response.Header, pending.id):
-		return nil, nil
 	}
-	c.mu.Lock()
-	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
-	c.mu.Unlock()
-	return &rawResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), closeAfter: response.Close}, nil
+	return body.Bytes(), nil
 }
 
 // keepAliveTimeout returns how long the upstream keeps an idle connection according to its Keep-Alive header, or the argument
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -18,8 +18,9 @@
 const (
 	// kernelBuffers bounds the bytes that a loopback connection holds between the upstream's writes and the gateway's reads.
 	kernelBuffers = 12 << 20
-	// maxHead is the limit of the heads that the gateway reads for one request.
-	maxHead = 256 << 10
+	// maxHead and maxBodies are the limits of the heads and bodies that the gateway reads for one request.
+	maxHead   = 256 << 10
+	maxBodies = 32 << 20
 	// endlessDeadline is the deadline of a request whose response doesn't end.
 	endlessDeadline = 10 * time.Second
 )
@@ -46,6 +47,33 @@
 	{"status line", "HTTP/1.1 200 ", "OK", maxHead},
 	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHead},
 	{"responses to another request", "", "HTTP/1.1 200 OK\r\n" + headerID + ": other\r\nContent-Length: 0\r\n\r\n", maxHead},
+	{"body of a response to another request", "HTTP/1.1 200 OK\r\n" + headerID + ": other\r\n\r\n", "body", maxBodies},
+	{
+		"chunked responses to another request", "",
+		"HTTP/1.1 200 OK\r\n" + headerID + ": other\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n" +
+			strings.Repeat("b", 0xffff) + "\r\n0\r\n\r\n", maxBodies,
+	},
+	{"body without length", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\n\r\n", "body", maxBodies},
+	{
+		"body with a length", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\nContent-Length: 10000000000\r\n\r\n",
+		"body", maxBodies,
+	},
+	{
+		"chunks", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"40\r\n" + strings.Repeat("b", 0x40) + "\r\n", maxBodies,
+	},
+	{
+		"chunk extension", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+		"bbbb", maxBodies,
+	},
+	{
+		"chunk extensions", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"1;extension=value\r\nb\r\n", maxBodies,
+	},
+	{
+		"trailers", "HTTP/1.1 200 OK\r\n" + headerID + ": ID\r\n" + headerGenuine + ": m\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		"A: b\r\n", maxBodies,
+	},
 }
 
 // TestEndlessResponses guards against reading a response without end until the deadline: the memory of the process must be bounded, and
