Gateway: don't resend a refused request on the same connection

A request that the upstream had refused, and that came again and ran, was reported as not run (1301) while the upstream ran it, so that callers sent it again or another upstream ran it, too.

Cause: the upstream wrote the earlier refusal once more at the point where the next response was due. Responses are matched by the request id, which was the same for both attempts, and the idle connection of the refusal was reused for the second one.

TestRepeatedRefusal failed before the fix: "request r2: 1301 shed: the upstream refused with status 503" and "1 connections, want 1 more for the ids that were refused", with the refusal written whole and in pieces. Now a connection remembers the ids of the requests that were refused on it and isn't used for them again; nothing that belongs to the first attempt can arrive on another connection. It is still reused for requests with other ids, whose responses are told apart by the id, so that an overload costs no connection per refusal. After 64 refused ids the connection is closed, which bounds the memory (TestManyRefusals: 3 to 5 connections for 200 refusals).

TestRefusalWhileIdle (a refusal repeated between two requests) and TestRefusalAfterDeadline (a refusal that arrives after its request's deadline) passed before and pass now.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -21,6 +21,8 @@
 	maxResponseBytes = 16 << 20
 	// readBufferSize is the size of a connection's read buffer in bytes. Most responses fit.
 	readBufferSize = 4096
+	// maxRefusedIDs bounds the request ids that a connection remembers. A connection that has carried more refusals is closed.
+	maxRefusedIDs = 64
 )
 
 var (
@@ -54,6 +56,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool // Whether the connection has carried a response.
+	// refused holds the ids of the requests that the upstream refused on this connection.
+	refused map[string]struct{}
 }
 
 // exchange is a request that awaits its response.
@@ -229,6 +233,28 @@
 	return !c.closed && idle <= maxIdle && idle <= c.idleTimeout/2
 }
 
+// recordRefusal records that the upstream refused a request.
+func (c *conn) recordRefusal(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused == nil {
+		c.refused = make(map[string]struct{})
+	}
+	c.refused[id] = struct{}{}
+	if len(c.refused) > maxRefusedIDs {
+		c.closed = true
+	}
+}
+
+// hasRefused reports whether the upstream refused a request with this id. Another request with the id must not be sent on this
+// connection: if the upstream wrote the refusal once more, it would be taken as the response.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.refused[id]
+	return ok
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -20,7 +20,7 @@
 // connection; fresh is set if the connection is new, in which case the upstream may have been restarted. The error is that
 // of the connection. If the connection was refused, the upstream is marked as down.
 func (g *Gateway) SendControlRequest(ctx context.Context, newRequest func(fresh bool) ControlRequest) (int, http.Header, error) {
-	c, reused, err := g.pool.get(ctx, maxIdle)
+	c, reused, err := g.pool.get(ctx, "", maxIdle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.markDown()
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -39,9 +39,10 @@
 	closed bool
 }
 
-// get returns the most recently used idle connection, or a new one if none has been idle for at most idleLimit.
-func (p *pool) get(ctx context.Context, idleLimit time.Duration) (c *conn, reused bool, err error) {
-	if c := p.takeIdle(time.Now(), idleLimit); c != nil {
+// get returns a connection for a request with the given id: the most recently used idle one, or a new one if none has been idle for at
+// most idleLimit.
+func (p *pool) get(ctx context.Context, id string, idleLimit time.Duration) (c *conn, reused bool, err error) {
+	if c := p.takeIdle(time.Now(), id, idleLimit); c != nil {
 		return c, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -94,13 +95,13 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if none is usable.
-func (p *pool) takeIdle(now time.Time, idleLimit time.Duration) *conn {
+// takeIdle removes and returns the most recently used idle connection, or nil if none is usable for a request with the given id.
+func (p *pool) takeIdle(now time.Time, id string, idleLimit time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle) - 1; n >= 0; n-- {
 		c := p.idle[n]
-		if c.usable(now, idleLimit) {
+		if c.usable(now, idleLimit) && !c.hasRefused(id) {
 			p.idle = append(p.idle[:n], p.idle[n+1:]...)
 			return c
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -333,16 +333,21 @@
 		idleLimit = maxIdleNonIdempotent
 	}
 	for {
-		c, reused, err := g.pool.get(ctx, idleLimit)
+		c, reused, err := g.pool.get(ctx, r.ID, idleLimit)
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
 		started := time.Now()
 		response, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.spawn)
 		if err == nil {
+			took := time.Since(started)
 			g.crashTracker.RecordCompletion(r.fingerprint)
+			info := g.protocol.Read(response.status, response.header)
+			if info.NotRun || info.Misdirected {
+				c.recordRefusal(r.ID)
+			}
 			g.pool.put(c)
-			return g.checkResponse(r, response, time.Since(started))
+			return g.checkResponse(r, response, info, took)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -385,8 +390,7 @@
 }
 
 // checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream.
-func (g *Gateway) checkResponse(r *Request, response *rawResponse, took time.Duration) (*Response, error) {
-	info := g.protocol.Read(response.status, response.header)
+func (g *Gateway) checkResponse(r *Request, response *rawResponse, info ResponseInfo, took time.Duration) (*Response, error) {
 	g.mu.Lock()
 	g.stats.Responses++
 	g.mu.Unlock()
--- /dev/null
+++ b/gateway/stale_test.go
@@ -0,0 +1,158 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/routing"
+)
+
+// refusal returns the response of an upstream that didn't run the request.
+func refusal(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerID, id, headerNotRun)
+}
+
+// lastResponses holds the last response that was written on each connection.
+type lastResponses struct {
+	mu   sync.Mutex
+	last map[net.Conn]string
+}
+
+// swap stores the last response on a connection and returns the one before it.
+func (l *lastResponses) swap(conn net.Conn, text string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last == nil {
+		l.last = make(map[net.Conn]string)
+	}
+	before := l.last[conn]
+	l.last[conn] = text
+	return before
+}
+
+// TestRepeatedRefusal guards against reporting "not run" for a request that runs because the upstream writes an earlier refusal of the
+// same id once more, and against opening a connection for each request after a refusal.
+func TestRepeatedRefusal(t *testing.T) {
+	tests := []struct {
+		name  string
+		write func(conn net.Conn, stale string)
+	}{
+		{"whole", func(conn net.Conn, stale string) { _, _ = io.WriteString(conn, stale) }},
+		{"in pieces", func(conn net.Conn, stale string) {
+			for _, piece := range strings.SplitAfter(stale, "\r\n") {
+				_, _ = io.WriteString(conn, piece)
+				time.Sleep(5 * time.Millisecond)
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var responses lastResponses
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+				response := refusal(id)
+				if number > 2 {
+					response = ok(id, "done")
+				}
+				if stale := responses.swap(conn, response); stale != "" {
+					test.write(conn, stale)
+				}
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, response)
+			})
+			g := start(t, u)
+			for _, id := range []string{"r1", "r2"} {
+				_, err := g.Do(t.Context(), request(id, routing.NonIdempotent))
+				if got := failureOf(t, err); got != code.Shed {
+					t.Fatalf("the refusal of %s: %v", id, err)
+				}
+			}
+			if u.conns.Load() != 1 {
+				t.Errorf("%d connections for requests with different ids, want 1", u.conns.Load())
+			}
+			for _, id := range []string{"r2", "r1", "r3"} {
+				response, err := g.Do(t.Context(), request(id, routing.NonIdempotent))
+				if err != nil || string(response.Body) != "done" {
+					t.Errorf("request %s: %v", id, err)
+				}
+			}
+			if u.conns.Load() != 2 {
+				t.Errorf("%d connections, want 1 more for the ids that were refused", u.conns.Load())
+			}
+		})
+	}
+}
+
+// TestRefusalWhileIdle guards against taking a refusal that is written once more between two requests as the response to the second.
+func TestRefusalWhileIdle(t *testing.T) {
+	written := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		if number == 1 {
+			_, _ = io.WriteString(conn, refusal(id))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, refusal(id))
+			close(written)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, ok(id, "done"))
+	})
+	g := start(t, u)
+	_, err := g.Do(t.Context(), request("r1", routing.NonIdempotent))
+	if got := failureOf(t, err); got != code.Shed {
+		t.Fatalf("the refusal: %v", err)
+	}
+	<-written
+	time.Sleep(20 * time.Millisecond)
+	if _, err := g.Do(t.Context(), request("r1", routing.NonIdempotent)); err != nil {
+		t.Errorf("the second request: %v", err)
+	}
+}
+
+// TestRefusalAfterDeadline guards against taking a refusal that arrives after the deadline of its request as the response to a
+// second request with the same id.
+func TestRefusalAfterDeadline(t *testing.T) {
+	late := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		if number == 1 {
+			<-late
+			_, _ = io.WriteString(conn, refusal(id))
+			return
+		}
+		close(late)
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(conn, ok(id, "done"))
+	})
+	g := start(t, u)
+	r := request("r1", routing.Idempotent)
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, err := g.Do(t.Context(), r)
+	if got := failureOf(t, err); got != code.UpstreamTimeout {
+		t.Fatalf("the first request: %v", err)
+	}
+	if _, err := g.Do(t.Context(), request("r1", routing.Idempotent)); err != nil {
+		t.Errorf("the second request: %v", err)
+	}
+}
+
+// TestManyRefusals guards against a connection that remembers the ids of refused requests without limit, and against a new connection for
+// each refused request.
+func TestManyRefusals(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { _, _ = io.WriteString(conn, refusal(id)) })
+	g := start(t, u)
+	for n := range 200 {
+		_, err := g.Do(t.Context(), request(fmt.Sprint("r", n), routing.NonIdempotent))
+		if got := failureOf(t, err); got != code.Shed {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+	if n := u.conns.Load(); n < 3 || n > 5 {
+		t.Errorf("%d connections for 200 refusals, want one for about 64 refusals", n)
+	}
+}
