Gateway: keep connections of control requests apart

A grant, a release or a health check could end with the response to a request: a release counted as done, and the keys went to another upstream, while this one still worked on them.

Cause: control requests shared the connections of requests and accept any response, as the upstream sends no request id with theirs. A response to a request that the upstream wrote once more arrived as the response to the next control request.

Before the fix TestRepeatedResponseBeforeControlResponse printed "status 200, error <nil>, want the response to the control request" and the same with status 503. Now control requests have a pool of their own, on which no response to a request can arrive.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -16,11 +16,12 @@
 	Body   []byte
 }
 
-// SendControlRequest sends a control request and returns the status and headers of the response. newRequest is called once there is a
+// SendControlRequest sends a control request and returns the status and headers of the response. Control requests share no connections
+// with requests, since their responses carry no request id by which they could be told apart. newRequest is called once there is a
 // connection; fresh is set if the connection is new, in which case the upstream may have been restarted. The error is that
 // of the connection. If the connection was refused, the upstream is marked as down.
 func (g *Gateway) SendControlRequest(ctx context.Context, newRequest func(fresh bool) ControlRequest) (int, http.Header, error) {
-	c, reused, err := g.pool.get(ctx, "", maxIdle)
+	c, reused, err := g.control.get(ctx, "", maxIdle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.markDown()
 	}
@@ -29,7 +30,7 @@
 	}
 	request := newRequest(!reused)
 	var head bytes.Buffer
-	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + g.pool.address + "\r\n")
+	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + g.control.address + "\r\n")
 	if len(request.Body) > 0 {
 		head.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
@@ -38,6 +39,6 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	g.pool.put(c)
+	g.control.put(c)
 	return response.status, response.header, nil
 }
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -124,6 +124,7 @@
 	if newRun {
 		klog.InfoS("upstream: registered", "life", n.UpstreamRun, "slots", n.Slots, "cold", n.ColdFor)
 		g.pool.closeIdle()
+		g.control.closeIdle()
 	}
 	if beganLeaving {
 		klog.InfoS("upstream: leaving", "life", n.UpstreamRun, "sequence", n.Sequence)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -47,7 +47,9 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	// pool holds the connections for requests, control those for control requests.
 	pool         pool
+	control      pool
 	estimates    estimates
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
@@ -118,7 +120,9 @@
 		onCrash:   func([]uint64) {},
 		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
 	}
-	g.pool = pool{address: address, matches: protocol.Matches, group: group, onOpen: g.countConnection}
+	for _, p := range []*pool{&g.pool, &g.control} {
+		p.address, p.matches, p.group, p.onOpen = address, protocol.Matches, group, g.countConnection
+	}
 	for _, option := range options {
 		option(g)
 	}
@@ -161,6 +165,7 @@
 // the upstream and returns.
 func (g *Gateway) Run(ctx context.Context) {
 	defer g.pool.close()
+	defer g.control.close()
 	wait.Every(ctx, rescheduleInterval, func(now time.Time) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/gateway"
 	"sapphiretray/routing"
 )
 
@@ -156,3 +157,50 @@
 		t.Errorf("%d connections for 200 refusals, want one for about 64 refusals", n)
 	}
 }
+
+// sendControl sends a control request to a path.
+func sendControl(t *testing.T, g *gateway.Gateway, path string) (int, http.Header, error) {
+	t.Helper()
+	return g.SendControlRequest(t.Context(), func(bool) gateway.ControlRequest {
+		return gateway.ControlRequest{Method: http.MethodPost, Target: path, Body: []byte("{}")}
+	})
+}
+
+// TestRepeatedResponseBeforeControlResponse guards against taking a response to a request, which the upstream writes once more, as the
+// response to a control request.
+func TestRepeatedResponseBeforeControlResponse(t *testing.T) {
+	for _, stale := range []string{ok("r1", "done"), refusal("r1")} {
+		var responses lastResponses
+		u := newRawUpstream(t, func(conn net.Conn, r *http.Request, _ string, _ int64) {
+			response := stale
+			if r.URL.Path == "/grant" {
+				response = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, responses.swap(conn, response))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, response)
+		})
+		g := start(t, u)
+		_, _ = g.Do(t.Context(), request("r1", routing.NonIdempotent))
+		if status, _, err := sendControl(t, g, "/grant"); err != nil || status != http.StatusConflict {
+			t.Errorf("status %d, error %v, want the response to the control request", status, err)
+		}
+	}
+}
+
+// TestControlRequestsKeepConnections guards against control requests that end the connections of requests.
+func TestControlRequestsKeepConnections(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { _, _ = io.WriteString(conn, ok(id, "done")) })
+	g := start(t, u)
+	for range 10 {
+		if _, err := g.Do(t.Context(), request("r1", routing.NonIdempotent)); err != nil {
+			t.Fatal(err)
+		}
+		if status, _, err := sendControl(t, g, "/grant"); err != nil || status != http.StatusOK {
+			t.Fatalf("status %d, error %v", status, err)
+		}
+	}
+	if u.conns.Load() != 2 {
+		t.Errorf("%d connections, want one for requests and one for control requests", u.conns.Load())
+	}
+}
