Release keys over a connection of its own

A release could end with the response to an earlier grant or release, while the upstream still worked on the keys: another upstream got them, without the handover, and both ran requests on them.

Cause: the responses to control requests carry no id. When an upstream writes an earlier one once more on a kept connection, it is taken as the response to the next control request.

Now each release, and the health check that identifies an upstream, opens a connection and closes it after the response, so that no other response can arrive on it. Both are rare. Grants are renewed every 200 ms per range and keep their connections: the upstream refuses requests for keys that it doesn't hold.

pool.open is now the function that opens a connection; the field of that name is called reading.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -28,7 +28,34 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	request := newRequest(!reused)
+	response, err := g.exchangeControl(ctx, c, newRequest(!reused))
+	if err != nil {
+		return 0, nil, err
+	}
+	g.control.put(c)
+	return response.status, response.header, nil
+}
+
+// SendControlRequestOnce is like SendControlRequest, but uses a connection of its own. Only the response to this request can arrive on it,
+// not one that the upstream writes once more to an earlier request.
+func (g *Gateway) SendControlRequestOnce(ctx context.Context, request ControlRequest) (int, http.Header, error) {
+	c, err := g.control.open(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.markDown()
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.fail(errClosed)
+	response, err := g.exchangeControl(ctx, c, request)
+	if err != nil {
+		return 0, nil, err
+	}
+	return response.status, response.header, nil
+}
+
+// exchangeControl sends a control request on a connection and waits for its response.
+func (g *Gateway) exchangeControl(ctx context.Context, c *conn, request ControlRequest) (*rawResponse, error) {
 	var head bytes.Buffer
 	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + g.control.address + "\r\n")
 	if len(request.Body) > 0 {
@@ -36,9 +63,5 @@
 	}
 	head.WriteString("\r\n")
 	response, _, err := c.do(ctx, "", request.Method, head.Bytes(), request.Body, g.spawn)
-	if err != nil {
-		return 0, nil, err
-	}
-	g.control.put(c)
-	return response.status, response.header, nil
+	return response, err
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -34,9 +34,9 @@
 
 	mu   sync.Mutex
 	idle []*conn
-	// open holds all connections whose readLoop is running.
-	open   map[*conn]struct{}
-	closed bool
+	// reading holds all connections whose readLoop is running.
+	reading map[*conn]struct{}
+	closed  bool
 }
 
 // get returns a connection for a request with the given id: the most recently used idle one, or a new one if none has been idle for at
@@ -45,24 +45,30 @@
 	if c := p.takeIdle(time.Now(), id, idleLimit); c != nil {
 		return c, true, nil
 	}
+	c, err = p.open(ctx)
+	return c, false, err
+}
+
+// open returns a new connection.
+func (p *pool) open(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, false, fmt.Errorf("connect to the upstream: %w", err)
+		return nil, fmt.Errorf("connect to the upstream: %w", err)
 	}
 	p.onOpen()
-	c = newConn(raw, p.matches)
+	c := newConn(raw, p.matches)
 	if !p.add(c) {
 		_ = raw.Close()
-		return nil, false, errClosed
+		return nil, errClosed
 	}
 	p.group.Go(func() error {
 		defer p.remove(c)
 		c.readLoop()
 		return nil
 	})
-	return c, false, nil
+	return c, nil
 }
 
 func (p *pool) add(c *conn) bool {
@@ -71,26 +77,26 @@
 	if p.closed {
 		return false
 	}
-	if p.open == nil {
-		p.open = make(map[*conn]struct{})
+	if p.reading == nil {
+		p.reading = make(map[*conn]struct{})
 	}
-	p.open[c] = struct{}{}
+	p.reading[c] = struct{}{}
 	return true
 }
 
 func (p *pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.open, c)
+	delete(p.reading, c)
 }
 
 // close closes all connections and the pool.
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
-	open := slices.Collect(maps.Keys(p.open))
+	reading := slices.Collect(maps.Keys(p.reading))
 	p.mu.Unlock()
-	for _, c := range open {
+	for _, c := range reading {
 		c.fail(errClosed)
 	}
 }
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -153,9 +153,7 @@
 // Identify returns the upstream's id, which it reads from the response to a health check at the given path. The id is empty if the
 // upstream isn't healthy or doesn't send it. The error is that of the connection; an unhealthy upstream is no error.
 func (g *Gateway) Identify(ctx context.Context, path string) (string, error) {
-	status, header, err := g.SendControlRequest(ctx, func(bool) ControlRequest {
-		return ControlRequest{Method: http.MethodGet, Target: path}
-	})
+	status, header, err := g.SendControlRequestOnce(ctx, ControlRequest{Method: http.MethodGet, Target: path})
 	if err != nil || status != http.StatusOK {
 		return "", err
 	}
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -204,3 +204,32 @@
 		t.Errorf("%d connections, want one for requests and one for control requests", u.conns.Load())
 	}
 }
+
+// TestRepeatedReleaseResponse guards against taking the response to an earlier control request, which the upstream writes once more, as
+// the response to a release: another upstream would get the keys while this one still works on them.
+func TestRepeatedReleaseResponse(t *testing.T) {
+	var responses lastResponses
+	u := newRawUpstream(t, func(conn net.Conn, r *http.Request, _ string, number int64) {
+		_, _ = io.WriteString(conn, responses.swap(conn, "HTTP/1.1 200 OK\r\nEarlier: 1\r\nContent-Length: 0\r\n\r\n"))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPath: %s\r\nNumber: %d\r\nContent-Length: 0\r\n\r\n", r.URL.Path, number)
+	})
+	g := start(t, u)
+	if _, _, err := sendControl(t, g, "/grant"); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 2 {
+		_, header, err := g.SendControlRequestOnce(t.Context(), gateway.ControlRequest{
+			Method: http.MethodPost, Target: "/release", Body: []byte("{}"),
+		})
+		if err != nil || header.Get("Path") != "/release" || header.Get("Number") != fmt.Sprint(n+2) {
+			t.Errorf("release %d: headers %v, error %v", n, header, err)
+		}
+	}
+	if _, _, err := sendControl(t, g, "/grant"); err != nil {
+		t.Fatal(err)
+	}
+	if u.conns.Load() != 3 {
+		t.Errorf("%d connections, want one for the grants and one for each release", u.conns.Load())
+	}
+}
