Gateway: send no grant where an earlier response may arrive

When the upstream left a grant unanswered, the next one, whose higher fencing token must keep the upstream from carrying out the first, could count as answered although the upstream had not read it yet.

Cause: only the connection of the unanswered control request was closed. The others stayed in the pool, and an earlier response that the upstream wrote once more on one of them was taken as the response to the next grant.

Before the fix, TestUnansweredControlRequest printed "headers map[Content-Length:[0] Earlier:[1]], error <nil>, want the response to the request after the unanswered one". Now no connection that was open when a control request failed is used for a later one.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -56,6 +56,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool // Whether the connection has carried a response.
+	retired     bool // Whether the connection must not be reused.
 	// refused holds the ids of the requests that the upstream refused on this connection.
 	refused map[string]struct{}
 }
@@ -230,7 +231,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := now.Sub(c.idleSince)
-	return !c.closed && idle <= maxIdle && idle <= c.idleTimeout/2
+	return !c.closed && !c.retired && idle <= maxIdle && idle <= c.idleTimeout/2
+}
+
+// retire keeps the connection from being reused after the current request.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
 }
 
 // recordRefusal records that the upstream refused a request.
@@ -255,10 +263,11 @@
 	return ok
 }
 
-func (c *conn) isClosed() bool {
+// isFinished reports whether the connection is closed or must not be reused.
+func (c *conn) isFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed
+	return c.closed || c.retired
 }
 
 // do sends a request, of which head is the encoded request line and headers, and waits for its response. If sent is false, no byte
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -30,6 +30,7 @@
 	}
 	response, err := g.exchangeControl(ctx, c, newRequest(!reused))
 	if err != nil {
+		g.control.retire()
 		return 0, nil, err
 	}
 	g.control.put(c)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -115,9 +115,10 @@
 	return nil
 }
 
-// put returns a connection to the pool after a complete response, and closes those that have been idle for too long.
+// put returns a connection to the pool after a complete response, or closes it if it must not be reused. It also closes those that have
+// been idle for too long.
 func (p *pool) put(c *conn) {
-	if c.isClosed() {
+	if c.isFinished() {
 		_ = c.Close()
 		return
 	}
@@ -138,6 +139,17 @@
 	}
 }
 
+// retire closes all idle connections, and keeps the others from being reused. Requests that follow one without a response then
+// use connections on which no response to an earlier request can arrive.
+func (p *pool) retire() {
+	p.mu.Lock()
+	for c := range p.reading {
+		c.retire()
+	}
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
 // closeIdle closes all idle connections.
 func (p *pool) closeIdle() {
 	p.mu.Lock()
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -233,3 +234,40 @@
 		t.Errorf("%d connections, want one for the grants and one for each release", u.conns.Load())
 	}
 }
+
+// TestUnansweredControlRequest guards against sending a control request on a connection on which the response to an earlier one may
+// still arrive.
+func TestUnansweredControlRequest(t *testing.T) {
+	var responses lastResponses
+	hold := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, r *http.Request, _ string, _ int64) {
+		if r.URL.Path == "/unanswered" {
+			_, _ = conn.Read(make([]byte, 1))
+			return
+		}
+		_, _ = io.WriteString(conn, responses.swap(conn, "HTTP/1.1 200 OK\r\nEarlier: 1\r\nContent-Length: 0\r\n\r\n"))
+		<-hold
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	g := start(t, u)
+	var grants sync.WaitGroup
+	for range 3 {
+		grants.Go(func() { _, _, _ = sendControl(t, g, "/grant") })
+	}
+	for u.requests.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, _, err := g.SendControlRequest(ctx, func(bool) gateway.ControlRequest {
+		return gateway.ControlRequest{Method: http.MethodPost, Target: "/unanswered"}
+	}); err == nil {
+		t.Fatal("the unanswered request got a response")
+	}
+	close(hold)
+	grants.Wait()
+	_, header, err := sendControl(t, g, "/grant")
+	if err != nil || header.Get("Earlier") != "" {
+		t.Errorf("headers %v, error %v, want the response to the request after the unanswered one", header, err)
+	}
+}
