Upstream: bound the head of a response

A response with header lines, one header line or interim responses without end was read up to 10 MiB for each request, which a small machine can't hold for many requests at once.

Cause: http.Transport's default limit of a response head is 10 MiB.

Before the fix TestLongHeads printed "request: 1000 ok, want 1402 upstream-failed" and "control call: <nil>" for heads of 1 MiB. TestLongControlBodies (a body without end of a response to a control call) passed before: at most 1 MiB of it is read, and http.Transport closes the connection of a body that wasn't read to its end.

--- /dev/null
+++ b/upstream/faulty_test.go
@@ -0,0 +1,121 @@
+package upstream_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/upstream"
+)
+
+// scripted starts an upstream whose respond function writes the bytes of each response. previous is the last response on the connection,
+// and number counts the requests of all connections. It returns a client, and the number of connections.
+func scripted(t *testing.T, respond func(conn net.Conn, id, previous string, number int64) (response string)) (
+	c *upstream.Client, conns *atomic.Int64,
+) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns = &atomic.Int64{}
+	var group sync.WaitGroup
+	var number atomic.Int64
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		previous := ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			previous = respond(conn, r.Header.Get(upstream.HeaderRequestID), previous, number.Add(1))
+			if _, err := io.WriteString(conn, previous); err != nil {
+				return
+			}
+		}
+	}
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			group.Go(func() { serve(conn) })
+		}
+	})
+	c = upstream.New(listener.Addr().String())
+	t.Cleanup(func() {
+		c.Close()
+		_ = listener.Close()
+		group.Wait()
+	})
+	return c, conns
+}
+
+// response returns a response to the request with the given id.
+func response(status int, id, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, upstream.HeaderRequestID, id, headers, len(body), body)
+}
+
+// TestLongHeads guards against reading the head of a response, or interim responses, until the memory of a small machine is full.
+func TestLongHeads(t *testing.T) {
+	tests := []struct {
+		name    string
+		prefix  string
+		headers string
+		want    code.Code
+	}{
+		{"200 KiB of headers", "", strings.Repeat("A: b\r\n", 200<<10/6), code.OK},
+		{"1 MiB of headers", "", strings.Repeat("A: b\r\n", 1<<20/6), code.UpstreamFailed},
+		{"a header of 1 MiB", "", "A: " + strings.Repeat("b", 1<<20) + "\r\n", code.UpstreamFailed},
+		{"1 MiB of interim responses", strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", 1<<20/22), "", code.UpstreamFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, _ := scripted(t, func(conn net.Conn, id, _ string, _ int64) string {
+				_, _ = io.WriteString(conn, test.prefix)
+				return response(http.StatusOK, id, test.headers, "{}")
+			})
+			r := request(http.MethodPost, "/k", "x", "body")
+			r.Deadline = time.Now().Add(5 * time.Second)
+			if got := exchange(t, c, r); got != test.want {
+				t.Errorf("request: %s, want %s", got, test.want)
+			}
+			if err := c.Drain(t.Context()); (err == nil) != (test.want == code.OK) {
+				t.Errorf("control call: %v", err)
+			}
+		})
+	}
+}
+
+// TestLongControlBodies guards against reading the body of a response to a control call until its timeout.
+func TestLongControlBodies(t *testing.T) {
+	c, _ := scripted(t, func(conn net.Conn, _, _ string, _ int64) string {
+		text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return ""
+			}
+			text = "1000\r\n" + strings.Repeat(" ", 0x1000) + "\r\n"
+		}
+	})
+	started := time.Now()
+	if err := c.Drain(t.Context()); err == nil || time.Since(started) > 800*time.Millisecond {
+		t.Errorf("error %v after %v", err, time.Since(started))
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -30,6 +30,8 @@
 	// Idle connections are closed after idleTimeout; it is also the TCP keep-alive interval.
 	idleTimeout        = 10 * time.Second
 	maxIdleConnections = 256
+	// maxHeadBytes bounds the head of a response, including interim responses. Browsers, too, accept heads of up to 256 KiB.
+	maxHeadBytes = 256 << 10
 	// maxControlBytes is the maximum size of a response to a control call.
 	maxControlBytes = 1 << 20
 	// maxClockDriftPercent is the largest assumed relative difference in rate between the local clock and the upstream's.
@@ -89,6 +91,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
