Upstream: resend a refused request on a new connection

Cause: http.Transport reuses the connection of the refusal. When the upstream writes the refusal once more, it is taken as the response to the second request, whose id is the same.

Before the fix TestRepeatedRefusal printed "request 3 (r2): not run is true" for POST and GET. Now the client remembers the refused ids and sends requests with these ids on connections that carry one request only. Other requests keep the pooled connections, so that an overload costs no connection per refusal. After 1024 ids the pooled connections are replaced and the ids forgotten, which bounds the memory (TestManyRefusals: 3 to 5 connections for 2500 refusals).

--- a/upstream/do.go
+++ b/upstream/do.go
@@ -181,7 +181,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	a := &attempt{}
 	req := r.build(httptrace.WithClientTrace(ctx, a.trace()), c.baseURL, left)
-	resp, err := c.requests.RoundTrip(req) //nolint:bodyclose // The body is closed by Response.Body.Close.
+	resp, err := c.connections.transport(r.ID).RoundTrip(req) //nolint:bodyclose // The body is closed by Response.Body.Close.
 	if err != nil {
 		defer cancel()
 		return nil, c.classify(ctx, a, err)
@@ -192,9 +192,13 @@
 		cancel()
 		return nil, err
 	}
+	notRun := reportsNotRun(resp)
+	if notRun {
+		c.connections.recordRefusal(r.ID)
+	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength,
-		NotRun:  reportsNotRun(resp),
+		NotRun:  notRun,
 		Body:    &body{ReadCloser: resp.Body, cancel: cancel, ctx: ctx},
 		trailer: func() http.Header { return resp.Trailer },
 	}, nil
@@ -275,7 +279,7 @@
 	timeout := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 	if timeout && a.conn.Load() != nil && !a.received() {
 		// The connection may be dead without a sign of it, and so may the idle ones.
-		c.requests.CloseIdleConnections()
+		c.connections.closeIdle()
 	}
 	if !a.sealAndCheckSent() {
 		return code.Wrap(code.UpstreamRefused, err, "request could not be sent to the upstream")
--- a/upstream/faulty_test.go
+++ b/upstream/faulty_test.go
@@ -119,3 +119,53 @@
 		t.Errorf("error %v after %v", err, time.Since(started))
 	}
 }
+
+// TestRepeatedRefusal guards against reporting "not run" for a request that runs because the upstream writes an earlier refusal of the
+// same id once more, and against opening a connection for each request after a refusal.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			c, conns := scripted(t, func(conn net.Conn, id, previous string, number int64) string {
+				if number <= 2 {
+					return response(http.StatusServiceUnavailable, id, upstream.HeaderRan+": no\r\n", "")
+				}
+				if strings.Contains(previous, upstream.HeaderRequestID+": "+id+"\r\n") {
+					_, _ = io.WriteString(conn, previous)
+				}
+				time.Sleep(20 * time.Millisecond)
+				return response(http.StatusOK, id, "", "done")
+			})
+			for n, id := range []string{"r1", "r2", "r2", "r3", "r1"} {
+				r := request(method, "/k", id, "")
+				resp, err := c.Do(t.Context(), r)
+				if err != nil {
+					t.Fatalf("request %d: %v", n+1, err)
+				}
+				if resp.NotRun != (n < 2) {
+					t.Errorf("request %d (%s): not run is %v", n+1, id, resp.NotRun)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			if conns.Load() != 3 {
+				t.Errorf("%d connections, want one more for each id that was refused", conns.Load())
+			}
+		})
+	}
+}
+
+// TestManyRefusals guards against a client that remembers the ids of refused requests without limit, and against a new connection for each
+// refused request.
+func TestManyRefusals(t *testing.T) {
+	c, conns := scripted(t, func(_ net.Conn, id, _ string, _ int64) string {
+		return response(http.StatusTooManyRequests, id, upstream.HeaderRan+": no\r\n", "")
+	})
+	for n := range 2500 {
+		if resp, err := c.Do(t.Context(), request(http.MethodPost, "/k", fmt.Sprint("r", n), "")); err != nil || !resp.NotRun {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+	if n := conns.Load(); n < 3 || n > 5 {
+		t.Errorf("%d connections for 2500 refusals, want one for about 1024 refusals", n)
+	}
+}
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -61,7 +61,7 @@
 		}
 		if err != nil {
 			failures++
-			c.requests.CloseIdleConnections()
+			c.connections.closeIdle()
 		} else {
 			failures = 0
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,8 +42,8 @@
 type Client struct {
 	baseURL       string
 	address       string
-	requests      *http.Transport
 	control       *http.Transport
+	connections   connections
 	probeInterval time.Duration
 	probeTimeout  time.Duration
 	mu            sync.Mutex
@@ -70,15 +70,15 @@
 		baseURL: "http://" + address, address: address,
 		probeInterval: DefaultProbeInterval, probeTimeout: DefaultProbeTimeout,
 	}
-	c.requests, c.control = c.transport(), c.transport()
+	c.control = newTransport()
 	for _, option := range options {
 		option(c)
 	}
 	return c
 }
 
-// transport returns an HTTP transport whose connections count their bytes.
-func (c *Client) transport() *http.Transport {
+// newTransport returns an HTTP transport whose connections count their bytes.
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -98,7 +98,7 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.requests.CloseIdleConnections()
+	c.connections.closeIdle()
 	c.control.CloseIdleConnections()
 }
 
