Upstream: revoke grants and drain over connections of their own

A revocation or the drain command could count as done with the response to an earlier control call, before the upstream had read it.

Cause: responses to control calls carry no id, and the calls share kept connections. A response that the upstream writes once more is taken as the response to the next call.

Before the fix TestRepeatedControlResponse printed "revocation: 0 , want 1502 conflict" and "1 connections, want one for each revocation and drain command beside that of the others". Now both close their connection after the call and share none with other calls. Grants, renewals and probes are sent several times a second and may be repeated; they keep their connections.

--- a/upstream/faulty_test.go
+++ b/upstream/faulty_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/member"
 	"sapphiretray/upstream"
 )
 
@@ -169,3 +170,28 @@
 		t.Errorf("%d connections for 2500 refusals, want one for about 1024 refusals", n)
 	}
 }
+
+// TestRepeatedControlResponse guards against taking the response to an earlier control call, which the upstream writes once more, as the
+// response to a revocation or the drain command.
+func TestRepeatedControlResponse(t *testing.T) {
+	c, conns := scripted(t, func(conn net.Conn, id, previous string, number int64) string {
+		if number <= 2 {
+			return response(http.StatusOK, id, "", `{"clock":1}`)
+		}
+		_, _ = io.WriteString(conn, previous)
+		time.Sleep(20 * time.Millisecond)
+		return response(http.StatusConflict, id, "", "{}")
+	})
+	if err := c.Renew(t.Context(), member.NewIncarnation("a", 1), time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := code.Of(c.Revoke(t.Context(), 1, 256)); got != code.Conflict {
+		t.Errorf("revocation: %s, want %s", got, code.Conflict)
+	}
+	if got, _ := code.Of(c.Drain(t.Context())); got != code.Conflict {
+		t.Errorf("drain: %s, want %s", got, code.Conflict)
+	}
+	if conns.Load() != 3 {
+		t.Errorf("%d connections, want one for each revocation and drain command beside that of the others", conns.Load())
+	}
+}
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.probeTimeout)
 	defer cancel()
 	var health Health
-	status, err := c.call(ctx, http.MethodGet, "/sapphire/health", nil, &health)
+	status, err := c.call(ctx, c.control, http.MethodGet, "/sapphire/health", nil, &health)
 	if err != nil {
 		return Health{}, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -40,9 +40,12 @@
 
 // Client sends requests and control calls to one upstream. Create it with New.
 type Client struct {
-	baseURL       string
-	address       string
+	baseURL string
+	address string
+	// control is the transport of calls that may be repeated. final is that of the others, which closes each connection after its call:
+	// their responses carry no id, so that one to an earlier call on the same connection couldn't be told apart.
 	control       *http.Transport
+	final         *http.Transport
 	connections   connections
 	probeInterval time.Duration
 	probeTimeout  time.Duration
@@ -70,7 +73,8 @@
 		baseURL: "http://" + address, address: address,
 		probeInterval: DefaultProbeInterval, probeTimeout: DefaultProbeTimeout,
 	}
-	c.control = newTransport()
+	c.control, c.final = newTransport(), newTransport()
+	c.final.DisableKeepAlives = true
 	for _, option := range options {
 		option(c)
 	}
@@ -132,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	return c.sendControl(ctx, http.MethodPut, "/sapphire/grant", grantBody{
+	return c.sendControl(ctx, c.control, http.MethodPut, "/sapphire/grant", grantBody{
 		Incarnation: g.Incarnation, Partition: g.Partition, Fence: g.Fence, Expires: expires,
 	})
 }
@@ -143,18 +147,18 @@
 	if err != nil {
 		return err
 	}
-	return c.sendControl(ctx, http.MethodPost, "/sapphire/renew", renewBody{Incarnation: incarnation, Expires: expires})
+	return c.sendControl(ctx, c.control, http.MethodPost, "/sapphire/renew", renewBody{Incarnation: incarnation, Expires: expires})
 }
 
 // Revoke ends the grant of a partition.
 func (c *Client) Revoke(ctx context.Context, partition int, fence uint64) error {
 	path := "/sapphire/grant/" + strconv.Itoa(partition) + "?fence=" + strconv.FormatUint(fence, 10)
-	return c.sendControl(ctx, http.MethodDelete, path, nil)
+	return c.sendControl(ctx, c.final, http.MethodDelete, path, nil)
 }
 
 // Drain tells the upstream to refuse new work.
 func (c *Client) Drain(ctx context.Context) error {
-	return c.sendControl(ctx, http.MethodPost, "/sapphire/drain", nil)
+	return c.sendControl(ctx, c.final, http.MethodPost, "/sapphire/drain", nil)
 }
 
 // expiry converts a local time to the upstream's clock, based on the newest reading of that clock. The result is never too late:
@@ -184,11 +188,11 @@
 }
 
 // sendControl sends a control call, records the clock in the response and turns statuses other than 200 into errors.
-func (c *Client) sendControl(ctx context.Context, method, path string, body any) error {
+func (c *Client) sendControl(ctx context.Context, transport *http.Transport, method, path string, body any) error {
 	var response struct {
 		Clock int64 `json:"clock"`
 	}
-	status, err := c.call(ctx, method, path, body, &response)
+	status, err := c.call(ctx, transport, method, path, body, &response)
 	if err != nil {
 		return err
 	}
@@ -214,7 +218,7 @@
 }
 
 // call sends body as JSON, decodes the JSON of the response into response and returns the status.
-func (c *Client) call(ctx context.Context, method, path string, body, response any) (int, error) {
+func (c *Client) call(ctx context.Context, transport *http.Transport, method, path string, body, response any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	encoded := []byte{}
@@ -228,7 +232,7 @@
 	if err != nil {
 		return 0, code.Wrap(code.BadRequest, err, "create a control call to the upstream")
 	}
-	resp, err := c.control.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		c.control.CloseIdleConnections()
 		return 0, code.Wrap(code.UpstreamFailed, err, "control call %s to the upstream", path)
