--- a/gateway/control.go
+++ b/gateway/control.go
@@ -16,28 +16,53 @@
 	Body   []byte
 }
 
-// SendControlRequest sends a control request and returns the status and headers of the response. newRequest is called once there is a
+// SendControlRequest sends a control request and returns the status and headers of the response. Control requests share no connections
+// with requests, since their responses carry no request id by which they could be told apart. newRequest is called once there is a
 // connection; fresh is set if the connection is new, in which case the upstream may have been restarted. The error is that
 // of the connection. If the connection was refused, the upstream is marked as down.
 func (g *Gateway) SendControlRequest(ctx context.Context, newRequest func(fresh bool) ControlRequest) (int, http.Header, error) {
-	c, reused, err := g.pool.get(ctx, maxIdle)
+	c, reused, err := g.control.get(ctx, "", maxIdle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.markDown()
 	}
 	if err != nil {
 		return 0, nil, err
 	}
-	request := newRequest(!reused)
+	response, err := g.exchangeControl(ctx, c, newRequest(!reused))
+	if err != nil {
+		g.control.retire()
+		return 0, nil, err
+	}
+	g.control.put(c)
+	return response.status, response.header, nil
+}
+
+// SendControlRequestOnce is like SendControlRequest, but uses a connection of its own. Only the response to this request can arrive on it,
+// not one that the upstream writes once more to an earlier request.
+func (g *Gateway) SendControlRequestOnce(ctx context.Context, request ControlRequest) (int, http.Header, error) {
+	c, err := g.control.open(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.markDown()
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.fail(errClosed)
+	response, err := g.exchangeControl(ctx, c, request)
+	if err != nil {
+		return 0, nil, err
+	}
+	return response.status, response.header, nil
+}
+
+// exchangeControl sends a control request on a connection and waits for its response.
+func (g *Gateway) exchangeControl(ctx context.Context, c *conn, request ControlRequest) (*rawResponse, error) {
 	var head bytes.Buffer
-	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + g.pool.address + "\r\n")
+	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + g.control.address + "\r\n")
 	if len(request.Body) > 0 {
 		head.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
 	response, _, err := c.do(ctx, "", request.Method, head.Bytes(), request.Body, g.spawn)
-	if err != nil {
-		return 0, nil, err
-	}
-	g.pool.put(c)
-	return response.status, response.header, nil
+	return response, err
 }
