Refuse records of instances that can't be used

A record that another writer left in a slot replaced the sound one, and callers' requests were forwarded to what it named: a port out of range, another slot, an incarnation that never existed. A session with such a witness ended at once.

The fixtures of the tests get a service and addresses, as real records have.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -62,19 +62,24 @@
 	d.notify()
 }
 
-// applyRecord updates the record of a slot. mu must be held.
+// applyRecord updates the record of a slot. It ignores a record that can't be used or is of an earlier incarnation than the known one. mu
+// must be held.
 func (d *directory) applyRecord(slot string, row store.Row) {
 	if row.Deleted {
 		delete(d.records, slot)
 		delete(d.unreachable, slot)
 		return
 	}
-	var record member.Record
-	if err := json.Unmarshal(row.Value, &record); err != nil {
+	record, err := decodeRecord(row)
+	known := d.records[slot].Incarnation
+	if err == nil && record.Incarnation.Number() < known.Number() {
+		err = fmt.Errorf("incarnation %s is older than %s", record.Incarnation, known)
+	}
+	if err != nil {
 		klog.ErrorS(err, "directory: invalid record ignored", "slot", slot, "version", row.Version)
 		return
 	}
-	if known := d.records[slot].Incarnation; known != record.Incarnation {
+	if known != record.Incarnation {
 		delete(d.unreachable, slot)
 		delete(d.leaving, known)
 	}
--- a/sidecar/witnesses_test.go
+++ b/sidecar/witnesses_test.go
@@ -13,6 +13,17 @@
 	"sapphiretray/store"
 )
 
+// recordRow returns the row with a record, whose service and addresses it sets.
+func recordRow(t *testing.T, r member.Record, version uint64) store.Row {
+	t.Helper()
+	r.Service, r.PeerAddress, r.HeartbeatAddress = "bookings", "10.1.0.1:7401", "10.1.0.1:7410"
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Row{Table: TableName, Key: member.RowKey(r.Incarnation.Slot()), Value: value, Version: version}
+}
+
 // newTestSidecar returns a process whose directory has nine instances in three data centres. States are given by the instance's number;
 // the default is Ready.
 func newTestSidecar(t *testing.T, states map[int]member.State) *Sidecar {
@@ -28,13 +39,9 @@
 			state = s
 		}
 		slot := fmt.Sprint("slot-", n)
-		value, err := json.Marshal(member.Record{
+		rows = append(rows, recordRow(t, member.Record{
 			Incarnation: member.NewIncarnation(slot, 1), Region: "island", DataCentre: fmt.Sprint("dc-", n%3), State: state,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		rows = append(rows, store.Row{Table: TableName, Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)})
+		}, uint64(n+1)))
 	}
 	sc.directory.apply(rows)
 	return sc
@@ -99,11 +106,8 @@
 	s := &session{sidecar: sc, record: member.Record{Witnesses: sc.chooseWitnesses()}}
 	s.witnessNumbers = sc.directory.incarnationNumbers(s.record.Witnesses)
 	restart := func(slot string, version uint64) {
-		value, err := json.Marshal(member.Record{Incarnation: member.NewIncarnation(slot, 2), Region: "island", State: member.Ready})
-		if err != nil {
-			t.Fatal(err)
-		}
-		sc.directory.apply([]store.Row{{Table: TableName, Key: member.RowKey(slot), Value: value, Version: version}})
+		record := member.Record{Incarnation: member.NewIncarnation(slot, 2), Region: "island", State: member.Ready}
+		sc.directory.apply([]store.Row{recordRow(t, record, version)})
 	}
 	for n, want := range []bool{false, false, true, true} {
 		if n > 0 {
