Join whatever another writer left in the instance's row

A process whose own record was odd when it started never joined: join returned the decoding error again every 150 ms ("session: join failed ... exceeded max depth"), its upstream got no keys and its callers "no owner". With a record of incarnation 2^64-1 it joined as number 0, which can't be decoded again; with a removed or an older record it joined under a number of an earlier incarnation. A restarted witness took the holder of an odd record for a new incarnation and wasn't silent towards it.

Cause: the number was derived from the stored record. It is now above the version of the row, or of the whole store if there is no row. The store's versions grow with each write, and each number was at most the version of the write that registered it, so that the new one is above all earlier ones whatever the row holds. Witnesses count numbers up to the version of the row as registered.

--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -82,6 +82,15 @@
 	return s.version
 }
 
+// Remove removes a row with an empty part without conditions.
+func (s *RowStore) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(StoredRow{Table: table, Key: key, Ver: s.version, Deleted: true})
+	s.notify()
+}
+
 // Get returns a row with an empty part.
 func (s *RowStore) Get(table, key string) (StoredRow, bool) {
 	s.mu.Lock()
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,8 @@
 	// records holds the newest record of each slot, and history the records of up to maxHistory incarnations of each slot, oldest first.
 	records map[string]member.Record
 	history map[string][]member.Record
+	// registered holds the newest version of the row of each slot. No incarnation in it has a higher number.
+	registered map[string]uint64
 	// maps holds the newest key map of each service.
 	maps map[string]mapRow
 	// unreachable holds the slots whose instances aren't chosen until they respond again.
@@ -43,7 +46,8 @@
 
 func newDirectory(self string) *directory {
 	return &directory{
-		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record), maps: make(map[string]mapRow),
+		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
+		registered: make(map[string]uint64), maps: make(map[string]mapRow),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
@@ -65,6 +69,7 @@
 // applyRecord updates the record of a slot. It ignores a record that can't be used or is of an earlier incarnation than the known one. mu
 // must be held.
 func (d *directory) applyRecord(slot string, row store.Row) {
+	d.registered[slot] = max(d.registered[slot], row.Version)
 	if row.Deleted {
 		delete(d.records, slot)
 		delete(d.unreachable, slot)
@@ -242,15 +247,11 @@
 	return len(d.records)
 }
 
-// allIncarnationNumbers returns the number of the newest incarnation of each slot.
-func (d *directory) allIncarnationNumbers() map[string]uint64 {
+// newestRegistered returns the largest number that an incarnation of each slot can have had so far.
+func (d *directory) newestRegistered() map[string]uint64 {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	newest := make(map[string]uint64, len(d.records))
-	for slot, r := range d.records {
-		newest[slot] = r.Incarnation.Number()
-	}
-	return newest
+	return maps.Clone(d.registered)
 }
 
 // keyMap returns the newest key map of a service.
--- a/sidecar/record.go
+++ b/sidecar/record.go
@@ -28,7 +28,7 @@
 	if slot, ok := strings.CutPrefix(row.Key, member.RowPrefix); !ok || slot != r.Incarnation.Slot() {
 		return member.Record{}, fmt.Errorf("the record is of incarnation %s", r.Incarnation)
 	}
-	// Each incarnation is registered by a write, and versions grow with each write to the store.
+	// See nextIncarnation.
 	if number := r.Incarnation.Number(); number == 0 || number > row.Version {
 		return member.Record{}, fmt.Errorf("incarnation number %d is out of range", number)
 	}
--- a/sidecar/record_test.go
+++ b/sidecar/record_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// TestOddRecordsAndRestartedWitness guards against a restarted witness that takes an incarnation for a new one because its record can't
+// be decoded: an earlier process in the slot of the witness may have supported that incarnation.
+func TestOddRecordsAndRestartedWitness(t *testing.T) {
+	d := newDirectory("slot-0")
+	d.apply([]store.Row{{Table: TableName, Key: member.RowKey("slot-3"), Value: []byte("{"), Version: 9}})
+	if newest := d.newestRegistered()["slot-3"]; newest < 9 {
+		t.Errorf("incarnations above %d count as new; earlier ones may have numbers up to 9", newest)
+	}
+}
+
 // FuzzDecodeRecord guards against a record that ends the process and against one that is used with a field out of range.
 func FuzzDecodeRecord(f *testing.F) {
 	good := []byte(`{"incarnation":"slot-3#4","service":"bookings","data_centre":"a","peer_address":"10.1.0.1:7401",` +
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -12,6 +12,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/member"
+	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -83,7 +84,7 @@
 	if sc.rows.Wait(ctx) != nil {
 		return
 	}
-	sc.endpoint.SetNewestRegistered(sc.directory.allIncarnationNumbers())
+	sc.endpoint.SetNewestRegistered(sc.directory.newestRegistered())
 	sc.identifyRunningUpstream(ctx)
 	for ctx.Err() == nil {
 		if !sc.awaitUpstream(ctx) {
@@ -151,18 +152,11 @@
 	run := sc.gateway.State().UpstreamRun
 	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
 	row := sc.rows.Get(member.RowKey(sc.settings.Slot))
-	var old member.Record
-	if row.Version > 0 && !row.Deleted {
-		if err := json.Unmarshal(row.Value, &old); err != nil {
-			return nil, err
-		}
-	}
-	s.version = row.Version
-	if row.Deleted {
-		s.version = 0
+	if !row.Deleted {
+		s.version = row.Version
 	}
 	s.record = member.Record{
-		Incarnation: member.NewIncarnation(sc.settings.Slot, old.Incarnation.Number()+1), Name: sc.settings.Name,
+		Incarnation: sc.nextIncarnation(row), Name: sc.settings.Name,
 		Service: sc.settings.Service, DataCentre: sc.settings.DataCentre, Region: sc.settings.Region,
 		PeerAddress: sc.settings.PeerAddress, HeartbeatAddress: sc.settings.HeartbeatAddress, CallerAddress: sc.settings.CallerAddress,
 		Capacity: float64(sc.gateway.State().Slots), Upstream: run.ID, UpstreamStarted: run.Started,
@@ -182,6 +176,16 @@
 	return s, s.write(ctx)
 }
 
+// nextIncarnation returns a new incarnation. Versions of rows grow with each write to the store, so that a number above the version of
+// the instance's row is above those of all earlier incarnations, whatever the row holds, and not above the version of the next write.
+func (sc *Sidecar) nextIncarnation(row store.Row) member.Incarnation {
+	newest := row.Version
+	if newest == 0 {
+		newest = sc.rows.Version()
+	}
+	return member.NewIncarnation(sc.settings.Slot, newest+1)
+}
+
 // write replaces the instance's record in the store.
 func (s *session) write(ctx context.Context) error {
 	value, err := json.Marshal(s.record)
