Write the instance's record again after another writer has replaced it

A running process whose record another writer had replaced by an odd one, or removed, stayed unknown to processes that started later, which answered "no owner" for its keys. Its later states weren't published either: each write expected the version of its own last row and conflicted, every 150 ms.

Cause: nothing compared the row with what the process had written. The session now checks it in each round and writes its record again, at most once a second, on the condition of the version that is there. A record of a newer incarnation belongs to another process in the slot and stays.

Failed before: TestRecordReplacedByAnotherWriter ("the record is back: not within 3s").

--- a/member/member.go
+++ b/member/member.go
@@ -24,7 +24,7 @@
 // Slot returns the name of the slot.
 func (i Incarnation) Slot() string { return i.slot }
 
-// Number returns the incarnation's number, which starts at 1 and grows with each run in the slot.
+// Number returns the incarnation's number, which isn't 0 and grows with each run in the slot.
 func (i Incarnation) Number() uint64 { return i.number }
 
 // IsZero reports whether i is the zero value.
--- a/sidecar/record.go
+++ b/sidecar/record.go
@@ -28,7 +28,7 @@
 	if slot, ok := strings.CutPrefix(row.Key, member.RowPrefix); !ok || slot != r.Incarnation.Slot() {
 		return member.Record{}, fmt.Errorf("the record is of incarnation %s", r.Incarnation)
 	}
-	// See nextIncarnation.
+	// Numbers of incarnations are at most the version of the row that registered them, see nextIncarnation.
 	if number := r.Incarnation.Number(); number == 0 || number > row.Version {
 		return member.Record{}, fmt.Errorf("incarnation number %d is out of range", number)
 	}
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -29,6 +29,8 @@
 	rejoinAfter = 1200 * time.Millisecond
 	// commitTimeout bounds a write to the store.
 	commitTimeout = 3 * time.Second
+	// restoreInterval is the shortest time between two writes of a record that another writer replaces again and again.
+	restoreInterval = time.Second
 )
 
 // session is the lifetime of one incarnation of the instance: one run of the upstream under one lease.
@@ -46,7 +48,9 @@
 	expiredAt time.Time
 	// witnessNumbers holds the numbers of the witnesses' incarnations at the time they were chosen, by slot.
 	witnessNumbers map[string]uint64
-	ctx            context.Context
+	// restoredAt is when the record was last written because another writer had replaced it.
+	restoredAt time.Time
+	ctx        context.Context
 }
 
 // self returns the incarnation of the session.
@@ -200,6 +204,30 @@
 	return nil
 }
 
+// adoptRow makes the next write of the record replace the newest known row, and reports whether another writer has changed it. A record
+// of a newer incarnation, which is that of another process in the slot, isn't replaced.
+func (s *session) adoptRow() bool {
+	row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
+	if row.Version <= s.version {
+		return false
+	}
+	if row.Deleted {
+		s.version = 0
+		return true
+	}
+	stored, err := decodeRecord(row)
+	if err == nil && stored.Incarnation.Number() > s.self().Number() {
+		return false
+	}
+	s.version = row.Version
+	if err != nil || stored.Incarnation != s.self() {
+		return true
+	}
+	// An earlier write may have taken effect whose outcome was unknown. It is repeated if it was counted as failed.
+	own, err := json.Marshal(s.record)
+	return s.record.State != "" && (err != nil || string(row.Value) != string(own))
+}
+
 // awaitOthers waits for othersTimeout, or until there are twice as many other instances as witnesses are needed.
 func (sc *Sidecar) awaitOthers(ctx context.Context) {
 	deadline := time.Now().Add(othersTimeout)
@@ -278,15 +306,13 @@
 		if !state.Usable() || s.sidecar.stopping.Load() {
 			wanted = member.Draining
 		}
-		if wanted != s.record.State {
-			s.record.State = wanted
-			if err := s.write(ctx); err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", wanted, "err", err)
-				// The write is retried in the next round.
-				s.record.State = ""
-			} else {
-				klog.InfoS("session: state changed", "instance", s.self(), "state", wanted)
-			}
+		replaced := time.Since(s.restoredAt) >= restoreInterval && s.adoptRow()
+		if replaced {
+			s.restoredAt = time.Now()
+			klog.InfoS("session: another writer has replaced the record; writing it again", "instance", s.self())
+		}
+		if replaced || wanted != s.record.State {
+			s.publishState(ctx, wanted)
 		}
 		select {
 		case <-ctx.Done():
@@ -297,6 +323,17 @@
 	}
 }
 
+// publishState writes the record with a state. After a failure, the write is retried in the next round.
+func (s *session) publishState(ctx context.Context, state member.State) {
+	s.record.State = state
+	if err := s.write(ctx); err != nil && ctx.Err() == nil {
+		klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", state, "err", err)
+		s.record.State = ""
+		return
+	}
+	klog.InfoS("session: state changed", "instance", s.self(), "state", state)
+}
+
 // mustRejoin reports whether the instance must join as a new incarnation, because its lease is lost, has been invalid for too long, or
 // can't get enough witnesses.
 func (s *session) mustRejoin() bool {
