Log how each configuration reached an instance

A request was answered 404 2.65 s after its route's configuration had been acknowledged, and the logs could not tell which part of the way took the time. Log the first announcement of each newer configuration, failed reads of the store, and fetches of the configuration from other instances. Add the size, the source, the time to the first and the last byte, the time to decode and the lag to "config: in effect". Failed calls state whether any byte of a response had arrived, which tells a silent connection from a slow link.

--- /dev/null
+++ b/sidecar/configlag.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+)
+
+// maxAnnouncements bounds the configurations that a configLag remembers.
+const maxAnnouncements = 64
+
+// configLag records the newer configurations that other instances have announced, until this instance has them. The zero value has
+// none.
+type configLag struct {
+	mu sync.Mutex
+	// missing has the announced configurations in the order of their versions.
+	missing []announcement
+}
+
+// announcement tells that other instances have the configuration in a version of the row.
+type announcement struct {
+	row uint64
+	// at is when the first of them announced it.
+	at time.Time
+}
+
+// announce records that an instance has a version of the row, which must be newer than this instance's, and reports whether no
+// instance had announced it or a newer one before.
+func (l *configLag) announce(row uint64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := len(l.missing); n > 0 && l.missing[n-1].row >= row {
+		return false
+	}
+	if len(l.missing) == maxAnnouncements {
+		// The oldest announcement tells since when this instance lags; those in the middle matter least.
+		l.missing = l.missing[:maxAnnouncements-1]
+	}
+	l.missing = append(l.missing, announcement{row: row, at: now})
+	return true
+}
+
+// arrive removes the announcements up to a version of the row, which has arrived. It returns since when this instance lacked an
+// announced configuration, or zero if it didn't.
+func (l *configLag) arrive(row uint64) (since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.missing) > 0 {
+		since = l.missing[0].at
+	}
+	l.removeUpTo(row)
+	return since
+}
+
+// removeUpTo removes the announcements up to a version of the row. mu must be held.
+func (l *configLag) removeUpTo(row uint64) {
+	for len(l.missing) > 0 && l.missing[0].row <= row {
+		l.missing = l.missing[1:]
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,6 +128,7 @@
 	announced map[string]forward.Versions
 	// configBehindSince is when another instance first announced a newer configuration; zero if this instance has the newest one.
 	configBehindSince time.Time
+	configLag         configLag
 }
 
 // New returns a process; Run starts it.
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -29,7 +29,7 @@
 )
 
 // applyConfig puts a newer configuration into effect. An invalid one is refused as a whole.
-func (sc *Sidecar) applyConfig(rows []store.Row) {
+func (sc *Sidecar) applyConfig(rows []store.Row, d store.Delivery) {
 	for _, row := range rows {
 		if row.Key != sc.adapters.ConfigKey || row.Deleted {
 			continue
@@ -38,24 +38,31 @@
 		sc.announcedMu.Lock()
 		sc.configBehindSince = time.Time{}
 		sc.announcedMu.Unlock()
+		var behind time.Duration
+		if since := sc.configLag.arrive(row.Version); !since.IsZero() {
+			behind = time.Since(since)
+		}
+		decoding := time.Now()
 		table, err := sc.adapters.DecodeConfig(row.Value)
 		if err != nil {
-			klog.ErrorS(err, "config: refused", "row", row.Version)
+			klog.ErrorS(err, "config: refused", "row", row.Version, "bytes", len(row.Value), "source", d.Source)
 			continue
 		}
 		current := sc.routes.Load()
 		if current != nil && table.Version() <= current.Version() {
-			klog.InfoS("config: ignored because it is not newer", "version", table.Version(), "current", current.Version())
+			klog.InfoS("config: ignored because it is not newer", "version", table.Version(), "current", current.Version(),
+				"row", row.Version, "source", d.Source)
 			continue
 		}
 		sc.routes.Store(table)
-		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version)
+		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version, "bytes", len(row.Value), "source", d.Source,
+			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind)
 		sc.wakeUp()
 	}
 }
 
 // applyRows applies changed records and key maps.
-func (sc *Sidecar) applyRows(rows []store.Row) {
+func (sc *Sidecar) applyRows(rows []store.Row, _ store.Delivery) {
 	sc.directory.apply(rows)
 	if s := sc.session.Load(); s != nil {
 		s.updateMap()
@@ -87,6 +94,9 @@
 			sc.configBehindSince = time.Now()
 		}
 		sc.announcedMu.Unlock()
+		if known := sc.config.Newest(); v.Config > known && sc.configLag.announce(v.Config, time.Now()) {
+			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
+		}
 		select {
 		case sc.announcers <- v.Slot:
 		default:
@@ -151,17 +161,28 @@
 
 // fetchAndMerge merges the newer rows of a table from an instance and returns false if the call fails.
 func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower) bool {
+	started := time.Now()
 	rows, version, err := sc.fetchRows(ctx, slot, f)
 	if err != nil {
 		if ctx.Err() == nil {
-			klog.V(1).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "err", err)
+			sc.fetchLog(f).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "took", time.Since(started), "err", err)
 		}
 		return false
 	}
+	sc.fetchLog(f).InfoS("news: fetched", "slot", slot, "table", f.Table(), "rows", len(rows), "version", version,
+		"took", time.Since(started))
 	f.MergeUpTo(rows, version)
 	return true
 }
 
+// fetchLog returns the log level of fetches of a table. Fetches of the configuration are rare and are always logged.
+func (sc *Sidecar) fetchLog(f *store.Follower) klog.Verbose {
+	if f == sc.config {
+		return klog.V(0)
+	}
+	return klog.V(1)
+}
+
 // fetchRows returns the rows of an instance that are newer than the follower's, and the version up to which they are complete.
 func (sc *Sidecar) fetchRows(ctx context.Context, slot string, f *store.Follower) ([]store.Row, uint64, error) {
 	client, err := sc.dialSlot(slot)
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphiretray/wait"
@@ -33,7 +35,7 @@
 type Follower struct {
 	store       Store
 	table       string
-	changed     func(rows []Row)
+	changed     func(rows []Row, d Delivery)
 	shouldWatch func() bool
 	// mergeFromPeer merges rows from a peer's copy and reports whether one responded. It is called while shouldWatch returns false.
 	mergeFromPeer func(ctx context.Context, f *Follower) bool
@@ -56,9 +58,28 @@
 	listings chan struct{}
 }
 
+// Delivery describes how rows reached a follower.
+type Delivery struct {
+	// Source tells where the rows come from.
+	Source Source
+	// Waited is the time from the call to the store to the first byte of the response, and Took the time to its end. Both are 0 for
+	// merged rows; Waited is also 0 if the store's client doesn't support httptrace.
+	Waited, Took time.Duration
+}
+
+// Source is where a follower gets rows from.
+type Source string
+
+// The sources of rows. Merged rows are those that a caller passed to Merge or MergeUpTo.
+const (
+	SourceChanges Source = "changes"
+	SourceListing Source = "listing"
+	SourceMerge   Source = "merge"
+)
+
 // NewFollower returns a follower of a table. It calls changed, which may be nil, with each batch of rows that are newer than those
 // known before, in order and from one goroutine at a time. Deleted rows have Deleted set.
-func NewFollower(s Store, table string, changed func(rows []Row), options ...Option) *Follower {
+func NewFollower(s Store, table string, changed func(rows []Row, d Delivery), options ...Option) *Follower {
 	f := &Follower{
 		store: s, table: table, changed: changed, rows: make(map[string]Row), listings: make(chan struct{}),
 		shouldWatch: func() bool { return true },
@@ -107,11 +128,13 @@
 	f.mu.Unlock()
 	if !listed {
 		f.lastStoreCall = time.Now()
-		rows, version, err := f.store.List(ctx, f.table)
+		call, callCtx := newCall(ctx, SourceListing)
+		rows, version, err := f.store.List(callCtx, f.table)
 		if err != nil {
+			f.logFailure(ctx, call, err)
 			return err
 		}
-		f.applyListing(rows, version)
+		f.applyListing(rows, version, call.delivery())
 		return nil
 	}
 	maxWait, pause := longPollWait, batchInterval
@@ -123,12 +146,14 @@
 		}
 	}
 	f.lastStoreCall = time.Now()
-	rows, version, err := f.store.Changes(ctx, f.table, after, maxWait)
+	call, callCtx := newCall(ctx, SourceChanges)
+	rows, version, err := f.store.Changes(callCtx, f.table, after, maxWait)
 	if err != nil {
+		f.logFailure(ctx, call, err)
 		return err
 	}
 	f.setReachable(nil)
-	f.Merge(rows)
+	f.merge(rows, call.delivery())
 	f.mu.Lock()
 	f.version = max(f.version, version)
 	f.mu.Unlock()
@@ -136,6 +161,36 @@
 	return nil
 }
 
+// call measures a call to the store.
+type call struct {
+	source  Source
+	started time.Time
+	// waited is the time to the first byte of the response in nanoseconds, 0 before it.
+	waited atomic.Int64
+}
+
+// newCall returns a call that starts now and the context to make it with.
+func newCall(ctx context.Context, s Source) (*call, context.Context) {
+	c := &call{source: s, started: time.Now()}
+	return c, httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		c.waited.Store(int64(max(1, time.Since(c.started))))
+	}})
+}
+
+// delivery describes the rows of the response, whose end has just arrived.
+func (c *call) delivery() Delivery {
+	return Delivery{Source: c.source, Waited: time.Duration(c.waited.Load()), Took: time.Since(c.started)}
+}
+
+// logFailure logs a failed call unless ctx has ended. A call that waited in vain has the whole time in took and 0 in waited.
+func (f *Follower) logFailure(ctx context.Context, c *call, err error) {
+	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
+		d := c.delivery()
+		klog.InfoS("store: call failed", "table", f.table, "call", d.Source, "version", f.Version(), "waited", d.Waited, "took", d.Took,
+			"err", err)
+	}
+}
+
 // pause waits for a time. A pause longer than batchInterval ends early when the follower should watch the store.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
@@ -147,7 +202,7 @@
 }
 
 // applyListing merges a full listing as of a version. Known rows that are missing from it were deleted.
-func (f *Follower) applyListing(rows []Row, version uint64) {
+func (f *Follower) applyListing(rows []Row, version uint64, d Delivery) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -159,7 +214,7 @@
 		}
 	}
 	f.mu.Unlock()
-	f.Merge(rows)
+	f.merge(rows, d)
 	f.mu.Lock()
 	f.version, f.listed = max(f.version, version), true
 	close(f.listings)
@@ -190,11 +245,14 @@
 
 // Merge merges rows from another source, such as a peer or the response to a transaction. Rows that aren't newer than the known ones
 // are ignored.
-func (f *Follower) Merge(rows []Row) {
+func (f *Follower) Merge(rows []Row) { f.merge(rows, Delivery{Source: SourceMerge}) }
+
+// merge merges rows and reports the newer ones.
+func (f *Follower) merge(rows []Row, d Delivery) {
 	f.mergeMu.Lock()
 	defer f.mergeMu.Unlock()
 	if newer := f.mergeNewer(rows); len(newer) > 0 && f.changed != nil {
-		f.changed(newer)
+		f.changed(newer, d)
 	}
 }
 
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // memory is a store in memory with faults.
@@ -22,9 +25,11 @@
 	// unavailable makes all calls fail with ErrUnavailable.
 	unavailable bool
 	// silent makes Changes return no rows.
-	silent  bool
-	changed chan struct{}
-	calls   int
+	silent bool
+	// transfer is the time from the first byte of a response to its end.
+	transfer time.Duration
+	changed  chan struct{}
+	calls    int
 }
 
 func newMemory() *memory {
@@ -69,18 +74,33 @@
 	return 0, errors.ErrUnsupported
 }
 
-func (m *memory) List(context.Context, string) ([]store.Row, uint64, error) {
+func (m *memory) List(ctx context.Context, _ string) ([]store.Row, uint64, error) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.calls++
-	if m.unavailable {
-		return nil, 0, store.ErrUnavailable
-	}
+	unavailable, version := m.unavailable, m.version
 	rows := make([]store.Row, 0, len(m.rows))
 	for _, row := range m.rows {
 		rows = append(rows, row)
 	}
-	return rows, m.version, nil
+	m.mu.Unlock()
+	if unavailable {
+		return nil, 0, store.ErrUnavailable
+	}
+	return rows, version, m.respond(ctx)
+}
+
+// respond reports the first byte of a response and waits for its end.
+func (m *memory) respond(ctx context.Context) error {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
+	m.mu.Lock()
+	transfer := m.transfer
+	m.mu.Unlock()
+	if !wait.For(ctx, transfer) {
+		return ctx.Err()
+	}
+	return nil
 }
 
 func (m *memory) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Row, uint64, error) {
@@ -106,7 +126,7 @@
 		case dropped:
 			return nil, 0, store.ErrHistoryLost
 		case len(rows) > 0 && !silent:
-			return rows, version, nil
+			return rows, version, m.respond(ctx)
 		}
 		select {
 		case <-changed:
@@ -275,3 +295,33 @@
 		}
 	}, store.WithWatch(func() bool { return false }, noPeer))
 }
+
+// TestFollowerDelivery guards against rows whose source and call aren't reported, so that logs can't tell a slow store from a slow link.
+func TestFollowerDelivery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		m.put("a", "1")
+		m.transfer = 300 * time.Millisecond
+		var deliveries []store.Delivery
+		f := store.NewFollower(m, "t", func(_ []store.Row, d store.Delivery) { deliveries = append(deliveries, d) })
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { f.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		m.put("a", "2")
+		time.Sleep(2 * time.Second)
+		f.Merge([]store.Row{{Key: "a", Value: []byte("9"), Version: 9}})
+		cancel()
+		group.Wait()
+		want := []store.Delivery{
+			// A response without delay has its first byte after a nanosecond, since 0 stands for none.
+			{Source: store.SourceListing, Waited: 1, Took: 300 * time.Millisecond},
+			// The call for changes began right after the listing.
+			{Source: store.SourceChanges, Waited: 1700 * time.Millisecond, Took: 2 * time.Second},
+			{Source: store.SourceMerge},
+		}
+		if !slices.Equal(deliveries, want) {
+			t.Errorf("deliveries %+v, want %+v", deliveries, want)
+		}
+	})
+}
