Answer 503 instead of 404 while a newer configuration is awaited

Callers got 404 for a route whose configuration had been acknowledged seconds before, and don't retry after a 404. An instance learns from heartbeats and forwarded requests that others have a newer configuration, but still answered from the old one as if it were the newest. A request that no route matches now fails with the new code 1505 config-outdated, status 503 and a Retry-After, for as long as an announced configuration is missing. It has not run, so the promise of a 503 holds, and the retry finds the configuration that has arrived by then. Requests that a route matches are served as before.

TestOutdatedConfig failed without the check: "no route, outdated: status 404, want 503; Retry-After "", want "0.200"".

--- a/code/code.go
+++ b/code/code.go
@@ -63,6 +63,7 @@
 	Conflict        Code = 1502
 	WriteUnknown    Code = 1503
 	PlatformTimeout Code = 1504
+	ConfigOutdated  Code = 1505
 
 	BadSettings Code = 1601
 	BadSheet    Code = 1602
@@ -141,6 +142,10 @@
 		"The write's answer was lost and can't be read back. Check the status.",
 	},
 	{PlatformTimeout, "platform-timeout", http.StatusGatewayTimeout, RanUnknown, "The platform did not answer in time."},
+	{
+		ConfigOutdated, "config-outdated", http.StatusServiceUnavailable, RanNo,
+		"No route matches, but this instance awaits a newer configuration. Repeat after the time in Retry-After.",
+	},
 	{BadSettings, "bad-settings", http.StatusBadRequest, RanNo, "The settings are refused; each fault has its line and column."},
 	{BadSheet, "bad-sheet", http.StatusBadRequest, RanNo, "The sheet is refused whole; each fault has its line and column."},
 	{BadConfig, "bad-config", http.StatusBadRequest, RanNo, "The configuration is refused; the previous one stays in effect."},
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -17,7 +17,7 @@
 	"sapphiretray/routing"
 )
 
-// noConfigRetryAfter is the Retry-After while no configuration is known.
+// noConfigRetryAfter is the Retry-After while no configuration is known, or a newer one than that in effect is awaited.
 const noConfigRetryAfter = 200 * time.Millisecond
 
 // Server is the HTTP handler for callers. Create it with New.
@@ -33,6 +33,7 @@
 	roundRobin     roundRobin
 	callerTimeouts callerTimeouts
 	chooser        *chooser
+	outdated       func() bool
 	stopping       func() bool
 	metrics        *metrics
 }
@@ -44,6 +45,8 @@
 	Directory Directory
 	Forwarder Forwarder
 	Local     LocalGateway
+	// Outdated reports whether a newer configuration than that of Routes is known to exist.
+	Outdated func() bool
 	// Service is the service of the local upstream.
 	Service string
 	// DataCentre is the data centre that the instance runs in.
@@ -60,7 +63,7 @@
 func New(c Config) *Server {
 	return &Server{
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
-		service: c.Service, dc: c.DataCentre, stopping: c.Stopping,
+		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, stopping: c.Stopping,
 		budgets: budgets{create: c.NewBudget},
 		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
@@ -120,8 +123,7 @@
 	}
 	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
 	if route == nil {
-		reason := "no route of configuration " + strconv.FormatUint(table.Version(), 10)
-		return request, nil, &gateway.Failure{Code: code.NoRoute, Reason: reason}
+		return request, nil, s.noRoute(table)
 	}
 	if limit := table.Limits().MaxHeaderBytes; limit > 0 {
 		if size := headerBytes(r); size > limit {
@@ -137,6 +139,16 @@
 	return request, route, nil
 }
 
+// noRoute returns the failure of a request that no route of the table matches. Callers don't retry a request that has no route, so the
+// failure is temporary if a newer configuration may have one.
+func (s *Server) noRoute(table *routing.Table) *gateway.Failure {
+	f := &gateway.Failure{Code: code.NoRoute, Reason: "no route of configuration " + strconv.FormatUint(table.Version(), 10)}
+	if s.outdated() {
+		f.Code, f.RetryAfter = code.ConfigOutdated, noConfigRetryAfter
+	}
+	return f
+}
+
 // applyRoute sets the fields of a request that depend on its route: service, key, priority and deadlines.
 func (s *Server) applyRoute(request *gateway.Request, route *routing.Route, table *routing.Table, call Call, arrived time.Time) {
 	request.Route, request.Kind, request.Priority = route.Name, route.Kind, route.Priority
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -172,13 +172,18 @@
 	return table
 }
 
-func newServer(t *testing.T, d *deployment, table *routing.Table) *ingress.Server {
+func newServer(t *testing.T, d *deployment, table *routing.Table, options ...func(*ingress.Config)) *ingress.Server {
 	t.Helper()
-	return ingress.New(ingress.Config{
+	config := ingress.Config{
 		Protocol: headers{}, Routes: func() *routing.Table { return table }, Directory: d, Local: upstream{d}, Forwarder: remote{d},
 		NewBudget: func() ingress.Budget { return &policy.RetryBudget{} },
 		Service:   "keyed", Registerer: prometheus.NewRegistry(), Stopping: func() bool { return false },
-	})
+		Outdated: func() bool { return false },
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	return ingress.New(config)
 }
 
 // request returns a POST request with the id x1. header holds further names and values in turn.
@@ -228,6 +233,31 @@
 	}
 }
 
+// TestOutdatedConfig guards against a 404, after which callers don't retry, for a route of a newer configuration that has not arrived yet.
+func TestOutdatedConfig(t *testing.T) {
+	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+	outdated := true
+	server := newServer(t, d, table(t), func(c *ingress.Config) { c.Outdated = func() bool { return outdated } })
+	tests := []struct {
+		name, path string
+		outdated   bool
+		status     int
+		retryAfter string
+	}{
+		{"no route, outdated", "/other/", true, 503, "0.200"},
+		{"route, outdated", "/keyed/", true, 200, ""},
+		{"no route, not outdated", "/other/", false, 404, ""},
+	}
+	for _, test := range tests {
+		outdated = test.outdated
+		w := httptest.NewRecorder()
+		server.ServeHTTP(w, request(t, test.path, "", "Key", "7"))
+		if retryAfter := w.Header().Get("Retry-After"); w.Code != test.status || retryAfter != test.retryAfter {
+			t.Errorf("%s: status %d, want %d; Retry-After %q, want %q", test.name, w.Code, test.status, retryAfter, test.retryAfter)
+		}
+	}
+}
+
 // TestDispatch guards against requests that run more often than their route allows, and against reporting a request as not run after
 // an attempt with an unknown outcome.
 func TestDispatch(t *testing.T) {
--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -51,6 +51,19 @@
 	return since
 }
 
+// since returns since when this instance has lacked an announced configuration, or zero if it lacks none. known is the newest version of
+// the row that this instance has.
+func (l *configLag) since(known uint64) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// A version may have arrived while it was being announced.
+	l.removeUpTo(known)
+	if len(l.missing) == 0 {
+		return time.Time{}
+	}
+	return l.missing[0].at
+}
+
 // removeUpTo removes the announcements up to a version of the row. mu must be held.
 func (l *configLag) removeUpTo(row uint64) {
 	for len(l.missing) > 0 && l.missing[0].row <= row {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -264,7 +264,7 @@
 // listen creates the servers and binds their addresses.
 func (sc *Sidecar) listen(ctx context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
-		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Directory: sc.directory, Local: sc.gateway,
+		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -149,6 +149,9 @@
 	return !reachable || !behindSince.IsZero() && now.Sub(behindSince) >= configFetchDelay
 }
 
+// isConfigOutdated reports whether another instance has announced a newer configuration than this one has.
+func (sc *Sidecar) isConfigOutdated() bool { return !sc.configLag.since(sc.config.Newest()).IsZero() }
+
 // fetchFrom fetches from an instance the tables in which this one lacks the wanted versions.
 func (sc *Sidecar) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
 	if wanted.Config > sc.config.Newest() && sc.isConfigOverdue(time.Now()) {
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -1,8 +1,13 @@
 package sidecar
 
 import (
+	"errors"
 	"testing"
 	"time"
+
+	"sapphiretray/forward"
+	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 // TestConfigOverdue guards against links that are saturated because instances fetch a large configuration from each other while the
@@ -26,3 +31,33 @@
 		}
 	}
 }
+
+// TestConfigOutdated guards against an instance that takes itself for up to date while others have a newer configuration, or for
+// outdated for ever after an announcement of a configuration that it has.
+func TestConfigOutdated(t *testing.T) {
+	sc := New(Settings{Slot: "a"}, Adapters{
+		ConfigTable: "op", ConfigKey: "config",
+		DecodeConfig: func([]byte) (*routing.Table, error) { return nil, errors.New("invalid") },
+	})
+	arrive := func(row uint64) { sc.config.Merge([]store.Row{{Key: "config", Version: row}}) }
+	announce := func(row uint64) { sc.ObserveVersions(forward.Versions{Slot: "b", Config: row}) }
+	tests := []struct {
+		name  string
+		event func()
+		want  bool
+	}{
+		{"start", func() {}, false},
+		{"first configuration", func() { arrive(4) }, false},
+		{"announcement of the same", func() { announce(4) }, false},
+		{"announcement of newer ones", func() { announce(6); announce(7) }, true},
+		{"one of them has arrived", func() { arrive(6) }, true},
+		{"the newest is refused", func() { arrive(7) }, false},
+		{"announcement that crossed the arrival", func() { sc.configLag.announce(7, time.Now()) }, false},
+	}
+	for _, test := range tests {
+		test.event()
+		if got := sc.isConfigOutdated(); got != test.want {
+			t.Errorf("%s: outdated %v, want %v", test.name, got, test.want)
+		}
+	}
+}
