Decode only the newest of several configurations

While configurations follow each other quickly, a call for changes that waited for a slow link delivers several of them, and callers were served by the old routes until all had been decoded in turn. A configuration of 270 KB with 1,280 routes takes 15.5 ms to decode on a whole core (measured beside other work, at a load of 22), so about 0.1 s at a sixth of a core for each one that is replaced at once. The newest row is now decoded first, and the older ones only while the newer are refused.

TestConfigBatch failed before, with 0.3 s per decoding: "eight: took 2.4s, want at most 300ms"; "the newest is invalid: took 900ms, want at most 600ms".

--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -28,36 +30,39 @@
 	probeTimeout  = 250 * time.Millisecond
 )
 
-// applyConfig puts a newer configuration into effect. An invalid one is refused as a whole.
+// applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
+// decoded, because a large configuration takes a slow processor a tenth of a second.
 func (sc *Sidecar) applyConfig(rows []store.Row, d store.Delivery) {
-	for _, row := range rows {
-		if row.Key != sc.adapters.ConfigKey || row.Deleted {
-			continue
-		}
-		// The newest row has arrived, even if its configuration is refused below.
-		sc.announcedMu.Lock()
-		sc.configBehindSince = time.Time{}
-		sc.announcedMu.Unlock()
-		var behind time.Duration
-		if since := sc.configLag.arrive(row.Version); !since.IsZero() {
-			behind = time.Since(since)
-		}
+	rows = slices.DeleteFunc(slices.Clone(rows), func(r store.Row) bool { return r.Key != sc.adapters.ConfigKey || r.Deleted })
+	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(b.Version, a.Version) })
+	if len(rows) == 0 {
+		return
+	}
+	var behind time.Duration
+	// The newest row has arrived, even if its configuration is refused below.
+	sc.announcedMu.Lock()
+	sc.configBehindSince = time.Time{}
+	sc.announcedMu.Unlock()
+	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
+		behind = time.Since(since)
+	}
+	for n, row := range rows {
 		decoding := time.Now()
 		table, err := sc.adapters.DecodeConfig(row.Value)
 		if err != nil {
 			klog.ErrorS(err, "config: refused", "row", row.Version, "bytes", len(row.Value), "source", d.Source)
 			continue
 		}
-		current := sc.routes.Load()
-		if current != nil && table.Version() <= current.Version() {
+		if current := sc.routes.Load(); current != nil && table.Version() <= current.Version() {
 			klog.InfoS("config: ignored because it is not newer", "version", table.Version(), "current", current.Version(),
 				"row", row.Version, "source", d.Source)
 			continue
 		}
 		sc.routes.Store(table)
 		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version, "bytes", len(row.Value), "source", d.Source,
-			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind)
+			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind, "skipped", len(rows)-n-1)
 		sc.wakeUp()
+		return
 	}
 }
 
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sapphiretray/forward"
@@ -61,3 +63,47 @@
 		}
 	}
 }
+
+// TestConfigBatch guards against a configuration that takes effect late because older ones that arrived with it are decoded first, and
+// against a valid one that is lost because a newer one is invalid.
+func TestConfigBatch(t *testing.T) {
+	const decodeTime = 300 * time.Millisecond
+	tests := []struct {
+		name string
+		// values are the configurations that arrive together, oldest first.
+		values []string
+		want   uint64
+		within time.Duration
+	}{
+		{"eight", []string{"11", "12", "13", "14", "15", "16", "17", "18"}, 18, decodeTime},
+		{"the newest is invalid", []string{"11", "12", "invalid"}, 12, 2 * decodeTime},
+		{"only an older one is valid", []string{"9", "invalid"}, 10, 2 * decodeTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := New(Settings{}, Adapters{ConfigKey: "config", DecodeConfig: func(content []byte) (*routing.Table, error) {
+					time.Sleep(decodeTime)
+					version, err := strconv.ParseUint(string(content), 10, 64)
+					if err != nil {
+						return nil, err
+					}
+					return routing.New(version, routing.Limits{}, nil, nil)
+				}})
+				sc.config.Merge([]store.Row{{Key: "config", Version: 1, Value: []byte("10")}})
+				rows := make([]store.Row, 0, len(test.values))
+				for n, value := range test.values {
+					rows = append(rows, store.Row{Key: "config", Version: uint64(n + 2), Value: []byte(value)})
+				}
+				start := time.Now()
+				sc.config.Merge(rows)
+				if got := sc.routes.Load().Version(); got != test.want {
+					t.Errorf("version %d is in effect, want %d", got, test.want)
+				}
+				if took := time.Since(start); took > test.within {
+					t.Errorf("took %v, want at most %v", took, test.within)
+				}
+			})
+		})
+	}
+}
