List missing rows over a slow link instead of reading all changes

A configuration that followed others quickly came into effect later the longer the others went on: callers of an instance whose link was half in use got 404 for routes that had been acknowledged seconds before. The store's changes hold each version of the row, so eight configurations of 300 KB, 0.4 s apart, were transferred whole one after the other, although only the newest matters.

A follower whose last transfer took 250 ms or more now lists the table if a newer row has been announced by another instance, or if a response held several versions of a row, until nothing newer comes. A listing has only the newest version. On faster links nothing changes, and no call is added.

TestConfigOverSlowLink, with the client of the store over a link of 5 Mbit/s, failed before: "a configuration arrived after 3.888968s, want at most 2s" for eight configurations and "1m10.4s" for forty.

--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -52,7 +52,7 @@
 }
 
 // since returns since when this instance has lacked an announced configuration, or zero if it lacks none. known is the newest version of
-// the row that this instance has.
+// the row that this instance can't lack.
 func (l *configLag) since(known uint64) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -99,7 +99,8 @@
 			sc.configBehindSince = time.Now()
 		}
 		sc.announcedMu.Unlock()
-		if known := sc.config.Newest(); v.Config > known && sc.configLag.announce(v.Config, time.Now()) {
+		sc.config.Expect(v.Config)
+		if known := sc.config.Known(); v.Config > known && sc.configLag.announce(v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
 		}
 		select {
@@ -155,7 +156,7 @@
 }
 
 // isConfigOutdated reports whether another instance has announced a newer configuration than this one has.
-func (sc *Sidecar) isConfigOutdated() bool { return !sc.configLag.since(sc.config.Newest()).IsZero() }
+func (sc *Sidecar) isConfigOutdated() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
 
 // fetchFrom fetches from an instance the tables in which this one lacks the wanted versions.
 func (sc *Sidecar) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"sapphiretray/wait"
@@ -39,8 +37,11 @@
 	shouldWatch func() bool
 	// mergeFromPeer merges rows from a peer's copy and reports whether one responded. It is called while shouldWatch returns false.
 	mergeFromPeer func(ctx context.Context, f *Follower) bool
-	// lastStoreCall is when the store was last called. Only Run uses it.
+	// lastStoreCall is when the store was last called, preferred the source to read from next, or empty for the usual one, and slowLink
+	// whether the last transfer of rows took long. Only Run uses them.
 	lastStoreCall time.Time
+	preferred     Source
+	slowLink      bool
 
 	// mergeMu keeps the calls of changed in order.
 	mergeMu sync.Mutex
@@ -51,6 +52,8 @@
 	version uint64
 	// newest is the version of the newest row, which may be above version.
 	newest uint64
+	// expected is the newest version that Expect was called with; the row isn't missing if it is at most newest or version.
+	expected uint64
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
 	listed    bool
 	reachable bool
@@ -58,25 +61,6 @@
 	listings chan struct{}
 }
 
-// Delivery describes how rows reached a follower.
-type Delivery struct {
-	// Source tells where the rows come from.
-	Source Source
-	// Waited is the time from the call to the store to the first byte of the response, and Took the time to its end. Both are 0 for
-	// merged rows; Waited is also 0 if the store's client doesn't support httptrace.
-	Waited, Took time.Duration
-}
-
-// Source is where a follower gets rows from.
-type Source string
-
-// The sources of rows. Merged rows are those that a caller passed to Merge or MergeUpTo.
-const (
-	SourceChanges Source = "changes"
-	SourceListing Source = "listing"
-	SourceMerge   Source = "merge"
-)
-
 // NewFollower returns a follower of a table. It calls changed, which may be nil, with each batch of rows that are newer than those
 // known before, in order and from one goroutine at a time. Deleted rows have Deleted set.
 func NewFollower(s Store, table string, changed func(rows []Row, d Delivery), options ...Option) *Follower {
@@ -123,19 +107,8 @@
 
 // step lists the table, calls the store for changes, or merges rows from a peer, and then pauses.
 func (f *Follower) step(ctx context.Context) error {
-	f.mu.Lock()
-	listed, after := f.listed, f.version
-	f.mu.Unlock()
-	if !listed {
-		f.lastStoreCall = time.Now()
-		call, callCtx := newCall(ctx, SourceListing)
-		rows, version, err := f.store.List(callCtx, f.table)
-		if err != nil {
-			f.logFailure(ctx, call, err)
-			return err
-		}
-		f.applyListing(rows, version, call.delivery())
-		return nil
+	if f.nextSource() == SourceListing {
+		return f.list(ctx)
 	}
 	maxWait, pause := longPollWait, batchInterval
 	if !f.shouldWatch() {
@@ -145,52 +118,25 @@
 			return nil
 		}
 	}
-	f.lastStoreCall = time.Now()
-	call, callCtx := newCall(ctx, SourceChanges)
-	rows, version, err := f.store.Changes(callCtx, f.table, after, maxWait)
+	rows, version, d, err := f.call(ctx, SourceChanges, func(ctx context.Context) ([]Row, uint64, error) {
+		return f.store.Changes(ctx, f.table, f.Version(), maxWait)
+	})
 	if err != nil {
-		f.logFailure(ctx, call, err)
 		return err
 	}
 	f.setReachable(nil)
-	f.merge(rows, call.delivery())
+	f.merge(rows, d)
 	f.mu.Lock()
 	f.version = max(f.version, version)
 	f.mu.Unlock()
+	if f.slowLink && haveSuperseded(rows) {
+		// Rows change faster than the link transfers all of the changes.
+		f.preferred = SourceListing
+	}
 	f.pause(ctx, pause)
 	return nil
 }
 
-// call measures a call to the store.
-type call struct {
-	source  Source
-	started time.Time
-	// waited is the time to the first byte of the response in nanoseconds, 0 before it.
-	waited atomic.Int64
-}
-
-// newCall returns a call that starts now and the context to make it with.
-func newCall(ctx context.Context, s Source) (*call, context.Context) {
-	c := &call{source: s, started: time.Now()}
-	return c, httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		c.waited.Store(int64(max(1, time.Since(c.started))))
-	}})
-}
-
-// delivery describes the rows of the response, whose end has just arrived.
-func (c *call) delivery() Delivery {
-	return Delivery{Source: c.source, Waited: time.Duration(c.waited.Load()), Took: time.Since(c.started)}
-}
-
-// logFailure logs a failed call unless ctx has ended. A call that waited in vain has the whole time in took and 0 in waited.
-func (f *Follower) logFailure(ctx context.Context, c *call, err error) {
-	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
-		d := c.delivery()
-		klog.InfoS("store: call failed", "table", f.table, "call", d.Source, "version", f.Version(), "waited", d.Waited, "took", d.Took,
-			"err", err)
-	}
-}
-
 // pause waits for a time. A pause longer than batchInterval ends early when the follower should watch the store.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
@@ -201,8 +147,9 @@
 	}
 }
 
-// applyListing merges a full listing as of a version. Known rows that are missing from it were deleted.
-func (f *Follower) applyListing(rows []Row, version uint64, d Delivery) {
+// applyListing merges a full listing as of a version, and reports whether it had newer rows than those known. Known rows that are
+// missing from it were deleted.
+func (f *Follower) applyListing(rows []Row, version uint64, d Delivery) (newer bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -214,13 +161,14 @@
 		}
 	}
 	f.mu.Unlock()
-	f.merge(rows, d)
+	newer = f.merge(rows, d)
 	f.mu.Lock()
 	f.version, f.listed = max(f.version, version), true
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
 	f.setReachable(nil)
+	return newer
 }
 
 // relist makes the next step list the table.
@@ -247,13 +195,15 @@
 // are ignored.
 func (f *Follower) Merge(rows []Row) { f.merge(rows, Delivery{Source: SourceMerge}) }
 
-// merge merges rows and reports the newer ones.
-func (f *Follower) merge(rows []Row, d Delivery) {
+// merge merges rows, passes the newer ones to changed, and reports whether there are any.
+func (f *Follower) merge(rows []Row, d Delivery) bool {
 	f.mergeMu.Lock()
 	defer f.mergeMu.Unlock()
-	if newer := f.mergeNewer(rows); len(newer) > 0 && f.changed != nil {
+	newer := f.mergeNewer(rows)
+	if len(newer) > 0 && f.changed != nil {
 		f.changed(newer, d)
 	}
+	return len(newer) > 0
 }
 
 // MergeUpTo merges rows from a copy of the table that is complete up to the given version. The rows must be all of that copy's rows
