Abandon calls to the store that don't deliver an announced row

An instance whose call for changes waited on a connection that had gone silent kept its old configuration, and answered 404 for new routes, until the call timed out after up to 21.5 s. TCP keep-alive finds such a connection after 2.5 s, but not if the request itself is unacknowledged, nor if a middlebox answers the probes.

Other instances announce the row within about 0.35 s. If the open call has no first byte 0.4 s after that, it is now abandoned, which closes its connection, and repeated. The delay doubles from the second abandoned call on, so that a store or link that is slow for all calls still serves them.

--- a/store/call.go
+++ b/store/call.go
@@ -11,10 +11,17 @@
 )
 
 const (
+	// minResponseDelay is how long the first byte of a response may take once the follower expects a row. It is above the 320 ms of a
+	// slow store. It doubles with each call that is abandoned, from the second one on, up to maxResponseDelay.
+	minResponseDelay = 400 * time.Millisecond
+	maxResponseDelay = 3200 * time.Millisecond
 	// slowTransfer is the time from the first byte of a response to its end from which the link counts as slow.
 	slowTransfer = 250 * time.Millisecond
 )
 
+// errAbandoned means that a call was cancelled because an expected row didn't arrive.
+var errAbandoned = errors.New("no response although a newer row is known to exist")
+
 // Delivery describes how rows reached a follower.
 type Delivery struct {
 	// Source tells where the rows come from.
@@ -95,8 +102,13 @@
 type call struct {
 	source  Source
 	started time.Time
+	cancel  context.CancelFunc
 	// waited is the time to the first byte of the response in nanoseconds, 0 before it.
 	waited atomic.Int64
+	// deadline abandons the call unless the response has begun; nil unless the follower expects a row. Follower.mu guards it.
+	deadline *time.Timer
+	// abandoned is set when the call was cancelled by deadline. Follower.mu guards it.
+	abandoned bool
 }
 
 // delivery describes the rows of the response, whose end has just arrived.
@@ -104,36 +116,59 @@
 	return Delivery{Source: c.source, Waited: time.Duration(c.waited.Load()), Took: time.Since(c.started)}
 }
 
-// call makes a call to the store. It logs errors unless ctx has ended.
+// call makes a call to the store. It logs errors unless ctx has ended, and returns errAbandoned for the first of several calls that
+// were abandoned in a row, since the next one may use another connection.
 func (f *Follower) call(
 	ctx context.Context, s Source, read func(ctx context.Context) ([]Row, uint64, error),
 ) ([]Row, uint64, Delivery, error) {
-	c := &call{source: s, started: time.Now()}
-	callCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := &call{source: s, started: time.Now(), cancel: cancel}
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		c.waited.CompareAndSwap(0, int64(max(1, time.Since(c.started))))
 	}})
 	f.lastStoreCall, f.preferred = c.started, ""
+	f.mu.Lock()
+	f.open = c
+	f.limitResponseDelay()
+	f.mu.Unlock()
 	rows, version, err := read(callCtx)
 	d := c.delivery()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open = nil
+	if c.deadline != nil {
+		c.deadline.Stop()
+	}
 	if err == nil {
+		f.abandoned = 0
 		if len(rows) > 0 {
 			f.slowLink = d.isSlow()
 		}
 		return rows, version, d, nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
-		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.Version(), "waited", d.Waited, "took", d.Took,
-			"err", err)
+		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected, "waited", d.Waited,
+			"took", d.Took, "abandoned", c.abandoned, "err", err)
+	}
+	if c.abandoned {
+		f.abandoned++
+		if f.abandoned == 1 {
+			err = errAbandoned
+		}
 	}
 	return nil, 0, d, err
 }
 
-// Expect tells the follower that a version of a row exists. If the row is missing after the open call to the store, the table is listed
-// next, unless the link is fast.
+// Expect tells the follower that a version of a row exists. If the row is missing, an open call to the store is abandoned unless its
+// response begins soon, because the connection may be dead, and over a slow link the table is listed next.
 func (f *Follower) Expect(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.expected = max(f.expected, version)
+	if f.isMissing(version) && version > f.expected {
+		f.expected = version
+		f.limitResponseDelay()
+	}
 }
 
 // isMissing reports whether the copy may lack the row of a version. mu must be held.
@@ -145,3 +180,21 @@
 	defer f.mu.Unlock()
 	return max(f.newest, f.version)
 }
+
+// limitResponseDelay abandons the open call, if any, after a while unless its response begins before, if an expected row is missing. mu
+// must be held.
+func (f *Follower) limitResponseDelay() {
+	c := f.open
+	if c == nil || c.deadline != nil || !f.isMissing(f.expected) {
+		return
+	}
+	c.deadline = time.AfterFunc(min(minResponseDelay<<min(max(f.abandoned-1, 0), 8), maxResponseDelay), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		c.deadline = nil
+		if f.open == c && c.waited.Load() == 0 && f.isMissing(f.expected) {
+			c.abandoned = true
+			c.cancel()
+		}
+	})
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -54,6 +54,10 @@
 	newest uint64
 	// expected is the newest version that Expect was called with; the row isn't missing if it is at most newest or version.
 	expected uint64
+	// open is the call to the store that hasn't ended, or nil.
+	open *call
+	// abandoned is the number of calls abandoned since the last successful one.
+	abandoned int
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
 	listed    bool
 	reachable bool
@@ -94,6 +98,7 @@
 		case err == nil:
 			retry = minRetryDelay
 		case ctx.Err() != nil:
+		case errors.Is(err, errAbandoned):
 		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
 			f.relist()
