--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,6 +128,7 @@
 	announced map[string]forward.Versions
 	// configBehindSince is when another instance first announced a newer configuration; zero if this instance has the newest one.
 	configBehindSince time.Time
+	configLag         configLag
 }
 
 // New returns a process; Run starts it.
@@ -265,7 +266,7 @@
 // listen creates the servers and binds their addresses.
 func (sc *Sidecar) listen(ctx context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
-		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Directory: sc.directory, Local: sc.gateway,
+		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(sc.group, peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
--- a/store/follower.go
+++ b/store/follower.go
@@ -33,12 +33,15 @@
 type Follower struct {
 	store       Store
 	table       string
-	changed     func(rows []Row)
+	changed     func(rows []Row, d Delivery)
 	shouldWatch func() bool
 	// mergeFromPeer merges rows from a peer's copy and reports whether one responded. It is called while shouldWatch returns false.
 	mergeFromPeer func(ctx context.Context, f *Follower) bool
-	// lastStoreCall is when the store was last called. Only Run uses it.
+	// lastStoreCall is when the store was last called, preferred the source to read from next, or empty for the usual one, and slowLink
+	// whether the last transfer of rows took long. Only Run uses them.
 	lastStoreCall time.Time
+	preferred     Source
+	slowLink      bool
 
 	// mergeMu keeps the calls of changed in order.
 	mergeMu sync.Mutex
@@ -49,6 +52,12 @@
 	version uint64
 	// newest is the version of the newest row, which may be above version.
 	newest uint64
+	// expected is the newest version that Expect was called with; the row isn't missing if it is at most newest or version.
+	expected uint64
+	// open is the call to the store that hasn't ended, or nil.
+	open *call
+	// abandoned is the number of calls abandoned since the last successful one.
+	abandoned int
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
 	listed    bool
 	reachable bool
@@ -58,7 +67,7 @@
 
 // NewFollower returns a follower of a table. It calls changed, which may be nil, with each batch of rows that are newer than those
 // known before, in order and from one goroutine at a time. Deleted rows have Deleted set.
-func NewFollower(s Store, table string, changed func(rows []Row), options ...Option) *Follower {
+func NewFollower(s Store, table string, changed func(rows []Row, d Delivery), options ...Option) *Follower {
 	f := &Follower{
 		store: s, table: table, changed: changed, rows: make(map[string]Row), listings: make(chan struct{}),
 		shouldWatch: func() bool { return true },
@@ -89,6 +98,7 @@
 		case err == nil:
 			retry = minRetryDelay
 		case ctx.Err() != nil:
+		case errors.Is(err, errAbandoned):
 		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
 			f.relist()
@@ -102,17 +112,8 @@
 
 // step lists the table, calls the store for changes, or merges rows from a peer, and then pauses.
 func (f *Follower) step(ctx context.Context) error {
-	f.mu.Lock()
-	listed, after := f.listed, f.version
-	f.mu.Unlock()
-	if !listed {
-		f.lastStoreCall = time.Now()
-		rows, version, err := f.store.List(ctx, f.table)
-		if err != nil {
-			return err
-		}
-		f.applyListing(rows, version)
-		return nil
+	if f.nextSource() == SourceListing {
+		return f.list(ctx)
 	}
 	maxWait, pause := longPollWait, batchInterval
 	if !f.shouldWatch() {
@@ -122,16 +123,21 @@
 			return nil
 		}
 	}
-	f.lastStoreCall = time.Now()
-	rows, version, err := f.store.Changes(ctx, f.table, after, maxWait)
+	rows, version, d, err := f.call(ctx, SourceChanges, func(ctx context.Context) ([]Row, uint64, error) {
+		return f.store.Changes(ctx, f.table, f.Version(), maxWait)
+	})
 	if err != nil {
 		return err
 	}
 	f.setReachable(nil)
-	f.Merge(rows)
+	f.merge(rows, d)
 	f.mu.Lock()
 	f.version = max(f.version, version)
 	f.mu.Unlock()
+	if f.slowLink && haveSuperseded(rows) {
+		// Rows change faster than the link transfers all of the changes.
+		f.preferred = SourceListing
+	}
 	f.pause(ctx, pause)
 	return nil
 }
@@ -146,8 +152,9 @@
 	}
 }
 
-// applyListing merges a full listing as of a version. Known rows that are missing from it were deleted.
-func (f *Follower) applyListing(rows []Row, version uint64) {
+// applyListing merges a full listing as of a version, and reports whether it had newer rows than those known. Known rows that are
+// missing from it were deleted.
+func (f *Follower) applyListing(rows []Row, version uint64, d Delivery) (newer bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -159,13 +166,14 @@
 		}
 	}
 	f.mu.Unlock()
-	f.Merge(rows)
+	newer = f.merge(rows, d)
 	f.mu.Lock()
 	f.version, f.listed = max(f.version, version), true
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
 	f.setReachable(nil)
+	return newer
 }
 
 // relist makes the next step list the table.
@@ -190,12 +198,17 @@
 
 // Merge merges rows from another source, such as a peer or the response to a transaction. Rows that aren't newer than the known ones
 // are ignored.
-func (f *Follower) Merge(rows []Row) {
+func (f *Follower) Merge(rows []Row) { f.merge(rows, Delivery{Source: SourceMerge}) }
+
+// merge merges rows, passes the newer ones to changed, and reports whether there are any.
+func (f *Follower) merge(rows []Row, d Delivery) bool {
 	f.mergeMu.Lock()
 	defer f.mergeMu.Unlock()
-	if newer := f.mergeNewer(rows); len(newer) > 0 && f.changed != nil {
-		f.changed(newer)
+	newer := f.mergeNewer(rows)
+	if len(newer) > 0 && f.changed != nil {
+		f.changed(newer, d)
 	}
+	return len(newer) > 0
 }
 
 // MergeUpTo merges rows from a copy of the table that is complete up to the given version. The rows must be all of that copy's rows
