Gateway: bound the memory of responses that are read together

Requests that ran at the same time could each hold a response of 16 MiB, with or without an end: 8 of them 120 MB and more, where the smallest machines have 184 MB in all.

Cause: the limit of a body applied to each response by itself, and a declared length was allocated before any byte of it had arrived.

Now bodies above 1 MiB share 32 MiB: those for which there is no room aren't read on until others are complete, so that the upstream is blocked, not the request refused. The body of a response to a control request isn't used and is discarded.

The limit covers the reading, not the time during which a complete response waits to be sent to its caller.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -14,11 +14,17 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 const (
 	// maxResponseBytes bounds a response body, which is held in memory. The text of errTooLarge names it.
 	maxResponseBytes = 16 << 20
+	// smallBodyBytes is the size above which a body counts towards maxLargeBodyBytes, which bounds the bodies that are read at the same
+	// time on all connections: the whole process may have less than 200 MB.
+	smallBodyBytes    = 1 << 20
+	maxLargeBodyBytes = 2 * maxResponseBytes
 	// readBufferSize is the size of a connection's read buffer in bytes. Most responses fit.
 	readBufferSize = 4096
 	// maxRefusedIDs bounds the request ids that a connection remembers. A connection that has carried more refusals is closed.
@@ -46,6 +52,8 @@
 	net.Conn
 	// matches is Protocol.Matches.
 	matches func(header http.Header, id string) bool
+	// largeBodies is shared by all connections to the upstream and holds maxLargeBodyBytes.
+	largeBodies *semaphore.Weighted
 	// written is 0 if it is certain that no byte of the request has been sent, and 1 otherwise.
 	written atomic.Int64
 
@@ -63,6 +71,8 @@
 
 // exchange is a request that awaits its response.
 type exchange struct {
+	// ctx ends with the request.
+	ctx context.Context
 	// id is the id of the request, which the response must match, or empty if any response is accepted.
 	id     string
 	method string
@@ -75,8 +85,8 @@
 	err      error
 }
 
-func newConn(raw net.Conn, matches func(http.Header, string) bool) *conn {
-	return &conn{Conn: raw, matches: matches, idleTimeout: defaultIdleTimeout}
+func newConn(raw net.Conn, matches func(http.Header, string) bool, largeBodies *semaphore.Weighted) *conn {
+	return &conn{Conn: raw, matches: matches, largeBodies: largeBodies, idleTimeout: defaultIdleTimeout}
 }
 
 // readLoop reads responses until the connection ends.
@@ -137,7 +147,13 @@
 		}
 		return nil, nil
 	}
-	body, err := readResponseBody(response)
+	var body []byte
+	if pending.id != "" {
+		body, err = c.readBody(pending.ctx, response)
+	} else {
+		// The responses to control requests are interpreted by their status and headers.
+		_, err = io.Copy(io.Discard, response.Body)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -147,23 +163,46 @@
 	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
 }
 
-// readResponseBody reads a whole body of up to maxResponseBytes.
-func readResponseBody(response *http.Response) ([]byte, error) {
+// readBody reads a whole body of up to maxResponseBytes. If the body is large, it waits until it may be held in memory, or ctx ends.
+func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
 	var body bytes.Buffer
-	if response.Body != http.NoBody && response.ContentLength > 0 {
-		if response.ContentLength > maxResponseBytes {
-			return nil, errTooLarge
-		}
-		body.Grow(int(response.ContentLength))
+	size := response.ContentLength
+	if response.Body == http.NoBody {
+		size = 0
 	}
-	n, err := io.Copy(&body, io.LimitReader(response.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("read response body after %d bytes: %w", n, err)
-	case n > maxResponseBytes:
+	if size > maxResponseBytes {
 		return nil, errTooLarge
 	}
-	return body.Bytes(), nil
+	if size < 0 {
+		// Most bodies without a length are small.
+		if ended, err := readPart(&body, response.Body, smallBodyBytes); ended || err != nil {
+			return body.Bytes(), err
+		}
+		size = maxResponseBytes
+	}
+	if size > smallBodyBytes {
+		if err := c.largeBodies.Acquire(ctx, size); err != nil {
+			return nil, fmt.Errorf("wait to read a large response body: %w", err)
+		}
+		defer c.largeBodies.Release(size)
+	}
+	if response.ContentLength > 0 {
+		body.Grow(int(size))
+	}
+	ended, err := readPart(&body, response.Body, maxResponseBytes)
+	if err == nil && !ended {
+		err = errTooLarge
+	}
+	return body.Bytes(), err
+}
+
+// readPart reads into body until it is longer than limit. It returns true if the reader has ended before.
+func readPart(body *bytes.Buffer, reader io.Reader, limit int64) (ended bool, err error) {
+	_, err = io.Copy(body, io.LimitReader(reader, limit+1-int64(body.Len())))
+	if err != nil {
+		return false, fmt.Errorf("read response body after %d bytes: %w", body.Len(), err)
+	}
+	return int64(body.Len()) <= limit, nil
 }
 
 // keepAliveTimeout returns how long the upstream keeps an idle connection according to its Keep-Alive header, or the argument
@@ -275,7 +314,7 @@
 func (c *conn) do(
 	ctx context.Context, id, method string, head, body []byte, spawn func(func()),
 ) (response *rawResponse, sent bool, err error) {
-	e := &exchange{id: id, method: method, done: make(chan result, 1)}
+	e := &exchange{ctx: ctx, id: id, method: method, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -173,3 +175,63 @@
 		})
 	}
 }
+
+// TestConcurrentLargeResponses guards against holding a body of 16 MiB for each request that runs at the same time, which a small machine
+// can't, and against large responses that are never read because others wait for the same memory.
+func TestConcurrentLargeResponses(t *testing.T) {
+	const (
+		requests = 8
+		size     = 15 << 20
+		// The bodies that are read together may take 32 MiB, and the first MiB of each body counts as small.
+		limit = 32<<20 + requests<<20
+		// kernel bounds the bytes in the socket buffers of all connections.
+		kernel = requests * 6 << 20
+	)
+	tests := []struct {
+		name, head, tail string
+	}{
+		{"length", fmt.Sprintf("Content-Length: %d\r\n\r\n", size), ""},
+		{"chunk", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var written atomic.Int64
+			finish := make(chan struct{})
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) {
+				_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headerID+": "+id+"\r\n"+headerGenuine+": m\r\n"+test.head)
+				block := make([]byte, 64<<10)
+				for range size/len(block) - 1 {
+					n, err := conn.Write(block)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+				<-finish
+				_, _ = conn.Write(block)
+				_, _ = io.WriteString(conn, test.tail)
+			})
+			g := start(t, u)
+			register(t, g, u, gateway.Registration{UpstreamRun: gateway.UpstreamRun{ID: "u", Started: 2000}, Slots: requests, Sequence: 1})
+			var group sync.WaitGroup
+			for n := range requests {
+				group.Go(func() {
+					r := request(fmt.Sprint("r", n), routing.Idempotent)
+					r.Deadline = time.Now().Add(30 * time.Second)
+					if response, err := g.Do(t.Context(), r); err != nil || len(response.Body) != size {
+						t.Errorf("request %d: %v", n, err)
+					}
+				})
+			}
+			for before := int64(-1); before < written.Load(); time.Sleep(500 * time.Millisecond) {
+				before = written.Load()
+			}
+			if n := written.Load(); n > limit+kernel {
+				t.Errorf("the upstream could write %d bytes of responses that are read together, limit %d", n, limit)
+			}
+			close(finish)
+			group.Wait()
+		})
+	}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -29,6 +30,8 @@
 	address string
 	matches func(http.Header, string) bool
 	group   *errgroup.Group
+	// largeBodies limits the memory of the response bodies that are being read.
+	largeBodies *semaphore.Weighted
 	// onOpen is called for each new connection.
 	onOpen func()
 
@@ -58,7 +61,7 @@
 		return nil, fmt.Errorf("connect to the upstream: %w", err)
 	}
 	p.onOpen()
-	c := newConn(raw, p.matches)
+	c := newConn(raw, p.matches, p.largeBodies)
 	if !p.add(c) {
 		_ = raw.Close()
 		return nil, errClosed
