Forward: refuse a response that is too long instead of cutting it

A response of another instance with more than 16 MiB was cut there and passed on to the caller as complete.

Cause: the body was read through a limit that looks like its end. The gateway refuses longer bodies, so only an instance that misbehaves or has another limit sends one.

Now one byte more than the limit is read, and if there is one, the request ends with 1406 (may have run).

--- a/forward/client.go
+++ b/forward/client.go
@@ -25,6 +25,8 @@
 	responseGrace = 50 * time.Millisecond
 )
 
+var errTooLarge = errors.New("the response body exceeds 16 MiB")
+
 // Client forwards requests to other instances. Create it with NewClient.
 type Client struct {
 	transport http.RoundTripper
@@ -70,7 +72,10 @@
 		return Result{}, roundTripFailure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errTooLarge
+	}
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -219,3 +219,28 @@
 		t.Error(err)
 	}
 }
+
+// longResponses makes the bodies of responses longer than any that an instance sends.
+type longResponses struct{ http.RoundTripper }
+
+func (l longResponses) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := l.RoundTripper.RoundTrip(r)
+	if err == nil {
+		response.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(response.Body, strings.NewReader(strings.Repeat("x", 17<<20))), response.Body}
+	}
+	return response, err
+}
+
+// TestForwardLongResponse guards against passing on the first 16 MiB of a longer response as if they were the whole.
+func TestForwardLongResponse(t *testing.T) {
+	i := newInstance(t)
+	client := forward.NewClient(longResponses{peer.NewTransport("", time.Second)}, &versionCounter{})
+	_, err := client.Do(t.Context(), i.address, newRequest(""))
+	var f *gateway.Failure
+	if !errors.As(err, &f) || f.Code != code.PeerFailed || !f.Arrived {
+		t.Errorf("error %v, want %v", err, code.PeerFailed)
+	}
+}
