Gateway: don't start a request on a connection that is being closed

A request could end with 1402 (may have run) because a response that belonged to no request had arrived on its connection just before it. One that isn't idempotent can't be repeated then.

Cause: readLoop found data without a pending request, released the lock and closed the connection. A request that began in between was sent and failed together with the connection.

Now the connection is marked as closed under the lock that shows that no request is pending, so that the request is sent on another connection.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -98,6 +98,10 @@
 		_, err := reader.Peek(1)
 		c.mu.Lock()
 		pending := c.pending
+		if pending == nil {
+			// No request may begin on the connection before fail closes it.
+			c.closed = true
+		}
 		c.mu.Unlock()
 		if err == nil && pending == nil {
 			err = errUnsolicited
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -271,3 +271,22 @@
 		t.Errorf("headers %v, error %v, want the response to the request after the unanswered one", header, err)
 	}
 }
+
+// TestResponseBetweenRequests guards against failing a request because a response that belongs to no request arrived just before it.
+func TestResponseBetweenRequests(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		_, _ = io.WriteString(conn, ok(id, "done"))
+		// A sleep would take too long to meet the start of the next request.
+		for written := time.Now(); time.Since(written) < time.Duration(number%60)*time.Microsecond; {
+		}
+		_, _ = io.WriteString(conn, ok(id, "done"))
+	})
+	g := start(t, u)
+	for n := range 5000 {
+		r := request(fmt.Sprint("r", n), routing.NonIdempotent)
+		r.Objective, r.Deadline = time.Now().Add(10*time.Second), time.Now().Add(10*time.Second)
+		if _, err := g.Do(t.Context(), r); err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+}
