Gateway: end a control connection after a refusal

A grant that the upstream carried out could count as refused: the claim of the keys was given up, and nobody served them.

Cause: an earlier refusal (409) that the upstream wrote once more was taken as the response to the next grant on the same connection.

Before the fix TestRepeatedControlRefusal printed "status 409, error <nil>, want 200" and "1 connections, want a new one after the refusal only". Now the connection of a control request is closed unless the response is a success.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -33,6 +33,10 @@
 		g.control.retire()
 		return 0, nil, err
 	}
+	if response.status >= http.StatusMultipleChoices {
+		// If the upstream wrote this response once more, it would be taken as the refusal of another request.
+		c.retire()
+	}
 	g.control.put(c)
 	return response.status, response.header, nil
 }
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -290,3 +290,29 @@
 		}
 	}
 }
+
+// TestRepeatedControlRefusal guards against taking the refusal of an earlier grant, which the upstream writes once more, as the response to
+// a grant that it carries out: the keys would be granted, but not served.
+func TestRepeatedControlRefusal(t *testing.T) {
+	const conflict = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+	var responses lastResponses
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, number int64) {
+		if number == 1 {
+			responses.swap(conn, conflict)
+			_, _ = io.WriteString(conn, conflict)
+			return
+		}
+		_, _ = io.WriteString(conn, responses.swap(conn, ""))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	g := start(t, u)
+	for _, want := range []int{http.StatusConflict, http.StatusOK, http.StatusOK} {
+		if status, _, err := sendControl(t, g, "/grant"); err != nil || status != want {
+			t.Errorf("status %d, error %v, want %d", status, err, want)
+		}
+	}
+	if u.conns.Load() != 2 {
+		t.Errorf("%d connections, want a new one after the refusal only", u.conns.Load())
+	}
+}
