--- a/forward/client.go
+++ b/forward/client.go
@@ -27,8 +27,11 @@
 	responseGrace = 50 * time.Millisecond
 )
 
-// errSilent is the reason why a request may be sent elsewhere although its response may still come.
-var errSilent = errors.New("the other instance doesn't respond; the request may be running")
+var (
+	// errSilent is the reason why a request may be sent elsewhere although its response may still come.
+	errSilent   = errors.New("the other instance doesn't respond; the request may be running")
+	errTooLarge = errors.New("the response body exceeds 16 MiB")
+)
 
 // Client forwards requests to other instances. Create it with NewClient.
 type Client struct {
@@ -153,7 +156,10 @@
 	}
 	l.observe(time.Now())
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errTooLarge
+	}
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
