Refuse key maps with numbers out of range or entries without an owner

A key map that another writer left, sound in its encoding but absurd in its numbers, replaced the one in use: keys without an owner, an epoch of 2^64-1, whose fencing token no later one exceeds, or a map version after which no further map counted as newer, so that keys weren't moved any more.

Decode now takes the version of the row as the limit of all numbers in it: map versions, epochs and incarnations are registered by writes, and the store's versions grow with each of them. An epoch is at most the map's version, each entry has an owner, and holders have a slot and a number. Ranges that overlap or leave gaps were refused before.

--- a/keyspace/encode.go
+++ b/keyspace/encode.go
@@ -33,22 +33,20 @@
 	return proto.Marshal(row)
 }
 
-// Decode parses a serialized MapRow. It returns an error if the content is malformed or the entries don't cover all keys in order.
-func Decode(content []byte) (*Map, error) {
+// Decode parses a serialized MapRow, which another writer may have written. limit is the version of the row in the store: each version of
+// a map, epoch and incarnation is registered by a write, so that none is above it. Decode returns an error if the content is malformed,
+// a number is out of range, an entry has no owner, or the entries don't cover all keys in order.
+func Decode(content []byte, limit uint64) (*Map, error) {
 	row := &MapRow{}
 	if err := proto.Unmarshal(content, row); err != nil {
 		return nil, fmt.Errorf("map row: %w", err)
 	}
-	resolve := func(references []uint32) ([]member.Incarnation, error) {
-		holders := make([]member.Incarnation, 0, len(references))
-		for _, position := range references {
-			if int(position) >= len(row.Holders) {
-				return nil, fmt.Errorf("map row: holder %d is missing", position)
-			}
-			h := row.Holders[position]
-			holders = append(holders, member.NewIncarnation(h.GetSlot(), h.GetNumber()))
-		}
-		return holders, nil
+	if version := row.GetVersion(); version == 0 || version > min(limit, maxEpoch) {
+		return nil, fmt.Errorf("map row: version %d is out of range", version)
+	}
+	holders, err := decodeHolders(row, limit)
+	if err != nil {
+		return nil, err
 	}
 	entries := make([]Entry, 0, len(row.Entries))
 	for n, e := range row.Entries {
@@ -59,11 +57,17 @@
 		if e.GetFirst() > last || last > uint32(MaxKey) {
 			return nil, fmt.Errorf("map row: entry %d is out of order", n)
 		}
-		members, err := resolve(e.GetMembers())
+		if e.GetEpoch() == 0 || e.GetEpoch() > row.GetVersion() {
+			return nil, fmt.Errorf("map row: epoch %d of entry %d is out of range", e.GetEpoch(), n)
+		}
+		members, err := resolve(holders, e.GetMembers())
+		if err == nil && len(members) == 0 {
+			err = fmt.Errorf("map row: entry %d has no owner", n)
+		}
 		if err != nil {
 			return nil, err
 		}
-		previous, err := resolve(e.GetPrevious())
+		previous, err := resolve(holders, e.GetPrevious())
 		if err != nil {
 			return nil, err
 		}
@@ -74,6 +78,33 @@
 	return NewMap(row.GetVersion(), entries)
 }
 
+// decodeHolders returns the holders of a row.
+func decodeHolders(row *MapRow, limit uint64) ([]member.Incarnation, error) {
+	holders := make([]member.Incarnation, 0, len(row.Holders))
+	for _, h := range row.Holders {
+		if h.GetSlot() == "" || h.GetNumber() == 0 || h.GetNumber() > limit {
+			return nil, fmt.Errorf("map row: holder %.100q, number %d, is out of range", h.GetSlot(), h.GetNumber())
+		}
+		holders = append(holders, member.NewIncarnation(h.GetSlot(), h.GetNumber()))
+	}
+	return holders, nil
+}
+
+// resolve returns the holders at the given positions.
+func resolve(holders []member.Incarnation, references []uint32) ([]member.Incarnation, error) {
+	if len(references) > len(holders) {
+		return nil, fmt.Errorf("map row: %d references to %d holders", len(references), len(holders))
+	}
+	resolved := make([]member.Incarnation, 0, len(references))
+	for _, position := range references {
+		if int(position) >= len(holders) {
+			return nil, fmt.Errorf("map row: holder %d is missing", position)
+		}
+		resolved = append(resolved, holders[position])
+	}
+	return resolved, nil
+}
+
 // RowPrefix is the common prefix of the row keys under which maps are stored.
 const RowPrefix = "map/"
 
--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -40,6 +40,9 @@
 // generationBits is the number of low bits of a fencing token that hold the generation; the high bits hold the epoch.
 const generationBits = 20
 
+// maxEpoch is the largest epoch of which a fencing token holds all bits.
+const maxEpoch = 1<<(64-generationBits) - 1
+
 // Fence returns the fencing token of a generation of an epoch. Fencing tokens are ordered by epoch, then by generation. Generations from
 // 2^20-1 on have the same fencing token.
 func Fence(epoch, generation uint64) uint64 {
--- a/keyspace/keyspace_test.go
+++ b/keyspace/keyspace_test.go
@@ -124,7 +124,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		decoded, err := keyspace.Decode(content)
+		decoded, err := keyspace.Decode(content, 1<<40)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -142,7 +142,7 @@
 		t.Fatal(err)
 	}
 	for cut := range len(content) {
-		if decoded, err := keyspace.Decode(content[:cut]); err == nil && decoded == nil {
+		if decoded, err := keyspace.Decode(content[:cut], 1<<40); err == nil && decoded == nil {
 			t.Errorf("cut at %d: no map and no error", cut)
 		}
 	}
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -97,7 +97,7 @@
 	if row.Deleted {
 		return
 	}
-	keys, err := keyspace.Decode(row.Value)
+	keys, err := keyspace.Decode(row.Value, row.Version)
 	if err != nil {
 		klog.ErrorS(err, "directory: invalid key map ignored", "service", service, "version", row.Version)
 		return
