Stop: take the first request of a new connection

Callers that had just connected when a stopping process closed its idle connections had their first request reset, or read no answer.

Draining closed every connection on which no data had arrived. Callers connect only to send a request, and on a slow link or a busy machine it arrives later than its connection. A new connection is now kept for 500 ms for its first request while connections are drained.

Before the fix, the case "on its way to a new connection" of TestDrain failed with "unexpected EOF", "status 0, want 200".

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -69,6 +69,8 @@
 	// highest that were seen in effect since then.
 	since  time.Time
 	limits routing.Limits
+	// kept is set once a request has been answered.
+	kept bool
 	// interrupted is set while the deadline for reads has passed in order to close the connection.
 	interrupted bool
 	// id is the id of the newest request, if its headers have been interpreted.
@@ -160,7 +162,7 @@
 // caller holds mu.
 func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
 	if c.state == requestNone && c.connections.draining.Load() {
-		return true
+		return c.kept || now.Sub(c.since) > firstRequestTime
 	}
 	c.limits.IdleTimeout = max(c.limits.IdleTimeout, current.IdleTimeout)
 	c.limits.HeaderTimeout = max(c.limits.HeaderTimeout, current.HeaderTimeout)
@@ -258,6 +260,7 @@
 			c.state, c.id, c.began = requestRead, "", time.Now()
 		}
 	case http.StateIdle:
+		c.kept = true
 		c.await(requestNone)
 	default:
 	}
--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -224,7 +224,7 @@
 }
 
 // TestDrain guards against requests that are lost when the process stops: those that have arrived or been read when idle connections are
-// closed, those whose headers are incomplete at that time, and those that are being served.
+// closed, those whose headers are incomplete at that time, those that are being served, and the first ones of new connections.
 func TestDrain(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	part, rest := get[:len(get)/2], get[len(get)/2:]
@@ -244,6 +244,7 @@
 		{"incomplete on a new connection", false, 0, 0, 0, part, rest, http.StatusOK},
 		{"incomplete on a kept connection", true, 0, 0, 0, part, rest, http.StatusOK},
 		{"being served", true, 0, 0, delay, get, "", http.StatusOK},
+		{"on its way to a new connection", false, 0, 0, 0, "", get, http.StatusOK},
 		{"idle", true, 0, 0, 0, "", "", 0},
 		{"without a request", false, 0, 0, 0, "", "", 0},
 	}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -22,6 +22,9 @@
 	sweepInterval = 250 * time.Millisecond
 	// drainInterval is the time between two checks while connections are drained.
 	drainInterval = 20 * time.Millisecond
+	// firstRequestTime is the time within which the first request of a new connection must arrive while connections are drained. Callers
+	// connect only to send a request, which may still be on its way.
+	firstRequestTime = 500 * time.Millisecond
 )
 
 // Connections closes callers' connections that have been idle, or have sent incomplete request headers, for longer than the
@@ -140,7 +143,8 @@
 }
 
 // Drain closes idle connections, and each other one after its response, until there are none left or ctx ends. It returns how many are
-// left. Close the listener before. Unlike http.Server.Shutdown, it drops no request that has arrived on an open connection.
+// left. New connections may send a first request. Close the listener before. Unlike http.Server.Shutdown, Drain drops no request that has
+// arrived on an open connection.
 func (c *Connections) Drain(ctx context.Context) int {
 	c.draining.Store(true)
 	for {
