--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -21,6 +21,8 @@
 	maxResponseBytes = 16 << 20
 	// readBufferSize is the size of a connection's read buffer in bytes. Most responses fit.
 	readBufferSize = 4096
+	// maxRefusedIDs bounds the request ids that a connection remembers. A connection that has carried more refusals is closed.
+	maxRefusedIDs = 64
 )
 
 var (
@@ -54,6 +56,9 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool // Whether the connection has carried a response.
+	retired     bool // Whether the connection must not be reused.
+	// refused holds the ids of the requests that the upstream refused on this connection.
+	refused map[string]struct{}
 }
 
 // exchange is a request that awaits its response.
@@ -76,7 +81,9 @@
 
 // readLoop reads responses until the connection ends.
 func (c *conn) readLoop() {
-	reader := bufio.NewReaderSize(c.Conn, readBufferSize)
+	limited := &limitedReader{Reader: c.Conn}
+	limited.reset()
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	for {
 		_, err := reader.Peek(1)
 		c.mu.Lock()
@@ -89,7 +96,7 @@
 			c.fail(err)
 			return
 		}
-		response, err := c.readResponse(reader, pending)
+		response, err := c.readResponse(reader, limited, pending)
 		if err != nil {
 			c.fail(err)
 			return
@@ -101,22 +108,52 @@
 			// The upstream sent more data than the response, so the connection must not be reused.
 			response.closeAfter = true
 		}
+		limited.reset()
 		c.deliver(response)
 	}
 }
 
 // readResponse reads one response. It returns nil for an interim response and for one that belongs to an earlier request.
-func (c *conn) readResponse(reader *bufio.Reader, pending *exchange) (*rawResponse, error) {
+func (c *conn) readResponse(reader *bufio.Reader, limited *limitedReader, pending *exchange) (_ *rawResponse, err error) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: pending.method})
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	limited.inBody = true
+	defer func() {
+		limited.inBody = false
+		if err != nil {
+			// Otherwise Close would read the rest of the body.
+			limited.stop()
+		}
+		_ = response.Body.Close()
+	}()
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
+	if pending.id != "" && !c.matches(response.Header, pending.id) {
+		if n, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, fmt.Errorf("read response body of an earlier request after %d bytes: %w", n, err)
+		}
+		return nil, nil
+	}
+	body, err := readResponseBody(response)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
+	c.mu.Unlock()
+	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
+}
+
+// readResponseBody reads a whole body of up to maxResponseBytes.
+func readResponseBody(response *http.Response) ([]byte, error) {
 	var body bytes.Buffer
-	if response.ContentLength > 0 && response.ContentLength <= maxResponseBytes {
+	if response.Body != http.NoBody && response.ContentLength > 0 {
+		if response.ContentLength > maxResponseBytes {
+			return nil, errTooLarge
+		}
 		body.Grow(int(response.ContentLength))
 	}
 	n, err := io.Copy(&body, io.LimitReader(response.Body, maxResponseBytes+1))
@@ -125,13 +162,8 @@
 		return nil, fmt.Errorf("read response body after %d bytes: %w", n, err)
 	case n > maxResponseBytes:
 		return nil, errTooLarge
-	case pending.id != "" && !c.matches(response.Header, pending.id):
-		return nil, nil
 	}
-	c.mu.Lock()
-	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
-	c.mu.Unlock()
-	return &rawResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), closeAfter: response.Close}, nil
+	return body.Bytes(), nil
 }
 
 // keepAliveTimeout returns how long the upstream keeps an idle connection according to its Keep-Alive header, or the argument
@@ -199,13 +231,43 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := now.Sub(c.idleSince)
-	return !c.closed && idle <= maxIdle && idle <= c.idleTimeout/2
+	return !c.closed && !c.retired && idle <= maxIdle && idle <= c.idleTimeout/2
+}
+
+// retire keeps the connection from being reused after the current request.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+}
+
+// recordRefusal records that the upstream refused a request.
+func (c *conn) recordRefusal(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused == nil {
+		c.refused = make(map[string]struct{})
+	}
+	c.refused[id] = struct{}{}
+	if len(c.refused) > maxRefusedIDs {
+		c.closed = true
+	}
+}
+
+// hasRefused reports whether the upstream refused a request with this id. Another request with the id must not be sent on this
+// connection: if the upstream wrote the refusal once more, it would be taken as the response.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.refused[id]
+	return ok
 }
 
-func (c *conn) isClosed() bool {
+// isFinished reports whether the connection is closed or must not be reused.
+func (c *conn) isFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed
+	return c.closed || c.retired
 }
 
 // do sends a request, of which head is the encoded request line and headers, and waits for its response. If sent is false, no byte
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -44,6 +44,8 @@
 	requested []string
 	// running is the id of the request that the local upstream is running.
 	running string
+	// abandoned is the number of pending requests that were abandoned.
+	abandoned atomic.Int64
 	// stopping is set while the instance is stopping.
 	stopping atomic.Bool
 }
@@ -52,6 +54,8 @@
 type outcome struct {
 	status  int
 	failure gateway.Failure
+	// pending is the outcome that comes after the failure, if any.
+	pending *outcome
 	// endless is set if the request runs until its context ends.
 	endless bool
 	// run is called while the request runs, if it isn't nil.
@@ -64,17 +68,7 @@
 
 // respond returns the next outcome of a request to a slot.
 func (d *deployment) respond(ctx context.Context, slot string) (*gateway.Response, error) {
-	next := d.next(slot)
-	if next.endless {
-		<-ctx.Done()
-	}
-	if next.run != nil {
-		next.run()
-	}
-	if f := next.failure; f.Code != 0 {
-		return nil, &f
-	}
-	return &gateway.Response{Status: next.status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
+	return d.next(slot).await(ctx, slot)
 }
 
 // next records a request to a slot and returns its next outcome.
@@ -92,6 +86,25 @@
 	return left[0]
 }
 
+// await runs the request to its end and returns its result.
+func (o outcome) await(ctx context.Context, slot string) (*gateway.Response, error) {
+	if o.endless {
+		<-ctx.Done()
+	}
+	if o.run != nil {
+		o.run()
+	}
+	return o.result(slot)
+}
+
+// result returns the outcome as a response of the instance in a slot, or as a failure.
+func (o outcome) result(slot string) (*gateway.Response, error) {
+	if f := o.failure; f.Code != 0 {
+		return nil, &f
+	}
+	return &gateway.Response{Status: o.status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
+}
+
 // order returns the slots that requests were sent to, separated by spaces.
 func (d *deployment) order() string {
 	d.mu.Lock()
@@ -148,8 +161,16 @@
 type remote struct{ *deployment }
 
 func (r remote) Do(ctx context.Context, address string, _ *gateway.Request) (forward.Result, error) {
-	response, err := r.respond(ctx, address)
-	return forward.Result{Response: response}, err
+	next := r.next(address)
+	response, err := next.await(ctx, address)
+	result := forward.Result{Response: response}
+	if late := next.pending; late != nil {
+		result.Pending = forward.NewPending(func() (forward.Result, error) {
+			response, err := late.result(address)
+			return forward.Result{Response: response}, err
+		}, func() { r.abandoned.Add(1) })
+	}
+	return result, err
 }
 
 // headers is a protocol with one plain header for each field of a call.
@@ -192,13 +213,18 @@
 	return table
 }
 
-func newServer(t *testing.T, d *deployment, table *routing.Table) *ingress.Server {
+func newServer(t *testing.T, d *deployment, table *routing.Table, options ...func(*ingress.Config)) *ingress.Server {
 	t.Helper()
-	return ingress.New(ingress.Config{
+	config := ingress.Config{
 		Protocol: headers{}, Routes: func() *routing.Table { return table }, Directory: d, Local: upstream{d}, Forwarder: remote{d},
 		NewBudget: func() ingress.Budget { return &policy.RetryBudget{} },
 		Service:   "keyed", Registerer: prometheus.NewRegistry(), Stopping: d.stopping.Load,
-	})
+		Outdated: func() bool { return false },
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	return ingress.New(config)
 }
 
 // request returns a POST request with the id x1. header holds further names and values in turn.
@@ -248,6 +274,31 @@
 	}
 }
 
+// TestOutdatedConfig guards against a 404, after which callers don't retry, for a route of a newer configuration that has not arrived yet.
+func TestOutdatedConfig(t *testing.T) {
+	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+	outdated := true
+	server := newServer(t, d, table(t), func(c *ingress.Config) { c.Outdated = func() bool { return outdated } })
+	tests := []struct {
+		name, path string
+		outdated   bool
+		status     int
+		retryAfter string
+	}{
+		{"no route, outdated", "/other/", true, 503, "0.200"},
+		{"route, outdated", "/keyed/", true, 200, ""},
+		{"no route, not outdated", "/other/", false, 404, ""},
+	}
+	for _, test := range tests {
+		outdated = test.outdated
+		w := httptest.NewRecorder()
+		server.ServeHTTP(w, request(t, test.path, "", "Key", "7"))
+		if retryAfter := w.Header().Get("Retry-After"); w.Code != test.status || retryAfter != test.retryAfter {
+			t.Errorf("%s: status %d, want %d; Retry-After %q, want %q", test.name, w.Code, test.status, retryAfter, test.retryAfter)
+		}
+	}
+}
+
 // TestDispatch guards against requests that run more often than their route allows, and against reporting a request as not run after
 // an attempt with an unknown outcome.
 func TestDispatch(t *testing.T) {
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -12,6 +12,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/member"
+	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -28,6 +29,8 @@
 	rejoinAfter = 1200 * time.Millisecond
 	// commitTimeout bounds a write to the store.
 	commitTimeout = 3 * time.Second
+	// restoreInterval is the shortest time between two writes of a record that another writer replaces again and again.
+	restoreInterval = time.Second
 )
 
 // session is the lifetime of one incarnation of the instance: one run of the upstream under one lease.
@@ -45,7 +48,9 @@
 	expiredAt time.Time
 	// witnessNumbers holds the numbers of the witnesses' incarnations at the time they were chosen, by slot.
 	witnessNumbers map[string]uint64
-	ctx            context.Context
+	// restoredAt is when the record was last written because another writer had replaced it.
+	restoredAt time.Time
+	ctx        context.Context
 }
 
 // self returns the incarnation of the session.
@@ -83,7 +88,7 @@
 	if sc.rows.Wait(ctx) != nil {
 		return
 	}
-	sc.endpoint.SetNewestRegistered(sc.directory.allIncarnationNumbers())
+	sc.endpoint.SetNewestRegistered(sc.directory.newestRegistered())
 	sc.identifyRunningUpstream(ctx)
 	for ctx.Err() == nil {
 		if !sc.awaitUpstream(ctx) {
@@ -151,18 +156,11 @@
 	run := sc.gateway.State().UpstreamRun
 	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
 	row := sc.rows.Get(member.RowKey(sc.settings.Slot))
-	var old member.Record
-	if row.Version > 0 && !row.Deleted {
-		if err := json.Unmarshal(row.Value, &old); err != nil {
-			return nil, err
-		}
-	}
-	s.version = row.Version
-	if row.Deleted {
-		s.version = 0
+	if !row.Deleted {
+		s.version = row.Version
 	}
 	s.record = member.Record{
-		Incarnation: member.NewIncarnation(sc.settings.Slot, old.Incarnation.Number()+1), Name: sc.settings.Name,
+		Incarnation: sc.nextIncarnation(row), Name: sc.settings.Name,
 		Service: sc.settings.Service, DataCentre: sc.settings.DataCentre, Region: sc.settings.Region,
 		PeerAddress: sc.settings.PeerAddress, HeartbeatAddress: sc.settings.HeartbeatAddress, CallerAddress: sc.settings.CallerAddress,
 		Capacity: float64(sc.gateway.State().Slots), Upstream: run.ID, UpstreamStarted: run.Started,
@@ -182,6 +180,16 @@
 	return s, s.write(ctx)
 }
 
+// nextIncarnation returns a new incarnation. Versions of rows grow with each write to the store, so that a number above the version of
+// the instance's row is above those of all earlier incarnations, whatever the row holds, and not above the version of the next write.
+func (sc *Sidecar) nextIncarnation(row store.Row) member.Incarnation {
+	newest := row.Version
+	if newest == 0 {
+		newest = sc.rows.Version()
+	}
+	return member.NewIncarnation(sc.settings.Slot, newest+1)
+}
+
 // write replaces the instance's record in the store.
 func (s *session) write(ctx context.Context) error {
 	value, err := json.Marshal(s.record)
@@ -196,6 +204,30 @@
 	return nil
 }
 
+// adoptRow makes the next write of the record replace the newest known row, and reports whether another writer has changed it. A record
+// of a newer incarnation, which is that of another process in the slot, isn't replaced.
+func (s *session) adoptRow() bool {
+	row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
+	if row.Version <= s.version {
+		return false
+	}
+	if row.Deleted {
+		s.version = 0
+		return true
+	}
+	stored, err := decodeRecord(row)
+	if err == nil && stored.Incarnation.Number() > s.self().Number() {
+		return false
+	}
+	s.version = row.Version
+	if err != nil || stored.Incarnation != s.self() {
+		return true
+	}
+	// An earlier write may have taken effect whose outcome was unknown. It is repeated if it was counted as failed.
+	own, err := json.Marshal(s.record)
+	return s.record.State != "" && (err != nil || string(row.Value) != string(own))
+}
+
 // awaitOthers waits for othersTimeout, or until there are twice as many other instances as witnesses are needed.
 func (sc *Sidecar) awaitOthers(ctx context.Context) {
 	deadline := time.Now().Add(othersTimeout)
@@ -274,15 +306,13 @@
 		if !state.Usable() || s.sidecar.stopping.Load() {
 			wanted = member.Draining
 		}
-		if wanted != s.record.State {
-			s.record.State = wanted
-			if err := s.write(ctx); err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", wanted, "err", err)
-				// The write is retried in the next round.
-				s.record.State = ""
-			} else {
-				klog.InfoS("session: state changed", "instance", s.self(), "state", wanted)
-			}
+		replaced := time.Since(s.restoredAt) >= restoreInterval && s.adoptRow()
+		if replaced {
+			s.restoredAt = time.Now()
+			klog.InfoS("session: another writer has replaced the record; writing it again", "instance", s.self())
+		}
+		if replaced || wanted != s.record.State {
+			s.publishState(ctx, wanted)
 		}
 		select {
 		case <-ctx.Done():
@@ -293,6 +323,17 @@
 	}
 }
 
+// publishState writes the record with a state. After a failure, the write is retried in the next round.
+func (s *session) publishState(ctx context.Context, state member.State) {
+	s.record.State = state
+	if err := s.write(ctx); err != nil && ctx.Err() == nil {
+		klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", state, "err", err)
+		s.record.State = ""
+		return
+	}
+	klog.InfoS("session: state changed", "instance", s.self(), "state", state)
+}
+
 // mustRejoin reports whether the instance must join as a new incarnation, because its lease is lost, has been invalid for too long, or
 // can't get enough witnesses.
 func (s *session) mustRejoin() bool {
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -1,8 +1,15 @@
 package sidecar
 
 import (
+	"errors"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"sapphiretray/forward"
+	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 // TestConfigOverdue guards against links that are saturated because instances fetch a large configuration from each other while the
@@ -26,3 +33,77 @@
 		}
 	}
 }
+
+// TestConfigOutdated guards against an instance that takes itself for up to date while others have a newer configuration, or for
+// outdated for ever after an announcement of a configuration that it has.
+func TestConfigOutdated(t *testing.T) {
+	sc := New(Settings{Slot: "a"}, Adapters{
+		ConfigTable: "op", ConfigKey: "config",
+		DecodeConfig: func([]byte) (*routing.Table, error) { return nil, errors.New("invalid") },
+	})
+	arrive := func(row uint64) { sc.config.Merge([]store.Row{{Key: "config", Version: row}}) }
+	announce := func(row uint64) { sc.ObserveVersions(forward.Versions{Slot: "b", Config: row}) }
+	tests := []struct {
+		name  string
+		event func()
+		want  bool
+	}{
+		{"start", func() {}, false},
+		{"first configuration", func() { arrive(4) }, false},
+		{"announcement of the same", func() { announce(4) }, false},
+		{"announcement of newer ones", func() { announce(6); announce(7) }, true},
+		{"one of them has arrived", func() { arrive(6) }, true},
+		{"the newest is refused", func() { arrive(7) }, false},
+		{"announcement that crossed the arrival", func() { sc.configLag.announce(7, time.Now()) }, false},
+	}
+	for _, test := range tests {
+		test.event()
+		if got := sc.isConfigOutdated(); got != test.want {
+			t.Errorf("%s: outdated %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// TestConfigBatch guards against a configuration that takes effect late because older ones that arrived with it are decoded first, and
+// against a valid one that is lost because a newer one is invalid.
+func TestConfigBatch(t *testing.T) {
+	const decodeTime = 300 * time.Millisecond
+	tests := []struct {
+		name string
+		// values are the configurations that arrive together, oldest first.
+		values []string
+		want   uint64
+		within time.Duration
+	}{
+		{"eight", []string{"11", "12", "13", "14", "15", "16", "17", "18"}, 18, decodeTime},
+		{"the newest is invalid", []string{"11", "12", "invalid"}, 12, 2 * decodeTime},
+		{"only an older one is valid", []string{"9", "invalid"}, 10, 2 * decodeTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := New(Settings{}, Adapters{ConfigKey: "config", DecodeConfig: func(content []byte) (*routing.Table, error) {
+					time.Sleep(decodeTime)
+					version, err := strconv.ParseUint(string(content), 10, 64)
+					if err != nil {
+						return nil, err
+					}
+					return routing.New(version, routing.Limits{}, nil, nil)
+				}})
+				sc.config.Merge([]store.Row{{Key: "config", Version: 1, Value: []byte("10")}})
+				rows := make([]store.Row, 0, len(test.values))
+				for n, value := range test.values {
+					rows = append(rows, store.Row{Key: "config", Version: uint64(n + 2), Value: []byte(value)})
+				}
+				start := time.Now()
+				sc.config.Merge(rows)
+				if got := sc.routes.Load().Version(); got != test.want {
+					t.Errorf("version %d is in effect, want %d", got, test.want)
+				}
+				if took := time.Since(start); took > test.within {
+					t.Errorf("took %v, want at most %v", took, test.within)
+				}
+			})
+		})
+	}
+}
