Forward: let the transport resend requests that a stopping instance has not begun

When an instance stopped, requests that were forwarded to it at that moment failed with code 1406, which says that they may have run. Callers then got 502 for requests that aren't idempotent, although they could have been served by another instance.

A stopping HTTP/2 server names the last request that it has begun (GOAWAY). The transport sends the later ones again on another connection, but it can't if their body has been written and the request has no GetBody. With GetBody the second attempt finds no listener, and the failure is 1202 no-owner: not run, and sent to another instance. The transport does this only for requests that the server has not begun.

--- a/forward/client.go
+++ b/forward/client.go
@@ -138,7 +138,9 @@
 		ContentLength: int64(len(r.Body)), Body: http.NoBody,
 	}).WithContext(ctx)
 	if len(r.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+		// The transport sends the request again on another connection only if the other instance has not begun it.
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(r.Body)), nil }
+		request.Body, _ = request.GetBody()
 	}
 	if len(r.Body) > maxUnannouncedBody {
 		header.Set("Expect", "100-continue")
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -42,6 +42,7 @@
 // instance serves forwarded requests with an upstream that echoes them.
 type instance struct {
 	address  string
+	server   *http.Server
 	stopping atomic.Bool
 	// received is the number of body bytes that arrived.
 	received atomic.Int64
@@ -83,7 +84,7 @@
 		r.Body = countedBody{r.Body, &i.received}
 		handler.ServeHTTP(w, r)
 	})}
-	i.address = listenAndServe(t, group, server)
+	i.server, i.address = server, listenAndServe(t, group, server)
 	group.Go(func() error {
 		g.Run(ctx)
 		return nil
