Read the store another way after a large response failed

An instance that had been cut off from the store while several large configurations were written never got the newest one, and answered 404 for its routes for good: the response with all missed changes exceeded the 4 MB that the client reads, failed, and was requested again for ever. A response that takes longer than the limit of its call does the same.

A listing now follows a call for changes that failed during a transfer, and a call for changes, whose time limit is longer, follows a failed listing. Failures without a transfer, such as status 503, don't count, so that the end of an outage doesn't bring a listing from every instance.

--- a/store/call.go
+++ b/store/call.go
@@ -15,6 +15,9 @@
 	// slow store. It doubles with each call that is abandoned, from the second one on, up to maxResponseDelay.
 	minResponseDelay = 400 * time.Millisecond
 	maxResponseDelay = 3200 * time.Millisecond
+	// partialTransfer is the time from the first byte of a response to a failure from which the response counts as too large. A
+	// response without rows arrives in one piece.
+	partialTransfer = 20 * time.Millisecond
 	// slowTransfer is the time from the first byte of a response to its end from which the link counts as slow.
 	slowTransfer = 250 * time.Millisecond
 )
@@ -83,6 +86,9 @@
 
 // nextSource returns how to read the store next. Over a slow link, missing rows are listed, because a listing has only the newest version
 // of each row.
+//
+// The responses to calls for changes may be larger and take longer than listings before they fail, or the other way round, so each
+// follows after a failure of the other.
 func (f *Follower) nextSource() Source {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,11 +157,16 @@
 		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected, "waited", d.Waited,
 			"took", d.Took, "abandoned", c.abandoned, "err", err)
 	}
-	if c.abandoned {
+	switch {
+	case c.abandoned:
 		f.abandoned++
 		if f.abandoned == 1 {
 			err = errAbandoned
 		}
+	case s == SourceListing:
+		f.preferred = SourceChanges
+	case d.Waited > 0 && d.Took-d.Waited >= partialTransfer:
+		f.preferred = SourceListing
 	}
 	return nil, 0, d, err
 }
