Fetch an overdue configuration independently of other rows

An instance that the store doesn't serve gets the configuration from other instances, but could stay out of date, and answer 404 for new routes, for as long as nobody announced the configuration again: an announcement that arrived before the store counted as late was dropped. One goroutine fetched both the rows and the configuration, from two readers that may lack it and then from the announcer, up to a second each. Each arrival of an older configuration restarted the time until a fetch, and a transfer longer than a second was cut and repeated for ever.

A goroutine of its own now follows announcements until the configuration has arrived, asks only instances that have announced it, the local data centre first, and doubles the time limit of 0.5 s after each fetch that exceeds it. While the store responds, nothing is fetched from others, so that two transfers don't share a slow link.

TestConfigFetch failed before, with one announcement: "the configuration is in effect after 1m0s, want at most 2s" (the end of the test).

--- /dev/null
+++ b/sidecar/configfetch_test.go
@@ -0,0 +1,139 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphiretray/forward"
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/routing"
+	"sapphiretray/store"
+	"sapphiretray/wait"
+)
+
+// silentStore is a store that lists the first configuration once and doesn't respond to later calls.
+type silentStore struct {
+	store.Store
+	listed sync.Once
+}
+
+func (s *silentStore) List(ctx context.Context, _ string) (rows []store.Row, version uint64, err error) {
+	s.listed.Do(func() { rows, version = []store.Row{{Key: "config", Version: 1, Value: []byte("1")}}, 1 })
+	if version > 0 {
+		return rows, version, nil
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (*silentStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]store.Row, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// peers serves the calls to other instances. Those with configuration 2 respond after the given time, the others don't respond.
+type peers struct {
+	delays map[string]time.Duration
+}
+
+// RoundTrip implements http.RoundTripper. The host of the request is the slot of the instance.
+func (p peers) RoundTrip(r *http.Request) (*http.Response, error) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	delay, ok := p.delays[r.URL.Hostname()]
+	if !ok {
+		delay = time.Hour
+	}
+	if !wait.For(r.Context(), delay) {
+		return nil, r.Context().Err()
+	}
+	value, err := json.Marshal([]store.Row{{Key: "config", Version: 2, Value: []byte("2")}})
+	if err != nil {
+		return nil, err
+	}
+	body, err := proto.Marshal(&peer.FetchResponse{Value: value, Version: 2})
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/protobuf"}}, Body: io.NopCloser(bytes.NewReader(body)),
+	}, err
+}
+
+// TestConfigFetch guards against an instance that keeps an old configuration, while the store doesn't respond, because it forgets an
+// announcement, asks instances that don't respond before those that have announced it, or repeats a transfer that takes longer than its
+// timeout.
+func TestConfigFetch(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		// announceDelay is the time from the write of a configuration to its announcement by other instances.
+		announceDelay = 350 * time.Millisecond
+		transfer      = 350 * time.Millisecond
+	)
+	tests := []struct {
+		name   string
+		peers  peers
+		within time.Duration
+		// announcers have the slots that announce the configuration once, in order.
+		announcers []string
+		// rows is the announced version of the rows; every instance lacks them.
+		rows uint64
+	}{
+		{"one announcement", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-1"}, 0},
+		{"newer rows are announced too", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-1"}, 100},
+		// Slot 3 is in the local data centre.
+		{"an announcer doesn't respond", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-3", "slot-1"}, 0},
+		// The transfer takes most of the bound, so only a fetch without end is a failure.
+		{"slow transfer", peers{map[string]time.Duration{"slot-1": 1500 * time.Millisecond}}, 10 * time.Second, []string{"slot-1"}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := New(Settings{Slot: "slot-0", DataCentre: "dc-0"}, Adapters{
+					Store: &silentStore{}, ConfigTable: "op", ConfigKey: "config",
+					DecodeConfig: func(content []byte) (*routing.Table, error) {
+						return routing.New(uint64(content[0]-'0'), routing.Limits{}, nil, nil)
+					},
+				})
+				sc.dialer = peer.NewDialer(test.peers)
+				for n := range 9 {
+					slot := fmt.Sprint("slot-", n)
+					value, err := json.Marshal(member.Record{
+						Incarnation: member.NewIncarnation(slot, 1), DataCentre: fmt.Sprint("dc-", n%3), PeerAddress: slot + ":1",
+						State: member.Ready,
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					sc.directory.apply([]store.Row{{Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				for _, task := range []func(context.Context){sc.config.Run, sc.fetchAnnounced, sc.fetchConfig} {
+					group.Go(func() { task(ctx) })
+				}
+				time.Sleep(5 * time.Second)
+				written := time.Now()
+				time.Sleep(announceDelay)
+				for _, slot := range test.announcers {
+					sc.ObserveVersions(forward.Versions{Slot: slot, Config: 2, Rows: test.rows})
+				}
+				for sc.routes.Load().Version() < 2 && time.Since(written) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if took := time.Since(written); took > test.within {
+					t.Errorf("the configuration is in effect after %v, want at most %v", took, test.within)
+				}
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,6 +16,8 @@
 	mu sync.Mutex
 	// missing has the announced configurations in the order of their versions.
 	missing []announcement
+	// holders has the newest version of the row that each slot has announced.
+	holders map[string]uint64
 }
 
 // announcement tells that other instances have the configuration in a version of the row.
@@ -23,11 +27,15 @@
 	at time.Time
 }
 
-// announce records that an instance has a version of the row, which must be newer than this instance's, and reports whether no
-// instance had announced it or a newer one before.
-func (l *configLag) announce(row uint64, now time.Time) bool {
+// announce records that the instance in a slot has a version of the row, which must be newer than this instance's, and reports whether
+// no instance had announced it or a newer one before.
+func (l *configLag) announce(slot string, row uint64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.holders == nil {
+		l.holders = make(map[string]uint64)
+	}
+	l.holders[slot] = max(l.holders[slot], row)
 	if n := len(l.missing); n > 0 && l.missing[n-1].row >= row {
 		return false
 	}
@@ -64,9 +72,18 @@
 	return l.missing[0].at
 }
 
+// newerThan returns the slots that have announced a newer version than the given one.
+func (l *configLag) newerThan(known uint64) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeUpTo(known)
+	return slices.Collect(maps.Keys(l.holders))
+}
+
 // removeUpTo removes the announcements up to a version of the row. mu must be held.
 func (l *configLag) removeUpTo(row uint64) {
 	for len(l.missing) > 0 && l.missing[0].row <= row {
 		l.missing = l.missing[1:]
 	}
+	maps.DeleteFunc(l.holders, func(_ string, announced uint64) bool { return announced <= row })
 }
--- a/sidecar/configlag_test.go
+++ b/sidecar/configlag_test.go
@@ -41,7 +41,7 @@
 				for _, e := range test.events {
 					time.Sleep(time.Second)
 					if e.announced > 0 {
-						l.announce(e.announced, time.Now())
+						l.announce("b", e.announced, time.Now())
 					} else {
 						l.arrive(e.arrived)
 					}
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -25,7 +25,7 @@
 // fetchFromReader merges the rows of another reader in the data centre and returns false if none responds.
 func (sc *Sidecar) fetchFromReader(ctx context.Context, f *store.Follower) bool {
 	return slices.ContainsFunc(sc.readers(), func(slot string) bool {
-		return slot != sc.settings.Slot && sc.fetchAndMerge(ctx, slot, f)
+		return slot != sc.settings.Slot && sc.fetchAndMerge(ctx, slot, f, fetchTimeout)
 	})
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -120,23 +120,24 @@
 	wake chan struct{}
 	// reportNow and planNow trigger a report and a plan without waiting for the next interval.
 	reportNow, planNow chan struct{}
-	// announcers receives the slot of an instance that has announced newer rows.
-	announcers chan string
-	// announcedMu guards announced and configBehindSince.
+	// announcers receives the slot of an instance that has announced newer rows, and configAnnounced a value when an instance has
+	// announced a newer configuration.
+	announcers      chan string
+	configAnnounced chan struct{}
+	configLag       configLag
+	// announcedMu guards announced.
 	announcedMu sync.Mutex
-	// announced holds, by slot, the last versions that were newer than those of this instance.
-	announced map[string]forward.Versions
-	// configBehindSince is when another instance first announced a newer configuration; zero if this instance has the newest one.
-	configBehindSince time.Time
-	configLag         configLag
+	// announced holds, by slot, the last version of the rows that was newer than that of this instance.
+	announced map[string]uint64
 }
 
 // New returns a process; Run starts it.
 func New(s Settings, a Adapters) *Sidecar {
 	sc := &Sidecar{
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
-		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]forward.Versions),
-		registry: prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
+		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
+		configAnnounced: make(chan struct{}, 1),
+		registry:        prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
 	sc.callers = ingress.NewConnections(sc.limits)
@@ -170,7 +171,8 @@
 		group.Go(func() error { return s.serve(running) })
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
-	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.probeUnreachable,
+	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
+		sc.probeUnreachable,
 		sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -19,12 +20,19 @@
 const (
 	// fetchTimeout bounds fetching rows from another instance or pushing them to one.
 	fetchTimeout = time.Second
+	// configFetchTimeout bounds the first fetch of a configuration from another instance. It doubles with each fetch that takes longer,
+	// up to maxFetchTimeout. fetchRetryDelay is the pause after all instances that have the configuration were asked.
+	configFetchTimeout = 500 * time.Millisecond
+	maxFetchTimeout    = 4 * time.Second
+	fetchRetryDelay    = 250 * time.Millisecond
 	// fetchDelay is how long to wait for the store's change feed before fetching announced rows from another instance.
 	fetchDelay = 150 * time.Millisecond
 	// configFetchDelay is how long the store has to deliver an announced configuration before it is fetched from another instance. One
 	// with 1,280 routes takes 0.3 s on a link of 10 Mbit/s; when instances also fetched it from each other at once, their links were
 	// saturated, leases expired and requests were delayed.
 	configFetchDelay = 700 * time.Millisecond
+	// configPollInterval is the time between two checks whether an announced configuration is overdue.
+	configPollInterval = 50 * time.Millisecond
 	// probeInterval is the time between two probes of an unreachable instance, and probeTimeout bounds one.
 	probeInterval = 250 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
@@ -40,9 +48,6 @@
 	}
 	var behind time.Duration
 	// The newest row has arrived, even if its configuration is refused below.
-	sc.announcedMu.Lock()
-	sc.configBehindSince = time.Time{}
-	sc.announcedMu.Unlock()
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
 		behind = time.Since(since)
 	}
@@ -92,18 +97,21 @@
 
 // ObserveVersions implements forward.VersionExchange.
 func (sc *Sidecar) ObserveVersions(v forward.Versions) {
-	if sc.isBehind(v) {
-		sc.announcedMu.Lock()
-		sc.announced[v.Slot] = v
-		if sc.configBehindSince.IsZero() && v.Config > sc.config.Newest() {
-			sc.configBehindSince = time.Now()
-		}
-		sc.announcedMu.Unlock()
+	if known := sc.config.Known(); v.Config > known {
 		sc.config.Expect(v.Config)
-		if known := sc.config.Known(); v.Config > known && sc.configLag.announce(v.Config, time.Now()) {
+		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
 		}
 		select {
+		case sc.configAnnounced <- struct{}{}:
+		default:
+		}
+	}
+	if v.Rows > sc.rows.Newest() {
+		sc.announcedMu.Lock()
+		sc.announced[v.Slot] = v.Rows
+		sc.announcedMu.Unlock()
+		select {
 		case sc.announcers <- v.Slot:
 		default:
 		}
@@ -122,31 +130,75 @@
 			wait.For(ctx, fetchDelay)
 			sources := append(sc.readers(), slot)
 			for _, source := range sources {
-				if source != sc.settings.Slot && sc.isBehind(wanted) && ctx.Err() == nil {
-					sc.fetchFrom(ctx, source, wanted)
+				if source != sc.settings.Slot && wanted > sc.rows.Newest() && ctx.Err() == nil {
+					sc.fetchAndMerge(ctx, source, sc.rows, fetchTimeout)
 				}
 			}
 		}
 	}
 }
 
-// announcedBy returns the last newer versions that an instance has announced.
-func (sc *Sidecar) announcedBy(slot string) forward.Versions {
+// announcedBy returns the last newer version of the rows that an instance has announced.
+func (sc *Sidecar) announcedBy(slot string) uint64 {
 	sc.announcedMu.Lock()
 	defer sc.announcedMu.Unlock()
 	return sc.announced[slot]
 }
 
-// isBehind reports whether this instance lacks rows of the given versions.
-func (sc *Sidecar) isBehind(v forward.Versions) bool {
-	return v.Config > sc.config.Newest() || v.Rows > sc.rows.Newest()
+// fetchConfig fetches announced configurations that the store doesn't deliver from the instances that have them, until ctx ends.
+func (sc *Sidecar) fetchConfig(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sc.configAnnounced:
+		}
+		timeout := configFetchTimeout
+		tried := make(map[string]bool)
+		for delay := fetchDelay; sc.isConfigOutdated() && wait.For(ctx, delay); {
+			delay = configPollInterval
+			if !sc.isConfigOverdue(time.Now()) {
+				continue
+			}
+			slot, ok := sc.configSource(tried)
+			if !ok {
+				clear(tried)
+				delay = fetchRetryDelay
+				continue
+			}
+			tried[slot] = true
+			if started := time.Now(); !sc.fetchAndMerge(ctx, slot, sc.config, timeout) && time.Since(started) >= timeout {
+				// The transfer may take longer than the timeout.
+				timeout = min(2*timeout, maxFetchTimeout)
+			}
+		}
+	}
+}
+
+// configSource returns the slot of a reachable instance that has a newer configuration and wasn't tried yet, if possible one in the local
+// data centre, and false if there is none.
+func (sc *Sidecar) configSource(tried map[string]bool) (slot string, ok bool) {
+	unreachable := sc.directory.unreachableSlots()
+	for _, candidate := range sc.configLag.newerThan(sc.config.Known()) {
+		if tried[candidate] || slices.Contains(unreachable, candidate) {
+			continue
+		}
+		if r, known := sc.directory.record(candidate); known && r.DataCentre == sc.settings.DataCentre {
+			return candidate, true
+		}
+		slot, ok = candidate, true
+	}
+	return slot, ok
 }
 
-// isConfigOverdue reports whether a newer configuration should be fetched from another instance, see isOverdue.
+// isConfigOverdue reports whether an announced configuration should be fetched from another instance, see isOverdue. While the store
+// responds, a fetch would delay its responses on a slow link.
 func (sc *Sidecar) isConfigOverdue(now time.Time) bool {
-	sc.announcedMu.Lock()
-	defer sc.announcedMu.Unlock()
-	return isOverdue(sc.config.Reachable(), sc.configBehindSince, now)
+	since := sc.configLag.since(sc.config.Known())
+	if responded := sc.config.Responded(); !since.IsZero() && responded.After(since) {
+		since = responded
+	}
+	return isOverdue(sc.config.Reachable(), since, now)
 }
 
 // isOverdue reports whether the store can't be reached, or hasn't delivered a newer configuration within configFetchDelay after another
@@ -158,22 +210,14 @@
 // isConfigOutdated reports whether another instance has announced a newer configuration than this one has.
 func (sc *Sidecar) isConfigOutdated() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
 
-// fetchFrom fetches from an instance the tables in which this one lacks the wanted versions.
-func (sc *Sidecar) fetchFrom(ctx context.Context, slot string, wanted forward.Versions) {
-	if wanted.Config > sc.config.Newest() && sc.isConfigOverdue(time.Now()) {
-		sc.fetchAndMerge(ctx, slot, sc.config)
-	}
-	if wanted.Rows > sc.rows.Newest() {
-		sc.fetchAndMerge(ctx, slot, sc.rows)
-	}
-}
-
 // fetchAndMerge merges the newer rows of a table from an instance and returns false if the call fails.
-func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower) bool {
+func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower, timeout time.Duration) bool {
 	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	rows, version, err := sc.fetchRows(ctx, slot, f)
 	if err != nil {
-		if ctx.Err() == nil {
+		if !errors.Is(context.Cause(ctx), context.Canceled) {
 			sc.fetchLog(f).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "took", time.Since(started), "err", err)
 		}
 		return false
@@ -198,8 +242,6 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	response, err := client.Fetch(ctx, &peer.FetchRequest{Kind: f.Table(), Have: f.Version()})
 	if err != nil {
 		return nil, 0, err
--- a/store/call.go
+++ b/store/call.go
@@ -147,7 +147,7 @@
 		c.deadline.Stop()
 	}
 	if err == nil {
-		f.abandoned = 0
+		f.abandoned, f.responded = 0, time.Now()
 		if len(rows) > 0 {
 			f.slowLink = d.isSlow()
 		}
@@ -192,6 +192,17 @@
 	return max(f.newest, f.version)
 }
 
+// Responded returns when the store last responded: when the response to the open call began, or when the last successful call ended. It
+// returns zero if there was none.
+func (f *Follower) Responded() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open != nil && f.open.waited.Load() > 0 {
+		return f.open.started.Add(time.Duration(f.open.waited.Load()))
+	}
+	return f.responded
+}
+
 // limitResponseDelay abandons the open call, if any, after a while unless its response begins before, if an expected row is missing. mu
 // must be held.
 func (f *Follower) limitResponseDelay() {
--- a/store/follower.go
+++ b/store/follower.go
@@ -58,6 +58,8 @@
 	open *call
 	// abandoned is the number of calls abandoned since the last successful one.
 	abandoned int
+	// responded is when the last successful call ended.
+	responded time.Time
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
 	listed    bool
 	reachable bool
