Don't probe an instance whose response is arriving

Callers' requests were sent to a second instance, and the first instance was marked unreachable, while its response was arriving.

A link counted as heard from only when the headers of a response arrived. While a large response arrived over a slow network, nothing was recorded, so the instance was probed after 0.7 s. The response to the probe was behind the rest of the body on the same connection and missed its 300 ms. Pings of the transport, which the probe replaced, are sent only if no frame arrives.

TestSlowResponseIsNotSilence receives 100 KB at about 80 KB/s.

The link's connections now record each time that something is received, and a probe fails only if nothing was received since it was sent.

--- a/forward/client.go
+++ b/forward/client.go
@@ -39,8 +39,8 @@
 }
 
 // NewClient returns a client that sends requests through copies of a transport, one for each address, and exchanges versions with the
-// instances it calls. Its goroutines run in the group. The transport must not close a connection because the other instance is slow
-// to respond to a ping: that would end the requests on it while their upstreams are at work.
+// instances it calls. Its goroutines run in the group. The transport must have a DialContext, and must not close a connection because
+// the other instance is slow to respond to a ping: that would end the requests on it while their upstreams are at work.
 func NewClient(group *errgroup.Group, transport *http.Transport, exchange VersionExchange) *Client {
 	return &Client{group: group, links: links{transport: transport}, exchange: exchange, started: time.Now()}
 }
@@ -151,7 +151,6 @@
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
-	l.observe(time.Now())
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
--- a/forward/link.go
+++ b/forward/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -35,10 +36,41 @@
 	mu       sync.Mutex
 	inFlight int
 	probing  bool
-	// heard is when the newest response arrived, or when a request was sent while none was in flight, whichever is later.
+	// heard is when something was last received from the instance, or when a request was sent while none was in flight, whichever is
+	// later.
 	heard time.Time
 }
 
+// newLink returns a link to an address with a copy of a transport.
+func newLink(address string, transport *http.Transport) *link {
+	l := &link{address: address, transport: transport.Clone(), silent: make(chan struct{})}
+	dial := l.transport.DialContext
+	l.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &linkConn{Conn: conn, link: l}, nil
+	}
+	return l
+}
+
+// linkConn is a connection of a link. It records when something is received. A response alone isn't enough: while a large one or one
+// on a slow network arrives, the response to a probe is behind it.
+type linkConn struct {
+	net.Conn
+	link *link
+}
+
+// Read implements net.Conn.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.link.observe(time.Now())
+	}
+	return n, err
+}
+
 // links holds the newest link of each address. The zero value is ready to use once transport is set.
 type links struct {
 	// transport is the template of the links' transports.
@@ -58,7 +90,7 @@
 			l.byAddress = make(map[string]*link)
 		}
 		l.removeUnused(now)
-		current = &link{address: address, transport: l.transport.Clone(), silent: make(chan struct{})}
+		current = newLink(address, l.transport)
 		l.byAddress[address] = current
 	}
 	current.enter(now)
@@ -107,7 +139,7 @@
 	l.inFlight--
 }
 
-// observe records that the instance has responded.
+// observe records that something was received from the instance.
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -128,8 +160,9 @@
 	return 0
 }
 
-// probe sends a request that the instance answers at once. If no response arrives in time, the link counts as silent.
+// probe sends a request that the instance answers at once. If nothing is received in time, the link counts as silent.
 func (l *link) probe(ctx context.Context, spawn func(func())) {
+	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	result := make(chan error, 1)
@@ -147,13 +180,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
-	now := time.Now()
-	if answered && err == nil {
-		l.heard = now
+	if err == nil && l.heard.After(started) {
 		return
 	}
 	klog.InfoS("forward: instance doesn't respond; further requests use a new connection", "address", l.address, "inFlight", l.inFlight,
-		"silentFor", now.Sub(l.heard), "err", err)
+		"silentFor", time.Since(l.heard), "err", err)
 	close(l.silent)
 }
 
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -1,7 +1,10 @@
 package forward_test
 
 import (
+	"context"
 	"errors"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +103,37 @@
 		t.Errorf("the request on the silent connection ended after %v, its deadline was after 2 s", took)
 	}
 }
+
+// slowConn delivers what it receives in small pieces with a pause before each.
+type slowConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return c.Conn.Read(p[:min(len(p), 4<<10)])
+}
+
+// TestSlowResponseIsNotSilence guards against an instance that counts as silent while its response is arriving slowly: the request would
+// be sent again, and the response to the probe is behind the rest of the response on the same connection.
+func TestSlowResponseIsNotSilence(t *testing.T) {
+	t.Parallel()
+	i := newInstance(t)
+	transport := peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute))
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		return slowConn{conn}, err
+	}
+	client := forward.NewClient(newGroup(t), transport, &i.exchange)
+	r := newRequest(strings.Repeat("x", 100_000))
+	r.Kind = routing.Idempotent
+	r.Deadline = time.Now().Add(10 * time.Second)
+	started := time.Now()
+	result, err := client.Do(t.Context(), i.address, r)
+	if result.Pending != nil {
+		result.Pending.Abandon()
+	}
+	if err != nil {
+		t.Errorf("%v after %v", err, time.Since(started))
+	}
+}
