Use the first response when instances don't respond

Callers got 502, or waited for longer than needed, although the response to an earlier attempt of their request had arrived.

A request whose instance didn't respond was sent elsewhere, and its first attempt was looked at only after the later ones had failed. If a second instance didn't respond either, the first attempt was cancelled while its upstream might be at work.

Two new cases of ingress TestUnresponsiveInstance failed before: 'the retry is slow' got the response after 300 ms instead of 100 ms, and 'silent twice, the first responds' got 502 instead of 200.

All attempts are now kept until one gets a response, which ends the others.

The number of abandoned requests, which TestUnresponsiveInstance compared, is no longer defined, since the context of the attempts ends them. TestUnresponsiveInstanceIsAbandoned checks instead that no attempt goes on after another one got a response, or after the caller has left. 'silent twice' expected that the first attempt is cancelled; it now expects that the response of either is used.

--- a/forward/client.go
+++ b/forward/client.go
@@ -45,23 +45,25 @@
 	return &Client{group: group, links: links{transport: transport}, exchange: exchange, started: time.Now()}
 }
 
-// Pending is a request that may still get a response although the other instance doesn't respond at the moment. Either Await or Abandon
-// must be called. Create it with NewPending.
+// Pending is a request that may still get a response although the other instance doesn't respond at the moment. It ends with the context
+// that Client.Do was called with. Create it with NewPending.
 type Pending struct {
-	await   func() (Result, error)
-	abandon func()
+	await      func() (Result, error)
+	onResponse func(f func())
 }
 
-// NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and abandon cancels it.
-func NewPending(await func() (Result, error), abandon func()) *Pending {
-	return &Pending{await: await, abandon: abandon}
+// NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and onResponse arranges for a function
+// to be called in a goroutine of its own when a response arrives.
+func NewPending(await func() (Result, error), onResponse func(f func())) *Pending {
+	return &Pending{await: await, onResponse: onResponse}
 }
 
-// Await waits for the response, at most until the request's deadline. The result and the error are those of Client.Do.
+// Await waits for the response, at most until the request's deadline. The result and the error are those of Client.Do. Once the response
+// has arrived, it is returned even if the request's context has been cancelled since.
 func (p *Pending) Await() (Result, error) { return p.await() }
 
-// Abandon cancels the request.
-func (p *Pending) Abandon() { p.abandon() }
+// OnResponse arranges for f to be called when a response arrives. A failure isn't a response.
+func (p *Pending) OnResponse(f func()) { p.onResponse(f) }
 
 // outcome is what Client.Do returns.
 type outcome struct {
@@ -88,6 +90,7 @@
 	l := c.links.get(address, time.Now())
 	done := make(chan outcome, 1)
 	c.spawn(func() {
+		defer cancel()
 		defer l.leave()
 		result, err := c.roundTrip(ctx, l, r)
 		done <- outcome{result, err}
@@ -101,15 +104,9 @@
 	for {
 		select {
 		case o := <-done:
-			cancel()
 			return o.result, o.err
 		case <-silent:
-			await := func() (Result, error) {
-				defer cancel()
-				o := <-done
-				return o.result, o.err
-			}
-			return Result{Pending: NewPending(await, cancel)},
+			return Result{Pending: c.newPending(done)},
 				&gateway.Failure{Code: code.PeerFailed, Arrived: true, Reason: errSilent.Error()}
 		case <-check.C:
 			next := l.needsProbe(time.Now())
@@ -123,6 +120,28 @@
 	}
 }
 
+// newPending returns the pending request whose outcome is sent to done, which must have a buffer.
+func (c *Client) newPending(done chan outcome) *Pending {
+	receive := func() outcome {
+		o := <-done
+		// Leave the outcome for the other receiver.
+		done <- o
+		return o
+	}
+	await := func() (Result, error) {
+		o := receive()
+		return o.result, o.err
+	}
+	onResponse := func(f func()) {
+		c.spawn(func() {
+			if o := receive(); o.err == nil {
+				f()
+			}
+		})
+	}
+	return NewPending(await, onResponse)
+}
+
 // roundTrip sends a request and reads its response.
 func (c *Client) roundTrip(ctx context.Context, l *link, r *gateway.Request) (Result, error) {
 	now := time.Now()
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -41,8 +41,17 @@
 	ownerHint string
 	// holdUntil bounds the wait for the key's owner.
 	holdUntil time.Time
-	// pending is an earlier attempt whose instance doesn't respond at the moment, or nil.
-	pending *forward.Pending
+	// pending are the attempts whose instances don't respond at the moment, oldest first.
+	pending []pendingAttempt
+	// cancel ends all attempts.
+	cancel context.CancelFunc
+}
+
+// pendingAttempt is an attempt that may still get a response.
+type pendingAttempt struct {
+	*forward.Pending
+	// slot is the slot of the instance that doesn't respond at the moment.
+	slot string
 }
 
 // dispatch sends the request to instances until one returns a final result. Errors are *gateway.Failure where the cause is known.
@@ -52,27 +61,35 @@
 	now := time.Now()
 	d := &dispatchState{
 		request: request, route: route, tried: make(map[string]bool),
-		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))),
+		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))), cancel: cancel,
 	}
 	s.budgets.get(request.Service).Attempt()
 	response, err := s.attempt(ctx, d)
 	return d.settle(response, err)
 }
 
-// settle ends the pending attempt. If the later attempts failed, its response is used if one comes, since its upstream may be at work.
+// settle ends the pending attempts. If the later ones failed, the response of a pending one is used if one comes, since its upstream may
+// be at work. Attempts that are left pending end with the context of dispatch.
 func (d *dispatchState) settle(response *gateway.Response, err error) (*gateway.Response, error) {
-	switch {
-	case d.pending == nil:
-	case err == nil:
-		d.pending.Abandon()
-	default:
-		result, pendingErr := d.pending.Await()
-		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "failure", err, "pending", pendingErr)
+	if err == nil {
+		return response, nil
+	}
+	for _, p := range d.pending {
+		result, pendingErr := p.Await()
+		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "slot", p.slot, "failure", err,
+			"pending", pendingErr)
 		if pendingErr == nil {
+			result.Response.InstanceSlot = p.slot
 			return result.Response, nil
 		}
 	}
-	return response, err
+	return nil, err
+}
+
+// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts.
+func (d *dispatchState) addPending(p *forward.Pending, slot string) {
+	d.pending = append(d.pending, pendingAttempt{Pending: p, slot: slot})
+	p.OnResponse(d.cancel)
 }
 
 // attempt sends the request to one instance after the other until one returns a final result.
@@ -180,10 +197,7 @@
 		s.local.ObserveNestedCall(result.Load)
 	}
 	if result.Pending != nil {
-		if d.pending != nil {
-			d.pending.Abandon()
-		}
-		d.pending = result.Pending
+		d.addPending(result.Pending, target.Slot)
 	}
 	if result.Response != nil {
 		result.Response.InstanceSlot = target.Slot
