Report the late refusal of a request as a refusal

Callers got 502 for requests that didn't run: an instance that hadn't responded for a moment refused the request in the end, and so did the instance that it was sent to meanwhile.

The provisional failure of an attempt at an instance that doesn't respond means that the request may have run. It stayed the reason of the answer even after the outcome of the attempt was known.

The new cases 'both refuse' and 'both refuse late' of ingress TestUnresponsiveInstance failed before with 502 instead of 503. 'the first is lost, the retry refused' and 'the retry refuses late' hold the reverse: a request that may have run isn't reported as refused.

The answer is now decided from the outcomes of all attempts, once each is known.

--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -52,6 +53,8 @@
 	*forward.Pending
 	// slot is the slot of the instance that doesn't respond at the moment.
 	slot string
+	// silence is the failure that stands for the attempt until its outcome is known.
+	silence *gateway.Failure
 }
 
 // dispatch sends the request to instances until one returns a final result. Errors are *gateway.Failure where the cause is known.
@@ -68,12 +71,16 @@
 	return d.settle(response, err)
 }
 
-// settle ends the pending attempts. If the later ones failed, the response of a pending one is used if one comes, since its upstream may
-// be at work. Attempts that are left pending end with the context of dispatch.
+// settle returns the result of a request whose last attempt ended with response or err. If that one failed, the response of a pending one
+// is used if one comes, since its upstream may be at work. Attempts that are left pending end with the context of dispatch.
 func (d *dispatchState) settle(response *gateway.Response, err error) (*gateway.Response, error) {
 	if err == nil {
 		return response, nil
 	}
+	var last *gateway.Failure
+	if !errors.As(err, &last) {
+		return nil, err
+	}
 	for _, p := range d.pending {
 		result, pendingErr := p.Await()
 		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "slot", p.slot, "failure", err,
@@ -82,22 +89,38 @@
 			result.Response.InstanceSlot = p.slot
 			return result.Response, nil
 		}
+		f := p.silence
+		if errors.As(pendingErr, &f) {
+			f.InstanceSlot = p.slot
+		}
+		if last == p.silence {
+			last = f
+		}
+		if !f.NotRun() {
+			d.mayHaveRun = f
+		}
 	}
-	return nil, err
+	return nil, d.finalFailure(last)
 }
 
-// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts.
-func (d *dispatchState) addPending(p *forward.Pending, slot string) {
-	d.pending = append(d.pending, pendingAttempt{Pending: p, slot: slot})
+// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts. silence is the failure that stands for
+// it until then.
+func (d *dispatchState) addPending(p *forward.Pending, slot string, silence *gateway.Failure) {
+	d.pending = append(d.pending, pendingAttempt{Pending: p, slot: slot, silence: silence})
 	p.OnResponse(d.cancel)
 }
 
+// isPending reports whether a failure only stands for a pending attempt.
+func (d *dispatchState) isPending(f *gateway.Failure) bool {
+	return slices.ContainsFunc(d.pending, func(p pendingAttempt) bool { return p.silence == f })
+}
+
 // attempt sends the request to one instance after the other until one returns a final result.
 func (s *Server) attempt(ctx context.Context, d *dispatchState) (*gateway.Response, error) {
 	for {
 		target, f := s.target(ctx, d)
 		if f != nil {
-			return nil, d.finalFailure(f)
+			return nil, f
 		}
 		response, err := s.send(ctx, d, target)
 		if err == nil && !s.isRetryable(d, response) {
@@ -112,7 +135,7 @@
 		}
 		if !s.prepareRetry(ctx, d, target, failure) {
 			if failure != nil {
-				return nil, d.finalFailure(failure)
+				return nil, failure
 			}
 			return response, err
 		}
@@ -196,8 +219,9 @@
 	if d.request.Nested {
 		s.local.ObserveNestedCall(result.Load)
 	}
-	if result.Pending != nil {
-		d.addPending(result.Pending, target.Slot)
+	var failure *gateway.Failure
+	if result.Pending != nil && errors.As(err, &failure) {
+		d.addPending(result.Pending, target.Slot, failure)
 	}
 	if result.Response != nil {
 		result.Response.InstanceSlot = target.Slot
@@ -244,7 +268,7 @@
 		return s.prepareReroute(ctx, d, target, f)
 	}
 	d.attempts++
-	if f != nil && !f.NotRun() {
+	if f != nil && !f.NotRun() && !d.isPending(f) {
 		d.mayHaveRun = f
 	}
 	return d.allowsRetry(f) && s.takeRetry(d, target)
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestUnresponsiveInstance guards against giving up a request at an instance that doesn't respond for a moment, although its upstream is
-// at work on it and no other instance has responded yet.
+// at work on it and no other instance has responded yet, and against a refusal that is reported as a failure, or the reverse.
 func TestUnresponsiveInstance(t *testing.T) {
 	silent := func(late outcome) outcome {
 		late.after = 100 * time.Millisecond
@@ -36,6 +36,10 @@
 		{"the retry is slow", "/plain/", map[string][]outcome{"b": {silent(ok)}, "a": {full}, "c": {slow}}, "a b c", 200, "b", 100},
 		{"attempts of the route used up", "/keyed/", map[string][]outcome{"b": {lost, silent(ok)}}, "b b", 200, "b", 100},
 		{"both fail", "/keyed/", map[string][]outcome{"b": {silent(lost), lost}}, "b b", 502, "", 100},
+		{"the first is lost, the retry refused", "/keyed/", map[string][]outcome{"b": {silent(lost), full}}, "b b", 502, "", 100},
+		{"both refuse", "/keyed/", map[string][]outcome{"b": {silent(full), full}}, "b b", 503, "", 100},
+		{"both refuse late", "/keyed/", map[string][]outcome{"b": {silent(full), silent(full)}}, "b b", 503, "", 100},
+		{"the retry refuses late", "/keyed/", map[string][]outcome{"b": {lost, silent(full)}}, "b b", 502, "", 100},
 		{"silent twice, the first responds", "/keyed/", map[string][]outcome{"b": {silent(ok), silent(lost)}}, "b b", 200, "b", 100},
 		{"silent twice, the second responds", "/keyed/", map[string][]outcome{"b": {silent(lost), silent(ok)}}, "b b", 200, "b", 100},
 	}
