--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -48,6 +48,8 @@
 	received atomic.Int64
 	// ran is the number of requests that reached the upstream.
 	ran atomic.Int64
+	// extra is the number of bytes that are added to the body of a response.
+	extra atomic.Int64
 	// serviceTime is how long the upstream takes, in nanoseconds.
 	serviceTime atomic.Int64
 	exchange    versionCounter
@@ -82,6 +84,10 @@
 			t.Error("a forwarded request isn't recognised as such")
 		}
 		r.Body = countedBody{r.Body, &i.received}
+		if extra := int(i.extra.Load()); extra > 0 {
+			w = unboundedWriter{w}
+			defer func() { _, _ = io.WriteString(w, strings.Repeat("x", extra)) }()
+		}
 		handler.ServeHTTP(w, r)
 	})}
 	i.server, i.address = server, listenAndServe(t, group, server)
@@ -232,24 +238,19 @@
 	}
 }
 
-// longResponses makes the bodies of responses longer than any that an instance sends.
-type longResponses struct{ http.RoundTripper }
+// unboundedWriter leaves out the length of a response, so that more can be written than the handler intended.
+type unboundedWriter struct{ http.ResponseWriter }
 
-func (l longResponses) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := l.RoundTripper.RoundTrip(r)
-	if err == nil {
-		response.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(response.Body, strings.NewReader(strings.Repeat("x", 17<<20))), response.Body}
-	}
-	return response, err
+func (w unboundedWriter) WriteHeader(status int) {
+	w.Header().Del("Content-Length")
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // TestForwardLongResponse guards against passing on the first 16 MiB of a longer response as if they were the whole.
 func TestForwardLongResponse(t *testing.T) {
 	i := newInstance(t)
-	client := forward.NewClient(longResponses{peer.NewTransport("", time.Second)}, &versionCounter{})
+	i.extra.Store(17 << 20)
+	client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Second), &versionCounter{})
 	_, err := client.Do(t.Context(), i.address, newRequest(""))
 	var f *gateway.Failure
 	if !errors.As(err, &f) || f.Code != code.PeerFailed || !f.Arrived {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -26,6 +26,7 @@
 	"sapphiretray/ingress"
 	"sapphiretray/policy"
 	"sapphiretray/routing"
+	"sapphiretray/wait"
 )
 
 const (
@@ -44,10 +45,10 @@
 	requested []string
 	// running is the id of the request that the local upstream is running.
 	running string
-	// abandoned is the number of pending requests that were abandoned.
-	abandoned atomic.Int64
 	// stopping is set while the instance is stopping.
 	stopping atomic.Bool
+	// group runs the goroutines of pending requests.
+	group sync.WaitGroup
 }
 
 // outcome is a response with a status, or a failure.
@@ -60,6 +61,8 @@
 	endless bool
 	// run is called while the request runs, if it isn't nil.
 	run func()
+	// after is how long another instance takes.
+	after time.Duration
 }
 
 func newDeployment(owner string, outcomes map[string][]outcome) *deployment {
@@ -163,16 +166,36 @@
 func (r remote) Do(ctx context.Context, address string, _ *gateway.Request) (forward.Result, error) {
 	next := r.next(address)
 	response, err := next.await(ctx, address)
+	if !wait.For(ctx, next.after) {
+		return forward.Result{}, &gateway.Failure{Code: code.CallerGone}
+	}
 	result := forward.Result{Response: response}
-	if late := next.pending; late != nil {
-		result.Pending = forward.NewPending(func() (forward.Result, error) {
-			response, err := late.result(address)
-			return forward.Result{Response: response}, err
-		}, func() { r.abandoned.Add(1) })
+	if next.pending != nil {
+		result.Pending = r.newPending(ctx, address, *next.pending)
 	}
 	return result, err
 }
 
+// newPending returns a pending request with an outcome of the instance in a slot.
+func (d *deployment) newPending(ctx context.Context, slot string, late outcome) *forward.Pending {
+	end := time.Now().Add(late.after)
+	await := func() (forward.Result, error) {
+		if left := time.Until(end); left > 0 && !wait.For(ctx, left) {
+			return forward.Result{}, &gateway.Failure{Code: code.CallerGone}
+		}
+		response, err := late.result(slot)
+		return forward.Result{Response: response}, err
+	}
+	onResponse := func(f func()) {
+		d.group.Go(func() {
+			if _, err := await(); err == nil {
+				f()
+			}
+		})
+	}
+	return forward.NewPending(await, onResponse)
+}
+
 // headers is a protocol with one plain header for each field of a call.
 type headers struct{}
 
