Gateway: test the wait of large responses

TestLargeResponseWaitsUntilDeadline: requests whose large responses wait for others end at their deadline as ones that may have run, and a response that isn't completed gives its memory back.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -260,3 +260,41 @@
 		})
 	}
 }
+
+// TestLargeResponseWaitsUntilDeadline guards against a request that outlasts its deadline, and against reporting it as not run, because
+// other large responses don't end.
+func TestLargeResponseWaitsUntilDeadline(t *testing.T) {
+	body := strings.Repeat("b", 16<<20)
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		text := ok(id, body)
+		if number <= 4 {
+			text = text[:1<<10]
+		}
+		_, _ = io.WriteString(conn, text)
+		if number <= 4 {
+			_, _ = conn.Read(make([]byte, 1))
+		}
+	})
+	g := start(t, u)
+	register(t, g, u, gateway.Registration{UpstreamRun: gateway.UpstreamRun{ID: "u", Started: 2000}, Slots: 4, Sequence: 1})
+	var group sync.WaitGroup
+	for n := range 4 {
+		group.Go(func() {
+			r := request(fmt.Sprint("r", n), routing.NonIdempotent)
+			r.Deadline = time.Now().Add(400 * time.Millisecond)
+			_, err := g.Do(t.Context(), r)
+			if got := failureOf(t, err); got != code.UpstreamTimeout {
+				t.Errorf("request %d: %v, want %s", n, err, code.UpstreamTimeout)
+			}
+			if late := time.Since(r.Deadline); late > time.Second {
+				t.Errorf("request %d ended %v after its deadline", n, late)
+			}
+		})
+	}
+	group.Wait()
+	r := request("r5", routing.NonIdempotent)
+	r.Deadline = time.Now().Add(endlessDeadline)
+	if response, err := g.Do(t.Context(), r); err != nil || len(response.Body) != 16<<20 {
+		t.Errorf("a large response after the unfinished ones: %v", err)
+	}
+}
