--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// kernelBuffers bounds the bytes that a loopback connection holds between the upstream's writes and the gateway's reads.
-	kernelBuffers = 12 << 20
+	// kernelBuffers bounds the bytes that a loopback connection holds between the upstream's writes and the gateway's reads. Systems allow
+	// receive buffers of up to 32 MiB and send buffers of up to 4 MiB.
+	kernelBuffers = 40 << 20
 	// maxHead and maxBodies are the limits of the heads and bodies that the gateway reads for one request.
 	maxHead   = 256 << 10
 	maxBodies = 32 << 20
@@ -138,6 +139,30 @@
 	}
 }
 
+// TestLongHeads guards against limits of heads that are much larger than any head that an upstream sends.
+func TestLongHeads(t *testing.T) {
+	tests := []struct{ name, prefix, headers string }{
+		{"header lines", "", strings.Repeat("A: b\r\n", 1<<20/6)},
+		{"one header line", "", "A: " + strings.Repeat("b", 1<<20) + "\r\n"},
+		{"interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<20/28), ""},
+		{"responses to another request", strings.Repeat(ok("other", ""), 1<<20/len(ok("other", ""))), ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) {
+				_, _ = io.WriteString(conn, test.prefix+strings.Replace(ok(id, ""), "\r\n", "\r\n"+test.headers, 1))
+			})
+			g := start(t, u)
+			r := request("r1", routing.Idempotent)
+			r.Deadline = time.Now().Add(endlessDeadline)
+			_, err := g.Do(t.Context(), r)
+			if got := failureOf(t, err); got != code.UpstreamFailed {
+				t.Errorf("failure %v, want %s", err, code.UpstreamFailed)
+			}
+		})
+	}
+}
+
 // TestLargeResponses guards against limits that refuse responses which an upstream may send.
 func TestLargeResponses(t *testing.T) {
 	body := strings.Repeat("b", 16<<20)
@@ -235,3 +260,41 @@
 		})
 	}
 }
+
+// TestLargeResponseWaitsUntilDeadline guards against a request that outlasts its deadline, and against reporting it as not run, because
+// other large responses don't end.
+func TestLargeResponseWaitsUntilDeadline(t *testing.T) {
+	body := strings.Repeat("b", 16<<20)
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		text := ok(id, body)
+		if number <= 4 {
+			text = text[:1<<10]
+		}
+		_, _ = io.WriteString(conn, text)
+		if number <= 4 {
+			_, _ = conn.Read(make([]byte, 1))
+		}
+	})
+	g := start(t, u)
+	register(t, g, u, gateway.Registration{UpstreamRun: gateway.UpstreamRun{ID: "u", Started: 2000}, Slots: 4, Sequence: 1})
+	var group sync.WaitGroup
+	for n := range 4 {
+		group.Go(func() {
+			r := request(fmt.Sprint("r", n), routing.NonIdempotent)
+			r.Deadline = time.Now().Add(400 * time.Millisecond)
+			_, err := g.Do(t.Context(), r)
+			if got := failureOf(t, err); got != code.UpstreamTimeout {
+				t.Errorf("request %d: %v, want %s", n, err, code.UpstreamTimeout)
+			}
+			if late := time.Since(r.Deadline); late > time.Second {
+				t.Errorf("request %d ended %v after its deadline", n, late)
+			}
+		})
+	}
+	group.Wait()
+	r := request("r5", routing.NonIdempotent)
+	r.Deadline = time.Now().Add(endlessDeadline)
+	if response, err := g.Do(t.Context(), r); err != nil || len(response.Body) != 16<<20 {
+		t.Errorf("a large response after the unfinished ones: %v", err)
+	}
+}
