Restore a key map that another writer has replaced or removed

When another writer had replaced the row of a service's key map by bytes that aren't a map, or removed it, keys weren't moved any more: callers of a lost owner's keys got 503 for good, and a process that had restarted answered "no owner" for all keys. The planner's writes conflicted four times a second without end. A map of owners that don't exist was used at once, so that all keys were refused.

Cause: the planner wrote on the condition of the last row that it could decode, and only if keys had to move, and owners weren't compared with the records.

The directory now keeps the version of the row that is there and the last map that it could use. The planner, or after 0.7 to 1.4 s any instance that knows the map, writes it again. A newer map may have been lost, so that the restored one has an epoch above all earlier ones, and its owners claim their keys, which they serve meanwhile, from all possible holders in the service: nothing is served under two maps. If no instance knows the map, the planner assigns the keys anew after 3 s, with the same conditions. Versions stay above all earlier ones, since each map was written with a version at most that of its row, and the store's versions grow with each write; the first map of a service follows the same rule. A map with an owner that was never registered is used only once its record arrives, or if the planner itself has sent it.

Failed before: TestKeyMapReplacedByAnotherWriter ("the map is restored: not within 4s", status 503 meanwhile, "map not written ... changed by another writer" 80 times in three tests), TestNoProcessKnowsKeyMap and TestOneProcessKnowsKeyMap ("all keys are served through all machines: not within 12s"). TestVersionsStayAboveAllEarlier fails without the rule ("version 16 after 19", "version 1 after 41").

--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -30,6 +30,10 @@
 type PlanInput struct {
 	Service string
 	Current *Map
+	// Used is a version that is not below those of all earlier maps of the service. The next map has a higher one.
+	Used uint64
+	// Holders are the incarnations that may serve keys under an earlier map, if Current is nil because that map was lost.
+	Holders []member.Incarnation
 	// Candidates are the instances that may own keys.
 	Candidates []Candidate
 	// Ended reports whether an incarnation is known to serve no keys any more: it has ended, or its lease is proved to have expired.
@@ -88,7 +92,7 @@
 
 func newBuilder(input PlanInput) *builder {
 	b := &builder{
-		input: input, version: input.Current.Version() + 1, density: newDensity(input.Loads),
+		input: input, version: max(input.Current.Version(), input.Used) + 1, density: newDensity(input.Loads),
 		carried: make(map[member.Incarnation]float64), byInstance: make(map[member.Incarnation]Candidate),
 	}
 	for _, c := range input.Candidates {
@@ -126,7 +130,10 @@
 		if last < first {
 			continue
 		}
-		e := Entry{Range: Range{First: Key(first), Last: Key(last)}, Epoch: b.version, Members: []member.Incarnation{c.Instance}}
+		e := Entry{
+			Range: Range{First: Key(first), Last: Key(last)}, Epoch: b.version, Members: []member.Incarnation{c.Instance},
+			Previous: distinct(slices.DeleteFunc(slices.Clone(b.input.Holders), b.input.Ended), c.Instance),
+		}
 		b.entries = append(b.entries, e)
 		b.moves = append(b.moves, Move{Range: e.Range, To: c.Instance, Reason: "first assignment"})
 		first = last + 1
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -30,6 +30,10 @@
 	registered map[string]uint64
 	// maps holds the newest key map of each service.
 	maps map[string]mapRow
+	// awaiting holds the rows of key maps that aren't used because no record names one of their owners, by service.
+	awaiting map[string]store.Row
+	// pushed holds the versions of the rows of key maps that the planner has sent, by service.
+	pushed map[string]uint64
 	// unreachable holds the slots whose instances aren't chosen until they respond again.
 	unreachable map[string]bool
 	// leaving holds the incarnations that have announced that they take no more work.
@@ -38,16 +42,23 @@
 	changed chan struct{}
 }
 
-// mapRow is a key map with the version of its row. The zero value, with nil keys, means that the service has none.
+// mapRow is a key map with the state of its row. The zero value, with nil keys, means that the service has none.
 type mapRow struct {
-	keys    *keyspace.Map
+	keys *keyspace.Map
+	// version is the version of the row that the next map has to replace, 0 if there is none.
 	version uint64
+	// lostAt is the version at which another writer has replaced the row by one that isn't a newer map, or removed it; 0 if the row
+	// holds keys.
+	lostAt uint64
+	// awaitsRecords means that the row at lostAt holds a map with owners that no record names. Their records may arrive later.
+	awaitsRecords bool
 }
 
 func newDirectory(self string) *directory {
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
-		registered: make(map[string]uint64), maps: make(map[string]mapRow),
+		registered: make(map[string]uint64), maps: make(map[string]mapRow), awaiting: make(map[string]store.Row),
+		pushed:      make(map[string]uint64),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
@@ -60,7 +71,13 @@
 		if slot, ok := strings.CutPrefix(row.Key, member.RowPrefix); ok {
 			d.applyRecord(slot, row)
 		} else if service, ok := strings.CutPrefix(row.Key, keyspace.RowPrefix); ok {
-			d.applyMap(service, row)
+			d.awaiting[service] = row
+		}
+	}
+	for service, row := range d.awaiting {
+		d.applyMap(service, row)
+		if !d.maps[service].awaitsRecords {
+			delete(d.awaiting, service)
 		}
 	}
 	d.notify()
@@ -92,19 +109,57 @@
 	d.remember(record)
 }
 
-// applyMap updates the key map of a service if it is newer. mu must be held.
+// applyMap updates the key map of a service if it is newer. The known one stays in use if the row holds no newer map any more, or one
+// with an owner that no record names. mu must be held.
 func (d *directory) applyMap(service string, row store.Row) {
+	known := d.maps[service]
 	if row.Deleted {
+		klog.InfoS("directory: key map removed", "service", service, "version", row.Version)
+		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version}
 		return
 	}
 	keys, err := keyspace.Decode(row.Value, row.Version)
-	if err != nil {
-		klog.ErrorS(err, "directory: invalid key map ignored", "service", service, "version", row.Version)
-		return
+	if err == nil && keys.Version() <= known.keys.Version() {
+		err = fmt.Errorf("map version %d isn't newer than %d", keys.Version(), known.keys.Version())
+	}
+	awaits := false
+	if err == nil && d.pushed[service] != row.Version {
+		err = d.checkOwners(keys)
+		awaits = err != nil
 	}
-	if keys.Version() > d.maps[service].keys.Version() {
+	if err == nil {
 		d.maps[service] = mapRow{keys: keys, version: row.Version}
+		return
+	}
+	if known.lostAt != row.Version {
+		klog.ErrorS(err, "directory: invalid key map ignored", "service", service, "version", row.Version)
+	}
+	d.maps[service] = mapRow{keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits}
+}
+
+// acceptPushed lets the key maps in rows that the planner has sent be used before the records of their owners, which the planner knows,
+// arrive from the store.
+func (d *directory) acceptPushed(rows []store.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, row := range rows {
+		if service, ok := strings.CutPrefix(row.Key, keyspace.RowPrefix); ok {
+			d.pushed[service] = row.Version
+		}
+	}
+}
+
+// checkOwners returns an error if a map has an owner that was never registered. A slot whose row can't be used counts as registered. mu
+// must be held.
+func (d *directory) checkOwners(keys *keyspace.Map) error {
+	for _, e := range keys.Entries() {
+		owner := e.Owner()
+		record, ok := d.records[owner.Slot()]
+		if ok && owner.Number() > record.Incarnation.Number() || !ok && owner.Number() > d.registered[owner.Slot()] {
+			return fmt.Errorf("no record names %s, the owner of keys %s", owner, e.Range)
+		}
 	}
+	return nil
 }
 
 // incarnationNumbers returns the number of the newest incarnation of each given slot, 0 for a slot without a record.
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"maps"
+	"slices"
+
 	"sapphiretray/gateway"
 	"sapphiretray/member"
 )
@@ -8,6 +11,10 @@
 // maxHistory is the largest number of incarnations of a slot whose records are kept, the current one included.
 const maxHistory = 16
 
+// holdersPerSlot is the number of incarnations of a slot that are possible holders of keys. The release of keys by the one before the
+// current waits for the end of all grants of earlier processes.
+const holdersPerSlot = 2
+
 // remember keeps a record, so that its incarnation can still be looked up after the record was replaced. mu must be held.
 func (d *directory) remember(r member.Record) {
 	slot := r.Incarnation.Slot()
@@ -53,6 +60,26 @@
 	return known && current.Incarnation.Number() > i.Number() && !upstreamRunOf(current).Same(upstreamRunOf(past))
 }
 
+// possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may.
+func (d *directory) possibleHolders(service string) []member.Incarnation {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var holders []member.Incarnation
+	for _, slot := range slices.Sorted(maps.Keys(d.records)) {
+		current := d.records[slot]
+		if current.Service != service || current.State.Ended() {
+			continue
+		}
+		history := d.history[slot]
+		for _, r := range history[max(0, len(history)-holdersPerSlot):] {
+			if upstreamRunOf(r).Same(upstreamRunOf(current)) {
+				holders = append(holders, r.Incarnation)
+			}
+		}
+	}
+	return holders
+}
+
 // upstreamRunOf returns the run of the upstream in a record.
 func upstreamRunOf(r member.Record) gateway.UpstreamRun {
 	return gateway.UpstreamRun{ID: r.Upstream, Started: r.UpstreamStarted}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,6 +25,11 @@
 	slowPlan = 20 * time.Millisecond
 	// firstPlanWait is how long the instances of a new service have to report before its keys are assigned for the first time.
 	firstPlanWait = 1500 * time.Millisecond
+	// lostMapWait takes its place if another writer has replaced the map: instances that know the map restore it within that time, and the
+	// grants of processes that have ended by its start have expired, see grant.MaxHold.
+	lostMapWait = 3 * time.Second
+	// restoreDelay and as much again at random is how long an instance that isn't the planner waits before it restores the map.
+	restoreDelay = 700 * time.Millisecond
 )
 
 // runPlanner assigns the keys of the local service to its instances while they report here, which makes this instance the planner. It
@@ -31,6 +38,7 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	var first time.Time
+	var restore restoreTimer
 	for {
 		select {
 		case <-ctx.Done():
@@ -40,42 +48,61 @@
 			// Reports of the same event arrive shortly after each other.
 			wait.For(ctx, gatherTime)
 		}
-		reports := sc.planner.fresh(time.Now())
-		if len(reports) == 0 || !sc.rows.Reachable() {
-			first = time.Time{}
-			continue
-		}
-		if first.IsZero() {
-			first = time.Now()
-		}
-		started, used := time.Now(), processorTime()
+		now, reachable := time.Now(), sc.rows.Reachable()
+		reports := sc.planner.fresh(now)
 		current := sc.directory.keyMap(sc.settings.Service)
-		if current.keys == nil && time.Since(first) < firstPlanWait {
+		if current.keys != nil && current.lostAt > 0 {
+			if reachable && restore.isDue(current, now, len(reports) > 0) {
+				sc.restoreMap(ctx, current)
+			}
 			continue
 		}
-		sc.proveExpiry(ctx, current.keys, reports)
-		input := sc.buildPlanInput(current.keys, reports)
-		next, moves := keyspace.Plan(input)
-		if took := time.Since(started); took >= slowPlan {
-			klog.InfoS("plan: slow computation", "service", sc.settings.Service, "took", took, "processorTime", processorTime()-used,
-				"ranges", len(current.keys.Entries()), "loads", len(input.Loads), "candidates", len(input.Candidates))
-		}
-		logCandidates(input, reports)
-		if next == nil {
+		if len(reports) == 0 || !reachable {
+			first = time.Time{}
 			continue
 		}
-		if err := sc.commitMap(ctx, current, next); err != nil {
-			klog.InfoS("plan: map not written", "service", sc.settings.Service, "version", next.Version(), "err", err)
-			continue
+		if first.IsZero() {
+			first = now
 		}
-		sc.pushMap(ctx, moves)
-		for _, move := range moves {
-			klog.InfoS("plan: keys moved", "service", sc.settings.Service, "version", next.Version(), "keys", move.Range,
-				"from", move.From, "to", move.To, "reason", move.Reason)
+		if current.keys != nil || now.Sub(first) >= initialWait(current, reports) {
+			sc.plan(ctx, current, reports)
 		}
 	}
 }
 
+// initialWait returns how long the instances of a service without a known map have to report before its keys are assigned.
+func initialWait(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) time.Duration {
+	if mapWasLost(current, reports) {
+		return lostMapWait
+	}
+	return firstPlanWait
+}
+
+// plan computes the next map from the current one and the reports, and writes it if keys move.
+func (sc *Sidecar) plan(ctx context.Context, current mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
+	started, used := time.Now(), processorTime()
+	sc.proveExpiry(ctx, current.keys, reports)
+	input := sc.buildPlanInput(current, reports)
+	next, moves := keyspace.Plan(input)
+	if took := time.Since(started); took >= slowPlan {
+		klog.InfoS("plan: slow computation", "service", sc.settings.Service, "took", took, "processorTime", processorTime()-used,
+			"ranges", len(current.keys.Entries()), "loads", len(input.Loads), "candidates", len(input.Candidates))
+	}
+	logCandidates(input, reports)
+	if next == nil {
+		return
+	}
+	if err := sc.commitMap(ctx, current, next); err != nil {
+		klog.InfoS("plan: map not written", "service", sc.settings.Service, "version", next.Version(), "err", err)
+		return
+	}
+	sc.pushMap(ctx, moves)
+	for _, move := range moves {
+		klog.InfoS("plan: keys moved", "service", sc.settings.Service, "version", next.Version(), "keys", move.Range,
+			"from", move.From, "to", move.To, "reason", move.Reason)
+	}
+}
+
 // pushMap sends the newest key map to the instances that get keys, so that they claim them without waiting for the store's feed.
 func (sc *Sidecar) pushMap(ctx context.Context, moves []keyspace.Move) {
 	value, err := json.Marshal([]store.Row{sc.rows.Get(keyspace.RowKey(sc.settings.Service))})
@@ -114,10 +141,16 @@
 }
 
 // buildPlanInput returns the input of the plan: the current map and what the instances report.
-func (sc *Sidecar) buildPlanInput(current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) keyspace.PlanInput {
+func (sc *Sidecar) buildPlanInput(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) keyspace.PlanInput {
 	relative := relativeServiceTimes(reports)
 	p := keyspace.PlanInput{
-		Service: sc.settings.Service, Current: current, Ended: sc.endedOrExpired, Loads: reportedLoads(reports, relative),
+		Service: sc.settings.Service, Current: current.keys, Ended: sc.endedOrExpired, Loads: reportedLoads(reports, relative),
+	}
+	if current.keys == nil {
+		p.Used = max(current.lostAt, sc.rows.Version())
+		if mapWasLost(current, reports) {
+			p.Holders = sc.directory.possibleHolders(sc.settings.Service)
+		}
 	}
 	for i, r := range reports {
 		if r.GetUsable() {
@@ -200,6 +233,47 @@
 	}
 }
 
+// mapWasLost reports whether the service had a map before another writer replaced or removed its row, which this instance may not know.
+func mapWasLost(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	for _, r := range reports {
+		if r.GetSettled() > 0 {
+			return true
+		}
+	}
+	return current.lostAt > 0
+}
+
+// restoreTimer tells when an instance restores the map of its service. The zero value is ready to use.
+type restoreTimer struct {
+	lostAt uint64
+	due    time.Time
+}
+
+// isDue reports whether an instance that knows the map has to restore it. The planner does so at once, or after restoreDelay if it may
+// still get the records that a newer map needs. Another instance does so after restoreDelay, since a planner that has started after the
+// map was lost doesn't know it.
+func (t *restoreTimer) isDue(lost mapRow, now time.Time, planner bool) bool {
+	if lost.lostAt != t.lostAt {
+		t.lostAt, t.due = lost.lostAt, now.Add(restoreDelay+rand.N(restoreDelay))
+	}
+	if planner && !lost.awaitsRecords {
+		return true
+	}
+	return planner == lost.awaitsRecords && !now.Before(t.due)
+}
+
+// restoreMap writes the last known map again after another writer has replaced or removed it.
+func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
+	holders := slices.DeleteFunc(sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
+	next := current.keys.Restore(current.lostAt, holders)
+	if err := sc.commitMap(ctx, current, next); err != nil {
+		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
+		return
+	}
+	klog.InfoS("plan: map restored", "service", sc.settings.Service, "version", next.Version(), "known", current.keys.Version(),
+		"row", current.lostAt)
+}
+
 // commitMap replaces the current map in the store by the next one. If the outcome is unknown, the store's feed shows it later.
 func (sc *Sidecar) commitMap(ctx context.Context, current mapRow, next *keyspace.Map) error {
 	value, err := next.Encode()
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -62,6 +62,7 @@
 	if r.GetKind() != TableName {
 		return nil, twirp.NewError(twirp.InvalidArgument, "rows of table "+r.GetKind()+" can't be pushed")
 	}
+	s.sidecar.directory.acceptPushed(rows)
 	s.sidecar.rows.Merge(rows)
 	return &peer.PushResponse{}, nil
 }
