--- a/store/follower.go
+++ b/store/follower.go
@@ -204,7 +204,7 @@
 	f.Merge(rows)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listed {
+	if f.listed && version <= MaxVersion {
 		f.version = max(f.version, version)
 	}
 }
@@ -215,7 +215,7 @@
 	defer f.mu.Unlock()
 	newer := make([]Row, 0, len(rows))
 	for _, row := range rows {
-		if known, ok := f.rows[row.Key]; ok && row.Version <= known.Version || row.Version == 0 {
+		if known, ok := f.rows[row.Key]; ok && row.Version <= known.Version || row.Version == 0 || row.Version > MaxVersion {
 			continue
 		}
 		row.Table = f.table
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -275,3 +275,36 @@
 		}
 	}, store.WithWatch(func() bool { return false }, noPeer))
 }
+
+// TestFollowerVersionOutOfRange guards against a row that is never updated again, and changes that are skipped, after a copy with an odd
+// version was merged from a peer.
+func TestFollowerVersionOutOfRange(t *testing.T) {
+	follow(t, func(m *memory, f *store.Follower) {
+		f.MergeUpTo([]store.Row{{Key: "a", Value: []byte("odd"), Version: 1<<64 - 1}}, 1<<64-1)
+		if f.Newest() != 1 || f.Version() != 1 || value(f, "a") != "1" {
+			t.Errorf("a is %q, complete up to %d, newest %d", value(f, "a"), f.Version(), f.Newest())
+		}
+		m.put("a", "2")
+		time.Sleep(time.Second)
+		if got := value(f, "a"); got != "2" {
+			t.Errorf("a is %q a second later, want 2", got)
+		}
+	})
+}
+
+// TestFollowerRowWithoutVersion guards against a row that counts as deleted because its version in a listing can't be read.
+func TestFollowerRowWithoutVersion(t *testing.T) {
+	follow(t, func(m *memory, f *store.Follower) {
+		m.put("b", "1")
+		time.Sleep(time.Second)
+		m.set(func(m *memory) {
+			m.rows["a"] = store.Row{Table: "t", Key: "a"}
+			m.dropped, m.history = m.version+1, nil
+			m.version++
+		})
+		time.Sleep(time.Second)
+		if row := f.Get("a"); row.Deleted || string(row.Value) != "1" {
+			t.Errorf("a is %+v", row)
+		}
+	})
+}
--- a/store/store.go
+++ b/store/store.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// MaxVersion is the largest version of a row. Versions count the transactions of the store, which don't get there.
+const MaxVersion = 1 << 53
+
 // Row is one row of a table. Version 0 means that the row doesn't exist.
 type Row struct {
 	Table   string
@@ -67,7 +70,8 @@
 type Store interface {
 	// Commit runs a transaction and returns its version. A failed condition yields a *ConflictError.
 	Commit(ctx context.Context, t Transaction) (uint64, error)
-	// List returns all rows of a table and the version up to which the listing is complete.
+	// List returns all rows of a table and the version up to which the listing is complete. A row whose version can't be read has
+	// version 0.
 	List(ctx context.Context, table string) ([]Row, uint64, error)
 	// Changes returns the rows of a table that were written after a version, in order, and the version to pass to the next call. If
 	// there are none, it waits for some for up to the given time. It returns ErrHistoryLost if the store no longer keeps all of
