Stop: tell other instances which requests have not begun

When a process ended after a SIGTERM, requests that other instances forwarded to it at that moment failed with code 1406: the connection was reset or ended early. Callers got 502 for requests that had not run, and for requests that aren't idempotent that was final.

The server for other instances was closed at once at the end. It is now shut down, which sends GOAWAY, while the stop waits for 100 ms without requests in flight; the clients send later requests elsewhere.

With shutdown calling Close, as at the end of the process before, TestShutdownOfPeers failed in all of 3 runs: requests without a result ("1406 peer-failed: unexpected EOF", "connection reset by peer", "want 1202 no-owner") and requests that had begun and got no response ("10 of 13 requests got a response"). It passes now, 3 of 3 runs with -race, and go test -race passes for sidecar and platform.

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -60,14 +60,20 @@
 	if left := sc.callers.Drain(drain); left > 0 {
 		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
 	}
+	sc.group.Go(func() error {
+		peers.shutdown(drain)
+		return nil
+	})
 	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
 		if peers.inFlight.Load() > 0 {
 			quiet = 0
 		}
 		wait.For(drain, quietInterval)
 	}
-	if err := callers.http.Close(); err != nil {
-		klog.InfoS("process: failed to close connections", "server", callers.name, "err", err)
+	for _, s := range []*server{callers, peers} {
+		if err := s.http.Close(); err != nil {
+			klog.InfoS("process: failed to close connections", "server", s.name, "err", err)
+		}
 	}
 	klog.InfoS("process: drained", "took", time.Since(begun), "whole", drain.Err() == nil)
 }
@@ -77,6 +83,15 @@
 	return servers[slices.IndexFunc(servers, func(s *server) bool { return s.name == name })]
 }
 
+// shutdown closes the listener, and the connections after the responses to the requests that have begun, until ctx ends. Unlike Close, it
+// tells other instances which requests have not begun, so that they can send them elsewhere.
+func (s *server) shutdown(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		// Shutdown takes up to 5 s if a connection has never been used.
+		klog.V(1).InfoS("process: connections were still open at the end", "server", s.name, "err", err)
+	}
+}
+
 // awaitQuiet waits until no request has arrived for callerQuietTime, until the given time, or until ctx ends.
 func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
 	last, since := s.begun.Load(), time.Now()
