--- a/forward/client.go
+++ b/forward/client.go
@@ -27,8 +27,11 @@
 	responseGrace = 50 * time.Millisecond
 )
 
-// errSilent is the reason why a request may be sent elsewhere although its response may still come.
-var errSilent = errors.New("the other instance doesn't respond; the request may be running")
+var (
+	// errSilent is the reason why a request may be sent elsewhere although its response may still come.
+	errSilent   = errors.New("the other instance doesn't respond; the request may be running")
+	errTooLarge = errors.New("the response body exceeds 16 MiB")
+)
 
 // Client forwards requests to other instances. Create it with NewClient.
 type Client struct {
@@ -39,29 +42,31 @@
 }
 
 // NewClient returns a client that sends requests through copies of a transport, one for each address, and exchanges versions with the
-// instances it calls. Its goroutines run in the group. The transport must not close a connection because the other instance is slow
-// to respond to a ping: that would end the requests on it while their upstreams are at work.
+// instances it calls. Its goroutines run in the group. The transport must have a DialContext, and must not close a connection because
+// the other instance is slow to respond to a ping: that would end the requests on it while their upstreams are at work.
 func NewClient(group *errgroup.Group, transport *http.Transport, exchange VersionExchange) *Client {
 	return &Client{group: group, links: links{transport: transport}, exchange: exchange, started: time.Now()}
 }
 
-// Pending is a request that may still get a response although the other instance doesn't respond at the moment. Either Await or Abandon
-// must be called. Create it with NewPending.
+// Pending is a request that may still get a response although the other instance doesn't respond at the moment. It ends with the context
+// that Client.Do was called with. Create it with NewPending.
 type Pending struct {
-	await   func() (Result, error)
-	abandon func()
+	await      func() (Result, error)
+	onResponse func(f func())
 }
 
-// NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and abandon cancels it.
-func NewPending(await func() (Result, error), abandon func()) *Pending {
-	return &Pending{await: await, abandon: abandon}
+// NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and onResponse arranges for a function
+// to be called in a goroutine of its own when a response arrives.
+func NewPending(await func() (Result, error), onResponse func(f func())) *Pending {
+	return &Pending{await: await, onResponse: onResponse}
 }
 
-// Await waits for the response, at most until the request's deadline. The result and the error are those of Client.Do.
+// Await waits for the response, at most until the request's deadline. The result and the error are those of Client.Do. Once the response
+// has arrived, it is returned even if the request's context has been cancelled since.
 func (p *Pending) Await() (Result, error) { return p.await() }
 
-// Abandon cancels the request.
-func (p *Pending) Abandon() { p.abandon() }
+// OnResponse arranges for f to be called when a response arrives. A failure isn't a response.
+func (p *Pending) OnResponse(f func()) { p.onResponse(f) }
 
 // outcome is what Client.Do returns.
 type outcome struct {
@@ -88,6 +93,7 @@
 	l := c.links.get(address, time.Now())
 	done := make(chan outcome, 1)
 	c.spawn(func() {
+		defer cancel()
 		defer l.leave()
 		result, err := c.roundTrip(ctx, l, r)
 		done <- outcome{result, err}
@@ -101,15 +107,9 @@
 	for {
 		select {
 		case o := <-done:
-			cancel()
 			return o.result, o.err
 		case <-silent:
-			await := func() (Result, error) {
-				defer cancel()
-				o := <-done
-				return o.result, o.err
-			}
-			return Result{Pending: NewPending(await, cancel)},
+			return Result{Pending: c.newPending(done)},
 				&gateway.Failure{Code: code.PeerFailed, Arrived: true, Reason: errSilent.Error()}
 		case <-check.C:
 			next := l.needsProbe(time.Now())
@@ -123,6 +123,28 @@
 	}
 }
 
+// newPending returns the pending request whose outcome is sent to done, which must have a buffer.
+func (c *Client) newPending(done chan outcome) *Pending {
+	receive := func() outcome {
+		o := <-done
+		// Leave the outcome for the other receiver.
+		done <- o
+		return o
+	}
+	await := func() (Result, error) {
+		o := receive()
+		return o.result, o.err
+	}
+	onResponse := func(f func()) {
+		c.spawn(func() {
+			if o := receive(); o.err == nil {
+				f()
+			}
+		})
+	}
+	return NewPending(await, onResponse)
+}
+
 // roundTrip sends a request and reads its response.
 func (c *Client) roundTrip(ctx context.Context, l *link, r *gateway.Request) (Result, error) {
 	now := time.Now()
@@ -153,9 +175,11 @@
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
-	l.observe(time.Now())
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errTooLarge
+	}
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -48,6 +48,8 @@
 	received atomic.Int64
 	// ran is the number of requests that reached the upstream.
 	ran atomic.Int64
+	// extra is the number of bytes that are added to the body of a response.
+	extra atomic.Int64
 	// serviceTime is how long the upstream takes, in nanoseconds.
 	serviceTime atomic.Int64
 	exchange    versionCounter
@@ -82,6 +84,10 @@
 			t.Error("a forwarded request isn't recognised as such")
 		}
 		r.Body = countedBody{r.Body, &i.received}
+		if extra := int(i.extra.Load()); extra > 0 {
+			w = unboundedWriter{w}
+			defer func() { _, _ = io.WriteString(w, strings.Repeat("x", extra)) }()
+		}
 		handler.ServeHTTP(w, r)
 	})}
 	i.server, i.address = server, listenAndServe(t, group, server)
@@ -231,3 +237,23 @@
 		t.Error(err)
 	}
 }
+
+// unboundedWriter leaves out the length of a response, so that more can be written than the handler intended.
+type unboundedWriter struct{ http.ResponseWriter }
+
+func (w unboundedWriter) WriteHeader(status int) {
+	w.Header().Del("Content-Length")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// TestForwardLongResponse guards against passing on the first 16 MiB of a longer response as if they were the whole.
+func TestForwardLongResponse(t *testing.T) {
+	i := newInstance(t)
+	i.extra.Store(17 << 20)
+	client := forward.NewClient(newGroup(t), peer.NewTransport("", time.Second), &versionCounter{})
+	_, err := client.Do(t.Context(), i.address, newRequest(""))
+	var f *gateway.Failure
+	if !errors.As(err, &f) || f.Code != code.PeerFailed || !f.Arrived {
+		t.Errorf("error %v, want %v", err, code.PeerFailed)
+	}
+}
--- a/forward/link.go
+++ b/forward/link.go
@@ -36,18 +36,29 @@
 	mu       sync.Mutex
 	inFlight int
 	probing  bool
-	// heard is when the newest response arrived, or when a request was sent while none was in flight, whichever is later.
+	// heard is when something was last received from the instance, or when a request was sent while none was in flight, whichever is
+	// later.
 	heard time.Time
 	// connections are the open ones.
 	connections map[*linkConn]struct{}
 }
 
-// linkConn is a connection of a link.
+// linkConn is a connection of a link. It records when something is received. A response alone isn't enough: while a large one or one
+// on a slow network arrives, the response to a probe is behind it.
 type linkConn struct {
 	net.Conn
 	link *link
 }
 
+// Read implements net.Conn.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.link.observe(time.Now())
+	}
+	return n, err
+}
+
 // Close closes the connection and removes it from its link.
 func (c *linkConn) Close() error {
 	c.link.mu.Lock()
@@ -160,7 +171,7 @@
 	clear(l.connections)
 }
 
-// observe records that the instance has responded.
+// observe records that something was received from the instance.
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -181,8 +192,9 @@
 	return 0
 }
 
-// probe sends a request that the instance answers at once. If no response arrives in time, the link counts as silent.
+// probe sends a request that the instance answers at once. If nothing is received in time, the link counts as silent.
 func (l *link) probe(ctx context.Context, spawn func(func())) {
+	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	result := make(chan error, 1)
@@ -200,13 +212,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
-	now := time.Now()
-	if answered && err == nil {
-		l.heard = now
+	if err == nil && l.heard.After(started) {
 		return
 	}
 	klog.InfoS("forward: instance doesn't respond; further requests use a new connection", "address", l.address, "inFlight", l.inFlight,
-		"silentFor", now.Sub(l.heard), "err", err)
+		"silentFor", time.Since(l.heard), "err", err)
 	close(l.silent)
 	if l.inFlight == 0 {
 		l.reset()
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -271,3 +271,48 @@
 		t.Errorf("headers %v, error %v, want the response to the request after the unanswered one", header, err)
 	}
 }
+
+// TestResponseBetweenRequests guards against failing a request because a response that belongs to no request arrived just before it.
+func TestResponseBetweenRequests(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
+		_, _ = io.WriteString(conn, ok(id, "done"))
+		// A sleep would take too long to meet the start of the next request.
+		for written := time.Now(); time.Since(written) < time.Duration(number%60)*time.Microsecond; {
+		}
+		_, _ = io.WriteString(conn, ok(id, "done"))
+	})
+	g := start(t, u)
+	for n := range 5000 {
+		r := request(fmt.Sprint("r", n), routing.NonIdempotent)
+		r.Objective, r.Deadline = time.Now().Add(10*time.Second), time.Now().Add(10*time.Second)
+		if _, err := g.Do(t.Context(), r); err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+}
+
+// TestRepeatedControlRefusal guards against taking the refusal of an earlier grant, which the upstream writes once more, as the response to
+// a grant that it carries out: the keys would be granted, but not served.
+func TestRepeatedControlRefusal(t *testing.T) {
+	const conflict = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+	var responses lastResponses
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, number int64) {
+		if number == 1 {
+			responses.swap(conn, conflict)
+			_, _ = io.WriteString(conn, conflict)
+			return
+		}
+		_, _ = io.WriteString(conn, responses.swap(conn, ""))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	g := start(t, u)
+	for _, want := range []int{http.StatusConflict, http.StatusOK, http.StatusOK} {
+		if status, _, err := sendControl(t, g, "/grant"); err != nil || status != want {
+			t.Errorf("status %d, error %v, want %d", status, err, want)
+		}
+	}
+	if u.conns.Load() != 2 {
+		t.Errorf("%d connections, want a new one after the refusal only", u.conns.Load())
+	}
+}
