Ingress: test pipelined requests while connections are drained

The test passes without a change: net/http reports a connection as active before it serves a request that it had read together with the previous one.

--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -291,3 +291,51 @@
 		})
 	}
 }
+
+// TestPipelinedRequests guards against closing a connection as idle while a request is served that was read together with the previous
+// one, so that no read of the connection precedes it.
+func TestPipelinedRequests(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	registry := prometheus.NewRegistry()
+	connections := ingress.NewConnections(noLimits, registry)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Listener = connections.Listen(server.Listener)
+	connections.Attach(server.Config)
+	// The second request is read, but its handler begins late.
+	var requests atomic.Int32
+	handler := server.Config.Handler
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 2 {
+			time.Sleep(delay)
+		}
+		handler.ServeHTTP(w, r)
+	})
+	server.Start()
+	defer server.Close()
+	conn := dial(t, server)
+	responses := bufio.NewReader(conn)
+	_, _ = io.WriteString(conn, get+get)
+	for n := range 2 {
+		response, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", n+1, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if n > 0 {
+			break
+		}
+		_ = server.Listener.Close()
+		var group errgroup.Group
+		group.Go(func() error {
+			if left := connections.Drain(t.Context()); left > 0 {
+				t.Errorf("%d connections are left", left)
+			}
+			return nil
+		})
+		defer func() { _ = group.Wait() }()
+	}
+	if counts := unanswered(t, registry); len(counts) > 0 {
+		t.Errorf("unanswered requests: %v", counts)
+	}
+}
