Answer 503 also while an arrived configuration is decoded

A request whose route is in a configuration that has arrived, but isn't in effect until it has been decoded, was answered 404: arrival ended the state in which the instance counts as outdated. At a sixth of a core, decoding 270 KB takes about a tenth of a second.

TestOutdatedWhileDecoding failed before: "outdated while decoding: [false false], afterwards: false; want true twice, then false".

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -125,6 +125,8 @@
 	announcers      chan string
 	configAnnounced chan struct{}
 	configLag       configLag
+	// decodingConfig is true while an arrived configuration isn't in effect yet.
+	decodingConfig atomic.Bool
 	// announcedMu guards announced.
 	announcedMu sync.Mutex
 	// announced holds, by slot, the last version of the rows that was newer than that of this instance.
@@ -136,8 +138,7 @@
 	sc := &Sidecar{
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
-		configAnnounced: make(chan struct{}, 1),
-		registry:        prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
+		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
 	sc.callers = ingress.NewConnections(sc.limits)
@@ -172,8 +173,7 @@
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
 	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
-		sc.probeUnreachable,
-		sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+		sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -46,6 +46,8 @@
 	if len(rows) == 0 {
 		return
 	}
+	sc.decodingConfig.Store(true)
+	defer sc.decodingConfig.Store(false)
 	var behind time.Duration
 	// The newest row has arrived, even if its configuration is refused below.
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
@@ -155,7 +157,7 @@
 		}
 		timeout := configFetchTimeout
 		tried := make(map[string]bool)
-		for delay := fetchDelay; sc.isConfigOutdated() && wait.For(ctx, delay); {
+		for delay := fetchDelay; sc.isConfigMissing() && wait.For(ctx, delay); {
 			delay = configPollInterval
 			if !sc.isConfigOverdue(time.Now()) {
 				continue
@@ -207,8 +209,11 @@
 	return !reachable || !behindSince.IsZero() && now.Sub(behindSince) >= configFetchDelay
 }
 
-// isConfigOutdated reports whether another instance has announced a newer configuration than this one has.
-func (sc *Sidecar) isConfigOutdated() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
+// isConfigOutdated reports whether a newer configuration than that in effect has arrived or was announced by another instance.
+func (sc *Sidecar) isConfigOutdated() bool { return sc.decodingConfig.Load() || sc.isConfigMissing() }
+
+// isConfigMissing reports whether another instance has announced a newer configuration than this one has.
+func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
 
 // fetchAndMerge merges the newer rows of a table from an instance and returns false if the call fails.
 func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower, timeout time.Duration) bool {
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -64,6 +65,23 @@
 	}
 }
 
+// TestOutdatedWhileDecoding guards against a 404 for a route of a configuration that has arrived but isn't in effect yet, which takes a
+// slow processor a tenth of a second.
+func TestOutdatedWhileDecoding(t *testing.T) {
+	var sc *Sidecar
+	var while []bool
+	sc = New(Settings{}, Adapters{ConfigKey: "config", DecodeConfig: func([]byte) (*routing.Table, error) {
+		while = append(while, sc.isConfigOutdated())
+		return routing.New(uint64(len(while)), routing.Limits{}, nil, nil)
+	}})
+	for version := range uint64(2) {
+		sc.config.Merge([]store.Row{{Key: "config", Version: version + 1}})
+	}
+	if !slices.Equal(while, []bool{true, true}) || sc.isConfigOutdated() {
+		t.Errorf("outdated while decoding: %v, afterwards: %v; want true twice, then false", while, sc.isConfigOutdated())
+	}
+}
+
 // TestConfigBatch guards against a configuration that takes effect late because older ones that arrived with it are decoded first, and
 // against a valid one that is lost because a newer one is invalid.
 func TestConfigBatch(t *testing.T) {
