Answer 503 if the configuration changes during the lookup of a route

A request whose route was looked up in the old configuration just before the newer one took effect was answered 404, because the instance no longer counted as outdated by the time that the lookup had failed.

TestConfigChangesDuringMatch failed before: "status 404, want 503".

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -143,7 +143,7 @@
 // failure is temporary if a newer configuration may have one.
 func (s *Server) noRoute(table *routing.Table) *gateway.Failure {
 	f := &gateway.Failure{Code: code.NoRoute, Reason: "no route of configuration " + strconv.FormatUint(table.Version(), 10)}
-	if s.outdated() {
+	if s.outdated() || s.routes() != table {
 		f.Code, f.RetryAfter = code.ConfigOutdated, noConfigRetryAfter
 	}
 	return f
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -258,6 +258,18 @@
 	}
 }
 
+// TestConfigChangesDuringMatch guards against a 404 from the old configuration when a newer one takes effect after the lookup of the
+// route.
+func TestConfigChangesDuringMatch(t *testing.T) {
+	d := newDeployment("a", nil)
+	server := newServer(t, d, nil, func(c *ingress.Config) { c.Routes = func() *routing.Table { return table(t) } })
+	w := httptest.NewRecorder()
+	server.ServeHTTP(w, request(t, "/other/", ""))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", w.Code)
+	}
+}
+
 // TestDispatch guards against requests that run more often than their route allows, and against reporting a request as not run after
 // an attempt with an unknown outcome.
 func TestDispatch(t *testing.T) {
