--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -14,13 +14,21 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 const (
 	// maxResponseBytes bounds a response body, which is held in memory. The text of errTooLarge names it.
 	maxResponseBytes = 16 << 20
+	// smallBodyBytes is the size above which a body counts towards maxLargeBodyBytes, which bounds the bodies that are read at the same
+	// time on all connections: the whole process may have less than 200 MB.
+	smallBodyBytes    = 1 << 20
+	maxLargeBodyBytes = 2 * maxResponseBytes
 	// readBufferSize is the size of a connection's read buffer in bytes. Most responses fit.
 	readBufferSize = 4096
+	// maxRefusedIDs bounds the request ids that a connection remembers. A connection that has carried more refusals is closed.
+	maxRefusedIDs = 64
 )
 
 var (
@@ -44,6 +52,8 @@
 	net.Conn
 	// matches is Protocol.Matches.
 	matches func(header http.Header, id string) bool
+	// largeBodies is shared by all connections to the upstream and holds maxLargeBodyBytes.
+	largeBodies *semaphore.Weighted
 	// written is 0 if it is certain that no byte of the request has been sent, and 1 otherwise.
 	written atomic.Int64
 
@@ -54,10 +64,15 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool // Whether the connection has carried a response.
+	retired     bool // Whether the connection must not be reused.
+	// refused holds the ids of the requests that the upstream refused on this connection.
+	refused map[string]struct{}
 }
 
 // exchange is a request that awaits its response.
 type exchange struct {
+	// ctx ends with the request.
+	ctx context.Context
 	// id is the id of the request, which the response must match, or empty if any response is accepted.
 	id     string
 	method string
@@ -70,17 +85,23 @@
 	err      error
 }
 
-func newConn(raw net.Conn, matches func(http.Header, string) bool) *conn {
-	return &conn{Conn: raw, matches: matches, idleTimeout: defaultIdleTimeout}
+func newConn(raw net.Conn, matches func(http.Header, string) bool, largeBodies *semaphore.Weighted) *conn {
+	return &conn{Conn: raw, matches: matches, largeBodies: largeBodies, idleTimeout: defaultIdleTimeout}
 }
 
 // readLoop reads responses until the connection ends.
 func (c *conn) readLoop() {
-	reader := bufio.NewReaderSize(c.Conn, readBufferSize)
+	limited := &limitedReader{Reader: c.Conn}
+	limited.reset()
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	for {
 		_, err := reader.Peek(1)
 		c.mu.Lock()
 		pending := c.pending
+		if pending == nil {
+			// No request may begin on the connection before fail closes it.
+			c.closed = true
+		}
 		c.mu.Unlock()
 		if err == nil && pending == nil {
 			err = errUnsolicited
@@ -89,7 +110,7 @@
 			c.fail(err)
 			return
 		}
-		response, err := c.readResponse(reader, pending)
+		response, err := c.readResponse(reader, limited, pending)
 		if err != nil {
 			c.fail(err)
 			return
@@ -101,37 +122,91 @@
 			// The upstream sent more data than the response, so the connection must not be reused.
 			response.closeAfter = true
 		}
+		limited.reset()
 		c.deliver(response)
 	}
 }
 
 // readResponse reads one response. It returns nil for an interim response and for one that belongs to an earlier request.
-func (c *conn) readResponse(reader *bufio.Reader, pending *exchange) (*rawResponse, error) {
+func (c *conn) readResponse(reader *bufio.Reader, limited *limitedReader, pending *exchange) (_ *rawResponse, err error) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: pending.method})
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	limited.inBody = true
+	defer func() {
+		limited.inBody = false
+		if err != nil {
+			// Otherwise Close would read the rest of the body.
+			limited.stop()
+		}
+		_ = response.Body.Close()
+	}()
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
-	var body bytes.Buffer
-	if response.ContentLength > 0 && response.ContentLength <= maxResponseBytes {
-		body.Grow(int(response.ContentLength))
-	}
-	n, err := io.Copy(&body, io.LimitReader(response.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("read response body after %d bytes: %w", n, err)
-	case n > maxResponseBytes:
-		return nil, errTooLarge
-	case pending.id != "" && !c.matches(response.Header, pending.id):
+	if pending.id != "" && !c.matches(response.Header, pending.id) {
+		if n, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, fmt.Errorf("read response body of an earlier request after %d bytes: %w", n, err)
+		}
 		return nil, nil
 	}
+	var body []byte
+	if pending.id != "" {
+		body, err = c.readBody(pending.ctx, response)
+	} else {
+		// The responses to control requests are interpreted by their status and headers.
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
 	c.mu.Unlock()
-	return &rawResponse{status: response.StatusCode, header: response.Header, body: body.Bytes(), closeAfter: response.Close}, nil
+	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
+}
+
+// readBody reads a whole body of up to maxResponseBytes. If the body is large, it waits until it may be held in memory, or ctx ends.
+func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
+	var body bytes.Buffer
+	size := response.ContentLength
+	if response.Body == http.NoBody {
+		size = 0
+	}
+	if size > maxResponseBytes {
+		return nil, errTooLarge
+	}
+	if size < 0 {
+		// Most bodies without a length are small.
+		if ended, err := readPart(&body, response.Body, smallBodyBytes); ended || err != nil {
+			return body.Bytes(), err
+		}
+		size = maxResponseBytes
+	}
+	if size > smallBodyBytes {
+		if err := c.largeBodies.Acquire(ctx, size); err != nil {
+			return nil, fmt.Errorf("wait to read a large response body: %w", err)
+		}
+		defer c.largeBodies.Release(size)
+	}
+	if response.ContentLength > 0 {
+		body.Grow(int(size))
+	}
+	ended, err := readPart(&body, response.Body, maxResponseBytes)
+	if err == nil && !ended {
+		err = errTooLarge
+	}
+	return body.Bytes(), err
+}
+
+// readPart reads into body until it is longer than limit. It returns true if the reader has ended before.
+func readPart(body *bytes.Buffer, reader io.Reader, limit int64) (ended bool, err error) {
+	_, err = io.Copy(body, io.LimitReader(reader, limit+1-int64(body.Len())))
+	if err != nil {
+		return false, fmt.Errorf("read response body after %d bytes: %w", body.Len(), err)
+	}
+	return int64(body.Len()) <= limit, nil
 }
 
 // keepAliveTimeout returns how long the upstream keeps an idle connection according to its Keep-Alive header, or the argument
@@ -199,13 +274,43 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := now.Sub(c.idleSince)
-	return !c.closed && idle <= maxIdle && idle <= c.idleTimeout/2
+	return !c.closed && !c.retired && idle <= maxIdle && idle <= c.idleTimeout/2
+}
+
+// retire keeps the connection from being reused after the current request.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+}
+
+// recordRefusal records that the upstream refused a request.
+func (c *conn) recordRefusal(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused == nil {
+		c.refused = make(map[string]struct{})
+	}
+	c.refused[id] = struct{}{}
+	if len(c.refused) > maxRefusedIDs {
+		c.closed = true
+	}
+}
+
+// hasRefused reports whether the upstream refused a request with this id. Another request with the id must not be sent on this
+// connection: if the upstream wrote the refusal once more, it would be taken as the response.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.refused[id]
+	return ok
 }
 
-func (c *conn) isClosed() bool {
+// isFinished reports whether the connection is closed or must not be reused.
+func (c *conn) isFinished() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed
+	return c.closed || c.retired
 }
 
 // do sends a request, of which head is the encoded request line and headers, and waits for its response. If sent is false, no byte
@@ -213,7 +318,7 @@
 func (c *conn) do(
 	ctx context.Context, id, method string, head, body []byte, spawn func(func()),
 ) (response *rawResponse, sent bool, err error) {
-	e := &exchange{id: id, method: method, done: make(chan result, 1)}
+	e := &exchange{ctx: ctx, id: id, method: method, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -29,39 +30,48 @@
 	address string
 	matches func(http.Header, string) bool
 	group   *errgroup.Group
+	// largeBodies limits the memory of the response bodies that are being read.
+	largeBodies *semaphore.Weighted
 	// onOpen is called for each new connection.
 	onOpen func()
 
 	mu   sync.Mutex
 	idle []*conn
-	// open holds all connections whose readLoop is running.
-	open   map[*conn]struct{}
-	closed bool
+	// reading holds all connections whose readLoop is running.
+	reading map[*conn]struct{}
+	closed  bool
 }
 
-// get returns the most recently used idle connection, or a new one if none has been idle for at most idleLimit.
-func (p *pool) get(ctx context.Context, idleLimit time.Duration) (c *conn, reused bool, err error) {
-	if c := p.takeIdle(time.Now(), idleLimit); c != nil {
+// get returns a connection for a request with the given id: the most recently used idle one, or a new one if none has been idle for at
+// most idleLimit.
+func (p *pool) get(ctx context.Context, id string, idleLimit time.Duration) (c *conn, reused bool, err error) {
+	if c := p.takeIdle(time.Now(), id, idleLimit); c != nil {
 		return c, true, nil
 	}
+	c, err = p.open(ctx)
+	return c, false, err
+}
+
+// open returns a new connection.
+func (p *pool) open(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, false, fmt.Errorf("connect to the upstream: %w", err)
+		return nil, fmt.Errorf("connect to the upstream: %w", err)
 	}
 	p.onOpen()
-	c = newConn(raw, p.matches)
+	c := newConn(raw, p.matches, p.largeBodies)
 	if !p.add(c) {
 		_ = raw.Close()
-		return nil, false, errClosed
+		return nil, errClosed
 	}
 	p.group.Go(func() error {
 		defer p.remove(c)
 		c.readLoop()
 		return nil
 	})
-	return c, false, nil
+	return c, nil
 }
 
 func (p *pool) add(c *conn) bool {
@@ -70,37 +80,37 @@
 	if p.closed {
 		return false
 	}
-	if p.open == nil {
-		p.open = make(map[*conn]struct{})
+	if p.reading == nil {
+		p.reading = make(map[*conn]struct{})
 	}
-	p.open[c] = struct{}{}
+	p.reading[c] = struct{}{}
 	return true
 }
 
 func (p *pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.open, c)
+	delete(p.reading, c)
 }
 
 // close closes all connections and the pool.
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
-	open := slices.Collect(maps.Keys(p.open))
+	reading := slices.Collect(maps.Keys(p.reading))
 	p.mu.Unlock()
-	for _, c := range open {
+	for _, c := range reading {
 		c.fail(errClosed)
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if none is usable.
-func (p *pool) takeIdle(now time.Time, idleLimit time.Duration) *conn {
+// takeIdle removes and returns the most recently used idle connection, or nil if none is usable for a request with the given id.
+func (p *pool) takeIdle(now time.Time, id string, idleLimit time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle) - 1; n >= 0; n-- {
 		c := p.idle[n]
-		if c.usable(now, idleLimit) {
+		if c.usable(now, idleLimit) && !c.hasRefused(id) {
 			p.idle = append(p.idle[:n], p.idle[n+1:]...)
 			return c
 		}
@@ -108,9 +118,10 @@
 	return nil
 }
 
-// put returns a connection to the pool after a complete response, and closes those that have been idle for too long.
+// put returns a connection to the pool after a complete response, or closes it if it must not be reused. It also closes those that have
+// been idle for too long.
 func (p *pool) put(c *conn) {
-	if c.isClosed() {
+	if c.isFinished() {
 		_ = c.Close()
 		return
 	}
@@ -131,6 +142,17 @@
 	}
 }
 
+// retire closes all idle connections, and keeps the others from being reused. Requests that follow one without a response then
+// use connections on which no response to an earlier request can arrive.
+func (p *pool) retire() {
+	p.mu.Lock()
+	for c := range p.reading {
+		c.retire()
+	}
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
 // closeIdle closes all idle connections.
 func (p *pool) closeIdle() {
 	p.mu.Lock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
@@ -47,7 +48,9 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	// pool holds the connections for requests, control those for control requests.
 	pool         pool
+	control      pool
 	estimates    estimates
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
@@ -118,7 +121,11 @@
 		onCrash:   func([]uint64) {},
 		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
 	}
-	g.pool = pool{address: address, matches: protocol.Matches, group: group, onOpen: g.countConnection}
+	largeBodies := semaphore.NewWeighted(maxLargeBodyBytes)
+	for _, p := range []*pool{&g.pool, &g.control} {
+		p.address, p.matches, p.group, p.onOpen = address, protocol.Matches, group, g.countConnection
+		p.largeBodies = largeBodies
+	}
 	for _, option := range options {
 		option(g)
 	}
@@ -161,6 +168,7 @@
 // the upstream and returns.
 func (g *Gateway) Run(ctx context.Context) {
 	defer g.pool.close()
+	defer g.control.close()
 	wait.Every(ctx, rescheduleInterval, func(now time.Time) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -333,16 +341,21 @@
 		idleLimit = maxIdleNonIdempotent
 	}
 	for {
-		c, reused, err := g.pool.get(ctx, idleLimit)
+		c, reused, err := g.pool.get(ctx, r.ID, idleLimit)
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
 		started := time.Now()
 		response, sent, err := c.do(ctx, r.ID, r.Method, g.head(r), r.Body, g.spawn)
 		if err == nil {
+			took := time.Since(started)
 			g.crashTracker.RecordCompletion(r.fingerprint)
+			info := g.protocol.Read(response.status, response.header)
+			if info.NotRun || info.Misdirected {
+				c.recordRefusal(r.ID)
+			}
 			g.pool.put(c)
-			return g.checkResponse(r, response, time.Since(started))
+			return g.checkResponse(r, response, info, took)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -385,8 +398,7 @@
 }
 
 // checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream.
-func (g *Gateway) checkResponse(r *Request, response *rawResponse, took time.Duration) (*Response, error) {
-	info := g.protocol.Read(response.status, response.header)
+func (g *Gateway) checkResponse(r *Request, response *rawResponse, info ResponseInfo, took time.Duration) (*Response, error) {
 	g.mu.Lock()
 	g.stats.Responses++
 	g.mu.Unlock()
--- /dev/null
+++ b/ingress/callerconn.go
@@ -0,0 +1,292 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/routing"
+)
+
+// requestState is how far the newest request of a caller's connection has come.
+type requestState int
+
+const (
+	// requestNone means that the connection is idle: no byte has been read since it was accepted or the last request was answered.
+	requestNone requestState = iota
+	// requestPartial means that a part of the headers has been read.
+	requestPartial
+	// requestRead means that the headers have been read and the handler hasn't begun.
+	requestRead
+	// requestServed means that the handler runs.
+	requestServed
+	// requestAborted means that the handler has panicked.
+	requestAborted
+	// requestFinished means that there is a response. It may still be in a buffer.
+	requestFinished
+)
+
+func (s requestState) String() string {
+	switch s {
+	case requestPartial:
+		return "partial"
+	case requestRead:
+		return "read"
+	case requestServed:
+		return "served"
+	case requestAborted:
+		return "aborted"
+	case requestFinished:
+		return "finished"
+	default:
+		return "none"
+	}
+}
+
+// Reasons for which a request is not answered.
+const (
+	reasonCallerLeft  = "caller_left"
+	reasonWriteFailed = "write_failed"
+	reasonAborted     = "aborted"
+	reasonNotBegun    = "not_begun"
+	reasonClosed      = "closed"
+)
+
+// callerConn is the connection of a caller. It reports a request that was read and not answered when the connection ends.
+type callerConn struct {
+	net.Conn
+	connections *Connections
+	// mu guards the fields below.
+	mu    sync.Mutex
+	state requestState
+	// since is when the connection became idle or, in state requestPartial, when the first byte of the request was read. limits are the
+	// highest that were seen in effect since then.
+	since  time.Time
+	limits routing.Limits
+	// kept is set once a request has been answered.
+	kept bool
+	// interrupted is set while the deadline for reads has passed in order to close the connection.
+	interrupted bool
+	// id is the id of the newest request, if its headers have been interpreted.
+	id string
+	// began is when the headers of the newest request were complete.
+	began time.Time
+	// readErr and writeErr are the first errors of the connection, except for expired deadlines of reads.
+	readErr, writeErr error
+	closed            bool
+}
+
+// Read implements net.Conn. It closes an interrupted connection if no data has arrived. Expired connections are closed nowhere else, so
+// a request can't be read from a connection while it is being closed.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		again, err := c.observeRead(n, err)
+		if !again {
+			return n, err
+		}
+	}
+}
+
+// observeRead records the result of a read. It returns the error to report, or true if the read is to be repeated.
+func (c *callerConn) observeRead(n int, err error) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.state == requestNone {
+		c.await(requestPartial)
+	}
+	if c.interrupted && (n > 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
+		c.resume()
+		if n == 0 && hasPending(c.Conn) {
+			if c.state == requestNone {
+				c.await(requestPartial)
+			}
+			return true, nil
+		}
+		if n == 0 {
+			_ = c.Conn.Close()
+			c.connections.countClosed(c.state)
+			err = net.ErrClosed
+		}
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.readErr == nil {
+		c.readErr = err
+	}
+	return false, err
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// interrupt ends the pending read, or the next one, if the connection has expired. Read then closes it.
+func (c *callerConn) interrupt(now time.Time, current routing.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired(now, current) && !c.interrupted {
+		c.interrupted = c.Conn.SetReadDeadline(past) == nil
+	}
+}
+
+// resume ends an interruption. The caller holds mu.
+func (c *callerConn) resume() {
+	c.interrupted = false
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil && c.readErr == nil {
+		c.readErr = err
+	}
+}
+
+// SetReadDeadline implements net.Conn. It has no effect while the connection is interrupted: the HTTP server sets deadlines of its own
+// before it reads a request.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
+func (c *callerConn) await(state requestState) {
+	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
+}
+
+// expired reports whether the connection has outlasted the limit for its state, or is idle while connections are drained. A limit of zero
+// is none. The highest of the limits that were in effect since the state began apply, since a caller may not know of lower ones yet. The
+// caller holds mu.
+func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
+	if c.state == requestNone && c.connections.draining.Load() {
+		return c.kept || now.Sub(c.since) > firstRequestTime
+	}
+	c.limits.IdleTimeout = max(c.limits.IdleTimeout, current.IdleTimeout)
+	c.limits.HeaderTimeout = max(c.limits.HeaderTimeout, current.HeaderTimeout)
+	var limit time.Duration
+	switch c.state {
+	case requestNone:
+		limit = c.limits.IdleTimeout
+	case requestPartial:
+		limit = c.limits.HeaderTimeout
+	default:
+	}
+	return limit > 0 && now.Sub(c.since) > limit
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil && c.writeErr == nil:
+		c.writeErr = err
+	case err == nil && c.state == requestRead:
+		// The HTTP server itself responds to malformed requests.
+		c.state = requestFinished
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending side. The HTTP server calls it before it closes a connection on which the caller may still be sending,
+// because unread data would reset the connection before the caller has read the response.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.reportUnanswered()
+	}
+	c.mu.Unlock()
+	c.connections.remove(c)
+	return c.Conn.Close()
+}
+
+// reportUnanswered logs and counts the newest request if it was read and not answered. The caller holds mu.
+func (c *callerConn) reportUnanswered() {
+	switch c.state {
+	case requestNone, requestPartial:
+		return
+	case requestFinished:
+		if c.writeErr == nil {
+			return
+		}
+	default:
+	}
+	reason := c.reason()
+	c.connections.unanswered.WithLabelValues(reason).Inc()
+	klog.InfoS("callers: connection ended without an answer", "id", c.id, "reason", reason, "state", c.state, "age", time.Since(c.began),
+		"readErr", c.readErr, "writeErr", c.writeErr, "caller", c.RemoteAddr())
+}
+
+// reason returns why the newest request was not answered. The caller holds mu.
+func (c *callerConn) reason() string {
+	switch {
+	case c.readErr != nil, errors.Is(c.writeErr, syscall.EPIPE), errors.Is(c.writeErr, syscall.ECONNRESET):
+		return reasonCallerLeft
+	case c.writeErr != nil:
+		return reasonWriteFailed
+	case c.state == requestAborted:
+		return reasonAborted
+	case c.state == requestRead:
+		return reasonNotBegun
+	default:
+		return reasonClosed
+	}
+}
+
+// observe records a change of the connection's state in the HTTP server.
+func (c *callerConn) observe(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		if c.interrupted {
+			c.resume()
+		}
+		// The server also reports this state when it has failed to read the rest of the headers.
+		if c.readErr == nil {
+			c.state, c.id, c.began = requestRead, "", time.Now()
+		}
+	case http.StateIdle:
+		c.kept = true
+		c.await(requestNone)
+	default:
+	}
+}
+
+// setState sets the state of the newest request.
+func (c *callerConn) setState(state requestState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+}
+
+// setRequestID records the id of the request that is being served on its connection.
+func setRequestID(r *http.Request, id string) {
+	if c, ok := r.Context().Value(connectionKey{}).(*callerConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.id = id
+	}
+}
+
+// serve calls the handler and records its result.
+func (c *callerConn) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	c.setState(requestServed)
+	result := requestAborted
+	defer func() { c.setState(result) }()
+	handler.ServeHTTP(w, r)
+	result = requestFinished
+}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -2,19 +2,30 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/routing"
 	"sapphiretray/wait"
 )
 
-// sweepInterval is the time between two checks of the callers' connections. A connection outlasts its limit by at most this much.
-const sweepInterval = 250 * time.Millisecond
+const (
+	// sweepInterval is the time between two checks of the callers' connections. A connection outlasts its limit by at most this much.
+	sweepInterval = 250 * time.Millisecond
+	// drainInterval is the time between two checks while connections are drained.
+	drainInterval = 20 * time.Millisecond
+	// firstRequestTime is the time within which the first request of a new connection must arrive while connections are drained. Callers
+	// connect only to send a request, which may still be on its way.
+	firstRequestTime = 500 * time.Millisecond
+)
 
 // Connections closes callers' connections that have been idle, or have sent incomplete request headers, for longer than the
 // configuration in effect allows. The timeouts of an http.Server can't be used because they are fixed when it starts. Create it
@@ -22,78 +33,87 @@
 type Connections struct {
 	limits func() routing.Limits
 	mu     sync.Mutex
-	// waiting holds the connections that are idle or whose request headers are incomplete.
-	waiting map[net.Conn]connection
-}
-
-// connection is the state of a connection that waits for a request.
-type connection struct {
-	// since is when the connection became idle or its next request began.
-	since time.Time
-	// idle is false while request headers are incomplete.
-	idle bool
-	// limits were in effect at that time. The higher ones of these and the current limits apply, since a caller may not know of
-	// lower ones yet.
-	limits routing.Limits
+	// open holds the connections that haven't been closed.
+	open map[*callerConn]struct{}
+	// draining is set once idle connections are to be closed at once.
+	draining atomic.Bool
+	// closedIdle and closedIncomplete count the connections that were closed since the last sweep.
+	closedIdle, closedIncomplete atomic.Int64
+	// unanswered counts requests that were read and not answered, by reason.
+	unanswered *prometheus.CounterVec
 }
 
-// expired reports whether the connection has outlasted its limit. A limit of zero is none.
-func (c connection) expired(now time.Time, current routing.Limits) bool {
-	limit := max(c.limits.HeaderTimeout, current.HeaderTimeout)
-	if c.idle {
-		limit = max(c.limits.IdleTimeout, current.IdleTimeout)
+// NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none. The metrics are
+// registered with registerer.
+func NewConnections(limits func() routing.Limits, registerer prometheus.Registerer) *Connections {
+	c := &Connections{
+		limits: limits, open: make(map[*callerConn]struct{}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphiretray_callers_unanswered_total",
+			Help: "Requests of callers that were read and whose connection ended without an answer, by reason.",
+		}, []string{"reason"}),
 	}
-	return limit > 0 && now.Sub(c.since) > limit
-}
-
-// NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none.
-func NewConnections(limits func() routing.Limits) *Connections {
-	return &Connections{limits: limits, waiting: make(map[net.Conn]connection)}
+	registerer.MustRegister(c.unanswered)
+	return c
 }
 
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// Attach registers hooks with a server to track its connections. Call it before the server starts.
+// Attach registers hooks with a server to track its connections. Call it before the server starts, and let the server accept its
+// connections from Listen.
 func (c *Connections) Attach(server *http.Server) {
-	server.ConnState = c.observe
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if conn, ok := conn.(*callerConn); ok {
+			conn.observe(state)
+		}
+	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, conn)
 	}
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// The headers are complete, so their timeout no longer applies.
-		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
-			c.forget(conn)
+		if conn, ok := r.Context().Value(connectionKey{}).(*callerConn); ok {
+			conn.serve(next, w, r)
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// observe is the server's ConnState hook.
-func (c *Connections) observe(conn net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew, http.StateIdle:
-		c.track(conn, true)
-	case http.StateActive:
-		c.track(conn, false)
-	default:
-		c.forget(conn)
+// Listen returns a listener whose connections are tracked.
+func (c *Connections) Listen(listener net.Listener) net.Listener {
+	return callerListener{Listener: listener, connections: c}
+}
+
+// callerListener accepts connections of callers.
+type callerListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return l.connections.add(conn), nil
 }
 
-// track starts the timer of a connection that waits for a request or for the rest of its headers.
-func (c *Connections) track(conn net.Conn, idle bool) {
-	limits := c.limits()
+// add returns a tracked connection.
+func (c *Connections) add(conn net.Conn) *callerConn {
+	tracked := &callerConn{Conn: conn, connections: c, since: time.Now(), limits: c.limits()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting[conn] = connection{since: time.Now(), idle: idle, limits: limits}
+	c.open[tracked] = struct{}{}
+	return tracked
 }
 
-func (c *Connections) forget(conn net.Conn) {
+func (c *Connections) remove(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.waiting, conn)
+	delete(c.open, conn)
 }
 
 // Run closes expired connections until ctx ends.
@@ -101,27 +121,47 @@
 	wait.Every(ctx, sweepInterval, c.sweep)
 }
 
-// sweep closes the connections that have expired.
+// sweep closes the connections that have expired, and reports those that were closed since the last call.
 func (c *Connections) sweep(now time.Time) {
 	limits := c.limits()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle, incomplete := 0, 0
-	for conn, waiting := range c.waiting {
-		if !waiting.expired(now, limits) {
-			continue
-		}
-		if waiting.idle {
-			idle++
-		} else {
-			incomplete++
-		}
-		// The server reports the closed connection to observe.
-		_ = conn.Close()
-		delete(c.waiting, conn)
+	for _, conn := range c.all() {
+		conn.interrupt(now, limits)
 	}
-	if idle+incomplete > 0 {
+	if idle, incomplete := c.closedIdle.Swap(0), c.closedIncomplete.Swap(0); idle+incomplete > 0 {
 		klog.InfoS("callers: connections closed", "idle", idle, "idleTimeout", limits.IdleTimeout, "headersIncomplete", incomplete,
 			"headerTimeout", limits.HeaderTimeout)
 	}
 }
+
+// countClosed counts a connection that was closed without a request, in the given state.
+func (c *Connections) countClosed(state requestState) {
+	if state == requestNone {
+		c.closedIdle.Add(1)
+	} else {
+		c.closedIncomplete.Add(1)
+	}
+}
+
+// Drain closes idle connections, and each other one after its response, until there are none left or ctx ends. It returns how many are
+// left. New connections may send a first request. Close the listener before. Unlike http.Server.Shutdown, Drain drops no request that has
+// arrived on an open connection.
+func (c *Connections) Drain(ctx context.Context) int {
+	c.draining.Store(true)
+	for {
+		open := c.all()
+		if len(open) == 0 || ctx.Err() != nil {
+			return len(open)
+		}
+		for _, conn := range open {
+			conn.interrupt(time.Now(), c.limits())
+		}
+		wait.For(ctx, drainInterval)
+	}
+}
+
+// all returns the open connections.
+func (c *Connections) all() []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -17,8 +19,13 @@
 	"sapphiretray/routing"
 )
 
-// noConfigRetryAfter is the Retry-After while no configuration is known, or a newer one than that in effect is awaited.
-const noConfigRetryAfter = 200 * time.Millisecond
+const (
+	// noConfigRetryAfter is the Retry-After while no configuration is known, or a newer one than that in effect is awaited.
+	noConfigRetryAfter = 200 * time.Millisecond
+	// refusedBodyTimeout is the time within which the body of a request that is refused without reading it must arrive. The HTTP server
+	// reads the rest of a body before it sends the response.
+	refusedBodyTimeout = time.Second
+)
 
 // Server is the HTTP handler for callers. Create it with New.
 type Server struct {
@@ -72,12 +79,16 @@
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	request, route, f := s.accept(w, r, arrived)
+	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
+	written := false
+	defer func() {
+		if v := recover(); v != nil {
+			s.recovered(w, request, v, written, arrived)
+		}
+	}()
+	route, f := s.accept(w, r, request, arrived)
 	if f != nil {
-		s.fail(w, r, request, f, arrived)
+		s.fail(w, request, f, arrived)
 		return
 	}
 	response, err := s.dispatch(r.Context(), request, route)
@@ -85,7 +96,7 @@
 		if !errors.As(err, &f) {
 			f = &gateway.Failure{Code: code.PeerFailed, Reason: err.Error()}
 		}
-		s.fail(w, r, request, f, arrived)
+		s.fail(w, request, f, arrived)
 		return
 	}
 	s.metrics.served(request.Kind, response, time.Since(arrived))
@@ -104,39 +115,63 @@
 		header["Content-Type"] = nil
 	}
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	s.closeIfStopping(header)
 	w.WriteHeader(response.Status)
+	written = true
 	// A failed write ends the connection, which the caller notices.
 	_, _ = w.Write(response.Body)
 }
 
-// accept reads a request with its body and finds its route. If it fails, the request holds what is known of it so far.
-func (s *Server) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, *routing.Route, *gateway.Failure) {
-	request := &gateway.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Origin: s.service}
+// closeIfStopping tells the caller to close its connection if the instance is stopping.
+func (s *Server) closeIfStopping(header http.Header) {
+	if s.stopping() {
+		header.Set("Connection", "close")
+	}
+}
+
+// recovered responds to a request whose handling has panicked with the value v. If the response has begun, the connection is aborted.
+func (s *Server) recovered(w http.ResponseWriter, request *gateway.Request, v any, written bool, arrived time.Time) {
+	klog.ErrorS(nil, "request: panic", "id", request.ID, "route", request.Route, "panic", v, "stack", string(debug.Stack()))
+	if written {
+		panic(http.ErrAbortHandler)
+	}
+	clear(w.Header())
+	s.fail(w, request, &gateway.Failure{Code: code.Internal, Reason: "internal error"}, arrived)
+}
+
+// accept reads a request with its body into request and finds its route. If it fails, the request holds what is known of it so far.
+func (s *Server) accept(
+	w http.ResponseWriter, r *http.Request, request *gateway.Request, arrived time.Time,
+) (*routing.Route, *gateway.Failure) {
+	if hasBody(r) {
+		setReadDeadline(w, arrived.Add(refusedBodyTimeout))
+	}
 	call, err := s.protocol.Parse(r)
 	if err != nil {
-		return request, nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
+		return nil, &gateway.Failure{Code: code.BadRequest, Reason: err.Error()}
 	}
 	request.ID = call.ID
+	setRequestID(r, call.ID)
 	table := s.routes()
 	if table == nil {
-		return request, nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetryAfter, Reason: "no configuration is known yet"}
+		return nil, &gateway.Failure{Code: code.NoOwner, RetryAfter: noConfigRetryAfter, Reason: "no configuration is known yet"}
 	}
 	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
 	if route == nil {
-		return request, nil, s.noRoute(table)
+		return nil, s.noRoute(table)
 	}
 	if limit := table.Limits().MaxHeaderBytes; limit > 0 {
 		if size := headerBytes(r); size > limit {
 			reason := fmt.Sprintf("the headers have %d bytes, at most %d are allowed", size, limit)
-			return request, route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
+			return route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
 		}
 	}
 	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, arrived.Add(bodyTimeout(route, call))); f != nil {
-		return request, route, f
+		return route, f
 	}
 	s.applyRoute(request, route, table, call, arrived)
 	request.Header = gateway.EndToEnd(r.Header)
-	return request, route, nil
+	return route, nil
 }
 
 // noRoute returns the failure of a request that no route of the table matches. Callers don't retry a request that has no route, so the
@@ -196,13 +231,10 @@
 func (s *Server) readBody(
 	w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64, deadline time.Time,
 ) *gateway.Failure {
-	if r.Body == nil || r.ContentLength == 0 {
+	if !hasBody(r) {
 		return nil
 	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
-		klog.V(1).InfoS("request: can't set the read deadline of the body", "id", request.ID, "err", err)
-	}
+	setReadDeadline(w, deadline)
 	reader := r.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limit)
@@ -212,17 +244,27 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return &gateway.Failure{Code: code.TooLarge, Reason: err.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &gateway.Failure{Code: code.BodyTimeout, Reason: err.Error()}
 	case err != nil:
 		return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
 	}
 	request.Body = body
 	// The server keeps reading from the connection to notice when the caller closes it, so the deadline must not stay.
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		klog.V(1).InfoS("request: can't clear the read deadline", "id", request.ID, "err", err)
-	}
+	setReadDeadline(w, time.Time{})
 	return nil
 }
 
+// hasBody reports whether a request may have a body.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.ContentLength != 0 }
+
+// setReadDeadline sets the time until which a request's body is read; the zero time removes it.
+func setReadDeadline(w http.ResponseWriter, deadline time.Time) {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		klog.V(1).InfoS("request: can't set the read deadline of the body", "err", err)
+	}
+}
+
 // hostname returns the host without a port.
 func hostname(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -233,19 +275,18 @@
 
 // fail responds to a request to which no upstream responded. Unless the request itself is at fault, status 503 with a Retry-After
 // means that it did not run.
-func (s *Server) fail(w http.ResponseWriter, r *http.Request, request *gateway.Request, f *gateway.Failure, arrived time.Time) {
+func (s *Server) fail(w http.ResponseWriter, request *gateway.Request, f *gateway.Failure, arrived time.Time) {
 	s.metrics.failed(request.Kind, f.Code, time.Since(arrived))
 	klog.InfoS("request: failed", "id", request.ID, "route", request.Route, "service", request.Service, "key", request.Key,
 		"code", f.Code, "reason", f.Reason, "slot", f.InstanceSlot, "retryAfter", f.RetryAfter, "took", time.Since(arrived),
 		"nested", request.Nested, "returning", request.Retry, "left", timeLeft(request), "config", s.routes().Version())
-	if r.Context().Err() != nil {
-		// The caller has left.
-		panic(http.ErrAbortHandler)
-	}
+	s.closeIfStopping(w.Header())
+	// The response is also written if the request's context has ended: a caller that has only closed its sending side still reads it.
 	entry := f.Code.Entry()
 	status := entry.Status()
 	switch {
-	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge, f.Code == code.HeadersTooLarge:
+	case f.Code == code.BadRequest, f.Code == code.NoRoute, f.Code == code.TooLarge, f.Code == code.HeadersTooLarge,
+		f.Code == code.BodyTimeout:
 	case f.NotRun():
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", formatRetryAfter(f.RetryAfter))
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -1,17 +1,19 @@
 package ingress_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,34 +44,65 @@
 	requested []string
 	// running is the id of the request that the local upstream is running.
 	running string
+	// abandoned is the number of pending requests that were abandoned.
+	abandoned atomic.Int64
+	// stopping is set while the instance is stopping.
+	stopping atomic.Bool
 }
 
 // outcome is a response with a status, or a failure.
 type outcome struct {
 	status  int
 	failure gateway.Failure
+	// pending is the outcome that comes after the failure, if any.
+	pending *outcome
+	// endless is set if the request runs until its context ends.
+	endless bool
+	// run is called while the request runs, if it isn't nil.
+	run func()
 }
 
 func newDeployment(owner string, outcomes map[string][]outcome) *deployment {
 	return &deployment{owner: owner, changed: make(chan struct{}), outcomes: outcomes}
 }
 
-// respond records a request to a slot and returns its next outcome.
-func (d *deployment) respond(slot string) (*gateway.Response, error) {
+// respond returns the next outcome of a request to a slot.
+func (d *deployment) respond(ctx context.Context, slot string) (*gateway.Response, error) {
+	return d.next(slot).await(ctx, slot)
+}
+
+// next records a request to a slot and returns its next outcome.
+func (d *deployment) next(slot string) outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requested = append(d.requested, slot)
 	left := d.outcomes[slot]
 	if len(left) == 0 {
-		return nil, &gateway.Failure{Code: code.NotOwner, Reason: "no outcome is set for " + slot}
+		return outcome{failure: gateway.Failure{Code: code.NotOwner, Reason: "no outcome is set for " + slot}}
 	}
 	if len(left) > 1 {
 		d.outcomes[slot] = left[1:]
 	}
-	if f := left[0].failure; f.Code != 0 {
+	return left[0]
+}
+
+// await runs the request to its end and returns its result.
+func (o outcome) await(ctx context.Context, slot string) (*gateway.Response, error) {
+	if o.endless {
+		<-ctx.Done()
+	}
+	if o.run != nil {
+		o.run()
+	}
+	return o.result(slot)
+}
+
+// result returns the outcome as a response of the instance in a slot, or as a failure.
+func (o outcome) result(slot string) (*gateway.Response, error) {
+	if f := o.failure; f.Code != 0 {
 		return nil, &f
 	}
-	return &gateway.Response{Status: left[0].status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
+	return &gateway.Response{Status: o.status, Header: http.Header{"X-From": {slot}}, Body: []byte("from " + slot)}, nil
 }
 
 // order returns the slots that requests were sent to, separated by spaces.
@@ -115,8 +148,8 @@
 // upstream is the local upstream of a deployment.
 type upstream struct{ *deployment }
 
-func (u upstream) Do(_ context.Context, r *gateway.Request) (*gateway.Response, error) {
-	return u.respond("a")
+func (u upstream) Do(ctx context.Context, r *gateway.Request) (*gateway.Response, error) {
+	return u.respond(ctx, "a")
 }
 
 func (upstream) Load() gateway.Load { return gateway.Load{Slots: 4} }
@@ -127,9 +160,17 @@
 // remote forwards to the other instances of a deployment.
 type remote struct{ *deployment }
 
-func (r remote) Do(_ context.Context, address string, _ *gateway.Request) (forward.Result, error) {
-	response, err := r.respond(address)
-	return forward.Result{Response: response}, err
+func (r remote) Do(ctx context.Context, address string, _ *gateway.Request) (forward.Result, error) {
+	next := r.next(address)
+	response, err := next.await(ctx, address)
+	result := forward.Result{Response: response}
+	if late := next.pending; late != nil {
+		result.Pending = forward.NewPending(func() (forward.Result, error) {
+			response, err := late.result(address)
+			return forward.Result{Response: response}, err
+		}, func() { r.abandoned.Add(1) })
+	}
+	return result, err
 }
 
 // headers is a protocol with one plain header for each field of a call.
@@ -177,7 +218,7 @@
 	config := ingress.Config{
 		Protocol: headers{}, Routes: func() *routing.Table { return table }, Directory: d, Local: upstream{d}, Forwarder: remote{d},
 		NewBudget: func() ingress.Budget { return &policy.RetryBudget{} },
-		Service:   "keyed", Registerer: prometheus.NewRegistry(), Stopping: func() bool { return false },
+		Service:   "keyed", Registerer: prometheus.NewRegistry(), Stopping: d.stopping.Load,
 		Outdated: func() bool { return false },
 	}
 	for _, option := range options {
@@ -373,22 +414,21 @@
 	}
 }
 
-// TestBodyThatStops guards against callers that hold a request for ever by sending only part of its body.
+// TestBodyThatStops guards against callers that hold a request for ever by sending only part of its body, and against closing their
+// connections without an answer: the request has not run, which status 408 promises.
 func TestBodyThatStops(t *testing.T) {
 	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
 	server := httptest.NewServer(newServer(t, d, table(t)))
 	defer server.Close()
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
+	conn := dial(t, server)
 	begun := time.Now()
 	_, _ = io.WriteString(conn, "POST /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\nLeft: 300ms\r\nContent-Length: 8\r\n\r\npart")
 	_ = conn.SetReadDeadline(begun.Add(2 * timeout))
-	// The server may also close the connection, since the time that the caller allowed has passed.
-	if response, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("the connection is still open after %v; response %q", time.Since(begun), response)
+	if status := readStatus(t, conn); status != http.StatusRequestTimeout {
+		t.Errorf("status %d, want 408", status)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v after %v", err, time.Since(begun))
 	}
 	if took := time.Since(begun); took > timeout {
 		t.Errorf("ended after %v", took)
@@ -397,3 +437,124 @@
 		t.Errorf("a request went to %q", d.order())
 	}
 }
+
+// TestHalfClosedConnection guards against a missing answer for a caller that closes its sending side after its request and waits for the
+// response. The server can't tell it from a caller that has left, so the request is cancelled.
+func TestHalfClosedConnection(t *testing.T) {
+	gone := outcome{failure: gateway.Failure{Code: code.CallerGone, Arrived: true}, endless: true}
+	d := newDeployment("a", map[string][]outcome{"a": {gone}})
+	server := httptest.NewServer(newServer(t, d, table(t)))
+	defer server.Close()
+	conn := dial(t, server)
+	_, _ = io.WriteString(conn, "GET /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\n\r\n")
+	_ = conn.CloseWrite()
+	if status := readStatus(t, conn); status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502", status)
+	}
+}
+
+// TestRefusalBeforeBody guards against refusals that the caller never gets, either because the server waits for the rest of a body that it
+// doesn't need, or because the connection is reset while the caller is still sending. Connections whose body stops must end.
+func TestRefusalBeforeBody(t *testing.T) {
+	const large = 4 << 20
+	tests := []struct {
+		name, path string
+		header     string
+		length     int
+		sent       int
+		stopping   bool
+		status     int
+	}{
+		{"no route, body stops", "/other/", "Id: x1\r\n", 1000, 10, false, 404},
+		{"no route, body stops while stopping", "/other/", "Id: x1\r\n", 1000, 10, true, 404},
+		{"no id, body stops", "/keyed/", "", 1000, 10, false, 400},
+		{"no route, body complete", "/other/", "Id: x1\r\n", 1000, 1000, false, 404},
+		{"no route, large body stops", "/other/", "Id: x1\r\n", large, large / 2, false, 404},
+		{"no route, large body", "/other/", "Id: x1\r\n", large, large, false, 404},
+		{"no route, large body while stopping", "/other/", "Id: x1\r\n", large, large, true, 404},
+		{"body too large", "/keyed/", "Id: x1\r\nKey: 7\r\n", large, large, false, 413},
+		{"body too large while stopping", "/keyed/", "Id: x1\r\nKey: 7\r\n", large, large, true, 413},
+		{"body too large, stops", "/keyed/", "Id: x1\r\nKey: 7\r\n", 1000, 10, false, 408},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+			d.stopping.Store(test.stopping)
+			server := startTracked(t, ingress.NewConnections(noLimits, prometheus.NewRegistry()), newServer(t, d, table(t)))
+			conn := dial(t, server)
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", test.path, test.header, test.length)
+			// Most callers send the whole body before they read the response.
+			_, err := conn.Write(make([]byte, test.sent))
+			_ = conn.SetReadDeadline(time.Now().Add(3 * timeout))
+			if status := readStatus(t, conn); status != test.status {
+				t.Errorf("status %d, want %d; the body was sent with error %v", status, test.status, err)
+			}
+			if test.sent < test.length {
+				if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Error("the connection is still open")
+				}
+			}
+		})
+	}
+}
+
+// TestCloseWhileStopping guards against callers that send another request on a connection that a stopping process is about to close,
+// because the response to a request that arrived before the stop doesn't say so.
+func TestCloseWhileStopping(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome outcome
+	}{
+		{"served", outcome{status: 200}},
+		{"failed", outcome{failure: gateway.Failure{Code: code.UpstreamTimeout, Arrived: true}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment("a", nil)
+			test.outcome.run = func() { d.stopping.Store(true) }
+			d.outcomes = map[string][]outcome{"a": {test.outcome}}
+			w := httptest.NewRecorder()
+			newServer(t, d, table(t)).ServeHTTP(w, request(t, "/keyed/", "", "Key", "7"))
+			if connection := w.Header().Get("Connection"); connection != "close" {
+				t.Errorf("Connection %q, want close", connection)
+			}
+		})
+	}
+}
+
+// TestPanic guards against a defect in the handling of one request that ends the connection without an answer, and against parts of an
+// upstream's response in the failure that replaces it.
+func TestPanic(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome outcome
+	}{
+		{"while the request runs", outcome{run: func() { panic("test") }}},
+		{"because of a status that can't be sent", outcome{status: 42}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment("a", map[string][]outcome{"a": {test.outcome, {status: 200}}})
+			registry := prometheus.NewRegistry()
+			server := startTracked(t, ingress.NewConnections(noLimits, registry), newServer(t, d, table(t)))
+			conn := dial(t, server)
+			responses := bufio.NewReader(conn)
+			for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
+				_, _ = io.WriteString(conn, "GET /keyed/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nKey: 7\r\n\r\n")
+				response, err := http.ReadResponse(responses, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if response.StatusCode != want || (response.Header.Get("X-From") != "") != (want == http.StatusOK) {
+					t.Errorf("status %d, want %d; header %v", response.StatusCode, want, response.Header)
+				}
+			}
+			if counts := unanswered(t, registry); len(counts) > 0 {
+				t.Errorf("unanswered requests: %v", counts)
+			}
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -141,7 +141,7 @@
 		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
-	sc.callers = ingress.NewConnections(sc.limits)
+	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.applyRows, store.WithWatch(sc.isReader, sc.fetchFromReader))
 	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig)
@@ -207,10 +207,10 @@
 	leaseInterval = 320 * time.Millisecond
 	// leaseDrift is the largest relative difference in rate between two clocks.
 	leaseDrift = 0.01
-	// pingAfter and pingTimeout detect dead connections between instances. More frequent pings would be a large part of the
-	// traffic between data centres.
-	pingAfter   = 700 * time.Millisecond
-	pingTimeout = 300 * time.Millisecond
+	// pingAfter and pingTimeout bound how long a dead connection between instances is kept. Their sum is longer than requests last,
+	// because the requests on a connection end with it. Package forward detects instances that don't respond earlier.
+	pingAfter   = 3 * time.Second
+	pingTimeout = 5 * time.Second
 	// budgetMargin is the fraction of the retry budget that is used. Retries arrive up to a second after they were counted, when
 	// some first attempts have already left the window.
 	budgetMargin = 0.85
@@ -257,17 +257,19 @@
 func (s *server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.http.Serve(s.listener)
+	// The listener of callers is closed before the server is.
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // listen creates the servers and binds their addresses.
 func (sc *Sidecar) listen(ctx context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
 		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
-		Forwarder: forward.NewClient(peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
+		Forwarder: forward.NewClient(sc.group, peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
 	})
@@ -299,6 +301,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if s.name == callersServer {
+			listener = sc.callers.Listen(listener)
+		}
 		s.listener = listener
 	}
 	return servers, nil
