Give the instances of TestConfigFetch usable records

Since, records without a service or with an address that isn't an IP address and a port are refused, so the test's instances could not be called: "the configuration is in effect after 1m0s, want at most 2s". The bounds and the cases are as before.

--- a/sidecar/configfetch_test.go
+++ b/sidecar/configfetch_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -47,12 +48,17 @@
 	delays map[string]time.Duration
 }
 
-// RoundTrip implements http.RoundTripper. The host of the request is the slot of the instance.
+// peerAddress returns the address of an instance for calls from others.
+func peerAddress(slot string) string { return "10.0.0." + strings.TrimPrefix(slot, "slot-") + ":7000" }
+
+// RoundTrip implements http.RoundTripper.
 func (p peers) RoundTrip(r *http.Request) (*http.Response, error) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	delay, ok := p.delays[r.URL.Hostname()]
-	if !ok {
-		delay = time.Hour
+	delay := time.Hour
+	for slot, d := range p.delays {
+		if r.URL.Host == peerAddress(slot) {
+			delay = d
+		}
 	}
 	if !wait.For(r.Context(), delay) {
 		return nil, r.Context().Err()
@@ -106,13 +112,13 @@
 				for n := range 9 {
 					slot := fmt.Sprint("slot-", n)
 					value, err := json.Marshal(member.Record{
-						Incarnation: member.NewIncarnation(slot, 1), DataCentre: fmt.Sprint("dc-", n%3), PeerAddress: slot + ":1",
-						State: member.Ready,
+						Incarnation: member.NewIncarnation(slot, 1), DataCentre: fmt.Sprint("dc-", n%3), Service: "bookings",
+						PeerAddress: peerAddress(slot), HeartbeatAddress: peerAddress(slot), State: member.Ready,
 					})
 					if err != nil {
 						t.Fatal(err)
 					}
-					sc.directory.apply([]store.Row{{Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
+					sc.directory.apply([]store.Row{{Table: TableName, Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				var group sync.WaitGroup
