--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -41,8 +42,19 @@
 	ownerHint string
 	// holdUntil bounds the wait for the key's owner.
 	holdUntil time.Time
-	// pending is an earlier attempt whose instance doesn't respond at the moment, or nil.
-	pending *forward.Pending
+	// pending are the attempts whose instances don't respond at the moment, oldest first.
+	pending []pendingAttempt
+	// cancel ends all attempts.
+	cancel context.CancelFunc
+}
+
+// pendingAttempt is an attempt that may still get a response.
+type pendingAttempt struct {
+	*forward.Pending
+	// slot is the slot of the instance that doesn't respond at the moment.
+	slot string
+	// silence is the failure that stands for the attempt until its outcome is known.
+	silence *gateway.Failure
 }
 
 // dispatch sends the request to instances until one returns a final result. Errors are *gateway.Failure where the cause is known.
@@ -52,27 +64,55 @@
 	now := time.Now()
 	d := &dispatchState{
 		request: request, route: route, tried: make(map[string]bool),
-		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))),
+		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))), cancel: cancel,
 	}
 	s.budgets.get(request.Service).Attempt()
 	response, err := s.attempt(ctx, d)
 	return d.settle(response, err)
 }
 
-// settle ends the pending attempt. If the later attempts failed, its response is used if one comes, since its upstream may be at work.
+// settle returns the result of a request whose last attempt ended with response or err. If that one failed, the response of a pending one
+// is used if one comes, since its upstream may be at work. Attempts that are left pending end with the context of dispatch.
 func (d *dispatchState) settle(response *gateway.Response, err error) (*gateway.Response, error) {
-	switch {
-	case d.pending == nil:
-	case err == nil:
-		d.pending.Abandon()
-	default:
-		result, pendingErr := d.pending.Await()
-		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "failure", err, "pending", pendingErr)
+	if err == nil {
+		return response, nil
+	}
+	var last *gateway.Failure
+	if !errors.As(err, &last) {
+		return nil, err
+	}
+	for _, p := range d.pending {
+		result, pendingErr := p.Await()
+		klog.InfoS("request: waited for an instance that didn't respond", "id", d.request.ID, "slot", p.slot, "failure", err,
+			"pending", pendingErr)
 		if pendingErr == nil {
+			result.Response.InstanceSlot = p.slot
 			return result.Response, nil
 		}
+		f := p.silence
+		if errors.As(pendingErr, &f) {
+			f.InstanceSlot = p.slot
+		}
+		if last == p.silence {
+			last = f
+		}
+		if !f.NotRun() {
+			d.mayHaveRun = f
+		}
 	}
-	return response, err
+	return nil, d.finalFailure(last)
+}
+
+// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts. silence is the failure that stands for
+// it until then.
+func (d *dispatchState) addPending(p *forward.Pending, slot string, silence *gateway.Failure) {
+	d.pending = append(d.pending, pendingAttempt{Pending: p, slot: slot, silence: silence})
+	p.OnResponse(d.cancel)
+}
+
+// isPending reports whether a failure only stands for a pending attempt.
+func (d *dispatchState) isPending(f *gateway.Failure) bool {
+	return slices.ContainsFunc(d.pending, func(p pendingAttempt) bool { return p.silence == f })
 }
 
 // attempt sends the request to one instance after the other until one returns a final result.
@@ -80,7 +120,7 @@
 	for {
 		target, f := s.target(ctx, d)
 		if f != nil {
-			return nil, d.finalFailure(f)
+			return nil, f
 		}
 		response, err := s.send(ctx, d, target)
 		if err == nil && !s.isRetryable(d, response) {
@@ -95,7 +135,7 @@
 		}
 		if !s.prepareRetry(ctx, d, target, failure) {
 			if failure != nil {
-				return nil, d.finalFailure(failure)
+				return nil, failure
 			}
 			return response, err
 		}
@@ -179,11 +219,9 @@
 	if d.request.Nested {
 		s.local.ObserveNestedCall(result.Load)
 	}
-	if result.Pending != nil {
-		if d.pending != nil {
-			d.pending.Abandon()
-		}
-		d.pending = result.Pending
+	var failure *gateway.Failure
+	if result.Pending != nil && errors.As(err, &failure) {
+		d.addPending(result.Pending, target.Slot, failure)
 	}
 	if result.Response != nil {
 		result.Response.InstanceSlot = target.Slot
@@ -230,7 +268,7 @@
 		return s.prepareReroute(ctx, d, target, f)
 	}
 	d.attempts++
-	if f != nil && !f.NotRun() {
+	if f != nil && !f.NotRun() && !d.isPending(f) {
 		d.mayHaveRun = f
 	}
 	return d.allowsRetry(f) && s.takeRetry(d, target)
--- a/sidecar/configfetch_test.go
+++ b/sidecar/configfetch_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -48,17 +47,12 @@
 	delays map[string]time.Duration
 }
 
-// peerAddress returns the address of an instance for calls from others.
-func peerAddress(slot string) string { return "10.0.0." + strings.TrimPrefix(slot, "slot-") + ":7000" }
-
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The host of the request is the slot of the instance.
 func (p peers) RoundTrip(r *http.Request) (*http.Response, error) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	delay := time.Hour
-	for slot, d := range p.delays {
-		if r.URL.Host == peerAddress(slot) {
-			delay = d
-		}
+	delay, ok := p.delays[r.URL.Hostname()]
+	if !ok {
+		delay = time.Hour
 	}
 	if !wait.For(r.Context(), delay) {
 		return nil, r.Context().Err()
@@ -92,17 +86,17 @@
 		// rows is the announced version of the rows; every instance lacks them.
 		rows uint64
 	}{
-		{"one announcement", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-1"}, 0},
-		{"newer rows are announced too", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-1"}, 100},
+		{"one announcement", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.1"}, 0},
+		{"newer rows are announced too", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.1"}, 100},
 		// Slot 3 is in the local data centre.
-		{"an announcer doesn't respond", peers{map[string]time.Duration{"slot-1": transfer}}, bound, []string{"slot-3", "slot-1"}, 0},
+		{"an announcer doesn't respond", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.3", "10.0.0.1"}, 0},
 		// The transfer takes most of the bound, so only a fetch without end is a failure.
-		{"slow transfer", peers{map[string]time.Duration{"slot-1": 1500 * time.Millisecond}}, 10 * time.Second, []string{"slot-1"}, 0},
+		{"slow transfer", peers{map[string]time.Duration{"10.0.0.1": 1500 * time.Millisecond}}, 10 * time.Second, []string{"10.0.0.1"}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				sc := New(Settings{Slot: "slot-0", DataCentre: "dc-0"}, Adapters{
+				sc := New(Settings{Slot: "10.0.0.0", DataCentre: "dc-0"}, Adapters{
 					Store: &silentStore{}, ConfigTable: "op", ConfigKey: "config",
 					DecodeConfig: func(content []byte) (*routing.Table, error) {
 						return routing.New(uint64(content[0]-'0'), routing.Limits{}, nil, nil)
@@ -110,15 +104,16 @@
 				})
 				sc.dialer = peer.NewDialer(test.peers)
 				for n := range 9 {
-					slot := fmt.Sprint("slot-", n)
+					slot := fmt.Sprint("10.0.0.", n)
 					value, err := json.Marshal(member.Record{
-						Incarnation: member.NewIncarnation(slot, 1), DataCentre: fmt.Sprint("dc-", n%3), Service: "bookings",
-						PeerAddress: peerAddress(slot), HeartbeatAddress: peerAddress(slot), State: member.Ready,
+						Incarnation: member.NewIncarnation(slot, 1), Service: "books", DataCentre: fmt.Sprint("dc-", n%3),
+						PeerAddress: slot + ":1", HeartbeatAddress: slot + ":2",
+						State: member.Ready,
 					})
 					if err != nil {
 						t.Fatal(err)
 					}
-					sc.directory.apply([]store.Row{{Table: TableName, Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
+					sc.directory.apply([]store.Row{{Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				var group sync.WaitGroup
