Test probes against earlier versions and callers that leave

TestCallerLeavesSilentInstance guards against requests and goroutines that go on for more than half a second after their caller has left, while an instance doesn't respond. It fails if requests don't end with their caller's context.

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +139,68 @@
 		t.Errorf("%v after %v", err, time.Since(started))
 	}
 }
+
+// TestProbeOfEarlierVersion guards against instances of the version before probes existed that count as silent. They answer a probe with a
+// status of their own, since it isn't a forwarded request.
+func TestProbeOfEarlierVersion(t *testing.T) {
+	t.Parallel()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	calls := peer.NewPeerServer(struct{ peer.Peer }{})
+	server := &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("S-Call") == "" {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		time.Sleep(1300 * time.Millisecond)
+		w.Header().Set("S-Res", "1301,0,0,0,0,0,0,0,0,0,a/0/0,")
+	})}
+	address := listenAndServe(t, newGroup(t), server)
+	t.Cleanup(func() { _ = server.Close() })
+	transport := peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute))
+	client := forward.NewClient(newGroup(t), transport, new(versionCounter))
+	r := newRequest("")
+	r.Kind = routing.Idempotent
+	_, err := client.Do(t.Context(), address, r)
+	var f *gateway.Failure
+	if !errors.As(err, &f) || f.Code != code.Shed {
+		t.Errorf("error %v, want the refusal of the instance", err)
+	}
+}
+
+// TestCallerLeavesSilentInstance guards against requests that outlast their caller, and goroutines that outlast their request, while an
+// instance doesn't respond.
+func TestCallerLeavesSilentInstance(t *testing.T) {
+	for _, kind := range []routing.Kind{routing.Idempotent, routing.NonIdempotent} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			_, i, l, address := newSlowLink(t)
+			var group errgroup.Group
+			client := forward.NewClient(&group, peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute)), &i.exchange)
+			ctx, leave := context.WithCancel(t.Context())
+			var caller errgroup.Group
+			caller.Go(func() error {
+				r := newRequest("")
+				r.Kind = kind
+				result, err := client.Do(ctx, address, r)
+				if result.Pending != nil {
+					_, err = result.Pending.Await()
+				}
+				return err
+			})
+			time.Sleep(100 * time.Millisecond)
+			l.stall(0)
+			time.Sleep(1100 * time.Millisecond)
+			left := time.Now()
+			leave()
+			var f *gateway.Failure
+			if err := caller.Wait(); !errors.As(err, &f) || f.Code != code.CallerGone {
+				t.Errorf("error %v", err)
+			}
+			_ = group.Wait()
+			if took := time.Since(left); took > 500*time.Millisecond {
+				t.Errorf("the request ended %v after its caller had left", took)
+			}
+		})
+	}
+}
