Verify an idle connection before a request that can't be repeated

Callers of requests that aren't idempotent got 504 at their deadline, without knowing whether the request ran, when the connection to the other instance had stopped delivering while it was idle.

A request that was sent on a connection that had died before waited there until its deadline.

TestDeadIdleConnection sends a request 1.1 s after an idle connection stopped delivering.

If nothing was received on an open connection for 0.7 s, a request that can't be repeated is now sent only after the instance has responded to a probe, and otherwise on a new connection. That costs one round trip on an idle connection, and at most 0.3 s on a dead one. A request that may be repeated isn't delayed.

--- a/forward/client.go
+++ b/forward/client.go
@@ -87,7 +87,7 @@
 // sent elsewhere. Any other request goes on until its deadline.
 func (c *Client) Do(ctx context.Context, address string, r *gateway.Request) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
-	l := c.links.get(address, time.Now())
+	l := c.link(ctx, address, r)
 	done := make(chan outcome, 1)
 	c.spawn(func() {
 		defer cancel()
@@ -120,6 +120,16 @@
 	}
 }
 
+// link returns the link to send a request on. A request that can't be repeated isn't sent on a connection that may be dead.
+func (c *Client) link(ctx context.Context, address string, r *gateway.Request) *link {
+	l, stale := c.links.get(address, time.Now())
+	if stale && !r.Kind.Retryable() && !l.verify(ctx, c.spawn) {
+		l.leave()
+		l, _ = c.links.get(address, time.Now())
+	}
+	return l
+}
+
 // newPending returns the pending request whose outcome is sent to done, which must have a buffer.
 func (c *Client) newPending(done chan outcome) *Pending {
 	receive := func() outcome {
--- a/forward/link.go
+++ b/forward/link.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"sapphiretray/wait"
 )
 
 const (
@@ -35,7 +33,8 @@
 
 	mu       sync.Mutex
 	inFlight int
-	probing  bool
+	// probed is closed when the probe in progress ends. It is nil if there is none.
+	probed chan struct{}
 	// heard is when something was last received from the instance, or when a request was sent while none was in flight, whichever is
 	// later.
 	heard time.Time
@@ -80,11 +79,12 @@
 	byAddress map[string]*link
 }
 
-// get returns the link for a further request to an address, which the request must leave.
-func (l *links) get(address string, now time.Time) *link {
+// get returns the link for a further request to an address, which the request must leave. stale reports whether its connection may be
+// dead.
+func (l *links) get(address string, now time.Time) (current *link, stale bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	current := l.byAddress[address]
+	current = l.byAddress[address]
 	if current == nil || current.isSilent() {
 		if l.byAddress == nil {
 			l.byAddress = make(map[string]*link)
@@ -93,8 +93,7 @@
 		current = newLink(address, l.transport)
 		l.byAddress[address] = current
 	}
-	current.enter(now)
-	return current
+	return current, current.enter(now)
 }
 
 // removeUnused removes the links that have had no request for a time. mu must be held.
@@ -122,14 +121,17 @@
 	}
 }
 
-// enter counts a request in flight.
-func (l *link) enter(now time.Time) {
+// enter counts a request in flight. It reports whether the link has a connection that may be dead: one on which nothing was received for
+// silentAfter, or that is being probed.
+func (l *link) enter(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	quiet, idle := now.Sub(l.heard), l.transport.IdleConnTimeout
 	if l.inFlight == 0 {
 		l.heard = now
 	}
 	l.inFlight++
+	return l.probed != nil || quiet >= silentAfter && (idle == 0 || quiet < idle)
 }
 
 // leave ends a request in flight.
@@ -153,13 +155,34 @@
 	if left := silentAfter - now.Sub(l.heard); left > 0 {
 		return left
 	}
-	if l.probing || l.isSilent() {
+	if l.probed != nil || l.isSilent() {
 		return silentAfter
 	}
-	l.probing = true
+	l.probed = make(chan struct{})
 	return 0
 }
 
+// verify probes the instance, or waits for the probe in progress, and returns false if the link counts as silent then.
+func (l *link) verify(ctx context.Context, spawn func(func())) bool {
+	l.mu.Lock()
+	probed := l.probed
+	begin := probed == nil && !l.isSilent()
+	if begin {
+		l.probed = make(chan struct{})
+	}
+	l.mu.Unlock()
+	switch {
+	case begin:
+		l.probe(context.WithoutCancel(ctx), spawn)
+	case probed != nil:
+		select {
+		case <-probed:
+		case <-ctx.Done():
+		}
+	}
+	return !l.isSilent()
+}
+
 // probe sends a request that the instance answers at once. If nothing is received in time, the link counts as silent.
 func (l *link) probe(ctx context.Context, spawn func(func())) {
 	started := time.Now()
@@ -170,16 +193,20 @@
 	var err error
 	answered := false
 	for step := 0; step < probeSteps && !answered; step++ {
+		timer := time.NewTimer(probeStep)
 		select {
 		case err = <-result:
 			answered = true
-		default:
-			wait.For(ctx, probeStep)
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.probing = false
+	defer func() {
+		close(l.probed)
+		l.probed = nil
+	}()
 	if err == nil && l.heard.After(started) {
 		return
 	}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -204,3 +204,20 @@
 		})
 	}
 }
+
+// TestDeadIdleConnection guards against requests that can't be repeated and are sent on a connection that stopped delivering while it was
+// idle: nobody learns whether they ran.
+func TestDeadIdleConnection(t *testing.T) {
+	t.Parallel()
+	client, i, l, address := newSlowLink(t)
+	i.serviceTime.Store(0)
+	if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
+		t.Fatal(err)
+	}
+	l.stall(0)
+	time.Sleep(1100 * time.Millisecond)
+	started := time.Now()
+	if _, err := client.Do(t.Context(), address, newRequest("pay")); err != nil {
+		t.Errorf("%v after %v", err, time.Since(started))
+	}
+}
