Keep an attempt that may get a better response than a late 500

Callers got 500 although another instance was about to respond.

The response of an instance that hadn't responded for a moment ended the other attempts, even if it was a 500 after which a request without a key is retried.

The new case 'the late response is a failure' of ingress TestUnresponsiveInstance failed before with status 500 from b after 100 ms instead of 200 from c after 300 ms. 'only the late response, a failure' holds that the 500 is used if no attempt gets a better response.

Such a response no longer ends the other attempts.

--- a/forward/client.go
+++ b/forward/client.go
@@ -49,12 +49,12 @@
 // that Client.Do was called with. Create it with NewPending.
 type Pending struct {
 	await      func() (Result, error)
-	onResponse func(f func())
+	onResponse func(f func(*gateway.Response))
 }
 
 // NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and onResponse arranges for a function
 // to be called in a goroutine of its own when a response arrives.
-func NewPending(await func() (Result, error), onResponse func(f func())) *Pending {
+func NewPending(await func() (Result, error), onResponse func(f func(*gateway.Response))) *Pending {
 	return &Pending{await: await, onResponse: onResponse}
 }
 
@@ -62,8 +62,8 @@
 // has arrived, it is returned even if the request's context has been cancelled since.
 func (p *Pending) Await() (Result, error) { return p.await() }
 
-// OnResponse arranges for f to be called when a response arrives. A failure isn't a response.
-func (p *Pending) OnResponse(f func()) { p.onResponse(f) }
+// OnResponse arranges for f to be called with the response when it arrives. f isn't called after a *gateway.Failure.
+func (p *Pending) OnResponse(f func(*gateway.Response)) { p.onResponse(f) }
 
 // outcome is what Client.Do returns.
 type outcome struct {
@@ -142,10 +142,10 @@
 		o := receive()
 		return o.result, o.err
 	}
-	onResponse := func(f func()) {
+	onResponse := func(f func(*gateway.Response)) {
 		c.spawn(func() {
 			if o := receive(); o.err == nil {
-				f()
+				f(o.result.Response)
 			}
 		})
 	}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -57,7 +57,7 @@
 				}
 				if result.Pending != nil {
 					// The response ends the other attempts, whose context is the same.
-					result.Pending.OnResponse(cancel)
+					result.Pending.OnResponse(func(*gateway.Response) { cancel() })
 					<-ctx.Done()
 					_, err = result.Pending.Await()
 				}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -103,11 +103,15 @@
 	return nil, d.finalFailure(last)
 }
 
-// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts. silence is the failure that stands for
-// it until then.
-func (d *dispatchState) addPending(p *forward.Pending, slot string, silence *gateway.Failure) {
+// addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts, unless they may get a better one.
+// silence is the failure that stands for it until then.
+func (s *Server) addPending(d *dispatchState, p *forward.Pending, slot string, silence *gateway.Failure) {
 	d.pending = append(d.pending, pendingAttempt{Pending: p, slot: slot, silence: silence})
-	p.OnResponse(d.cancel)
+	p.OnResponse(func(response *gateway.Response) {
+		if !s.isRetryable(d, response) {
+			d.cancel()
+		}
+	})
 }
 
 // isPending reports whether a failure only stands for a pending attempt.
@@ -221,7 +225,7 @@
 	}
 	var failure *gateway.Failure
 	if result.Pending != nil && errors.As(err, &failure) {
-		d.addPending(result.Pending, target.Slot, failure)
+		s.addPending(d, result.Pending, target.Slot, failure)
 	}
 	if result.Response != nil {
 		result.Response.InstanceSlot = target.Slot
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -164,10 +164,10 @@
 		response, err := late.result(slot)
 		return forward.Result{Response: response}, err
 	}
-	onResponse := func(f func()) {
+	onResponse := func(f func(*gateway.Response)) {
 		d.group.Go(func() {
-			if _, err := await(); err == nil {
-				f()
+			if result, err := await(); err == nil {
+				f(result.Response)
 			}
 		})
 	}
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -20,7 +20,7 @@
 	}
 	lost := outcome{failure: gateway.Failure{Code: code.UpstreamFailed, Arrived: true}}
 	full := outcome{failure: gateway.Failure{Code: code.Shed}}
-	ok := outcome{status: 200}
+	ok, failed := outcome{status: 200}, outcome{status: 500}
 	slow := outcome{status: 200, after: 300 * time.Millisecond}
 	tests := []struct {
 		name, path string
@@ -34,6 +34,16 @@
 		{"the retry is refused", "/keyed/", map[string][]outcome{"b": {silent(ok), full}}, "b b", 200, "b", 100},
 		{"the retry fails", "/keyed/", map[string][]outcome{"b": {silent(ok), lost}}, "b b", 200, "b", 100},
 		{"the retry is slow", "/plain/", map[string][]outcome{"b": {silent(ok)}, "a": {full}, "c": {slow}}, "a b c", 200, "b", 100},
+		{
+			"the late response is a failure", "/plain/",
+			map[string][]outcome{"b": {silent(failed)}, "a": {full}, "c": {slow}},
+			"a b c", 200, "c", 300,
+		},
+		{
+			"only the late response, a failure", "/plain/",
+			map[string][]outcome{"b": {silent(failed)}, "a": {full}, "c": {lost}},
+			"a b c", 500, "b", 100,
+		},
 		{"attempts of the route used up", "/keyed/", map[string][]outcome{"b": {lost, silent(ok)}}, "b b", 200, "b", 100},
 		{"both fail", "/keyed/", map[string][]outcome{"b": {silent(lost), lost}}, "b b", 502, "", 100},
 		{"the first is lost, the retry refused", "/keyed/", map[string][]outcome{"b": {silent(lost), full}}, "b b", 502, "", 100},
