--- a/forward/client.go
+++ b/forward/client.go
@@ -52,12 +52,12 @@
 // that Client.Do was called with. Create it with NewPending.
 type Pending struct {
 	await      func() (Result, error)
-	onResponse func(f func())
+	onResponse func(f func(*gateway.Response))
 }
 
 // NewPending returns a pending request. await waits for its outcome, which is that of Client.Do, and onResponse arranges for a function
 // to be called in a goroutine of its own when a response arrives.
-func NewPending(await func() (Result, error), onResponse func(f func())) *Pending {
+func NewPending(await func() (Result, error), onResponse func(f func(*gateway.Response))) *Pending {
 	return &Pending{await: await, onResponse: onResponse}
 }
 
@@ -65,8 +65,8 @@
 // has arrived, it is returned even if the request's context has been cancelled since.
 func (p *Pending) Await() (Result, error) { return p.await() }
 
-// OnResponse arranges for f to be called when a response arrives. A failure isn't a response.
-func (p *Pending) OnResponse(f func()) { p.onResponse(f) }
+// OnResponse arranges for f to be called with the response when it arrives. f isn't called after a *gateway.Failure.
+func (p *Pending) OnResponse(f func(*gateway.Response)) { p.onResponse(f) }
 
 // outcome is what Client.Do returns.
 type outcome struct {
@@ -90,7 +90,7 @@
 // sent elsewhere. Any other request goes on until its deadline.
 func (c *Client) Do(ctx context.Context, address string, r *gateway.Request) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
-	l := c.links.get(address, time.Now())
+	l := c.link(ctx, address, r)
 	done := make(chan outcome, 1)
 	c.spawn(func() {
 		defer cancel()
@@ -123,6 +123,16 @@
 	}
 }
 
+// link returns the link to send a request on. A request that can't be repeated isn't sent on a connection that may be dead.
+func (c *Client) link(ctx context.Context, address string, r *gateway.Request) *link {
+	l, stale := c.links.get(address, time.Now())
+	if stale && !r.Kind.Retryable() && !l.verify(ctx, c.spawn) {
+		l.leave()
+		l, _ = c.links.get(address, time.Now())
+	}
+	return l
+}
+
 // newPending returns the pending request whose outcome is sent to done, which must have a buffer.
 func (c *Client) newPending(done chan outcome) *Pending {
 	receive := func() outcome {
@@ -135,10 +145,10 @@
 		o := receive()
 		return o.result, o.err
 	}
-	onResponse := func(f func()) {
+	onResponse := func(f func(*gateway.Response)) {
 		c.spawn(func() {
 			if o := receive(); o.err == nil {
-				f()
+				f(o.result.Response)
 			}
 		})
 	}
