Don't wait for announced rows that the store doesn't have

An instance that announces a version that doesn't exist, or one out of range, made the others abandon each call for changes for good, about twenty calls a minute, and take themselves for outdated, so that unknown routes got 503 instead of 404. Versions above store.MaxVersion are now ignored. An abandoned call is followed by a listing, which responds at once even if the row doesn't exist and then ends the expectation.

TestFollowerExpectsUnknownRow failed before: "20 calls in a minute after version 1000 was expected"; TestConfigOutdated: "announcement out of range: outdated true, want false".

--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -99,7 +99,7 @@
 
 // ObserveVersions implements forward.VersionExchange.
 func (sc *Sidecar) ObserveVersions(v forward.Versions) {
-	if known := sc.config.Known(); v.Config > known {
+	if known := sc.config.Known(); v.Config > known && v.Config <= store.MaxVersion {
 		sc.config.Expect(v.Config)
 		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -55,6 +55,7 @@
 		{"announcement of newer ones", func() { announce(6); announce(7) }, true},
 		{"one of them has arrived", func() { arrive(6) }, true},
 		{"the newest is refused", func() { arrive(7) }, false},
+		{"announcement out of range", func() { announce(store.MaxVersion + 1) }, false},
 		{"announcement that crossed the arrival", func() { sc.configLag.announce("b", 7, time.Now()) }, false},
 	}
 	for _, test := range tests {
--- a/store/call.go
+++ b/store/call.go
@@ -73,6 +73,10 @@
 	newer := f.applyListing(rows, version, d)
 	f.mu.Lock()
 	missing := f.isMissing(expected)
+	if missing && f.expected == expected {
+		// The store doesn't have the row.
+		f.expected = 0
+	}
 	f.mu.Unlock()
 	if newer && preferred && f.slowLink {
 		// The rows are still changing fast.
@@ -160,6 +164,8 @@
 	switch {
 	case c.abandoned:
 		f.abandoned++
+		// A listing responds at once even if the row doesn't exist.
+		f.preferred = SourceListing
 		if f.abandoned == 1 {
 			err = errAbandoned
 		}
@@ -172,11 +178,12 @@
 }
 
 // Expect tells the follower that a version of a row exists. If the row is missing, an open call to the store is abandoned unless its
-// response begins soon, because the connection may be dead, and over a slow link the table is listed next.
+// response begins soon, because the connection may be dead, and over a slow link the table is listed next. A version above MaxVersion is
+// ignored.
 func (f *Follower) Expect(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isMissing(version) && version > f.expected {
+	if f.isMissing(version) && version > f.expected && version <= MaxVersion {
 		f.expected = version
 		f.limitResponseDelay()
 	}
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -358,3 +358,19 @@
 		}
 	})
 }
+
+// TestFollowerExpectsUnknownRow guards against calls that are abandoned again and again because a row is expected that the store doesn't
+// have.
+func TestFollowerExpectsUnknownRow(t *testing.T) {
+	for _, version := range []uint64{1000, store.MaxVersion + 1} {
+		follow(t, func(m *memory, f *store.Follower) {
+			f.Expect(version)
+			time.Sleep(time.Minute)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.calls > 8 {
+				t.Errorf("%d calls in a minute after version %d was expected", m.calls, version)
+			}
+		})
+	}
+}
