Log a row that can't be used once in 10 minutes

While another writer replaced a record again and again, each process logged each version of it: 600 odd rows gave 600 lines.

Failed before: TestOddRecordIsLoggedOnce ("1800 lines for 600 odd rows", counting each line once for each severity).

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/ingress"
 	"sapphiretray/keyspace"
+	"sapphiretray/loglimit"
 	"sapphiretray/member"
 	"sapphiretray/store"
 )
@@ -36,6 +37,8 @@
 	pushed map[string]uint64
 	// unreachable holds the slots whose instances aren't chosen until they respond again.
 	unreachable map[string]bool
+	// invalid limits the log lines about rows of other writers.
+	invalid loglimit.Limiter
 	// leaving holds the incarnations that have announced that they take no more work.
 	leaving map[member.Incarnation]bool
 	// changed is closed and replaced by notify.
@@ -98,7 +101,7 @@
 		err = fmt.Errorf("incarnation %s is older than %s", record.Incarnation, known)
 	}
 	if err != nil {
-		klog.ErrorS(err, "directory: invalid record ignored", "slot", slot, "version", row.Version)
+		d.logInvalid("record", row, err)
 		return
 	}
 	if known != record.Incarnation {
@@ -109,6 +112,13 @@
 	d.remember(record)
 }
 
+// logInvalid logs a row that isn't used.
+func (d *directory) logInvalid(kind string, row store.Row, err error) {
+	if reason := loglimit.Text(err.Error()); d.invalid.Allow(row.Key + "\x00" + reason) {
+		klog.InfoS("directory: invalid row ignored", "kind", kind, "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
+	}
+}
+
 // applyMap updates the key map of a service if it is newer. The known one stays in use if the row holds no newer map any more, or one
 // with an owner that no record names. mu must be held.
 func (d *directory) applyMap(service string, row store.Row) {
@@ -131,9 +141,7 @@
 		d.maps[service] = mapRow{keys: keys, version: row.Version}
 		return
 	}
-	if known.lostAt != row.Version {
-		klog.ErrorS(err, "directory: invalid key map ignored", "service", service, "version", row.Version)
-	}
+	d.logInvalid("key map", row, err)
 	d.maps[service] = mapRow{keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits}
 }
 
--- a/sidecar/record_test.go
+++ b/sidecar/record_test.go
@@ -1,9 +1,14 @@
 package sidecar
 
 import (
+	"bytes"
+	"io"
 	"strings"
 	"testing"
 
+	"k8s.io/klog/v2"
+
+	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/store"
 )
@@ -98,3 +103,23 @@
 		}
 	})
 }
+
+// TestOddRecordIsLoggedOnce guards against unbounded log lines while another writer replaces a record again and again.
+func TestOddRecordIsLoggedOnce(t *testing.T) {
+	var output bytes.Buffer
+	klog.LogToStderr(false)
+	klog.SetOutput(&output)
+	t.Cleanup(func() {
+		klog.SetOutput(io.Discard)
+		klog.LogToStderr(true)
+	})
+	d := newDirectory("slot-0")
+	for version := range uint64(300) {
+		d.apply([]store.Row{{Table: TableName, Key: member.RowKey("slot-3"), Value: []byte("{"), Version: version + 1}})
+		d.apply([]store.Row{{Table: TableName, Key: keyspace.RowKey("bookings"), Value: []byte("{"), Version: version + 1}})
+	}
+	klog.Flush()
+	if lines := strings.Count(output.String(), "\n"); lines < 1 || lines > 2 {
+		t.Errorf("%d lines for 600 odd rows:\n%.300s", lines, output.String())
+	}
+}
