Forward: refuse a request without time left before sending it

Such a request is refused by the other instance, and the refusal had to arrive within the 50 ms after the deadline.

--- a/forward/client.go
+++ b/forward/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -84,11 +85,16 @@
 
 // Do forwards a request to the instance at an address. The error is a *gateway.Failure. It has code.NoOwner if the instance could
 // not be reached, code.PeerFailed if the connection failed later or the response is malformed, code.UpstreamTimeout if no response
-// arrived by the deadline, code.CallerGone if ctx was cancelled, and otherwise the code that the other instance sent.
+// arrived by the deadline, code.TooLate if less than gateway.MinTimeLeft was left, code.CallerGone if ctx was cancelled, and otherwise
+// the code that the other instance sent.
 //
 // If the instance stops responding, a request that may be repeated fails with code.PeerFailed and Result.Pending, so that it can be
 // sent elsewhere. Any other request goes on until its deadline.
 func (c *Client) Do(ctx context.Context, address string, r *gateway.Request) (Result, error) {
+	if left := time.Until(r.Deadline); left < gateway.MinTimeLeft {
+		// The other instance would refuse the request, and its refusal might come too late.
+		return Result{}, &gateway.Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v left until the deadline", left)}
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
 	l := c.link(ctx, address, r)
 	done := make(chan outcome, 1)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,8 +29,8 @@
 	maxKeyWait = 600 * time.Millisecond
 	// downRetryAfter is the Retry-After while the upstream's address refuses connections.
 	downRetryAfter = 300 * time.Millisecond
-	// minTimeLeft is the shortest time until its deadline at which a request is still sent.
-	minTimeLeft = 10 * time.Millisecond
+	// MinTimeLeft is the shortest time until its deadline at which a request is still sent.
+	MinTimeLeft = 10 * time.Millisecond
 	// responseMargin is subtracted from the deadline that is sent to the upstream, so that its response arrives before the caller
 	// gives up.
 	responseMargin = 10 * time.Millisecond
@@ -242,7 +242,7 @@
 	switch {
 	case r.Service != g.service:
 		return &Failure{Code: code.NotOwner, Reason: "service " + r.Service + " isn't served here"}
-	case left < minTimeLeft:
+	case left < MinTimeLeft:
 		return &Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v left until the deadline", left)}
 	case g.closing:
 		return &Failure{Code: code.Draining, Reason: "the instance is stopping"}
