Store the previous holders of a restored key map once

The row of a restored map lists all possible holders in each entry: 1.18 MB for 300 instances with 8 ranges each, where the store refuses rows above 64 KB. The map would have stayed lost in a large service.

All entries now have the same previous holders, all in the row but the owner, and refer to them by a single value. Entries with fewer than 16 list them as before, so that processes of the version before can read all other maps.

Failed before: TestRestoredMapFitsRow ("1184004 bytes").

--- a/keyspace/encode.go
+++ b/keyspace/encode.go
@@ -2,12 +2,21 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	"sapphiretray/member"
 )
 
+// allHolders is the only reference of an entry whose previous holders are all holders of the row but its owner. It keeps the row of a
+// restored map below the store's limit of 64 KB. Entries with fewer than minAllHolders previous holders list them.
+const (
+	allHolders    = math.MaxUint32
+	minAllHolders = 16
+)
+
 // Encode returns the map as a serialized MapRow. m must not be nil.
 func (m *Map) Encode() ([]byte, error) {
 	row := &MapRow{Version: m.version}
@@ -30,6 +39,12 @@
 			First: uint32(e.First), Epoch: e.Epoch, Members: refer(e.Members), Previous: refer(e.Previous),
 		})
 	}
+	for n, e := range m.entries {
+		// Each holder is listed once, so that their number shows that all are.
+		if len(e.Previous) >= minAllHolders && len(e.Previous) == len(row.Holders)-1 && !slices.Contains(e.Previous, e.Owner()) {
+			row.Entries[n].Previous = []uint32{allHolders}
+		}
+	}
 	return proto.Marshal(row)
 }
 
@@ -67,7 +82,7 @@
 		if err != nil {
 			return nil, err
 		}
-		previous, err := resolve(holders, e.GetPrevious())
+		previous, err := resolvePrevious(holders, e.GetPrevious(), members[0])
 		if err != nil {
 			return nil, err
 		}
@@ -105,6 +120,14 @@
 	return resolved, nil
 }
 
+// resolvePrevious returns the previous holders of an entry at the given positions, which may be allHolders.
+func resolvePrevious(holders []member.Incarnation, references []uint32, owner member.Incarnation) ([]member.Incarnation, error) {
+	if len(references) != 1 || references[0] != allHolders {
+		return resolve(holders, references)
+	}
+	return slices.DeleteFunc(slices.Clone(holders), func(i member.Incarnation) bool { return i == owner }), nil
+}
+
 // RowPrefix is the common prefix of the row keys under which maps are stored.
 const RowPrefix = "map/"
 
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -120,6 +120,15 @@
 	for _, c := range b.input.Candidates {
 		total += float64(c.Slots)
 	}
+	others := func(member.Incarnation) []member.Incarnation { return nil }
+	if len(b.input.Holders) > 0 {
+		all := make(map[member.Incarnation]bool)
+		add(all, b.input.Holders)
+		for _, c := range b.input.Candidates {
+			all[c.Instance] = true
+		}
+		others = otherHolders(all, b.input.Ended)
+	}
 	first, sum := 0, 0.0
 	for n, c := range b.input.Candidates {
 		sum += float64(c.Slots)
@@ -132,7 +141,7 @@
 		}
 		e := Entry{
 			Range: Range{First: Key(first), Last: Key(last)}, Epoch: b.version, Members: []member.Incarnation{c.Instance},
-			Previous: distinct(slices.DeleteFunc(slices.Clone(b.input.Holders), b.input.Ended), c.Instance),
+			Previous: others(c.Instance),
 		}
 		b.entries = append(b.entries, e)
 		b.moves = append(b.moves, Move{Range: e.Range, To: c.Instance, Reason: "first assignment"})
--- a/keyspace/restore.go
+++ b/keyspace/restore.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"cmp"
 	"slices"
 
 	"sapphiretray/member"
@@ -8,26 +9,44 @@
 
 // Restore returns a map with the owners of m, to be written after another writer has replaced or removed the row of the service's map.
 // lostAt is the version of that change in the store, which no version or epoch of an earlier map exceeds, because each was written with a
-// version below it. A newer map than m may have been lost, so that the owners have to claim their keys from all holders, the
-// incarnations that may serve keys under any earlier map.
-func (m *Map) Restore(lostAt uint64, holders []member.Incarnation) *Map {
+// version below it. A newer map than m may have been lost, so that the owners have to claim their keys from all others that may serve
+// keys: those in m and holders, the possible holders under a map that isn't known, without those that ended reports as ended.
+func (m *Map) Restore(lostAt uint64, holders []member.Incarnation, ended func(member.Incarnation) bool) *Map {
 	version := max(m.version, lostAt) + 1
+	all := make(map[member.Incarnation]bool)
+	for _, e := range m.entries {
+		add(all, e.Members)
+		add(all, e.Previous)
+	}
+	add(all, holders)
+	others := otherHolders(all, ended)
 	entries := make([]Entry, 0, len(m.entries))
 	for _, e := range m.entries {
-		previous := slices.Concat(e.Previous, holders)
-		e.Epoch, e.Previous = version, distinct(previous, e.Owner())
+		e.Epoch, e.Previous = version, others(e.Owner())
 		entries = append(entries, e)
 	}
 	return &Map{version: version, entries: entries}
 }
 
-// distinct returns the given incarnations once each, in order, without the zero Incarnation and the omitted one.
-func distinct(incarnations []member.Incarnation, omitted member.Incarnation) []member.Incarnation {
-	var unique []member.Incarnation
+// add adds incarnations to a set.
+func add(set map[member.Incarnation]bool, incarnations []member.Incarnation) {
 	for _, i := range incarnations {
-		if !i.IsZero() && i != omitted && !slices.Contains(unique, i) {
-			unique = append(unique, i)
+		set[i] = true
+	}
+}
+
+// otherHolders returns a function that returns, sorted, the incarnations in a set that haven't ended, without the given owner.
+func otherHolders(set map[member.Incarnation]bool, ended func(member.Incarnation) bool) func(member.Incarnation) []member.Incarnation {
+	var sorted []member.Incarnation
+	for i := range set {
+		if !i.IsZero() && !ended(i) {
+			sorted = append(sorted, i)
 		}
 	}
-	return unique
+	slices.SortFunc(sorted, func(a, b member.Incarnation) int {
+		return cmp.Or(cmp.Compare(a.Slot(), b.Slot()), cmp.Compare(a.Number(), b.Number()))
+	})
+	return func(owner member.Incarnation) []member.Incarnation {
+		return slices.DeleteFunc(slices.Clone(sorted), func(i member.Incarnation) bool { return i == owner })
+	}
 }
--- a/keyspace/restore_test.go
+++ b/keyspace/restore_test.go
@@ -1,6 +1,8 @@
 package keyspace_test
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -51,7 +53,7 @@
 				input.Used = max(lostAt, counter)
 				write(mustPlan(t, input), whole)
 			case lostAt > 0:
-				write(written[random.IntN(len(written))].Restore(lostAt, nil), whole)
+				write(written[random.IntN(len(written))].Restore(lostAt, nil, never), whole)
 			default:
 				current := written[len(written)-1]
 				lost := random.IntN(len(all))
@@ -72,11 +74,11 @@
 func TestRestoredMapHasAllHolders(t *testing.T) {
 	c := candidates(1, 1, 1)
 	holders := []member.Incarnation{c[0].Instance, c[1].Instance, c[2].Instance, member.NewIncarnation("d", 1), {}}
-	ended := holders[3]
-	restored := mustPlan(t, planInput(nil, c, nil)).Restore(30, slices.Clone(holders[:3]))
+	isEnded := func(i member.Incarnation) bool { return i == holders[3] }
+	restored := mustPlan(t, planInput(nil, c, nil)).Restore(30, holders, isEnded)
 	input := planInput(nil, c, nil)
 	input.Used, input.Holders = 30, holders
-	input.Ended = func(i member.Incarnation) bool { return i == ended }
+	input.Ended = isEnded
 	for name, m := range map[string]*keyspace.Map{"restored": restored, "new": mustPlan(t, input)} {
 		if m.Version() != 31 || len(m.Entries()) != 3 {
 			t.Errorf("%s: version %d, entries %v", name, m.Version(), m.Entries())
@@ -93,3 +95,44 @@
 		}
 	}
 }
+
+// TestRestoredMapFitsRow guards against a restored map of a large service that the store refuses, because the previous holders of each
+// entry are all instances, and against holders that are lost in its row.
+func TestRestoredMapFitsRow(t *testing.T) {
+	const instances, ranges, rowBytes = 300, 2400, 65536
+	var holders []member.Incarnation
+	for n := range instances {
+		holders = append(holders, member.NewIncarnation(fmt.Sprint("10.128.3.", n), 50_000_000+uint64(n)))
+	}
+	var entries []keyspace.Entry
+	for n := range ranges {
+		first := n * (1 << 16) / ranges
+		entries = append(entries, keyspace.Entry{
+			Range: keyspace.Range{First: keyspace.Key(first), Last: keyspace.Key((n+1)*(1<<16)/ranges - 1)}, Epoch: 1,
+			Members: []member.Incarnation{holders[n%instances]},
+		})
+	}
+	entries[0].Previous = []member.Incarnation{member.NewIncarnation("10.128.3.9", 3)}
+	m, err := keyspace.NewMap(1, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := m.Restore(60_000_000, holders, never)
+	content, err := restored.Encode()
+	if err != nil || len(content) > rowBytes {
+		t.Fatalf("%d bytes, error %v", len(content), err)
+	}
+	decoded, err := keyspace.Decode(content, 60_000_002)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n, e := range decoded.Entries() {
+		want := restored.Entries()[n]
+		slices.SortFunc(e.Previous, func(a, b member.Incarnation) int { return cmp.Compare(a.String(), b.String()) })
+		slices.SortFunc(want.Previous, func(a, b member.Incarnation) int { return cmp.Compare(a.String(), b.String()) })
+		if e.Epoch != want.Epoch || e.Owner() != want.Owner() || !slices.Equal(e.Previous, want.Previous) || len(e.Previous) != instances {
+			t.Fatalf("keys %s: owner %s, epoch %d, %d previous holders, want %d",
+				e.Range, e.Owner(), e.Epoch, len(e.Previous), len(want.Previous))
+		}
+	}
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -264,8 +263,7 @@
 
 // restoreMap writes the last known map again after another writer has replaced or removed it.
 func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
-	holders := slices.DeleteFunc(sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
-	next := current.keys.Restore(current.lostAt, holders)
+	next := current.keys.Restore(current.lostAt, sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
