Ingress: don't count a request in flight after a panic

An instance got fewer requests without a key for good once the handling of a request sent to it had panicked.

The chooser counted the request as in flight, and the panic, which ServeHTTP recovers, skipped the call that ends it. Each panic added one to the load of its target, which the choice never forgot.

The call is now deferred, so it runs after a panic too. The panic counts as a request that says nothing about the target.

Before the fix, both cases of TestLoadAfterPanic failed: 'requests went to "a b", want "a a"' for the local upstream, and '"b a c", want "b a b"' for another instance. They pass now, and go test -race passes for ingress.

--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -204,9 +204,13 @@
 // send sends the request to one instance and records the outcome.
 func (s *Server) send(ctx context.Context, d *dispatchState, target Target) (*gateway.Response, error) {
 	done := s.chooser.begin(target.Slot)
+	var load gateway.Load
+	// A panic says nothing about the target.
+	o := outcomeServed
+	defer func() { done(load, o) }()
 	if target.Slot == s.directory.Self() {
 		response, err := s.local.Do(ctx, d.request)
-		done(s.local.Load(), outcomeOf(response, err))
+		load, o = s.local.Load(), outcomeOf(response, err)
 		if response != nil {
 			response.InstanceSlot = target.Slot
 		}
@@ -219,7 +223,7 @@
 	if isLeaving(err) {
 		s.directory.MarkLeaving(target.Slot)
 	}
-	done(result.Load, outcomeOf(result.Response, err))
+	load, o = result.Load, outcomeOf(result.Response, err)
 	if d.request.Nested {
 		s.local.ObserveNestedCall(result.Load)
 	}
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -581,3 +581,29 @@
 		})
 	}
 }
+
+// TestLoadAfterPanic guards against an instance that gets fewer requests for good, because a request whose handling panicked still counts
+// as in flight there.
+func TestLoadAfterPanic(t *testing.T) {
+	broken, ok, failed := outcome{run: func() { panic("test") }}, outcome{status: 200}, outcome{status: 500}
+	tests := []struct {
+		name, owner string
+		outcomes    map[string][]outcome
+		requested   string
+	}{
+		{"at the local upstream", "a", map[string][]outcome{"a": {broken, ok}, "b": {ok}}, "a a"},
+		{"at another instance", "b", map[string][]outcome{"a": {failed}, "b": {broken, ok}, "c": {ok}}, "b a b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment(test.owner, test.outcomes)
+			server := newServer(t, d, table(t))
+			for _, path := range []string{"/keyed/", "/plain/"} {
+				server.ServeHTTP(httptest.NewRecorder(), request(t, path, "", "Key", "7"))
+			}
+			if d.order() != test.requested {
+				t.Errorf("requests went to %q, want %q", d.order(), test.requested)
+			}
+		})
+	}
+}
