Caller: answer requests whose body stops

Callers whose request's body didn't arrive in time got no answer: the connection ended with the deadline for reading.

The deadlines for reading and for writing were the same. When reading the body had failed, writing the response failed too.

Writing now fails 200 ms after reading, so that the response can be written. A caller that doesn't read is still bounded.

--- a/caller/headers.go
+++ b/caller/headers.go
@@ -33,8 +33,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// maxStreams is the maximum number of concurrent HTTP/2 streams on one connection.
 	maxStreams = 10_000
-	// stalledCallerGrace is the time after a request's deadline at which the connection of a caller that neither sends nor
-	// reads fails. If it failed at the deadline itself, an expired deadline would be reported as a caller that has left.
+	// stalledCallerGrace is the time after a request's deadline at which reading from a caller that has stopped sending fails. Writing to
+	// one that has stopped reading fails after twice this time. If reading failed at the deadline itself, an expired deadline would be
+	// reported as a caller that has left.
 	stalledCallerGrace = 200 * time.Millisecond
 )
 
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -65,7 +65,8 @@
 	defer cancel()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(in.deadline.Add(stalledCallerGrace))
-	_ = controller.SetWriteDeadline(in.deadline.Add(stalledCallerGrace))
+	// A body that hasn't arrived by the read deadline is answered too.
+	_ = controller.SetWriteDeadline(in.deadline.Add(2 * stalledCallerGrace))
 	if in.forwarded {
 		return s.serveForwarded(ctx, w, in)
 	}
