Pace the claims of keys that are served already

The owner serves these keys meanwhile, so that the claims aren't urgent. They now wait 5 ms before each request, one after another. Claims of keys that aren't served are as fast as before.

Failed before: TestEpochRaisedWhileServing ("51 release requests in 100 ms").

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +105,11 @@
 			// An earlier process in this slot has ended and granted keys to the same upstream as this one.
 			continue
 		}
+		if m.servesAll(e.Range) {
+			m.pacer.Lock()
+			wait.For(m.ctx, raiseInterval)
+			m.pacer.Unlock()
+		}
 		handovers, err := m.releaseFrom(e, holder)
 		if err != nil {
 			return nil, err
@@ -113,6 +119,15 @@
 	return fillGaps(e.Range, released), nil
 }
 
+// servesAll reports whether all keys of a range are served, so that a claim of it only raises their epoch and isn't urgent.
+func (m *Manager) servesAll(r keyspace.Range) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !slices.ContainsFunc(m.segments.within(r), func(s segment) bool {
+		return s.state != stateServing || !time.Now().Before(s.usableUntil)
+	})
+}
+
 // releaseFrom asks an earlier holder to release the keys. If it doesn't respond within expiryProofDelay, its witnesses are asked
 // concurrently to prove that its lease has expired. A proof ends the request.
 func (m *Manager) releaseFrom(e keyspace.Entry, holder member.Incarnation) ([]Handover, error) {
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -43,6 +43,9 @@
 	expiryProofDelay = 150 * time.Millisecond
 	// peerTimeout bounds a release request to an earlier holder, which may wait for running work and for the end of the hold.
 	peerTimeout = 2500 * time.Millisecond
+	// raiseInterval is the pause between two release requests for keys that are served already. After another writer has replaced the
+	// key map, each instance asks all others about each of its ranges.
+	raiseInterval = 5 * time.Millisecond
 	// maxConcurrentRenewals bounds the grants that are renewed concurrently.
 	maxConcurrentRenewals = 4
 )
@@ -57,6 +60,8 @@
 	maxHold  time.Duration
 	// generation is the low part of the fencing token. It grows with each new connection to the upstream and each failed grant.
 	generation atomic.Uint64
+	// pacer is held during raiseInterval, so that all claims of served keys share it.
+	pacer sync.Mutex
 
 	mu       sync.Mutex
 	current  *keyspace.Map
--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -142,12 +143,15 @@
 	// unreachable holds the incarnations that don't respond, and expired those whose lease is proved to have expired.
 	unreachable map[member.Incarnation]bool
 	expired     map[member.Incarnation]bool
+	// releases is the number of release requests.
+	releases int
 }
 
 var errUnreachable = errors.New("holder is unreachable")
 
 func (p *peers) Release(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
 	p.mu.Lock()
+	p.releases++
 	manager, unreachable := p.managers[r.Holder], p.unreachable[r.Holder]
 	p.mu.Unlock()
 	if unreachable {
@@ -490,3 +494,55 @@
 		}
 	})
 }
+
+// TestEpochRaisedWhileServing guards against keys that aren't served while their owner claims them again from all possible holders, after
+// the key map was restored, and against a burst of requests to the holders, which takes the processor time of other requests.
+func TestEpochRaisedWhileServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newPeers()
+		owner := newNode(ctx, p, "owner")
+		var holders []member.Incarnation
+		for n := range 100 {
+			holders = append(holders, newNode(ctx, p, fmt.Sprint("holder-", n)).self)
+		}
+		lost := holders[50]
+		p.unreachable[lost] = true
+		var group sync.WaitGroup
+		group.Go(func() { owner.manager.Run(ctx) })
+		owner.manager.Update(assignAll(t, 1, owner.self))
+		time.Sleep(time.Second)
+		started := time.Now()
+		owner.manager.Update(assignAll(t, 40, owner.self, holders...))
+		time.Sleep(100 * time.Millisecond)
+		p.mu.Lock()
+		if p.releases > 25 {
+			t.Errorf("%d release requests in 100 ms", p.releases)
+		}
+		p.mu.Unlock()
+		settledAfter := time.Duration(0)
+		for time.Since(started) < 10*time.Second {
+			if !owner.manager.Serves(100) || !owner.upstream.holds(0) {
+				t.Fatalf("the keys aren't served %v after the restored map", time.Since(started))
+			}
+			if time.Since(started) > 2*time.Second {
+				p.mu.Lock()
+				p.expired[lost] = true
+				p.mu.Unlock()
+			}
+			if settledAfter == 0 && owner.manager.SettledVersion() == 40 {
+				settledAfter = time.Since(started)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if settledAfter < 2*time.Second {
+			t.Errorf("settled after %v, before the lease of a lost holder had expired", settledAfter)
+		}
+		if served := owner.manager.Serving(); len(served) != 1 || served[0].Epoch != 40 {
+			t.Errorf("serves %v", served)
+		}
+		cancel()
+		group.Wait()
+		owner.manager.Wait()
+	})
+}
