Caller: bound the wait for the body of a refused request

Callers whose request was refused before its body was read (no route, no key, too large, or a stopping instance) got no answer as long as the body was incomplete, and their connections stayed open for ever.

net/http reads up to 256 KiB of an unread body before it sends the response. The deadline for reading was only set for requests that were going to be served.

Every request with a body now gets a deadline of 1 s for it on arrival, which the one of the request replaces.

Before the fix, all four cases of TestRefusalBeforeBody failed with "i/o timeout" after 3 s. They pass now, and go test -race passes for caller.

--- a/caller/answer_test.go
+++ b/caller/answer_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"sapphiretray/code"
 )
 
 // dialHTTP1 connects to an instance until the test ends.
@@ -60,3 +65,39 @@
 		})
 	}
 }
+
+// TestRefusalBeforeBody guards against callers that get no answer, or whose connection stays open for ever, because their request is
+// refused before its body has arrived.
+func TestRefusalBeforeBody(t *testing.T) {
+	const part = " HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc"
+	tests := []struct {
+		name, request string
+		drain         bool
+		code          code.Code
+	}{
+		{"no route", "PUT /none" + part, false, code.NoRoute},
+		{"no key", "PUT /read/" + part, false, code.NoKey},
+		{"too large", "PUT /tiny/k" + part, false, code.TooLarge},
+		{"draining", "PUT /read/k" + part, true, code.Draining},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			i := newCluster(t, 1, testSettings{}).instances[0]
+			if test.drain {
+				if err := i.server.Drain(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			conn := i.dialHTTP1(t)
+			_, _ = io.WriteString(conn, test.request)
+			responses := bufio.NewReader(conn)
+			if response := readResponse(t, responses); response.Header.Get(HeaderCode) != strconv.Itoa(int(test.code)) {
+				t.Errorf("code %s, want %d", response.Header.Get(HeaderCode), test.code)
+			}
+			if _, err := responses.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -37,6 +37,8 @@
 	// one that has stopped reading fails after twice this time. If reading failed at the deadline itself, an expired deadline would be
 	// reported as a caller that has left.
 	stalledCallerGrace = 200 * time.Millisecond
+	// refusedBodyTimeout is the time within which the body of a request that is refused without reading it must arrive.
+	refusedBodyTimeout = time.Second
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -35,6 +35,7 @@
 // serve serves a request from its arrival to the end of its response.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	BoundBody(w, r)
 	in, err := s.parse(r)
 	var res result
 	if err != nil {
@@ -53,6 +54,14 @@
 	}
 }
 
+// BoundBody bounds the time within which the body of a request must arrive that is refused without reading it. The HTTP/1.1 server reads
+// the rest of a body before it sends the response.
+func BoundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	}
+}
+
 // serveParsed serves a valid request, unless the server is stopping.
 func (s *Server) serveParsed(w http.ResponseWriter, in *inboundRequest) result {
 	if !s.drain.enter() {
