Caller: answer a request whose handling panics

A panic while a request was handled ended the caller's connection without an answer. For a forwarded request the other instance reported the owner as unreachable.

net/http recovers from a panic of the handler by closing the connection, or the stream. The server now recovers itself: it logs "request: panic" with the id and the stack, and answers 502 with code 1411 internal, without headers that were already set. If the response has begun, the connection is aborted as before. Idempotent requests are still retried after a panic at another instance.

--- a/caller/answer_test.go
+++ b/caller/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -9,10 +10,12 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/upstream"
 )
 
 // dialHTTP1 connects to an instance until the test ends.
@@ -101,3 +104,63 @@
 		})
 	}
 }
+
+// faultyUpstream breaks the first request and passes the others on.
+type faultyUpstream struct {
+	Upstream
+	broken atomic.Bool
+	// status is the status of the broken response; 0 means a panic instead of a response.
+	status int
+}
+
+func (u *faultyUpstream) Do(ctx context.Context, r *upstream.Request) (*upstream.Response, error) {
+	if u.broken.Swap(true) {
+		return u.Upstream.Do(ctx, r)
+	}
+	if u.status == 0 {
+		panic("test")
+	}
+	return &upstream.Response{Status: u.status, Header: http.Header{"X-From": {"upstream"}}, Body: http.NoBody}, nil
+}
+
+// TestPanic guards against a defect in the handling of one request that ends its connection without an answer, keeps the request in flight,
+// or adds parts of an upstream's response to the failure. The owner's failure must not count as that of the connection to it.
+func TestPanic(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		at     int
+		path   string
+		code   code.Code
+	}{
+		{"at the owner", 0, 0, "/plain/k", code.Internal},
+		{"status that can't be sent", 42, 0, "/plain/k", code.Internal},
+		{"at another instance", 0, 1, "/plain/k", code.Internal},
+		{"at another instance, idempotent", 0, 1, "/read/k", code.OK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 2, testSettings{})
+			owner := c.instances[0]
+			owner.server.upstream = &faultyUpstream{Upstream: owner.client, status: test.status}
+			conn := c.instances[test.at].dialHTTP1(t)
+			responses := bufio.NewReader(conn)
+			for _, want := range []code.Code{test.code, code.OK} {
+				_, _ = io.WriteString(conn, "POST "+test.path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+				response := readResponse(t, responses)
+				header := response.Header
+				if response.StatusCode != want.Entry().Status() || header.Get(HeaderCode) != strconv.Itoa(int(want)) ||
+					header.Get(HeaderRan) != string(want.Entry().Ran()) || header.Get("X-From") != "" {
+					t.Errorf("status %d, want %s; headers %v", response.StatusCode, want, header)
+				}
+			}
+			owner.admissions.Wait()
+			if n := owner.server.InFlight(); n > 0 {
+				t.Errorf("%d requests in flight", n)
+			}
+			if n := c.unreachableReports[owner.self]; n > 0 {
+				t.Errorf("the owner was reported as unreachable %d times", n)
+			}
+		})
+	}
+}
--- a/caller/local.go
+++ b/caller/local.go
@@ -191,6 +191,7 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(status)
+	in.written = true
 }
 
 // copyTrailer adds the upstream's trailers to a response whose header has been sent.
--- a/caller/request.go
+++ b/caller/request.go
@@ -36,6 +36,8 @@
 	rest   io.Reader
 	// restTracker wraps rest and records whether an attempt has read from it; then the body can't be sent again.
 	restTracker *trackingReader
+	// written is set once the status and the headers of a response to a request that ran have been sent.
+	written bool
 }
 
 // service returns the name of the route's service, or "" if no route matched.
@@ -65,30 +67,30 @@
 	return io.MultiReader(bytes.NewReader(in.prefix), in.restTracker), in.request.ContentLength
 }
 
-// parse validates a request. The returned inboundRequest is never nil, and has an id for the response even if there is an error.
-func (s *Server) parse(r *http.Request) (*inboundRequest, error) {
-	in := &inboundRequest{request: r, forwarded: IsForwarded(r)}
+// parse validates a request. It has an id for the response even if there is an error.
+func (s *Server) parse(in *inboundRequest) error {
+	r := in.request
 	if err := in.parseID(r.Header.Get(HeaderRequestID)); err != nil {
-		return in, err
+		return err
 	}
 	route, ok := s.routes.Match(r.URL.Path, r.Method)
 	if !ok {
-		return in, code.New(code.NoRoute, "no route for %s %s", r.Method, r.URL.Path)
+		return code.New(code.NoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
 	in.route = route
 	if in.key, ok = route.Key(r); !ok {
-		return in, code.New(code.NoKey, "request for %s has no key", r.URL.Path)
+		return code.New(code.NoKey, "request for %s has no key", r.URL.Path)
 	}
 	if err := in.parseLimits(r); err != nil {
-		return in, err
+		return err
 	}
 	if limit := route.MaxBodyBytes(); limit > 0 && r.ContentLength > limit {
-		return in, code.New(code.TooLarge, "body of %d bytes, at most %d are allowed", r.ContentLength, limit)
+		return code.New(code.TooLarge, "body of %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
 	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
-		return in, code.New(code.BadRequest, "connection upgrades are not supported")
+		return code.New(code.BadRequest, "connection upgrades are not supported")
 	}
-	return in, nil
+	return nil
 }
 
 // parseID validates the request id of the sender, and generates one if it is missing or invalid.
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"sapphiretray/code"
 )
 
@@ -36,13 +39,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	BoundBody(w, r)
-	in, err := s.parse(r)
-	var res result
-	if err != nil {
-		res = failed(err)
-	} else {
-		res = s.serveParsed(w, in)
-	}
+	in := &inboundRequest{request: r, forwarded: IsForwarded(r)}
+	res := s.handle(w, in)
 	s.metrics.recordRequest(in, res, time.Since(start))
 	if !res.written {
 		s.writeErrorResponse(w, in, res.outcome)
@@ -54,6 +52,21 @@
 	}
 }
 
+// handle serves a request without sending a response if it fails. If its handling panics, the result carries code.Internal.
+func (s *Server) handle(w http.ResponseWriter, in *inboundRequest) (res result) {
+	defer func() {
+		if v := recover(); v != nil {
+			klog.ErrorS(nil, "request: panic", "id", in.id, "panic", v, "stack", string(debug.Stack()))
+			clear(w.Header())
+			res = result{outcome: outcomeOf(code.New(code.Internal, "request %s", in.id)), written: in.written}
+		}
+	}()
+	if err := s.parse(in); err != nil {
+		return failed(err)
+	}
+	return s.serveParsed(w, in)
+}
+
 // BoundBody bounds the time within which the body of a request must arrive that is refused without reading it. The HTTP/1.1 server reads
 // the rest of a body before it sends the response.
 func BoundBody(w http.ResponseWriter, r *http.Request) {
@@ -228,7 +241,7 @@
 		if o.notRun() {
 			return retryNextMember
 		}
-	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired:
+	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired, code.Internal:
 	default:
 		return retryNever
 	}
