Caller: announce the close of a connection while draining

Callers were not told that the connection would be closed, if their request had arrived before the stop or was refused because of it. They sent their next request on that connection, which could be reset.

The header came only from net/http, once it was shutting down, which is after all requests in flight have ended.

Responses to callers now say so from the beginning of Drain, at the time when they are written. Responses to other instances don't, since each of them would need a new HTTP/2 connection for its next request.

Before the fix, two of four cases of TestCloseWhileDraining failed: "close false, want true" for a request that had arrived before and for a refused one. They pass now, and go test -race passes for caller. TestHalfClosedCaller, which is added too, passed before: callers that have closed their sending side get an answer.

--- a/caller/answer_test.go
+++ b/caller/answer_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/fake"
 	"sapphiretray/upstream"
 )
 
@@ -164,3 +167,62 @@
 		})
 	}
 }
+
+// TestHalfClosedCaller guards against callers that get no answer because they have closed their sending side after the request.
+func TestHalfClosedCaller(t *testing.T) {
+	c := newCluster(t, 2, testSettings{upstream: []fake.UpstreamOption{fake.WithServiceTime(300 * time.Millisecond)}})
+	for _, i := range c.instances {
+		conn := i.dialHTTP1(t)
+		_, _ = io.WriteString(conn, "POST /plain/k HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+		_ = conn.CloseWrite()
+		if response := readResponse(t, bufio.NewReader(conn)); response.Header.Get(HeaderCode) == "" {
+			t.Errorf("%s: status %d without a code", i.self, response.StatusCode)
+		}
+	}
+}
+
+// TestCloseWhileDraining guards against callers that send another request on a connection that a stopping instance is about to close,
+// because the response doesn't say so. The connections of other instances stay open.
+func TestCloseWhileDraining(t *testing.T) {
+	tests := []struct {
+		name      string
+		forwarded bool
+		arrived   bool
+		code      code.Code
+		close     bool
+	}{
+		{"arrived before", false, true, code.OK, true},
+		{"refused", false, false, code.Draining, true},
+		{"forwarded, arrived before", true, true, code.OK, false},
+		{"forwarded, refused", true, false, code.Draining, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			settings := testSettings{upstream: []fake.UpstreamOption{fake.WithServiceTime(100 * time.Millisecond)}}
+			i := newCluster(t, 1, settings).instances[0]
+			handler := i.server.Handler()
+			if test.forwarded {
+				handler = i.server.PeerHandler()
+			}
+			drain := func() {
+				for test.arrived && i.server.InFlight() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				_ = i.server.Drain(t.Context())
+			}
+			var group sync.WaitGroup
+			if test.arrived {
+				group.Go(drain)
+			} else {
+				drain()
+			}
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/read/k", nil))
+			group.Wait()
+			header := w.Header()
+			if got := header.Get("Connection") == "close"; got != test.close || header.Get(HeaderCode) != strconv.Itoa(int(test.code)) {
+				t.Errorf("close %v, want %v; status %d, headers %v", got, test.close, w.Code, header)
+			}
+		})
+	}
+}
--- a/caller/drain.go
+++ b/caller/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 )
 
@@ -64,3 +65,13 @@
 	defer s.drain.mu.Unlock()
 	return s.drain.running
 }
+
+// closeIfDraining tells a caller to close its connection if the server is stopping. Connections of other instances carry many requests at
+// once and stay open until the HTTP server shuts down.
+func (s *Server) closeIfDraining(h http.Header, in *inboundRequest) {
+	s.drain.mu.Lock()
+	defer s.drain.mu.Unlock()
+	if s.drain.stopping && !in.forwarded {
+		h.Set("Connection", "close")
+	}
+}
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -133,7 +133,7 @@
 func (s *Server) relay(w http.ResponseWriter, in *inboundRequest, resp *http.Response) result {
 	removeHopByHop(resp.Header)
 	removeInternalHeaders(resp.Header)
-	writeHeader(w, in, resp.StatusCode, resp.Header, resp.ContentLength)
+	s.writeHeader(w, in, resp.StatusCode, resp.Header, resp.ContentLength)
 	err := copyBody(w, resp.Body, resp.ContentLength, func() bool { return true })
 	if err == nil {
 		copyTrailer(w.Header(), resp.Trailer)
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -90,6 +90,7 @@
 func (s *Server) writeErrorResponse(w http.ResponseWriter, in *inboundRequest, o outcome) {
 	h := w.Header()
 	setResultHeaders(h, in.id, o.code, o.ran)
+	s.closeIfDraining(h, in)
 	if in.token != "" {
 		h.Set(HeaderToken, in.token)
 	}
--- a/caller/local.go
+++ b/caller/local.go
@@ -159,7 +159,7 @@
 	ctx context.Context, w http.ResponseWriter, in *inboundRequest, admission Admission, resp *upstream.Response, buffered []byte,
 	guard *GuardedRun,
 ) result {
-	writeHeader(w, in, resp.Status, resp.Header, resp.ContentLength)
+	s.writeHeader(w, in, resp.Status, resp.Header, resp.ContentLength)
 	err := copyBody(w, io.MultiReader(bytes.NewReader(buffered), resp.Body), resp.ContentLength, admission.Valid)
 	if err == nil {
 		copyTrailer(w.Header(), resp.Trailer())
@@ -178,12 +178,13 @@
 }
 
 // writeHeader sends the status and the headers of the response to a request that ran.
-func writeHeader(w http.ResponseWriter, in *inboundRequest, status int, header http.Header, length int64) {
+func (s *Server) writeHeader(w http.ResponseWriter, in *inboundRequest, status int, header http.Header, length int64) {
 	h := w.Header()
 	for name, values := range header {
 		h[name] = append([]string(nil), values...)
 	}
 	setResultHeaders(h, in.id, code.OK, code.RanYes)
+	s.closeIfDraining(h, in)
 	if in.token != "" {
 		h.Set(HeaderToken, in.token)
 	}
@@ -205,7 +206,7 @@
 
 // writeStored sends the stored response of an earlier request with the same id.
 func (s *Server) writeStored(w http.ResponseWriter, in *inboundRequest, stored *Stored) result {
-	writeHeader(w, in, stored.Status, stored.Header, int64(len(stored.Body)))
+	s.writeHeader(w, in, stored.Status, stored.Header, int64(len(stored.Body)))
 	_, err := w.Write(stored.Body)
 	res := result{outcome: outcome{code: code.OK, ran: code.RanYes}, written: true, path: pathLocal}
 	if err != nil {
