Release the planner lease after a cancelled write of it

No planner changed the maps until the lease expired, up to 30 s later, when the planner that held it stopped during a write of the lease: takeovers of lost owners and planned moves waited for that long.

The stop cancels the call, but the write may take effect at the store all the same. The release was then conditional on the old version of the row and failed with a conflict. After a cancelled acquisition there was no release at all, since the planner didn't regard the lease as its own.

The planner now remembers that a write of the lease has an unknown outcome. On stop it releases the lease if it holds it or may hold it; after a conflict it reads the row and releases the lease if the row names it as the holder. The first write precedes the read, so that a cancelled write that arrives later conflicts. Two writes suffice: all its earlier writes are conditional on the version that the first conflict shows to be gone.

TestReleaseAfterCancelledLeaseWrite failed before in 3 of its 6 cases: "the renewal takes effect", "the acquisition takes effect" and "the acquisition is still on its way", each with 'holder "a#1" after the stop, want "none"'. The other cases hold that a lease of another planner isn't released, and passed before.

--- a/planner/failure_test.go
+++ b/planner/failure_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"sapphiretray/code"
 	"sapphiretray/fake"
 	"sapphiretray/member"
 	"sapphiretray/pause"
@@ -209,6 +211,90 @@
 	return p.Client.Commit(ctx, transaction)
 }
 
+// TestReleaseAfterCancelledLeaseWrite guards against a planner that stops during a write of the lease and leaves the lease to expire, or
+// releases that of another planner.
+func TestReleaseAfterCancelledLeaseWrite(t *testing.T) {
+	other := member.NewIncarnation("b", 1)
+	tests := []struct {
+		name string
+		// cancelled is the number of the lease write that is cancelled: the first one acquires the lease, the second one renews it.
+		cancelled int
+		// outcome is what happens to the row during the cancelled write.
+		outcome func(stopping *stoppingTable, transaction table.Transaction)
+		want    member.Incarnation
+	}{
+		{"the renewal takes effect", 2, (*stoppingTable).apply, member.Incarnation{}},
+		{"the renewal is still on its way", 2, (*stoppingTable).delay, member.Incarnation{}},
+		{"another planner takes the lease before the renewal", 2, (*stoppingTable).steal, other},
+		{"the acquisition takes effect", 1, (*stoppingTable).apply, member.Incarnation{}},
+		{"the acquisition is still on its way", 1, (*stoppingTable).delay, member.Incarnation{}},
+		{"another planner takes the lease before the acquisition", 1, (*stoppingTable).steal, other},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runWithPlatform(t, func(env *testEnv) {
+				env.members(6, 1)
+				ctx, cancel := context.WithCancel(env.Context())
+				defer cancel()
+				stopping := &stoppingTable{Client: env.table, env: env, stop: cancel, cancelled: test.cancelled, outcome: test.outcome}
+				if err := env.planner("a", planner.WithPlatform(stopping, env.objects)).Run(ctx); err != nil {
+					t.Fatal(err)
+				}
+				if stopping.delayed != nil {
+					_, _ = env.table.Commit(env.Context(), *stopping.delayed)
+				}
+				stored, err := env.table.Get(env.Context(), planner.LeaseKey)
+				if err != nil {
+					t.Fatal(err)
+				}
+				var row planner.LeaseRow
+				if err := json.Unmarshal(stored.Value, &row); err != nil || row.Holder != test.want {
+					t.Errorf("holder %q after the stop, want %q (%v)", row.Holder, test.want, err)
+				}
+			})
+		})
+	}
+}
+
+// stoppingTable stops the planner while it writes the lease.
+type stoppingTable struct {
+	*table.Client
+	env         *testEnv
+	stop        context.CancelFunc
+	cancelled   int
+	outcome     func(stopping *stoppingTable, transaction table.Transaction)
+	leaseWrites int
+	// delayed is the cancelled write if it hasn't arrived yet.
+	delayed *table.Transaction
+}
+
+func (s *stoppingTable) Commit(ctx context.Context, transaction table.Transaction) ([]table.Row, error) {
+	if transaction.Writes[0].Key == planner.LeaseKey {
+		s.leaseWrites++
+	}
+	if s.leaseWrites != s.cancelled || ctx.Err() != nil {
+		return s.Client.Commit(ctx, transaction)
+	}
+	s.stop()
+	s.outcome(s, transaction)
+	return nil, code.Wrap(code.WriteUnknown, ctx.Err(), "commit")
+}
+
+// apply makes a transaction take effect.
+func (s *stoppingTable) apply(transaction table.Transaction) {
+	if _, err := s.Client.Commit(s.env.Context(), transaction); err != nil {
+		s.env.Error(err)
+	}
+}
+
+// delay keeps a transaction for later.
+func (s *stoppingTable) delay(transaction table.Transaction) { s.delayed = &transaction }
+
+// steal gives the lease to another planner, so that the transaction has no effect.
+func (s *stoppingTable) steal(table.Transaction) {
+	s.env.put(planner.LeaseKey, planner.LeaseRow{Holder: member.NewIncarnation("b", 1), DurationMilliseconds: 30000, WriteID: "b/1"})
+}
+
 // TestFullRestart guards against a restart of all instances that needs more writes than the platform allows, that gives all partitions to
 // the instances that start first, or that moves partitions again afterwards.
 func TestFullRestart(t *testing.T) {
--- a/planner/lease.go
+++ b/planner/lease.go
@@ -46,6 +46,9 @@
 	expiresAt time.Time
 	// renewAt is the time from which the lease is renewed.
 	renewAt time.Time
+	// unconfirmed is true while a write of this planner that is conditional on version may have taken effect without its
+	// knowledge, or may still do so.
+	unconfirmed bool
 }
 
 // Leading reports whether the planner holds the lease now.
@@ -96,7 +99,7 @@
 			klog.ErrorS(err, "planner: failed to decode the lease row")
 		}
 	}
-	p.lease.row, p.lease.version, p.lease.firstSeen = row, stored.Version, now
+	p.lease.row, p.lease.version, p.lease.firstSeen, p.lease.unconfirmed = row, stored.Version, now, false
 	return nil
 }
 
@@ -129,13 +132,14 @@
 	return record.Incarnation == holder && (record.State.Ended() || p.expired(ctx, record))
 }
 
-// writeLease writes the lease row with the given holder; a zero holder releases the lease.
+// writeLease writes the lease row with the given holder; a zero holder releases the lease, which the caller then drops.
 func (p *Planner) writeLease(ctx context.Context, holder member.Incarnation) error {
 	row := LeaseRow{Holder: holder, DurationMilliseconds: p.leaseDuration.Milliseconds(), WriteID: p.nextWriteID()}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
+	p.lease.unconfirmed = true
 	sent := time.Now()
 	version, err := p.commit(ctx, table.Transaction{
 		Conditions: []table.Condition{{Key: LeaseKey, Version: p.lease.version}},
@@ -149,10 +153,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lease.row, p.lease.version, p.lease.firstSeen, p.lease.unconfirmed = row, version, sent, false
+	if holder.IsZero() {
+		return nil
+	}
 	if !p.lease.held {
 		klog.InfoS("planner: acquired the lease", "incarnation", holder)
 	}
-	p.lease.row, p.lease.version, p.lease.firstSeen = row, version, sent
 	p.lease.held, p.lease.expiresAt, p.lease.renewAt = true, sent.Add(p.leaseDuration), sent.Add(p.leaseDuration/renewalsPerLease)
 	return nil
 }
@@ -167,14 +174,22 @@
 	p.lease.held = false
 }
 
-// releaseLease writes the lease without a holder, so that another planner needn't wait for its expiry.
+// releaseLease writes the lease without a holder, so that another planner needn't wait for its expiry. The lease may be this planner's
+// without its knowledge, if a write took effect whose call was cancelled or whose response was lost.
 func (p *Planner) releaseLease(ctx context.Context) {
-	if !p.Leading() {
+	if !p.Leading() && !p.lease.unconfirmed {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), table.DefaultTimeout)
 	defer cancel()
-	if err := p.writeLease(ctx, member.Incarnation{}); err != nil {
+	// Writing before reading keeps an unconfirmed write that is still on its way from taking effect.
+	err := p.writeLease(ctx, member.Incarnation{})
+	if c, _ := code.Of(err); c == code.Conflict {
+		if err = p.readLease(ctx); err == nil && p.lease.row.Holder == p.incarnation {
+			err = p.writeLease(ctx, member.Incarnation{})
+		}
+	}
+	if err != nil {
 		klog.ErrorS(err, "planner: failed to release the lease")
 	}
 	p.dropLease()
