Keep the key maps of a planner from filling its link

The planner sent each new map to each instance that gets keys, several times a second, without a limit, and all instances fetched each map from it, since the readers of their data centre get it up to 250 ms later. That is the likely cause; the bytes on the link aren't logged.

Instances ask the readers twice before they ask the one that announced the rows.

--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -11,7 +10,6 @@
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/peer"
-	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -102,35 +100,6 @@
 	}
 }
 
-// pushMap sends the newest key map to the instances that get keys, so that they claim them without waiting for the store's feed.
-func (sc *Sidecar) pushMap(ctx context.Context, moves []keyspace.Move) {
-	value, err := json.Marshal([]store.Row{sc.rows.Get(keyspace.RowKey(sc.settings.Service))})
-	if err != nil {
-		klog.ErrorS(err, "plan: map can't be pushed")
-		return
-	}
-	pushed := make(map[string]bool)
-	for _, move := range moves {
-		slot := move.To.Slot()
-		if pushed[slot] || slot == sc.settings.Slot {
-			continue
-		}
-		pushed[slot] = true
-		sc.group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-			defer cancel()
-			client, err := sc.dialSlot(slot)
-			if err == nil {
-				_, err = client.Push(ctx, &peer.PushRequest{Kind: TableName, Value: value})
-			}
-			if err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("plan: map not pushed", "slot", slot, "err", err)
-			}
-			return nil
-		})
-	}
-}
-
 // planSoon triggers a plan without waiting for the next interval. It doesn't block.
 func (sc *Sidecar) planSoon() {
 	select {
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -27,6 +27,8 @@
 	fetchRetryDelay    = 250 * time.Millisecond
 	// fetchDelay is how long to wait for the store's change feed before fetching announced rows from another instance.
 	fetchDelay = 150 * time.Millisecond
+	// readerDelay is how much longer the readers may take. They pause for 250 ms between two calls to the store.
+	readerDelay = 150 * time.Millisecond
 	// configFetchDelay is how long the store has to deliver an announced configuration before it is fetched from another instance. One
 	// with 1,280 routes takes 0.3 s on a link of 10 Mbit/s; when instances also fetched it from each other at once, their links were
 	// saturated, leases expired and requests were delayed.
@@ -120,8 +122,9 @@
 	}
 }
 
-// fetchAnnounced fetches announced rows from other instances until ctx ends. It asks the readers of the local data centre first,
-// because traffic between data centres is expensive, and then the instance that announced the rows.
+// fetchAnnounced fetches announced rows from other instances until ctx ends. It asks the readers of the local data centre, because traffic
+// between data centres is expensive. The instance that announced the rows is asked only if the readers don't get them from the store soon:
+// each change is announced to all instances by the one that made it, and its link can't carry the rows to all of them.
 func (sc *Sidecar) fetchAnnounced(ctx context.Context) {
 	for {
 		select {
@@ -130,16 +133,23 @@
 		case slot := <-sc.announcers:
 			wanted := sc.announcedBy(slot)
 			wait.For(ctx, fetchDelay)
-			sources := append(sc.readers(), slot)
-			for _, source := range sources {
-				if source != sc.settings.Slot && wanted > sc.rows.Newest() && ctx.Err() == nil {
-					sc.fetchAndMerge(ctx, source, sc.rows, fetchTimeout)
-				}
+			sc.fetchRowsFrom(ctx, wanted, sc.readers())
+			if wanted > sc.rows.Newest() && wait.For(ctx, readerDelay) {
+				sc.fetchRowsFrom(ctx, wanted, append(sc.readers(), slot))
 			}
 		}
 	}
 }
 
+// fetchRowsFrom fetches rows from one instance after the other until those of the wanted version have arrived.
+func (sc *Sidecar) fetchRowsFrom(ctx context.Context, wanted uint64, slots []string) {
+	for _, slot := range slots {
+		if slot != sc.settings.Slot && wanted > sc.rows.Newest() && ctx.Err() == nil {
+			sc.fetchAndMerge(ctx, slot, sc.rows, fetchTimeout)
+		}
+	}
+}
+
 // announcedBy returns the last newer version of the rows that an instance has announced.
 func (sc *Sidecar) announcedBy(slot string) uint64 {
 	sc.announcedMu.Lock()
