--- a/sidecar/push.go
+++ b/sidecar/push.go
@@ -29,7 +29,8 @@
 	return &pushes{slots: make(chan struct{}, maxPushes), requested: make(map[string]bool)}
 }
 
-// begin reports whether a push to an instance has to be started. If it returns false, the one that was started earlier sends the newest map.
+// begin reports whether a push to an instance has to be started. If it returns false, the one that was started earlier sends the newest
+// map.
 func (p *pushes) begin(slot string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -139,7 +139,8 @@
 	sc := &Sidecar{
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
-		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), pushes: newPushes(), unresponsiveSince: make(map[string]time.Time),
+		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), pushes: newPushes(),
+		unresponsiveSince: make(map[string]time.Time),
 		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
