--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -141,7 +141,7 @@
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
 		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), pushes: newPushes(),
 		unresponsiveSince: make(map[string]time.Time),
-		dialer: peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
+		dialer:            peer.NewDialer(peer.NewTransport("", peer.ControlIdleTimeout)),
 	}
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
