--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -243,6 +243,8 @@
 	inFlight atomic.Int64
 	// begun is the number of requests that have been received.
 	begun atomic.Int64
+	// lingering delays the close of connections to other instances, see lingeringListener.
+	lingering atomic.Bool
 }
 
 // countRequests wraps a handler to maintain inFlight and begun.
@@ -259,7 +261,11 @@
 func (s *server) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	err := s.http.Serve(s.listener)
+	listener := s.listener
+	if s.name == peersServer {
+		listener = lingeringListener{Listener: listener, linger: &s.lingering}
+	}
+	err := s.http.Serve(listener)
 	// The listener of callers is closed before the server is.
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -86,6 +86,7 @@
 // shutdown closes the listener, and the connections after the responses to the requests that have begun, until ctx ends. Unlike Close, it
 // tells other instances which requests have not begun, so that they can send them elsewhere.
 func (s *server) shutdown(ctx context.Context) {
+	s.lingering.Store(true)
 	if err := s.http.Shutdown(ctx); err != nil {
 		// Shutdown takes up to 5 s if a connection has never been used.
 		klog.V(1).InfoS("process: connections were still open at the end", "server", s.name, "err", err)
