Ingress: leave HTTP/2 connections to the server

Connections is to be used by servers that also accept HTTP/2. Draining would close such a connection without telling its caller which requests have not begun.

A connection that begins with the preface of HTTP/2 is no longer tracked, if the server accepts HTTP/2. http.Server.Shutdown closes it with GOAWAY.

With HTTP/2 tracked like HTTP/1, TestDrainOfHTTP2 failed: "1 connections are left". TestDrainWithHTTP2 holds that HTTP/1 connections of such a server are drained.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -80,6 +80,30 @@
 	// readErr and writeErr are the first errors of the connection, except for expired deadlines of reads.
 	readErr, writeErr error
 	closed            bool
+	// preface is the rest of the HTTP/2 preface to compare the next data with, or empty if the protocol of the connection is known.
+	preface string
+	// http2 is set once the preface has been read. The connection isn't tracked from then on.
+	http2 bool
+}
+
+// http2Preface begins each HTTP/2 connection.
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// detectHTTP2 stops tracking the connection if data that has been read completes the HTTP/2 preface. The caller holds mu.
+func (c *callerConn) detectHTTP2(data []byte) {
+	n := min(len(data), len(c.preface))
+	if n == 0 {
+		return
+	}
+	if string(data[:n]) != c.preface[:n] {
+		c.preface = ""
+		return
+	}
+	c.preface = c.preface[n:]
+	if c.preface == "" {
+		c.http2 = true
+		c.connections.remove(c)
+	}
 }
 
 // Read implements net.Conn. It closes an interrupted connection if no data has arrived. Expired connections are closed nowhere else, so
@@ -87,7 +111,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		again, err := c.observeRead(n, err)
+		again, err := c.observeRead(p[:n], err)
 		if !again {
 			return n, err
 		}
@@ -95,9 +119,11 @@
 }
 
 // observeRead records the result of a read. It returns the error to report, or true if the read is to be repeated.
-func (c *callerConn) observeRead(n int, err error) (bool, error) {
+func (c *callerConn) observeRead(data []byte, err error) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.detectHTTP2(data)
+	n := len(data)
 	if n > 0 && c.state == requestNone {
 		c.await(requestPartial)
 	}
@@ -128,7 +154,7 @@
 func (c *callerConn) interrupt(now time.Time, current routing.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired(now, current) && !c.interrupted {
+	if !c.http2 && c.expired(now, current) && !c.interrupted {
 		c.interrupted = c.Conn.SetReadDeadline(past) == nil
 	}
 }
@@ -204,7 +230,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	if !c.closed {
+	if !c.closed && !c.http2 {
 		c.closed = true
 		c.reportUnanswered()
 	}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -41,6 +41,8 @@
 	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
 	unanswered *prometheus.CounterVec
+	// http2 is set if the server also accepts HTTP/2 connections, which aren't tracked.
+	http2 bool
 }
 
 // NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none. The metrics are
@@ -61,8 +63,9 @@
 type connectionKey struct{}
 
 // Attach registers hooks with a server to track its connections. Call it before the server starts, and let the server accept its
-// connections from Listen.
+// connections from Listen. HTTP/2 connections are left to the server: http.Server.Shutdown drops no request on them.
 func (c *Connections) Attach(server *http.Server) {
+	c.http2 = server.Protocols != nil && server.Protocols.UnencryptedHTTP2()
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if conn, ok := conn.(*callerConn); ok {
 			conn.observe(state)
@@ -104,6 +107,9 @@
 // add returns a tracked connection.
 func (c *Connections) add(conn net.Conn) *callerConn {
 	tracked := &callerConn{Conn: conn, connections: c, since: time.Now(), limits: c.limits()}
+	if c.http2 {
+		tracked.preface = http2Preface
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[tracked] = struct{}{}
@@ -143,8 +149,8 @@
 }
 
 // Drain closes idle connections, and each other one after its response, until there are none left or ctx ends. It returns how many are
-// left. New connections may send a first request. Close the listener before. Unlike http.Server.Shutdown, Drain drops no request that has
-// arrived on an open connection.
+// left. New connections may send a first request. HTTP/2 connections stay open and don't count. Close the listener before. Unlike
+// http.Server.Shutdown, Drain drops no request that has arrived on an open connection.
 func (c *Connections) Drain(ctx context.Context) int {
 	c.draining.Store(true)
 	for {
