Instance: answer requests that arrive while the instance stops

Callers lost requests at the end of a stop of "sapphiretray run": the connection ended without an answer, or was reset.

The instance stopped with http.Server.Shutdown. It closes connections that net/http counts as idle, even if a request has arrived on them, and drops each request whose headers are read once it has begun.

The connections of callers are now tracked and drained with ingress.Connections, as in package sidecar, for at most 1 s. Shutdown then closes the HTTP/2 connections. The servers for other instances and operators stop as before.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,9 +24,11 @@
 	"sapphiretray/chart"
 	"sapphiretray/code"
 	"sapphiretray/heartbeat"
+	"sapphiretray/ingress"
 	"sapphiretray/object"
 	"sapphiretray/peer"
 	"sapphiretray/policy"
+	"sapphiretray/routing"
 	"sapphiretray/settings"
 	"sapphiretray/table"
 	"sapphiretray/timeline"
@@ -37,7 +39,7 @@
 const (
 	// readHeaderTimeout bounds reading the headers of an admin request.
 	readHeaderTimeout = 5 * time.Second
-	// shutdownTimeout bounds closing a server gracefully.
+	// shutdownTimeout bounds the drain of callers' connections, and closing a server gracefully.
 	shutdownTimeout = time.Second
 	// retryDelay is the pause after a failed join and between two checks of the lease. It is also the pause before a rejoin after an
 	// incarnation that lasted longer than maxRejoinDelay; after each shorter one, that pause doubles, up to maxRejoinDelay.
@@ -178,20 +180,27 @@
 }
 
 func (i *Instance) serve(ctx context.Context, group *errgroup.Group, l listeners) {
-	i.serveHTTP(ctx, group, l.callers, caller.NewHTTPServer(http.HandlerFunc(i.serveCaller)))
-	i.serveHTTP(ctx, group, l.peers, caller.NewHTTPServer(i.peerHandler()))
-	i.serveHTTP(ctx, group, l.admin, &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: readHeaderTimeout})
+	callers := caller.NewHTTPServer(http.HandlerFunc(i.serveCaller))
+	connections := ingress.NewConnections(func() routing.Limits { return routing.Limits{} }, i.registry)
+	connections.Attach(callers)
+	serveHTTP(ctx, group, connections.Listen(l.callers), callers, func() { drainCallers(l.callers, connections) })
+	none := func() {}
+	serveHTTP(ctx, group, l.peers, caller.NewHTTPServer(i.peerHandler()), none)
+	serveHTTP(ctx, group, l.admin, &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, none)
 }
 
-func (i *Instance) serveHTTP(ctx context.Context, group *errgroup.Group, l net.Listener, server *http.Server) {
+// serveHTTP starts a server. When ctx ends, it calls drain and then closes the server gracefully.
+func serveHTTP(ctx context.Context, group *errgroup.Group, l net.Listener, server *http.Server, drain func()) {
 	group.Go(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		// The listener of callers is closed before the server is.
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		return nil
 	})
 	group.Go(func() error {
 		<-ctx.Done()
+		drain()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
@@ -201,6 +210,19 @@
 	})
 }
 
+// drainCallers refuses new connections of callers and waits, for at most shutdownTimeout, until the requests that have arrived on open
+// HTTP/1 connections have been answered, which Shutdown doesn't.
+func drainCallers(l net.Listener, connections *ingress.Connections) {
+	if err := l.Close(); err != nil {
+		klog.Warningf("instance: the listener of callers can't be closed: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if left := connections.Drain(ctx); left > 0 {
+		klog.Warningf("instance: %d connections of callers are still in use after %v", left, shutdownTimeout)
+	}
+}
+
 // serveCaller passes a caller's request to the current session.
 func (i *Instance) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if s := i.session.Load(); s != nil {
