Instance: bound the wait for the body of a request before the join

Callers whose request was refused because the instance had not joined got no answer as long as its body was incomplete, and their connections stayed open for ever.

net/http reads an unread body before it sends the response, and no deadline was set. The body now gets the same 1 s as that of other refused requests.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -229,7 +229,7 @@
 		s.server.Handler().ServeHTTP(w, r)
 		return
 	}
-	i.refuse(w, code.NoOwner)
+	i.refuse(w, r, code.NoOwner)
 }
 
 // peerHandler serves the calls and the forwarded requests of other instances.
@@ -241,7 +241,7 @@
 		case !caller.IsForwarded(r):
 			calls.ServeHTTP(w, r)
 		case s == nil:
-			i.refuse(w, code.NoOwner)
+			i.refuse(w, r, code.NoOwner)
 		default:
 			s.server.PeerHandler().ServeHTTP(w, r)
 		}
@@ -249,7 +249,8 @@
 }
 
 // refuse responds to a request that arrives before the instance has joined. The request did not run.
-func (i *Instance) refuse(w http.ResponseWriter, c code.Code) {
+func (i *Instance) refuse(w http.ResponseWriter, r *http.Request, c code.Code) {
+	caller.BoundBody(w, r)
 	e := c.Entry()
 	w.Header().Set(caller.HeaderRan, string(e.Ran()))
 	w.Header().Set(caller.HeaderCode, strconv.Itoa(int(c)))
--- a/instance/stop_test.go
+++ b/instance/stop_test.go
@@ -187,3 +187,26 @@
 		}
 	}
 }
+
+// TestRefusalBeforeBody guards against callers that get no answer, or whose connection stays open for ever, because the body of a request
+// doesn't arrive that the instance refuses before it has joined.
+func TestRefusalBeforeBody(t *testing.T) {
+	i, l := newTestInstance(t)
+	running, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	defer stop()
+	i.serve(running, &group, l)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.callers.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	responses := bufio.NewReader(conn)
+	_, _ = io.WriteString(conn, "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc")
+	readRefusal(t, responses)
+	if _, err := responses.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open")
+	}
+}
