Run: stop gracefully on SIGHUP

Callers of "sapphiretray run" saw connections that ended without an answer when the process got SIGHUP, by itself or after SIGTERM.

The command registered only SIGTERM and SIGINT, so SIGHUP had its default action and ended the process with its requests in flight.

SIGHUP now begins a planned stop, and does nothing during one. It still ends the process, since this command doesn't reload its settings.

--- a/run.go
+++ b/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"os/signal"
 	"strconv"
+	"syscall"
 
 	"k8s.io/klog/v2"
 
@@ -16,8 +18,11 @@
 	Settings string `help:"YAML file with the settings of this process." required:"" type:"existingfile"`
 }
 
-// Run serves until ctx ends on SIGTERM or SIGINT, and then stops gracefully.
+// Run serves until ctx ends on SIGTERM or SIGINT, or until SIGHUP, and then stops gracefully.
 func (c *RunCommand) Run(ctx context.Context) error {
+	// SIGHUP would otherwise end the process with requests in flight, also during a stop.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer stop()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
