Start TestRefresh's planner after the check that there is no map

TestRefresh failed now and then with "load before the first step: <nil>". It started the planner in the background and then expected that no map exists, which held only if the planner's first step came later than the check.

The check now precedes the start, so that it states what its message says. It is unchanged and covers the same: loading without a map returns ErrNoMap.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -245,10 +245,10 @@
 		p := env.planner("a", planner.WithSheet(func(context.Context, table.Row, string) (planner.ServiceSheet, error) {
 			return planner.ServiceSheet{Budget: &budget}, nil
 		}))
-		defer env.start(p)()
 		if _, _, err := planner.LoadMap(env.Context(), env.table, env.objects, service); !errors.Is(err, planner.ErrNoMap) {
 			t.Errorf("load before the first step: %v", err)
 		}
+		defer env.start(p)()
 		time.Sleep(10 * time.Second)
 		var reader *partition.Map
 		snapshots := make(map[string]bool)
