--- a/caller/pause_test.go
+++ b/caller/pause_test.go
@@ -10,8 +10,8 @@
 	"sapphiretray/fake"
 )
 
-// TestPausedOwnerKeepsRequests guards against requests that are given up while their upstream works on them, because the owner or the network
-// between stands still for half a second.
+// TestPausedOwnerKeepsRequests guards against requests that are given up while their upstream works on them, because the owner or the
+// network between stands still for half a second.
 func TestPausedOwnerKeepsRequests(t *testing.T) {
 	for _, kind := range []string{"plain", "read"} {
 		t.Run(kind, func(t *testing.T) {
