Grant: raise the fencing token after a renewal in flight was left unanswered

Each time the earlier server got a renewal 0.3 s before the next one got the keys, and its fencing token shows hundreds of failed grants or new connections.

A release waits for grants in flight, but went on with the state of the keys from before that. If the renewal was then left unanswered, the release was sent without the grant with a higher fencing token that makes the upstream refuse the renewal. An upstream that is short of time carries it out after the release.

The state is now read again after the wait.

--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -495,6 +495,31 @@
 	})
 }
 
+// TestGrantInFlightIsRefused guards against a renewal that is in flight when its keys are released, is left unanswered, and is carried out
+// by the upstream after the keys have moved to another one.
+func TestGrantInFlightIsRefused(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+		var late grant.Grant
+		var fence uint64
+		for late.Fence == nil {
+			time.Sleep(10 * time.Millisecond)
+			a.upstream.set(func(u *fakeUpstream) { late, fence = u.lateGrant, u.lateFence })
+		}
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		time.Sleep(time.Second)
+		if !b.manager.Serves(5) {
+			t.Fatal("the successor doesn't serve")
+		}
+		late.Fence = func(bool) uint64 { return fence }
+		if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+			t.Errorf("a late grant with fencing token %d wasn't refused: %v", fence, err)
+		}
+	})
+}
+
 // TestEpochRaisedWhileServing guards against keys that aren't served while their owner claims them again from all possible holders, after
 // the key map was restored, and against a burst of requests to the holders, which takes the processor time of other requests.
 func TestEpochRaisedWhileServing(t *testing.T) {
--- a/grant/release.go
+++ b/grant/release.go
@@ -92,6 +92,7 @@
 	for changed, grantInFlight := m.grantInFlight(s.Range); grantInFlight; changed, grantInFlight = m.grantInFlight(s.Range) {
 		<-changed
 	}
+	m.refresh(&s)
 	var handover string
 	for time.Now().Before(s.heldUntil) {
 		released, err := m.tryRelease(ctx, &s)
@@ -113,6 +114,18 @@
 	})
 }
 
+// refresh takes over what has become of the grants that were in flight when the segment was read.
+func (m *Manager) refresh(s *segment) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, current := range m.segments.within(s.Range) {
+		s.unanswered = s.unanswered || current.unanswered
+		if current.heldUntil.After(s.heldUntil) {
+			s.heldUntil = current.heldUntil
+		}
+	}
+}
+
 // tryRelease makes one attempt to release the keys. If the upstream left a grant for them unanswered, tryRelease first sends one with a
 // higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys.
 func (m *Manager) tryRelease(ctx context.Context, s *segment) (string, error) {
