Grant: log grants that fail, abandoned keys and how a release ended

The first grant of a series that isn't acknowledged leaves one line, so the volume follows the changes of state. grant passes as before.

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -72,6 +72,9 @@
 	m.updateSegments(e.Range, func(s *segment) {
 		if s.state == stateClaiming && s.epoch == e.Epoch {
 			s.state = stateNone
+			if left := time.Until(s.heldUntil); left > 0 {
+				klog.InfoS("grant: abandoned keys may still be held", "keys", s.Range, "epoch", e.Epoch, "for", left)
+			}
 		}
 	})
 }
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -285,6 +285,10 @@
 	m.segments.change(g.Range, func(s *segment) {
 		switch {
 		case err != nil:
+			if !s.unanswered {
+				klog.InfoS("grant: not acknowledged", "keys", s.Range, "epoch", epoch, "state", s.state, "hold", g.Hold,
+					"took", time.Since(sentAt), "err", err)
+			}
 			s.unanswered = true
 		case s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming):
 			s.state, s.handover, s.usableUntil, s.unanswered = stateServing, "", sentAt.Add(g.Hold), false
--- a/grant/release.go
+++ b/grant/release.go
@@ -94,19 +94,25 @@
 	}
 	m.refresh(&s)
 	var handover string
+	outcome := "hold ended"
+	if s.heldUntil.IsZero() {
+		outcome = "never granted"
+	}
 	for time.Now().Before(s.heldUntil) {
 		released, err := m.tryRelease(ctx, &s)
 		if err == nil {
-			handover = released
+			handover, outcome = released, "acknowledged"
 			break
 		}
 		klog.V(1).InfoS("grant: release failed", "keys", s.Range, "epoch", s.epoch, "err", err)
 		if errors.Is(err, ErrUpstreamGone) {
+			outcome = "upstream gone"
 			break
 		}
 		time.Sleep(retryDelay)
 	}
-	klog.InfoS("grant: released keys", "keys", s.Range, "epoch", s.epoch, "handover", handover != "", "took", time.Since(started))
+	klog.InfoS("grant: released keys", "keys", s.Range, "epoch", s.epoch, "from", s.state, "outcome", outcome, "handover", handover != "",
+		"took", time.Since(started))
 	m.updateSegments(s.Range, func(s *segment) {
 		if s.state == stateReleasing {
 			s.state, s.handover, s.usableUntil = stateNone, handover, time.Time{}
@@ -135,6 +141,8 @@
 		grantCtx, cancel := context.WithTimeout(ctx, grantTimeout)
 		err := m.upstream.Grant(grantCtx, Grant{Range: s.Range, Fence: m.fence(s.epoch), Hold: left})
 		cancel()
+		klog.InfoS("grant: raised the fencing token before a release", "keys", s.Range, "epoch", s.epoch, "from", s.state, "hold", left,
+			"err", err)
 		if err != nil {
 			m.generation.Add(1)
 			return "", err
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -22,6 +22,22 @@
 	stateReleasing
 )
 
+// String returns the name of the state in log lines.
+func (s state) String() string {
+	switch s {
+	case stateNone:
+		return "none"
+	case stateClaiming:
+		return "claiming"
+	case stateServing:
+		return "serving"
+	case stateReleasing:
+		return "releasing"
+	default:
+		return "invalid"
+	}
+}
+
 // segment is a range of keys in the same state.
 type segment struct {
 	keyspace.Range
