Grant: test abandoned claims, claimed keys, waiting releases and lost answers

A claim that a newer map or a fence ends after its grant was carried out without an answer leaves the keys at the upstream, and a release of them returns at once ("both upstreams held key 150 for 999ms"). A release of keys that are only claimed sends a grant ("a grant was sent 55ms after the claim, though b hasn't released the keys"), and if its answer is lost, both upstreams hold the keys for 994 ms. Releases that wait for the same keys wake each other ("four releases waited 202 times or more within 500ms"). Concurrent claims of served keys hold a mutex during a pause ("the paused clock stands still").

The fake peers ask for a proof of expiry until the context ends, as the interface says. Tests with two nodes end after 20 s of real time.

--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -12,6 +12,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
+	"sapphiretray/wait"
 )
 
 // fakeUpstream enforces grants as an upstream does: by fencing token and by a hold that begins when the grant arrives.
@@ -21,6 +22,10 @@
 	heldUntil map[keyspace.Key]time.Time
 	// unanswered makes calls have no effect and block until their context ends.
 	unanswered bool
+	// answerLost makes grants take effect and block until their context ends.
+	answerLost bool
+	// fenced makes grants fail with grant.ErrFenced.
+	fenced bool
 	// gone makes calls fail with grant.ErrUpstreamGone.
 	gone bool
 	// newConnection makes the next grant go over a new connection.
@@ -36,6 +41,17 @@
 	lastGrantAt time.Time
 }
 
+// innerKey is a key that the fake upstream keeps track of besides the ends of granted ranges.
+const innerKey keyspace.Key = 150
+
+// trackedKeys returns the keys of a range that the fake upstream keeps track of.
+func trackedKeys(r keyspace.Range) []keyspace.Key {
+	if r.Contains(innerKey) {
+		return []keyspace.Key{r.First, innerKey, r.Last}
+	}
+	return []keyspace.Key{r.First, r.Last}
+}
+
 // slowClockDuration returns how long a hold lasts at an upstream whose clock runs 2% slow, the maximum that the platform states.
 func slowClockDuration(hold time.Duration) time.Duration { return hold * 102 / 100 }
 
@@ -60,12 +76,21 @@
 		u.mu.Lock()
 		return ctx.Err()
 	}
-	for _, k := range []keyspace.Key{g.First, g.Last} {
+	if u.fenced {
+		return grant.ErrFenced
+	}
+	for _, k := range trackedKeys(g.Range) {
 		if fence < u.fences[k] {
 			return grant.ErrFenced
 		}
 		u.fences[k], u.heldUntil[k] = fence, time.Now().Add(slowClockDuration(g.Hold))
 	}
+	if u.answerLost {
+		u.mu.Unlock()
+		<-ctx.Done()
+		u.mu.Lock()
+		return ctx.Err()
+	}
 	return nil
 }
 
@@ -94,7 +119,7 @@
 	return "handover", nil
 }
 
-// holds reports whether the upstream holds a key now. The key must be the first or the last one of a granted range.
+// holds reports whether the upstream holds a key now. The key must be one of the trackedKeys of a granted range.
 func (u *fakeUpstream) holds(k keyspace.Key) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -143,32 +168,61 @@
 	// unreachable holds the incarnations that don't respond, and expired those whose lease is proved to have expired.
 	unreachable map[member.Incarnation]bool
 	expired     map[member.Incarnation]bool
+	// refused is the number of the next release requests that fail at once without reaching the holder.
+	refused int
+	// lostAnswers is the number of the next release requests that the holder carries out and whose answers are lost.
+	lostAnswers int
 	// releases is the number of release requests.
 	releases int
 }
 
-var errUnreachable = errors.New("holder is unreachable")
+var (
+	errUnreachable = errors.New("holder is unreachable")
+	errReset       = errors.New("connection reset by peer")
+)
 
 func (p *peers) Release(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
 	p.mu.Lock()
 	p.releases++
-	manager, unreachable := p.managers[r.Holder], p.unreachable[r.Holder]
+	manager, unreachable, refused := p.managers[r.Holder], p.unreachable[r.Holder], p.refused > 0
+	answerLost := !refused && p.lostAnswers > 0
+	if refused {
+		p.refused--
+	}
+	if answerLost {
+		p.lostAnswers--
+	}
 	p.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
-	return manager.Release(ctx, r)
+	if refused {
+		return nil, errReset
+	}
+	handovers, err := manager.Release(ctx, r)
+	if answerLost {
+		return nil, errReset
+	}
+	return handovers, err
 }
 
 func (p *peers) ProveExpired(ctx context.Context, i member.Incarnation) (bool, error) {
-	p.mu.Lock()
-	expired := p.expired[i]
-	p.mu.Unlock()
-	if !expired {
-		<-ctx.Done()
+	for {
+		p.mu.Lock()
+		expired := p.expired[i]
+		p.mu.Unlock()
+		if expired || !wait.For(ctx, 10*time.Millisecond) {
+			return expired, nil
+		}
 	}
-	return expired, nil
+}
+
+// set changes the fields under their lock.
+func (p *peers) set(change func(*peers)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
 }
 
 func (p *peers) Ended(member.Incarnation) bool { return false }
@@ -211,6 +265,9 @@
 	return m
 }
 
+// maxRealTime bounds a test on the paused clock, which takes some milliseconds.
+const maxRealTime = 20 * time.Second
+
 // fixture holds two nodes, a and b, and the peers that connect them.
 type fixture struct {
 	t     *testing.T
@@ -218,28 +275,40 @@
 	a, b  *node
 }
 
-// withTwoNodes runs a test with two nodes and a fake clock. Node a serves all keys at the beginning.
+// withTwoNodes runs a test with two nodes and a paused clock. Node a serves all keys at the beginning. The test fails if it takes much
+// real time, since the paused clock stops for good if goroutines wake each other without a pause or wait for a mutex.
 func withTwoNodes(t *testing.T, test func(f fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		p := newPeers()
-		a, b := newNode(ctx, p, "a"), newNode(ctx, p, "b")
-		var group sync.WaitGroup
-		for _, n := range []*node{a, b} {
-			group.Go(func() { n.manager.Run(ctx) })
-		}
-		a.manager.Update(assignAll(t, 1, a.self))
-		time.Sleep(10 * time.Millisecond)
-		if !a.manager.Serves(5) {
-			t.Fatal("the first owner doesn't serve its keys")
-		}
-		test(fixture{t: t, peers: p, a: a, b: b})
-		cancel()
-		group.Wait()
-		a.manager.Wait()
-		b.manager.Wait()
+	var group sync.WaitGroup
+	ended := make(chan struct{})
+	group.Go(func() {
+		defer close(ended)
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			p := newPeers()
+			a, b := newNode(ctx, p, "a"), newNode(ctx, p, "b")
+			var running sync.WaitGroup
+			for _, n := range []*node{a, b} {
+				running.Go(func() { n.manager.Run(ctx) })
+			}
+			a.manager.Update(assignAll(t, 1, a.self))
+			time.Sleep(10 * time.Millisecond)
+			if !a.manager.Serves(5) {
+				t.Fatal("the first owner doesn't serve its keys")
+			}
+			test(fixture{t: t, peers: p, a: a, b: b})
+			cancel()
+			running.Wait()
+			a.manager.Wait()
+			b.manager.Wait()
+		})
 	})
+	select {
+	case <-ended:
+		group.Wait()
+	case <-time.After(maxRealTime):
+		t.Fatalf("the paused clock stands still: the test hasn't ended after %v", maxRealTime)
+	}
 }
 
 // TestPlannedMove checks that a planned move never leaves two upstreams with the same key and that requests wait for the new owner.
--- /dev/null
+++ b/grant/release_test.go
@@ -0,0 +1,108 @@
+package grant_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphiretray/grant"
+	"sapphiretray/keyspace"
+)
+
+// TestReleaseOfClaimedKeys guards against a release of keys that are only claimed, and that were served before, which grants them to the
+// upstream while another one holds them.
+func TestReleaseOfClaimedKeys(t *testing.T) {
+	tests := []struct {
+		name string
+		// answerLost means that the upstream of a carries out grants without an answer.
+		answerLost bool
+	}{
+		{name: "the upstream responds"},
+		{name: "the upstream's answers are lost", answerLost: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				// The last grant before the release is left unanswered.
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+				time.Sleep(450 * time.Millisecond)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+				b.manager.Update(assignAll(t, 2, b.self, a.self))
+				time.Sleep(300 * time.Millisecond)
+				if a.upstream.holds(innerKey) || !b.manager.Serves(innerKey) {
+					t.Fatal("the keys haven't moved to b")
+				}
+
+				f.peers.set(func(p *peers) { p.unreachable[b.self] = true })
+				a.upstream.set(func(u *fakeUpstream) { u.answerLost = test.answerLost })
+				claimedAt := time.Now()
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(50 * time.Millisecond)
+				b.manager.Update(assignAll(t, 4, b.self, a.self))
+				if both := f.heldByBoth(innerKey, ownerGap); both > 0 {
+					t.Errorf("both upstreams held key %d for %v", innerKey, both)
+				}
+				a.upstream.set(func(u *fakeUpstream) {
+					if !u.lastGrantAt.Before(claimedAt) {
+						t.Errorf("a grant was sent %v after the claim, though b hasn't released the keys", u.lastGrantAt.Sub(claimedAt))
+					}
+				})
+				if a.upstream.holds(innerKey) || !b.upstream.holds(innerKey) || b.manager.SettledVersion() != 4 {
+					t.Errorf("a's upstream holds the key: %v, b's: %v, b has settled on map %d; want false, true, 4",
+						a.upstream.holds(innerKey), b.upstream.holds(innerKey), b.manager.SettledVersion())
+				}
+			})
+		})
+	}
+}
+
+// wakeUpCounter is a context that counts how often a function begins to wait for its end, and ends at the limit.
+type wakeUpCounter struct {
+	context.Context
+	cancel context.CancelFunc
+	limit  int64
+	count  atomic.Int64
+}
+
+func (c *wakeUpCounter) Done() <-chan struct{} {
+	if c.count.Add(1) == c.limit {
+		c.cancel()
+	}
+	return c.Context.Done()
+}
+
+// TestConcurrentReleasesWait guards against release requests for the same keys that wake each other without a pause while they wait for
+// the upstream. This takes processor time and stops the paused clock.
+func TestConcurrentReleasesWait(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		c := newNode(t.Context(), f.peers, "c")
+		a.upstream.set(func(u *fakeUpstream) { u.busyUntil = time.Now().Add(500 * time.Millisecond) })
+		counted, stop := context.WithCancel(t.Context())
+		defer stop()
+		counter := &wakeUpCounter{Context: counted, cancel: stop, limit: 200}
+		started := time.Now()
+		var releases sync.WaitGroup
+		for n, successor := range []*node{b, b, c, c} {
+			releases.Go(func() {
+				_, err := a.manager.Release(counter, grant.ReleaseRequest{
+					Range: keyspace.Range{First: 0, Last: keyspace.MaxKey}, Service: "bookings", Epoch: uint64(n + 2), Holder: a.self,
+					Successor: successor.self,
+				})
+				if err != nil {
+					t.Errorf("release for epoch %d after %v: %v", n+2, time.Since(started), err)
+				}
+			})
+		}
+		releases.Wait()
+		if n := counter.count.Load(); n >= counter.limit {
+			t.Errorf("four releases waited %d times or more within %v", n, time.Since(started))
+		}
+		if a.upstream.holds(innerKey) || a.manager.Serves(innerKey) {
+			t.Error("the keys are still held after their release")
+		}
+	})
+}
