Grant: don't hold a mutex while a claim pauses

Claims of served keys took turns by holding a mutex during a pause. On the paused clock of tests, time stops while a goroutine waits for a mutex, so such claims couldn't be modelled, and a claim whose session had ended waited for its turn.

The turn is now a value in a channel. TestConcurrentClaimsOfServedKeys failed before: the paused clock stood still.

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -109,9 +109,7 @@
 			continue
 		}
 		if m.servesAll(e.Range) {
-			m.pacer.Lock()
-			wait.For(m.ctx, raiseInterval)
-			m.pacer.Unlock()
+			m.pace()
 		}
 		handovers, err := m.releaseFrom(e, holder)
 		if err != nil {
@@ -122,6 +120,17 @@
 	return fillGaps(e.Range, released), nil
 }
 
+// pace waits for raiseInterval after the wait of any other claim of served keys.
+func (m *Manager) pace() {
+	select {
+	case m.pacer <- struct{}{}:
+	case <-m.ctx.Done():
+		return
+	}
+	defer func() { <-m.pacer }()
+	wait.For(m.ctx, raiseInterval)
+}
+
 // servesAll reports whether all keys of a range are served, so that a claim of it only raises their epoch and isn't urgent.
 func (m *Manager) servesAll(r keyspace.Range) bool {
 	m.mu.Lock()
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -60,8 +60,8 @@
 	maxHold  time.Duration
 	// generation is the low part of the fencing token. It grows with each new connection to the upstream and each failed grant.
 	generation atomic.Uint64
-	// pacer is held during raiseInterval, so that all claims of served keys share it.
-	pacer sync.Mutex
+	// pacer holds a value during raiseInterval, so that all claims of served keys share it.
+	pacer chan struct{}
 
 	mu       sync.Mutex
 	current  *keyspace.Map
@@ -99,7 +99,7 @@
 	m := &Manager{
 		service: service, self: self, lease: lease, upstream: upstream, peers: peers, ctx: ctx, maxHold: MaxHold,
 		segments: newSegments(), changed: make(chan struct{}), claims: make(map[keyspace.Range]uint64),
-		inFlight: make(map[*keyspace.Range]struct{}),
+		inFlight: make(map[*keyspace.Range]struct{}), pacer: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(m)
