Grant: ask an earlier holder again after a failed release request

Callers saw keys without an owner for 2.5 s after one lost answer. When a release request failed at once, the claim waited for the proof that the holder's lease has expired until the request's timeout, though the holder was alive and no proof could come.

The claim now asks again with growing pauses while the witnesses are asked, and ends as soon as a newer map supersedes it.

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -158,16 +158,12 @@
 			cancel()
 		}
 	})
-	handovers, err := m.peers.Release(ctx, ReleaseRequest{
+	handovers, err := m.askHolder(ctx, ReleaseRequest{
 		Range: e.Range, Service: m.service, Epoch: e.Epoch, Holder: holder, Successor: m.self,
 	})
 	if err == nil {
 		return handovers, nil
 	}
-	if ctx.Err() == nil {
-		// The holder is unreachable or refuses, so the claim can only go on if its lease is proved to have expired.
-		proof.Wait()
-	}
 	if expired.Load() {
 		klog.InfoS("grant: lease of the earlier holder has expired", "keys", e.Range, "holder", holder)
 		return nil, nil
@@ -175,6 +171,31 @@
 	return nil, err
 }
 
+// askHolder sends a release request until the holder has responded, a newer map supersedes the claim or ctx ends. A request can fail
+// at a holder that is alive, and then no proof of its expiry will come.
+func (m *Manager) askHolder(ctx context.Context, r ReleaseRequest) ([]Handover, error) {
+	for pause := retryDelay; ; pause = min(2*pause, maxRetryDelay) {
+		handovers, err := m.peers.Release(ctx, r)
+		if err == nil {
+			return handovers, nil
+		}
+		if !wait.For(ctx, pause) {
+			return nil, err
+		}
+		if !m.isAssigned(r.Range, r.Epoch) {
+			return nil, errSuperseded
+		}
+	}
+}
+
+// isAssigned reports whether the newest map assigns a range to this incarnation under an epoch.
+func (m *Manager) isAssigned(r keyspace.Range, epoch uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.current.Find(r.First)
+	return ok && e.Range == r && e.Epoch == epoch && e.Owner() == m.self
+}
+
 // fillGaps returns handovers that contain each key of the range exactly once, with an empty Token for keys without a handover.
 func fillGaps(r keyspace.Range, handovers []Handover) []Handover {
 	tokens := newSegments()
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -36,8 +36,10 @@
 	grantTimeout = 200 * time.Millisecond
 	// releaseTimeout bounds one attempt to release keys. Most work that is running on them ends within it.
 	releaseTimeout = 700 * time.Millisecond
-	// retryDelay is the pause after a failed attempt to claim or release keys.
-	retryDelay = 50 * time.Millisecond
+	// retryDelay is the pause after a failed attempt to claim or release keys. It doubles with each release request that an earlier holder
+	// fails, up to maxRetryDelay.
+	retryDelay    = 50 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
 	// expiryProofDelay is the time that an earlier holder has to respond before its witnesses are asked to prove that its lease has
 	// expired.
 	expiryProofDelay = 150 * time.Millisecond
