Grant: don't wake waiting releases when nothing has changed

Each release request notified all that wait, also when it only began to wait itself. Two requests for the same keys woke each other without a pause until the keys were released, which took processor time just when many keys move.

A request now notifies only if it changes a promise or begins a release.

--- a/grant/release.go
+++ b/grant/release.go
@@ -51,8 +51,10 @@
 				"keys %s are served under epoch %d, which isn't older than the requested one", s.Range, s.epoch)
 		}
 	}
+	raised := false
 	m.segments.change(r.Range, func(s *segment) {
 		if r.Epoch >= s.minEpoch {
+			raised = raised || r.Epoch > s.minEpoch
 			s.minEpoch, s.successor = r.Epoch, r.Successor
 		}
 	})
@@ -69,7 +71,9 @@
 	for _, s := range toRelease {
 		m.segments.change(s.Range, func(s *segment) { s.state = stateReleasing })
 	}
-	m.notify()
+	if raised || len(toRelease) > 0 {
+		m.notify()
+	}
 	if waiting {
 		stateChanged = m.changed
 	}
