Grant: wait for the renewals in flight at the end of Run

Run returned at the end of its context without waiting for renewals in flight, so that one could reach the upstream after the next session had begun. Found by reading; no test shows it.

--- a/grant/manager.go
+++ b/grant/manager.go
@@ -365,6 +365,8 @@
 // renew renews the grants of all served ranges and returns when all have returned.
 func (m *Manager) renew(ctx context.Context) {
 	var renewals sync.WaitGroup
+	// A renewal that outlasted Run would meet the grants of the next session.
+	defer renewals.Wait()
 	slots := make(chan struct{}, maxConcurrentRenewals)
 	for _, s := range m.Serving() {
 		select {
@@ -377,7 +379,6 @@
 			m.renewRange(ctx, s)
 		})
 	}
-	renewals.Wait()
 }
 
 // renewRange renews the grant of one range, unless the lease has expired or ends too soon.
