Sidecar: release what an earlier session granted to a restarted upstream

Cause: a session learns of the next run of its upstream from the first heartbeat, some time after that run began to listen. Its renewals and claims until then, and those until the session loop has ended, reach the next run over new connections. The record of the next session names another run, so the earlier incarnation counts as ended together with its grants, and other instances claim the keys without a release while the next run holds them.

The grants of a session now go through sessionUpstream, which sends none once another run is known or the session has ended, and lets the session end only after the grants in flight have returned: package grant doesn't wait for renewals in flight when its context ends, nor for the grants before a release. The next session then makes the upstream release all keys before it writes its record or sends a report. The fencing token is above those of all maps known so far and below those of later maps, in which alone the next incarnation can be named. So a record that names another run proves again that nothing granted by earlier incarnations is held. If the upstream leaves the release unanswered, the session begins when the holds of all earlier grants have ended, 2.1 s later. A release asked of the earlier session meanwhile waits for the same.

The start of a service isn't delayed: while there is no key map there is nothing to release.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -57,6 +57,16 @@
 	awaitsRecords bool
 }
 
+// lastFence returns the highest fencing token of the maps so far. The tokens of later maps are higher.
+func (r mapRow) lastFence() uint64 {
+	version := r.keys.Version()
+	if !r.awaitsRecords {
+		// The next map will have a version above that of a lost row.
+		version = max(version, r.lostAt)
+	}
+	return keyspace.Fence(version+1, 0) - 1
+}
+
 func newDirectory(self string) *directory {
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -47,8 +47,8 @@
 	return r.Witnesses, ok && len(r.Witnesses) > 0
 }
 
-// ended reports whether a newer record names another run of the upstream. The run of the incarnation has then ended, and its grants
-// of keys with it.
+// ended reports whether a newer record names another run of the upstream. The run of the incarnation has then ended. What the incarnation
+// may have granted to a later run, before that run had registered, was released before the record was written, see clearEarlierGrants.
 func (d *directory) ended(i member.Incarnation) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -42,6 +42,8 @@
 	upstreamRun trackedRun
 	// grantManager claims the keys and grants them to the upstream; nil if the service isn't keyed.
 	grantManager *grant.Manager
+	// upstream is what the grant manager grants keys to; nil if the service isn't keyed.
+	upstream *sessionUpstream
 	// started is when the session began to join; grants of earlier incarnations are older.
 	started time.Time
 	// expiredAt is when the lease was found to be expired; zero while it is valid.
@@ -154,6 +156,11 @@
 // join starts a session with a new incarnation: it chooses the witnesses and writes the record.
 func (sc *Sidecar) join(ctx context.Context) (*session, error) {
 	run := sc.gateway.State().UpstreamRun
+	if sc.keyed() {
+		if _, err := sc.clearEarlierGrants(ctx, run); err != nil {
+			return nil, err
+		}
+	}
 	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
 	row := sc.rows.Get(member.RowKey(sc.settings.Slot))
 	if !row.Deleted {
@@ -262,7 +269,10 @@
 			klog.ErrorS(err, "session: invalid witnesses", "instance", s.self())
 			return
 		}
-		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), sc.endpoint.Lease(), sc.adapters.Grants(sc.gateway), sc,
+		s.upstream = newSessionUpstream(sc.adapters.Grants(sc.gateway), func() bool {
+			return s.upstreamRun.continues(sc.gateway.State().UpstreamRun)
+		})
+		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), sc.endpoint.Lease(), s.upstream, sc,
 			grant.WithMaxHold(sc.settings.MaxHold))
 		group.Go(func() error {
 			s.grantManager.Run(ctx)
@@ -280,6 +290,7 @@
 	_ = group.Wait()
 	if s.grantManager != nil {
 		s.grantManager.Wait()
+		s.upstream.end()
 	}
 }
 
--- /dev/null
+++ b/sidecar/upstream.go
@@ -0,0 +1,147 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/gateway"
+	"sapphiretray/grant"
+	"sapphiretray/keyspace"
+	"sapphiretray/wait"
+)
+
+const (
+	// grantTransit bounds the time from the start of a grant call until the grant has arrived: package grant resets the connection of a
+	// call after 200 ms.
+	grantTransit = 200 * time.Millisecond
+	// earlierGrants is the time after the end of a session within which all holds that it granted end. The extra twentieth is a margin for
+	// clocks that run at different rates.
+	earlierGrants = grantTransit + grant.MaxHold + grant.MaxHold/20
+	// clearTimeout bounds one attempt to release the keys of earlier sessions, and clearRetryDelay is the pause after a failed one.
+	clearTimeout    = 700 * time.Millisecond
+	clearRetryDelay = 50 * time.Millisecond
+)
+
+var errSessionEnded = errors.New("the session has ended or the upstream was restarted")
+
+// sessionUpstream grants keys to the upstream for one session. No grant is sent after the session has ended. It implements
+// grant.Upstream.
+type sessionUpstream struct {
+	upstream grant.Upstream
+	// isCurrent reports whether the upstream's run is that of the session as far as it is known. A run registers only after its start, so
+	// grants may still reach the next run.
+	isCurrent func() bool
+	// cleared is closed when no upstream holds keys that were granted here.
+	cleared   chan struct{}
+	clearOnce sync.Once
+
+	mu    sync.Mutex
+	ended bool
+	// inFlight counts the grants that were sent and have not returned yet.
+	inFlight sync.WaitGroup
+}
+
+func newSessionUpstream(upstream grant.Upstream, isCurrent func() bool) *sessionUpstream {
+	return &sessionUpstream{upstream: upstream, isCurrent: isCurrent, cleared: make(chan struct{})}
+}
+
+// Grant implements grant.Upstream.
+func (u *sessionUpstream) Grant(ctx context.Context, g grant.Grant) error {
+	if !u.begin() {
+		return errSessionEnded
+	}
+	defer u.inFlight.Done()
+	return u.upstream.Grant(ctx, g)
+}
+
+// begin counts a grant as in flight. It returns false if the grant mustn't be sent.
+func (u *sessionUpstream) begin() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended || !u.isCurrent() {
+		return false
+	}
+	u.inFlight.Add(1)
+	return true
+}
+
+// Release implements grant.Upstream. If the upstream was restarted, the keys may have been granted to either run, and Release waits until
+// neither holds them.
+func (u *sessionUpstream) Release(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
+	if u.isCurrent() {
+		return u.upstream.Release(ctx, r, fence)
+	}
+	select {
+	case <-u.cleared:
+		return "", nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// end makes all further grants fail and waits for those in flight. Package grant doesn't wait for the renewals in flight when its context
+// ends, nor for the grants that precede a release.
+func (u *sessionUpstream) end() {
+	u.mu.Lock()
+	u.ended = true
+	u.mu.Unlock()
+	u.inFlight.Wait()
+}
+
+// markCleared ends the calls of Release that wait.
+func (u *sessionUpstream) markCleared() { u.clearOnce.Do(func() { close(u.cleared) }) }
+
+// clearEarlierGrants makes the upstream release all keys if its run may hold some that sessions of an earlier run have granted, since those
+// sessions count as ended with their grants once the run is registered. It returns true if the upstream then holds no keys, and an error if
+// it has ended.
+func (sc *Sidecar) clearEarlierGrants(ctx context.Context, run gateway.UpstreamRun) (cleared bool, err error) {
+	if !sc.mayHoldEarlierGrants(run) {
+		return false, nil
+	}
+	started := time.Now()
+	fence := sc.directory.keyMap(sc.settings.Service).lastFence()
+	upstream := sc.adapters.Grants(sc.gateway)
+	all := keyspace.Range{Last: keyspace.MaxKey}
+	for !cleared && time.Since(started) < earlierGrants {
+		_, err = releaseWithin(ctx, clearTimeout, upstream, all, fence)
+		switch {
+		case err == nil:
+			cleared = true
+		case errors.Is(err, grant.ErrUpstreamGone):
+			return false, err
+		case !wait.For(ctx, clearRetryDelay):
+			return false, ctx.Err()
+		}
+	}
+	klog.InfoS("session: released the keys of earlier sessions", "upstream", run, "released", cleared, "took", time.Since(started),
+		"err", err)
+	if s := sc.session.Load(); s != nil && s.upstream != nil {
+		s.upstream.markCleared()
+	}
+	return cleared, nil
+}
+
+// mayHoldEarlierGrants reports whether a run of the upstream may hold keys that were granted by sessions of another run.
+func (sc *Sidecar) mayHoldEarlierGrants(run gateway.UpstreamRun) bool {
+	if current := sc.directory.keyMap(sc.settings.Service); current.keys == nil && current.lostAt == 0 {
+		// No keys have been assigned yet.
+		return false
+	}
+	if s := sc.session.Load(); s != nil && !s.upstreamRun.get().Same(run) {
+		// The record may lack the start of the earlier run.
+		return true
+	}
+	earlier, ok := sc.directory.record(sc.settings.Slot)
+	return !ok || !upstreamRunOf(earlier).Same(run)
+}
+
+// releaseWithin makes one attempt to release keys.
+func releaseWithin(ctx context.Context, timeout time.Duration, upstream grant.Upstream, r keyspace.Range, fence uint64) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return upstream.Release(ctx, r, fence)
+}
