Sidecar: revoke the grants of earlier incarnations before a release returns

Cause: the release of keys of an earlier incarnation of the slot only waited for 1.05 x MaxHold from the start of the session. It ignored whether that wait was cut short by the end of the request, and answered as if the holds had ended. The wait began with the session, but a grant that was sent before may arrive up to the 200 ms of its call later. And nothing made the upstream refuse a grant that it had left unanswered and carries out seconds later, with a lower fencing token than that of the next owner.

Evidence: TestReleaseOfEarlierIncarnation printed "error <nil> after 1s, want context deadline exceeded after 1s" (requester stops waiting), "error <nil> after 1.89s, want <nil> after 2.09s" (unanswered), and "calls [], want [release 100-199 9437183]" (no token is raised).

The current session now releases the keys at the upstream itself, with the highest token below the requested epoch. That is above the tokens of all earlier incarnations, because the request is refused if the known key map has a newer epoch for these keys. No earlier session of the process sends grants any more when this one starts, and an earlier process in the slot has ended. An answered release therefore ends the holds at once, hands the keys over, and takes no longer than the running work, where the requester used to wait for up to 1.9 s. Without an answer the request returns when the holds must have ended, 2.09 s after the start of the session, or with an error if the requester gives up before. After 13 s no late grant is possible, and nothing is sent.

If a release doesn't raise the token at the upstream, a late grant may still be carried out, but its hold has ended by then.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -326,6 +326,17 @@
 	return maps.Clone(d.registered)
 }
 
+// newestEpoch returns the newest epoch of the keys in a range, 0 if there is no key map.
+func (d *directory) newestEpoch(service string, r keyspace.Range) uint64 {
+	var newest uint64
+	for _, e := range d.keyMap(service).keys.Entries() {
+		if e.Overlaps(r) {
+			newest = max(newest, e.Epoch)
+		}
+	}
+	return newest
+}
+
 // keyMap returns the newest key map of a service.
 func (d *directory) keyMap(service string) mapRow {
 	d.mu.RLock()
--- /dev/null
+++ b/sidecar/earlier_test.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sapphiretray/code"
+	"sapphiretray/gateway"
+	"sapphiretray/grant"
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/store"
+)
+
+// TestReleaseOfEarlierIncarnation guards against a release that returns while a grant of an earlier incarnation may be in force: because
+// the requester stopped waiting, or because the grant arrived late. It also guards against a token that doesn't make the upstream refuse
+// such a grant when it is carried out later.
+func TestReleaseOfEarlierIncarnation(t *testing.T) {
+	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
+	answered, gone := func() error { return nil }, func() error { return grant.ErrUpstreamGone }
+	keys := keyspace.Range{First: 100, Last: 199}
+	release := fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)
+	tests := []struct {
+		name string
+		// after is the time from the start of the session to the request, and timeout that after which the requester stops waiting.
+		after, timeout time.Duration
+		released       func() error
+		newestMap      uint64
+		err            error
+		took           time.Duration
+		calls          []string
+		handovers      int
+	}{
+		{"at once", 0, time.Minute, answered, 9, nil, 0, []string{release}, 1},
+		{"after the holds", 3 * time.Second, time.Minute, answered, 9, nil, 0, []string{release}, 1},
+		{"no late grant is possible any more", time.Minute, time.Minute, answered, 9, nil, 0, nil, 0},
+		{"upstream ended", 0, time.Minute, gone, 9, nil, 0, []string{release}, 0},
+		{"unanswered", 0, time.Minute, nil, 9, nil, holds, []string{release, release, release}, 0},
+		{"unanswered after the holds", 3 * time.Second, time.Minute, nil, 9, nil, 700 * time.Millisecond, []string{release}, 0},
+		{"requester stops waiting", 0, time.Second, nil, 9, context.DeadlineExceeded, time.Second, []string{release, release}, 0},
+		{"requester behind", 0, time.Minute, answered, 10, code.New(code.Conflict, ""), 0, nil, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream := &testUpstream{released: test.released}
+				sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
+				sc.adapters.Grants = func(*gateway.Gateway) grant.Upstream { return upstream }
+				successor, self := member.NewIncarnation("slot-5", 8), member.NewIncarnation("slot-3", 7)
+				sc.directory.apply([]store.Row{
+					recordRow(t, goodRecord(), 5), recordRow(t, member.Record{Incarnation: successor, State: member.Ready}, 8),
+					mapOf(t, test.newestMap, successor, 30),
+				})
+				bound := newSessionUpstream(upstream, func() bool { return true })
+				sc.session.Store(&session{
+					sidecar: sc, record: member.Record{Incarnation: self}, started: time.Now(), upstream: bound,
+					grantManager: grant.New(t.Context(), "bookings", self, nil, bound, nil),
+				})
+				time.Sleep(test.after)
+				ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+				defer cancel()
+				started := time.Now()
+				handovers, err := sc.release(ctx, grant.ReleaseRequest{
+					Range: keys, Service: "bookings", Epoch: 9, Holder: goodRecord().Incarnation, Successor: successor,
+				})
+				got, _ := code.Of(err)
+				wantCode, _ := code.Of(test.err)
+				if took := time.Since(started); got != wantCode || wantCode == 0 && !errors.Is(err, test.err) || took != test.took {
+					t.Errorf("error %v after %v, want %v after %v", err, took, test.err, test.took)
+				}
+				if !slices.Equal(upstream.calls, test.calls) {
+					t.Errorf("calls %v, want %v", upstream.calls, test.calls)
+				}
+				want := []grant.Handover{{Range: keys, Token: "handover"}}[:test.handovers]
+				if !slices.Equal(handovers, want) {
+					t.Errorf("handovers %v, want %v", handovers, want)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -14,7 +13,6 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
-	"sapphiretray/wait"
 )
 
 // peerService implements the calls of the peer protocol that other instances make.
@@ -85,7 +83,7 @@
 }
 
 // release releases keys of the current incarnation or of an earlier one in this slot. It returns code.BadRequest for another slot or
-// service and code.NoOwner if the holder hasn't joined here.
+// service, code.NoOwner if the holder hasn't joined here, and code.Conflict if the keys have a newer epoch.
 func (sc *Sidecar) release(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
 	if r.Holder.Slot() != sc.settings.Slot || r.Service != sc.settings.Service {
 		return nil, code.New(code.BadRequest, "wrong instance: this is slot %s of service %s", sc.settings.Slot, sc.settings.Service)
@@ -95,14 +93,34 @@
 		return nil, code.New(code.NoOwner, "incarnation %s has not joined here", r.Holder)
 	}
 	if s.self().Number() > r.Holder.Number() {
-		// Wait until all grants of earlier incarnations have expired. The extra twentieth is a margin for clocks that run at different
-		// rates.
-		wait.For(ctx, time.Until(s.started.Add(grant.MaxHold+grant.MaxHold/20)))
-		r.Holder = s.self()
+		return s.releaseEarlier(ctx, r)
 	}
 	return s.grantManager.Release(ctx, r)
 }
 
+// releaseEarlier releases keys of an earlier incarnation in the slot.
+func (s *session) releaseEarlier(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
+	if epoch := s.sidecar.directory.newestEpoch(r.Service, r.Range); epoch > r.Epoch {
+		// The earlier incarnation may have granted the keys under the newer epoch, above the successor's.
+		return nil, code.New(code.Conflict, "keys %s have epoch %d, above the requested %d", r.Range, epoch, r.Epoch)
+	}
+	r.Holder = s.self()
+	handovers, err := s.grantManager.Release(ctx, r)
+	if err != nil || s.cleared {
+		return handovers, err
+	}
+	// No session grants the keys below the requested epoch any more.
+	token, err := s.revokeEarlierGrants(ctx, r.Range, keyspace.Fence(r.Epoch, 0)-1)
+	if err != nil {
+		return nil, err
+	}
+	if token != "" {
+		// Handovers of the current incarnation are newer and come last.
+		handovers = append([]grant.Handover{{Range: r.Range, Token: token}}, handovers...)
+	}
+	return handovers, nil
+}
+
 // Report accepts the report of an instance of the service if this instance can act as its planner.
 func (s *peerService) Report(_ context.Context, r *peer.ReportRequest) (*peer.ReportResponse, error) {
 	return &peer.ReportResponse{Accepted: s.sidecar.acceptReport(r)}, nil
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -44,6 +44,8 @@
 	grantManager *grant.Manager
 	// upstream is what the grant manager grants keys to; nil if the service isn't keyed.
 	upstream *sessionUpstream
+	// cleared means that the upstream held no keys of earlier sessions when the session began to join.
+	cleared bool
 	// started is when the session began to join; grants of earlier incarnations are older.
 	started time.Time
 	// expiredAt is when the lease was found to be expired; zero while it is valid.
@@ -156,12 +158,14 @@
 // join starts a session with a new incarnation: it chooses the witnesses and writes the record.
 func (sc *Sidecar) join(ctx context.Context) (*session, error) {
 	run := sc.gateway.State().UpstreamRun
+	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
 	if sc.keyed() {
-		if _, err := sc.clearEarlierGrants(ctx, run); err != nil {
+		cleared, err := sc.clearEarlierGrants(ctx, run)
+		if err != nil {
 			return nil, err
 		}
+		s.cleared = cleared
 	}
-	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
 	row := sc.rows.Get(member.RowKey(sc.settings.Slot))
 	if !row.Deleted {
 		s.version = row.Version
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -21,6 +21,9 @@
 	// earlierGrants is the time after the end of a session within which all holds that it granted end. The extra twentieth is a margin for
 	// clocks that run at different rates.
 	earlierGrants = grantTransit + grant.MaxHold + grant.MaxHold/20
+	// lateGrants is the time after the end of a session within which the upstream may still carry out a grant that it left unanswered: it
+	// does so up to 12 s after the arrival.
+	lateGrants = 13 * time.Second
 	// clearTimeout bounds one attempt to release the keys of earlier sessions, and clearRetryDelay is the pause after a failed one.
 	clearTimeout    = 700 * time.Millisecond
 	clearRetryDelay = 50 * time.Millisecond
@@ -139,6 +142,34 @@
 	return !ok || !upstreamRunOf(earlier).Same(run)
 }
 
+// revokeEarlierGrants makes the upstream release keys that earlier sessions of the same run may have granted to it, and returns its
+// handover token, if any. A release with a fencing token above theirs makes it refuse those of their grants that it left unanswered. If it
+// doesn't respond, the holds must have ended, and the keys are released without a handover.
+func (s *session) revokeEarlierGrants(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
+	if time.Since(s.started) >= lateGrants {
+		return "", nil
+	}
+	for {
+		timeout := clearTimeout
+		if left := earlierGrants - time.Since(s.started); left > 0 {
+			timeout = min(timeout, left)
+		}
+		handover, err := releaseWithin(ctx, timeout, s.upstream, r, fence)
+		switch {
+		case err == nil:
+			return handover, nil
+		case errors.Is(err, grant.ErrUpstreamGone):
+			return "", nil
+		case ctx.Err() != nil:
+			return "", ctx.Err()
+		case time.Since(s.started) >= earlierGrants:
+			klog.InfoS("session: the upstream left the release of earlier grants unanswered", "instance", s.self(), "keys", r, "err", err)
+			return "", nil
+		}
+		wait.For(ctx, clearRetryDelay)
+	}
+}
+
 // releaseWithin makes one attempt to release keys.
 func releaseWithin(ctx context.Context, timeout time.Duration, upstream grant.Upstream, r keyspace.Range, fence uint64) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
