Ingress: reset the connection of an aborted HTTP/1.0 response

An HTTP/1.0 response without a length ends with its connection. If the upstream's response broke off after a part of it had been sent to such a caller, the connection was closed, and the part looked like a complete response. It is now reset.

TestAbortedResponse guards against this; before the fix it printed "a complete response with status 200" for HTTP/1.0 without a length. TestCutResponses of package caller now has callers that use HTTP/1.0; before the fix it printed "200 OK with 5 bytes" and "200 OK with 65536 bytes" for upstreams that ended the connection after a chunk.

--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -12,7 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"sapphiretray/code"
+	"sapphiretray/ingress"
+	"sapphiretray/routing"
 	"sapphiretray/upstream"
 )
 
@@ -64,6 +68,22 @@
 	return c, requests
 }
 
+// serveTracked serves callers like package instance, which tracks their connections, until the test ends. It changes the instance's URL.
+func (i *testInstance) serveTracked(t *testing.T) {
+	t.Helper()
+	connections := ingress.NewConnections(func() routing.Limits { return routing.Limits{} }, prometheus.NewRegistry())
+	listener := listen(t)
+	server := NewHTTPServer(i.server.Handler())
+	connections.Attach(server)
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(connections.Listen(listener)) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		group.Wait()
+	})
+	i.url = "http://" + listener.Addr().String()
+}
+
 // exchange sends a request with a body as a caller that uses a protocol. The error is set if no complete response arrives.
 func (i *testInstance) exchange(t *testing.T, protocol, path string) (response *http.Response, body string, err error) {
 	t.Helper()
@@ -136,7 +156,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			for _, reset := range []bool{false, true} {
-				for _, protocol := range []string{"HTTP/1.1", "HTTP/2.0"} {
+				for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/2.0"} {
 					for at, instance := range []string{"owner", "other instance"} {
 						t.Run(fmt.Sprintf("reset %v/%s/%s", reset, protocol, instance), func(t *testing.T) {
 							testCut(t, test.sent, test.streamed, reset, protocol, at)
@@ -156,6 +176,7 @@
 		c := newCluster(t, 2, testSettings{})
 		client, requests := cutUpstream(t, sent, reset)
 		c.instances[0].server.upstream = client
+		c.instances[at].serveTracked(t)
 		response, body, err := c.instances[at].exchange(t, protocol, path)
 		if n := requests.Load(); path == "/plain/k" && n != 1 {
 			t.Errorf("%s: the request ran %d times", path, n)
--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -308,11 +308,25 @@
 	}
 }
 
+// resetOnClose makes Close reset the connection. The end of the connection completes an HTTP/1.0 response without a length, so that a
+// caller could not tell a part of one from the whole.
+func (c *callerConn) resetOnClose() {
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// An error means that the connection has been closed.
+		_ = conn.SetLinger(0)
+	}
+}
+
 // serve calls the handler and records its result.
 func (c *callerConn) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
 	c.setState(requestServed)
 	result := requestAborted
-	defer func() { c.setState(result) }()
+	defer func() {
+		if result == requestAborted && !r.ProtoAtLeast(1, 1) {
+			c.resetOnClose()
+		}
+		c.setState(result)
+	}()
 	handler.ServeHTTP(w, r)
 	result = requestFinished
 }
--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -133,6 +133,40 @@
 	}
 }
 
+// TestAbortedResponse guards against a part of a response that looks complete to the caller after its handler was aborted.
+func TestAbortedResponse(t *testing.T) {
+	tests := []struct{ name, protocol, length string }{
+		{"HTTP/1.0", "HTTP/1.0", ""},
+		{"HTTP/1.0, kept alive", "HTTP/1.0\r\nConnection: keep-alive", ""},
+		{"HTTP/1.0 with a length", "HTTP/1.0", "10"},
+		{"HTTP/1.1", "HTTP/1.1", ""},
+		{"HTTP/1.1 with a length", "HTTP/1.1", "10"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			registry := prometheus.NewRegistry()
+			server := startTracked(t, ingress.NewConnections(noLimits, registry),
+				http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if test.length != "" {
+						w.Header().Set("Content-Length", test.length)
+					}
+					_, _ = io.WriteString(w, "part")
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}))
+			conn := dial(t, server)
+			_, _ = io.WriteString(conn, "GET / "+test.protocol+"\r\nHost: a\r\n\r\n")
+			if status := readStatus(t, conn); status != 0 {
+				t.Errorf("a complete response with status %d", status)
+			}
+			server.Close()
+			if got := unanswered(t, registry); len(got) != 1 || got["aborted"] != 1 {
+				t.Errorf("unanswered requests: %v", got)
+			}
+		})
+	}
+}
+
 // slowListener accepts connections that are read as by a process that is short of processor time: it waits before or after each read
 // that finds data.
 type slowListener struct {
