Sidecar: keep a short stop timeout

The wait for callers after SIGTERM had a fixed length of 2.2 s. With a stop timeout below that, the process was killed while it waited, with all its requests. All steps of a stop are now bounded by the stop timeout, and the margin and the time for requests in flight take at most a quarter of it each.

TestShortStopTimeout printed before: "the process didn't end within 1.199913018s" and "... within 1.799952271s".

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -27,8 +27,27 @@
 	inFlightReserve = 500 * time.Millisecond
 	// stopMargin is the time between the end of the process and the time at which it would be killed.
 	stopMargin = 700 * time.Millisecond
+	// maxStopShare is the largest share of StopTimeout that inFlightReserve and stopMargin may each take.
+	maxStopShare = 0.25
 )
 
+// stopTimes are the times of the steps of a planned stop.
+type stopTimes struct {
+	// notReadyUntil is when the platform has stopped sending callers. lateCallersUntil bounds the wait for late ones, and end that for
+	// requests in flight.
+	notReadyUntil, lateCallersUntil, end time.Time
+}
+
+// newStopTimes returns the times of a stop that has begun and must take less than a timeout.
+func newStopTimes(begun time.Time, timeout time.Duration) stopTimes {
+	most := time.Duration(maxStopShare * float64(timeout))
+	end := timeout - min(stopMargin, most)
+	lateCallers := min(notReadyTime+lateCallersTime, end-min(inFlightReserve, most))
+	return stopTimes{
+		notReadyUntil: begun.Add(min(notReadyTime, lateCallers)), lateCallersUntil: begun.Add(lateCallers), end: begun.Add(end),
+	}
+}
+
 // drainOnStop waits until ctx ends, then becomes not ready, lets callers leave and requests in flight finish, and returns. It returns
 // early if running, the context of the servers, ends.
 func (sc *Sidecar) drainOnStop(ctx, running context.Context, servers []*server) {
@@ -41,17 +60,13 @@
 	sc.stopping.Store(true)
 	sc.wakeUp()
 	begun := time.Now()
-	end := begun.Add(sc.settings.StopTimeout - stopMargin)
-	lateCallersUntil := begun.Add(notReadyTime + lateCallersTime)
-	if latest := end.Add(-inFlightReserve); latest.Before(lateCallersUntil) {
-		lateCallersUntil = latest
-	}
-	wait.For(running, notReadyTime)
+	times := newStopTimes(begun, sc.settings.StopTimeout)
+	wait.For(running, time.Until(times.notReadyUntil))
 	// Close refuses all further requests to the upstream; running ones aren't affected.
 	sc.gateway.Close()
 	callers, peers := serverNamed(servers, callersServer), serverNamed(servers, peersServer)
-	callers.awaitQuiet(running, lateCallersUntil)
-	drain, cancel := context.WithDeadline(running, end)
+	callers.awaitQuiet(running, times.lateCallersUntil)
+	drain, cancel := context.WithDeadline(running, times.end)
 	defer cancel()
 	// New connections are refused; open ones are closed after the responses to the requests in flight.
 	if err := callers.listener.Close(); err != nil {
