Sidecar: refuse requests that may outlast a stop

A stopping process forwarded requests of callers until its end, whatever their deadlines were, and then cut those in progress without an answer, among them requests that aren't idempotent. From the middle of the stop timeout on, a request whose deadline is after the end of the process is now refused with 503 before it is sent to an upstream, and if possible before its body is read. Earlier ones are still accepted, because callers come until the platform has found that the process isn't ready.

TestLateRequests printed before, for ten requests: "late on a kept connection: no response at 3.305s, ran 1 times: unexpected EOF".

--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -123,6 +123,9 @@
 func (s *Server) attempt(ctx context.Context, d *dispatchState) (*gateway.Response, error) {
 	for {
 		target, f := s.target(ctx, d)
+		if f == nil {
+			f = s.checkStop(d.request.Deadline)
+		}
 		if f != nil {
 			return nil, f
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -22,6 +22,8 @@
 const (
 	// noConfigRetryAfter is the Retry-After while no configuration is known, or a newer one than that in effect is awaited.
 	noConfigRetryAfter = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a request that is refused because the process ends soon.
+	stoppingRetryAfter = 300 * time.Millisecond
 	// refusedBodyTimeout is the time within which the body of a request that is refused without reading it must arrive. The HTTP server
 	// reads the rest of a body before it sends the response.
 	refusedBodyTimeout = time.Second
@@ -42,6 +44,7 @@
 	chooser        *chooser
 	outdated       func() bool
 	stopping       func() bool
+	outlasts       func(deadline time.Time) bool
 	metrics        *metrics
 }
 
@@ -64,14 +67,19 @@
 	NewBudget func() Budget
 	// Stopping reports whether the instance is stopping, so that callers are to close their connections.
 	Stopping func() bool
+	// Outlasts reports whether a request with a deadline must be refused because the process ends before it. It may be nil.
+	Outlasts func(deadline time.Time) bool
 }
 
 // New returns a server.
 func New(c Config) *Server {
+	if c.Outlasts == nil {
+		c.Outlasts = func(time.Time) bool { return false }
+	}
 	return &Server{
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, stopping: c.Stopping,
-		budgets: budgets{create: c.NewBudget},
+		outlasts: c.Outlasts, budgets: budgets{create: c.NewBudget},
 		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
 }
@@ -166,7 +174,11 @@
 			return route, &gateway.Failure{Code: code.HeadersTooLarge, Reason: reason}
 		}
 	}
-	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, arrived.Add(bodyTimeout(route, call))); f != nil {
+	deadline := arrived.Add(bodyTimeout(route, call))
+	if f := s.checkStop(deadline); f != nil {
+		return route, f
+	}
+	if f := s.readBody(w, r, request, table.Limits().MaxBodyBytes, deadline); f != nil {
 		return route, f
 	}
 	s.applyRoute(request, route, table, call, arrived)
@@ -174,6 +186,16 @@
 	return route, nil
 }
 
+// checkStop returns a failure if the process may end before a request with a deadline does.
+func (s *Server) checkStop(deadline time.Time) *gateway.Failure {
+	if !s.outlasts(deadline) {
+		return nil
+	}
+	return &gateway.Failure{
+		Code: code.Draining, RetryAfter: stoppingRetryAfter, Reason: "the instance may end before the request does",
+	}
+}
+
 // noRoute returns the failure of a request that no route of the table matches. Callers don't retry a request that has no route, so the
 // failure is temporary if a newer configuration may have one.
 func (s *Server) noRoute(table *routing.Table) *gateway.Failure {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -113,8 +113,10 @@
 	pushes    *pushes
 	loads     loads
 	stopping  atomic.Bool
-	group     *errgroup.Group
-	registry  *prometheus.Registry
+	// stop holds the times of the planned stop once it has begun.
+	stop     atomic.Pointer[stopTimes]
+	group    *errgroup.Group
+	registry *prometheus.Registry
 	// unresponsiveSince is when a witness was found not to respond, by slot. Only the session loop uses it.
 	unresponsiveSince map[string]time.Time
 	// wake makes the session loop check the state of the upstream and the configuration again.
@@ -279,6 +281,7 @@
 		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(sc.group, peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
+		Outlasts:  sc.outlasts,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
 	})
 	plain := func(h http.Handler) *http.Server {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -33,9 +33,9 @@
 
 // stopTimes are the times of the steps of a planned stop.
 type stopTimes struct {
-	// notReadyUntil is when the platform has stopped sending callers. lateCallersUntil bounds the wait for late ones, and end that for
-	// requests in flight.
-	notReadyUntil, lateCallersUntil, end time.Time
+	// notReadyUntil is when the platform has stopped sending callers; the gateway is closed then. lateCallersUntil bounds the wait for
+	// late ones, and end that for requests in flight. From lastRequests on, a request is refused if its deadline is after the end.
+	notReadyUntil, lateCallersUntil, lastRequests, end time.Time
 }
 
 // newStopTimes returns the times of a stop that has begun and must take less than a timeout.
@@ -44,10 +44,18 @@
 	end := timeout - min(stopMargin, most)
 	lateCallers := min(notReadyTime+lateCallersTime, end-min(inFlightReserve, most))
 	return stopTimes{
-		notReadyUntil: begun.Add(min(notReadyTime, lateCallers)), lateCallersUntil: begun.Add(lateCallers), end: begun.Add(end),
+		notReadyUntil: begun.Add(min(notReadyTime, lateCallers, timeout/2)), lateCallersUntil: begun.Add(lateCallers),
+		lastRequests: begun.Add(timeout / 2), end: begun.Add(end),
 	}
 }
 
+// outlasts reports whether a request with a deadline must be refused because it might still be in progress when the process has to end.
+// That isn't so in the first half of the stop timeout: callers still come then, and most requests end long before their deadlines.
+func (sc *Sidecar) outlasts(deadline time.Time) bool {
+	t := sc.stop.Load()
+	return t != nil && time.Now().After(t.lastRequests) && deadline.After(t.end)
+}
+
 // drainOnStop waits until ctx ends, then becomes not ready, lets callers leave and requests in flight finish, and returns. It returns
 // early if running, the context of the servers, ends.
 func (sc *Sidecar) drainOnStop(ctx, running context.Context, servers []*server) {
@@ -57,10 +65,11 @@
 		return
 	}
 	klog.InfoS("process: stopping", "name", sc.settings.Name, "upstream", sc.gateway.State().Usable())
-	sc.stopping.Store(true)
-	sc.wakeUp()
 	begun := time.Now()
 	times := newStopTimes(begun, sc.settings.StopTimeout)
+	sc.stop.Store(&times)
+	sc.stopping.Store(true)
+	sc.wakeUp()
 	wait.For(running, time.Until(times.notReadyUntil))
 	// Close refuses all further requests to the upstream; running ones aren't affected.
 	sc.gateway.Close()
