Witness: stay silent towards running instances without a record

Cause: a witness that has just started is silent, for a lease duration, towards the incarnations that may have joined before its start. It took the number 0 for slots without a row in the first listing. Another writer may have removed the record of a running instance, or left a row that can't be read, and until the instance has written it again a restarted witness confirmed the expiry of its valid lease at once. Two such witnesses of three make a successor serve its keys beside it.

The number of an incarnation is at most the version of the row that registered it, so the witness now stays silent towards those of unlisted slots up to the version of the listing. An instance of a new slot that joins later has a higher number, unless its copy of the rows is behind; it then gets no support from this witness for a lease duration at most. While there is no key map there are no leases to honour, so the start of a new service isn't delayed.

The other suspicion, a first listing that is behind, doesn't occur: Wait returns only after a listing that the process itself got from the store, whose responses are linearizable, and rows of other instances only add newer versions to it.

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -137,12 +137,12 @@
 	wake(e.holderWake)
 }
 
-// SetNewestRegistered sets the number of the newest incarnation of each slot that was registered at some time after the process started;
-// see witness.Witness.SetNewestRegistered.
-func (e *Endpoint) SetNewestRegistered(newest map[string]uint64) {
+// SetNewestRegistered sets the number of the newest incarnation of each slot that was registered at some time after the process started,
+// and the largest number that one of another slot can have had by then; see witness.Witness.SetNewestRegistered.
+func (e *Endpoint) SetNewestRegistered(newest map[string]uint64, unlisted uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.witness.SetNewestRegistered(newest)
+	e.witness.SetNewestRegistered(newest, unlisted)
 }
 
 // Lease returns a live view of the own lease.
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -326,6 +326,13 @@
 	return maps.Clone(d.registered)
 }
 
+// hasMaps reports whether a row of a key map is known, even if it can't be used.
+func (d *directory) hasMaps() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.maps) > 0
+}
+
 // newestEpoch returns the newest epoch of the keys in a range, 0 if there is no key map.
 func (d *directory) newestEpoch(service string, r keyspace.Range) uint64 {
 	var newest uint64
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -92,7 +92,7 @@
 	if sc.rows.Wait(ctx) != nil {
 		return
 	}
-	sc.endpoint.SetNewestRegistered(sc.directory.newestRegistered())
+	sc.endSilence()
 	sc.identifyRunningUpstream(ctx)
 	for ctx.Err() == nil {
 		if !sc.awaitUpstream(ctx) {
--- a/sidecar/witnesses.go
+++ b/sidecar/witnesses.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// endSilence makes the instance respond as a witness to the incarnations that joined after its process had started. The rows must have
+// been listed.
+func (sc *Sidecar) endSilence() {
+	newest := sc.directory.newestRegistered()
+	var unlisted uint64
+	if sc.directory.hasMaps() {
+		// Another writer may have removed the record of a running instance, whose number is at most the version of that row. Before keys
+		// are assigned for the first time, no lease has to be honoured, and a new service isn't delayed.
+		unlisted = sc.rows.Version()
+	}
+	sc.endpoint.SetNewestRegistered(newest, unlisted)
+}
+
 // others returns the records of the other instances in the region that haven't left or expired.
 func (sc *Sidecar) others() []member.Record {
 	return slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -30,8 +30,9 @@
 	// nextRun is the run of the next record. Each record has its own run, so that for the holder a record that was dropped and
 	// made again is the same as a restart of the witness.
 	nextRun uint64
-	// newestRegistered holds the numbers from SetNewestRegistered; it is nil until they are known.
+	// newestRegistered and newestUnlisted hold the numbers from SetNewestRegistered; newestRegistered is nil until they are known.
 	newestRegistered map[string]uint64
+	newestUnlisted   uint64
 	overrides        witnessOverrides
 }
 
@@ -90,9 +91,12 @@
 func (w *Witness) SetIncarnation(self member.Incarnation) { w.self = self }
 
 // SetNewestRegistered sets the number of the newest registered incarnation of each slot, read at some time after the witness's process
-// started. The witness isn't silent towards newer incarnations: an earlier process in its slot can't have supported them or confirmed
-// their expiry. Otherwise all leases would wait for the silent period after a restart of the whole deployment.
-func (w *Witness) SetNewestRegistered(newest map[string]uint64) { w.newestRegistered = newest }
+// started, and the largest number that an incarnation of any other slot can have had by then: a record may be missing although its
+// incarnation runs. The witness isn't silent towards newer incarnations: an earlier process in its slot can't have supported them or
+// confirmed their expiry. Otherwise all leases would wait for the silent period after a restart of the whole deployment.
+func (w *Witness) SetNewestRegistered(newest map[string]uint64, unlisted uint64) {
+	w.newestRegistered, w.newestUnlisted = newest, unlisted
+}
 
 // SilentUntil returns the end of the silent period, in which the witness neither supports leases nor confirms expiries. A witness
 // that starts has no records of what an earlier process in its slot acknowledged or confirmed; after the silent period, all of that
@@ -287,8 +291,14 @@
 
 // silentTowards reports whether the silent period applies to a holder.
 func (w *Witness) silentTowards(holder member.Incarnation, now time.Time) bool {
-	if w.newestRegistered != nil && holder.Number() > w.newestRegistered[holder.Slot()] {
-		return false
+	if w.newestRegistered != nil {
+		newest, ok := w.newestRegistered[holder.Slot()]
+		if !ok {
+			newest = w.newestUnlisted
+		}
+		if holder.Number() > newest {
+			return false
+		}
 	}
 	return !w.overrides.noSilence && now.Before(w.SilentUntil())
 }
