Caller: report a refused retry as "not run" only if no attempt may have run

An idempotent request is sent once more after an attempt that may have run. If that one was refused, the refusal was returned to the caller: a 429, a 503 or "Sapphire-Ran: no" for a request that may have run. The result of the earlier attempt is now returned, as package ingress does.

TestRefusalAfterCut guards against this. Before the fix it printed, at the owner and at another instance:

429 Too Many Requests, ran no: 1301 shed 503 Service Unavailable, ran no: 1202 no-owner 503 Service Unavailable, ran no: 1302 too-late 502 Bad Gateway, ran no: 1401 upstream-refused

--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -20,11 +20,12 @@
 	"sapphiretray/upstream"
 )
 
-// cutUpstream starts an upstream that ends the connection of its first request after the given bytes, by a reset or a close, and sends
-// a complete response with the body "whole" to every other one. It returns a client, and the number of requests.
-func cutUpstream(t *testing.T, sent string, reset bool) (c *upstream.Client, requests *atomic.Int64) {
+// rawUpstream starts an upstream whose respond function writes the bytes of each response and returns false to close the connection.
+// number counts the requests. It returns a client and the number of requests.
+func rawUpstream(
+	t *testing.T, listener net.Listener, respond func(conn *net.TCPConn, id string, number int64) bool,
+) (c *upstream.Client, requests *atomic.Int64) {
 	t.Helper()
-	listener := listen(t)
 	requests = &atomic.Int64{}
 	serve := func(conn *net.TCPConn) {
 		defer func() { _ = conn.Close() }()
@@ -35,18 +36,9 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
-			id := r.Header.Get(HeaderRequestID)
-			if requests.Add(1) > 1 {
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", HeaderRequestID, id)
-				continue
-			}
-			_, _ = io.WriteString(conn, strings.ReplaceAll(sent, "ID", id))
-			if reset {
-				// A reset discards what hasn't been read yet.
-				time.Sleep(10 * time.Millisecond)
-				_ = conn.SetLinger(0)
+			if !respond(conn, r.Header.Get(HeaderRequestID), requests.Add(1)) {
+				return
 			}
-			return
 		}
 	}
 	var group sync.WaitGroup
@@ -68,6 +60,25 @@
 	return c, requests
 }
 
+// cutUpstream starts an upstream that ends the connection of its first request after the given bytes, by a reset or a close, and sends
+// a complete response with the body "whole" to every other one.
+func cutUpstream(t *testing.T, sent string, reset bool) (c *upstream.Client, requests *atomic.Int64) {
+	t.Helper()
+	return rawUpstream(t, listen(t), func(conn *net.TCPConn, id string, number int64) bool {
+		if number > 1 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", HeaderRequestID, id)
+			return true
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(sent, "ID", id))
+		if reset {
+			// A reset discards what hasn't been read yet.
+			time.Sleep(10 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		}
+		return false
+	})
+}
+
 // serveTracked serves callers like package instance, which tracks their connections, until the test ends. It changes the instance's URL.
 func (i *testInstance) serveTracked(t *testing.T) {
 	t.Helper()
@@ -193,3 +204,47 @@
 		}
 	}
 }
+
+// TestRefusalAfterCut guards against reporting "not run" for an idempotent request that was sent once more after it may have run, and
+// whose retry was refused.
+func TestRefusalAfterCut(t *testing.T) {
+	tests := []struct {
+		name string
+		// status is that of the upstream's refusal; 0 means that it refuses connections.
+		status int
+	}{
+		{"upstream refuses connections", 0},
+		{"upstream is full", http.StatusTooManyRequests},
+		{"upstream has no grant", http.StatusConflict},
+		{"deadline passed in the upstream's queue", http.StatusGatewayTimeout},
+	}
+	for _, test := range tests {
+		for at, instance := range []string{"owner", "other instance"} {
+			t.Run(test.name+"/"+instance, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 2, testSettings{options: []Option{WithHold(200 * time.Millisecond)}})
+				listener := listen(t)
+				client, _ := rawUpstream(t, listener, func(conn *net.TCPConn, id string, number int64) bool {
+					if number > 1 {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Refused\r\n%s: %s\r\n%s: no\r\nContent-Length: 0\r\n\r\n",
+							test.status, HeaderRequestID, id, HeaderRan)
+						return true
+					}
+					if test.status == 0 {
+						_ = listener.Close()
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+					return false
+				})
+				c.instances[0].server.upstream = client
+				response, body, err := c.instances[at].exchange(t, "HTTP/1.1", "/read/k")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if response.StatusCode != http.StatusBadGateway || response.Header.Get(HeaderRan) != string(code.RanUnknown) {
+					t.Errorf("%s, ran %s: %s", response.Status, response.Header.Get(HeaderRan), body)
+				}
+			})
+		}
+	}
+}
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -153,21 +153,35 @@
 func (s *Server) dispatch(ctx context.Context, w http.ResponseWriter, in *inboundRequest) result {
 	search := &ownerSearch{server: s, until: time.Now().Add(s.holdTimeout)}
 	defer search.recordWait()
+	// mayHaveRun is the newest attempt that may have run.
+	var mayHaveRun *result
 	for {
 		res := s.attempt(ctx, w, in, search)
 		if res.written || res.outcome.code == code.OK {
 			return res
 		}
+		if !res.outcome.notRun() {
+			mayHaveRun = &res
+		}
 		shouldRetry, err := s.shouldRetry(ctx, in, search, res.outcome)
 		if err != nil {
-			return result{outcome: outcomeOf(err), path: res.path}
+			return finalResult(result{outcome: outcomeOf(err), path: res.path}, mayHaveRun)
 		}
 		if !shouldRetry {
-			return res
+			return finalResult(res, mayHaveRun)
 		}
 	}
 }
 
+// finalResult returns the result to report to the caller. If an earlier attempt may have run, a result that means "not run" would be
+// wrong, and that attempt's result is returned instead.
+func finalResult(last result, mayHaveRun *result) result {
+	if mayHaveRun != nil && last.outcome.notRun() {
+		return *mayHaveRun
+	}
+	return last
+}
+
 // shouldRetry reports whether another attempt follows an attempt that failed. It waits before it returns true, unless another member
 // can be tried at once. An error replaces the outcome of the attempt.
 func (s *Server) shouldRetry(ctx context.Context, in *inboundRequest, search *ownerSearch, o outcome) (bool, error) {
