Ingress: return the upstream's 500 if the retry after it was refused

An idempotent request without a key is sent to another instance after a 500. If that one refused it, the caller got a 503, which states that the request has not run, although the upstream that sent the 500 had run it. The caller now gets that response.

TestDispatch guards against reporting "not run" after an attempt that has run; its new case printed before the fix: requests went to "a b c", want "a b c"; status 503, want 500.

--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -36,6 +36,8 @@
 	attempts int
 	// mayHaveRun is the newest failure after which the request may have run, or nil.
 	mayHaveRun *gateway.Failure
+	// ran is the newest response after which the request was sent once more, or nil.
+	ran *gateway.Response
 	// tried holds the slots of the instances that refused or failed a request without a key, or that were named as owner of the key.
 	tried map[string]bool
 	// ownerHint is the slot of the instance that was last named as the key's owner by another one, or empty.
@@ -72,7 +74,8 @@
 }
 
 // settle returns the result of a request whose last attempt ended with response or err. If that one failed, the response of a pending one
-// is used if one comes, since its upstream may be at work. Attempts that are left pending end with the context of dispatch.
+// is used if one comes, since its upstream may be at work. A failure that means "not run" would be wrong after a response. Attempts that
+// are left pending end with the context of dispatch.
 func (d *dispatchState) settle(response *gateway.Response, err error) (*gateway.Response, error) {
 	if err == nil {
 		return response, nil
@@ -100,7 +103,11 @@
 			d.mayHaveRun = f
 		}
 	}
-	return nil, d.finalFailure(last)
+	f := d.finalFailure(last)
+	if d.ran != nil && f.NotRun() {
+		return d.ran, nil
+	}
+	return nil, f
 }
 
 // addPending adds a pending attempt at the instance in a slot. Its response ends the other attempts, unless they may get a better one.
@@ -136,6 +143,8 @@
 		}
 		if failure != nil {
 			failure.InstanceSlot = target.Slot
+		} else {
+			d.ran = response
 		}
 		if !s.prepareRetry(ctx, d, target, failure) {
 			if failure != nil {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -365,6 +365,11 @@
 		{"without a key, refused, then served elsewhere", "/plain-once/", "", map[string][]outcome{"a": {shed}, "b": {ok}}, "a b", 200},
 		{"without a key, all instances full", "/plain/", "", map[string][]outcome{"a": {shed}, "b": {shed}, "c": {shed}}, "a b c", 503},
 		{"without a key, failed, then retried elsewhere", "/plain/", "", map[string][]outcome{"a": {failed}, "b": {ok}}, "a b", 200},
+		{
+			"without a key, failed, then refused elsewhere", "/plain/", "",
+			map[string][]outcome{"a": {failed}, "b": {shed}, "c": {shed}},
+			"a b c", 500,
+		},
 		{"without a key, failed, not idempotent", "/plain-once/", "", map[string][]outcome{"a": {failed}}, "a", 500},
 		{"with a key, failed", "/keyed/", "b", map[string][]outcome{"b": {failed}}, "b", 500},
 	}
