Caller: test forwarded responses whose connection ends early

TestCutLink guards against callers that get a response that looks complete although the connection between two instances ended in the middle of it. All cases pass without a change.

--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -248,3 +248,48 @@
 		}
 	}
 }
+
+// TestCutLink guards against callers that get a response that looks complete although the connection between two instances ended in the
+// middle of it.
+func TestCutLink(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": ID\r\n"
+	large := strings.Repeat("a", 1<<16)
+	tests := []struct {
+		name, sent string
+		// streamed is set if the caller may have got a part of the response.
+		streamed bool
+	}{
+		{"in the headers", head, false},
+		{"in the body", head + "Content-Length: 9\r\n\r\nhell", true},
+		{"in a large body", head + "Content-Length: 65537\r\n\r\n" + large, true},
+		{"after a chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true},
+		{"after a large chunk", head + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + large + "\r\n", true},
+	}
+	for _, test := range tests {
+		for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/2.0"} {
+			t.Run(test.name+"/"+protocol, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 2, testSettings{})
+				owner, other := c.instances[0], c.instances[1]
+				owner.server.upstream, _ = rawUpstream(t, listen(t), func(conn *net.TCPConn, id string, _ int64) bool {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(test.sent, "ID", id))
+					// The other instance has received what the upstream has sent by then.
+					time.Sleep(50 * time.Millisecond)
+					_ = owner.peers.Close()
+					// The owner closes this connection when it notices that its caller has left.
+					_, _ = conn.Read(make([]byte, 1))
+					return false
+				})
+				other.serveTracked(t)
+				response, body, err := other.exchange(t, protocol, "/plain/k")
+				switch {
+				case err != nil && test.streamed:
+				case err != nil:
+					t.Errorf("no complete response: %v", err)
+				case response.StatusCode != http.StatusBadGateway || response.Header.Get(HeaderRan) == string(code.RanNo):
+					t.Errorf("%s with %d bytes, headers %v", response.Status, len(body), response.Header)
+				}
+			})
+		}
+	}
+}
