--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -20,11 +20,12 @@
 	"sapphiretray/upstream"
 )
 
-// cutUpstream starts an upstream that ends the connection of its first request after the given bytes, by a reset or a close, and sends
-// a complete response with the body "whole" to every other one. It returns a client, and the number of requests.
-func cutUpstream(t *testing.T, sent string, reset bool) (c *upstream.Client, requests *atomic.Int64) {
+// rawUpstream starts an upstream whose respond function writes the bytes of each response and returns false to close the connection.
+// number counts the requests. It returns a client and the number of requests.
+func rawUpstream(
+	t *testing.T, listener net.Listener, respond func(conn *net.TCPConn, id string, number int64) bool,
+) (c *upstream.Client, requests *atomic.Int64) {
 	t.Helper()
-	listener := listen(t)
 	requests = &atomic.Int64{}
 	serve := func(conn *net.TCPConn) {
 		defer func() { _ = conn.Close() }()
@@ -35,18 +36,9 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
-			id := r.Header.Get(HeaderRequestID)
-			if requests.Add(1) > 1 {
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", HeaderRequestID, id)
-				continue
-			}
-			_, _ = io.WriteString(conn, strings.ReplaceAll(sent, "ID", id))
-			if reset {
-				// A reset discards what hasn't been read yet.
-				time.Sleep(10 * time.Millisecond)
-				_ = conn.SetLinger(0)
+			if !respond(conn, r.Header.Get(HeaderRequestID), requests.Add(1)) {
+				return
 			}
-			return
 		}
 	}
 	var group sync.WaitGroup
@@ -68,6 +60,25 @@
 	return c, requests
 }
 
+// cutUpstream starts an upstream that ends the connection of its first request after the given bytes, by a reset or a close, and sends
+// a complete response with the body "whole" to every other one.
+func cutUpstream(t *testing.T, sent string, reset bool) (c *upstream.Client, requests *atomic.Int64) {
+	t.Helper()
+	return rawUpstream(t, listen(t), func(conn *net.TCPConn, id string, number int64) bool {
+		if number > 1 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", HeaderRequestID, id)
+			return true
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(sent, "ID", id))
+		if reset {
+			// A reset discards what hasn't been read yet.
+			time.Sleep(10 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		}
+		return false
+	})
+}
+
 // serveTracked serves callers like package instance, which tracks their connections, until the test ends. It changes the instance's URL.
 func (i *testInstance) serveTracked(t *testing.T) {
 	t.Helper()
@@ -193,3 +204,92 @@
 		}
 	}
 }
+
+// TestRefusalAfterCut guards against reporting "not run" for an idempotent request that was sent once more after it may have run, and
+// whose retry was refused.
+func TestRefusalAfterCut(t *testing.T) {
+	tests := []struct {
+		name string
+		// status is that of the upstream's refusal; 0 means that it refuses connections.
+		status int
+	}{
+		{"upstream refuses connections", 0},
+		{"upstream is full", http.StatusTooManyRequests},
+		{"upstream has no grant", http.StatusConflict},
+		{"deadline passed in the upstream's queue", http.StatusGatewayTimeout},
+	}
+	for _, test := range tests {
+		for at, instance := range []string{"owner", "other instance"} {
+			t.Run(test.name+"/"+instance, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 2, testSettings{options: []Option{WithHold(200 * time.Millisecond)}})
+				listener := listen(t)
+				client, _ := rawUpstream(t, listener, func(conn *net.TCPConn, id string, number int64) bool {
+					if number > 1 {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Refused\r\n%s: %s\r\n%s: no\r\nContent-Length: 0\r\n\r\n",
+							test.status, HeaderRequestID, id, HeaderRan)
+						return true
+					}
+					if test.status == 0 {
+						_ = listener.Close()
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+					return false
+				})
+				c.instances[0].server.upstream = client
+				response, body, err := c.instances[at].exchange(t, "HTTP/1.1", "/read/k")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if response.StatusCode != http.StatusBadGateway || response.Header.Get(HeaderRan) != string(code.RanUnknown) {
+					t.Errorf("%s, ran %s: %s", response.Status, response.Header.Get(HeaderRan), body)
+				}
+			})
+		}
+	}
+}
+
+// TestCutLink guards against callers that get a response that looks complete although the connection between two instances ended in the
+// middle of it.
+func TestCutLink(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": ID\r\n"
+	large := strings.Repeat("a", 1<<16)
+	tests := []struct {
+		name, sent string
+		// streamed is set if the caller may have got a part of the response.
+		streamed bool
+	}{
+		{"in the headers", head, false},
+		{"in the body", head + "Content-Length: 9\r\n\r\nhell", true},
+		{"in a large body", head + "Content-Length: 65537\r\n\r\n" + large, true},
+		{"after a chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true},
+		{"after a large chunk", head + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + large + "\r\n", true},
+	}
+	for _, test := range tests {
+		for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/2.0"} {
+			t.Run(test.name+"/"+protocol, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 2, testSettings{})
+				owner, other := c.instances[0], c.instances[1]
+				owner.server.upstream, _ = rawUpstream(t, listen(t), func(conn *net.TCPConn, id string, _ int64) bool {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(test.sent, "ID", id))
+					// The other instance has received what the upstream has sent by then.
+					time.Sleep(50 * time.Millisecond)
+					_ = owner.peers.Close()
+					// The owner closes this connection when it notices that its caller has left.
+					_, _ = conn.Read(make([]byte, 1))
+					return false
+				})
+				other.serveTracked(t)
+				response, body, err := other.exchange(t, protocol, "/plain/k")
+				switch {
+				case err != nil && test.streamed:
+				case err != nil:
+					t.Errorf("no complete response: %v", err)
+				case response.StatusCode != http.StatusBadGateway || response.Header.Get(HeaderRan) == string(code.RanNo):
+					t.Errorf("%s with %d bytes, headers %v", response.Status, len(body), response.Header)
+				}
+			})
+		}
+	}
+}
