Sidecar: answer the requests in progress before the process ends

The connections on which requests were in progress at the end of a stop were closed without an answer. Their contexts are now cancelled 0.2 s before the connections are closed. A request whose upstream is at work is answered with 502 and the new code 1412, one that waits for a slot or its body with 503, and bodies that haven't arrived are no longer read.

--- a/code/code.go
+++ b/code/code.go
@@ -60,6 +60,7 @@
 	BodyFailed        Code = 1409
 	BodyTimeout       Code = 1410
 	Internal          Code = 1411
+	Interrupted       Code = 1412
 
 	PlatformDown    Code = 1501
 	Conflict        Code = 1502
@@ -139,6 +140,7 @@
 	{BodyFailed, "body-failed", http.StatusBadRequest, RanUnknown, "The request body ended early or grew too large while it was sent."},
 	{BodyTimeout, "body-timeout", http.StatusRequestTimeout, RanNo, "The request body did not arrive in time. Repeat."},
 	{Internal, "internal", http.StatusBadGateway, RanUnknown, "The instance failed because of a defect. Its log has the details."},
+	{Interrupted, "interrupted", http.StatusBadGateway, RanUnknown, "The instance stopped while the request ran."},
 	{PlatformDown, "platform-down", http.StatusServiceUnavailable, RanNo, "The platform is unavailable; nothing was accepted."},
 	{Conflict, "conflict", http.StatusConflict, RanNo, "Someone else changed this first; the answer says what. Nothing was accepted."},
 	{
--- a/forward/client.go
+++ b/forward/client.go
@@ -85,8 +85,8 @@
 
 // Do forwards a request to the instance at an address. The error is a *gateway.Failure. It has code.NoOwner if the instance could
 // not be reached, code.PeerFailed if the connection failed later or the response is malformed, code.UpstreamTimeout if no response
-// arrived by the deadline, code.TooLate if less than gateway.MinTimeLeft was left, code.CallerGone if ctx was cancelled, and otherwise
-// the code that the other instance sent.
+// arrived by the deadline, code.TooLate if less than gateway.MinTimeLeft was left, code.CallerGone if ctx was cancelled,
+// code.Interrupted if the cause of that was gateway.ErrStopping, and otherwise the code that the other instance sent.
 //
 // If the instance stops responding, a request that may be repeated fails with code.PeerFailed and Result.Pending, so that it can be
 // sent elsewhere. Any other request goes on until its deadline.
@@ -210,6 +210,8 @@
 		return &gateway.Failure{Code: code.NoOwner, Reason: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &gateway.Failure{Code: code.UpstreamTimeout, Arrived: true, Reason: "no response until the deadline"}
+	case errors.Is(context.Cause(ctx), gateway.ErrStopping):
+		return &gateway.Failure{Code: code.Interrupted, Arrived: true, Reason: "this instance stopped while the request ran"}
 	case ctx.Err() != nil:
 		return &gateway.Failure{Code: code.CallerGone, Reason: "the caller left while the request ran"}
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -11,6 +12,9 @@
 	"sapphiretray/routing"
 )
 
+// ErrStopping is the cause with which the contexts of requests are cancelled that are in progress when the process has to end.
+var ErrStopping = errors.New("the instance has to end")
+
 // NoKey is the Request.Key of a request without a key.
 const NoKey = -1
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -180,6 +180,38 @@
 	}
 }
 
+// TestInterrupted guards against requests that are reported as abandoned by their callers when the process ends, and against running ones
+// that are reported as not run.
+func TestInterrupted(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ string, _ int64) { _, _ = conn.Read(make([]byte, 1)) })
+	g := start(t, u)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	// The upstream has two slots.
+	var group errgroup.Group
+	results := make(chan code.Code, 3)
+	for n := range cap(results) {
+		r := request(strconv.Itoa(n), routing.NonIdempotent)
+		r.Objective, r.Deadline = time.Now().Add(5*time.Second), time.Now().Add(5*time.Second)
+		group.Go(func() error {
+			_, err := g.Do(ctx, r)
+			results <- failureOf(t, err)
+			return nil
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	cancel(gateway.ErrStopping)
+	_ = group.Wait()
+	close(results)
+	counts := make(map[code.Code]int)
+	for c := range results {
+		counts[c]++
+	}
+	if counts[code.Interrupted] != 2 || counts[code.Draining] != 1 {
+		t.Errorf("results %v", counts)
+	}
+}
+
 // TestRefusedConnection guards against reporting "may have run" for a request whose connection was refused, and against further
 // requests to an upstream that is down.
 func TestRefusedConnection(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -297,6 +297,11 @@
 			g.scheduler.Withdraw(job)
 			g.scheduler.Finish(time.Now(), job)
 			g.mu.Unlock()
+			if errors.Is(context.Cause(ctx), ErrStopping) {
+				return nil, &Failure{
+					Code: code.Draining, RetryAfter: defaultRetryAfter, Reason: "the instance stopped while the request waited",
+				}
+			}
 			return nil, &Failure{Code: code.CallerGone, Reason: "the caller left while the request waited"}
 		}
 	}
@@ -387,6 +392,8 @@
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: defaultRetryAfter, Reason: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failure{Code: code.UpstreamTimeout, Arrived: true, Reason: "no response until the deadline"}
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return &Failure{Code: code.Interrupted, Arrived: true, Reason: "the instance stopped while the request ran"}
 	case ctx.Err() != nil:
 		return &Failure{Code: code.CallerGone, Arrived: true, Reason: "the caller left while the request ran"}
 	default:
--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -175,18 +175,36 @@
 	if c.interrupted {
 		return nil
 	}
+	if !t.IsZero() && c.connections.ending.Load() {
+		t = past
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// endRead ends the reading of the body of a request.
+func (c *callerConn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == requestNone || c.state == requestPartial || c.http2 {
+		return
+	}
+	if err := c.Conn.SetReadDeadline(past); err != nil && c.readErr == nil {
+		c.readErr = err
+	}
+}
+
 // await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
 func (c *callerConn) await(state requestState) {
 	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
 }
 
-// expired reports whether the connection has outlasted the limit for its state, or is idle while connections are drained. A limit of zero
-// is none. The highest of the limits that were in effect since the state began apply, since a caller may not know of lower ones yet. The
-// caller holds mu.
+// expired reports whether the connection has outlasted the limit for its state, is idle while connections are drained, or waits for a
+// request at their end. A limit of zero is none. The highest of the limits that were in effect since the state began apply, since a
+// caller may not know of lower ones yet. The caller holds mu.
 func (c *callerConn) expired(now time.Time, current routing.Limits) bool {
+	if c.connections.ending.Load() && (c.state == requestNone || c.state == requestPartial) {
+		return true
+	}
 	if c.state == requestNone && c.connections.draining.Load() {
 		return c.kept || now.Sub(c.since) > firstRequestTime
 	}
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -37,6 +37,8 @@
 	open map[*callerConn]struct{}
 	// draining is set once idle connections are to be closed at once.
 	draining atomic.Bool
+	// ending is set once nothing more is to be read from the connections.
+	ending atomic.Bool
 	// closedIdle and closedIncomplete count the connections that were closed since the last sweep.
 	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
@@ -165,6 +167,16 @@
 	}
 }
 
+// Finish ends all reads, except of requests that have arrived, and waits until the requests in progress have been answered or ctx ends.
+// It returns how many connections are left. Call it after Drain and after cancelling the contexts of the requests in progress.
+func (c *Connections) Finish(ctx context.Context) int {
+	c.ending.Store(true)
+	for _, conn := range c.all() {
+		conn.endRead()
+	}
+	return c.Drain(ctx)
+}
+
 // all returns the open connections.
 func (c *Connections) all() []*callerConn {
 	c.mu.Lock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -266,6 +267,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return &gateway.Failure{Code: code.TooLarge, Reason: err.Error()}
+	case errors.Is(context.Cause(r.Context()), gateway.ErrStopping):
+		return &gateway.Failure{
+			Code: code.Draining, RetryAfter: stoppingRetryAfter, Reason: "the instance stopped while the body was read",
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &gateway.Failure{Code: code.BodyTimeout, Reason: err.Error()}
 	case err != nil:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -114,7 +114,9 @@
 	loads     loads
 	stopping  atomic.Bool
 	// stop holds the times of the planned stop once it has begun.
-	stop     atomic.Pointer[stopTimes]
+	stop atomic.Pointer[stopTimes]
+	// giveUp cancels the contexts of all requests of callers and other instances.
+	giveUp   context.CancelCauseFunc
 	group    *errgroup.Group
 	registry *prometheus.Registry
 	// unresponsiveSince is when a witness was found not to respond, by slot. Only the session loop uses it.
@@ -167,7 +169,10 @@
 		heartbeat.WithVersions(sc.heartbeatVersions),
 		heartbeat.WithOnVersions(sc.observeHeartbeat), heartbeat.WithOnChange(sc.leaseChanged))
 	sc.registerMetrics()
-	servers, err := sc.listen(running)
+	requests, giveUp := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer giveUp(nil)
+	sc.giveUp = giveUp
+	servers, err := sc.listen(running, requests)
 	if err != nil {
 		return err
 	}
@@ -275,8 +280,8 @@
 	return err
 }
 
-// listen creates the servers and binds their addresses.
-func (sc *Sidecar) listen(ctx context.Context) ([]*server, error) {
+// listen creates the servers and binds their addresses. The contexts of the requests of callers and other instances derive from requests.
+func (sc *Sidecar) listen(ctx, requests context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
 		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(sc.group, peer.NewTransport("", peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
@@ -303,6 +308,9 @@
 	var config net.ListenConfig
 	for n, s := range servers {
 		s.http.Handler = s.countRequests(s.http.Handler)
+		if s.name == callersServer || s.name == peersServer {
+			s.http.BaseContext = func(net.Listener) context.Context { return requests }
+		}
 		if s.name == callersServer {
 			// Connections of callers are bound by the limits of the configuration instead.
 			s.http.ReadHeaderTimeout = 0
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sapphiretray/gateway"
 	"sapphiretray/wait"
 
 	"k8s.io/klog/v2"
@@ -27,6 +28,8 @@
 	inFlightReserve = 500 * time.Millisecond
 	// stopMargin is the time between the end of the process and the time at which it would be killed.
 	stopMargin = 700 * time.Millisecond
+	// answerTime is the part of stopMargin in which the requests that are still in progress are answered.
+	answerTime = 200 * time.Millisecond
 	// maxStopShare is the largest share of StopTimeout that inFlightReserve and stopMargin may each take.
 	maxStopShare = 0.25
 )
@@ -35,17 +38,19 @@
 type stopTimes struct {
 	// notReadyUntil is when the platform has stopped sending callers; the gateway is closed then. lateCallersUntil bounds the wait for
 	// late ones, and end that for requests in flight. From lastRequests on, a request is refused if its deadline is after the end.
-	notReadyUntil, lateCallersUntil, lastRequests, end time.Time
+	// Connections are closed at answered.
+	notReadyUntil, lateCallersUntil, lastRequests, end, answered time.Time
 }
 
 // newStopTimes returns the times of a stop that has begun and must take less than a timeout.
 func newStopTimes(begun time.Time, timeout time.Duration) stopTimes {
 	most := time.Duration(maxStopShare * float64(timeout))
-	end := timeout - min(stopMargin, most)
+	margin := min(stopMargin, most)
+	end := timeout - margin
 	lateCallers := min(notReadyTime+lateCallersTime, end-min(inFlightReserve, most))
 	return stopTimes{
 		notReadyUntil: begun.Add(min(notReadyTime, lateCallers, timeout/2)), lateCallersUntil: begun.Add(lateCallers),
-		lastRequests: begun.Add(timeout / 2), end: begun.Add(end),
+		lastRequests: begun.Add(timeout / 2), end: begun.Add(end), answered: begun.Add(end + min(answerTime, margin/2)),
 	}
 }
 
@@ -77,22 +82,26 @@
 	callers.awaitQuiet(running, times.lateCallersUntil)
 	drain, cancel := context.WithDeadline(running, times.end)
 	defer cancel()
+	answered, cancelAnswered := context.WithDeadline(running, times.answered)
+	defer cancelAnswered()
 	// New connections are refused; open ones are closed after the responses to the requests in flight.
 	if err := callers.listener.Close(); err != nil {
 		klog.InfoS("process: failed to close a listener", "server", callers.name, "err", err)
 	}
-	if left := sc.callers.Drain(drain); left > 0 {
-		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
-	}
+	left := sc.callers.Drain(drain)
 	sc.group.Go(func() error {
-		peers.shutdown(drain)
+		peers.shutdown(answered)
 		return nil
 	})
-	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
-		if peers.inFlight.Load() > 0 {
-			quiet = 0
-		}
-		wait.For(drain, quietInterval)
+	peers.awaitIdle(drain)
+	if drain.Err() != nil {
+		// What is still in progress is answered, but no longer waited for.
+		sc.giveUp(gateway.ErrStopping)
+		left = sc.callers.Finish(answered)
+		peers.awaitIdle(answered)
+	}
+	if left > 0 {
+		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
 	}
 	for _, s := range []*server{callers, peers} {
 		if err := s.http.Close(); err != nil {
@@ -117,6 +126,16 @@
 	}
 }
 
+// awaitIdle waits until quietChecks checks in a row, of which only the first may find any requests in flight, or until ctx ends.
+func (s *server) awaitIdle(ctx context.Context) {
+	for quiet := 0; quiet < quietChecks && ctx.Err() == nil; quiet++ {
+		if s.inFlight.Load() > 0 {
+			quiet = 0
+		}
+		wait.For(ctx, quietInterval)
+	}
+}
+
 // awaitQuiet waits until no request has arrived for callerQuietTime, until the given time, or until ctx ends.
 func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
 	last, since := s.begun.Load(), time.Now()
