Caller: interrupt and answer the requests in flight at the end of a drain

Drain returned at the end of its context while requests went on, and the process then closed their connections without an answer. Bodies that haven't arrived are no longer read.

TestDrainTimeout printed before, in each of its three cases: "drain: context deadline exceeded, 1 requests in flight" and "no response: ... i/o timeout".

--- a/caller/request.go
+++ b/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -142,13 +143,16 @@
 }
 
 // readPrefix reads the body up to MaxReplayableBody bytes, and prepares the rest to be streamed if the body is larger.
-func (in *inboundRequest) readPrefix(w http.ResponseWriter) error {
+func (in *inboundRequest) readPrefix(ctx context.Context, w http.ResponseWriter) error {
 	r := in.request
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
 	limit := in.route.MaxBodyBytes()
 	prefix, err := io.ReadAll(io.LimitReader(r.Body, MaxReplayableBody+1))
+	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
+		return code.Wrap(code.Draining, err, "read the request's body")
+	}
 	if err != nil && !time.Now().Before(in.deadline) {
 		return code.Wrap(code.TooLate, err, "read the request's body")
 	}
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -77,26 +77,37 @@
 
 // serveParsed serves a valid request, unless the server is stopping.
 func (s *Server) serveParsed(w http.ResponseWriter, in *inboundRequest) result {
-	if !s.drain.enter() {
+	ctx, cancel := context.WithCancelCause(in.request.Context())
+	defer cancel(nil)
+	controller := http.NewResponseController(w)
+	interrupt := func() {
+		cancel(errInterrupted)
+		// An error means that the connection has ended.
+		_ = controller.SetReadDeadline(past)
+	}
+	if !s.drain.enter(in, interrupt) {
 		return refused(code.Draining, "the instance is stopping")
 	}
-	defer s.drain.leave()
+	defer s.drain.leave(in)
 	s.metrics.inFlight.Inc()
 	defer s.metrics.inFlight.Dec()
-	ctx, cancel := context.WithDeadline(in.request.Context(), in.deadline)
-	defer cancel()
-	controller := http.NewResponseController(w)
+	ctx, cancelDeadline := context.WithDeadline(ctx, in.deadline)
+	defer cancelDeadline()
 	_ = controller.SetReadDeadline(in.deadline.Add(stalledCallerGrace))
 	// A body that hasn't arrived by the read deadline is answered too.
 	_ = controller.SetWriteDeadline(in.deadline.Add(2 * stalledCallerGrace))
+	if ctx.Err() != nil {
+		// The request may have been interrupted before its deadlines were set.
+		interrupt()
+	}
 	if in.forwarded {
-		return s.serveForwarded(ctx, w, in)
+		return interruptedResult(ctx, s.serveForwarded(ctx, w, in))
 	}
-	if err := in.readPrefix(w); err != nil {
+	if err := in.readPrefix(ctx, w); err != nil {
 		return failed(err)
 	}
 	s.budget.Attempt()
-	return s.dispatch(ctx, w, in)
+	return interruptedResult(ctx, s.dispatch(ctx, w, in))
 }
 
 // serveForwarded serves a request that another instance received. Ownership is checked before the body is read, so that
@@ -106,7 +117,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	if err := in.readPrefix(w); err != nil {
+	if err := in.readPrefix(ctx, w); err != nil {
 		admission.Done()
 		return failed(err)
 	}
@@ -241,7 +252,7 @@
 		if o.notRun() {
 			return retryNextMember
 		}
-	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired, code.Internal:
+	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired, code.Internal, code.Interrupted:
 	default:
 		return retryNever
 	}
