Grant: release keys although the grant before it wasn't sent

A release whose keys have an unanswered grant first sends one with a higher fencing token. If the session had ended, that grant was refused without being sent, and the release was retried until the end of the hold without asking the upstream. The upstream is now asked, so that its work ends; the release still returns only when the hold must have ended. Found by reading; the tests of grant and sidecar pass.

--- a/grant/release.go
+++ b/grant/release.go
@@ -163,11 +163,14 @@
 	if held.carriedOutLater() && left > minRemainingHold && m.lease.Valid() {
 		token, err := m.callGrant(ctx, Grant{Range: r, Fence: m.fence(held.epoch), Hold: left})
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", left, "err", err)
-		if err != nil {
+		switch {
+		case err == nil:
+			held.acknowledged = max(held.acknowledged, token)
+		case token > 0:
 			held.unanswered = max(held.unanswered, token)
 			return "", err
 		}
-		held.acknowledged = max(held.acknowledged, token)
+		// A grant that wasn't sent, because the session has ended, doesn't keep the upstream from finishing its work.
 	}
 	releaseCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, time.Until(held.until)))
 	defer cancel()
