--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -21,12 +21,15 @@
 	// earlierGrants is the time after the end of a session within which all holds that it granted end. The extra twentieth is a margin for
 	// clocks that run at different rates.
 	earlierGrants = grantTransit + grant.MaxHold + grant.MaxHold/20
+	// lateGrants is the time after the end of a session within which the upstream may still carry out a grant that it left unanswered: it
+	// does so up to 12 s after the arrival.
+	lateGrants = 13 * time.Second
 	// clearTimeout bounds one attempt to release the keys of earlier sessions, and clearRetryDelay is the pause after a failed one.
 	clearTimeout    = 700 * time.Millisecond
 	clearRetryDelay = 50 * time.Millisecond
 )
 
-var errSessionEnded = errors.New("the session has ended or the upstream was restarted")
+var errSessionEnded = errors.New("the session has ended")
 
 // sessionUpstream grants keys to the upstream for one session. No grant is sent after the session has ended. It implements
 // grant.Upstream.
@@ -51,6 +54,9 @@
 
 // Grant implements grant.Upstream.
 func (u *sessionUpstream) Grant(ctx context.Context, g grant.Grant) error {
+	if !u.isCurrent() {
+		return u.awaitCleared(ctx)
+	}
 	if !u.begin() {
 		return errSessionEnded
 	}
@@ -69,17 +75,22 @@
 	return true
 }
 
-// Release implements grant.Upstream. If the upstream was restarted, the keys may have been granted to either run, and Release waits until
-// neither holds them.
+// Release implements grant.Upstream.
 func (u *sessionUpstream) Release(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
-	if u.isCurrent() {
-		return u.upstream.Release(ctx, r, fence)
+	if !u.isCurrent() {
+		return "", u.awaitCleared(ctx)
 	}
+	return u.upstream.Release(ctx, r, fence)
+}
+
+// awaitCleared returns grant.ErrUpstreamGone when no run of a restarted upstream holds keys that were granted here. Those that were granted
+// after the restart may be held by the next run.
+func (u *sessionUpstream) awaitCleared(ctx context.Context) error {
 	select {
 	case <-u.cleared:
-		return "", nil
+		return grant.ErrUpstreamGone
 	case <-ctx.Done():
-		return "", ctx.Err()
+		return ctx.Err()
 	}
 }
 
@@ -92,7 +103,7 @@
 	u.inFlight.Wait()
 }
 
-// markCleared ends the calls of Release that wait.
+// markCleared ends the calls that wait in awaitCleared.
 func (u *sessionUpstream) markCleared() { u.clearOnce.Do(func() { close(u.cleared) }) }
 
 // clearEarlierGrants makes the upstream release all keys if its run may hold some that sessions of an earlier run have granted, since those
@@ -139,6 +150,34 @@
 	return !ok || !upstreamRunOf(earlier).Same(run)
 }
 
+// revokeEarlierGrants makes the upstream release keys that earlier sessions of the same run may have granted to it, and returns its
+// handover token, if any. A release with a fencing token above theirs makes it refuse those of their grants that it left unanswered. If it
+// doesn't respond, the holds must have ended, and the keys are released without a handover.
+func (s *session) revokeEarlierGrants(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
+	if time.Since(s.started) >= lateGrants {
+		return "", nil
+	}
+	for {
+		timeout := clearTimeout
+		if left := earlierGrants - time.Since(s.started); left > 0 {
+			timeout = min(timeout, left)
+		}
+		handover, err := releaseWithin(ctx, timeout, s.upstream, r, fence)
+		switch {
+		case err == nil:
+			return handover, nil
+		case errors.Is(err, grant.ErrUpstreamGone):
+			return "", nil
+		case ctx.Err() != nil:
+			return "", ctx.Err()
+		case time.Since(s.started) >= earlierGrants:
+			klog.InfoS("session: the upstream left the release of earlier grants unanswered", "instance", s.self(), "keys", r, "err", err)
+			return "", nil
+		}
+		wait.For(ctx, clearRetryDelay)
+	}
+}
+
 // releaseWithin makes one attempt to release keys.
 func releaseWithin(ctx context.Context, timeout time.Duration, upstream grant.Upstream, r keyspace.Range, fence uint64) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
