--- a/grant/claim.go
+++ b/grant/claim.go
@@ -67,11 +67,15 @@
 	return true
 }
 
-// abandonClaim resets the keys of a claim that can't succeed any more.
+// abandonClaim resets the keys of a claim that can't succeed any more. Its grants may still be in force, so that a release of the keys asks
+// the upstream.
 func (m *Manager) abandonClaim(e keyspace.Entry) {
 	m.updateSegments(e.Range, func(s *segment) {
 		if s.state == stateClaiming && s.epoch == e.Epoch {
 			s.state = stateNone
+			if left := time.Until(s.hold.until); left > 0 {
+				klog.InfoS("grant: abandoned keys may still be held", "keys", s.Range, "epoch", e.Epoch, "for", left)
+			}
 		}
 	})
 }
@@ -106,9 +110,7 @@
 			continue
 		}
 		if m.servesAll(e.Range) {
-			m.pacer.Lock()
-			wait.For(m.ctx, raiseInterval)
-			m.pacer.Unlock()
+			m.pace()
 		}
 		handovers, err := m.releaseFrom(e, holder)
 		if err != nil {
@@ -119,6 +121,17 @@
 	return fillGaps(e.Range, released), nil
 }
 
+// pace waits for raiseInterval after the wait of any other claim of served keys.
+func (m *Manager) pace() {
+	select {
+	case m.pacer <- struct{}{}:
+	case <-m.ctx.Done():
+		return
+	}
+	defer func() { <-m.pacer }()
+	wait.For(m.ctx, raiseInterval)
+}
+
 // servesAll reports whether all keys of a range are served, so that a claim of it only raises their epoch and isn't urgent.
 func (m *Manager) servesAll(r keyspace.Range) bool {
 	m.mu.Lock()
@@ -146,16 +159,12 @@
 			cancel()
 		}
 	})
-	handovers, err := m.peers.Release(ctx, ReleaseRequest{
+	handovers, err := m.askHolder(ctx, ReleaseRequest{
 		Range: e.Range, Service: m.service, Epoch: e.Epoch, Holder: holder, Successor: m.self,
 	})
 	if err == nil {
 		return handovers, nil
 	}
-	if ctx.Err() == nil {
-		// The holder is unreachable or refuses, so the claim can only go on if its lease is proved to have expired.
-		proof.Wait()
-	}
 	if expired.Load() {
 		klog.InfoS("grant: lease of the earlier holder has expired", "keys", e.Range, "holder", holder)
 		return nil, nil
@@ -163,6 +172,31 @@
 	return nil, err
 }
 
+// askHolder sends a release request until the holder has responded, a newer map supersedes the claim or ctx ends. A request can fail
+// at a holder that is alive, and then no proof of its expiry will come.
+func (m *Manager) askHolder(ctx context.Context, r ReleaseRequest) ([]Handover, error) {
+	for pause := retryDelay; ; pause = min(2*pause, maxRetryDelay) {
+		handovers, err := m.peers.Release(ctx, r)
+		if err == nil {
+			return handovers, nil
+		}
+		if !wait.For(ctx, pause) {
+			return nil, err
+		}
+		if !m.isAssigned(r.Range, r.Epoch) {
+			return nil, errSuperseded
+		}
+	}
+}
+
+// isAssigned reports whether the newest map assigns a range to this incarnation under an epoch.
+func (m *Manager) isAssigned(r keyspace.Range, epoch uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.current.Find(r.First)
+	return ok && e.Range == r && e.Epoch == epoch && e.Owner() == m.self
+}
+
 // fillGaps returns handovers that contain each key of the range exactly once, with an empty Token for keys without a handover.
 func fillGaps(r keyspace.Range, handovers []Handover) []Handover {
 	tokens := newSegments()
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -36,8 +36,10 @@
 	grantTimeout = 200 * time.Millisecond
 	// releaseTimeout bounds one attempt to release keys. Most work that is running on them ends within it.
 	releaseTimeout = 700 * time.Millisecond
-	// retryDelay is the pause after a failed attempt to claim or release keys.
-	retryDelay = 50 * time.Millisecond
+	// retryDelay is the pause after a failed attempt to claim or release keys. It doubles with each release request that an earlier holder
+	// fails, up to maxRetryDelay.
+	retryDelay    = 50 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
 	// expiryProofDelay is the time that an earlier holder has to respond before its witnesses are asked to prove that its lease has
 	// expired.
 	expiryProofDelay = 150 * time.Millisecond
@@ -60,8 +62,8 @@
 	maxHold  time.Duration
 	// generation is the low part of the fencing token. It grows with each new connection to the upstream and each failed grant.
 	generation atomic.Uint64
-	// pacer is held during raiseInterval, so that all claims of served keys share it.
-	pacer sync.Mutex
+	// pacer holds a value during raiseInterval, so that all claims of served keys share it.
+	pacer chan struct{}
 
 	mu       sync.Mutex
 	current  *keyspace.Map
@@ -99,7 +101,7 @@
 	m := &Manager{
 		service: service, self: self, lease: lease, upstream: upstream, peers: peers, ctx: ctx, maxHold: MaxHold,
 		segments: newSegments(), changed: make(chan struct{}), claims: make(map[keyspace.Range]uint64),
-		inFlight: make(map[*keyspace.Range]struct{}),
+		inFlight: make(map[*keyspace.Range]struct{}), pacer: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(m)
@@ -261,21 +263,14 @@
 	m.notify()
 }
 
-// sendGrant sends a grant and records the earliest and latest end of its hold. It returns errBusy without sending it unless all
-// keys are in one of the given states, under the given epoch, and not promised to a successor.
+// sendGrant sends a grant and records what the upstream may hold. It returns errBusy without sending it unless all keys are in one of the
+// given states, under the given epoch, and not promised to a successor.
 func (m *Manager) sendGrant(ctx context.Context, g Grant, epoch uint64, states ...state) error {
 	sentAt := time.Now()
 	if !m.beginGrant(&g.Range, epoch, sentAt.Add(grantTimeout+time.Duration(slowClockFactor*float64(g.Hold))), states) {
 		return errBusy
 	}
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	err := m.upstream.Grant(ctx, g)
-	if err != nil {
-		// The upstream may still carry out the grant later. The next grant gets a higher fencing token, after which the
-		// upstream refuses this one.
-		m.generation.Add(1)
-	}
+	token, err := m.callGrant(ctx, g)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.inFlight, &g.Range)
@@ -283,17 +278,41 @@
 		m.unansweredSince = time.Time{}
 	}
 	m.segments.change(g.Range, func(s *segment) {
-		switch {
-		case err != nil:
-			s.unanswered = true
-		case s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming):
-			s.state, s.handover, s.usableUntil, s.unanswered = stateServing, "", sentAt.Add(g.Hold), false
+		if err != nil {
+			if !s.hold.carriedOutLater() {
+				klog.InfoS("grant: not acknowledged", "keys", s.Range, "epoch", epoch, "state", s.state, "hold", g.Hold,
+					"took", time.Since(sentAt), "err", err)
+			}
+			s.hold.unanswered = max(s.hold.unanswered, token)
+			return
+		}
+		s.hold.acknowledged = max(s.hold.acknowledged, token)
+		if s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming) {
+			s.state, s.handover, s.usableUntil = stateServing, "", sentAt.Add(g.Hold)
 		}
 	})
 	m.notify()
 	return err
 }
 
+// callGrant sends a grant to the upstream and returns its fencing token. The token is 0 if the grant wasn't sent. After an error, later
+// grants have higher tokens: the upstream may still carry out this one and then refuses it.
+func (m *Manager) callGrant(ctx context.Context, g Grant) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	var token atomic.Uint64
+	fence := g.Fence
+	g.Fence = func(newConnection bool) uint64 {
+		token.Store(fence(newConnection))
+		return token.Load()
+	}
+	err := m.upstream.Grant(ctx, g)
+	if err != nil {
+		m.generation.Add(1)
+	}
+	return token.Load(), err
+}
+
 // fence returns the function Grant.Fence for a grant under an epoch. A new connection may reach a restarted upstream, which must get
 // a higher fencing token than the run before it.
 func (m *Manager) fence(epoch uint64) func(newConnection bool) uint64 {
@@ -305,9 +324,9 @@
 	}
 }
 
-// beginGrant records that a grant is in flight. A release waits until it has returned, since a grant that arrives after the release
-// would give the keys back to the upstream.
-func (m *Manager) beginGrant(r *keyspace.Range, epoch uint64, heldUntil time.Time, states []state) bool {
+// beginGrant records that a grant is in flight whose hold ends at the given time at the latest. A release waits until it has returned,
+// since a grant that arrives after the release would give the keys back to the upstream.
+func (m *Manager) beginGrant(r *keyspace.Range, epoch uint64, until time.Time, states []state) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.segments.within(*r) {
@@ -316,8 +335,9 @@
 		}
 	}
 	m.segments.change(*r, func(s *segment) {
-		if heldUntil.After(s.heldUntil) {
-			s.heldUntil = heldUntil
+		s.hold.epoch = max(s.hold.epoch, epoch)
+		if until.After(s.hold.until) {
+			s.hold.until = until
 		}
 	})
 	m.inFlight[r] = struct{}{}
@@ -359,6 +379,8 @@
 // renew renews the grants of all served ranges and returns when all have returned.
 func (m *Manager) renew(ctx context.Context) {
 	var renewals sync.WaitGroup
+	// A renewal that outlasted Run would meet the grants of the next session.
+	defer renewals.Wait()
 	slots := make(chan struct{}, maxConcurrentRenewals)
 	for _, s := range m.Serving() {
 		select {
@@ -371,7 +393,6 @@
 			m.renewRange(ctx, s)
 		})
 	}
-	renewals.Wait()
 }
 
 // renewRange renews the grant of one range, unless the lease has expired or ends too soon.
