--- a/caller/serve.go
+++ b/caller/serve.go
@@ -77,26 +77,37 @@
 
 // serveParsed serves a valid request, unless the server is stopping.
 func (s *Server) serveParsed(w http.ResponseWriter, in *inboundRequest) result {
-	if !s.drain.enter() {
+	ctx, cancel := context.WithCancelCause(in.request.Context())
+	defer cancel(nil)
+	controller := http.NewResponseController(w)
+	interrupt := func() {
+		cancel(errInterrupted)
+		// An error means that the connection has ended.
+		_ = controller.SetReadDeadline(past)
+	}
+	if !s.drain.enter(in, interrupt) {
 		return refused(code.Draining, "the instance is stopping")
 	}
-	defer s.drain.leave()
+	defer s.drain.leave(in)
 	s.metrics.inFlight.Inc()
 	defer s.metrics.inFlight.Dec()
-	ctx, cancel := context.WithDeadline(in.request.Context(), in.deadline)
-	defer cancel()
-	controller := http.NewResponseController(w)
+	ctx, cancelDeadline := context.WithDeadline(ctx, in.deadline)
+	defer cancelDeadline()
 	_ = controller.SetReadDeadline(in.deadline.Add(stalledCallerGrace))
 	// A body that hasn't arrived by the read deadline is answered too.
 	_ = controller.SetWriteDeadline(in.deadline.Add(2 * stalledCallerGrace))
+	if ctx.Err() != nil {
+		// The request may have been interrupted before its deadlines were set.
+		interrupt()
+	}
 	if in.forwarded {
-		return s.serveForwarded(ctx, w, in)
+		return interruptedResult(ctx, s.serveForwarded(ctx, w, in))
 	}
-	if err := in.readPrefix(w); err != nil {
+	if err := in.readPrefix(ctx, w); err != nil {
 		return failed(err)
 	}
 	s.budget.Attempt()
-	return s.dispatch(ctx, w, in)
+	return interruptedResult(ctx, s.dispatch(ctx, w, in))
 }
 
 // serveForwarded serves a request that another instance received. Ownership is checked before the body is read, so that
@@ -106,7 +117,7 @@
 	if err != nil {
 		return failed(err)
 	}
-	if err := in.readPrefix(w); err != nil {
+	if err := in.readPrefix(ctx, w); err != nil {
 		admission.Done()
 		return failed(err)
 	}
@@ -153,21 +164,35 @@
 func (s *Server) dispatch(ctx context.Context, w http.ResponseWriter, in *inboundRequest) result {
 	search := &ownerSearch{server: s, until: time.Now().Add(s.holdTimeout)}
 	defer search.recordWait()
+	// mayHaveRun is the newest attempt that may have run.
+	var mayHaveRun *result
 	for {
 		res := s.attempt(ctx, w, in, search)
 		if res.written || res.outcome.code == code.OK {
 			return res
 		}
+		if !res.outcome.notRun() {
+			mayHaveRun = &res
+		}
 		shouldRetry, err := s.shouldRetry(ctx, in, search, res.outcome)
 		if err != nil {
-			return result{outcome: outcomeOf(err), path: res.path}
+			return finalResult(result{outcome: outcomeOf(err), path: res.path}, mayHaveRun)
 		}
 		if !shouldRetry {
-			return res
+			return finalResult(res, mayHaveRun)
 		}
 	}
 }
 
+// finalResult returns the result to report to the caller. If an earlier attempt may have run, a result that means "not run" would be
+// wrong, and that attempt's result is returned instead.
+func finalResult(last result, mayHaveRun *result) result {
+	if mayHaveRun != nil && last.outcome.notRun() {
+		return *mayHaveRun
+	}
+	return last
+}
+
 // shouldRetry reports whether another attempt follows an attempt that failed. It waits before it returns true, unless another member
 // can be tried at once. An error replaces the outcome of the attempt.
 func (s *Server) shouldRetry(ctx context.Context, in *inboundRequest, search *ownerSearch, o outcome) (bool, error) {
@@ -241,7 +266,7 @@
 		if o.notRun() {
 			return retryNextMember
 		}
-	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired, code.Internal:
+	case code.UpstreamFailed, code.Truncated, code.WrongAnswer, code.LeaseExpired, code.Internal, code.Interrupted:
 	default:
 		return retryNever
 	}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sapphiretray/gateway"
 	"sapphiretray/wait"
 
 	"k8s.io/klog/v2"
@@ -27,8 +28,39 @@
 	inFlightReserve = 500 * time.Millisecond
 	// stopMargin is the time between the end of the process and the time at which it would be killed.
 	stopMargin = 700 * time.Millisecond
+	// answerTime is the part of stopMargin in which the requests that are still in progress are answered.
+	answerTime = 200 * time.Millisecond
+	// maxStopShare is the largest share of StopTimeout that inFlightReserve and stopMargin may each take.
+	maxStopShare = 0.25
 )
 
+// stopTimes are the times of the steps of a planned stop.
+type stopTimes struct {
+	// notReadyUntil is when the platform has stopped sending callers; the gateway is closed then. lateCallersUntil bounds the wait for
+	// late ones, and end that for requests in flight. From lastRequests on, a request is refused if its deadline is after the end.
+	// Connections are closed at answered.
+	notReadyUntil, lateCallersUntil, lastRequests, end, answered time.Time
+}
+
+// newStopTimes returns the times of a stop that has begun and must take less than a timeout.
+func newStopTimes(begun time.Time, timeout time.Duration) stopTimes {
+	most := time.Duration(maxStopShare * float64(timeout))
+	margin := min(stopMargin, most)
+	end := timeout - margin
+	lateCallers := min(notReadyTime+lateCallersTime, end-min(inFlightReserve, most))
+	return stopTimes{
+		notReadyUntil: begun.Add(min(notReadyTime, lateCallers, timeout/2)), lateCallersUntil: begun.Add(lateCallers),
+		lastRequests: begun.Add(timeout / 2), end: begun.Add(end), answered: begun.Add(end + min(answerTime, margin/2)),
+	}
+}
+
+// outlasts reports whether a request with a deadline must be refused because it might still be in progress when the process has to end.
+// That isn't so in the first half of the stop timeout: callers still come then, and most requests end long before their deadlines.
+func (sc *Sidecar) outlasts(deadline time.Time) bool {
+	t := sc.stop.Load()
+	return t != nil && time.Now().After(t.lastRequests) && deadline.After(t.end)
+}
+
 // drainOnStop waits until ctx ends, then becomes not ready, lets callers leave and requests in flight finish, and returns. It returns
 // early if running, the context of the servers, ends.
 func (sc *Sidecar) drainOnStop(ctx, running context.Context, servers []*server) {
@@ -38,37 +70,38 @@
 		return
 	}
 	klog.InfoS("process: stopping", "name", sc.settings.Name, "upstream", sc.gateway.State().Usable())
+	begun := time.Now()
+	times := newStopTimes(begun, sc.settings.StopTimeout)
+	sc.stop.Store(&times)
 	sc.stopping.Store(true)
 	sc.wakeUp()
-	begun := time.Now()
-	end := begun.Add(sc.settings.StopTimeout - stopMargin)
-	lateCallersUntil := begun.Add(notReadyTime + lateCallersTime)
-	if latest := end.Add(-inFlightReserve); latest.Before(lateCallersUntil) {
-		lateCallersUntil = latest
-	}
-	wait.For(running, notReadyTime)
+	wait.For(running, time.Until(times.notReadyUntil))
 	// Close refuses all further requests to the upstream; running ones aren't affected.
 	sc.gateway.Close()
 	callers, peers := serverNamed(servers, callersServer), serverNamed(servers, peersServer)
-	callers.awaitQuiet(running, lateCallersUntil)
-	drain, cancel := context.WithDeadline(running, end)
+	callers.awaitQuiet(running, times.lateCallersUntil)
+	drain, cancel := context.WithDeadline(running, times.end)
 	defer cancel()
+	answered, cancelAnswered := context.WithDeadline(running, times.answered)
+	defer cancelAnswered()
 	// New connections are refused; open ones are closed after the responses to the requests in flight.
 	if err := callers.listener.Close(); err != nil {
 		klog.InfoS("process: failed to close a listener", "server", callers.name, "err", err)
 	}
-	if left := sc.callers.Drain(drain); left > 0 {
-		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
-	}
+	left := sc.callers.Drain(drain)
 	sc.group.Go(func() error {
-		peers.shutdown(drain)
+		peers.shutdown(answered)
 		return nil
 	})
-	for quiet := 0; quiet < quietChecks && drain.Err() == nil; quiet++ {
-		if peers.inFlight.Load() > 0 {
-			quiet = 0
-		}
-		wait.For(drain, quietInterval)
+	peers.awaitIdle(drain)
+	if drain.Err() != nil {
+		// What is still in progress is answered, but no longer waited for.
+		sc.giveUp(gateway.ErrStopping)
+		left = sc.callers.Finish(answered)
+		peers.awaitIdle(answered)
+	}
+	if left > 0 {
+		klog.InfoS("process: connections were still in use at the end", "server", callers.name, "connections", left)
 	}
 	for _, s := range []*server{callers, peers} {
 		if err := s.http.Close(); err != nil {
@@ -93,6 +126,16 @@
 	}
 }
 
+// awaitIdle waits until quietChecks checks in a row, of which only the first may find any requests in flight, or until ctx ends.
+func (s *server) awaitIdle(ctx context.Context) {
+	for quiet := 0; quiet < quietChecks && ctx.Err() == nil; quiet++ {
+		if s.inFlight.Load() > 0 {
+			quiet = 0
+		}
+		wait.For(ctx, quietInterval)
+	}
+}
+
 // awaitQuiet waits until no request has arrived for callerQuietTime, until the given time, or until ctx ends.
 func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
 	last, since := s.begun.Load(), time.Now()
