Grant: correct the comment on MaxHold

It said that late grants are carried out 2 s or more after they arrived, when their holds have ended. Nothing relies on it any more: a release asks the upstream while a grant may be in force.

--- a/grant/manager.go
+++ b/grant/manager.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// MaxHold is the longest time for which keys are granted. An upstream of the platform may still carry out a grant that it left
-	// unanswered, but only 2 s or more after it arrived. A hold of less than 2 s, which begins with the arrival, has ended by then.
+	// MaxHold is the longest time for which keys are granted. The longer it is, the longer a successor waits for the hold of an upstream
+	// that doesn't respond, and the more is left of a grant that an upstream carries out late.
 	MaxHold = 1800 * time.Millisecond
 	// renewInterval keeps the remaining hold long at any time: an upstream aborts work that outlasts the hold under which it began,
 	// so work that begins shortly before a renewal must still have time.
