Grant: claim keys again that were reset while their grant was in flight

Cause: a newer map that divides the range of a running claim begins a claim for each part, under the same epoch if the owner keeps it. When the first claim then ends, it resets all its keys that aren't served yet, including those of the parts whose grants are in flight. The answer of such a grant doesn't mark the keys as served, but the claim counted it as a success and ended. The keys had no owner and no claim until the next map.

Evidence: TestSplitClaimIsServed printed "after 1s, a serves key 0: false, key 200: false, and has settled on map 0; want true, true, 4".

A claim now ends as successful only if its entry needs no claim any more. Else it is retried, and the retry begins with the check whether a newer map supersedes it, so it ends if the keys were promised or assigned to another instance.

go test -race: grant and sidecar pass.

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -97,9 +97,20 @@
 			return err
 		}
 	}
+	if !m.isServed(e) {
+		// The keys were reset while their grant was in flight, by a claim under the same epoch that was abandoned.
+		return errBusy
+	}
 	return nil
 }
 
+// isServed reports whether an entry needs no claim any more.
+func (m *Manager) isServed(e keyspace.Entry) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.needsClaim(e)
+}
+
 // collectHandovers obtains the release of an entry's keys from all incarnations that may still serve them. The handovers it returns
 // cover the entry's range.
 func (m *Manager) collectHandovers(e keyspace.Entry) ([]Handover, error) {
--- a/grant/claim_test.go
+++ b/grant/claim_test.go
@@ -179,3 +179,40 @@
 		}
 	})
 }
+
+// TestSplitClaimIsServed guards against keys that stay without an owner until the next map: a claim whose range a newer map divides is
+// abandoned while the grant of its successor is in flight.
+func TestSplitClaimIsServed(t *testing.T) {
+	tests := []struct {
+		name string
+		// answerTime is the time from the effect of the successors' grants to their answers. The first claim is abandoned after 150 ms.
+		answerTime time.Duration
+	}{
+		{name: "answered before the first claim is abandoned", answerTime: 100 * time.Millisecond},
+		{name: "answered afterwards", answerTime: 190 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				b.manager.Update(assignAll(t, 2, b.self, a.self))
+				time.Sleep(100 * time.Millisecond)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(100 * time.Millisecond)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.answerTime = false, test.answerTime })
+				next := newMap(
+					t, 4, entry(0, 99, 3, a.self, b.self), entry(100, 199, 4, b.self, a.self),
+					entry(200, keyspace.MaxKey, 3, a.self, b.self),
+				)
+				a.manager.Update(next)
+				b.manager.Update(next)
+				time.Sleep(ownerGap)
+				if !a.manager.Serves(0) || !a.manager.Serves(200) || a.manager.SettledVersion() != 4 {
+					t.Errorf("after %v, a serves key 0: %v, key 200: %v, and has settled on map %d; want true, true, 4", ownerGap,
+						a.manager.Serves(0), a.manager.Serves(200), a.manager.SettledVersion())
+				}
+			})
+		})
+	}
+}
--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -24,6 +24,8 @@
 	unanswered bool
 	// answerLost makes grants take effect and block until their context ends.
 	answerLost bool
+	// answerTime is the time from the effect of a grant to its answer.
+	answerTime time.Duration
 	// fenced makes grants fail with grant.ErrFenced.
 	fenced bool
 	// gone makes calls fail with grant.ErrUpstreamGone.
@@ -91,6 +93,11 @@
 		u.mu.Lock()
 		return ctx.Err()
 	}
+	if answerTime := u.answerTime; answerTime > 0 {
+		u.mu.Unlock()
+		time.Sleep(answerTime)
+		u.mu.Lock()
+	}
 	return nil
 }
 
