Grant: end the grant before a release with the lease

Cause: the grant that raises the fencing token before a release was bounded by the end of the earlier hold, which includes the transit of a late grant and can be 0.2 s after the lease. It was sent as long as the lease was valid, and could reach the upstream when a successor that had proved the expiry of the lease had the keys already, with a higher token. Renewals are kept from the end of the lease for the same reason, see TestNoGrantNearEndOfLease.

Evidence: TestNoGrantBeforeReleaseNearEndOfLease printed "a grant was sent 85ms before its end, want at least 200ms" and "a grant that arrives late ends 198.2523ms after it".

The grant now has to end with the lease even if it arrives as late as the timeout of its call allows. Later releases wait for the end of the hold, as they do without a lease.

go test -race: grant and sidecar pass.

--- a/grant/release.go
+++ b/grant/release.go
@@ -157,9 +157,13 @@
 // one with a higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys. It has the
 // epoch of the earlier grants, since the keys may be claimed under a newer epoch that other holders haven't released them for.
 func (m *Manager) tryRelease(ctx context.Context, r keyspace.Range, held *hold) (string, error) {
-	// The grant lasts only for the rest of the hold, so that it doesn't delay the end of the hold.
-	left := time.Duration(float64(time.Until(held.until)-grantTimeout) / slowClockFactor)
-	// A successor that has proved that the lease has expired may have the keys already.
+	// The grant lasts only for the rest of the hold, so that it doesn't delay the end of the hold. It must also end with the lease, however
+	// late it arrives: a successor that has proved that the lease has expired may have the keys already.
+	end := held.until
+	if expires := m.lease.Expires(); expires.Before(end) {
+		end = expires
+	}
+	left := time.Duration(float64(time.Until(end)-grantTimeout) / slowClockFactor)
 	if held.carriedOutLater() && left > minRemainingHold && m.lease.Valid() {
 		token, err := m.callGrant(ctx, Grant{Range: r, Fence: m.fence(held.epoch), Hold: left})
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", left, "err", err)
--- a/grant/release_test.go
+++ b/grant/release_test.go
@@ -106,3 +106,30 @@
 		}
 	})
 }
+
+// TestNoGrantBeforeReleaseNearEndOfLease guards against a grant before a release that arrives, or that the upstream still holds, when the
+// lease has ended and the next owner's upstream may have the keys.
+func TestNoGrantBeforeReleaseNearEndOfLease(t *testing.T) {
+	const minRemaining, transit = 200 * time.Millisecond, 200 * time.Millisecond
+	for lease := 1900 * time.Millisecond; lease < 2150*time.Millisecond; lease += 25 * time.Millisecond {
+		withTwoNodes(t, func(f fixture) {
+			t, a, b := f.t, f.a, f.b
+			time.Sleep(400 * time.Millisecond)
+			a.lease.extend(lease)
+			end := a.lease.Expires()
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+			time.Sleep(time.Second)
+			b.manager.Update(assignAll(t, 2, b.self, a.self))
+			time.Sleep(time.Until(end))
+			a.upstream.set(func(u *fakeUpstream) {
+				left := end.Sub(u.lastGrantAt)
+				if left < minRemaining {
+					t.Errorf("with a lease of %v, a grant was sent %v before its end, want at least %v", lease, left, minRemaining)
+				}
+				if after := transit + slowClockDuration(u.lateGrant.Hold) - left; after > 0 {
+					t.Errorf("with a lease of %v, a grant that arrives late ends %v after it", lease, after)
+				}
+			})
+		})
+	}
+}
