Sidecar: accept calls of the local upstream while it works during a stop

The listener of callers was closed after 0.25 s without requests of callers, although the local upstream may make calls for the requests that it still runs. It now also stays open while the upstream works, for as long as the process waits for late callers.

TestNestedCallsDuringStop printed before: "dial tcp ...:7402: connect: connection refused".

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -79,7 +79,8 @@
 	// Close refuses all further requests to the upstream; running ones aren't affected.
 	sc.gateway.Close()
 	callers, peers := serverNamed(servers, callersServer), serverNamed(servers, peersServer)
-	callers.awaitQuiet(running, times.lateCallersUntil)
+	// The local upstream may make calls for the requests that it runs.
+	callers.awaitQuiet(running, times.lateCallersUntil, func() bool { return sc.gateway.Load().Running > 0 })
 	drain, cancel := context.WithDeadline(running, times.end)
 	defer cancel()
 	answered, cancelAnswered := context.WithDeadline(running, times.answered)
@@ -136,12 +137,12 @@
 	}
 }
 
-// awaitQuiet waits until no request has arrived for callerQuietTime, until the given time, or until ctx ends.
-func (s *server) awaitQuiet(ctx context.Context, until time.Time) {
+// awaitQuiet waits until no request has arrived and busy has returned false for callerQuietTime, until the given time, or until ctx ends.
+func (s *server) awaitQuiet(ctx context.Context, until time.Time, busy func() bool) {
 	last, since := s.begun.Load(), time.Now()
 	for ctx.Err() == nil && time.Since(since) < callerQuietTime && time.Now().Before(until) {
 		wait.For(ctx, quietInterval)
-		if begun := s.begun.Load(); begun != last {
+		if begun := s.begun.Load(); begun != last || busy() {
 			last, since = begun, time.Now()
 		}
 	}
