Ingress: keep a response whose connection has unread requests

A connection with unread data is reset when it is closed, which drops what hasn't been sent of the last response. A caller that sends its next request before it learns that the connection closes, as in a stop, lost the end of a large response. The connection now stays half-open until the caller has closed it, for up to 2 s.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +50,9 @@
 	}
 }
 
+// lingerTimeout bounds the wait for a caller that has sent more requests than are answered to read the last response.
+const lingerTimeout = 2 * time.Second
+
 // Reasons for which a request is not answered.
 const (
 	reasonCallerLeft  = "caller_left"
@@ -248,15 +252,30 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	if !c.closed && !c.http2 {
+	first := !c.closed
+	linger := false
+	if first && !c.http2 {
 		c.closed = true
 		c.reportUnanswered()
+		linger = c.state == requestFinished && c.writeErr == nil && !c.connections.ending.Load()
 	}
 	c.mu.Unlock()
+	if linger && hasPending(c.Conn) {
+		c.linger()
+	}
 	c.connections.remove(c)
 	return c.Conn.Close()
 }
 
+// linger waits until the caller has read the last response and closed the connection, for at most lingerTimeout. Closing a connection with
+// unread data resets it, and the part of the response that hasn't been sent would be lost.
+func (c *callerConn) linger() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 // reportUnanswered logs and counts the newest request if it was read and not answered. The caller holds mu.
 func (c *callerConn) reportUnanswered() {
 	switch c.state {
--- a/ingress/callerconn_test.go
+++ b/ingress/callerconn_test.go
@@ -339,3 +339,46 @@
 		t.Errorf("unanswered requests: %v", counts)
 	}
 }
+
+// TestRequestBehindLastResponse guards against a response that is cut off because the caller has sent its next request before it learned
+// that the connection is closed after this response.
+func TestRequestBehindLastResponse(t *testing.T) {
+	const size = 16 << 20
+	connections := ingress.NewConnections(noLimits, prometheus.NewRegistry())
+	server := startTracked(t, connections, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(make([]byte, size))
+	}))
+	conn := dial(t, server)
+	_, _ = io.WriteString(conn, get)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	// More than the server's buffer holds.
+	for range 8 << 10 / len(get) {
+		_, _ = io.WriteString(conn, get)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error {
+		if left := connections.Drain(ctx); left > 0 {
+			t.Errorf("%d connections are left", left)
+		}
+		return nil
+	})
+	// The caller reads slowly, so that a part of the response is still in the server's buffers when the server has written all of it.
+	n := int64(0)
+	for err == nil {
+		var read int64
+		read, err = io.CopyN(io.Discard, response.Body, size/64)
+		n += read
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !errors.Is(err, io.EOF) || n != size {
+		t.Errorf("%d of %d bytes: %v", n, size, err)
+	}
+	_ = group.Wait()
+}
