Instance: keep the stop timeout

A planned stop used all of its timeout to wait for requests in flight, then resigned the lease with a context that had ended, and took up to 2 s more to close connections. The steps after the drain now have their own parts of the stop timeout, and callers' connections that are left are told to end before they are closed.

--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -44,6 +44,8 @@
 	Slots int
 	// Options configure the fake upstream.
 	Options []fake.UpstreamOption
+	// StopTimeout is the timeout of a planned stop; 0 selects the default of the settings.
+	StopTimeout time.Duration
 	// Relayed puts a relay in front of the instance's peer and heartbeat addresses, which Cut and Isolate require.
 	Relayed bool
 }
--- a/demo/deployment_test.go
+++ b/demo/deployment_test.go
@@ -67,7 +67,13 @@
 // startDeployment starts n instances and waits until all partitions are served. If the test fails, their logs and events are printed.
 func startDeployment(t *testing.T, n int, relayed bool) *demo.Deployment {
 	t.Helper()
-	d, err := demo.Start(context.WithoutCancel(t.Context()), executable, bookingsConfig(t), specs(n, relayed), demo.WithDir(t.TempDir()))
+	return startSpecs(t, specs(n, relayed))
+}
+
+// startSpecs starts the instances of the given specs as startDeployment does.
+func startSpecs(t *testing.T, s []demo.Spec) *demo.Deployment {
+	t.Helper()
+	d, err := demo.Start(context.WithoutCancel(t.Context()), executable, bookingsConfig(t), s, demo.WithDir(t.TempDir()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/demo/node.go
+++ b/demo/node.go
@@ -35,6 +35,10 @@
 // settingsDocument returns the content of the instance's settings file.
 func (n *Node) settingsDocument() map[string]any {
 	platform := n.deployment.PlatformURL()
+	timeouts := make(map[string]any)
+	if stop := n.spec.StopTimeout; stop > 0 {
+		timeouts["stop"], timeouts["drain"] = stop.String(), (stop / 2).String()
+	}
 	return map[string]any{
 		"slot": n.spec.Slot, "region": "loopback", "data_centre": n.spec.DataCentre, "service": n.spec.Service,
 		"capacity":  n.spec.Capacity,
@@ -42,6 +46,7 @@
 		"advertise": map[string]any{"peers": n.advertised, "heartbeats": n.advertised},
 		"platform":  map[string]any{"table": platform, "object": platform},
 		"upstream":  map[string]any{"url": "http://" + n.upstreamAddress, "checks_grants": true, "slots": max(n.spec.Slots, 1)},
+		"timeouts":  timeouts,
 		"log":       map[string]any{"verbosity": 1},
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -39,7 +39,7 @@
 const (
 	// readHeaderTimeout bounds reading the headers of an admin request.
 	readHeaderTimeout = 5 * time.Second
-	// shutdownTimeout bounds the drain of callers' connections, and closing a server gracefully.
+	// shutdownTimeout bounds each step of a planned stop that follows the drain, see closeTimeout.
 	shutdownTimeout = time.Second
 	// retryDelay is the pause after a failed join and between two checks of the lease. It is also the pause before a rejoin after an
 	// incarnation that lasted longer than maxRejoinDelay; after each shorter one, that pause doubles, up to maxRejoinDelay.
@@ -183,14 +183,14 @@
 	callers := caller.NewHTTPServer(http.HandlerFunc(i.serveCaller))
 	connections := ingress.NewConnections(func() routing.Limits { return routing.Limits{} }, i.registry)
 	connections.Attach(callers)
-	serveHTTP(ctx, group, connections.Listen(l.callers), callers, func() { drainCallers(l.callers, connections) })
+	i.serveHTTP(ctx, group, connections.Listen(l.callers), callers, func() { i.drainCallers(l.callers, connections) })
 	none := func() {}
-	serveHTTP(ctx, group, l.peers, caller.NewHTTPServer(i.peerHandler()), none)
-	serveHTTP(ctx, group, l.admin, &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, none)
+	i.serveHTTP(ctx, group, l.peers, caller.NewHTTPServer(i.peerHandler()), none)
+	i.serveHTTP(ctx, group, l.admin, &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, none)
 }
 
 // serveHTTP starts a server. When ctx ends, it calls drain and then closes the server gracefully.
-func serveHTTP(ctx context.Context, group *errgroup.Group, l net.Listener, server *http.Server, drain func()) {
+func (i *Instance) serveHTTP(ctx context.Context, group *errgroup.Group, l net.Listener, server *http.Server, drain func()) {
 	group.Go(func() error {
 		// The listener of callers is closed before the server is.
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -201,7 +201,7 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		drain()
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.closeTimeout())
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
 			return server.Close()
@@ -210,16 +210,17 @@
 	})
 }
 
-// drainCallers refuses new connections of callers and waits, for at most shutdownTimeout, until the requests that have arrived on open
+// drainCallers refuses new connections of callers and waits, for at most closeTimeout, until the requests that have arrived on open
 // HTTP/1 connections have been answered, which Shutdown doesn't.
-func drainCallers(l net.Listener, connections *ingress.Connections) {
+func (i *Instance) drainCallers(l net.Listener, connections *ingress.Connections) {
 	if err := l.Close(); err != nil {
 		klog.Warningf("instance: the listener of callers can't be closed: %v", err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), i.closeTimeout())
 	defer cancel()
 	if left := connections.Drain(ctx); left > 0 {
-		klog.Warningf("instance: %d connections of callers are still in use after %v", left, shutdownTimeout)
+		left = connections.Finish(ctx)
+		klog.Warningf("instance: %d connections of callers are still in use after %v", left, i.closeTimeout())
 	}
 }
 
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -19,30 +19,44 @@
 	leavePollInterval = 50 * time.Millisecond
 )
 
+// closeSteps is the number of steps that follow the drain in a planned stop and take up to closeTimeout each: the interruption of requests
+// in flight, the resignation with the last write of the record, the close of callers' connections and that of all others.
+const closeSteps = 4
+
+// closeTimeout bounds each step after the drain, so that a planned stop takes no longer than the stop timeout.
+func (i *Instance) closeTimeout() time.Duration {
+	const share = 2 * closeSteps
+	return min(shutdownTimeout, i.settings.StopTimeout()/share)
+}
+
 // leave makes a planned stop: it waits until partitions are moved away and requests in flight have finished, and resigns the
-// lease. All of it is bounded by the stop timeout.
+// lease. Requests that are still in flight when the rest of the stop timeout is needed to close everything are interrupted.
 func (s *session) leave(ctx context.Context) {
 	i := s.instance
 	_ = i.state.Fire("stop", "planned stop")
 	klog.Infof("instance: %s begins a planned stop", s.self)
-	ctx, cancel := context.WithTimeout(ctx, i.settings.StopTimeout())
-	defer cancel()
+	drained := time.Now().Add(i.settings.StopTimeout() - closeSteps*i.closeTimeout())
+	draining, cancelDraining := context.WithDeadline(ctx, drained)
+	defer cancelDraining()
+	leaving, cancelLeaving := context.WithDeadline(ctx, drained.Add(closeSteps/2*i.closeTimeout()))
+	defer cancelLeaving()
 	s.owned.Drain()
-	if err := s.setState(ctx, member.Draining); err != nil {
+	if err := s.setState(draining, member.Draining); err != nil {
 		klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 	}
-	for until := time.Now().Add(moveTimeout); len(s.owned.Serving()) > 0 && time.Now().Before(until) && ctx.Err() == nil; {
-		wait.For(ctx, leavePollInterval)
+	moved := time.Now().Add(min(moveTimeout, time.Until(drained)/2))
+	for len(s.owned.Serving()) > 0 && time.Now().Before(moved) && draining.Err() == nil {
+		wait.For(draining, leavePollInterval)
 	}
-	if err := s.server.Drain(ctx); err != nil {
-		klog.Warningf("instance: requests are still in flight after the stop timeout: %v", err)
+	if err := s.server.Drain(draining); err != nil {
+		klog.Warningf("instance: requests were still in flight at the end of the planned stop: %v", err)
 	}
 	trigger := "empty"
 	if len(s.owned.Serving()) > 0 {
 		trigger = "timeout"
 	}
-	s.resignLease(ctx)
-	if err := s.setState(ctx, member.Left); err != nil {
+	s.resignLease(leaving)
+	if err := s.setState(leaving, member.Left); err != nil {
 		klog.Warningf("instance: record of %s can't be written: %v", s.self, err)
 	}
 	_ = i.state.Fire(trigger, "planned stop has finished")
