Sidecar: end the release for an earlier incarnation when a newer map moves its keys

Cause: while the upstream doesn't answer, the release of keys of an earlier incarnation is repeated for up to 2.1 s. A newer map may meanwhile assign the keys to the current incarnation. Once the upstream answers again, the next attempt takes the keys from it, though the current session serves them. The upstream refuses requests for them until the next renewal.

Evidence: TestNewerMapEndsRelease printed "error <nil>, want code.Conflict" and three releases instead of one.

Each attempt now begins with the check for a newer epoch that the request began with. The session claims keys only after the directory has the map, so no attempt begins after a claim. One that is in flight can still take the keys until the next renewal.

go test -race: grant and sidecar pass.

--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -84,3 +84,36 @@
 		})
 	}
 }
+
+// TestNewerMapEndsRelease guards against a release for an earlier incarnation that goes on when a newer map has assigned the keys again,
+// and takes keys from the upstream that the current incarnation serves.
+func TestNewerMapEndsRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &testUpstream{}
+		sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
+		successor, self := member.NewIncarnation("slot-5", 8), member.NewIncarnation("slot-3", 7)
+		sc.directory.apply([]store.Row{
+			recordRow(t, goodRecord(), 5), recordRow(t, member.Record{Incarnation: successor, State: member.Ready}, 8),
+			mapOf(t, 9, successor, 30),
+		})
+		bound := newSessionUpstream(upstream, func() bool { return true })
+		sc.session.Store(&session{
+			sidecar: sc, record: member.Record{Incarnation: self}, started: time.Now(), upstream: bound,
+			grantManager: grant.New(t.Context(), "bookings", self, nil, bound, nil),
+		})
+		time.AfterFunc(100*time.Millisecond, func() {
+			// The upstream doesn't answer the release that is in flight.
+			sc.directory.apply([]store.Row{mapOf(t, 10, self, 31)})
+		})
+		keys := keyspace.Range{First: 100, Last: 199}
+		_, err := sc.release(t.Context(), grant.ReleaseRequest{
+			Range: keys, Service: "bookings", Epoch: 9, Holder: goodRecord().Incarnation, Successor: successor,
+		})
+		if got, _ := code.Of(err); got != code.Conflict {
+			t.Errorf("error %v, want code.Conflict", err)
+		}
+		if want := []string{fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)}; !slices.Equal(upstream.calls, want) {
+			t.Errorf("calls %v, want %v", upstream.calls, want)
+		}
+	})
+}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -100,9 +100,8 @@
 
 // releaseEarlier releases keys of an earlier incarnation in the slot.
 func (s *session) releaseEarlier(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
-	if epoch := s.sidecar.directory.newestEpoch(r.Service, r.Range); epoch > r.Epoch {
-		// The earlier incarnation may have granted the keys under the newer epoch, above the successor's.
-		return nil, code.New(code.Conflict, "keys %s have epoch %d, above the requested %d", r.Range, epoch, r.Epoch)
+	if err := s.checkNewest(r); err != nil {
+		return nil, err
 	}
 	r.Holder = s.self()
 	handovers, err := s.grantManager.Release(ctx, r)
@@ -110,7 +109,7 @@
 		return handovers, err
 	}
 	// No session grants the keys below the requested epoch any more.
-	token, err := s.revokeEarlierGrants(ctx, r.Range, keyspace.Fence(r.Epoch, 0)-1)
+	token, err := s.revokeEarlierGrants(ctx, r)
 	if err != nil {
 		return nil, err
 	}
@@ -121,6 +120,15 @@
 	return handovers, nil
 }
 
+// checkNewest returns code.Conflict if the known key map has a newer epoch for keys of a request. An incarnation in this slot may have
+// granted them under that epoch, above the successor's.
+func (s *session) checkNewest(r grant.ReleaseRequest) error {
+	if epoch := s.sidecar.directory.newestEpoch(r.Service, r.Range); epoch > r.Epoch {
+		return code.New(code.Conflict, "keys %s have epoch %d, above the requested %d", r.Range, epoch, r.Epoch)
+	}
+	return nil
+}
+
 // Report accepts the report of an instance of the service if this instance can act as its planner.
 func (s *peerService) Report(_ context.Context, r *peer.ReportRequest) (*peer.ReportResponse, error) {
 	return &peer.ReportResponse{Accepted: s.sidecar.acceptReport(r)}, nil
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -152,17 +152,21 @@
 
 // revokeEarlierGrants makes the upstream release keys that earlier sessions of the same run may have granted to it, and returns its
 // handover token, if any. A release with a fencing token above theirs makes it refuse those of their grants that it left unanswered. If it
-// doesn't respond, the holds must have ended, and the keys are released without a handover.
-func (s *session) revokeEarlierGrants(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
+// doesn't respond, the holds must have ended, and the keys are released without a handover. It returns code.Conflict once a newer map has
+// assigned the keys: the current session may serve them under it.
+func (s *session) revokeEarlierGrants(ctx context.Context, r grant.ReleaseRequest) (string, error) {
 	if time.Since(s.started) >= lateGrants {
 		return "", nil
 	}
 	for {
+		if err := s.checkNewest(r); err != nil {
+			return "", err
+		}
 		timeout := clearTimeout
 		if left := earlierGrants - time.Since(s.started); left > 0 {
 			timeout = min(timeout, left)
 		}
-		handover, err := releaseWithin(ctx, timeout, s.upstream, r, fence)
+		handover, err := releaseWithin(ctx, timeout, s.upstream, r.Range, keyspace.Fence(r.Epoch, 0)-1)
 		switch {
 		case err == nil:
 			return handover, nil
@@ -171,7 +175,8 @@
 		case ctx.Err() != nil:
 			return "", ctx.Err()
 		case time.Since(s.started) >= earlierGrants:
-			klog.InfoS("session: the upstream left the release of earlier grants unanswered", "instance", s.self(), "keys", r, "err", err)
+			klog.InfoS("session: the upstream left the release of earlier grants unanswered", "instance", s.self(), "keys", r.Range,
+				"err", err)
 			return "", nil
 		}
 		wait.For(ctx, clearRetryDelay)
