Grant: make upstreams refuse late grants whose hold has ended

A release passed over keys whose hold had ended, although the upstream had left a grant for them unanswered and could carry it out up to 12 s later.

--- a/grant/manager.go
+++ b/grant/manager.go
@@ -20,6 +20,8 @@
 	// MaxHold is the longest time for which keys are granted. The longer it is, the longer a successor waits for the hold of an upstream
 	// that doesn't respond, and the more is left of a grant that an upstream carries out late.
 	MaxHold = 1800 * time.Millisecond
+	// MaxLateness bounds the time after which an upstream of the platform carries out a grant that it left unanswered.
+	MaxLateness = 13 * time.Second
 	// renewInterval keeps the remaining hold long at any time: an upstream aborts work that outlasts the hold under which it began,
 	// so work that begins shortly before a renewal must still have time.
 	renewInterval = 200 * time.Millisecond
--- a/grant/release.go
+++ b/grant/release.go
@@ -64,7 +64,7 @@
 		switch {
 		case s.state == stateReleasing:
 			waiting = true
-		case s.state != stateNone || s.hold.inForce(now):
+		case s.state != stateNone || s.hold.inForce(now) || s.hold.leftUnanswered(now):
 			toRelease = append(toRelease, s)
 		}
 	}
@@ -135,6 +135,9 @@
 	if held.until.IsZero() {
 		return "", outcomeNeverGranted
 	}
+	if held.leftUnanswered(time.Now()) {
+		return m.refuseLateGrants(ctx, r, *held)
+	}
 	for held.inForce(time.Now()) {
 		handover, err := m.tryRelease(ctx, r, held)
 		if err == nil {
@@ -153,6 +156,19 @@
 	return "", outcomeHoldEnded
 }
 
+// refuseLateGrants makes one attempt to release keys whose hold has ended, so that the upstream refuses the grants that it left unanswered:
+// a release, unlike a grant, may raise the fencing token there at any time.
+func (m *Manager) refuseLateGrants(ctx context.Context, r keyspace.Range, held hold) (handover, outcome string) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	handover, err := m.upstream.Release(ctx, r, m.fence(held.epoch)(false))
+	if err != nil {
+		klog.InfoS("grant: late grants may be carried out", "keys", r, "epoch", held.epoch, "err", err)
+		return "", outcomeHoldEnded
+	}
+	return handover, outcomeAcknowledged
+}
+
 // tryRelease makes one attempt to release the keys. If the upstream may carry out an earlier grant for them later, tryRelease first sends
 // one with a higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys. It has the
 // epoch of the earlier grants, since the keys may be claimed under a newer epoch that other holders haven't released them for.
--- a/grant/release_test.go
+++ b/grant/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -133,3 +134,55 @@
 		})
 	}
 }
+
+// TestLateGrantAfterHoldIsRefused guards against an unanswered grant that the upstream carries out after its hold has ended and after
+// another upstream has got the keys with a higher fencing token.
+func TestLateGrantAfterHoldIsRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		// abandoned means that a newer map ends the claim before the keys are released.
+		abandoned bool
+		// after is the time from the grant to the release.
+		after time.Duration
+	}{
+		{name: "abandoned, shortly after the hold", abandoned: true, after: 2200 * time.Millisecond},
+		{name: "abandoned, later", abandoned: true, after: 8 * time.Second},
+		{name: "served, lease expired", after: 8 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				a.upstream.set(func(u *fakeUpstream) { u.releaseRaises = true })
+				if test.abandoned {
+					b.manager.Update(assignAll(t, 2, b.self, a.self))
+					time.Sleep(100 * time.Millisecond)
+				}
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(400 * time.Millisecond)
+				a.lease.extend(0)
+				var late grant.Grant
+				var fence uint64
+				a.upstream.set(func(u *fakeUpstream) { late, fence, u.unanswered = u.lateGrant, u.lateFence, false })
+				if late.Fence == nil {
+					t.Fatal("no grant was left unanswered")
+				}
+				next := assignAll(t, 4, b.self, a.self)
+				if test.abandoned {
+					a.manager.Update(next)
+				}
+				time.Sleep(test.after)
+				b.manager.Update(next)
+				time.Sleep(ownerGap)
+				if !b.manager.Serves(innerKey) {
+					t.Fatalf("the successor doesn't serve after %v", ownerGap)
+				}
+				late.Fence = func(bool) uint64 { return fence }
+				if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant with fencing token %d wasn't refused: %v", fence, err)
+				}
+			})
+		})
+	}
+}
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -76,6 +76,12 @@
 // token than one that it has acknowledged.
 func (h hold) carriedOutLater() bool { return h.unanswered > 0 && h.unanswered >= h.acknowledged }
 
+// leftUnanswered reports whether the upstream may carry out a grant later although its hold has ended. Such a grant holds no keys, but the
+// upstream would take them with a fencing token below that of the next owner.
+func (h hold) leftUnanswered(now time.Time) bool {
+	return h.carriedOutLater() && !h.inForce(now) && now.Before(h.until.Add(MaxLateness))
+}
+
 // merge returns what is known of keys of which both may be true.
 func (h hold) merge(other hold) hold {
 	if other.until.After(h.until) {
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -21,9 +21,6 @@
 	// earlierGrants is the time after the end of a session within which all holds that it granted end. The extra twentieth is a margin for
 	// clocks that run at different rates.
 	earlierGrants = grantTransit + grant.MaxHold + grant.MaxHold/20
-	// lateGrants is the time after the end of a session within which the upstream may still carry out a grant that it left unanswered: it
-	// does so up to 12 s after the arrival.
-	lateGrants = 13 * time.Second
 	// clearTimeout bounds one attempt to release the keys of earlier sessions, and clearRetryDelay is the pause after a failed one.
 	clearTimeout    = 700 * time.Millisecond
 	clearRetryDelay = 50 * time.Millisecond
@@ -155,7 +152,7 @@
 // doesn't respond, the holds must have ended, and the keys are released without a handover. It returns code.Conflict once a newer map has
 // assigned the keys: the current session may serve them under it.
 func (s *session) revokeEarlierGrants(ctx context.Context, r grant.ReleaseRequest) (string, error) {
-	if time.Since(s.started) >= lateGrants {
+	if time.Since(s.started) >= grant.MaxLateness {
 		return "", nil
 	}
 	for {
