Grant: test a claim whose earlier holder ends while it is asked

The test prints "the keys had an owner again 2.551s after the upstream had ended" on (bound 1 s): the records are read only before the request, and the request ends after peerTimeout.

--- a/grant/claim_test.go
+++ b/grant/claim_test.go
@@ -153,6 +153,39 @@
 	})
 }
 
+// TestClaimOfEndedHolder guards against a claim that goes on waiting for an earlier holder after stored records have shown that the
+// holder's upstream has ended.
+func TestClaimOfEndedHolder(t *testing.T) {
+	tests := []struct {
+		name    string
+		refused int
+		// unreachable means that the request isn't answered: a new incarnation delays requests to the one before it.
+		unreachable bool
+	}{
+		{name: "requests refused", refused: 1 << 30},
+		{name: "request not answered", unreachable: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				a.upstream.set(func(u *fakeUpstream) { u.gone, u.heldUntil = true, nil })
+				f.peers.set(func(p *peers) { p.refused, p.unreachable[a.self] = test.refused, test.unreachable })
+				started := time.Now()
+				b.manager.Update(assignAll(t, 2, b.self, a.self))
+				time.Sleep(300 * time.Millisecond)
+				f.peers.set(func(p *peers) { p.ended[a.self] = true })
+				for !b.manager.Serves(innerKey) && time.Since(started) < 10*time.Second {
+					time.Sleep(time.Millisecond)
+				}
+				if took := time.Since(started); took > ownerGap {
+					t.Errorf("the keys had an owner again %v after the upstream had ended", took)
+				}
+			})
+		})
+	}
+}
+
 // TestConcurrentClaimsOfServedKeys guards against claims of served keys that hold a mutex while they pause, which stops the paused clock,
 // and against claims that don't share the pace of the requests.
 func TestConcurrentClaimsOfServedKeys(t *testing.T) {
--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -165,9 +165,11 @@
 type peers struct {
 	mu       sync.Mutex
 	managers map[member.Incarnation]*grant.Manager
-	// unreachable holds the incarnations that don't respond, and expired those whose lease is proved to have expired.
+	// unreachable holds the incarnations that don't respond, expired those whose lease is proved to have expired, and ended those whose
+	// upstream has ended according to stored records.
 	unreachable map[member.Incarnation]bool
 	expired     map[member.Incarnation]bool
+	ended       map[member.Incarnation]bool
 	// refused is the number of the next release requests that fail at once without reaching the holder.
 	refused int
 	// lostAnswers is the number of the next release requests that the holder carries out and whose answers are lost.
@@ -225,7 +227,11 @@
 	change(p)
 }
 
-func (p *peers) Ended(member.Incarnation) bool { return false }
+func (p *peers) Ended(i member.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended[i]
+}
 
 // node is an instance with its upstream, lease and manager.
 type node struct {
@@ -249,7 +255,7 @@
 func newPeers() *peers {
 	return &peers{
 		managers: make(map[member.Incarnation]*grant.Manager), unreachable: make(map[member.Incarnation]bool),
-		expired: make(map[member.Incarnation]bool),
+		expired: make(map[member.Incarnation]bool), ended: make(map[member.Incarnation]bool),
 	}
 }
 
