Grant: test a late grant of a claim that waits for an earlier holder

The grant was left unanswered and the claim then waited for an earlier holder, so that no grant followed until the hold had nearly ended. The grant's time has ended when it is carried out, but the platform's rule for fencing tokens doesn't exempt grants that are taken late.

--- a/grant/release_test.go
+++ b/grant/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,49 @@
 	}
 }
 
+// TestLateGrantOfStalledClaim guards against a grant of a claim that was left unanswered, isn't followed by another one since the claim
+// waits for an earlier holder, and is carried out after the keys have moved to another upstream.
+func TestLateGrantOfStalledClaim(t *testing.T) {
+	tests := []struct {
+		name string
+		// stalled is the time between the unanswered grant and the release.
+		stalled time.Duration
+	}{
+		{name: "early in the hold", stalled: 500 * time.Millisecond},
+		{name: "near the end of the hold", stalled: grant.MaxHold - 50*time.Millisecond},
+		{name: "after the hold", stalled: grant.MaxHold + 400*time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				b.manager.Update(assignAll(t, 2, b.self, a.self))
+				time.Sleep(100 * time.Millisecond)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(50 * time.Millisecond)
+				f.peers.set(func(p *peers) { p.unreachable[b.self] = true })
+				var late grant.Grant
+				var fence uint64
+				a.upstream.set(func(u *fakeUpstream) { late, fence, u.unanswered = u.lateGrant, u.lateFence, false })
+				if late.Fence == nil || a.manager.Serves(innerKey) {
+					t.Fatal("want an unanswered grant")
+				}
+				time.Sleep(test.stalled)
+				b.manager.Update(assignAll(t, 4, b.self, a.self))
+				time.Sleep(ownerGap)
+				if !b.manager.Serves(innerKey) || a.upstream.holds(innerKey) {
+					t.Fatal("the keys haven't moved to b")
+				}
+				late.Fence = func(bool) uint64 { return fence }
+				if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant with fencing token %d wasn't refused: %v", fence, err)
+				}
+			})
+		})
+	}
+}
+
 // wakeUpCounter is a context that counts how often a function begins to wait for its end, and ends at the limit.
 type wakeUpCounter struct {
 	context.Context
