Grant: end a release request once records show that the upstream has ended

A claim looked at the stored records only before it asked an earlier holder. If the holder's upstream ended meanwhile, the claim waited for the request's timeout, although the records said that nothing had to be released. The records are now looked at while the holder is asked.

TestClaimOfEndedHolder failed before: "the keys had an owner again 2.551s after the upstream had ended" (bound 1 s).

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -153,11 +153,11 @@
 }
 
 // releaseFrom asks an earlier holder to release the keys. If it doesn't respond within expiryProofDelay, its witnesses are asked
-// concurrently to prove that its lease has expired. A proof ends the request.
+// concurrently to prove that its lease has expired. A proof ends the request, and so does a record by which its upstream has ended.
 func (m *Manager) releaseFrom(e keyspace.Entry, holder member.Incarnation) ([]Handover, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
 	defer cancel()
-	var expired atomic.Bool
+	var expired, ended atomic.Bool
 	var proof sync.WaitGroup
 	defer proof.Wait()
 	defer cancel()
@@ -170,6 +170,14 @@
 			cancel()
 		}
 	})
+	proof.Go(func() {
+		for wait.For(ctx, recordsInterval) {
+			if m.peers.Ended(holder) {
+				ended.Store(true)
+				cancel()
+			}
+		}
+	})
 	handovers, err := m.askHolder(ctx, ReleaseRequest{
 		Range: e.Range, Service: m.service, Epoch: e.Epoch, Holder: holder, Successor: m.self,
 	})
@@ -180,6 +188,10 @@
 		klog.InfoS("grant: lease of the earlier holder has expired", "keys", e.Range, "holder", holder)
 		return nil, nil
 	}
+	if ended.Load() {
+		klog.InfoS("grant: upstream of the earlier holder has ended", "keys", e.Range, "holder", holder)
+		return nil, nil
+	}
 	return nil, err
 }
 
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -45,6 +45,8 @@
 	// expiryProofDelay is the time that an earlier holder has to respond before its witnesses are asked to prove that its lease has
 	// expired.
 	expiryProofDelay = 150 * time.Millisecond
+	// recordsInterval is the time between two looks at the stored records while an earlier holder is asked.
+	recordsInterval = 100 * time.Millisecond
 	// peerTimeout bounds a release request to an earlier holder, which may wait for running work and for the end of the hold.
 	peerTimeout = 2500 * time.Millisecond
 	// raiseInterval is the pause between two release requests for keys that are served already. After another writer has replaced the
