--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -28,6 +28,8 @@
 	answerTime time.Duration
 	// fenced makes grants fail with grant.ErrFenced.
 	fenced bool
+	// releaseRaises makes releases raise the fencing tokens of keys, as those of the platform's upstreams do.
+	releaseRaises bool
 	// gone makes calls fail with grant.ErrUpstreamGone.
 	gone bool
 	// newConnection makes the next grant go over a new connection.
@@ -101,7 +103,7 @@
 	return nil
 }
 
-func (u *fakeUpstream) Release(ctx context.Context, r keyspace.Range, _ uint64) (string, error) {
+func (u *fakeUpstream) Release(ctx context.Context, r keyspace.Range, fence uint64) (string, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.gone {
@@ -118,6 +120,11 @@
 			delete(u.heldUntil, k)
 		}
 	}
+	for _, k := range trackedKeys(r) {
+		if u.releaseRaises {
+			u.fences[k] = max(u.fences[k], fence)
+		}
+	}
 	if wait := time.Until(u.busyUntil); wait > 0 {
 		u.mu.Unlock()
 		time.Sleep(wait)
@@ -172,9 +179,11 @@
 type peers struct {
 	mu       sync.Mutex
 	managers map[member.Incarnation]*grant.Manager
-	// unreachable holds the incarnations that don't respond, and expired those whose lease is proved to have expired.
+	// unreachable holds the incarnations that don't respond, expired those whose lease is proved to have expired, and ended those whose
+	// upstream has ended according to stored records.
 	unreachable map[member.Incarnation]bool
 	expired     map[member.Incarnation]bool
+	ended       map[member.Incarnation]bool
 	// refused is the number of the next release requests that fail at once without reaching the holder.
 	refused int
 	// lostAnswers is the number of the next release requests that the holder carries out and whose answers are lost.
@@ -232,7 +241,11 @@
 	change(p)
 }
 
-func (p *peers) Ended(member.Incarnation) bool { return false }
+func (p *peers) Ended(i member.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended[i]
+}
 
 // node is an instance with its upstream, lease and manager.
 type node struct {
@@ -256,7 +269,7 @@
 func newPeers() *peers {
 	return &peers{
 		managers: make(map[member.Incarnation]*grant.Manager), unreachable: make(map[member.Incarnation]bool),
-		expired: make(map[member.Incarnation]bool),
+		expired: make(map[member.Incarnation]bool), ended: make(map[member.Incarnation]bool),
 	}
 }
 
--- a/grant/release_test.go
+++ b/grant/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,6 +60,51 @@
 	}
 }
 
+// TestLateGrantOfStalledClaim guards against a grant of a claim that was left unanswered, isn't followed by another one since the claim
+// waits for an earlier holder, and is carried out after the keys have moved to another upstream.
+func TestLateGrantOfStalledClaim(t *testing.T) {
+	tests := []struct {
+		name string
+		// stalled is the time between the unanswered grant and the release.
+		stalled time.Duration
+		// releaseRaises makes releases raise the fencing token. Later than 0.26 s before the end of the hold, no grant raises it.
+		releaseRaises bool
+	}{
+		{name: "early in the hold", stalled: 500 * time.Millisecond},
+		{name: "near the end of the hold", stalled: grant.MaxHold - 50*time.Millisecond, releaseRaises: true},
+		{name: "after the hold", stalled: grant.MaxHold + 400*time.Millisecond, releaseRaises: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				b.manager.Update(assignAll(t, 2, b.self, a.self))
+				time.Sleep(100 * time.Millisecond)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, test.releaseRaises })
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(50 * time.Millisecond)
+				f.peers.set(func(p *peers) { p.unreachable[b.self] = true })
+				var late grant.Grant
+				var fence uint64
+				a.upstream.set(func(u *fakeUpstream) { late, fence, u.unanswered = u.lateGrant, u.lateFence, false })
+				if late.Fence == nil || a.manager.Serves(innerKey) {
+					t.Fatal("want an unanswered grant")
+				}
+				time.Sleep(test.stalled)
+				b.manager.Update(assignAll(t, 4, b.self, a.self))
+				time.Sleep(ownerGap)
+				if !b.manager.Serves(innerKey) || a.upstream.holds(innerKey) {
+					t.Fatal("the keys haven't moved to b")
+				}
+				late.Fence = func(bool) uint64 { return fence }
+				if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant with fencing token %d wasn't refused: %v", fence, err)
+				}
+			})
+		})
+	}
+}
+
 // wakeUpCounter is a context that counts how often a function begins to wait for its end, and ends at the limit.
 type wakeUpCounter struct {
 	context.Context
@@ -133,3 +179,55 @@
 		})
 	}
 }
+
+// TestLateGrantAfterHoldIsRefused guards against an unanswered grant that the upstream carries out after its hold has ended and after
+// another upstream has got the keys with a higher fencing token.
+func TestLateGrantAfterHoldIsRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		// abandoned means that a newer map ends the claim before the keys are released.
+		abandoned bool
+		// after is the time from the grant to the release.
+		after time.Duration
+	}{
+		{name: "abandoned, shortly after the hold", abandoned: true, after: 2200 * time.Millisecond},
+		{name: "abandoned, later", abandoned: true, after: 8 * time.Second},
+		{name: "served, lease expired", after: 8 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a, b := f.t, f.a, f.b
+				a.upstream.set(func(u *fakeUpstream) { u.releaseRaises = true })
+				if test.abandoned {
+					b.manager.Update(assignAll(t, 2, b.self, a.self))
+					time.Sleep(100 * time.Millisecond)
+				}
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+				a.manager.Update(assignAll(t, 3, a.self, b.self))
+				time.Sleep(400 * time.Millisecond)
+				a.lease.extend(0)
+				var late grant.Grant
+				var fence uint64
+				a.upstream.set(func(u *fakeUpstream) { late, fence, u.unanswered = u.lateGrant, u.lateFence, false })
+				if late.Fence == nil {
+					t.Fatal("no grant was left unanswered")
+				}
+				next := assignAll(t, 4, b.self, a.self)
+				if test.abandoned {
+					a.manager.Update(next)
+				}
+				time.Sleep(test.after)
+				b.manager.Update(next)
+				time.Sleep(ownerGap)
+				if !b.manager.Serves(innerKey) {
+					t.Fatalf("the successor doesn't serve after %v", ownerGap)
+				}
+				late.Fence = func(bool) uint64 { return fence }
+				if err := a.upstream.Grant(t.Context(), late); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant with fencing token %d wasn't refused: %v", fence, err)
+				}
+			})
+		})
+	}
+}
