--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -18,7 +18,7 @@
 )
 
 // TestReleaseOfEarlierIncarnation guards against a release that returns while a grant of an earlier incarnation may be in force: because
-// the requester stopped waiting, or because the grant arrived late. It also guards against a token that doesn't make the upstream refuse
+// the successor stopped waiting, or because the grant arrived late. It also guards against a token that doesn't make the upstream refuse
 // such a grant when it is carried out later.
 func TestReleaseOfEarlierIncarnation(t *testing.T) {
 	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
@@ -27,7 +27,7 @@
 	release := fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)
 	tests := []struct {
 		name string
-		// after is the time from the start of the session to the request, and timeout that after which the requester stops waiting.
+		// after is the time from the start of the session to the request, and timeout that after which the successor stops waiting.
 		after, timeout time.Duration
 		released       func() error
 		newestMap      uint64
@@ -42,8 +42,8 @@
 		{"upstream ended", 0, time.Minute, gone, 9, nil, 0, []string{release}, 0},
 		{"unanswered", 0, time.Minute, nil, 9, nil, holds, []string{release, release, release}, 0},
 		{"unanswered after the holds", 3 * time.Second, time.Minute, nil, 9, nil, 700 * time.Millisecond, []string{release}, 0},
-		{"requester stops waiting", 0, time.Second, nil, 9, context.DeadlineExceeded, time.Second, []string{release, release}, 0},
-		{"requester behind", 0, time.Minute, answered, 10, code.New(code.Conflict, ""), 0, nil, 0},
+		{"successor stops waiting", 0, time.Second, nil, 9, context.DeadlineExceeded, time.Second, []string{release, release}, 0},
+		{"successor with an older map", 0, time.Minute, answered, 10, code.New(code.Conflict, ""), 0, nil, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
