store: Log when a local copy is known to lack rows

A follower records which versions are known to exist above the one up to which its copy is complete: those of merged rows and of announcements. Which calls are made is unchanged.

--- a/store/call.go
+++ b/store/call.go
@@ -62,7 +62,7 @@
 // list lists the table.
 func (f *Follower) list(ctx context.Context) error {
 	f.mu.Lock()
-	expected, preferred := f.expected, f.preferred == SourceListing
+	expected, preferred := f.expected(), f.preferred == SourceListing
 	f.mu.Unlock()
 	rows, version, d, err := f.call(ctx, SourceListing, func(ctx context.Context) ([]Row, uint64, error) {
 		return f.store.List(ctx, f.table)
@@ -73,10 +73,8 @@
 	newer := f.applyListing(rows, version, d)
 	f.mu.Lock()
 	missing := f.isMissing(expected)
-	if missing && f.expected == expected {
-		// The store doesn't have the row.
-		f.expected = 0
-	}
+	// The store has no rows above version that were expected when the listing began.
+	f.closeGaps(expected)
 	f.mu.Unlock()
 	if newer && preferred && f.slowLink {
 		// The rows are still changing fast.
@@ -101,7 +99,7 @@
 		return SourceListing
 	case f.preferred != "":
 		return f.preferred
-	case f.slowLink && f.isMissing(f.expected):
+	case f.slowLink && f.isMissing(f.expected()):
 		return SourceListing
 	default:
 		return SourceChanges
@@ -158,7 +156,7 @@
 		return rows, version, d, nil
 	}
 	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
-		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected, "waited", d.Waited,
+		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected(), "waited", d.Waited,
 			"took", d.Took, "abandoned", c.abandoned, "err", err)
 	}
 	switch {
@@ -183,8 +181,8 @@
 func (f *Follower) Expect(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isMissing(version) && version > f.expected && version <= MaxVersion {
-		f.expected = version
+	if f.isMissing(version) && version > f.expected() && version <= MaxVersion {
+		f.noteVersion(version)
 		f.limitResponseDelay()
 	}
 }
@@ -214,14 +212,14 @@
 // must be held.
 func (f *Follower) limitResponseDelay() {
 	c := f.open
-	if c == nil || c.deadline != nil || !f.isMissing(f.expected) {
+	if c == nil || c.deadline != nil || !f.isMissing(f.expected()) {
 		return
 	}
 	c.deadline = time.AfterFunc(min(minResponseDelay<<min(max(f.abandoned-1, 0), 8), maxResponseDelay), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		c.deadline = nil
-		if f.open == c && c.waited.Load() == 0 && f.isMissing(f.expected) {
+		if f.open == c && c.waited.Load() == 0 && f.isMissing(f.expected()) {
 			c.abandoned = true
 			c.cancel()
 		}
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,8 +52,11 @@
 	version uint64
 	// newest is the version of the newest row, which may be above version.
 	newest uint64
-	// expected is the newest version that Expect was called with; the row isn't missing if it is at most newest or version.
-	expected uint64
+	// gaps holds the versions above version that are known to exist, in ascending order.
+	gaps []gap
+	// logTimer calls logIncomplete; nil before the first gap. loggedIncomplete means that it has logged the present gaps.
+	logTimer         *time.Timer
+	loggedIncomplete bool
 	// open is the call to the store that hasn't ended, or nil.
 	open *call
 	// abandoned is the number of calls abandoned since the last successful one.
@@ -134,7 +137,7 @@
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
-	f.version = max(f.version, version)
+	f.advance(version)
 	f.mu.Unlock()
 	if f.slowLink && haveSuperseded(rows) {
 		// Rows change faster than the link transfers all of the changes.
@@ -170,7 +173,8 @@
 	f.mu.Unlock()
 	newer = f.merge(rows, d)
 	f.mu.Lock()
-	f.version, f.listed = max(f.version, version), true
+	f.advance(version)
+	f.listed = true
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
@@ -220,7 +224,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listed && version <= MaxVersion {
-		f.version = max(f.version, version)
+		f.advance(version)
 	}
 }
 
@@ -236,6 +240,7 @@
 		row.Table = f.table
 		f.rows[row.Key] = row
 		f.newest = max(f.newest, row.Version)
+		f.noteVersion(row.Version)
 		newer = append(newer, row)
 	}
 	return newer
