store: Abandon a hung call for changes once any newer row is known

A planner's long poll hung for 17.66 s. Its own writes raised the newest known version, so that no row in between counted as missing: the call wasn't abandoned, and the store counted as reachable while the planner wrote key maps over a feed that had stopped at version 32.

The version up to which the copy is complete now decides: a row above it, from whatever source, makes an open call due at once. The allowed delay is also twice that of the last response that was due, so that a store that answers slowly isn't listed after each write. Followers that don't watch the store make no further calls. Announcements of a version that a listing has shown not to exist are ignored for a minute.

--- a/store/call.go
+++ b/store/call.go
@@ -11,10 +11,15 @@
 )
 
 const (
-	// minResponseDelay is how long the first byte of a response may take once the follower expects a row. It is above the 320 ms of a
-	// slow store. It doubles with each call that is abandoned, from the second one on, up to maxResponseDelay.
+	// minResponseDelay is how long the first byte of a response may take while the copy lacks rows. It is above the 320 ms of a slow
+	// store. It doubles with each call that is abandoned, from the second one on, up to maxResponseDelay. It is also at least
+	// responseMargin times as long as the store took for the last response that was due at once.
 	minResponseDelay = 400 * time.Millisecond
 	maxResponseDelay = 3200 * time.Millisecond
+	responseMargin   = 2
+	// unknownRowTime is how long announcements of a version are ignored after a listing has shown that the store doesn't have it. The
+	// instance that announces it does so several times a second.
+	unknownRowTime = time.Minute
 	// partialTransfer is the time from the first byte of a response to a failure from which the response counts as too large. A
 	// response without rows arrives in one piece.
 	partialTransfer = 20 * time.Millisecond
@@ -22,7 +27,7 @@
 	slowTransfer = 250 * time.Millisecond
 )
 
-// errAbandoned means that a call was cancelled because an expected row didn't arrive.
+// errAbandoned means that a call was cancelled because it didn't deliver rows that the copy lacks.
 var errAbandoned = errors.New("no response although a newer row is known to exist")
 
 // Delivery describes how rows reached a follower.
@@ -72,9 +77,12 @@
 	}
 	newer := f.applyListing(rows, version, d)
 	f.mu.Lock()
-	missing := f.isMissing(expected)
-	// The store has no rows above version that were expected when the listing began.
-	f.closeGaps(expected)
+	missing := f.expected() > 0
+	if expected > f.version {
+		// The store has no rows above version that were expected when the listing began.
+		f.unknown = gap{version: expected, since: time.Now()}
+		f.closeGaps(expected)
+	}
 	f.mu.Unlock()
 	if newer && preferred && f.slowLink {
 		// The rows are still changing fast.
@@ -86,12 +94,12 @@
 	return nil
 }
 
-// nextSource returns how to read the store next. Over a slow link, missing rows are listed, because a listing has only the newest version
-// of each row.
+// nextSource returns how to read the store next. A follower that watches the store over a slow link lists missing rows, because a listing
+// has only the newest version of each row.
 //
 // The responses to calls for changes may be larger and take longer than listings before they fail, or the other way round, so each
 // follows after a failure of the other.
-func (f *Follower) nextSource() Source {
+func (f *Follower) nextSource(watch bool) Source {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
@@ -99,7 +107,7 @@
 		return SourceListing
 	case f.preferred != "":
 		return f.preferred
-	case f.slowLink && f.isMissing(f.expected()):
+	case watch && f.slowLink && f.expected() > f.newest:
 		return SourceListing
 	default:
 		return SourceChanges
@@ -113,8 +121,10 @@
 	cancel  context.CancelFunc
 	// waited is the time to the first byte of the response in nanoseconds, 0 before it.
 	waited atomic.Int64
-	// deadline abandons the call unless the response has begun; nil unless the follower expects a row. Follower.mu guards it.
+	// deadline abandons the call unless the response has begun; nil unless the copy lacks rows. limited is how long after its start the
+	// call was found to be due at once, 0 if it may wait for changes. Follower.mu guards both.
 	deadline *time.Timer
+	limited  time.Duration
 	// abandoned is set when the call was cancelled by deadline. Follower.mu guards it.
 	abandoned bool
 }
@@ -150,6 +160,7 @@
 	}
 	if err == nil {
 		f.abandoned, f.responded = 0, time.Now()
+		f.observeLatency(c, d)
 		if len(rows) > 0 {
 			f.slowLink = d.isSlow()
 		}
@@ -175,21 +186,19 @@
 	return nil, 0, d, err
 }
 
-// Expect tells the follower that a version of a row exists. If the row is missing, an open call to the store is abandoned unless its
-// response begins soon, because the connection may be dead, and over a slow link the table is listed next. A version above MaxVersion is
-// ignored.
+// Expect tells the follower that a version of a row exists. If the copy isn't complete up to it, an open call to the store is abandoned
+// unless its response begins soon, because the connection may be dead, and over a slow link the table is listed next. A version above
+// MaxVersion is ignored, and for unknownRowTime those that the store was found not to have.
 func (f *Follower) Expect(version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isMissing(version) && version > f.expected() && version <= MaxVersion {
+	unknown := f.unknown.version > f.version && version >= f.unknown.version && time.Since(f.unknown.since) < unknownRowTime
+	if version <= MaxVersion && !unknown {
 		f.noteVersion(version)
 		f.limitResponseDelay()
 	}
 }
 
-// isMissing reports whether the copy may lack the row of a version. mu must be held.
-func (f *Follower) isMissing(version uint64) bool { return version > max(f.newest, f.version) }
-
 // Known returns the newest version that can't be missing: that of the newest known row, or that up to which the copy is complete.
 func (f *Follower) Known() uint64 {
 	f.mu.Lock()
@@ -208,18 +217,34 @@
 	return f.responded
 }
 
-// limitResponseDelay abandons the open call, if any, after a while unless its response begins before, if an expected row is missing. mu
-// must be held.
+// responseDelay returns how long a response may take that is due at once. mu must be held.
+func (f *Follower) responseDelay() time.Duration {
+	delay := max(minResponseDelay, responseMargin*f.latency) << min(max(f.abandoned-1, 0), 8)
+	return min(delay, maxResponseDelay)
+}
+
+// observeLatency records how long the store took to respond, if the call wasn't waiting for changes. mu must be held.
+func (f *Follower) observeLatency(c *call, d Delivery) {
+	if d.Waited > 0 && (c.source == SourceListing || c.limited > 0) {
+		f.latency = max(0, d.Waited-c.limited)
+	}
+}
+
+// limitResponseDelay abandons the open call, if any, after a while unless its response begins before, if the copy lacks rows. The store
+// answers a call for changes at once if there are any. mu must be held.
 func (f *Follower) limitResponseDelay() {
 	c := f.open
-	if c == nil || c.deadline != nil || !f.isMissing(f.expected()) {
+	if c == nil || c.deadline != nil || len(f.gaps) == 0 {
 		return
 	}
-	c.deadline = time.AfterFunc(min(minResponseDelay<<min(max(f.abandoned-1, 0), 8), maxResponseDelay), func() {
+	if c.limited == 0 {
+		c.limited = max(1, time.Since(c.started))
+	}
+	c.deadline = time.AfterFunc(f.responseDelay(), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		c.deadline = nil
-		if f.open == c && c.waited.Load() == 0 && f.isMissing(f.expected()) {
+		if f.open == c && c.waited.Load() == 0 && len(f.gaps) > 0 {
 			c.abandoned = true
 			c.cancel()
 		}
--- a/store/follower.go
+++ b/store/follower.go
@@ -59,8 +59,12 @@
 	loggedIncomplete bool
 	// open is the call to the store that hasn't ended, or nil.
 	open *call
-	// abandoned is the number of calls abandoned since the last successful one.
+	// abandoned is the number of calls abandoned since the last successful one, and latency how long the store took for the last response
+	// that was due at once.
 	abandoned int
+	latency   time.Duration
+	// unknown is the newest version that was expected and that the store was found not to have, and when.
+	unknown gap
 	// responded is when the last successful call ended.
 	responded time.Time
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
@@ -117,11 +121,12 @@
 
 // step lists the table, calls the store for changes, or merges rows from a peer, and then pauses.
 func (f *Follower) step(ctx context.Context) error {
-	if f.nextSource() == SourceListing {
+	watch := f.shouldWatch()
+	if f.nextSource(watch) == SourceListing {
 		return f.list(ctx)
 	}
 	maxWait, pause := longPollWait, batchInterval
-	if !f.shouldWatch() {
+	if !watch {
 		maxWait, pause = 0, peerMergeInterval
 		if time.Since(f.lastStoreCall) < storeInterval && f.mergeFromPeer(ctx, f) {
 			f.pause(ctx, pause)
@@ -243,6 +248,7 @@
 		f.noteVersion(row.Version)
 		newer = append(newer, row)
 	}
+	f.limitResponseDelay()
 	return newer
 }
 
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -26,10 +26,11 @@
 	unavailable bool
 	// silent makes Changes return no rows.
 	silent bool
-	// transfer is the time from the first byte of a response to its end.
-	transfer time.Duration
-	changed  chan struct{}
-	calls    int
+	// latency is the time to the first byte of a response, transfer that from there to its end.
+	latency, transfer time.Duration
+	changed           chan struct{}
+	// calls is the number of calls, of which listings were listings.
+	calls, listings int
 }
 
 func newMemory() *memory {
@@ -77,6 +78,7 @@
 func (m *memory) List(ctx context.Context, _ string) ([]store.Row, uint64, error) {
 	m.mu.Lock()
 	m.calls++
+	m.listings++
 	unavailable, version := m.unavailable, m.version
 	rows := make([]store.Row, 0, len(m.rows))
 	for _, row := range m.rows {
@@ -89,8 +91,14 @@
 	return rows, version, m.respond(ctx)
 }
 
-// respond reports the first byte of a response and waits for its end.
+// respond waits for the first byte of a response, reports it, and waits for the end.
 func (m *memory) respond(ctx context.Context) error {
+	m.mu.Lock()
+	latency := m.latency
+	m.mu.Unlock()
+	if !wait.For(ctx, latency) {
+		return ctx.Err()
+	}
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
 		trace.GotFirstResponseByte()
 	}
@@ -374,3 +382,95 @@
 		})
 	}
 }
+
+// TestFollowerHungFeed guards against a call for changes that hangs for its whole wait, and a store that counts as reachable, although the
+// process knows newer rows than the call has delivered: a planner went on writing key maps without the records of 17 s.
+func TestFollowerHungFeed(t *testing.T) {
+	merge := func(_ *memory, f *store.Follower, row store.Row) { f.Merge([]store.Row{row}) }
+	tests := []struct {
+		name  string
+		learn func(m *memory, f *store.Follower, row store.Row)
+	}{
+		{"own write", merge},
+		{"an announcement", func(_ *memory, f *store.Follower, row store.Row) { f.Expect(row.Version) }},
+		{"an announcement after an own write", func(m *memory, f *store.Follower, row store.Row) {
+			merge(m, f, row)
+			f.Expect(row.Version)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(m *memory, f *store.Follower) {
+				time.Sleep(time.Second)
+				m.set(func(m *memory) { m.silent = true })
+				m.put("other", "1")
+				m.put("own", "1")
+				test.learn(m, f, store.Row{Key: "own", Value: []byte("1"), Version: 3})
+				time.Sleep(time.Second)
+				if value(f, "other") != "1" || f.Version() != 3 || f.IncompleteFor() != 0 {
+					t.Errorf("a second later, the copy is complete up to %d and has lacked rows for %v", f.Version(), f.IncompleteFor())
+				}
+			})
+		})
+	}
+}
+
+// TestFollowerSlowStore guards against a store that is listed again and again because it answers slowly, and against more calls of
+// followers that don't watch the store.
+func TestFollowerSlowStore(t *testing.T) {
+	tests := []struct {
+		name     string
+		latency  time.Duration
+		transfer time.Duration
+		watch    bool
+		// calls and listings bound the calls in a minute, after the first listing.
+		calls, listings int
+	}{
+		{"fast", 4 * time.Millisecond, 0, true, 62, 0},
+		{"slow", 320 * time.Millisecond, 0, true, 62, 0},
+		{"slower than usual", 700 * time.Millisecond, 0, true, 65, 2},
+		{"slow link", 20 * time.Millisecond, 500 * time.Millisecond, true, 62, 0},
+		{"peers instead of the store", 320 * time.Millisecond, 500 * time.Millisecond, false, 2, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			peer := func(context.Context, *store.Follower) bool { return true }
+			follow(t, func(m *memory, f *store.Follower) {
+				m.set(func(m *memory) { m.latency, m.transfer, m.calls, m.listings = test.latency, test.transfer, 0, 0 })
+				for n := range 60 {
+					m.put("own", "1")
+					if !test.watch {
+						f.Expect(uint64(n + 2))
+					}
+					time.Sleep(test.latency / 4)
+					f.Merge([]store.Row{{Key: "own", Value: []byte("1"), Version: uint64(n + 2)}})
+					time.Sleep(time.Second - test.latency/4)
+				}
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				if m.calls > test.calls || m.listings > test.listings {
+					t.Errorf("%d calls in a minute, of which %d were listings; want at most %d and %d", m.calls, m.listings, test.calls,
+						test.listings)
+				}
+				if !f.Reachable() {
+					t.Error("the store counts as unreachable")
+				}
+			}, store.WithWatch(func() bool { return test.watch }, peer))
+		})
+	}
+}
+
+// TestFollowerUnknownAnnouncements guards against a listing for each announcement of a version that the store doesn't have.
+func TestFollowerUnknownAnnouncements(t *testing.T) {
+	follow(t, func(m *memory, f *store.Follower) {
+		for range 180 {
+			f.Expect(1000)
+			time.Sleep(time.Second / 3)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.calls > 8 {
+			t.Errorf("%d calls in a minute", m.calls)
+		}
+	})
+}
