sidecar: Neither plan nor restore maps while rows are known to be missing

A planner whose feed had stopped went on moving keys and restoring maps for seconds, without the records of instances that held keys. It now refrains once its copy has been known to lack rows for more than maxPlannerGap, and refuses reports, so that they go to the next instance in the order of planners. An instance that didn't await changes before accepts reports for that time, while its copy catches up: instances that get the rows from others have gaps of some seconds.

The copy learns of missing rows from the announcements of other instances and from reports: the number of an incarnation is above the version of the row that its record replaced.

newLinkedSidecar uses linkedRecordRow, as the new tests do; its rows are the same.

--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -45,16 +45,18 @@
 			// Reports of the same event arrive shortly after each other.
 			wait.For(ctx, gatherTime)
 		}
-		now, reachable := time.Now(), sc.rows.Reachable()
+		now := time.Now()
 		reports := sc.planner.fresh(now)
 		current := sc.directory.keyMap(sc.settings.Service)
-		if current.keys != nil && current.lostAt > 0 {
-			if reachable && restore.isDue(current, now, len(reports) > 0) {
+		lost := current.keys != nil && current.lostAt > 0
+		mayPlan := sc.mayPlan(lost || len(reports) > 0)
+		if lost {
+			if mayPlan && restore.isDue(current, now, len(reports) > 0) {
 				sc.restoreMap(ctx, current)
 			}
 			continue
 		}
-		if len(reports) == 0 || !reachable {
+		if len(reports) == 0 || !mayPlan {
 			first = time.Time{}
 			continue
 		}
--- a/sidecar/push_test.go
+++ b/sidecar/push_test.go
@@ -85,15 +85,7 @@
 	sc := New(Settings{Slot: "10.0.0.0", Service: "books", DataCentre: "dc-0"}, Adapters{Store: &silentStore{}, ConfigTable: "op"})
 	sc.dialer, sc.group = peer.NewDialer(link), &errgroup.Group{}
 	for n := range instances {
-		slot := fmt.Sprint("10.0.0.", n)
-		value, err := json.Marshal(member.Record{
-			Incarnation: member.NewIncarnation(slot, 1), Service: "books", DataCentre: fmt.Sprint("dc-", n%3),
-			PeerAddress: slot + ":1", HeartbeatAddress: slot + ":2", State: member.Ready,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		sc.directory.apply([]store.Row{{Key: member.RowKey(slot), Value: value, Version: uint64(n + 1)}})
+		sc.directory.apply([]store.Row{linkedRecordRow(t, n, 1, uint64(n+1))})
 	}
 	return sc
 }
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -38,6 +38,10 @@
 	proving map[member.Incarnation]bool
 	// awaited holds the restarted incarnations that haven't reported yet, with the time at which they were first missed.
 	awaited map[member.Incarnation]time.Time
+	// asked is when reports were sent to this instance.
+	asked asked
+	// refrains means that the instance doesn't plan because rows are missing. Only runPlanner uses it.
+	refrains bool
 }
 
 // restartWait is how long the keys of a restarted instance are kept for its first report. After a restart of all instances, the
@@ -173,14 +177,21 @@
 	return slots
 }
 
-// acceptReport stores a report and returns true if this instance can act as the planner.
+// acceptReport stores a report and returns true if this instance can act as the planner. It can't if its copy of the rows is known to be
+// incomplete, unless it didn't await changes at the store before: then the missing rows are about to arrive.
 func (sc *Sidecar) acceptReport(r *peer.ReportRequest) bool {
 	if !sc.rows.Reachable() || sc.stopping.Load() || r.GetService() != sc.settings.Service {
 		return false
 	}
+	sc.expectRecord(r.GetInstance().ToIncarnation())
+	now, lacksRows := time.Now(), sc.lacksRows()
 	p := &sc.planner
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.asked.note(now)
+	if lacksRows && now.Sub(p.asked.first) > maxPlannerGap {
+		return false
+	}
 	if p.reports == nil {
 		p.reports = make(map[member.Incarnation]receivedReport)
 	}
@@ -189,20 +200,15 @@
 	if before.GetUsable() != r.GetUsable() || before.GetLeaving() != r.GetLeaving() {
 		sc.planSoon()
 	}
-	p.reports[instance] = receivedReport{at: time.Now(), message: r}
+	p.reports[instance] = receivedReport{at: now, message: r}
 	return true
 }
 
-// active reports whether this instance acts as the planner: it has a report that isn't outdated.
+// active reports whether this instance acts as the planner or is asked to: it was sent a report that isn't outdated.
 func (p *plannerState) active(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, r := range p.reports {
-		if now.Sub(r.at) <= reportLifetime {
-			return true
-		}
-	}
-	return false
+	return p.asked.recently(now)
 }
 
 // fresh returns the reports that aren't outdated and deletes the others.
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -117,6 +117,7 @@
 		default:
 		}
 	}
+	sc.rows.Expect(v.Rows)
 	if v.Rows > sc.rows.Newest() {
 		sc.announcedMu.Lock()
 		if _, known := sc.announced[v.Slot]; known || len(sc.announced) < maxAnnouncers {
