sidecar: Release keys for all incarnations of a slot

A request to the current incarnation covered only its own grants. A successor that knows only the newest record of a slot, such as one that claims the keys of a restored map, didn't wait for what earlier incarnations had granted to the same run of the upstream, and the upstream would still have carried out their unanswered grants.

Such a request now revokes earlier grants as one to an earlier incarnation does. It is refused with code.Conflict if a newer map has assigned the keys, since the current session may serve them under it.

--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -117,3 +117,68 @@
 		}
 	})
 }
+
+// TestReleaseCoversEarlierIncarnations guards against a release of keys of the current incarnation that returns while grants of earlier
+// ones of the same run of the upstream may be in force or be carried out later: a successor that knows only the newest record of a slot
+// asks no other incarnation.
+func TestReleaseCoversEarlierIncarnations(t *testing.T) {
+	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
+	answered, gone := func() error { return nil }, func() error { return grant.ErrUpstreamGone }
+	keys := keyspace.Range{First: 100, Last: 199}
+	release := fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)
+	tests := []struct {
+		name string
+		// after is the time from the start of the session to the request.
+		after     time.Duration
+		cleared   bool
+		released  func() error
+		newestMap uint64
+		conflict  bool
+		took      time.Duration
+		calls     []string
+		handovers int
+	}{
+		{"at once", 0, false, answered, 9, false, 0, []string{release}, 1},
+		{"after the holds", 3 * time.Second, false, answered, 9, false, 0, []string{release}, 1},
+		{"no late grant is possible any more", time.Minute, false, answered, 9, false, 0, nil, 0},
+		{"nothing was held", 0, true, answered, 9, false, 0, nil, 0},
+		{"upstream ended", 0, false, gone, 9, false, 0, []string{release}, 0},
+		{"unanswered", 0, false, nil, 9, false, holds, []string{release, release, release}, 0},
+		{"the keys may be served under a newer map", 0, false, answered, 10, true, 0, nil, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream := &testUpstream{released: test.released}
+				sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
+				successor, self := member.NewIncarnation("slot-5", 8), member.NewIncarnation("slot-3", 7)
+				sc.directory.apply([]store.Row{
+					recordRow(t, goodRecord(), 5), recordRow(t, member.Record{Incarnation: successor, State: member.Ready}, 8),
+					mapOf(t, test.newestMap, successor, 30),
+				})
+				bound := newSessionUpstream(upstream, func() bool { return true })
+				sc.session.Store(&session{
+					sidecar: sc, record: member.Record{Incarnation: self}, started: time.Now(), upstream: bound, cleared: test.cleared,
+					grantManager: grant.New(t.Context(), "bookings", self, nil, bound, nil),
+				})
+				time.Sleep(test.after)
+				started := time.Now()
+				handovers, err := sc.release(t.Context(), grant.ReleaseRequest{
+					Range: keys, Service: "bookings", Epoch: 9, Holder: self, Successor: successor,
+				})
+				got, _ := code.Of(err)
+				took := time.Since(started)
+				if (got == code.Conflict) != test.conflict || (err != nil) != test.conflict || took != test.took {
+					t.Errorf("error %v after %v, want a conflict: %v, after %v", err, took, test.conflict, test.took)
+				}
+				if !slices.Equal(upstream.calls, test.calls) {
+					t.Errorf("calls %v, want %v", upstream.calls, test.calls)
+				}
+				want := []grant.Handover{{Range: keys, Token: "handover"}}[:test.handovers]
+				if !slices.Equal(handovers, want) {
+					t.Errorf("handovers %v, want %v", handovers, want)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -92,18 +92,17 @@
 	if s == nil || s.grantManager == nil || s.self().Number() < r.Holder.Number() {
 		return nil, code.New(code.NoOwner, "incarnation %s has not joined here", r.Holder)
 	}
-	if s.self().Number() > r.Holder.Number() {
-		return s.releaseEarlier(ctx, r)
-	}
-	return s.grantManager.Release(ctx, r)
+	return s.release(ctx, r)
 }
 
-// releaseEarlier releases keys of an earlier incarnation in the slot.
-func (s *session) releaseEarlier(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
-	if err := s.checkNewest(r); err != nil {
-		return nil, err
+// release releases keys of the session's incarnation and of earlier ones in the slot. A successor may know only one of them.
+func (s *session) release(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
+	if r.Holder != s.self() {
+		if err := s.checkNewest(r); err != nil {
+			return nil, err
+		}
+		r.Holder = s.self()
 	}
-	r.Holder = s.self()
 	handovers, err := s.grantManager.Release(ctx, r)
 	if err != nil || s.cleared {
 		return handovers, err
