sidecar: Let earlier grants in a slot end before a proof of expiry counts

The lease of an incarnation that has only just joined, and perhaps never had one, is proved expired at once. That says nothing of the incarnation before it in the slot, whose grants may last for another earlierGrants, so that a successor took keys that the upstream still held.

ProveExpired now waits until the record has been known for earlierGrants. Takeovers from incarnations that joined earlier aren't delayed. A process that has just listed the rows can't tell when their incarnations joined; in its first 2.09 s proofs count at the end of that time.

--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
 	"sapphiretray/grant"
@@ -13,6 +15,7 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // peerService implements the calls of the peer protocol that other instances make.
@@ -165,13 +168,23 @@
 	return handovers, nil
 }
 
-// ProveExpired implements grant.Peers by asking the witnesses of the incarnation.
+// ProveExpired implements grant.Peers by asking the witnesses of the incarnation. If it has joined only just now, ProveExpired also waits
+// until grants of earlier incarnations in the slot have ended: a proof says nothing of those.
 func (sc *Sidecar) ProveExpired(ctx context.Context, i member.Incarnation) (bool, error) {
 	names, ok := sc.directory.witnessesOf(i)
 	if !ok {
 		return false, code.New(code.NoOwner, "the witnesses of %s aren't known", i)
 	}
-	return heartbeat.NewProver(sc.dialSlot, timing()).ProveExpired(ctx, i, names)
+	proved, err := heartbeat.NewProver(sc.dialSlot, timing()).ProveExpired(ctx, i, names)
+	left := sc.joined.earlierHold(i, time.Now())
+	if err != nil || !proved || left == 0 {
+		return proved, err
+	}
+	klog.InfoS("lease: expired, awaiting the end of earlier grants in the slot", "instance", i, "for", left)
+	if !wait.For(ctx, left) {
+		return false, ctx.Err()
+	}
+	return true, nil
 }
 
 // Ended implements grant.Peers.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -107,6 +107,7 @@
 	callers   *ingress.Connections
 	dialer    *peer.Dialer
 	directory *directory
+	joined    joinTimes
 	rows      *store.Follower
 	config    *store.Follower
 	routes    atomic.Pointer[routing.Table]
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -81,6 +81,7 @@
 // applyRows applies changed records and key maps.
 func (sc *Sidecar) applyRows(rows []store.Row, _ store.Delivery) {
 	sc.directory.apply(rows)
+	sc.noteJoined(rows)
 	if s := sc.session.Load(); s != nil {
 		s.updateMap()
 	}
