--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
 	"sapphiretray/grant"
@@ -13,6 +15,7 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // peerService implements the calls of the peer protocol that other instances make.
@@ -92,18 +95,17 @@
 	if s == nil || s.grantManager == nil || s.self().Number() < r.Holder.Number() {
 		return nil, code.New(code.NoOwner, "incarnation %s has not joined here", r.Holder)
 	}
-	if s.self().Number() > r.Holder.Number() {
-		return s.releaseEarlier(ctx, r)
-	}
-	return s.grantManager.Release(ctx, r)
+	return s.release(ctx, r)
 }
 
-// releaseEarlier releases keys of an earlier incarnation in the slot.
-func (s *session) releaseEarlier(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
-	if err := s.checkNewest(r); err != nil {
-		return nil, err
+// release releases keys of the session's incarnation and of earlier ones in the slot. A successor may know only one of them.
+func (s *session) release(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
+	if r.Holder != s.self() {
+		if err := s.checkNewest(r); err != nil {
+			return nil, err
+		}
+		r.Holder = s.self()
 	}
-	r.Holder = s.self()
 	handovers, err := s.grantManager.Release(ctx, r)
 	if err != nil || s.cleared {
 		return handovers, err
@@ -166,13 +168,23 @@
 	return handovers, nil
 }
 
-// ProveExpired implements grant.Peers by asking the witnesses of the incarnation.
+// ProveExpired implements grant.Peers by asking the witnesses of the incarnation. If it has joined only just now, ProveExpired also waits
+// until grants of earlier incarnations in the slot have ended: a proof says nothing of those.
 func (sc *Sidecar) ProveExpired(ctx context.Context, i member.Incarnation) (bool, error) {
 	names, ok := sc.directory.witnessesOf(i)
 	if !ok {
 		return false, code.New(code.NoOwner, "the witnesses of %s aren't known", i)
 	}
-	return heartbeat.NewProver(sc.dialSlot, timing()).ProveExpired(ctx, i, names)
+	proved, err := heartbeat.NewProver(sc.dialSlot, timing()).ProveExpired(ctx, i, names)
+	left := sc.joined.earlierHold(i, time.Now())
+	if err != nil || !proved || left == 0 {
+		return proved, err
+	}
+	klog.InfoS("lease: expired, awaiting the end of earlier grants in the slot", "instance", i, "for", left)
+	if !wait.For(ctx, left) {
+		return false, ctx.Err()
+	}
+	return true, nil
 }
 
 // Ended implements grant.Peers.
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -81,6 +81,7 @@
 // applyRows applies changed records and key maps.
 func (sc *Sidecar) applyRows(rows []store.Row, _ store.Delivery) {
 	sc.directory.apply(rows)
+	sc.noteJoined(rows)
 	if s := sc.session.Load(); s != nil {
 		s.updateMap()
 	}
@@ -117,6 +118,7 @@
 		default:
 		}
 	}
+	sc.rows.Expect(v.Rows)
 	if v.Rows > sc.rows.Newest() {
 		sc.announcedMu.Lock()
 		if _, known := sc.announced[v.Slot]; known || len(sc.announced) < maxAnnouncers {
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,12 +52,19 @@
 	version uint64
 	// newest is the version of the newest row, which may be above version.
 	newest uint64
-	// expected is the newest version that Expect was called with; the row isn't missing if it is at most newest or version.
-	expected uint64
+	// gaps holds the versions above version that are known to exist, in ascending order.
+	gaps []gap
+	// logTimer calls logIncomplete; nil before the first gap. loggedIncomplete means that it has logged the present gaps.
+	logTimer         *time.Timer
+	loggedIncomplete bool
 	// open is the call to the store that hasn't ended, or nil.
 	open *call
-	// abandoned is the number of calls abandoned since the last successful one.
+	// abandoned is the number of calls abandoned since the last successful one, and latency how long the store took for the last response
+	// that was due at once.
 	abandoned int
+	latency   time.Duration
+	// unknown is the newest version that was expected and that the store was found not to have, and when.
+	unknown gap
 	// responded is when the last successful call ended.
 	responded time.Time
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
@@ -114,11 +121,12 @@
 
 // step lists the table, calls the store for changes, or merges rows from a peer, and then pauses.
 func (f *Follower) step(ctx context.Context) error {
-	if f.nextSource() == SourceListing {
+	watch := f.shouldWatch()
+	if f.nextSource(watch) == SourceListing {
 		return f.list(ctx)
 	}
 	maxWait, pause := longPollWait, batchInterval
-	if !f.shouldWatch() {
+	if !watch {
 		maxWait, pause = 0, peerMergeInterval
 		if time.Since(f.lastStoreCall) < storeInterval && f.mergeFromPeer(ctx, f) {
 			f.pause(ctx, pause)
@@ -134,7 +142,7 @@
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
-	f.version = max(f.version, version)
+	f.advance(version)
 	f.mu.Unlock()
 	if f.slowLink && haveSuperseded(rows) {
 		// Rows change faster than the link transfers all of the changes.
@@ -170,7 +178,8 @@
 	f.mu.Unlock()
 	newer = f.merge(rows, d)
 	f.mu.Lock()
-	f.version, f.listed = max(f.version, version), true
+	f.advance(version)
+	f.listed = true
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
@@ -220,7 +229,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listed && version <= MaxVersion {
-		f.version = max(f.version, version)
+		f.advance(version)
 	}
 }
 
@@ -236,8 +245,10 @@
 		row.Table = f.table
 		f.rows[row.Key] = row
 		f.newest = max(f.newest, row.Version)
+		f.noteVersion(row.Version)
 		newer = append(newer, row)
 	}
+	f.limitResponseDelay()
 	return newer
 }
 
