Grant: log calls that are written or acknowledged late

Logs couldn't tell whether a grant left late: the moment of the write wasn't logged, and a grant that was acknowledged late left no line. "grant: late" has both times, the hold and what is left of the lease. Package loglimit bounds its volume; calls for the same keys are logged again only if they were later still.

--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -25,6 +25,8 @@
 	answerLost bool
 	// answerTime is the time from the effect of a grant to its answer.
 	answerTime time.Duration
+	// waitingTime is the time before a grant is written, which ends with the call.
+	waitingTime time.Duration
 	// fenced makes grants fail with grant.ErrFenced.
 	fenced bool
 	// releaseRaises makes releases raise the fencing tokens of keys, as those of the platform's upstreams do.
@@ -68,6 +70,14 @@
 	if u.gone {
 		return grant.ErrUpstreamGone
 	}
+	if waitingTime := u.waitingTime; waitingTime > 0 {
+		u.mu.Unlock()
+		passed := wait.For(ctx, waitingTime)
+		u.mu.Lock()
+		if !passed {
+			return ctx.Err()
+		}
+	}
 	u.longestHold = max(u.longestHold, g.Hold)
 	u.lastGrantAt = time.Now()
 	fence := g.Fence(u.newConnection)
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -12,6 +12,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/keyspace"
+	"sapphiretray/loglimit"
 	"sapphiretray/member"
 	"sapphiretray/wait"
 )
@@ -36,6 +37,8 @@
 	minRemainingHold = 60 * time.Millisecond
 	// grantTimeout bounds a grant call, to which an upstream normally responds at once.
 	grantTimeout = 200 * time.Millisecond
+	// lateCall is the time before the write of a grant, or from its write to its acknowledgement, from which on the call is logged.
+	lateCall = 100 * time.Millisecond
 	// releaseTimeout bounds one attempt to release keys. Most work that is running on them ends within it.
 	releaseTimeout = 700 * time.Millisecond
 	// retryDelay is the pause after a failed attempt to claim or release keys. It doubles with each release request that an earlier holder
@@ -66,6 +69,8 @@
 	maxHold  time.Duration
 	// generation is the low part of the fencing token. It grows with each new connection to the upstream and each failed grant.
 	generation atomic.Uint64
+	// lateCalls bounds the log lines about late grant calls.
+	lateCalls loglimit.Limiter
 	// pacer holds a value during raiseInterval, so that all claims of served keys share it.
 	pacer chan struct{}
 
@@ -274,7 +279,7 @@
 	if !m.beginGrant(&g.Range, epoch, sentAt.Add(grantTimeout+time.Duration(slowClockFactor*float64(g.Hold))), states) {
 		return errBusy
 	}
-	token, err := m.callGrant(ctx, g)
+	token, err := m.callGrant(ctx, g, epoch)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.inFlight, &g.Range)
@@ -301,22 +306,43 @@
 
 // callGrant sends a grant to the upstream and returns its fencing token. The token is 0 if the grant wasn't sent. After an error, later
 // grants have higher tokens: the upstream may still carry out this one and then refuses it.
-func (m *Manager) callGrant(ctx context.Context, g Grant) (uint64, error) {
+func (m *Manager) callGrant(ctx context.Context, g Grant, epoch uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	var token atomic.Uint64
+	var writtenAt atomic.Pointer[time.Time]
 	fence := g.Fence
 	g.Fence = func(newConnection bool) uint64 {
+		now := time.Now()
+		writtenAt.Store(&now)
 		token.Store(fence(newConnection))
 		return token.Load()
 	}
+	startedAt := time.Now()
 	err := m.upstream.Grant(ctx, g)
+	m.logLateCall(g, epoch, startedAt, writtenAt.Load(), err)
 	if err != nil {
 		m.generation.Add(1)
 	}
 	return token.Load(), err
 }
 
+// logLateCall logs a grant call that was written or acknowledged late. writtenAt is nil if the grant wasn't written.
+func (m *Manager) logLateCall(g Grant, epoch uint64, startedAt time.Time, writtenAt *time.Time, err error) {
+	now := time.Now()
+	waited, answered := now.Sub(startedAt), time.Duration(0)
+	if writtenAt != nil {
+		waited, answered = writtenAt.Sub(startedAt), now.Sub(*writtenAt)
+	}
+	late := max(waited, answered)
+	// Later calls for the same keys are logged if they are later than those before.
+	if late < lateCall || !m.lateCalls.Allow(g.String()+" "+late.Truncate(2*lateCall).String()) {
+		return
+	}
+	klog.InfoS("grant: late", "keys", g.Range, "epoch", epoch, "hold", g.Hold, "written", writtenAt != nil,
+		"waited", waited, "answered", answered, "leaseLeft", m.lease.Expires().Sub(now), "err", err)
+}
+
 // fence returns the function Grant.Fence for a grant under an epoch. A new connection may reach a restarted upstream, which must get
 // a higher fencing token than the run before it.
 func (m *Manager) fence(epoch uint64) func(newConnection bool) uint64 {
--- a/grant/release.go
+++ b/grant/release.go
@@ -181,7 +181,7 @@
 	}
 	left := time.Duration(float64(time.Until(end)-grantTimeout) / slowClockFactor)
 	if held.carriedOutLater() && left > minRemainingHold && m.lease.Valid() {
-		token, err := m.callGrant(ctx, Grant{Range: r, Fence: m.fence(held.epoch), Hold: left})
+		token, err := m.callGrant(ctx, Grant{Range: r, Fence: m.fence(held.epoch), Hold: left}, held.epoch)
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", left, "err", err)
 		switch {
 		case err == nil:
