Grant: compute the hold when the grant is written

The hold was computed from the lease before the call waited for a connection and was written, and the upstream counts it from the arrival. A process that stood still in between granted keys beyond its lease, and beyond the time that it counts itself ("hold ended", proofs of expiry). The gateway wrote the grant even after its call had ended.

Grant.Hold is now a function that the upstream's client calls when nothing but the write follows. It returns 0 once the call, the session or the lease has ended, and the client returns ErrTooLate without sending anything; the kept connection stays usable. The hold leaves 50 ms for the transit besides the drift of the clock. What the upstream may hold is recorded from the same moment, and again from the acknowledgement, before which the grant may have arrived as late. A request on a connection isn't written after its context or its deadline has ended. A release waits for a grant that isn't written yet. The grant before a release follows the same rules.

TestModel lets processes stand still for 0.1 to 3 s before 3% of the grants.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -325,8 +325,8 @@
 	return c.closed || c.retired
 }
 
-// do sends a request, of which head is the encoded request line and headers, and waits for its response. If sent is false, no byte
-// of the request has been sent. expectedBy is that of the exchange. spawn runs a function in a goroutine.
+// do sends a request, of which head is the encoded request line and headers, and waits for its response. It sends nothing once ctx has
+// ended. If sent is false, no byte of the request has been sent. expectedBy is that of the exchange. spawn runs a function in a goroutine.
 func (c *conn) do(
 	ctx context.Context, id, method string, expectedBy time.Time, head, body []byte, spawn func(func()),
 ) (response *rawResponse, sent bool, err error) {
@@ -338,7 +338,7 @@
 	wrote := make(chan struct{})
 	write := func() {
 		defer close(wrote)
-		if err := c.write(head, body); err != nil {
+		if err := c.write(ctx, head, body); err != nil {
 			failed <- err
 		}
 	}
@@ -371,8 +371,23 @@
 	}
 }
 
-// write sends a request.
-func (c *conn) write(head, body []byte) error {
+// contextError returns the error of a context that has ended. After a standstill of the process, a deadline may have passed although its
+// timer hasn't fired yet.
+func contextError(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// write sends a request unless its context has ended.
+func (c *conn) write(ctx context.Context, head, body []byte) error {
+	if err := contextError(ctx); err != nil {
+		return err
+	}
 	// The request counts as sent until it is certain that no byte was.
 	c.written.Store(1)
 	buffers := net.Buffers{head}
--- a/gateway/conn_test.go
+++ b/gateway/conn_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// TestNoWriteAfterContext guards against a request that is written after its context has ended, or after its deadline if the timer of the
+// context hasn't fired yet, as after a standstill of the process.
+func TestNoWriteAfterContext(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, ctx := range []context.Context{cancelled, passedDeadline{t.Context()}} {
+		client, server := net.Pipe()
+		c := newConn(client, func(http.Header, string) bool { return true }, newMemory())
+		var group sync.WaitGroup
+		group.Go(c.readLoop)
+		var read int
+		group.Go(func() { read, _ = server.Read(make([]byte, readBufferSize)) })
+		_, sent, err := c.do(ctx, "r1", http.MethodPost, time.Time{}, []byte("head"), nil, func(f func()) { f() })
+		_ = server.Close()
+		group.Wait()
+		if err == nil || sent || read > 0 {
+			t.Errorf("error %v, sent %v, %d bytes", err, sent, read)
+		}
+	}
+}
+
+// passedDeadline is a context whose deadline has passed and that hasn't ended yet.
+type passedDeadline struct{ context.Context }
+
+// Deadline implements context.Context.
+func (passedDeadline) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
 // isPending reports whether a request awaits its response.
 func (c *conn) isPending() bool {
 	c.mu.Lock()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -19,9 +19,12 @@
 
 // SendControlRequest sends a control request and returns the status and headers of the response. Control requests share no connections
 // with requests, since their responses carry no request id by which they could be told apart. newRequest is called once there is a
-// connection; fresh is set if the connection is new, in which case the upstream may have been restarted. The error is that
-// of the connection. If the connection was refused, the upstream is marked as down.
-func (g *Gateway) SendControlRequest(ctx context.Context, newRequest func(fresh bool) ControlRequest) (int, http.Header, error) {
+// connection, immediately before the request is written; fresh is set if the connection is new, in which case the upstream may have been
+// restarted. If newRequest returns an error, or ctx has ended when it returns, nothing is sent. The error is that of newRequest, the
+// context or the connection. If the connection was refused, the upstream is marked as down.
+func (g *Gateway) SendControlRequest(
+	ctx context.Context, newRequest func(fresh bool) (ControlRequest, error),
+) (int, http.Header, error) {
 	c, reused, err := g.control.get(ctx, "", maxIdle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.markDown()
@@ -29,7 +32,19 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	response, err := g.exchangeControl(ctx, c, newRequest(!reused))
+	request, err := newRequest(!reused)
+	if err == nil {
+		err = contextError(ctx)
+	}
+	if err != nil {
+		if !reused {
+			// The next request must find that its connection is new.
+			c.retire()
+		}
+		g.control.put(c)
+		return 0, nil, err
+	}
+	response, err := g.exchangeControl(ctx, c, request)
 	if err != nil {
 		g.control.retire()
 		return 0, nil, err
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -126,8 +126,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
 			defer cancel()
 			started := time.Now()
-			_, _, err := g.SendControlRequest(ctx, func(bool) gateway.ControlRequest {
-				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}
+			_, _, err := g.SendControlRequest(ctx, func(bool) (gateway.ControlRequest, error) {
+				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}, nil
 			})
 			if took := time.Since(started); took > endlessDeadline/2 {
 				t.Errorf("ended after %v with %v", took, err)
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -174,8 +174,8 @@
 			if id, err := g.Identify(ctx, "/health"); err == nil || ctx.Err() != nil {
 				t.Errorf("health check: id %q, error %v", id, err)
 			}
-			_, _, err := g.SendControlRequest(ctx, func(bool) gateway.ControlRequest {
-				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}
+			_, _, err := g.SendControlRequest(ctx, func(bool) (gateway.ControlRequest, error) {
+				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}, nil
 			})
 			if err == nil || ctx.Err() != nil {
 				t.Errorf("control request: %v", err)
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -162,8 +163,8 @@
 // sendControl sends a control request to a path.
 func sendControl(t *testing.T, g *gateway.Gateway, path string) (int, http.Header, error) {
 	t.Helper()
-	return g.SendControlRequest(t.Context(), func(bool) gateway.ControlRequest {
-		return gateway.ControlRequest{Method: http.MethodPost, Target: path, Body: []byte("{}")}
+	return g.SendControlRequest(t.Context(), func(bool) (gateway.ControlRequest, error) {
+		return gateway.ControlRequest{Method: http.MethodPost, Target: path, Body: []byte("{}")}, nil
 	})
 }
 
@@ -259,8 +260,8 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if _, _, err := g.SendControlRequest(ctx, func(bool) gateway.ControlRequest {
-		return gateway.ControlRequest{Method: http.MethodPost, Target: "/unanswered"}
+	if _, _, err := g.SendControlRequest(ctx, func(bool) (gateway.ControlRequest, error) {
+		return gateway.ControlRequest{Method: http.MethodPost, Target: "/unanswered"}, nil
 	}); err == nil {
 		t.Fatal("the unanswered request got a response")
 	}
@@ -272,6 +273,49 @@
 	}
 }
 
+// TestControlRequestIsNotWrittenLate guards against a control request that is written after its context has ended, or that its caller has
+// given up, and against the loss of the kept connection, which the upstream could take for a restart.
+func TestControlRequestIsNotWrittenLate(t *testing.T) {
+	errGivenUp := errors.New("given up")
+	tests := []struct {
+		name  string
+		stall time.Duration
+		err   error
+		want  error
+	}{
+		{name: "context ended", stall: 200 * time.Millisecond, want: context.DeadlineExceeded},
+		{name: "given up", err: errGivenUp, want: errGivenUp},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { _, _ = io.WriteString(conn, ok(id, "done")) })
+			g := start(t, u)
+			late := func() error {
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				defer cancel()
+				_, _, err := g.SendControlRequest(ctx, func(bool) (gateway.ControlRequest, error) {
+					time.Sleep(test.stall)
+					return gateway.ControlRequest{Method: http.MethodPost, Target: "/late"}, test.err
+				})
+				return err
+			}
+			for range 2 {
+				if err := late(); !errors.Is(err, test.want) {
+					t.Errorf("error %v, want %v", err, test.want)
+				}
+				if _, _, err := sendControl(t, g, "/grant"); err != nil {
+					t.Error(err)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			// The first late request opens a connection, which isn't used.
+			if u.requests.Load() != 2 || u.conns.Load() != 2 {
+				t.Errorf("%d requests on %d connections, want 2 on 2", u.requests.Load(), u.conns.Load())
+			}
+		})
+	}
+}
+
 // TestResponseBetweenRequests guards against failing a request because a response that belongs to no request arrived just before it.
 func TestResponseBetweenRequests(t *testing.T) {
 	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, number int64) {
--- a/grant/claim.go
+++ b/grant/claim.go
@@ -237,8 +237,7 @@
 
 // activate grants the keys of a handover to the upstream and marks them as served.
 func (m *Manager) activate(e keyspace.Entry, h Handover) error {
-	hold := m.hold(time.Now())
-	if hold == 0 {
+	if m.hold(time.Now()) == 0 {
 		return errNoLease
 	}
 	m.updateSegments(h.Range, func(s *segment) {
@@ -247,6 +246,5 @@
 			s.epoch = max(s.epoch, e.Epoch)
 		}
 	})
-	g := Grant{Range: h.Range, Fence: m.fence(e.Epoch), Hold: hold, Handover: h.Token}
-	return m.sendGrant(m.ctx, g, e.Epoch, stateClaiming, stateServing)
+	return m.sendGrant(m.ctx, h, e.Epoch, stateClaiming, stateServing)
 }
--- a/grant/claim_test.go
+++ b/grant/claim_test.go
@@ -249,3 +249,29 @@
 		})
 	}
 }
+
+// TestReleaseAwaitsUnwrittenGrant guards against a release that returns while a grant of an abandoned claim waits to be written.
+func TestReleaseAwaitsUnwrittenGrant(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		time.Sleep(100 * time.Millisecond)
+		// The grant of the first claim isn't written before its call ends.
+		a.upstream.set(func(u *fakeUpstream) { u.waitingTime = time.Second })
+		a.manager.Update(assignAll(t, 3, a.self, b.self))
+		time.Sleep(100 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.waitingTime = 190 * time.Millisecond })
+		a.manager.Update(newMap(
+			t, 4, entry(0, 99, 3, a.self, b.self), entry(100, 199, 3, a.self, b.self), entry(200, keyspace.MaxKey, 3, a.self, b.self),
+		))
+		time.Sleep(160 * time.Millisecond)
+		// The first claim has been abandoned.
+		b.manager.Update(assignAll(t, 5, b.self, a.self))
+		if both := f.heldByBoth(innerKey, 4*time.Second); both > 0 {
+			t.Errorf("both upstreams held key %d for %v", innerKey, both)
+		}
+		if !b.manager.Serves(innerKey) {
+			t.Error("the successor doesn't serve the keys")
+		}
+	})
+}
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -11,13 +11,16 @@
 	"sapphiretray/member"
 )
 
-// Grant allows the upstream to serve a range of keys for the time Hold, which begins when the call arrives.
+// Grant allows the upstream to serve a range of keys for a time that begins when the call arrives.
 type Grant struct {
 	keyspace.Range
 	// Fence returns the fencing token. newConnection is true if the grant is sent over a new connection,
 	// which may reach a restarted upstream.
 	Fence func(newConnection bool) uint64
-	Hold  time.Duration
+	// Hold returns the time for which the keys are granted. The upstream's client calls it after Fence, when nothing but the write of the
+	// request follows: the hold counts from the arrival, and must end with the lease. It returns 0 if the grant must not be sent any more;
+	// Grant then returns ErrTooLate.
+	Hold func() time.Duration
 	// Handover is the handover token that the previous upstream returned when it released the keys; empty if there is none.
 	Handover string
 }
@@ -25,13 +28,16 @@
 var (
 	// ErrFenced means that the upstream has seen a higher fencing token on one of the keys.
 	ErrFenced = errors.New("the upstream has seen a higher fencing token")
+	// ErrTooLate means that the grant wasn't sent, since its call has ended or the lease has expired or ends too soon.
+	ErrTooLate = errors.New("too late to send the grant")
 	// ErrUpstreamGone means that the upstream's process has ended, so that it holds no keys.
 	ErrUpstreamGone = errors.New("the upstream's process has ended")
 )
 
 // Upstream is the server that keys are granted to. Both methods return ErrUpstreamGone if the upstream refuses connections.
 type Upstream interface {
-	// Grant grants keys or renews a grant. It returns ErrFenced if the fencing token is too old.
+	// Grant grants keys or renews a grant. It returns ErrFenced if the fencing token is too old, and ErrTooLate without sending
+	// anything if g.Hold returns 0.
 	Grant(ctx context.Context, g Grant) error
 	// Release stops new work on keys and returns when the running work on them has ended. The handover token is passed
 	// on to the next upstream.
--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -27,6 +27,9 @@
 	answerTime time.Duration
 	// waitingTime is the time before a grant is written, which ends with the call.
 	waitingTime time.Duration
+	// stall is a standstill of the instance's process before the fencing token and the hold of a grant are determined, and arrivalTime the
+	// time from then until the grant arrives. Neither ends with the call.
+	stall, arrivalTime time.Duration
 	// fenced makes grants fail with grant.ErrFenced.
 	fenced bool
 	// releaseRaises makes releases raise the fencing tokens of keys, as those of the platform's upstreams do.
@@ -37,9 +40,10 @@
 	newConnection bool
 	// busyUntil is when the work on released keys ends.
 	busyUntil time.Time
-	// lateGrant is the latest grant that was left unanswered, and lateFence its fencing token.
+	// lateGrant is the latest grant that was left unanswered, lateFence its fencing token and lateHold its hold.
 	lateGrant grant.Grant
 	lateFence uint64
+	lateHold  time.Duration
 	// longestHold is the longest hold of a grant.
 	longestHold time.Duration
 	// lastGrantAt is when the last grant arrived.
@@ -78,12 +82,28 @@
 			return ctx.Err()
 		}
 	}
-	u.longestHold = max(u.longestHold, g.Hold)
-	u.lastGrantAt = time.Now()
+	unanswered := u.unanswered
+	if stall := u.stall; stall > 0 {
+		u.mu.Unlock()
+		time.Sleep(stall)
+		u.mu.Lock()
+	}
 	fence := g.Fence(u.newConnection)
 	u.newConnection = false
-	if u.unanswered {
-		u.lateGrant, u.lateFence = g, fence
+	hold := g.Hold()
+	if hold == 0 {
+		return grant.ErrTooLate
+	}
+	if arrivalTime := u.arrivalTime; arrivalTime > 0 {
+		u.mu.Unlock()
+		time.Sleep(arrivalTime)
+		u.mu.Lock()
+	}
+	u.longestHold = max(u.longestHold, hold)
+	u.lastGrantAt = time.Now()
+	if unanswered {
+		u.lateGrant, u.lateFence, u.lateHold = g, fence, hold
+		u.lateGrant.Hold = func() time.Duration { return hold }
 		u.mu.Unlock()
 		<-ctx.Done()
 		u.mu.Lock()
@@ -96,7 +116,7 @@
 		if fence < u.fences[k] {
 			return grant.ErrFenced
 		}
-		u.fences[k], u.heldUntil[k] = fence, time.Now().Add(slowClockDuration(g.Hold))
+		u.fences[k], u.heldUntil[k] = fence, time.Now().Add(slowClockDuration(hold))
 	}
 	if u.answerLost {
 		u.mu.Unlock()
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -23,20 +24,23 @@
 	MaxHold = 1800 * time.Millisecond
 	// MaxLateness bounds the time after which an upstream of the platform carries out a grant that it left unanswered.
 	MaxLateness = 13 * time.Second
+	// CallTimeout bounds a grant call, to which an upstream normally responds at once. A call that has ended isn't written any more.
+	CallTimeout = 200 * time.Millisecond
+	// MaxHeld bounds the time from the start of a grant call to the end of its hold. The extra twentieth is a margin for clocks that run at
+	// different rates.
+	MaxHeld = CallTimeout + MaxHold + MaxHold/20
 	// renewInterval keeps the remaining hold long at any time: an upstream aborts work that outlasts the hold under which it began,
 	// so work that begins shortly before a renewal must still have time.
 	renewInterval = 200 * time.Millisecond
-	// holdFraction is the fraction of the remaining lease for which keys are granted, since the upstream's clock may run 2% slow.
-	holdFraction = 0.97
-	// slowClockFactor bounds the real duration of a hold at the upstream, relative to the granted one.
+	// slowClockFactor bounds the real duration of a hold at the upstream, whose clock may run 2% slow, relative to the granted one.
 	slowClockFactor = 1.03
+	// maxTransit bounds the time from the write of a grant to its arrival if neither process stands still.
+	maxTransit = 50 * time.Millisecond
 	// minHold is the shortest hold that is granted, so that a delayed grant still arrives before the lease ends. In a process that was
 	// short of CPU time, a grant sent 60 ms before the end arrived 30 ms after it, when the next owner had the keys.
 	minHold = 250 * time.Millisecond
 	// minRemainingHold is the shortest remaining hold for which a grant with a higher fencing token is sent before a release.
 	minRemainingHold = 60 * time.Millisecond
-	// grantTimeout bounds a grant call, to which an upstream normally responds at once.
-	grantTimeout = 200 * time.Millisecond
 	// lateCall is the time before the write of a grant, or from its write to its acknowledgement, from which on the call is logged.
 	lateCall = 100 * time.Millisecond
 	// releaseTimeout bounds one attempt to release keys. Most work that is running on them ends within it.
@@ -272,75 +276,116 @@
 	m.notify()
 }
 
-// sendGrant sends a grant and records what the upstream may hold. It returns errBusy without sending it unless all keys are in one of the
-// given states, under the given epoch, and not promised to a successor.
-func (m *Manager) sendGrant(ctx context.Context, g Grant, epoch uint64, states ...state) error {
-	sentAt := time.Now()
-	if !m.beginGrant(&g.Range, epoch, sentAt.Add(grantTimeout+time.Duration(slowClockFactor*float64(g.Hold))), states) {
+// sendGrant grants the keys of a handover. It returns errBusy without sending the grant unless all keys are in one of the given states,
+// under the given epoch, and not promised to a successor.
+func (m *Manager) sendGrant(ctx context.Context, h Handover, epoch uint64, states ...state) error {
+	if !m.beginGrant(&h.Range, epoch, states) {
 		return errBusy
 	}
-	token, err := m.callGrant(ctx, g, epoch)
+	c, err := m.callGrant(ctx, h, epoch, m.hold)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.inFlight, &g.Range)
+	delete(m.inFlight, &h.Range)
 	if err == nil {
 		m.unansweredSince = time.Time{}
-	}
-	m.segments.change(g.Range, func(s *segment) {
-		if err != nil {
-			if !s.hold.carriedOutLater() {
-				klog.InfoS("grant: not acknowledged", "keys", s.Range, "epoch", epoch, "state", s.state, "hold", g.Hold,
-					"took", time.Since(sentAt), "err", err)
+		m.segments.change(h.Range, func(s *segment) {
+			if s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming) {
+				s.state, s.handover, s.usableUntil = stateServing, "", c.writtenAt.Add(c.hold)
 			}
-			s.hold.unanswered = max(s.hold.unanswered, token)
-			return
-		}
-		s.hold.acknowledged = max(s.hold.acknowledged, token)
-		if s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming) {
-			s.state, s.handover, s.usableUntil = stateServing, "", sentAt.Add(g.Hold)
-		}
-	})
+		})
+	}
 	m.notify()
 	return err
 }
 
-// callGrant sends a grant to the upstream and returns its fencing token. The token is 0 if the grant wasn't sent. After an error, later
-// grants have higher tokens: the upstream may still carry out this one and then refuses it.
-func (m *Manager) callGrant(ctx context.Context, g Grant, epoch uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+// call is a grant call. Its fields but startedAt are zero until the grant is written.
+type call struct {
+	startedAt, writtenAt time.Time
+	hold                 time.Duration
+	token                uint64
+}
+
+// written reports whether the upstream may have got the grant.
+func (c call) written() bool { return !c.writtenAt.IsZero() }
+
+// callGrant sends a grant to the upstream and records what the upstream may then hold. holdAt returns the hold of a grant that is written
+// at a time, or 0 if it must not be written. After an error, later grants have higher tokens: the upstream may still carry out this one and
+// then refuses it.
+func (m *Manager) callGrant(ctx context.Context, h Handover, epoch uint64, holdAt func(now time.Time) time.Duration) (call, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	var token atomic.Uint64
-	var writtenAt atomic.Pointer[time.Time]
-	fence := g.Fence
-	g.Fence = func(newConnection bool) uint64 {
-		now := time.Now()
-		writtenAt.Store(&now)
-		token.Store(fence(newConnection))
-		return token.Load()
-	}
-	startedAt := time.Now()
-	err := m.upstream.Grant(ctx, g)
-	m.logLateCall(g, epoch, startedAt, writtenAt.Load(), err)
+	c := call{startedAt: time.Now()}
+	fence := m.fence(epoch)
+	var token uint64
+	err := m.upstream.Grant(ctx, Grant{
+		Range: h.Range, Handover: h.Token,
+		Fence: func(newConnection bool) uint64 {
+			token = fence(newConnection)
+			return token
+		},
+		Hold: func() time.Duration {
+			now := time.Now()
+			deadline, _ := ctx.Deadline()
+			// After a standstill of the process, the timer of the context may not have fired yet.
+			if ctx.Err() != nil || !now.Before(deadline) {
+				return 0
+			}
+			hold := holdAt(now)
+			if hold == 0 {
+				return 0
+			}
+			c.writtenAt, c.hold, c.token = now, hold, token
+			// The call ends, and with it its connection, at the deadline.
+			m.extendHold(h.Range, deadline, hold)
+			return hold
+		},
+	})
+	m.logLateCall(h.Range, epoch, c, err)
 	if err != nil {
 		m.generation.Add(1)
 	}
-	return token.Load(), err
+	if c.written() {
+		m.recordOutcome(h.Range, epoch, c, err)
+	}
+	return c, err
+}
+
+// recordOutcome records what the upstream may hold after a grant that was written.
+func (m *Manager) recordOutcome(r keyspace.Range, epoch uint64, c call, err error) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.segments.change(r, func(s *segment) {
+		if !errors.Is(err, ErrFenced) {
+			// The grant may have arrived as late as now.
+			s.hold.extend(now, c.hold)
+		}
+		if err == nil {
+			s.hold.acknowledged = max(s.hold.acknowledged, c.token)
+			return
+		}
+		if !s.hold.carriedOutLater() {
+			klog.InfoS("grant: not acknowledged", "keys", s.Range, "epoch", epoch, "state", s.state, "hold", c.hold,
+				"took", now.Sub(c.startedAt), "err", err)
+		}
+		s.hold.unanswered = max(s.hold.unanswered, c.token)
+	})
 }
 
-// logLateCall logs a grant call that was written or acknowledged late. writtenAt is nil if the grant wasn't written.
-func (m *Manager) logLateCall(g Grant, epoch uint64, startedAt time.Time, writtenAt *time.Time, err error) {
+// logLateCall logs a grant call that was written or acknowledged late.
+func (m *Manager) logLateCall(r keyspace.Range, epoch uint64, c call, err error) {
 	now := time.Now()
-	waited, answered := now.Sub(startedAt), time.Duration(0)
-	if writtenAt != nil {
-		waited, answered = writtenAt.Sub(startedAt), now.Sub(*writtenAt)
+	waited, answered := now.Sub(c.startedAt), time.Duration(0)
+	if c.written() {
+		waited, answered = c.writtenAt.Sub(c.startedAt), now.Sub(c.writtenAt)
 	}
 	late := max(waited, answered)
 	// Later calls for the same keys are logged if they are later than those before.
-	if late < lateCall || !m.lateCalls.Allow(g.String()+" "+late.Truncate(2*lateCall).String()) {
+	if late < lateCall || !m.lateCalls.Allow(r.String()+" "+late.Truncate(2*lateCall).String()) {
 		return
 	}
-	klog.InfoS("grant: late", "keys", g.Range, "epoch", epoch, "hold", g.Hold, "written", writtenAt != nil,
-		"waited", waited, "answered", answered, "leaseLeft", m.lease.Expires().Sub(now), "err", err)
+	klog.InfoS("grant: late", "keys", r, "epoch", epoch, "hold", c.hold, "written", c.written(), "waited", waited, "answered", answered,
+		"leaseLeft", m.lease.Expires().Sub(now), "err", err)
 }
 
 // fence returns the function Grant.Fence for a grant under an epoch. A new connection may reach a restarted upstream, which must get
@@ -354,9 +399,16 @@
 	}
 }
 
-// beginGrant records that a grant is in flight whose hold ends at the given time at the latest. A release waits until it has returned,
-// since a grant that arrives after the release would give the keys back to the upstream.
-func (m *Manager) beginGrant(r *keyspace.Range, epoch uint64, until time.Time, states []state) bool {
+// extendHold records that a grant may arrive as late as a time.
+func (m *Manager) extendHold(r keyspace.Range, arrival time.Time, granted time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.segments.change(r, func(s *segment) { s.hold.extend(arrival, granted) })
+}
+
+// beginGrant records that a grant is in flight. A release waits until it has returned, since a grant that arrives after the release would
+// give the keys back to the upstream.
+func (m *Manager) beginGrant(r *keyspace.Range, epoch uint64, states []state) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.segments.within(*r) {
@@ -364,12 +416,7 @@
 			return false
 		}
 	}
-	m.segments.change(*r, func(s *segment) {
-		s.hold.epoch = max(s.hold.epoch, epoch)
-		if until.After(s.hold.until) {
-			s.hold.until = until
-		}
-	})
+	m.segments.change(*r, func(s *segment) { s.hold.epoch = max(s.hold.epoch, epoch) })
 	m.inFlight[r] = struct{}{}
 	if m.unansweredSince.IsZero() {
 		m.unansweredSince = time.Now()
@@ -381,20 +428,25 @@
 func (m *Manager) grantInFlight(r keyspace.Range) (<-chan struct{}, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.changed, m.sending(r)
+}
+
+// sending reports whether a grant for keys of a range is in flight. m.mu must be held.
+func (m *Manager) sending(r keyspace.Range) bool {
 	for other := range m.inFlight {
 		if other.Overlaps(r) {
-			return m.changed, true
+			return true
 		}
 	}
-	return nil, false
+	return false
 }
 
-// hold returns how long keys may be granted now, or 0 if the lease has expired or ends too soon.
+// hold returns how long keys may be granted by a call that is written now, or 0 if the lease has expired or ends too soon.
 func (m *Manager) hold(now time.Time) time.Duration {
 	if !m.lease.Valid() {
 		return 0
 	}
-	left := time.Duration(holdFraction * float64(m.lease.Expires().Sub(now)))
+	left := time.Duration(float64(m.lease.Expires().Sub(now)-maxTransit) / slowClockFactor)
 	if left < minHold {
 		return 0
 	}
@@ -427,11 +479,10 @@
 
 // renewRange renews the grant of one range, unless the lease has expired or ends too soon.
 func (m *Manager) renewRange(ctx context.Context, s ServedRange) {
-	hold := m.hold(time.Now())
-	if hold == 0 {
+	if m.hold(time.Now()) == 0 {
 		return
 	}
-	err := m.sendGrant(ctx, Grant{Range: s.Range, Fence: m.fence(s.Epoch), Hold: hold}, s.Epoch, stateServing)
+	err := m.sendGrant(ctx, Handover{Range: s.Range}, s.Epoch, stateServing)
 	if err != nil && ctx.Err() == nil {
 		klog.V(1).InfoS("grant: renewal failed", "keys", s.Range, "epoch", s.Epoch, "err", err)
 	}
--- a/grant/model_upstream_test.go
+++ b/grant/model_upstream_test.go
@@ -18,6 +18,10 @@
 	// minLateness and maxLateness bound the time after which an upstream of the platform carries out a grant that it left unanswered.
 	minLateness = 2 * time.Second
 	maxLateness = 12 * time.Second
+	// stallFraction is the fraction of grants before whose write the instance's process stands still, for minStall to maxStall.
+	stallFraction = 0.03
+	minStall      = 100 * time.Millisecond
+	maxStall      = 3 * time.Second
 )
 
 // firstKey returns the first key of a region.
@@ -95,22 +99,30 @@
 func (u *upstreamRun) Grant(ctx context.Context, g grant.Grant) error {
 	o, random, transit := u.begin("grant", g.Range, []outcome{notDone, answerLost, late, resetBefore, resetAfter})
 	defer u.end()
+	stalled := u.awaitStall(g.Range, random)
 	u.m.mu.Lock()
 	token := g.Fence(u.newConnection)
 	u.newConnection = false
 	u.m.mu.Unlock()
-	if !wait.For(ctx, transit) {
+	hold := g.Hold()
+	if hold == 0 {
+		return grant.ErrTooLate
+	}
+	if stalled {
+		// A grant that is written arrives, also after its call.
+		time.Sleep(transit)
+	} else if !wait.For(ctx, transit) {
 		return ctx.Err()
 	}
 	arrival := time.Now()
-	text := fmt.Sprintf("%s: grant %s for %v", u.name, tokenText(token), g.Hold)
+	text := fmt.Sprintf("%s: grant %s for %v", u.name, tokenText(token), hold)
 	if o == late {
 		delay := random.between(minLateness, maxLateness)
 		u.m.group.Go(func() {
 			time.Sleep(delay)
 			u.m.mu.Lock()
 			defer u.m.mu.Unlock()
-			_ = u.carryOut(g, token, arrival, text+fmt.Sprintf(", %v after it arrived", delay))
+			_ = u.carryOut(g.Range, hold, token, arrival, text+fmt.Sprintf(", %v after it arrived", delay))
 		})
 	}
 	u.m.mu.Lock()
@@ -119,7 +131,7 @@
 	case !u.up:
 		err = grant.ErrUpstreamGone
 	case o == answered || o == answerLost || o == resetAfter:
-		err = u.carryOut(g, token, arrival, text+", "+o.String())
+		err = u.carryOut(g.Range, hold, token, arrival, text+", "+o.String())
 	default:
 		u.m.record(g.Range, text+", "+o.String())
 	}
@@ -127,6 +139,19 @@
 	return u.respond(ctx, o, err)
 }
 
+// awaitStall may let the instance's process stand still between the start of a call and the write, and reports whether it did.
+func (u *upstreamRun) awaitStall(r keyspace.Range, random *draws) bool {
+	u.m.mu.Lock()
+	stall := time.Duration(0)
+	if u.m.faulty && random.Float64() < stallFraction {
+		stall = random.between(minStall, maxStall)
+		u.m.record(r, fmt.Sprintf("%s: a grant is stalled for %v", u.name, stall))
+	}
+	u.m.mu.Unlock()
+	time.Sleep(stall)
+	return stall > 0
+}
+
 // respond returns the result of a call as the caller sees it.
 func (u *upstreamRun) respond(ctx context.Context, o outcome, err error) error {
 	if err != nil && o != answerLost {
@@ -145,18 +170,18 @@
 }
 
 // carryOut carries out a grant and checks that it keeps the rules. The model's mutex must be held.
-func (u *upstreamRun) carryOut(g grant.Grant, token uint64, arrival time.Time, text string) error {
+func (u *upstreamRun) carryOut(r keyspace.Range, hold time.Duration, token uint64, arrival time.Time, text string) error {
 	if !u.up || u.m.ended {
 		return grant.ErrUpstreamGone
 	}
-	from, to := regionsOf(g.Range)
+	from, to := regionsOf(r)
 	if slices.ContainsFunc(u.keys[from:to], func(k upstreamKeys) bool { return token < k.seen }) {
-		u.m.record(g.Range, text+": fenced")
+		u.m.record(r, text+": fenced")
 		return grant.ErrFenced
 	}
-	u.m.record(g.Range, text+": carried out")
+	u.m.record(r, text+": carried out")
 	now := time.Now()
-	end := arrival.Add(time.Duration(float64(g.Hold) * u.clockFactor))
+	end := arrival.Add(time.Duration(float64(hold) * u.clockFactor))
 	for region := from; region < to; region++ {
 		took := !u.keys[region].held(now)
 		if took {
--- a/grant/release.go
+++ b/grant/release.go
@@ -64,7 +64,7 @@
 		switch {
 		case s.state == stateReleasing:
 			waiting = true
-		case s.state != stateNone || s.hold.inForce(now) || s.hold.leftUnanswered(now):
+		case s.state != stateNone || s.hold.inForce(now) || s.hold.leftUnanswered(now) || m.sending(s.Range):
 			toRelease = append(toRelease, s)
 		}
 	}
@@ -159,7 +159,7 @@
 // refuseLateGrants makes one attempt to release keys whose hold has ended, so that the upstream refuses the grants that it left unanswered:
 // a release, unlike a grant, may raise the fencing token there at any time.
 func (m *Manager) refuseLateGrants(ctx context.Context, r keyspace.Range, held hold) (handover, outcome string) {
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	handover, err := m.upstream.Release(ctx, r, m.fence(held.epoch)(false))
 	if err != nil {
@@ -173,21 +173,11 @@
 // one with a higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys. It has the
 // epoch of the earlier grants, since the keys may be claimed under a newer epoch that other holders haven't released them for.
 func (m *Manager) tryRelease(ctx context.Context, r keyspace.Range, held *hold) (string, error) {
-	// The grant lasts only for the rest of the hold, so that it doesn't delay the end of the hold. It must also end with the lease, however
-	// late it arrives: a successor that has proved that the lease has expired may have the keys already.
-	end := held.until
-	if expires := m.lease.Expires(); expires.Before(end) {
-		end = expires
-	}
-	left := time.Duration(float64(time.Until(end)-grantTimeout) / slowClockFactor)
-	if held.carriedOutLater() && left > minRemainingHold && m.lease.Valid() {
-		token, err := m.callGrant(ctx, Grant{Range: r, Fence: m.fence(held.epoch), Hold: left}, held.epoch)
-		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", left, "err", err)
-		switch {
-		case err == nil:
-			held.acknowledged = max(held.acknowledged, token)
-		case token > 0:
-			held.unanswered = max(held.unanswered, token)
+	if held.carriedOutLater() && m.raiseHold(*held, time.Now()) > 0 {
+		c, err := m.callGrant(ctx, Handover{Range: r}, held.epoch, func(now time.Time) time.Duration { return m.raiseHold(*held, now) })
+		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", c.hold, "err", err)
+		*held = m.holdOf(r)
+		if err != nil && c.written() {
 			return "", err
 		}
 		// A grant that wasn't sent, because the session has ended, doesn't keep the upstream from finishing its work.
@@ -197,6 +187,24 @@
 	return m.upstream.Release(releaseCtx, r, m.fence(held.epoch)(false))
 }
 
+// raiseHold returns the hold of a grant that raises the fencing token before a release, or 0 if it must not be sent. The grant lasts only
+// for the rest of the hold, so that it doesn't delay the end of the hold. It must also end with the lease, however late it arrives: a
+// successor that has proved that the lease has expired may have the keys already.
+func (m *Manager) raiseHold(held hold, now time.Time) time.Duration {
+	if !m.lease.Valid() {
+		return 0
+	}
+	end := held.until
+	if expires := m.lease.Expires(); expires.Before(end) {
+		end = expires
+	}
+	left := time.Duration(float64(end.Sub(now)-CallTimeout) / slowClockFactor)
+	if left <= minRemainingHold {
+		return 0
+	}
+	return left
+}
+
 // handovers returns the handovers that are stored for the keys of a range.
 func (m *Manager) handovers(r keyspace.Range) []Handover {
 	m.mu.Lock()
--- a/grant/release_test.go
+++ b/grant/release_test.go
@@ -172,7 +172,7 @@
 				if left < minRemaining {
 					t.Errorf("with a lease of %v, a grant was sent %v before its end, want at least %v", lease, left, minRemaining)
 				}
-				if after := transit + slowClockDuration(u.lateGrant.Hold) - left; after > 0 {
+				if after := transit + slowClockDuration(u.lateHold) - left; after > 0 {
 					t.Errorf("with a lease of %v, a grant that arrives late ends %v after it", lease, after)
 				}
 			})
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -69,6 +69,13 @@
 	acknowledged, unanswered uint64
 }
 
+// extend records a grant that may arrive as late as a time.
+func (h *hold) extend(arrival time.Time, granted time.Duration) {
+	if end := arrival.Add(time.Duration(slowClockFactor * float64(granted))); end.After(h.until) {
+		h.until = end
+	}
+}
+
 // inForce reports whether the upstream may hold the keys at a time.
 func (h hold) inForce(now time.Time) bool { return now.Before(h.until) }
 
