ownership: don't promise a partition that the upstream may hold

A claim that was superseded after it had sent its grant left the grant at the upstream, and a failed revocation was ignored. The renewals of the incarnation extend all its grants, so the upstream then held the partition beside that of the next owner for as long as the lease of the earlier one was valid. The manager now keeps the highest fencing token that it has sent for each partition, and promises only after the upstream has revoked it. An outdated request gets no promise, which would revoke the grant of a newer claim.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -193,14 +193,19 @@
 
 // startServing grants the partition to the upstream and begins to serve it.
 func (m *Manager) startServing(p int, e partition.Entry, rank int) error {
-	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
-	defer cancel()
-	if err := m.granter.Grant(ctx, p, e.Fence(rank)); err != nil {
+	if err := m.beginGrant(p, e, rank); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+	defer cancel()
+	grantErr := m.granter.Grant(ctx, p, e.Fence(rank))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lp := m.localPartition(p)
+	lp.granting = false
+	if grantErr != nil {
+		return grantErr
+	}
 	if m.current.Epoch(p) != e.Epoch || lp.minEpoch > e.Epoch {
 		return errSuperseded
 	}
@@ -220,3 +225,16 @@
 	lp.epoch, lp.rank, lp.handover = e.Epoch, rank, nil
 	return nil
 }
+
+// beginGrant records that the upstream may hold the partition from now on. It returns an error if the grant must not be sent, because
+// a promise forbids it.
+func (m *Manager) beginGrant(p int, e partition.Entry, rank int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lp := m.localPartition(p)
+	if lp.minEpoch > e.Epoch {
+		return errSuperseded
+	}
+	lp.granting, lp.granted = true, max(lp.granted, e.Fence(rank))
+	return nil
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -100,6 +100,11 @@
 	// minEpoch is the lowest epoch under which this incarnation may still serve the partition; 0 if it has promised nothing.
 	minEpoch uint64
 	claiming bool
+	// granted is the highest fencing token of a grant that was sent to the upstream and has not been revoked; 0 if there is none. The
+	// upstream may hold the partition whatever has become of the claim that the grant was sent for.
+	granted uint64
+	// granting is set while a call for a grant is running.
+	granting bool
 	inFlight int
 	// idle is closed when no request is in flight any more; it is nil unless a release waits for that.
 	idle chan struct{}
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -5,14 +5,17 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"sapphiretray/code"
 	"sapphiretray/peer"
 )
 
 // Promise handles the request of an incarnation that wants to serve a partition under a newer epoch. With commit set, it stops serving the
-// partition, waits for the requests in flight, and promises never to serve it under an epoch below the requested one. If requests
-// are still in flight after the drain timeout, it continues to serve and promises nothing. It returns code.BadRequest if the request is
-// for another incarnation, and code.NoOwner if no partition map is known or the partition isn't in it.
+// partition, waits for the requests in flight, revokes the upstream's grants, and promises never to serve it under an epoch below the
+// requested one. If requests are still in flight after the drain timeout, it continues to serve and promises nothing. It doesn't promise
+// either while the upstream may hold the partition; the request has to be repeated then. It returns code.BadRequest if the request is for
+// another incarnation, and code.NoOwner if no partition map is known or the partition isn't in it.
 func (m *Manager) Promise(ctx context.Context, request *peer.PromiseRequest) (*peer.PromiseResponse, error) {
 	if r := request.GetReceiver().ToIncarnation(); r != m.self {
 		return nil, code.New(code.BadRequest, "this is %s, not %s", m.self, r)
@@ -36,7 +39,7 @@
 	response, done := m.respondWithoutDrain(lp, epoch)
 	if done {
 		m.mu.Unlock()
-		return response, nil
+		return m.revokeBefore(ctx, p, lp, response), nil
 	}
 	_ = lp.machine.Fire("promise-asked", request.GetSuccessor().ToIncarnation().String()+" takes over")
 	idle := make(chan struct{})
@@ -58,6 +61,9 @@
 		return &peer.PromiseResponse{Serving: true}, true
 	case lp.state() == stateServing:
 		return nil, false
+	case lp.granted>>8 >= epoch:
+		// The request is outdated: this incarnation is about to serve under the same epoch or a newer one.
+		return &peer.PromiseResponse{Serving: true}, true
 	}
 	if epoch > lp.minEpoch {
 		lp.minEpoch = epoch
@@ -90,15 +96,46 @@
 		return &peer.PromiseResponse{Serving: true}, nil
 	}
 	lp.minEpoch = max(lp.minEpoch, epoch)
-	fence := lp.epoch<<8 | uint64(lp.rank)
 	_ = lp.machine.Fire("drained", "no request is in flight")
 	response := m.dedupCache.Export(p)
 	response.Promised = true
 	lp.handover = response
 	m.mu.Unlock()
-	revoke, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	return m.revokeBefore(ctx, p, lp, response), nil
+}
+
+// revokeBefore revokes the upstream's grant of a partition that isn't served any more and returns the response, or one without a promise
+// if the upstream may still hold the partition. Waiting for the end of the grant wouldn't suffice, since renewals extend all grants of the
+// incarnation.
+func (m *Manager) revokeBefore(ctx context.Context, p int, lp *localPartition, response *peer.PromiseResponse) *peer.PromiseResponse {
+	if !response.GetPromised() {
+		return response
+	}
+	m.mu.Lock()
+	granted, granting := lp.granted, lp.granting
+	m.mu.Unlock()
+	switch {
+	case granting:
+		return &peer.PromiseResponse{Serving: true}
+	case granted == 0:
+		return response
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	// A failure is ignored because the upstream refuses the old fencing token once the grant has expired.
-	_ = m.granter.Revoke(revoke, p, fence)
-	return response, nil
+	// code.Conflict means that a newer grant has replaced this one.
+	if err := m.granter.Revoke(ctx, p, granted); err != nil {
+		if c, _ := code.Of(err); c != code.Conflict {
+			klog.V(1).InfoS("ownership: revocation failed", "partition", p, "fence", granted, "err", err)
+			return &peer.PromiseResponse{Serving: true}
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if lp.granted == granted {
+		lp.granted = 0
+	}
+	if lp.granted != 0 || lp.granting {
+		return &peer.PromiseResponse{Serving: true}
+	}
+	return response
 }
