ownership: send no grant without a valid lease

A claim checked the lease only after the grant had been sent. The end of a grant is computed from the monotonic clock, which stops while a machine is suspended, so a claim that went on after a suspension granted the partition for the rest of a lease that had expired.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -227,7 +227,7 @@
 }
 
 // beginGrant records that the upstream may hold the partition from now on. It returns an error if the grant must not be sent, because
-// a promise forbids it.
+// the lease has expired or a promise forbids it.
 func (m *Manager) beginGrant(p int, e partition.Entry, rank int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -235,6 +235,9 @@
 	if lp.minEpoch > e.Epoch {
 		return errSuperseded
 	}
+	if !m.lease.Valid() {
+		return code.New(code.NoOwner, "the lease of %s is not valid", m.self)
+	}
 	lp.granting, lp.granted = true, max(lp.granted, e.Fence(rank))
 	return nil
 }
--- a/ownership/grants_test.go
+++ b/ownership/grants_test.go
@@ -128,12 +128,32 @@
 	})
 }
 
-// alwaysValid is a lease that never expires.
-type alwaysValid struct{}
+// TestNoGrantWithoutLease guards against a grant after the lease has expired, such as while the machine was suspended: its end would be
+// computed from the monotonic clock, which has stopped meanwhile.
+func TestNoGrantWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &slowUpstream{held: make(map[int]uint64)}
+		owner := member.NewIncarnation("slot-0", 1)
+		m, cancel := managerOf(t, owner, upstream, neverValid{})
+		defer cancel()
+		m.Update(assign(t, owner))
+		time.Sleep(time.Second)
+		if upstream.grants > 0 {
+			t.Errorf("%d grants without a valid lease", upstream.grants)
+		}
+	})
+}
+
+// alwaysValid is a lease that never expires, and neverValid one that expired although its end by the monotonic clock is ahead.
+type (
+	alwaysValid struct{}
+	neverValid  struct{ alwaysValid }
+)
 
 func (alwaysValid) Valid() bool        { return true }
 func (alwaysValid) Expires() time.Time { return time.Now().Add(simLease) }
 func (alwaysValid) Generation() uint64 { return 1 }
+func (neverValid) Valid() bool         { return false }
 
 // noHandover is a cache of request ids that stays empty.
 type noHandover struct{}
