instance: resign the lease only when the upstream holds no partitions

When the upstream stopped answering, or a planned stop ended with partitions that were still served, the instance resigned its lease at once. The witnesses then confirm the expiry without a wait, while the upstream holds its grants until the end of the lease: a successor served beside it for up to 600 ms. The instance now ends its lease, revokes the grants or waits for their end unless the upstream refuses connections, and resigns then. It doesn't join again before either, since the record of the next incarnation proves that the one before serves no more.

A successor of an instance whose upstream hangs gets its partitions up to one lease later than before.

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -293,12 +293,19 @@
 	}
 }
 
+// EndLease gives up the own lease for good. The witnesses confirm its expiry only when it would have expired, unless ResignLease is called.
+func (e *Endpoint) EndLease() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holder.Resign()
+	e.publish()
+}
+
 // ResignLease gives up the own lease for good and notifies the witnesses, which may then confirm the expiry at once. The error joins
 // those of all notifications.
 func (e *Endpoint) ResignLease(ctx context.Context) error {
+	e.EndLease()
 	e.mu.Lock()
-	e.holder.Resign()
-	e.publish()
 	self, witnessAddresses := e.self, e.witnessAddresses
 	e.mu.Unlock()
 	if e.dial == nil {
--- a/instance/session.go
+++ b/instance/session.go
@@ -48,6 +48,8 @@
 	mu sync.Mutex
 	// expiredAt is when the lease expired; zero while it is valid and before it was first acquired.
 	expiredAt time.Time
+	// grantsEnd is the latest end of the grants that were sent to the upstream.
+	grantsEnd time.Time
 }
 
 var errEnded = errors.New("the incarnation has ended")
@@ -111,6 +113,10 @@
 	})
 	err = group.Wait()
 	s.owned.Wait()
+	if !left {
+		// The record of the next incarnation proves that this one serves no more.
+		s.endGrants(running)
+	}
 	if running.Err() == nil && s.ctx.Err() != nil {
 		err = nil
 	}
@@ -126,21 +132,56 @@
 	s.cancel(errEnded)
 }
 
-// upstreamFailed resigns the lease and ends the incarnation, so that successors take over at once.
+// upstreamFailed resigns the lease and ends the incarnation, so that successors take over as soon as the upstream's grants have ended.
 func (s *session) upstreamFailed() {
 	s.instance.background.Go(func() {
-		s.resignLease(s.ctx)
+		// The session may end because the lease is lost while the grants end.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), s.instance.settings.LeaseDuration()+notifyTimeout)
+		defer cancel()
+		s.resignLease(ctx)
 		s.end("the upstream does not answer")
 	})
 }
 
-// resignLease resigns the lease, so that the witnesses may confirm its expiry at once.
+// resignLease ends the lease and the upstream's grants, and then resigns the lease, so that the witnesses may confirm its expiry at once.
+// It doesn't resign if ctx ends before the grants.
 func (s *session) resignLease(ctx context.Context) {
+	s.endpoint.EndLease()
+	if !s.endGrants(ctx) {
+		return
+	}
 	if err := s.endpoint.ResignLease(ctx); err != nil {
 		klog.V(1).Infof("lease: resignation of %s failed: %v", s.self, err)
 	}
 }
 
+// endGrants waits until the upstream holds no partitions any more: it has ended, it has revoked the grants, or they have expired. It
+// returns false if ctx ends first. No further grant may be sent.
+func (s *session) endGrants(ctx context.Context) bool {
+	s.mu.Lock()
+	end := s.grantsEnd
+	s.mu.Unlock()
+	granted, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	if granted.Err() != nil || s.instance.upstream.RefusesConnections(granted) {
+		return ctx.Err() == nil
+	}
+	if err := s.owned.RevokeAll(granted); err != nil {
+		klog.InfoS("upstream: grants not revoked, waiting for their end", "instance", s.self, "left", time.Until(end), "err", err)
+		<-granted.Done()
+	}
+	return ctx.Err() == nil
+}
+
+// grantUntil records that a grant with the given end is about to be sent to the upstream.
+func (s *session) grantUntil(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end.After(s.grantsEnd) {
+		s.grantsEnd = end
+	}
+}
+
 // leaseChanged records that this incarnation's lease became valid or expired.
 func (s *session) leaseChanged(valid bool, reason string) {
 	s.mu.Lock()
@@ -198,7 +239,9 @@
 func (s *session) renewGrants(ctx context.Context) {
 	for ctx.Err() == nil {
 		if lease := s.lease(); lease.Valid() && s.instance.settings.UpstreamChecksGrants() {
-			if err := s.instance.upstream.Renew(ctx, s.self, lease.Expires()); err != nil && ctx.Err() == nil {
+			end := lease.Expires()
+			s.grantUntil(end)
+			if err := s.instance.upstream.Renew(ctx, s.self, end); err != nil && ctx.Err() == nil {
 				klog.V(1).Infof("upstream: renewal of grants failed: %v", err)
 			}
 		}
@@ -257,9 +300,9 @@
 	if !g.session.instance.settings.UpstreamChecksGrants() {
 		return nil
 	}
-	return g.session.instance.upstream.Grant(ctx, upstream.Grant{
-		Incarnation: g.session.self, Partition: p, Fence: fence, LeaseEnd: g.session.lease().Expires(),
-	})
+	end := g.session.lease().Expires()
+	g.session.grantUntil(end)
+	return g.session.instance.upstream.Grant(ctx, upstream.Grant{Incarnation: g.session.self, Partition: p, Fence: fence, LeaseEnd: end})
 }
 
 // Revoke ends a grant, if the upstream checks grants.
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
@@ -139,3 +140,28 @@
 	}
 	return response
 }
+
+// RevokeAll revokes all grants at the upstream. The lease must have ended, so that no further grant is sent. The error is nil if the
+// upstream holds no partition any more.
+func (m *Manager) RevokeAll(ctx context.Context) error {
+	m.mu.Lock()
+	granted := make(map[int]uint64)
+	granting := false
+	for p, lp := range m.localPartitions {
+		granting = granting || lp.granting
+		if lp.granted != 0 {
+			granted[p] = lp.granted
+		}
+	}
+	m.mu.Unlock()
+	var revocations errgroup.Group
+	revocations.SetLimit(maxConcurrentClaims)
+	for p, fence := range granted {
+		revocations.Go(func() error { return m.granter.Revoke(ctx, p, fence) })
+	}
+	err := revocations.Wait()
+	if err == nil && granting {
+		return code.New(code.Conflict, "a partition is being granted")
+	}
+	return err
+}
