Heartbeat: let tests replace the network

The endpoint opened UDP sockets itself, so that it couldn't run on the paused clock of testing/synctest. The option WithNetwork replaces the functions that open them. The default is the machine's network, as before.

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -46,7 +46,7 @@
 
 	// mu guards the fields of this block.
 	mu               sync.Mutex
-	conn             *net.UDPConn
+	conn             net.PacketConn
 	holder           *witness.Holder
 	witness          *witness.Witness
 	witnessAddresses []WitnessAddress
@@ -97,13 +97,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conn == nil {
-		address, err := net.ResolveUDPAddr("udp", e.listen)
+		conn, err := e.network.ListenPacket(e.listen)
 		if err != nil {
-			return "", fmt.Errorf("resolve heartbeat address %s: %w", e.listen, err)
-		}
-		if e.conn, err = net.ListenUDP("udp", address); err != nil {
-			return "", fmt.Errorf("listen for heartbeats: %w", err)
+			return "", err
 		}
+		e.conn = conn
 	}
 	return e.conn.LocalAddr().String(), nil
 }
@@ -183,7 +181,7 @@
 func (e *Endpoint) receive() error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := e.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -203,7 +201,7 @@
 			if datagram, err := encodeAck(ack, e.ackVersions(versions, now)); err == nil {
 				e.traffic.send(len(datagram))
 				// An error is ignored because the next acknowledgement replaces a lost one.
-				_, _ = e.conn.WriteToUDPAddrPort(datagram, from)
+				_, _ = e.conn.WriteTo(datagram, from)
 			}
 		}
 		if versions != nil {
--- a/heartbeat/holder.go
+++ b/heartbeat/holder.go
@@ -13,7 +13,7 @@
 // flow is the socket by which heartbeats are sent to one witness and its acknowledgements are received.
 type flow struct {
 	witnessAddress WitnessAddress
-	conn           *net.UDPConn
+	conn           net.Conn
 	// lastAck is the time of the newest acknowledgement or, before the first one, of the opening of the socket.
 	lastAck time.Time
 }
@@ -76,7 +76,7 @@
 	// The sending time is read as late as possible, since the lease runs from it.
 	now := time.Now()
 	heartbeats := e.holder.Heartbeats(now)
-	conns := make([]*net.UDPConn, len(heartbeats))
+	conns := make([]net.Conn, len(heartbeats))
 	for i, heartbeat := range heartbeats {
 		if heartbeat.Witness == e.self.Slot() {
 			if ack, ok := e.witness.HandleHeartbeat(heartbeat, now); ok {
@@ -107,7 +107,7 @@
 // flow returns the socket to a witness, or nil if it can't be opened. A flow that has not been acknowledged for one and a half
 // intervals (300 ms by default) moves to a new socket and thus to a new source port, since the network may stop delivering one flow
 // for good while new ones work. e.mu must be held.
-func (e *Endpoint) flow(slot string, now time.Time) *net.UDPConn {
+func (e *Endpoint) flow(slot string, now time.Time) net.Conn {
 	var witnessAddress WitnessAddress
 	for _, a := range e.witnessAddresses {
 		if a.slot == slot {
@@ -122,11 +122,7 @@
 		_ = current.conn.Close()
 		delete(e.flows, slot)
 	}
-	address, err := net.ResolveUDPAddr("udp", witnessAddress.address)
-	if err != nil {
-		return nil
-	}
-	conn, err := net.DialUDP("udp", e.localAddress(), address)
+	conn, err := e.network.Dial(e.localAddress(), witnessAddress.address)
 	if err != nil {
 		return nil
 	}
--- a/heartbeat/options.go
+++ b/heartbeat/options.go
@@ -12,6 +12,7 @@
 // config holds the options of an Endpoint.
 type config struct {
 	listen     string
+	network    Network
 	timing     witness.Timing
 	versions   func() *peer.Versions
 	onVersions func(slot string, versions *peer.Versions)
@@ -26,6 +27,9 @@
 // WithListen sets the UDP address, host:port, that receives the heartbeats of others. The default is any port of 127.0.0.1.
 func WithListen(address string) Option { return func(c *config) { c.listen = address } }
 
+// WithNetwork sets the network of the endpoint's sockets. The default is that of the machine.
+func WithNetwork(network Network) Option { return func(c *config) { c.network = network } }
+
 // WithTiming sets the timing, which must be the same in the whole deployment.
 func WithTiming(timing witness.Timing) Option { return func(c *config) { c.timing = timing } }
 
@@ -60,6 +64,7 @@
 func newConfig(options []Option) config {
 	c := config{
 		listen:     "127.0.0.1:0",
+		network:    udpNetwork{},
 		versions:   func() *peer.Versions { return nil },
 		onVersions: func(string, *peer.Versions) {},
 		onExpiry:   func(member.Incarnation) {},
