sidecar: Release all keys at the upstream before a session grants any

After a takeover by a proof of expiry, an upstream still carried out grants of the earlier session, with tokens below those of the next owner: only the instance beside the upstream can raise the token there, and neither a new session nor a new process beside a running upstream sent it anything. Only a new run of the upstream was cleared.

Each session now makes one attempt, of at most clearTimeout, to release all keys with a token above those of all maps so far and below those of later ones. The join goes on meanwhile; the lease counts as invalid for grants until the attempt is over. If it isn't answered, earlier grants are revoked on request as before. Failed attempts to join don't repeat an answered release. Keys that the slot gets back are granted with the handover of the release, since an upstream is slow with keys that it gets without one.

Before the change:

TestLateGrantOfEarlierSession/new_process: a grant of an earlier session was carried out after slot-3#6 had joined (error <nil>) TestLateGrantOfEarlierSession/new_session: a grant of an earlier session was carried out after slot-3#32 had joined (error <nil>)

TestReleaseCoversEarlierIncarnations sets the field that replaces cleared.

--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -158,8 +158,8 @@
 				})
 				bound := newSessionUpstream(upstream, func() bool { return true })
 				sc.session.Store(&session{
-					sidecar: sc, record: member.Record{Incarnation: self}, started: time.Now(), upstream: bound, cleared: test.cleared,
-					grantManager: grant.New(t.Context(), "bookings", self, nil, bound, nil),
+					sidecar: sc, record: member.Record{Incarnation: self}, started: time.Now(), upstream: bound,
+					clearing: newClearing(test.cleared), grantManager: grant.New(t.Context(), "bookings", self, nil, bound, nil),
 				})
 				time.Sleep(test.after)
 				started := time.Now()
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -107,19 +107,19 @@
 		r.Holder = s.self()
 	}
 	handovers, err := s.grantManager.Release(ctx, r)
-	if err != nil || s.cleared {
-		return handovers, err
+	if err != nil {
+		return nil, err
 	}
 	// No session grants the keys below the requested epoch any more.
-	token, err := s.revokeEarlierGrants(ctx, r)
+	earlier, cleared, err := s.clearing.await(ctx, r.Range)
+	if err == nil && !cleared {
+		earlier, err = s.revokeEarlierGrants(ctx, r)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if token != "" {
-		// Handovers of the current incarnation are newer and come last.
-		handovers = append([]grant.Handover{{Range: r.Range, Token: token}}, handovers...)
-	}
-	return handovers, nil
+	// Handovers of the current incarnation are newer and come last.
+	return append(earlier, handovers...), nil
 }
 
 // checkNewest returns code.Conflict if the known key map has a newer epoch for keys of a request. An incarnation in this slot may have
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -44,8 +44,8 @@
 	grantManager *grant.Manager
 	// upstream is what the grant manager grants keys to; nil if the service isn't keyed.
 	upstream *sessionUpstream
-	// cleared means that the upstream held no keys of earlier sessions when the session began to join.
-	cleared bool
+	// clearing is the release of the keys of earlier sessions; nil if the service isn't keyed.
+	clearing *clearing
 	// started is when the session began to join; grants of earlier incarnations are older.
 	started time.Time
 	// expiredAt is when the lease was found to be expired; zero while it is valid.
@@ -164,7 +164,9 @@
 		if err != nil {
 			return nil, err
 		}
-		s.cleared = cleared
+		if s.clearing = newClearing(cleared); !sc.mayHoldEarlierGrants(run) {
+			s.clearing = sc.startClearing(ctx, run)
+		}
 	}
 	row := sc.rows.Get(member.RowKey(sc.settings.Slot))
 	if !row.Deleted {
@@ -266,6 +268,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sc := s.sidecar
+	// What this session grants has to be released by the next one.
+	sc.clearing = nil
 	group, ctx := errgroup.WithContext(ctx)
 	if sc.keyed() {
 		sc.endpoint.SetIncarnation(s.self())
@@ -276,8 +280,9 @@
 		s.upstream = newSessionUpstream(sc.adapters.Grants(sc.gateway), func() bool {
 			return s.upstreamRun.continues(sc.gateway.State().UpstreamRun)
 		})
-		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), sc.endpoint.Lease(), s.upstream, sc,
-			grant.WithMaxHold(sc.settings.MaxHold))
+		s.upstream.clearing = s.clearing
+		lease := clearedLease{Lease: sc.endpoint.Lease(), clearing: s.clearing}
+		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), lease, s.upstream, sc, grant.WithMaxHold(sc.settings.MaxHold))
 		group.Go(func() error {
 			s.grantManager.Run(ctx)
 			return nil
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -35,6 +35,8 @@
 	// isCurrent reports whether the upstream's run is that of the session as far as it is known. A run registers only after its start, so
 	// grants may still reach the next run.
 	isCurrent func() bool
+	// clearing tells which keys the upstream had before the session; nil if that isn't known.
+	clearing *clearing
 	// cleared is closed when no upstream holds keys that were granted here.
 	cleared   chan struct{}
 	clearOnce sync.Once
@@ -58,7 +60,14 @@
 		return errSessionEnded
 	}
 	defer u.inFlight.Done()
-	return u.upstream.Grant(ctx, g)
+	if g.Handover == "" {
+		g.Handover = u.clearing.handoverOf(g.Range)
+	}
+	err := u.upstream.Grant(ctx, g)
+	if err == nil {
+		u.clearing.granted(g.Range)
+	}
+	return err
 }
 
 // begin counts a grant as in flight. It returns false if the grant mustn't be sent.
@@ -148,16 +157,16 @@
 }
 
 // revokeEarlierGrants makes the upstream release keys that earlier sessions of the same run may have granted to it, and returns its
-// handover token, if any. A release with a fencing token above theirs makes it refuse those of their grants that it left unanswered. If it
+// handover, if any. A release with a fencing token above theirs makes it refuse those of their grants that it left unanswered. If it
 // doesn't respond, the holds must have ended, and the keys are released without a handover. It returns code.Conflict once a newer map has
 // assigned the keys: the current session may serve them under it.
-func (s *session) revokeEarlierGrants(ctx context.Context, r grant.ReleaseRequest) (string, error) {
+func (s *session) revokeEarlierGrants(ctx context.Context, r grant.ReleaseRequest) ([]grant.Handover, error) {
 	if time.Since(s.started) >= grant.MaxLateness {
-		return "", nil
+		return nil, nil
 	}
 	for {
 		if err := s.checkNewest(r); err != nil {
-			return "", err
+			return nil, err
 		}
 		timeout := clearTimeout
 		if left := earlierGrants - time.Since(s.started); left > 0 {
@@ -165,16 +174,18 @@
 		}
 		handover, err := releaseWithin(ctx, timeout, s.upstream, r.Range, keyspace.Fence(r.Epoch, 0)-1)
 		switch {
+		case err == nil && handover != "":
+			return []grant.Handover{{Range: r.Range, Token: handover}}, nil
 		case err == nil:
-			return handover, nil
+			return nil, nil
 		case errors.Is(err, grant.ErrUpstreamGone):
-			return "", nil
+			return nil, nil
 		case ctx.Err() != nil:
-			return "", ctx.Err()
+			return nil, ctx.Err()
 		case time.Since(s.started) >= earlierGrants:
 			klog.InfoS("session: the upstream left the release of earlier grants unanswered", "instance", s.self(), "keys", r.Range,
 				"err", err)
-			return "", nil
+			return nil, nil
 		}
 		wait.For(ctx, clearRetryDelay)
 	}
