Grant: repeat a grant before a release that was too late to be sent

A grant that raises the fencing token before a release and that waited beyond its call isn't sent. The release then followed without it, and an upstream whose releases don't raise the token would have carried out the earlier grant.

--- a/grant/release.go
+++ b/grant/release.go
@@ -177,7 +177,7 @@
 		c, err := m.callGrant(ctx, Handover{Range: r}, held.epoch, func(now time.Time) time.Duration { return m.raiseHold(*held, now) })
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", c.hold, "err", err)
 		*held = m.holdOf(r)
-		if err != nil && c.written() {
+		if err != nil && (c.written() || errors.Is(err, ErrTooLate)) {
 			return "", err
 		}
 		// A grant that wasn't sent, because the session has ended, doesn't keep the upstream from finishing its work.
