Grant: release keys when the lease has lapsed

An instance that lost its lease left its grants open: grants that had arrived late held keys beyond the lease, and unanswered ones were carried out 2 to 12 s later, with a token below that of the next owner. Only the instance beside an upstream can reach it, and it sent nothing before its next grant.

The manager now checks the lease when it expires, at the latest 200 ms later, and at once after a standstill. If it isn't valid, the upstream must release all keys that it may hold or of which it left grants unanswered, with a token above theirs. The keys are in stateReleasing meanwhile, so that no grant is sent and no request is admitted. Failed attempts are repeated until nothing can be carried out any more, also after the session has ended; a successor waits only while the hold may be in force, as before. The keys are claimed again if the lease becomes valid again. Close ends the releases.

--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -46,10 +46,15 @@
 	lateHold  time.Duration
 	// longestHold is the longest hold of a grant.
 	longestHold time.Duration
+	// releases is the number of releases that arrived.
+	releases int
 	// lastGrantAt is when the last grant arrived.
 	lastGrantAt time.Time
 }
 
+// allKeys is the range of all keys.
+var allKeys = keyspace.Range{Last: keyspace.MaxKey}
+
 // innerKey is a key that the fake upstream keeps track of besides the ends of granted ranges.
 const innerKey keyspace.Key = 150
 
@@ -138,6 +143,7 @@
 	if u.gone {
 		return "", grant.ErrUpstreamGone
 	}
+	u.releases++
 	if u.unanswered {
 		u.mu.Unlock()
 		<-ctx.Done()
@@ -282,6 +288,8 @@
 	upstream *fakeUpstream
 	lease    *fakeLease
 	manager  *grant.Manager
+	// stop ends the session of the manager.
+	stop func()
 }
 
 // newNode returns a node with a lease of one hour and registers it with the peers.
@@ -306,7 +314,7 @@
 func assignAll(t *testing.T, version uint64, owner member.Incarnation, previous ...member.Incarnation) *keyspace.Map {
 	t.Helper()
 	m, err := keyspace.NewMap(version, []keyspace.Entry{{
-		Range: keyspace.Range{First: 0, Last: keyspace.MaxKey}, Epoch: version, Members: []member.Incarnation{owner}, Previous: previous,
+		Range: allKeys, Epoch: version, Members: []member.Incarnation{owner}, Previous: previous,
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -338,7 +346,9 @@
 			a, b := newNode(ctx, p, "a"), newNode(ctx, p, "b")
 			var running sync.WaitGroup
 			for _, n := range []*node{a, b} {
-				running.Go(func() { n.manager.Run(ctx) })
+				session, stop := context.WithCancel(ctx)
+				n.stop = stop
+				running.Go(func() { n.manager.Run(session) })
 			}
 			a.manager.Update(assignAll(t, 1, a.self))
 			time.Sleep(10 * time.Millisecond)
@@ -350,6 +360,8 @@
 			running.Wait()
 			a.manager.Wait()
 			b.manager.Wait()
+			a.manager.Close()
+			b.manager.Close()
 		})
 	})
 	select {
--- /dev/null
+++ b/grant/lapse.go
@@ -0,0 +1,103 @@
+package grant
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/wait"
+)
+
+// followLease makes the upstream release lapsed keys until ctx ends, and claims them again once the lease is valid.
+func (m *Manager) followLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.markLapsed()
+		m.releaseLapsed()
+		m.claimReleased()
+		wait.For(ctx, m.nextLeaseCheck())
+	}
+	m.markLapsed()
+}
+
+// nextLeaseCheck returns the time to the next check of the lease.
+func (m *Manager) nextLeaseCheck() time.Duration {
+	if !m.lease.Valid() || m.hasLapsed() {
+		return retryDelay
+	}
+	return min(max(time.Until(m.lease.Expires()), time.Millisecond), renewInterval)
+}
+
+// markLapsed marks all keys as lapsed that the upstream may hold if the lease isn't valid.
+func (m *Manager) markLapsed() {
+	if m.lease.Valid() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, s := range m.segments.within(allKeys) {
+		if !s.hold.lapsed && (s.hold.pending(now) || m.sending(s.Range)) {
+			klog.InfoS("grant: lease lapsed", "keys", s.Range, "epoch", s.hold.epoch, "state", s.state, "holdLeft", s.hold.until.Sub(now))
+			m.segments.change(s.Range, func(s *segment) { s.hold.lapsed = true })
+		}
+	}
+}
+
+// hasLapsed reports whether there are lapsed keys that the upstream hasn't released.
+func (m *Manager) hasLapsed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.lapsed()) > 0
+}
+
+// lapsed returns the segments of lapsed keys that the upstream hasn't released. m.mu must be held.
+func (m *Manager) lapsed() []segment {
+	var lapsed []segment
+	now := time.Now()
+	for _, s := range m.segments {
+		if s.hold.lapsed && (s.hold.pending(now) || m.sending(s.Range)) {
+			lapsed = append(lapsed, s)
+		}
+	}
+	return lapsed
+}
+
+// releaseLapsed begins to release the lapsed keys that aren't being released yet. A token above those of the unanswered grants makes the
+// upstream refuse them. No grant is sent for the keys meanwhile: a release that arrived after it would take them away again.
+func (m *Manager) releaseLapsed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.releasing.Err() != nil {
+		return
+	}
+	for _, s := range m.lapsed() {
+		if s.state == stateReleasing {
+			continue
+		}
+		m.generation.Add(1)
+		m.segments.change(s.Range, func(s *segment) { s.state = stateReleasing })
+		m.releases.Go(func() { m.releaseSegment(s) })
+		m.notify()
+	}
+}
+
+// claimReleased claims the lapsed keys again that were released, if the lease is valid.
+func (m *Manager) claimReleased() {
+	if !m.lease.Valid() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.reclaim {
+		m.reclaim = false
+		m.claimAll()
+	}
+}
+
+// finishReleases goes on to release lapsed keys after Run has ended.
+func (m *Manager) finishReleases() {
+	for m.hasLapsed() && wait.For(m.releasing, retryDelay) {
+		m.releaseLapsed()
+	}
+}
--- /dev/null
+++ b/grant/lapse_test.go
@@ -0,0 +1,113 @@
+package grant_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"sapphiretray/grant"
+)
+
+// sendLate carries out the latest unanswered grant of the fake upstream.
+func (u *fakeUpstream) sendLate(t *testing.T) error {
+	t.Helper()
+	var late grant.Grant
+	u.set(func(u *fakeUpstream) {
+		late, u.unanswered, u.arrivalTime = u.lateGrant, false, 0
+		fence := u.lateFence
+		late.Fence = func(bool) uint64 { return fence }
+	})
+	if late.Hold == nil {
+		t.Fatal("no grant was left unanswered")
+	}
+	return u.Grant(t.Context(), late)
+}
+
+// TestHoldBeyondLapsedLease guards against an upstream that holds keys after the lease has ended because a grant arrived late.
+func TestHoldBeyondLapsedLease(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a := f.t, f.a
+		a.lease.extend(2 * time.Second)
+		time.Sleep(1300 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.arrivalTime = 500 * time.Millisecond })
+		time.Sleep(200 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.arrivalTime = 0 })
+		time.Sleep(time.Until(a.lease.Expires()) + 10*time.Millisecond)
+		for range 500 {
+			if a.upstream.holds(innerKey) || a.manager.Serves(innerKey) {
+				t.Fatalf("%v after the end of the lease, the upstream holds the keys: %v, they are served: %v",
+					time.Since(a.lease.Expires()), a.upstream.holds(innerKey), a.manager.Serves(innerKey))
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
+// TestLateGrantAfterLapsedLease guards against an unanswered grant that the upstream carries out after the lease has ended, when another
+// upstream may have the keys with a higher fencing token. Only the instance beside the upstream can prevent it.
+func TestLateGrantAfterLapsedLease(t *testing.T) {
+	tests := []struct {
+		name string
+		// unresponsive is for how long after the end of the lease the upstream answers nothing.
+		unresponsive time.Duration
+		// ended means that the session ends with the lease.
+		ended bool
+	}{
+		{name: "the upstream responds"},
+		{name: "the upstream responds within the hold", unresponsive: time.Second},
+		{name: "the upstream responds after the hold", unresponsive: 8 * time.Second},
+		{name: "session ended", ended: true},
+		{name: "session ended, the upstream responds after the hold", unresponsive: 8 * time.Second, ended: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a := f.t, f.a
+				a.lease.extend(2 * time.Second)
+				time.Sleep(time.Second)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+				time.Sleep(time.Until(a.lease.Expires()))
+				if test.ended {
+					a.stop()
+				}
+				time.Sleep(test.unresponsive)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+				time.Sleep(300 * time.Millisecond)
+				if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant wasn't refused: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestLapsedKeysAreClaimedAgain guards against keys without an owner after the lease was re-acquired, and against grants that the upstream
+// refuses because of the fencing token of the release.
+func TestLapsedKeysAreClaimedAgain(t *testing.T) {
+	for _, invalid := range []time.Duration{20 * time.Millisecond, 3 * time.Second} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.releaseRaises, u.unanswered = true, true })
+			a.lease.extend(2 * time.Second)
+			time.Sleep(2*time.Second + invalid)
+			if a.manager.Serves(innerKey) || a.manager.Admit(t.Context(), innerKey, time.Now()) == nil {
+				t.Error("the keys are served without a lease")
+			}
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+			a.lease.extend(time.Hour)
+			time.Sleep(ownerGap)
+			if !a.manager.Serves(innerKey) || !a.upstream.holds(innerKey) || a.manager.SettledVersion() != 1 {
+				t.Errorf("%v after the lease was re-acquired, invalid for %v: serves %v, upstream holds %v, settled on map %d", ownerGap,
+					invalid, a.manager.Serves(innerKey), a.upstream.holds(innerKey), a.manager.SettledVersion())
+			}
+			var releases int
+			a.upstream.set(func(u *fakeUpstream) { releases = u.releases })
+			time.Sleep(20 * time.Second)
+			a.upstream.set(func(u *fakeUpstream) {
+				if u.releases != releases {
+					t.Errorf("%d releases while the lease is valid", u.releases-releases)
+				}
+			})
+		})
+	}
+}
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -90,8 +90,16 @@
 	// unansweredSince is when the first grant after the latest successful one was sent; zero if there is none.
 	unansweredSince time.Time
 
+	// reclaim means that lapsed keys were released, which are claimed again once the lease is valid.
+	reclaim bool
+
 	ctx   context.Context
 	group sync.WaitGroup
+	// releasing is the context of the releases, which go on after ctx has ended until the manager is closed. endReleases ends it.
+	releasing   context.Context
+	endReleases context.CancelFunc
+	// releases holds the running releases. None begins once releasing has ended; m.mu guards both.
+	releases sync.WaitGroup
 }
 
 // Option configures a Manager.
@@ -116,15 +124,25 @@
 		segments: newSegments(), changed: make(chan struct{}), claims: make(map[keyspace.Range]uint64),
 		inFlight: make(map[*keyspace.Range]struct{}), pacer: make(chan struct{}, 1),
 	}
+	m.releasing, m.endReleases = context.WithCancel(context.WithoutCancel(ctx))
 	for _, option := range options {
 		option(m)
 	}
 	return m
 }
 
-// Wait returns when all goroutines have ended. They end after the context that was passed to New.
+// Wait returns when all goroutines have ended but those that release keys. They end after the context that was passed to New.
 func (m *Manager) Wait() { m.group.Wait() }
 
+// Close ends the releases that go on after the context that was passed to New, and waits for them. Release then returns code.BadRequest.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.endReleases()
+	m.notify()
+	m.mu.Unlock()
+	m.releases.Wait()
+}
+
 // Update adopts a map and starts a claim for each entry that is now assigned to this incarnation. It ignores a map that isn't newer
 // than the current one.
 func (m *Manager) Update(next *keyspace.Map) {
@@ -399,11 +417,14 @@
 	}
 }
 
-// extendHold records that a grant may arrive as late as a time.
+// extendHold records that a grant, which is sent under a valid lease, may arrive as late as a time.
 func (m *Manager) extendHold(r keyspace.Range, arrival time.Time, granted time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.segments.change(r, func(s *segment) { s.hold.extend(arrival, granted) })
+	m.segments.change(r, func(s *segment) {
+		s.hold.extend(arrival, granted)
+		s.hold.lapsed = false
+	})
 }
 
 // beginGrant records that a grant is in flight. A release waits until it has returned, since a grant that arrives after the release would
@@ -453,9 +474,18 @@
 	return min(left, m.maxHold)
 }
 
-// Run renews the grants every renewInterval until ctx ends.
+// Run renews the grants every renewInterval until ctx ends. If the lease ends, it makes the upstream release the keys that it may still
+// hold, which goes on in the background after ctx has ended, until Close.
 func (m *Manager) Run(ctx context.Context) {
+	var lease sync.WaitGroup
+	lease.Go(func() { m.followLease(ctx) })
 	wait.Every(ctx, renewInterval, func(time.Time) { m.renew(ctx) })
+	lease.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.releasing.Err() == nil {
+		m.releases.Go(m.finishReleases)
+	}
 }
 
 // renew renews the grants of all served ranges and returns when all have returned.
--- a/grant/model_test.go
+++ b/grant/model_test.go
@@ -341,6 +341,9 @@
 		n.current.stop()
 	}
 	m.group.Wait()
+	for _, i := range m.members {
+		i.manager.Close()
+	}
 }
 
 // pass lets time pass: it extends the leases of the instances that aren't cut off, begins faults at random and checks the upstreams.
--- a/grant/release.go
+++ b/grant/release.go
@@ -10,12 +10,13 @@
 
 	"sapphiretray/code"
 	"sapphiretray/keyspace"
+	"sapphiretray/wait"
 )
 
 // Release releases the keys of a range to r.Successor, promises not to serve them under an epoch below r.Epoch, and returns the
 // handovers when the upstream can't serve the keys any more. It returns an error with code.BadRequest if r.Holder is another
-// incarnation, with code.Conflict if keys were granted under r.Epoch or a newer epoch, and the error of ctx if it ends while
-// another call releases the keys.
+// incarnation or the manager is closed, with code.Conflict if keys were granted under r.Epoch or a newer epoch, and the error of ctx if
+// it ends while another call releases the keys.
 func (m *Manager) Release(ctx context.Context, r ReleaseRequest) ([]Handover, error) {
 	if r.Holder != m.self {
 		return nil, code.New(code.BadRequest, "this is %s, not the requested holder %s", m.self, r.Holder)
@@ -26,7 +27,7 @@
 			return nil, err
 		}
 		if len(toRelease) > 0 {
-			m.releaseAll(ctx, toRelease)
+			m.releaseAll(toRelease)
 			continue
 		}
 		if stateChanged == nil {
@@ -45,6 +46,9 @@
 func (m *Manager) promise(r ReleaseRequest) (toRelease []segment, stateChanged <-chan struct{}, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.releasing.Err() != nil {
+		return nil, nil, code.New(code.BadRequest, "%s has been succeeded by a newer incarnation", m.self)
+	}
 	for _, s := range m.segments.within(r.Range) {
 		if granted := s.grantedEpoch(); granted >= r.Epoch {
 			return nil, nil, code.New(code.Conflict,
@@ -61,15 +65,18 @@
 	waiting := false
 	now := time.Now()
 	for _, s := range m.segments.within(r.Range) {
-		switch {
-		case s.state == stateReleasing:
+		if !m.mustRelease(s, now) {
+			continue
+		}
+		if s.state == stateReleasing {
 			waiting = true
-		case s.state != stateNone || s.hold.inForce(now) || s.hold.leftUnanswered(now) || m.sending(s.Range):
+		} else {
 			toRelease = append(toRelease, s)
 		}
 	}
 	for _, s := range toRelease {
 		m.segments.change(s.Range, func(s *segment) { s.state = stateReleasing })
+		m.releases.Add(1)
 	}
 	if raised || len(toRelease) > 0 {
 		m.notify()
@@ -80,34 +87,64 @@
 	return toRelease, stateChanged, nil
 }
 
-// releaseAll releases segments concurrently and returns when all have been released.
-func (m *Manager) releaseAll(ctx context.Context, toRelease []segment) {
+// mustRelease reports whether a segment must be released before a successor may have the keys. m.mu must be held.
+func (m *Manager) mustRelease(s segment, now time.Time) bool {
+	sending := m.sending(s.Range)
+	switch {
+	case s.state == stateClaiming || s.state == stateServing:
+		return true
+	case s.hold.lapsed && !s.hold.inForce(now) && !sending:
+		// The upstream holds none of the keys, and the manager itself goes on to refuse the late grants.
+		return false
+	default:
+		return s.state == stateReleasing || s.hold.pending(now) || sending
+	}
+}
+
+// releaseAll releases segments concurrently and returns when all have been released. promise has counted them in m.releases.
+func (m *Manager) releaseAll(toRelease []segment) {
 	var releases sync.WaitGroup
 	for _, s := range toRelease {
-		releases.Go(func() { m.releaseSegment(ctx, s) })
+		releases.Go(func() {
+			defer m.releases.Done()
+			m.releaseSegment(s)
+		})
 	}
 	releases.Wait()
 }
 
-// releaseSegment retries until the upstream has released the keys or its hold must have ended, even if the context of the call ends.
-func (m *Manager) releaseSegment(ctx context.Context, s segment) {
-	ctx = context.WithoutCancel(ctx)
+// releaseSegment retries until the upstream has released the keys or its hold must have ended, even if the context of the call ends. It
+// leaves the segment as it is if the manager is closed.
+func (m *Manager) releaseSegment(s segment) {
 	started := time.Now()
 	for changed, grantInFlight := m.grantInFlight(s.Range); grantInFlight; changed, grantInFlight = m.grantInFlight(s.Range) {
 		<-changed
 	}
 	held := m.holdOf(s.Range)
-	handover, outcome := m.endHold(ctx, s.Range, &held)
-	klog.InfoS("grant: released keys", "keys", s.Range, "epoch", s.epoch, "from", s.state, "outcome", outcome, "handover", handover != "",
-		"took", time.Since(started))
-	m.updateSegments(s.Range, func(s *segment) {
-		if s.state == stateReleasing {
-			s.state, s.usableUntil, s.hold = stateNone, time.Time{}, hold{epoch: s.hold.epoch}
-			if outcome != outcomeNeverGranted {
-				s.handover = handover
-			}
+	handover, outcome := m.endHold(m.releasing, s.Range, &held)
+	if m.releasing.Err() != nil && outcome != outcomeAcknowledged {
+		return
+	}
+	if retried := s.hold.lapsed && !s.hold.inForce(started); outcome != outcomeHoldEnded || !retried {
+		klog.InfoS("grant: released keys", "keys", s.Range, "epoch", s.epoch, "from", s.state, "outcome", outcome,
+			"handover", handover != "", "lapsed", s.hold.lapsed, "took", time.Since(started))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reclaim = m.reclaim || s.hold.lapsed
+	m.segments.change(s.Range, func(s *segment) {
+		if s.state != stateReleasing {
+			return
+		}
+		s.state, s.usableUntil = stateNone, time.Time{}
+		if outcome != outcomeHoldEnded || !s.hold.lapsed || !s.hold.carriedOutLater() {
+			s.hold = hold{epoch: s.hold.epoch}
+		}
+		if outcome != outcomeNeverGranted {
+			s.handover = handover
 		}
 	})
+	m.notify()
 }
 
 // holdOf returns what the upstream may hold of a range.
@@ -130,7 +167,8 @@
 	outcomeUpstreamGone = "upstream gone"
 )
 
-// endHold returns when the upstream can't hold the keys any more, with its handover token.
+// endHold returns when the upstream can't hold the keys any more, with its handover token. If the outcome is outcomeHoldEnded, it may carry
+// out the grants that it left unanswered.
 func (m *Manager) endHold(ctx context.Context, r keyspace.Range, held *hold) (handover, outcome string) {
 	if held.until.IsZero() {
 		return "", outcomeNeverGranted
@@ -141,9 +179,9 @@
 	for held.inForce(time.Now()) {
 		handover, err := m.tryRelease(ctx, r, held)
 		if err == nil {
-			if held.carriedOutLater() {
+			if held.carriedOutLater() && !held.lapsed {
 				// The rest of the hold was too short for a grant with a higher fencing token.
-				time.Sleep(time.Until(held.until))
+				wait.For(ctx, time.Until(held.until))
 			}
 			return handover, outcomeAcknowledged
 		}
@@ -151,7 +189,9 @@
 		if errors.Is(err, ErrUpstreamGone) {
 			return "", outcomeUpstreamGone
 		}
-		time.Sleep(retryDelay)
+		if !wait.For(ctx, retryDelay) {
+			break
+		}
 	}
 	return "", outcomeHoldEnded
 }
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -67,8 +67,14 @@
 	// acknowledged is the highest fencing token of a grant that succeeded, and unanswered that of one that failed or timed out, which the
 	// upstream may still carry out.
 	acknowledged, unanswered uint64
+	// lapsed means that the manager itself makes the upstream release the keys, whether or not a successor asks for them, since the lease
+	// under which the grants were sent has ended.
+	lapsed bool
 }
 
+// pending reports whether the upstream may hold the keys or carry out a grant for them.
+func (h hold) pending(now time.Time) bool { return h.inForce(now) || h.leftUnanswered(now) }
+
 // extend records a grant that may arrive as late as a time.
 func (h *hold) extend(arrival time.Time, granted time.Duration) {
 	if end := arrival.Add(time.Duration(slowClockFactor * float64(granted))); end.After(h.until) {
@@ -97,6 +103,7 @@
 	h.epoch = max(h.epoch, other.epoch)
 	h.unanswered = max(h.unanswered, other.unanswered)
 	h.acknowledged = min(h.acknowledged, other.acknowledged)
+	h.lapsed = h.lapsed || other.lapsed
 	return h
 }
 
@@ -115,11 +122,14 @@
 	return s == other
 }
 
+// allKeys is the range of all keys.
+var allKeys = keyspace.Range{Last: keyspace.MaxKey}
+
 // segments holds adjacent segments in order, which together cover all keys.
 type segments []segment
 
 func newSegments() segments {
-	return segments{{Range: keyspace.Range{First: 0, Last: keyspace.MaxKey}}}
+	return segments{{Range: allKeys}}
 }
 
 // at returns the position of the segment that contains a key.
