Grant: refuse late grants after releases that failed until the hold ended

If all releases failed until the hold had ended, the keys went to the successor and the grants that the upstream had left unanswered were forgotten, so that nothing made it refuse them. They are now kept in the segment, and the manager goes on to release the keys in the background until they are refused or can't be carried out any more. The successor gets the keys at the end of the hold, as before, and a repeated request is answered at once.

--- a/grant/lapse.go
+++ b/grant/lapse.go
@@ -15,7 +15,13 @@
 		m.markLapsed()
 		m.releaseLapsed()
 		m.claimReleased()
-		wait.For(ctx, m.nextLeaseCheck())
+		timer := time.NewTimer(m.nextLeaseCheck())
+		select {
+		case <-timer.C:
+		case <-m.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 	m.markLapsed()
 }
@@ -28,6 +34,14 @@
 	return min(max(time.Until(m.lease.Expires()), time.Millisecond), renewInterval)
 }
 
+// wakeUp makes followLease check the lease and the lapsed keys at once.
+func (m *Manager) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
 // markLapsed marks all keys as lapsed that the upstream may hold if the lease isn't valid.
 func (m *Manager) markLapsed() {
 	if m.lease.Valid() {
--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -111,3 +111,34 @@
 		})
 	}
 }
+
+// TestLateGrantAfterFailedReleases guards against an unanswered grant that the upstream carries out after all releases have failed until
+// the end of the hold and the keys have moved to another upstream. The successor must not wait longer for the refusal of the grant.
+func TestLateGrantAfterFailedReleases(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+		time.Sleep(250 * time.Millisecond)
+		var lastGrantAt time.Time
+		a.upstream.set(func(u *fakeUpstream) { lastGrantAt = u.lastGrantAt })
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		for !b.manager.Serves(innerKey) && time.Since(lastGrantAt) < 10*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(lastGrantAt); took > grant.MaxHeld+100*time.Millisecond {
+			t.Errorf("the successor serves the keys %v after the last grant", took)
+		}
+		started := time.Now()
+		if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{
+			Range: allKeys, Service: "bookings", Epoch: 2, Holder: a.self, Successor: b.self,
+		}); err != nil || time.Since(started) > 0 {
+			t.Errorf("a repeated release request took %v, error %v", time.Since(started), err)
+		}
+		time.Sleep(time.Second)
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+		time.Sleep(300 * time.Millisecond)
+		if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+			t.Errorf("a late grant wasn't refused: %v", err)
+		}
+	})
+}
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -95,6 +95,8 @@
 
 	ctx   context.Context
 	group sync.WaitGroup
+	// wake ends the pause between two checks of the lease.
+	wake chan struct{}
 	// releasing is the context of the releases, which go on after ctx has ended until the manager is closed. endReleases ends it.
 	releasing   context.Context
 	endReleases context.CancelFunc
@@ -122,7 +124,7 @@
 	m := &Manager{
 		service: service, self: self, lease: lease, upstream: upstream, peers: peers, ctx: ctx, maxHold: MaxHold,
 		segments: newSegments(), changed: make(chan struct{}), claims: make(map[keyspace.Range]uint64),
-		inFlight: make(map[*keyspace.Range]struct{}), pacer: make(chan struct{}, 1),
+		inFlight: make(map[*keyspace.Range]struct{}), pacer: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
 	m.releasing, m.endReleases = context.WithCancel(context.WithoutCancel(ctx))
 	for _, option := range options {
--- a/grant/release.go
+++ b/grant/release.go
@@ -137,7 +137,10 @@
 			return
 		}
 		s.state, s.usableUntil = stateNone, time.Time{}
-		if outcome != outcomeHoldEnded || !s.hold.lapsed || !s.hold.carriedOutLater() {
+		if outcome == outcomeHoldEnded && s.hold.carriedOutLater() {
+			s.hold.lapsed = true
+			m.wakeUp()
+		} else {
 			s.hold = hold{epoch: s.hold.epoch}
 		}
 		if outcome != outcomeNeverGranted {
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -67,8 +67,8 @@
 	// acknowledged is the highest fencing token of a grant that succeeded, and unanswered that of one that failed or timed out, which the
 	// upstream may still carry out.
 	acknowledged, unanswered uint64
-	// lapsed means that the manager itself makes the upstream release the keys, whether or not a successor asks for them, since the lease
-	// under which the grants were sent has ended.
+	// lapsed means that the manager itself makes the upstream release the keys, whether or not a successor asks for them: the lease under
+	// which the grants were sent has ended, or a release has failed until the hold had ended.
 	lapsed bool
 }
 
