--- /dev/null
+++ b/grant/lapse_test.go
@@ -0,0 +1,230 @@
+package grant_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"sapphiretray/grant"
+	"sapphiretray/member"
+)
+
+// sendLate carries out the latest unanswered grant of the fake upstream.
+func (u *fakeUpstream) sendLate(t *testing.T) error {
+	t.Helper()
+	var late grant.Grant
+	u.set(func(u *fakeUpstream) {
+		late, u.unanswered, u.arrivalTime = u.lateGrant, false, 0
+		fence := u.lateFence
+		late.Fence = func(bool) uint64 { return fence }
+	})
+	if late.Hold == nil {
+		t.Fatal("no grant was left unanswered")
+	}
+	return u.Grant(t.Context(), late)
+}
+
+// TestHoldBeyondLapsedLease guards against an upstream that holds keys after the lease has ended because a grant arrived late.
+func TestHoldBeyondLapsedLease(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a := f.t, f.a
+		a.lease.extend(2 * time.Second)
+		time.Sleep(1300 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.arrivalTime = 500 * time.Millisecond })
+		time.Sleep(200 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.arrivalTime = 0 })
+		time.Sleep(time.Until(a.lease.Expires()) + 10*time.Millisecond)
+		for range 500 {
+			if a.upstream.holds(innerKey) || a.manager.Serves(innerKey) {
+				t.Fatalf("%v after the end of the lease, the upstream holds the keys: %v, they are served: %v",
+					time.Since(a.lease.Expires()), a.upstream.holds(innerKey), a.manager.Serves(innerKey))
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
+// TestLateGrantAfterLapsedLease guards against an unanswered grant that the upstream carries out after the lease has ended, when another
+// upstream may have the keys with a higher fencing token. Only the instance beside the upstream can prevent it.
+func TestLateGrantAfterLapsedLease(t *testing.T) {
+	tests := []struct {
+		name string
+		// unresponsive is for how long after the end of the lease the upstream answers nothing.
+		unresponsive time.Duration
+		// ended means that the session ends with the lease.
+		ended bool
+	}{
+		{name: "the upstream responds"},
+		{name: "the upstream responds within the hold", unresponsive: time.Second},
+		{name: "the upstream responds after the hold", unresponsive: 8 * time.Second},
+		{name: "session ended", ended: true},
+		{name: "session ended, the upstream responds after the hold", unresponsive: 8 * time.Second, ended: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withTwoNodes(t, func(f fixture) {
+				t, a := f.t, f.a
+				a.lease.extend(2 * time.Second)
+				time.Sleep(time.Second)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+				time.Sleep(time.Until(a.lease.Expires()))
+				if test.ended {
+					a.stop()
+				}
+				time.Sleep(test.unresponsive)
+				a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+				time.Sleep(300 * time.Millisecond)
+				if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+					t.Errorf("a late grant wasn't refused: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestLapsedKeysAreClaimedAgain guards against keys without an owner after the lease was re-acquired, and against grants that the upstream
+// refuses because of the fencing token of the release.
+func TestLapsedKeysAreClaimedAgain(t *testing.T) {
+	for _, invalid := range []time.Duration{20 * time.Millisecond, 3 * time.Second} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.releaseRaises, u.unanswered = true, true })
+			a.lease.extend(2 * time.Second)
+			time.Sleep(2*time.Second + invalid)
+			if a.manager.Serves(innerKey) || a.manager.Admit(t.Context(), innerKey, time.Now()) == nil {
+				t.Error("the keys are served without a lease")
+			}
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+			a.lease.extend(time.Hour)
+			time.Sleep(ownerGap)
+			if !a.manager.Serves(innerKey) || !a.upstream.holds(innerKey) || a.manager.SettledVersion() != 1 {
+				t.Errorf("%v after the lease was re-acquired, invalid for %v: serves %v, upstream holds %v, settled on map %d", ownerGap,
+					invalid, a.manager.Serves(innerKey), a.upstream.holds(innerKey), a.manager.SettledVersion())
+			}
+			var releases int
+			a.upstream.set(func(u *fakeUpstream) { releases = u.releases })
+			time.Sleep(20 * time.Second)
+			a.upstream.set(func(u *fakeUpstream) {
+				if u.releases != releases {
+					t.Errorf("%d releases while the lease is valid", u.releases-releases)
+				}
+			})
+		})
+	}
+}
+
+// TestLateGrantAfterFailedReleases guards against an unanswered grant that the upstream carries out after all releases have failed until
+// the end of the hold and the keys have moved to another upstream. The successor must not wait longer for the refusal of the grant.
+func TestLateGrantAfterFailedReleases(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+		time.Sleep(250 * time.Millisecond)
+		var lastGrantAt time.Time
+		a.upstream.set(func(u *fakeUpstream) { lastGrantAt = u.lastGrantAt })
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		for !b.manager.Serves(innerKey) && time.Since(lastGrantAt) < 10*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(lastGrantAt); took > grant.MaxHeld+100*time.Millisecond {
+			t.Errorf("the successor serves the keys %v after the last grant", took)
+		}
+		started := time.Now()
+		if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{
+			Range: allKeys, Service: "bookings", Epoch: 2, Holder: a.self, Successor: b.self,
+		}); err != nil || time.Since(started) > 0 {
+			t.Errorf("a repeated release request took %v, error %v", time.Since(started), err)
+		}
+		time.Sleep(time.Second)
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+		time.Sleep(300 * time.Millisecond)
+		if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+			t.Errorf("a late grant wasn't refused: %v", err)
+		}
+	})
+}
+
+// rejoin ends the session of a node and returns a node with the same upstream and the next incarnation, whose manager takes over.
+func (f fixture) rejoin(n *node) (next *node, end func()) {
+	n.stop()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	next = &node{self: member.NewIncarnation(n.self.Slot(), n.self.Number()+1), upstream: n.upstream, lease: &fakeLease{}}
+	next.lease.extend(time.Hour)
+	next.manager = grant.New(ctx, "bookings", next.self, next.lease, n.upstream, f.peers, grant.WithEarlier(n.manager))
+	f.peers.set(func(p *peers) { p.managers[next.self] = next.manager })
+	var running sync.WaitGroup
+	running.Go(func() { next.manager.Run(ctx) })
+	return next, func() {
+		cancel()
+		running.Wait()
+		next.manager.Wait()
+		next.manager.Close()
+	}
+}
+
+// TestNextSessionRefusesLateGrants guards against a session that forgets the unanswered grants of the one before it.
+func TestNextSessionRefusesLateGrants(t *testing.T) {
+	for _, unresponsive := range []time.Duration{0, time.Second, 6 * time.Second} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+			time.Sleep(450 * time.Millisecond)
+			_, end := f.rejoin(a)
+			defer end()
+			time.Sleep(unresponsive)
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+			time.Sleep(300 * time.Millisecond)
+			if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+				t.Errorf("a late grant wasn't refused: %v", err)
+			}
+		})
+	}
+}
+
+// TestNextSessionCountsEarlierHolds guards against a session that releases keys at once to a successor although the upstream holds them
+// by a grant of the session before.
+func TestNextSessionCountsEarlierHolds(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		withTwoNodes(t, func(f fixture) {
+			t, a, b := f.t, f.a, f.b
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = unanswered })
+			next, end := f.rejoin(a)
+			defer end()
+			b.manager.Update(assignAll(t, 2, b.self, next.self))
+			if both := f.heldByBoth(innerKey, 3*time.Second); both > 0 || !b.manager.Serves(innerKey) {
+				t.Errorf("unanswered %v: both upstreams held key %d for %v, the successor serves it: %v", unanswered, innerKey, both,
+					b.manager.Serves(innerKey))
+			}
+		})
+	}
+}
+
+// TestNextSessionAwaitsReleases guards against a release of an earlier session that arrives after the next session has granted the keys,
+// and takes them away, and against a fencing token of the next session that the upstream refuses.
+func TestNextSessionAwaitsReleases(t *testing.T) {
+	for _, busy := range []time.Duration{0, 300 * time.Millisecond} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.releaseRaises, u.unanswered = true, true })
+			a.lease.extend(0)
+			time.Sleep(210 * time.Millisecond)
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.busyUntil = false, time.Now().Add(busy) })
+			next, end := f.rejoin(a)
+			defer end()
+			next.manager.Update(assignAll(t, 1, next.self))
+			for started := time.Now(); time.Since(started) < 3*time.Second; time.Sleep(time.Millisecond) {
+				if next.manager.Serves(innerKey) && !a.upstream.holds(innerKey) {
+					t.Fatalf("%v after the next session began, it serves keys that the upstream doesn't hold", time.Since(started))
+				}
+				if time.Since(started) > ownerGap && !next.manager.Serves(innerKey) {
+					t.Fatalf("the keys aren't served %v after the next session began", time.Since(started))
+				}
+			}
+			if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{Range: allKeys, Epoch: 3, Holder: a.self}); err == nil {
+				t.Error("the earlier manager releases keys that the next session serves")
+			}
+		})
+	}
+}
