--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -33,7 +33,7 @@
 	ownerTroubleTime = 26 * time.Second
 	ownerCalmTime    = 15 * time.Second
 	// maxOwnerRealTime bounds the real time of one seed.
-	maxOwnerRealTime = 2 * time.Minute
+	maxOwnerRealTime = 40 * time.Second
 	ownerService     = "shelves"
 	// ownerSamples is the number of keys that have load and are checked.
 	ownerSamples = 48
@@ -56,6 +56,14 @@
 func TestOwnershipModel(t *testing.T) {
 	klog.LogToStderr(false)
 	defer klog.LogToStderr(true)
+	logFlags := flag.NewFlagSet("klog", flag.PanicOnError)
+	klog.InitFlags(logFlags)
+	threshold := logFlags.Lookup("stderrthreshold").Value
+	before := threshold.String()
+	if err := threshold.Set("FATAL"); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = threshold.Set(before) }()
 	failures := make(map[string][]uint64)
 	total := make(map[string]int)
 	for n := range *ownerSeeds {
@@ -223,6 +231,8 @@
 func (m *ownerModel) run(t *testing.T) {
 	t.Helper()
 	m.started = time.Now()
+	// Channels must belong to the bubble.
+	m.store.changed = make(chan struct{})
 	initial := 0
 	m.locked(func() {
 		d := m.draw("deployment")
--- a/sidecar/ownermodel_store_test.go
+++ b/sidecar/ownermodel_store_test.go
@@ -39,7 +39,7 @@
 }
 
 func newOwnerStore(m *ownerModel) *ownerStore {
-	return &ownerStore{m: m, rows: make(map[string]store.Row), changed: make(chan struct{})}
+	return &ownerStore{m: m, rows: make(map[string]store.Row)}
 }
 
 // ownerStoreClient is the store as one process sees it. It implements store.Store.
