--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -48,9 +48,9 @@
 )
 
 // TestOwnershipModel guards against sequences of faults after which two upstreams hold the same keys, an upstream takes them with a fencing
-// token that isn't above those of others, or they stay without an owner. It runs the product's directory, follower, planner, reports, pushes,
-// leases, grant managers and sessions, with fakes of the store, the network and the upstreams. A failure prints the seed, which replays
-// mostly the same sequence:
+// token that isn't above those of others, or they stay without an owner. It runs the product's directory, follower, planner, reports,
+// pushes, leases, grant managers and sessions, with fakes of the store, the network and the upstreams. A failure prints the seed, which
+// replays mostly the same sequence:
 //
 //	go test -race ./sidecar -run TestOwnershipModel -owner.seed 17 -owner.seeds 1
 func TestOwnershipModel(t *testing.T) {
--- a/sidecar/ownermodel_upstream_test.go
+++ b/sidecar/ownermodel_upstream_test.go
@@ -203,6 +203,7 @@
 		if !wait.For(ctx, c.draws.between(50*time.Millisecond, 1500*time.Millisecond)) {
 			err = ctx.Err()
 		}
+	case ownerAnswered:
 	}
 	p := g.process
 	if !p.awaitRunning() {
