Sidecar: model of ownership: answer health checks, end series of restarts

The upstream refused the check by which a restarted process learns its id, so that the process counted it as down until its next heartbeat.

--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -111,7 +112,7 @@
 		CallerAddress: n.address(modelCallerPort), PeerAddress: n.address(modelPeerPort),
 		HeartbeatAddress: n.address(modelHeartbeatPort), UpstreamAddress: n.address(ownerUpstreamPort), StopTimeout: 6 * time.Second,
 	}, Adapters{
-		Store: ownerStoreClient{m.store, p}, Upstream: modelProtocol{}, Callers: modelProtocol{}, Network: ownerTCP{p},
+		Store: ownerStoreClient{m.store, p}, Upstream: ownerProtocol{}, Callers: modelProtocol{}, Network: ownerTCP{p},
 		Grants:      func(*gateway.Gateway) grant.Upstream { return ownerGrants{p} },
 		ConfigTable: ownerConfigTable, ConfigKey: ownerConfigKey,
 		DecodeConfig: func([]byte) (*routing.Table, error) { return m.table, nil },
@@ -123,7 +124,7 @@
 	p.cancel = cancel
 	group, running := errgroup.WithContext(running)
 	sc.group = group
-	sc.gateway = gateway.New(group, ownerService, sc.settings.UpstreamAddress, modelProtocol{}, gateway.WithKeys(sc.keys),
+	sc.gateway = gateway.New(group, ownerService, sc.settings.UpstreamAddress, ownerProtocol{}, gateway.WithKeys(sc.keys),
 		gateway.WithOnChange(sc.upstreamChanged), gateway.WithDial(sc.adapters.Network.DialContext))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(), heartbeat.WithNetwork(ownerHeartbeats{p}),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
@@ -216,7 +217,7 @@
 func (t ownerTCP) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n := t.process.node
 	if address == n.address(ownerUpstreamPort) {
-		return nil, errOwnerRefused
+		return t.dialUpstream()
 	}
 	to := n.m.network.node(address)
 	if !n.m.network.transfer(ctx, n, to, "dial") || !n.m.network.transfer(ctx, to, n, "dial") {
@@ -229,3 +230,33 @@
 	_ = remote.Close()
 	return local, nil
 }
+
+// dialUpstream connects to the upstream, which answers one request with its id.
+func (t ownerTCP) dialUpstream() (net.Conn, error) {
+	n := t.process.node
+	var u *ownerUpstream
+	n.m.locked(func() { u = n.upstream })
+	if u == nil {
+		return nil, errOwnerRefused
+	}
+	local, remote := net.Pipe()
+	n.m.group.Go(func() {
+		defer func() { _ = remote.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(remote)); err == nil {
+			// An error means that the process has closed the connection.
+			_, _ = fmt.Fprintf(remote, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", ownerUpstreamID, u.run.ID)
+		}
+	})
+	return local, nil
+}
+
+// ownerUpstreamID is the header with the id of the upstream that responds.
+const ownerUpstreamID = "Model-Upstream"
+
+// ownerProtocol implements gateway.Protocol.
+type ownerProtocol struct{ modelProtocol }
+
+// Read implements gateway.Protocol.
+func (ownerProtocol) Read(_ int, header http.Header) gateway.ResponseInfo {
+	return gateway.ResponseInfo{Genuine: true, UpstreamID: header.Get(ownerUpstreamID)}
+}
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -138,7 +138,7 @@
 	m := &ownerModel{seed: seed, counts: make(map[string]uint64), totals: make(map[string]int)}
 	m.store = newOwnerStore(m)
 	m.network = newOwnerNetwork(m)
-	table, err := routing.New(1, routing.Limits{}, []routing.Service{{Name: ownerService, Keyed: true}}, nil)
+	table, err := routing.New(1, routing.Limits{}, []routing.Service{{Name: ownerService, Keyed: true, HealthPath: "/health"}}, nil)
 	if err != nil {
 		panic(err)
 	}
--- a/sidecar/ownermodel_trouble_test.go
+++ b/sidecar/ownermodel_trouble_test.go
@@ -114,6 +114,9 @@
 		limit, pause := d.between(0, 2*time.Second), d.between(50*time.Millisecond, time.Second)
 		m.group.Go(func() {
 			for _, n := range m.nodes {
+				if !m.isFaulty() {
+					return
+				}
 				n.restartProcess(limit, pause)
 				time.Sleep(gap)
 			}
@@ -162,7 +165,6 @@
 
 // endTroubles waits until the processes and upstreams that were stopped run again, and ends all other troubles.
 func (m *ownerModel) endTroubles() {
-	time.Sleep(6 * time.Second)
 	m.locked(func() {
 		m.faulty = false
 		now := time.Now()
@@ -171,8 +173,8 @@
 			n.feedLag = 0
 		}
 	})
-	// Feeds are silent for up to 20 s.
-	var last time.Time
+	// Feeds are silent for up to 20 s, and restarts take up to 5 s.
+	last := time.Now().Add(5 * time.Second)
 	m.locked(func() {
 		for _, n := range m.nodes {
 			if n.feedSilentUntil.After(last) {
