--- a/sidecar/ownermodel_store_test.go
+++ b/sidecar/ownermodel_store_test.go
@@ -164,7 +164,7 @@
 // recordRow adds a written row to the time line.
 func (s *ownerStore) recordRow(row store.Row, writer string) {
 	if row.Key != keyspace.RowKey(ownerService) {
-		s.m.record("%s writes row %d, %s", writer, row.Version, row.Key)
+		s.m.record("%s writes row %d, %s, deleted: %v", writer, row.Version, row.Key, row.Deleted)
 		return
 	}
 	keys, err := keyspace.Decode(row.Value, row.Version)
--- a/sidecar/ownermodel_trouble_test.go
+++ b/sidecar/ownermodel_trouble_test.go
@@ -3,6 +3,10 @@
 import (
 	"slices"
 	"time"
+
+	"sapphiretray/keyspace"
+	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 // ownerTrouble is a kind of trouble.
@@ -52,6 +56,15 @@
 			m.record("the store loses its history")
 		})
 	}},
+	{"other writer", func(m *ownerModel, n *ownerNode, d *draws) {
+		m.locked(func() {
+			write := store.Write{Table: TableName, Key: keyspace.RowKey(ownerService), Delete: d.chance(0.5), Value: []byte("{}")}
+			if d.chance(0.6) {
+				write.Key = member.RowKey(n.slot)
+			}
+			_, _ = m.store.apply(store.Transaction{Writes: []store.Write{write}}, "another writer")
+		})
+	}},
 	{"stall", func(m *ownerModel, n *ownerNode, d *draws) {
 		m.locked(func() {
 			n.stalledUntil = time.Now().Add(d.between(100*time.Millisecond, 4*time.Second))
@@ -167,6 +180,7 @@
 // ownerMixes are kinds of trouble that reach more states together than alone. The last mix stands for any kinds.
 var ownerMixes = [][]string{
 	{"silent feed", "late feed", "store down", "writes", "history", "stop", "unanswered grants"},
+	{"silent feed", "late feed", "other writer", "stop", "kill", "crash", "unanswered grants"},
 	{"stall", "unanswered grants", "cut node", "loss", "kill", "restarts in series"},
 	nil,
 }
