Log which holders a restored key map is claimed from

A row of a key map that can't be used was logged without the instances that it names, and a restored map without the number of holders and the version up to which the records were complete. So it couldn't be seen in the log that an owner named by a row that was set aside wasn't asked to release its keys.

"directory: key map set aside" now takes the place of "invalid row ignored" for key maps, and "plan: map restored" has the version of the records, the number of holders, of those that the rows set aside name, and of those of them that no keys are claimed from. Their names are logged with -v=1.

--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -109,6 +109,16 @@
 	return m.entries
 }
 
+// Holders returns the owners, successors and previous holders of all keys, each once and sorted by slot and number.
+func (m *Map) Holders() []member.Incarnation {
+	all := make(map[member.Incarnation]bool)
+	for _, e := range m.Entries() {
+		add(all, e.Members)
+		add(all, e.Previous)
+	}
+	return sorted(all)
+}
+
 // Find returns the entry of a key, and false if the map is empty.
 func (m *Map) Find(k Key) (Entry, bool) {
 	if m == nil || len(m.entries) == 0 {
--- a/keyspace/restore.go
+++ b/keyspace/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"sapphiretray/member"
@@ -14,10 +15,7 @@
 func (m *Map) Restore(lostAt uint64, holders []member.Incarnation, ended func(member.Incarnation) bool) *Map {
 	version := max(m.version, lostAt) + 1
 	all := make(map[member.Incarnation]bool)
-	for _, e := range m.entries {
-		add(all, e.Members)
-		add(all, e.Previous)
-	}
+	add(all, m.Holders())
 	add(all, holders)
 	others := otherHolders(all, ended)
 	entries := make([]Entry, 0, len(m.entries))
@@ -37,16 +35,15 @@
 
 // otherHolders returns a function that returns, sorted, the incarnations in a set that haven't ended, without the given owner.
 func otherHolders(set map[member.Incarnation]bool, ended func(member.Incarnation) bool) func(member.Incarnation) []member.Incarnation {
-	var sorted []member.Incarnation
-	for i := range set {
-		if !i.IsZero() && !ended(i) {
-			sorted = append(sorted, i)
-		}
+	running := slices.DeleteFunc(sorted(set), func(i member.Incarnation) bool { return i.IsZero() || ended(i) })
+	return func(owner member.Incarnation) []member.Incarnation {
+		return slices.DeleteFunc(slices.Clone(running), func(i member.Incarnation) bool { return i == owner })
 	}
-	slices.SortFunc(sorted, func(a, b member.Incarnation) int {
+}
+
+// sorted returns the incarnations in a set, sorted by slot and number.
+func sorted(set map[member.Incarnation]bool) []member.Incarnation {
+	return slices.SortedFunc(maps.Keys(set), func(a, b member.Incarnation) int {
 		return cmp.Or(cmp.Compare(a.Slot(), b.Slot()), cmp.Compare(a.Number(), b.Number()))
 	})
-	return func(owner member.Incarnation) []member.Incarnation {
-		return slices.DeleteFunc(slices.Clone(sorted), func(i member.Incarnation) bool { return i == owner })
-	}
 }
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -55,6 +55,8 @@
 	lostAt uint64
 	// awaitsRecords means that the row at lostAt holds a map with owners that no record names. Their records may arrive later.
 	awaitsRecords bool
+	// setAside are the incarnations that the rows since that of keys name, none of which could be used.
+	setAside []member.Incarnation
 }
 
 // lastFence returns the highest fencing token of the maps so far. The tokens of later maps are higher.
@@ -111,7 +113,7 @@
 		err = fmt.Errorf("incarnation %s is older than %s", record.Incarnation, known)
 	}
 	if err != nil {
-		d.logInvalid("record", row, err)
+		d.logInvalid(row, err)
 		return
 	}
 	if known != record.Incarnation {
@@ -122,10 +124,10 @@
 	d.remember(record)
 }
 
-// logInvalid logs a row that isn't used.
-func (d *directory) logInvalid(kind string, row store.Row, err error) {
+// logInvalid logs the row of a record that isn't used.
+func (d *directory) logInvalid(row store.Row, err error) {
 	if reason := loglimit.Text(err.Error()); d.invalid.Allow(row.Key + "\x00" + reason) {
-		klog.InfoS("directory: invalid row ignored", "kind", kind, "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
+		klog.InfoS("directory: invalid record ignored", "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
 	}
 }
 
@@ -135,7 +137,7 @@
 	known := d.maps[service]
 	if row.Deleted {
 		klog.InfoS("directory: key map removed", "service", service, "version", row.Version)
-		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version}
+		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version, setAside: known.setAside}
 		return
 	}
 	keys, err := keyspace.Decode(row.Value, row.Version)
@@ -151,8 +153,31 @@
 		d.maps[service] = mapRow{keys: keys, version: row.Version}
 		return
 	}
-	d.logInvalid("key map", row, err)
-	d.maps[service] = mapRow{keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits}
+	named := keys.Holders()
+	d.logSetAside(row, known, named, err)
+	d.maps[service] = mapRow{
+		keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits, setAside: union(known.setAside, named),
+	}
+}
+
+// logSetAside logs the row of a key map that isn't used, with the incarnations that it names.
+func (d *directory) logSetAside(row store.Row, known mapRow, named []member.Incarnation, err error) {
+	reason := loglimit.Text(err.Error())
+	if !d.invalid.Allow(row.Key + "\x00" + reason) {
+		return
+	}
+	klog.InfoS("directory: key map set aside", "key", loglimit.Text(row.Key), "version", row.Version, "known", known.keys.Version(),
+		"knownRow", known.version, "holders", len(named), "err", reason)
+	klog.V(1).InfoS("directory: holders of a key map that was set aside", "version", row.Version, "holders", named)
+}
+
+// union returns the incarnations that are in either list, each of which has no duplicates.
+func union(a, b []member.Incarnation) []member.Incarnation {
+	all, known := slices.Clone(a), make(map[member.Incarnation]bool, len(a)+len(b))
+	for _, i := range a {
+		known[i] = true
+	}
+	return append(all, slices.DeleteFunc(slices.Clone(b), func(i member.Incarnation) bool { return known[i] })...)
 }
 
 // acceptPushed lets the key maps in rows that the planner has sent be used before the records of their owners, which the planner knows,
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -232,13 +233,17 @@
 
 // restoreMap writes the last known map again after another writer has replaced or removed it.
 func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
+	complete := sc.rows.Version()
 	next := current.keys.Restore(current.lostAt, sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
 	}
+	holders := next.Holders()
+	missing := slices.DeleteFunc(slices.Clone(current.setAside), func(i member.Incarnation) bool { return slices.Contains(holders, i) })
 	klog.InfoS("plan: map restored", "service", sc.settings.Service, "version", next.Version(), "known", current.keys.Version(),
-		"row", current.lostAt)
+		"row", current.lostAt, "complete", complete, "holders", len(holders), "setAside", len(current.setAside), "missing", len(missing))
+	klog.V(1).InfoS("plan: holders of the restored map", "version", next.Version(), "holders", holders, "missing", missing)
 }
 
 // commitMap replaces the current map in the store by the next one. If the outcome is unknown, the store's feed shows it later.
