Claim no keys from incarnations that were never registered

A key map of another writer may name an incarnation that doesn't exist. Its slot has no address and no known witnesses, so that keys that are claimed from it would never be served.

An incarnation is registered by a row of its slot before any map names it. So it doesn't exist if the rows are complete up to the newest row of a key map and the newest row of its slot is below its number. If the slot was never seen and the number isn't above the version of the first listing, the record may have been removed before; a running instance writes it again, which is awaited for 10 s.

Without the check, TestHolderThatWasNeverRegistered printed "slot-7#34 counts as ended: false, want true; rows complete up to 44".

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -29,6 +30,10 @@
 	history map[string][]member.Record
 	// registered holds the newest version of the row of each slot. No incarnation in it has a higher number.
 	registered map[string]uint64
+	// listed is when the rows had been listed, zero before, and listedUpTo the version of the listing. Rows that were removed before it
+	// aren't known.
+	listed     time.Time
+	listedUpTo uint64
 	// maps holds the newest key map of each service.
 	maps map[string]mapRow
 	// awaiting holds the rows of key maps that aren't used because no record names one of their owners, by service.
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"sapphiretray/gateway"
 	"sapphiretray/member"
@@ -60,6 +61,34 @@
 	return known && current.Incarnation.Number() > i.Number() && !upstreamRunOf(current).Same(upstreamRunOf(past))
 }
 
+// markListed records that the rows were listed at a version.
+func (d *directory) markListed(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed, d.listedUpTo = time.Now(), version
+}
+
+// unlistedWait is how long after the listing a row that was removed before it may come back. A running instance writes its record again
+// within restoreInterval after it has learned of the removal, which takes up to 6 s if it doesn't watch the store.
+const unlistedWait = 10 * time.Second
+
+// neverRegistered reports whether an incarnation that a key map names doesn't exist. complete is the version up to which the rows are known
+// to be complete. An incarnation is registered by a row of its slot, of a version that isn't below its number, before any map names it.
+func (d *directory) neverRegistered(i member.Incarnation, complete uint64) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	newest := d.registered[i.Slot()]
+	if newest >= i.Number() || d.listed.IsZero() {
+		return false
+	}
+	for _, m := range d.maps {
+		if complete < max(m.version, m.lostAt) {
+			return false
+		}
+	}
+	return newest > 0 || i.Number() > d.listedUpTo || time.Since(d.listed) >= unlistedWait
+}
+
 // possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may.
 func (d *directory) possibleHolders(service string) []member.Incarnation {
 	d.mu.RLock()
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -148,9 +148,10 @@
 	return !sc.endedOrExpired(owner)
 }
 
-// endedOrExpired reports whether an incarnation can't serve any more, because its upstream has ended or its lease was proved expired.
+// endedOrExpired reports whether an incarnation can't serve, because its upstream has ended, its lease was proved expired, or it doesn't
+// exist.
 func (sc *Sidecar) endedOrExpired(i member.Incarnation) bool {
-	if sc.directory.ended(i) {
+	if sc.Ended(i) {
 		return true
 	}
 	sc.planner.mu.Lock()
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 
 	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/keyspace"
+	"sapphiretray/loglimit"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
@@ -175,5 +177,18 @@
 	return heartbeat.NewProver(sc.dialSlot, timing()).ProveExpired(ctx, i, names)
 }
 
-// Ended implements grant.Peers.
-func (sc *Sidecar) Ended(i member.Incarnation) bool { return sc.directory.ended(i) }
+// Ended implements grant.Peers. An incarnation that was never registered, which only a map of another writer names, has no keys either.
+func (sc *Sidecar) Ended(i member.Incarnation) bool {
+	// The directory has all rows up to a version that is read before.
+	complete := sc.rows.Version()
+	if sc.directory.ended(i) {
+		return true
+	}
+	if !sc.directory.neverRegistered(i, complete) {
+		return false
+	}
+	if sc.directory.invalid.Allow("holder " + i.String()) {
+		klog.InfoS("directory: holder was never registered", "instance", loglimit.Text(i.String()), "complete", complete)
+	}
+	return true
+}
--- a/sidecar/witnesses.go
+++ b/sidecar/witnesses.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// endSilence makes the instance respond as a witness to the incarnations that joined after its process had started. The rows must have
-// been listed.
+// endSilence makes the instance respond as a witness to the incarnations that joined after its process had started, and records the version
+// of the listing. The rows must have been listed.
 func (sc *Sidecar) endSilence() {
+	sc.directory.markListed(sc.rows.Version())
 	newest := sc.directory.newestRegistered()
 	var unlisted uint64
 	if sc.directory.hasMaps() {
