Claim keys from all holders that a replaced key map names

Cause: a holder that isn't known counted as none. Holders came from the records that an instance happened to have, without those that were removed, and an unused row was replaced without a look at what it names.

Each map names all incarnations that may hold keys under any earlier row, and rows are replaced by compare-and-set. To keep that so when a row is replaced that the writer doesn't use: - what the rows set aside name counts as holder, until a row is used; - a map is restored or keys are assigned anew only once the rows are complete up to the version of the loss, since all incarnations were registered before; they are fetched from other instances meanwhile; - an instance whose record was removed, or has a state that no running process writes, stays a possible holder, and can be asked at its last known address; - if no row of a map is known, it may have been removed before the rows were listed: the instances that joined before are holders, settled or not. Those of a new service aren't.

Failed before: - TestRestoredMapNamesHoldersOfLostRows, in all seven cases: "keys 0-65535 of slot-3#4 aren't claimed from slot-7#34 but from [slot-4#6]", "... from slot-8#35 but from [slot-4#6]", "... from slot-4#6 but from []"; - TestFirstPlanNamesPossibleHolders: "slot-3#4 isn't among the holders []", "slot-7#34 isn't among the holders [slot-3#4 slot-4#6]", "slot-4#6 isn't among the holders [slot-3#4]"; - TestLostMapAwaitsRecords, in all three cases: "a map was written while the records were complete up to version 25", "keys 0-65535 of slot-3#4 aren't claimed from slot-7#34 but from []".

--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -32,7 +32,8 @@
 	Current *Map
 	// Used is a version that is not below those of all earlier maps of the service. The next map has a higher one.
 	Used uint64
-	// Holders are the incarnations that may serve keys under an earlier map, if Current is nil because that map was lost.
+	// Holders are the incarnations, candidates included, that may serve keys under an earlier map, if Current is nil because that map was
+	// lost.
 	Holders []member.Incarnation
 	// Candidates are the instances that may own keys.
 	Candidates []Candidate
@@ -124,9 +125,6 @@
 	if len(b.input.Holders) > 0 {
 		all := make(map[member.Incarnation]bool)
 		add(all, b.input.Holders)
-		for _, c := range b.input.Candidates {
-			all[c.Instance] = true
-		}
 		others = otherHolders(all, b.input.Ended)
 	}
 	first, sum := 0, 0.0
--- a/keyspace/restore.go
+++ b/keyspace/restore.go
@@ -11,7 +11,8 @@
 // Restore returns a map with the owners of m, to be written after another writer has replaced or removed the row of the service's map.
 // lostAt is the version of that change in the store, which no version or epoch of an earlier map exceeds, because each was written with a
 // version below it. A newer map than m may have been lost, so that the owners have to claim their keys from all others that may serve
-// keys: those in m and holders, the possible holders under a map that isn't known, without those that ended reports as ended.
+// keys: those in m and holders, the possible holders under a map that isn't known or wasn't used, without those that ended reports as
+// ended.
 func (m *Map) Restore(lostAt uint64, holders []member.Incarnation, ended func(member.Incarnation) bool) *Map {
 	version := max(m.version, lostAt) + 1
 	all := make(map[member.Incarnation]bool)
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -89,19 +89,17 @@
 	return newest > 0 || i.Number() > d.listedUpTo || time.Since(d.listed) >= unlistedWait
 }
 
-// possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may.
+// possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may. One whose
+// record was removed counts, since it may run. They are complete up to the version up to which the rows are.
 func (d *directory) possibleHolders(service string) []member.Incarnation {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var holders []member.Incarnation
-	for _, slot := range slices.Sorted(maps.Keys(d.records)) {
-		current := d.records[slot]
-		if current.Service != service || current.State.Ended() {
-			continue
-		}
+	for _, slot := range slices.Sorted(maps.Keys(d.history)) {
 		history := d.history[slot]
+		last := history[len(history)-1]
 		for _, r := range history[max(0, len(history)-holdersPerSlot):] {
-			if upstreamRunOf(r).Same(upstreamRunOf(current)) {
+			if r.Service == service && upstreamRunOf(r).Same(upstreamRunOf(last)) {
 				holders = append(holders, r.Incarnation)
 			}
 		}
@@ -109,6 +107,31 @@
 	return holders
 }
 
+// holdersBeforeListing returns the incarnations of a service that may serve keys under a map that was removed before the rows were listed.
+// Without witnesses, an incarnation has had no lease.
+func (d *directory) holdersBeforeListing(service string) []member.Incarnation {
+	holders := d.possibleHolders(service)
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.DeleteFunc(holders, func(i member.Incarnation) bool {
+		r, _ := d.recordOf(i)
+		return len(r.Witnesses) == 0 || !d.listed.IsZero() && i.Number() > d.listedUpTo
+	})
+}
+
+// lastRecord returns the newest record of a slot, which may have been removed, and false if there was none.
+func (d *directory) lastRecord(slot string) (member.Record, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if r, ok := d.records[slot]; ok {
+		return r, true
+	}
+	if history := d.history[slot]; len(history) > 0 {
+		return history[len(history)-1], true
+	}
+	return member.Record{}, false
+}
+
 // upstreamRunOf returns the run of the upstream in a record.
 func upstreamRunOf(r member.Record) gateway.UpstreamRun {
 	return gateway.UpstreamRun{ID: r.Upstream, Started: r.UpstreamStarted}
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -121,6 +121,22 @@
 	return s.version, nil
 }
 
+// written returns the maps that were written, in order.
+func (s *feedStore) written(t *testing.T) []*keyspace.Map {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var maps []*keyspace.Map
+	for _, row := range s.writes {
+		m, err := keyspace.Decode(row.Value, row.Version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		maps = append(maps, m)
+	}
+	return maps
+}
+
 // plannerTest is a process with a copy of the rows of a store, and links to other instances.
 type plannerTest struct {
 	t     *testing.T
@@ -173,6 +189,22 @@
 	return store.Row{Table: TableName, Key: key, Version: version, Deleted: true}
 }
 
+// mapWithPrevious returns the row of a map with one owner of all keys and its previous holders.
+func mapWithPrevious(t *testing.T, version uint64, owner member.Incarnation, previous []member.Incarnation, row uint64) store.Row {
+	t.Helper()
+	m, err := keyspace.NewMap(version, []keyspace.Entry{{
+		Range: keyspace.Range{Last: keyspace.MaxKey}, Epoch: version, Members: []member.Incarnation{owner}, Previous: previous,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Row{Table: TableName, Key: keyspace.RowKey("bookings"), Value: value, Version: row}
+}
+
 // TestHolderThatWasNeverRegistered guards against keys that are claimed for ever from an incarnation that doesn't exist, because another
 // writer's map names it, and against one that is taken for absent while its record may not have arrived, so that two upstreams hold a key.
 func TestHolderThatWasNeverRegistered(t *testing.T) {
@@ -213,3 +245,204 @@
 		})
 	}
 }
+
+// usableReports returns the reports of instances that can own keys and have claimed none.
+func usableReports(instances ...member.Incarnation) map[member.Incarnation]*peer.ReportRequest {
+	reports := make(map[member.Incarnation]*peer.ReportRequest)
+	for _, i := range instances {
+		reports[i] = &peer.ReportRequest{Service: "bookings", Instance: peer.FromIncarnation(i), Usable: true, Slots: 6}
+	}
+	return reports
+}
+
+// report sends the reports of instances to a planner until the test ends or stop is called.
+func report(ctx context.Context, sc *Sidecar, instances ...member.Incarnation) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	sc.group.Go(func() error {
+		for ctx.Err() == nil {
+			for _, r := range usableReports(instances...) {
+				sc.acceptReport(r)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(reportInterval):
+			}
+		}
+		return nil
+	})
+	return cancel
+}
+
+// checkClaimed fails the test unless each key of a map is owned by or claimed from all given incarnations.
+func checkClaimed(t *testing.T, m *keyspace.Map, holders ...member.Incarnation) {
+	t.Helper()
+	for _, e := range m.Entries() {
+		for _, i := range holders {
+			if e.Owner() != i && !slices.Contains(e.Previous, i) {
+				t.Errorf("keys %s of %s aren't claimed from %s but from %v", e.Range, e.Owner(), i, e.Previous)
+			}
+		}
+	}
+}
+
+// TestRestoredMapNamesHoldersOfLostRows guards against two owners of a key after a map is restored: an instance that got keys under a row
+// that wasn't used, or whose record was removed, isn't asked to release them.
+func TestRestoredMapNamesHoldersOfLostRows(t *testing.T) {
+	owner, other := member.NewIncarnation("slot-3", 4), member.NewIncarnation("slot-4", 6)
+	unknown, unknown2 := member.NewIncarnation("slot-7", 34), member.NewIncarnation("slot-8", 35)
+	restarted := member.NewIncarnation("slot-4", 30)
+	tests := []struct {
+		name string
+		rows []store.Row
+		want []member.Incarnation
+	}{
+		{"owner without a record", []store.Row{mapOf(t, 8, unknown, 44)}, []member.Incarnation{unknown}},
+		{
+			"previous holder without a record",
+			[]store.Row{mapWithPrevious(t, 8, unknown, []member.Incarnation{unknown2}, 44)},
+			[]member.Incarnation{unknown, unknown2},
+		},
+		{
+			"not newer than the known map",
+			[]store.Row{mapWithPrevious(t, 7, unknown, []member.Incarnation{restarted}, 44)},
+			[]member.Incarnation{unknown, restarted},
+		},
+		{
+			"several rows",
+			[]store.Row{mapOf(t, 8, unknown, 44), mapOf(t, 9, unknown2, 45), oddMap(46)},
+			[]member.Incarnation{unknown, unknown2},
+		},
+		{
+			"removed after another row",
+			[]store.Row{mapOf(t, 8, unknown, 44), removed(keyspace.RowKey("bookings"), 45)},
+			[]member.Incarnation{unknown},
+		},
+		{
+			"odd, and a record was removed",
+			[]store.Row{removed(member.RowKey("slot-4"), 32), oddMap(44)},
+			[]member.Incarnation{other},
+		},
+		{
+			"odd, and a record has a state that no running process writes", []store.Row{
+				recordRow(t, member.Record{Incarnation: other, State: member.Left}, 32), oddMap(44),
+			}, []member.Incarnation{other},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rows := []store.Row{recordRow(t, goodRecord(), 5), recordRow(t, witnessed(other), 6), mapOf(t, 7, owner, 20)}
+			testPlanner(t, 25, rows, func(p plannerTest) {
+				t, sc, s := p.t, p.sc, p.store
+				for _, row := range test.rows {
+					s.put(row)
+					sc.rows.Merge([]store.Row{row})
+				}
+				sc.restoreMap(t.Context(), sc.directory.keyMap("bookings"))
+				written := s.written(t)
+				if len(written) != 1 {
+					t.Fatalf("%d maps were written", len(written))
+				}
+				checkClaimed(t, written[0], append(test.want, owner)...)
+			})
+		})
+	}
+}
+
+// TestFirstPlanNamesPossibleHolders guards against two owners of a key after keys were assigned without a known map: an instance that may
+// hold keys under an earlier map isn't asked to release them because it hasn't settled. It also guards against a new service whose
+// instances ask each other for keys that none can hold.
+func TestFirstPlanNamesPossibleHolders(t *testing.T) {
+	first, second := member.NewIncarnation("slot-3", 4), member.NewIncarnation("slot-4", 6)
+	later, unknown := member.NewIncarnation("slot-5", 31), member.NewIncarnation("slot-7", 34)
+	listed := []store.Row{recordRow(t, witnessed(first), 5), recordRow(t, witnessed(second), 7)}
+	tests := []struct {
+		name          string
+		listed, later []store.Row
+		want          []member.Incarnation
+	}{
+		{"removed before the table was listed", listed, nil, []member.Incarnation{first, second}},
+		{"removed", listed, []store.Row{removed(keyspace.RowKey("bookings"), 40)}, []member.Incarnation{first, second}},
+		{
+			"owner without a record, then odd", listed,
+			[]store.Row{mapOf(t, 8, unknown, 44), oddMap(45)},
+			[]member.Incarnation{first, second, unknown},
+		},
+		{
+			"removed, and so was a record", listed,
+			[]store.Row{removed(member.RowKey("slot-4"), 39), oddMap(40)},
+			[]member.Incarnation{first, second},
+		},
+		{"new service", nil, []store.Row{recordRow(t, witnessed(later), 32)}, nil},
+		{
+			"new service, an instance is about to join",
+			[]store.Row{recordRow(t, member.Record{Incarnation: first, State: member.Ready}, 5)},
+			[]store.Row{recordRow(t, witnessed(later), 32)},
+			nil,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			testPlanner(t, 25, test.listed, func(p plannerTest) {
+				t, sc := p.t, p.sc
+				for _, row := range test.later {
+					sc.rows.Merge([]store.Row{row})
+				}
+				reports := usableReports(first, later)
+				input := sc.buildPlanInput(sc.directory.keyMap("bookings"), reports)
+				for _, i := range test.want {
+					if !slices.Contains(input.Holders, i) {
+						t.Errorf("%s isn't among the holders %v", i, input.Holders)
+					}
+				}
+				if test.want == nil && len(input.Holders) > 0 {
+					t.Errorf("holders %v of a new service", input.Holders)
+				}
+			})
+		})
+	}
+}
+
+// TestLostMapAwaitsRecords guards against two owners of a key after a map was replaced that this instance couldn't use: an instance that
+// joined before, whose record hasn't arrived yet, isn't asked to release its keys.
+func TestLostMapAwaitsRecords(t *testing.T) {
+	owner, joined := member.NewIncarnation("slot-3", 4), member.NewIncarnation("slot-7", 34)
+	record := recordRow(t, goodRecord(), 5)
+	tests := []struct {
+		name string
+		rows []store.Row
+		lost store.Row
+	}{
+		{"known map", []store.Row{record, mapOf(t, 7, owner, 20)}, oddMap(44)},
+		{"known map removed", []store.Row{record, mapOf(t, 7, owner, 20)}, removed(keyspace.RowKey("bookings"), 44)},
+		{"no known map", []store.Row{record}, oddMap(44)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			testPlanner(t, 25, test.rows, func(p plannerTest) {
+				t, sc, s := p.t, p.sc, p.store
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				stop := report(ctx, sc, owner)
+				defer stop()
+				sc.group.Go(func() error {
+					sc.runPlanner(ctx)
+					return nil
+				})
+				s.put(recordRow(t, witnessed(joined), 34), test.lost)
+				// The row of the map arrives from another instance, before the feed has the rows in between.
+				sc.rows.Merge([]store.Row{test.lost})
+				time.Sleep(2 * lostMapWait)
+				if written := s.written(t); len(written) > 0 {
+					t.Errorf("a map was written while the records were complete up to version %d", sc.rows.Version())
+				}
+				s.show(44)
+				time.Sleep(time.Second)
+				written := s.written(t)
+				if len(written) == 0 {
+					t.Fatal("no map was written")
+				}
+				checkClaimed(t, written[0], joined)
+			})
+		})
+	}
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,7 +53,7 @@
 		current := sc.directory.keyMap(sc.settings.Service)
 		if current.keys != nil && current.lostAt > 0 {
 			if reachable && restore.isDue(current, now, len(reports) > 0) {
-				sc.restoreMap(ctx, current)
+				sc.restoreLostMap(ctx, current, reports)
 			}
 			continue
 		}
@@ -76,8 +78,52 @@
 	return firstPlanWait
 }
 
+// knowsHolders reports whether the rows are complete up to the loss of a map, so that all incarnations that may hold keys under it are
+// known, also if it can't be read: each was registered before a map named it. Otherwise the rows are fetched from other instances.
+func (sc *Sidecar) knowsHolders(ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	if sc.rows.Version() >= lost.lostAt {
+		return true
+	}
+	if sc.directory.invalid.Allow(fmt.Sprint("incomplete ", lost.lostAt)) {
+		klog.InfoS("plan: records of possible holders may be missing", "service", sc.settings.Service, "row", lost.lostAt,
+			"complete", sc.rows.Version())
+	}
+	slots := sc.readers()
+	for i := range reports {
+		slots = append(slots, i.Slot())
+	}
+	sc.fetchForPlan(ctx, slots, func() bool { return sc.rows.Version() >= lost.lostAt })
+	return false
+}
+
+// maxPlanFetches bounds the instances from which rows are fetched at once for a plan.
+const maxPlanFetches = 4
+
+// fetchForPlan fetches rows from one instance after the other until done returns true, and then triggers a plan. It doesn't block, and does
+// nothing while an earlier fetch is in progress.
+func (sc *Sidecar) fetchForPlan(ctx context.Context, slots []string, done func() bool) {
+	if !sc.planFetch.CompareAndSwap(false, true) {
+		return
+	}
+	slots = slices.DeleteFunc(slots, func(slot string) bool { return slot == sc.settings.Slot })
+	sc.group.Go(func() error {
+		defer sc.planFetch.Store(false)
+		for _, slot := range slots[:min(len(slots), maxPlanFetches)] {
+			sc.fetchAndMerge(ctx, slot, sc.rows, fetchTimeout)
+			if done() {
+				sc.planSoon()
+				break
+			}
+		}
+		return nil
+	})
+}
+
 // plan computes the next map from the current one and the reports, and writes it if keys move.
 func (sc *Sidecar) plan(ctx context.Context, current mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
+	if current.keys == nil && !sc.knowsHolders(ctx, current, reports) {
+		return
+	}
 	started, used := time.Now(), processorTime()
 	sc.proveExpiry(ctx, current.keys, reports)
 	input := sc.buildPlanInput(current, reports)
@@ -117,9 +163,7 @@
 	}
 	if current.keys == nil {
 		p.Used = max(current.lostAt, sc.rows.Version())
-		if mapWasLost(current, reports) {
-			p.Holders = sc.directory.possibleHolders(sc.settings.Service)
-		}
+		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
 	for i, r := range reports {
 		if r.GetUsable() {
@@ -132,6 +176,16 @@
 	return p
 }
 
+// holdersOfUnknownMap returns the incarnations that may serve keys under an earlier map, of which none is known.
+func (sc *Sidecar) holdersOfUnknownMap(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) []member.Incarnation {
+	if !mapWasLost(current, reports) {
+		// The instances of a new service aren't asked for keys.
+		return sc.directory.holdersBeforeListing(sc.settings.Service)
+	}
+	holders := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
+	return union(holders, slices.Collect(maps.Keys(reports)))
+}
+
 // keepsKeys reports whether an owner that isn't a candidate for further keys keeps those that it has.
 func (sc *Sidecar) keepsKeys(owner member.Incarnation, reports map[member.Incarnation]*peer.ReportRequest) bool {
 	if r, ok := reports[owner]; ok {
@@ -232,10 +286,19 @@
 	return planner == lost.awaitsRecords && !now.Before(t.due)
 }
 
-// restoreMap writes the last known map again after another writer has replaced or removed it.
+// restoreLostMap restores the map if all incarnations that may hold keys are known.
+func (sc *Sidecar) restoreLostMap(ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
+	if sc.knowsHolders(ctx, lost, reports) {
+		sc.restoreMap(ctx, lost)
+	}
+}
+
+// restoreMap writes the last known map again after another writer has replaced or removed it, or after a row was set aside. Keys are
+// claimed from all incarnations that the map and the rows since name, and from all that have a record.
 func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
 	complete := sc.rows.Version()
-	next := current.keys.Restore(current.lostAt, sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
+	possible := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
+	next := current.keys.Restore(current.lostAt, possible, sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -136,10 +136,10 @@
 	return &peer.ReportResponse{Accepted: s.sidecar.acceptReport(r)}, nil
 }
 
-// dialSlot returns a client of the instance in a slot. It returns code.PeerFailed if the slot has no record, and another error if the
-// address in the record is malformed. It doesn't connect.
+// dialSlot returns a client of the instance in a slot, whose record may have been removed. It returns code.PeerFailed if the slot never had
+// a record, and another error if the address in the record is malformed. It doesn't connect.
 func (sc *Sidecar) dialSlot(slot string) (peer.Peer, error) {
-	r, ok := sc.directory.record(slot)
+	r, ok := sc.directory.lastRecord(slot)
 	if !ok {
 		return nil, code.New(code.PeerFailed, "slot %s is unknown", slot)
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,6 +128,8 @@
 	wake chan struct{}
 	// reportNow and planNow trigger a report and a plan without waiting for the next interval.
 	reportNow, planNow chan struct{}
+	// planFetch is true while rows are fetched for a plan.
+	planFetch atomic.Bool
 	// announcers receives the slot of an instance that has announced newer rows, and configAnnounced a value when an instance has
 	// announced a newer configuration.
 	announcers      chan string
