Assign keys only to instances whose record the planner has

A planner got the reports of an instance before its record, in one trace for six seconds because its feed was silent, and assigned keys to it. No instance uses a map with an owner that no record names, and neither did the planner: it took its own row for that of another writer and restored the map before, while the new owner, which had got the map from the planner, served the keys.

A candidate now has to be registered in the planner's own directory: by a row of its slot whose version is at least the number of the incarnation. If the report comes first, the planner fetches the rows, from the instance itself if it was restarted and from readers of its data centre, and tells the follower of the store that the row exists.

TestCandidatesAreRegistered printed before: "slot-7#34 got keys: true, although others have its record: false", and the same for slot-4#34, which was restarted.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// checkOwners returns an error if a map has an owner in a slot that was never registered. The incarnation isn't checked: the planner learns
-// of a restarted owner from its report, which arrives before the record. mu must be held.
+// checkOwners returns an error if a map has an owner in a slot that was never registered. The incarnation isn't checked: the planner may
+// have the record of a restarted owner before this instance. mu must be held.
 func (d *directory) checkOwners(keys *keyspace.Map) error {
 	for _, e := range keys.Entries() {
 		owner := e.Owner()
@@ -349,6 +349,13 @@
 	return len(d.records)
 }
 
+// isRegistered reports whether a row of the slot is known that may have registered an incarnation, see nextIncarnation.
+func (d *directory) isRegistered(i member.Incarnation) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return i.Number() > 0 && d.registered[i.Slot()] >= i.Number()
+}
+
 // newestRegistered returns the largest number that an incarnation of each slot can have had so far.
 func (d *directory) newestRegistered() map[string]uint64 {
 	d.mu.RLock()
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -446,3 +446,64 @@
 		})
 	}
 }
+
+// TestCandidatesAreRegistered guards against keys that no instance serves for seconds and against two owners of a key afterwards: a
+// planner without the record of an instance gives it keys, and all others set the row aside, as does the planner. It also guards against
+// an instance that waits for keys until the feed shows its record.
+func TestCandidatesAreRegistered(t *testing.T) {
+	owner := member.NewIncarnation("slot-3", 4)
+	tests := []struct {
+		name   string
+		joined member.Incarnation
+		// linked means that the other instances have the record.
+		linked bool
+	}{
+		{"new instance", member.NewIncarnation("slot-7", 34), false},
+		{"new instance, others have its record", member.NewIncarnation("slot-7", 34), true},
+		{"restarted instance", member.NewIncarnation("slot-4", 34), false},
+		{"restarted instance, others have its record", member.NewIncarnation("slot-4", 34), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader := witnessed(owner)
+			reader.DataCentre = "dc-0"
+			earlier := member.NewIncarnation("slot-4", 6)
+			rows := []store.Row{
+				recordRow(t, reader, 5), recordRow(t, witnessed(earlier), 7),
+				mapWithPrevious(t, 7, owner, nil, 20),
+			}
+			testPlanner(t, 25, rows, func(p plannerTest) {
+				t, sc, s := p.t, p.sc, p.store
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				record := recordRow(t, witnessed(test.joined), 35)
+				s.put(record)
+				if test.linked {
+					p.link.rows, p.link.version = []store.Row{record}, 35
+				}
+				defer report(ctx, sc, owner, test.joined)()
+				sc.group.Go(func() error {
+					sc.runPlanner(ctx)
+					return nil
+				})
+				owns := func() bool {
+					written := s.written(t)
+					return len(written) > 0 && slices.Contains(written[len(written)-1].Holders(), test.joined)
+				}
+				time.Sleep(3 * planInterval / 2)
+				if owns() != test.linked {
+					t.Errorf("%s got keys: %v, although others have its record: %v", test.joined, owns(), test.linked)
+				}
+				time.Sleep(2 * time.Second)
+				if owns() != test.linked {
+					t.Errorf("%s got keys before its record was known", test.joined)
+				}
+				s.show(35)
+				time.Sleep(time.Second)
+				if keys := sc.directory.keyMap("bookings"); !owns() || keys.lostAt > 0 {
+					t.Errorf("%s got keys: %v; the map was lost at row %d", test.joined, owns(), keys.lostAt)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -96,6 +96,33 @@
 	return false
 }
 
+// fetchRecords fetches the records of instances that have joined but aren't registered here yet, so that keys can be assigned to them. A
+// restarted instance is asked itself, since its address is known.
+func (sc *Sidecar) fetchRecords(ctx context.Context, reports map[member.Incarnation]*peer.ReportRequest) {
+	var missing []member.Incarnation
+	var slots []string
+	for i, r := range reports {
+		if !r.GetUsable() || sc.directory.isRegistered(i) {
+			continue
+		}
+		missing = append(missing, i)
+		if _, ok := sc.directory.lastRecord(i.Slot()); ok {
+			slots = append(slots, i.Slot())
+		}
+		// The row that registers an incarnation has this version at least.
+		sc.rows.Expect(i.Number())
+	}
+	if len(missing) == 0 {
+		return
+	}
+	klog.V(1).InfoS("plan: instances without a record get no keys", "service", sc.settings.Service, "instances", missing,
+		"complete", sc.rows.Version())
+	slots = append(slots[:min(len(slots), maxPlanFetches/2)], sc.readers()...)
+	sc.fetchForPlan(ctx, slots, func() bool {
+		return !slices.ContainsFunc(missing, func(i member.Incarnation) bool { return !sc.directory.isRegistered(i) })
+	})
+}
+
 // maxPlanFetches bounds the instances from which rows are fetched at once for a plan.
 const maxPlanFetches = 4
 
@@ -125,6 +152,7 @@
 		return
 	}
 	started, used := time.Now(), processorTime()
+	sc.fetchRecords(ctx, reports)
 	sc.proveExpiry(ctx, current.keys, reports)
 	input := sc.buildPlanInput(current, reports)
 	next, moves := keyspace.Plan(input)
@@ -166,7 +194,7 @@
 		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
 	for i, r := range reports {
-		if r.GetUsable() {
+		if r.GetUsable() && sc.directory.isRegistered(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
 			})
