Fetch the records that a set-aside key map needs at once

A planner that has set a row aside fetched missing rows only when the restoration was due, after 0.7 to 1.4 s if an owner had no record. It now does so at once: with the records it can use the row, and nothing has to be restored.

TestRecordsOfOtherInstancesEndWait printed before: "map version 7, lost at 44" for an owner without a record.

--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -507,3 +507,48 @@
 		})
 	}
 }
+
+// TestRecordsOfOtherInstancesEndWait guards against keys that can't move for as long as the planner's feed is silent, after it has learned
+// of a row that it can't use, although other instances have the records that it lacks.
+func TestRecordsOfOtherInstancesEndWait(t *testing.T) {
+	owner, joined := member.NewIncarnation("slot-3", 4), member.NewIncarnation("slot-7", 34)
+	tests := []struct {
+		name string
+		row  store.Row
+		// written means that the planner has to write a map; otherwise it has to use the row.
+		written bool
+	}{
+		{"odd row", oddMap(44), true},
+		{"owner without a record", mapWithPrevious(t, 8, joined, []member.Incarnation{owner}, 44), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rows := []store.Row{recordRow(t, goodRecord(), 5), mapOf(t, 7, owner, 20)}
+			testPlanner(t, 25, rows, func(p plannerTest) {
+				t, sc, s := p.t, p.sc, p.store
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				record := recordRow(t, witnessed(joined), 34)
+				s.put(record, test.row)
+				p.link.rows, p.link.version = []store.Row{record, test.row}, 44
+				defer report(ctx, sc, owner)()
+				sc.group.Go(func() error {
+					sc.runPlanner(ctx)
+					return nil
+				})
+				sc.rows.Merge([]store.Row{test.row})
+				time.Sleep(2 * planInterval)
+				keys, written := sc.directory.keyMap("bookings"), s.written(t)
+				if keys.lostAt > 0 || keys.keys.Version() <= 7 {
+					t.Errorf("map version %d, lost at %d", keys.keys.Version(), keys.lostAt)
+				}
+				if test.written != (len(written) > 0) {
+					t.Errorf("%d maps were written, want any: %v", len(written), test.written)
+				}
+				if test.written && len(written) > 0 {
+					checkClaimed(t, written[0], joined)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -52,8 +52,8 @@
 		reports := sc.planner.fresh(now)
 		current := sc.directory.keyMap(sc.settings.Service)
 		if current.keys != nil && current.lostAt > 0 {
-			if reachable && restore.isDue(current, now, len(reports) > 0) {
-				sc.restoreLostMap(ctx, current, reports)
+			if reachable {
+				sc.restoreIfDue(ctx, current, reports, &restore, now)
 			}
 			continue
 		}
@@ -314,9 +314,14 @@
 	return planner == lost.awaitsRecords && !now.Before(t.due)
 }
 
-// restoreLostMap restores the map if all incarnations that may hold keys are known.
-func (sc *Sidecar) restoreLostMap(ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
-	if sc.knowsHolders(ctx, lost, reports) {
+// restoreIfDue restores the map if this instance has to and all incarnations that may hold keys are known. The planner fetches missing
+// rows before, because with these it may be able to use the row.
+func (sc *Sidecar) restoreIfDue(
+	ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest, timer *restoreTimer, now time.Time,
+) {
+	planner := len(reports) > 0
+	due := timer.isDue(lost, now, planner)
+	if (due || planner) && sc.knowsHolders(ctx, lost, reports) && due {
 		sc.restoreMap(ctx, lost)
 	}
 }
