--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -29,6 +30,10 @@
 	history map[string][]member.Record
 	// registered holds the newest version of the row of each slot. No incarnation in it has a higher number.
 	registered map[string]uint64
+	// listed is when the rows had been listed, zero before, and listedUpTo the version of the listing. Rows that were removed before it
+	// aren't known.
+	listed     time.Time
+	listedUpTo uint64
 	// maps holds the newest key map of each service.
 	maps map[string]mapRow
 	// awaiting holds the rows of key maps that aren't used because no record names one of their owners, by service.
@@ -55,6 +60,8 @@
 	lostAt uint64
 	// awaitsRecords means that the row at lostAt holds a map with owners that no record names. Their records may arrive later.
 	awaitsRecords bool
+	// setAside are the incarnations that the rows since that of keys name, none of which could be used.
+	setAside []member.Incarnation
 }
 
 // lastFence returns the highest fencing token of the maps so far. The tokens of later maps are higher.
@@ -111,7 +118,7 @@
 		err = fmt.Errorf("incarnation %s is older than %s", record.Incarnation, known)
 	}
 	if err != nil {
-		d.logInvalid("record", row, err)
+		d.logInvalid(row, err)
 		return
 	}
 	if known != record.Incarnation {
@@ -122,10 +129,10 @@
 	d.remember(record)
 }
 
-// logInvalid logs a row that isn't used.
-func (d *directory) logInvalid(kind string, row store.Row, err error) {
+// logInvalid logs the row of a record that isn't used.
+func (d *directory) logInvalid(row store.Row, err error) {
 	if reason := loglimit.Text(err.Error()); d.invalid.Allow(row.Key + "\x00" + reason) {
-		klog.InfoS("directory: invalid row ignored", "kind", kind, "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
+		klog.InfoS("directory: invalid record ignored", "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
 	}
 }
 
@@ -135,7 +142,7 @@
 	known := d.maps[service]
 	if row.Deleted {
 		klog.InfoS("directory: key map removed", "service", service, "version", row.Version)
-		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version}
+		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version, setAside: known.setAside}
 		return
 	}
 	keys, err := keyspace.Decode(row.Value, row.Version)
@@ -151,8 +158,31 @@
 		d.maps[service] = mapRow{keys: keys, version: row.Version}
 		return
 	}
-	d.logInvalid("key map", row, err)
-	d.maps[service] = mapRow{keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits}
+	named := keys.Holders()
+	d.logSetAside(row, known, named, err)
+	d.maps[service] = mapRow{
+		keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits, setAside: union(known.setAside, named),
+	}
+}
+
+// logSetAside logs the row of a key map that isn't used, with the incarnations that it names.
+func (d *directory) logSetAside(row store.Row, known mapRow, named []member.Incarnation, err error) {
+	reason := loglimit.Text(err.Error())
+	if !d.invalid.Allow(row.Key + "\x00" + reason) {
+		return
+	}
+	klog.InfoS("directory: key map set aside", "key", loglimit.Text(row.Key), "version", row.Version, "known", known.keys.Version(),
+		"knownRow", known.version, "holders", len(named), "err", reason)
+	klog.V(1).InfoS("directory: holders of a key map that was set aside", "version", row.Version, "holders", named)
+}
+
+// union returns the incarnations that are in either list, each of which has no duplicates.
+func union(a, b []member.Incarnation) []member.Incarnation {
+	all, known := slices.Clone(a), make(map[member.Incarnation]bool, len(a)+len(b))
+	for _, i := range a {
+		known[i] = true
+	}
+	return append(all, slices.DeleteFunc(slices.Clone(b), func(i member.Incarnation) bool { return known[i] })...)
 }
 
 // acceptPushed lets the key maps in rows that the planner has sent be used before the records of their owners, which the planner knows,
@@ -167,8 +197,8 @@
 	}
 }
 
-// checkOwners returns an error if a map has an owner in a slot that was never registered. The incarnation isn't checked: the planner learns
-// of a restarted owner from its report, which arrives before the record. mu must be held.
+// checkOwners returns an error if a map has an owner in a slot that was never registered. The incarnation isn't checked: the planner may
+// have the record of a restarted owner before this instance. mu must be held.
 func (d *directory) checkOwners(keys *keyspace.Map) error {
 	for _, e := range keys.Entries() {
 		owner := e.Owner()
@@ -319,6 +349,13 @@
 	return len(d.records)
 }
 
+// isRegistered reports whether a row of the slot is known that may have registered an incarnation, see nextIncarnation.
+func (d *directory) isRegistered(i member.Incarnation) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return i.Number() > 0 && d.registered[i.Slot()] >= i.Number()
+}
+
 // newestRegistered returns the largest number that an incarnation of each slot can have had so far.
 func (d *directory) newestRegistered() map[string]uint64 {
 	d.mu.RLock()
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"sapphiretray/gateway"
 	"sapphiretray/member"
@@ -60,19 +61,45 @@
 	return known && current.Incarnation.Number() > i.Number() && !upstreamRunOf(current).Same(upstreamRunOf(past))
 }
 
-// possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may.
+// markListed records that the rows were listed at a version.
+func (d *directory) markListed(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed, d.listedUpTo = time.Now(), version
+}
+
+// unlistedWait is how long after the listing a row that was removed before it may come back. A running instance writes its record again
+// within restoreInterval after it has learned of the removal, which takes up to 6 s if it doesn't watch the store.
+const unlistedWait = 10 * time.Second
+
+// neverRegistered reports whether an incarnation that a key map names doesn't exist. complete is the version up to which the rows are known
+// to be complete. An incarnation is registered by a row of its slot, of a version that isn't below its number, before any map names it.
+func (d *directory) neverRegistered(i member.Incarnation, complete uint64) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	newest := d.registered[i.Slot()]
+	if newest >= i.Number() || d.listed.IsZero() {
+		return false
+	}
+	for _, m := range d.maps {
+		if complete < max(m.version, m.lostAt) {
+			return false
+		}
+	}
+	return newest > 0 || i.Number() > d.listedUpTo || time.Since(d.listed) >= unlistedWait
+}
+
+// possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may. One whose
+// record was removed counts, since it may run. They are complete up to the version up to which the rows are.
 func (d *directory) possibleHolders(service string) []member.Incarnation {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var holders []member.Incarnation
-	for _, slot := range slices.Sorted(maps.Keys(d.records)) {
-		current := d.records[slot]
-		if current.Service != service || current.State.Ended() {
-			continue
-		}
+	for _, slot := range slices.Sorted(maps.Keys(d.history)) {
 		history := d.history[slot]
+		last := history[len(history)-1]
 		for _, r := range history[max(0, len(history)-holdersPerSlot):] {
-			if upstreamRunOf(r).Same(upstreamRunOf(current)) {
+			if r.Service == service && upstreamRunOf(r).Same(upstreamRunOf(last)) {
 				holders = append(holders, r.Incarnation)
 			}
 		}
@@ -80,6 +107,31 @@
 	return holders
 }
 
+// holdersBeforeListing returns the incarnations of a service that may serve keys under a map that was removed before the rows were listed.
+// Without witnesses, an incarnation has had no lease.
+func (d *directory) holdersBeforeListing(service string) []member.Incarnation {
+	holders := d.possibleHolders(service)
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.DeleteFunc(holders, func(i member.Incarnation) bool {
+		r, _ := d.recordOf(i)
+		return len(r.Witnesses) == 0 || !d.listed.IsZero() && i.Number() > d.listedUpTo
+	})
+}
+
+// lastRecord returns the newest record of a slot, which may have been removed, and false if there was none.
+func (d *directory) lastRecord(slot string) (member.Record, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if r, ok := d.records[slot]; ok {
+		return r, true
+	}
+	if history := d.history[slot]; len(history) > 0 {
+		return history[len(history)-1], true
+	}
+	return member.Record{}, false
+}
+
 // upstreamRunOf returns the run of the upstream in a record.
 func upstreamRunOf(r member.Record) gateway.UpstreamRun {
 	return gateway.UpstreamRun{ID: r.Upstream, Started: r.UpstreamStarted}
--- a/sidecar/ownermodel_upstream_test.go
+++ b/sidecar/ownermodel_upstream_test.go
@@ -86,7 +86,7 @@
 )
 
 // ownerHold returns the hold of a grant when it is written.
-func ownerHold(g grant.Grant) time.Duration { return g.Hold }
+func ownerHold(g grant.Grant) time.Duration { return g.Hold() }
 
 // ownerCall is a call to an upstream.
 type ownerCall struct {
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -51,8 +54,8 @@
 		lost := current.keys != nil && current.lostAt > 0
 		mayPlan := sc.mayPlan(lost || len(reports) > 0)
 		if lost {
-			if mayPlan && restore.isDue(current, now, len(reports) > 0) {
-				sc.restoreMap(ctx, current)
+			if mayPlan {
+				sc.restoreIfDue(ctx, current, reports, &restore, now)
 			}
 			continue
 		}
@@ -77,9 +80,81 @@
 	return firstPlanWait
 }
 
+// knowsHolders reports whether the rows are complete up to the loss of a map, so that all incarnations that may hold keys under it are
+// known, also if it can't be read: each was registered before a map named it. Otherwise the rows are fetched from other instances.
+func (sc *Sidecar) knowsHolders(ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	if sc.rows.Version() >= lost.lostAt {
+		return true
+	}
+	if sc.directory.invalid.Allow(fmt.Sprint("incomplete ", lost.lostAt)) {
+		klog.InfoS("plan: records of possible holders may be missing", "service", sc.settings.Service, "row", lost.lostAt,
+			"complete", sc.rows.Version())
+	}
+	slots := sc.readers()
+	for i := range reports {
+		slots = append(slots, i.Slot())
+	}
+	sc.fetchForPlan(ctx, slots, func() bool { return sc.rows.Version() >= lost.lostAt })
+	return false
+}
+
+// fetchRecords fetches the records of instances that have joined but aren't registered here yet, so that keys can be assigned to them. A
+// restarted instance is asked itself, since its address is known.
+func (sc *Sidecar) fetchRecords(ctx context.Context, reports map[member.Incarnation]*peer.ReportRequest) {
+	var missing []member.Incarnation
+	var slots []string
+	for i, r := range reports {
+		if !r.GetUsable() || sc.directory.isRegistered(i) {
+			continue
+		}
+		missing = append(missing, i)
+		if _, ok := sc.directory.lastRecord(i.Slot()); ok {
+			slots = append(slots, i.Slot())
+		}
+		// The row that registers an incarnation has this version at least.
+		sc.rows.Expect(i.Number())
+	}
+	if len(missing) == 0 {
+		return
+	}
+	klog.V(1).InfoS("plan: instances without a record get no keys", "service", sc.settings.Service, "instances", missing,
+		"complete", sc.rows.Version())
+	slots = append(slots[:min(len(slots), maxPlanFetches/2)], sc.readers()...)
+	sc.fetchForPlan(ctx, slots, func() bool {
+		return !slices.ContainsFunc(missing, func(i member.Incarnation) bool { return !sc.directory.isRegistered(i) })
+	})
+}
+
+// maxPlanFetches bounds the instances from which rows are fetched at once for a plan.
+const maxPlanFetches = 4
+
+// fetchForPlan fetches rows from one instance after the other until done returns true, and then triggers a plan. It doesn't block, and does
+// nothing while an earlier fetch is in progress.
+func (sc *Sidecar) fetchForPlan(ctx context.Context, slots []string, done func() bool) {
+	if !sc.planFetch.CompareAndSwap(false, true) {
+		return
+	}
+	slots = slices.DeleteFunc(slots, func(slot string) bool { return slot == sc.settings.Slot })
+	sc.group.Go(func() error {
+		defer sc.planFetch.Store(false)
+		for _, slot := range slots[:min(len(slots), maxPlanFetches)] {
+			sc.fetchAndMerge(ctx, slot, sc.rows, fetchTimeout)
+			if done() {
+				sc.planSoon()
+				break
+			}
+		}
+		return nil
+	})
+}
+
 // plan computes the next map from the current one and the reports, and writes it if keys move.
 func (sc *Sidecar) plan(ctx context.Context, current mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
+	if current.keys == nil && !sc.knowsHolders(ctx, current, reports) {
+		return
+	}
 	started, used := time.Now(), processorTime()
+	sc.fetchRecords(ctx, reports)
 	sc.proveExpiry(ctx, current.keys, reports)
 	input := sc.buildPlanInput(current, reports)
 	next, moves := keyspace.Plan(input)
@@ -118,12 +193,10 @@
 	}
 	if current.keys == nil {
 		p.Used = max(current.lostAt, sc.rows.Version())
-		if mapWasLost(current, reports) {
-			p.Holders = sc.directory.possibleHolders(sc.settings.Service)
-		}
+		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
 	for i, r := range reports {
-		if r.GetUsable() {
+		if r.GetUsable() && sc.directory.isRegistered(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
 			})
@@ -133,6 +206,16 @@
 	return p
 }
 
+// holdersOfUnknownMap returns the incarnations that may serve keys under an earlier map, of which none is known.
+func (sc *Sidecar) holdersOfUnknownMap(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) []member.Incarnation {
+	if !mapWasLost(current, reports) {
+		// The instances of a new service aren't asked for keys.
+		return sc.directory.holdersBeforeListing(sc.settings.Service)
+	}
+	holders := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
+	return union(holders, slices.Collect(maps.Keys(reports)))
+}
+
 // keepsKeys reports whether an owner that isn't a candidate for further keys keeps those that it has.
 func (sc *Sidecar) keepsKeys(owner member.Incarnation, reports map[member.Incarnation]*peer.ReportRequest) bool {
 	if r, ok := reports[owner]; ok {
@@ -149,9 +232,10 @@
 	return !sc.endedOrExpired(owner)
 }
 
-// endedOrExpired reports whether an incarnation can't serve any more, because its upstream has ended or its lease was proved expired.
+// endedOrExpired reports whether an incarnation can't serve, because its upstream has ended, its lease was proved expired, or it doesn't
+// exist.
 func (sc *Sidecar) endedOrExpired(i member.Incarnation) bool {
-	if sc.directory.ended(i) {
+	if sc.Ended(i) {
 		return true
 	}
 	sc.planner.mu.Lock()
@@ -232,15 +316,33 @@
 	return planner == lost.awaitsRecords && !now.Before(t.due)
 }
 
-// restoreMap writes the last known map again after another writer has replaced or removed it.
+// restoreIfDue restores the map if this instance has to and all incarnations that may hold keys are known. The planner fetches missing
+// rows before, because with these it may be able to use the row.
+func (sc *Sidecar) restoreIfDue(
+	ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest, timer *restoreTimer, now time.Time,
+) {
+	planner := len(reports) > 0
+	due := timer.isDue(lost, now, planner)
+	if (due || planner) && sc.knowsHolders(ctx, lost, reports) && due {
+		sc.restoreMap(ctx, lost)
+	}
+}
+
+// restoreMap writes the last known map again after another writer has replaced or removed it, or after a row was set aside. Keys are
+// claimed from all incarnations that the map and the rows since name, and from all that have a record.
 func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
-	next := current.keys.Restore(current.lostAt, sc.directory.possibleHolders(sc.settings.Service), sc.endedOrExpired)
+	complete := sc.rows.Version()
+	possible := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
+	next := current.keys.Restore(current.lostAt, possible, sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
 	}
+	holders := next.Holders()
+	missing := slices.DeleteFunc(slices.Clone(current.setAside), func(i member.Incarnation) bool { return slices.Contains(holders, i) })
 	klog.InfoS("plan: map restored", "service", sc.settings.Service, "version", next.Version(), "known", current.keys.Version(),
-		"row", current.lostAt)
+		"row", current.lostAt, "complete", complete, "holders", len(holders), "setAside", len(current.setAside), "missing", len(missing))
+	klog.V(1).InfoS("plan: holders of the restored map", "version", next.Version(), "holders", holders, "missing", missing)
 }
 
 // commitMap replaces the current map in the store by the next one. If the outcome is unknown, the store's feed shows it later.
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -12,6 +12,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/keyspace"
+	"sapphiretray/loglimit"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
@@ -136,10 +137,10 @@
 	return &peer.ReportResponse{Accepted: s.sidecar.acceptReport(r)}, nil
 }
 
-// dialSlot returns a client of the instance in a slot. It returns code.PeerFailed if the slot has no record, and another error if the
-// address in the record is malformed. It doesn't connect.
+// dialSlot returns a client of the instance in a slot, whose record may have been removed. It returns code.PeerFailed if the slot never had
+// a record, and another error if the address in the record is malformed. It doesn't connect.
 func (sc *Sidecar) dialSlot(slot string) (peer.Peer, error) {
-	r, ok := sc.directory.record(slot)
+	r, ok := sc.directory.lastRecord(slot)
 	if !ok {
 		return nil, code.New(code.PeerFailed, "slot %s is unknown", slot)
 	}
@@ -187,5 +188,18 @@
 	return true, nil
 }
 
-// Ended implements grant.Peers.
-func (sc *Sidecar) Ended(i member.Incarnation) bool { return sc.directory.ended(i) }
+// Ended implements grant.Peers. An incarnation that was never registered, which only a map of another writer names, has no keys either.
+func (sc *Sidecar) Ended(i member.Incarnation) bool {
+	// The directory has all rows up to a version that is read before.
+	complete := sc.rows.Version()
+	if sc.directory.ended(i) {
+		return true
+	}
+	if !sc.directory.neverRegistered(i, complete) {
+		return false
+	}
+	if sc.directory.invalid.Allow("holder " + i.String()) {
+		klog.InfoS("directory: holder was never registered", "instance", loglimit.Text(i.String()), "complete", complete)
+	}
+	return true
+}
