Await the records of running instances before keys are assigned anew

If all processes had just started, the map was lost and the record of a running instance was odd when the rows were listed, keys were assigned without asking that instance, whose incarnation isn't known.

A lost map is now replaced only once each slot with a row has had a record, or 10 s after the listing: a running instance writes its record again before.

TestLostMapAwaitsOddRecord printed before: "a map was written before the record could come back", "keys 0-65535 of slot-3#4 aren't claimed from slot-7#9 but from []".

--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -68,8 +68,8 @@
 	d.listed, d.listedUpTo = time.Now(), version
 }
 
-// unlistedWait is how long after the listing a row that was removed before it may come back. A running instance writes its record again
-// within restoreInterval after it has learned of the removal, which takes up to 6 s if it doesn't watch the store.
+// unlistedWait is how long after the listing a record that was removed or replaced before it may come back. A running instance writes its
+// record again within restoreInterval after it has learned of the change, which takes up to 6 s if it doesn't watch the store.
 const unlistedWait = 10 * time.Second
 
 // neverRegistered reports whether an incarnation that a key map names doesn't exist. complete is the version up to which the rows are known
@@ -89,6 +89,22 @@
 	return newest > 0 || i.Number() > d.listedUpTo || time.Since(d.listed) >= unlistedWait
 }
 
+// lacksRecords reports whether an instance may run whose record another writer had replaced by an odd one when the rows were listed, so
+// that its incarnation isn't known.
+func (d *directory) lacksRecords() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if !d.listed.IsZero() && time.Since(d.listed) >= unlistedWait {
+		return false
+	}
+	for slot := range d.registered {
+		if len(d.history[slot]) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // possibleHolders returns the incarnations of a service that may serve keys under any key map, or whose upstream still may. One whose
 // record was removed counts, since it may run. They are complete up to the version up to which the rows are.
 func (d *directory) possibleHolders(service string) []member.Incarnation {
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -552,3 +553,43 @@
 		})
 	}
 }
+
+// TestLostMapAwaitsOddRecord guards against two owners of a key after a map was lost: a running instance whose record was odd when the rows
+// were listed isn't asked to release its keys. It also guards against keys without an owner for as long as a record stays odd.
+func TestLostMapAwaitsOddRecord(t *testing.T) {
+	owner, holder := member.NewIncarnation("slot-3", 4), member.NewIncarnation("slot-7", 9)
+	for _, back := range []bool{true, false} {
+		t.Run(fmt.Sprint("record comes back: ", back), func(t *testing.T) {
+			odd := store.Row{Table: TableName, Key: member.RowKey("slot-7"), Value: []byte("{"), Version: 12}
+			rows := []store.Row{recordRow(t, goodRecord(), 5), odd, oddMap(20)}
+			testPlanner(t, 25, rows, func(p plannerTest) {
+				t, sc, s := p.t, p.sc, p.store
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				defer report(ctx, sc, owner)()
+				sc.group.Go(func() error {
+					sc.runPlanner(ctx)
+					return nil
+				})
+				time.Sleep(2 * lostMapWait)
+				if written := s.written(t); len(written) > 0 {
+					t.Error("a map was written before the record could come back")
+				}
+				if back {
+					s.put(recordRow(t, witnessed(holder), 30))
+					s.show(30)
+				} else {
+					time.Sleep(unlistedWait - 2*lostMapWait)
+				}
+				time.Sleep(time.Second)
+				written := s.written(t)
+				if len(written) == 0 {
+					t.Fatal("no map was written")
+				}
+				if back {
+					checkClaimed(t, written[0], holder)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -79,15 +79,19 @@
 }
 
 // knowsHolders reports whether the rows are complete up to the loss of a map, so that all incarnations that may hold keys under it are
-// known, also if it can't be read: each was registered before a map named it. Otherwise the rows are fetched from other instances.
+// known, also if it can't be read: each was registered before a map named it. Rows that are missing are fetched from other instances.
 func (sc *Sidecar) knowsHolders(ctx context.Context, lost mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
-	if sc.rows.Version() >= lost.lostAt {
+	incomplete := sc.rows.Version() < lost.lostAt
+	if !incomplete && (lost.lostAt == 0 || !sc.directory.lacksRecords()) {
 		return true
 	}
 	if sc.directory.invalid.Allow(fmt.Sprint("incomplete ", lost.lostAt)) {
 		klog.InfoS("plan: records of possible holders may be missing", "service", sc.settings.Service, "row", lost.lostAt,
 			"complete", sc.rows.Version())
 	}
+	if !incomplete {
+		return false
+	}
 	slots := sc.readers()
 	for i := range reports {
 		slots = append(slots, i.Slot())
