Sidecar: cover a key map that was set aside with the first release of a session

The release at the start of a session must have a token at least as high as those of all grants of earlier incarnations. An earlier incarnation may have been sent a map that this process has set aside because it lacks records of its owners, and may have granted keys under it. The version of such a map now counts.

Found by reading. Before the change:

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -60,13 +60,15 @@
 	lostAt uint64
 	// awaitsRecords means that the row at lostAt holds a map with owners that no record names. Their records may arrive later.
 	awaitsRecords bool
+	// awaited is the version of that map, 0 if there is none. A planner may have sent it to its owners already.
+	awaited uint64
 	// setAside are the incarnations that the rows since that of keys name, none of which could be used.
 	setAside []member.Incarnation
 }
 
 // lastFence returns the highest fencing token of the maps so far. The tokens of later maps are higher.
 func (r mapRow) lastFence() uint64 {
-	version := r.keys.Version()
+	version := max(r.keys.Version(), r.awaited)
 	if !r.awaitsRecords {
 		// The next map will have a version above that of a lost row.
 		version = max(version, r.lostAt)
@@ -149,10 +151,12 @@
 	if err == nil && keys.Version() <= known.keys.Version() {
 		err = fmt.Errorf("map version %d isn't newer than %d", keys.Version(), known.keys.Version())
 	}
-	awaits := false
+	awaits, awaited := false, uint64(0)
 	if err == nil && d.pushed[service] != row.Version {
 		err = d.checkOwners(keys)
-		awaits = err != nil
+		if awaits = err != nil; awaits {
+			awaited = keys.Version()
+		}
 	}
 	if err == nil {
 		d.maps[service] = mapRow{keys: keys, version: row.Version}
@@ -161,7 +165,8 @@
 	named := keys.Holders()
 	d.logSetAside(row, known, named, err)
 	d.maps[service] = mapRow{
-		keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits, setAside: union(known.setAside, named),
+		keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits, awaited: awaited,
+		setAside: union(known.setAside, named),
 	}
 }
 
--- a/sidecar/directory_test.go
+++ b/sidecar/directory_test.go
@@ -133,3 +133,15 @@
 		}
 	}
 }
+
+// TestLastFenceCoversSetAsideMap guards against a release at the start of a session whose token is below those of grants that an earlier
+// incarnation sent under a map that was pushed to it and that this process has set aside.
+func TestLastFenceCoversSetAsideMap(t *testing.T) {
+	d := newDirectory("slot-3")
+	d.apply([]store.Row{recordRow(t, goodRecord(), 5), mapOf(t, 6, goodRecord().Incarnation, 7)})
+	d.apply([]store.Row{mapOf(t, 9, member.NewIncarnation("slot-7", 8), 20)})
+	if granted, fence := keyspace.Fence(9, 12), d.keyMap("bookings").lastFence(); fence < granted || fence >= keyspace.Fence(10, 0) {
+		t.Errorf("last fencing token %d, want at least that of a grant, %d, and below those of the next map, %d", fence, granted,
+			keyspace.Fence(10, 0))
+	}
+}
