ownership: wait for requests of a key that got a partition of its own

When a map gives a single key a partition of its own and moves it, the former owner promised the new partition at once, since it had never served it. Requests for the key that it had admitted to the partition before were still in flight, and the successor ran requests for the same key. A request that had found its partition in the map before could even be admitted after the promise. The promise now waits for these requests, and package caller looks the partition up again once the request is admitted.

--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -87,6 +87,8 @@
 	since       time.Time
 	leaseLosses int
 	admissions  sync.WaitGroup // Admissions that aren't done.
+	// onAdmit is called at the start of each call of Admit unless it is nil.
+	onAdmit func(partition int)
 }
 
 // testAdmission is valid until the instance loses its lease.
@@ -110,7 +112,10 @@
 	return a.instance.leaseLosses == a.leaseLosses
 }
 
-func (i *testInstance) Admit(int) (Admission, error) {
+func (i *testInstance) Admit(p int) (Admission, error) {
+	if i.onAdmit != nil {
+		i.onAdmit(p)
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.owns {
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -124,7 +124,8 @@
 	return s.serveLocal(ctx, w, in, admission)
 }
 
-// admit determines the request's partition and asks s.ownership for an admission.
+// admit determines the request's partition and asks s.ownership for an admission. It starts again if the key got another partition
+// meanwhile: a promise for the new one waits only for requests that were admitted while no newer map was known.
 func (s *Server) admit(in *inboundRequest) (Admission, error) {
 	if in.service() != s.directory.Service() {
 		return nil, code.New(code.NotOwner, "service %s is not served here", in.service())
@@ -133,17 +134,26 @@
 	if m == nil {
 		return nil, code.New(code.NoOwner, "no map of service %s", in.service())
 	}
-	in.partition = m.Partition(in.key)
-	admission, err := s.ownership.Admit(in.partition)
-	if err == nil {
-		return admission, nil
+	for {
+		in.partition = m.Partition(in.key)
+		admission, err := s.ownership.Admit(in.partition)
+		if err != nil {
+			return nil, admissionError(in.partition, err)
+		}
+		if m = s.directory.Map(in.service()); m.Partition(in.key) == in.partition {
+			return admission, nil
+		}
+		admission.Done()
 	}
-	c, ok := code.Of(err)
-	if !ok || c == code.LeaseExpired {
-		// code.LeaseExpired would mean that the request may have run, but it has not.
-		return nil, code.Wrap(code.NoOwner, err, "partition %d", in.partition)
+}
+
+// admissionError returns the error of a request that wasn't admitted.
+func admissionError(p int, err error) error {
+	if c, ok := code.Of(err); ok && c != code.LeaseExpired {
+		return err
 	}
-	return nil, err
+	// code.LeaseExpired would mean that the request may have run, but it has not.
+	return code.Wrap(code.NoOwner, err, "partition %d", p)
 }
 
 // attempt serves the request with the local upstream if this instance owns the key, and forwards it otherwise.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -100,6 +100,8 @@
 	// minEpoch is the lowest epoch under which this incarnation may still serve the partition; 0 if it has promised nothing.
 	minEpoch uint64
 	claiming bool
+	// requests holds the groups of the requests in flight, and parentRequests those on the partition that had the key of this one before.
+	requests, parentRequests []*requestGroup
 	// granted is the highest fencing token of a grant that was sent to the upstream and has not been revoked; 0 if there is none. The
 	// upstream may hold the partition whatever has become of the claim that the grant was sent for.
 	granted uint64
@@ -167,6 +169,7 @@
 	if m.current != nil && next.Version() <= m.current.Version() {
 		return
 	}
+	m.recordOverrides(next)
 	m.current = next
 	m.startClaims()
 }
@@ -282,8 +285,8 @@
 		}
 		lp.inFlight++
 		return &Admission{
-			manager: m, localPartition: lp, fence: lp.epoch<<8 | uint64(lp.rank), servingSince: lp.servingSince,
-			generation: m.lease.Generation(),
+			manager: m, localPartition: lp, requests: lp.addRequest(), fence: lp.epoch<<8 | uint64(lp.rank),
+			servingSince: lp.servingSince, generation: m.lease.Generation(),
 		}, nil
 	case stateReleasing:
 		return nil, code.New(code.Moved, "partition %d is being moved", p)
@@ -314,6 +317,7 @@
 type Admission struct {
 	manager        *Manager
 	localPartition *localPartition
+	requests       *requestGroup
 	// fence holds the epoch and, in the lowest 8 bits, the rank; see partition.Entry.Fence.
 	fence        uint64
 	servingSince time.Time
@@ -344,6 +348,7 @@
 	a.once.Do(func() {
 		a.manager.mu.Lock()
 		defer a.manager.mu.Unlock()
+		a.requests.end()
 		a.localPartition.inFlight--
 		if a.localPartition.inFlight == 0 && a.localPartition.idle != nil {
 			close(a.localPartition.idle)
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -37,6 +37,13 @@
 		m.mu.Unlock()
 		return &peer.PromiseResponse{Serving: served}, nil
 	}
+	if len(lp.parentRequests) > 0 {
+		m.mu.Unlock()
+		if !m.awaitParentRequests(ctx, lp) {
+			return &peer.PromiseResponse{Serving: true}, nil
+		}
+		m.mu.Lock()
+	}
 	response, done := m.respondWithoutDrain(lp, epoch)
 	if done {
 		m.mu.Unlock()
