witness: count no expired support towards the first lease

A holder took the sending time that is the second newest on the monotonic clock as the start of its lease. If its machine was suspended before its first lease, a reduced acknowledgement after the suspension has an earlier time on the monotonic clock, but a later one on the wall clock, than support that expired during the suspension. The lease then ran from the former although only one witness of three supported it, and the others confirmed its expiry to a successor at the same time. The start is now the earliest of the majority on each clock.

TestFirstLeaseAfterSuspension: the lease is valid by the support of one witness

--- a/witness/holder.go
+++ b/witness/holder.go
@@ -1,6 +1,7 @@
 package witness
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -185,15 +186,27 @@
 	h.extendTerm(at)
 }
 
-// extendTerm lets the lease run from the newest sending time that a majority of the witnesses supports.
+// extendTerm lets the lease run from the newest time since which a majority of the witnesses supports it. The sending times have no order
+// that holds on both clocks if the machine was suspended, so the start is the earliest of the majority on each.
 func (h *Holder) extendTerm(at clockReading) {
-	supports := slices.Clone(h.witnesses)
-	slices.SortFunc(supports, func(a, b witnessStatus) int { return b.supportedFrom.mono.Compare(a.supportedFrom.mono) })
-	start := supports[majority(len(supports))-1].supportedFrom
-	if start.mono.IsZero() || !start.mono.After(h.term.start.mono) || at.since(start) >= h.timing.Lease() {
+	supports := make([]clockReading, 0, len(h.witnesses))
+	for _, s := range h.witnesses {
+		if !s.supportedFrom.mono.IsZero() {
+			supports = append(supports, s.supportedFrom)
+		}
+	}
+	needed := majority(len(h.witnesses))
+	if len(supports) < needed {
 		return
 	}
-	h.startTerm(start)
+	slices.SortFunc(supports, func(a, b clockReading) int { return cmp.Compare(at.since(a), at.since(b)) })
+	start := supports[0]
+	for _, supportedFrom := range supports[1:needed] {
+		start = start.earliest(supportedFrom)
+	}
+	if extends := h.term.generation == 0 || at.since(start) < at.since(h.term.start); extends && at.since(start) < h.timing.Lease() {
+		h.startTerm(start)
+	}
 }
 
 // startTerm begins a term that runs from start. It has a new generation unless the lease is valid.
--- a/witness/rules_test.go
+++ b/witness/rules_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// TestFirstLeaseAfterSuspension guards against a first lease by support that has expired while the machine was suspended. The sending time
+// of a reduced acknowledgement that is sent after the suspension can be earlier on the monotonic clock than that of the expired support.
+func TestFirstLeaseAfterSuspension(t *testing.T) {
+	timing := NewTiming(simLease, simLease/4, simDrift)
+	holder := NewHolder(member.NewIncarnation("o-0", 1), timing)
+	var wall time.Duration
+	holder.overrides.readClocks = func(now time.Time) clockReading { return clockReading{mono: now, wall: now.Add(wall)} }
+	if err := holder.SetWitnesses([]string{"w-0", "w-1", "w-2"}); err != nil {
+		t.Fatal(err)
+	}
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	sequence := holder.Heartbeats(at(0))[0].Sequence
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-0", Sequence: sequence, Run: 1}, at(1))
+	wall = 2 * simLease
+	sequence = holder.Heartbeats(at(20))[0].Sequence
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-1", Sequence: sequence, Run: 2, Reduced: true}, at(21))
+	if holder.Valid(at(22)) {
+		t.Error("the lease is valid by the support of one witness")
+	}
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-2", Sequence: sequence, Run: 3}, at(23))
+	if !holder.Valid(at(24)) || !holder.Expires().Equal(at(20).Add(simLease-timing.reduction())) {
+		t.Errorf("valid: %v until %v, want until 75 ms after the last heartbeat", holder.Valid(at(24)), holder.Expires())
+	}
+}
+
 // TestRulesAreNeeded guards against checks that are too weak and against rules that aren't needed: it switches off one rule at a time
 // and requires that explore then finds a violation.
 func TestRulesAreNeeded(t *testing.T) {
--- a/witness/timing.go
+++ b/witness/timing.go
@@ -94,5 +94,16 @@
 	return clockReading{mono: r.mono.Add(-d), wall: r.wall.Add(-d)}
 }
 
+// earliest returns the earlier reading of each clock.
+func (r clockReading) earliest(other clockReading) clockReading {
+	if other.mono.Before(r.mono) {
+		r.mono = other.mono
+	}
+	if other.wall.Before(r.wall) {
+		r.wall = other.wall
+	}
+	return r
+}
+
 // majority returns the smallest number of witnesses that is more than half of all.
 func majority(witnesses int) int { return witnesses/2 + 1 }
