witness: explore joins and the end of silence towards new incarnations

No random history covered SetNewestRegistered, by which a restarted witness isn't silent towards incarnations that joined after its start. Incarnations now join during the histories of TestJoins, and restarted witnesses read the registered ones at some time after their start.

--- a/witness/explore_test.go
+++ b/witness/explore_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -31,6 +32,14 @@
 	voteIfStarted           bool // a witness grants votes if it started before the expiry
 	voteIfHeartbeatReceived bool // a witness grants votes if it received a heartbeat in its run
 	previousRankOnly        bool // rank 2 proves the expiry of rank 1 but not of rank 0
+	emptyListing            bool // restarted witnesses learn of no registered incarnations
+}
+
+// joins describes incarnations that join during a simulation.
+type joins struct {
+	random *rand.Rand
+	// registered holds the number of the newest registered incarnation by slot. Restarted witnesses read it.
+	registered map[string]uint64
 }
 
 // process is a simulated process with drifting clocks. It has a holder, a witness or both.
@@ -90,11 +99,22 @@
 	probabilities   probabilities
 	lastValid       []time.Duration // last time at which the lease of each rank was valid; -1 if never
 	retentionLeases int
-	violation       string
+	// joins is nil if no incarnations join during the history.
+	joins     *joins
+	violation string
 }
 
 // explore simulates one history and describes the first moment at which two incarnations could serve, or returns "" if there is none.
-func explore(seed uint64, disabled disabledRules) string {
+func explore(seed uint64, disabled disabledRules) string { return newSimulation(seed, disabled).run() }
+
+// exploreJoins is like explore, but incarnations join during the history, and restarted witnesses learn which ones had joined before.
+func exploreJoins(seed uint64, disabled disabledRules) string {
+	s := newSimulation(seed, disabled)
+	s.joins = &joins{random: rand.New(rand.NewPCG(seed, 0x101)), registered: make(map[string]uint64)}
+	return s.run()
+}
+
+func newSimulation(seed uint64, disabled disabledRules) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 0x5eed)), disabled: disabled, timing: NewTiming(simLease, simLease/4, simDrift),
 		cuts: make(map[[2]*process]time.Duration),
@@ -106,6 +126,11 @@
 		resign: pick(0, 0, 0.05), requestConfirmation: pick(0.1, 0.3, 0.8), requestVotes: pick(0.1, 0.5),
 	}
 	s.retentionLeases = 1 + s.random.IntN(2)*retentionLeases
+	return s
+}
+
+// run runs the history and returns its violation.
+func (s *simulation) run() string {
 	s.build(2+s.random.IntN(2), s.random.IntN(3) == 0)
 	for s.now < simDuration && s.violation == "" && len(s.queue) > 0 {
 		next := heap.Pop(&s.queue).(event)
@@ -135,6 +160,40 @@
 		s.scheduleSteps(p)
 	}
 	s.after(s.between(0, simLease), s.fault)
+	if s.joins != nil {
+		s.after(0, s.join)
+	}
+}
+
+// maxOwners bounds the incarnations of a history that hold a lease.
+const maxOwners = 6
+
+// join adds an owner of the highest rank, now and then.
+func (s *simulation) join() {
+	s.after(time.Duration(s.joins.random.Int64N(int64(4*simLease))), s.join)
+	if rank := len(s.owners); rank < maxOwners && s.now > 0 {
+		p := s.add(fmt.Sprintf("o-%d", rank))
+		p.last = s.now
+		s.addOwner(p, rank)
+		s.scheduleSteps(p)
+	}
+}
+
+// learnRegistered lets a restarted witness read the registered incarnations at some time after its start.
+func (s *simulation) learnRegistered(p *process) {
+	if s.disabled.emptyListing {
+		p.witness.SetNewestRegistered(map[string]uint64{}, 0)
+		return
+	}
+	started := p.witness
+	s.after(time.Duration(s.joins.random.Int64N(int64(simLease/2))), func() {
+		newest := maps.Clone(s.joins.registered)
+		s.after(time.Duration(s.joins.random.Int64N(int64(simLease/2))), func() {
+			if p.witness == started {
+				s.runOn(p, func() { started.SetNewestRegistered(newest, 0) })
+			}
+		})
+	})
 }
 
 func (s *simulation) add(slot string) *process {
@@ -155,7 +214,8 @@
 		panic(err)
 	}
 	for below, owner := range s.owners[:rank] {
-		if s.disabled.previousRankOnly && below < rank-1 {
+		if owner.holder == nil || s.disabled.previousRankOnly && below < rank-1 {
+			// Without a holder, the owner's process has ended.
 			continue
 		}
 		proof := NewExpiryProof(owner.holder.self, s.witnesses, s.timing)
@@ -163,6 +223,9 @@
 		proof.overrides.readClocks = s.reader(p, false)
 		p.proofs = append(p.proofs, proof)
 	}
+	if s.joins != nil {
+		s.joins.registered[p.slot] = p.number
+	}
 	s.owners = append(s.owners, p)
 	s.lastValid = append(s.lastValid, -1)
 }
@@ -383,6 +446,9 @@
 		p.number++
 		if p.witness != nil {
 			s.startWitness(p)
+			if s.joins != nil {
+				s.learnRegistered(p)
+			}
 		}
 	})
 }
--- a/witness/rules_test.go
+++ b/witness/rules_test.go
@@ -21,6 +21,30 @@
 	}
 }
 
+// TestJoins guards against two incarnations that may serve a partition at the same time although a restarted witness isn't silent towards
+// incarnations that join after its start.
+func TestJoins(t *testing.T) {
+	t.Parallel()
+	for run := range uint64(*runsFlag / 4) {
+		if violation := exploreJoins(*seedFlag+run, disabledRules{}); violation != "" {
+			t.Fatalf("seed %d: %s", *seedFlag+run, violation)
+		}
+	}
+}
+
+// TestJoinsNeedListing guards against a check of TestJoins that finds nothing: it must find two owners if a restarted witness is silent
+// towards no incarnation.
+func TestJoinsNeedListing(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(maxSearch) {
+		if violation := exploreJoins(seed, disabledRules{emptyListing: true}); violation != "" {
+			t.Logf("seed %d: %s", seed, violation)
+			return
+		}
+	}
+	t.Errorf("no violation in %d histories", maxSearch)
+}
+
 // TestProofAfterSuspension guards against a successor that counts a confirmation from before its machine was suspended. The random
 // histories of explore hardly ever contain this case: w-0 confirms, restarts while the successor is suspended and supports the owner
 // again; then w-1 receives no more heartbeats and confirms.
