--- a/witness/rules_test.go
+++ b/witness/rules_test.go
@@ -21,6 +21,30 @@
 	}
 }
 
+// TestJoins guards against two incarnations that may serve a partition at the same time although a restarted witness isn't silent towards
+// incarnations that join after its start.
+func TestJoins(t *testing.T) {
+	t.Parallel()
+	for run := range uint64(*runsFlag / 4) {
+		if violation := exploreJoins(*seedFlag+run, disabledRules{}); violation != "" {
+			t.Fatalf("seed %d: %s", *seedFlag+run, violation)
+		}
+	}
+}
+
+// TestJoinsNeedListing guards against a check of TestJoins that finds nothing: it must find two owners if a restarted witness is silent
+// towards no incarnation.
+func TestJoinsNeedListing(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(maxSearch) {
+		if violation := exploreJoins(seed, disabledRules{emptyListing: true}); violation != "" {
+			t.Logf("seed %d: %s", seed, violation)
+			return
+		}
+	}
+	t.Errorf("no violation in %d histories", maxSearch)
+}
+
 // TestProofAfterSuspension guards against a successor that counts a confirmation from before its machine was suspended. The random
 // histories of explore hardly ever contain this case: w-0 confirms, restarts while the successor is suspended and supports the owner
 // again; then w-1 receives no more heartbeats and confirms.
@@ -90,6 +114,31 @@
 	}
 }
 
+// TestFirstLeaseAfterSuspension guards against a first lease by support that has expired while the machine was suspended. The sending time
+// of a reduced acknowledgement that is sent after the suspension can be earlier on the monotonic clock than that of the expired support.
+func TestFirstLeaseAfterSuspension(t *testing.T) {
+	timing := NewTiming(simLease, simLease/4, simDrift)
+	holder := NewHolder(member.NewIncarnation("o-0", 1), timing)
+	var wall time.Duration
+	holder.overrides.readClocks = func(now time.Time) clockReading { return clockReading{mono: now, wall: now.Add(wall)} }
+	if err := holder.SetWitnesses([]string{"w-0", "w-1", "w-2"}); err != nil {
+		t.Fatal(err)
+	}
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	sequence := holder.Heartbeats(at(0))[0].Sequence
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-0", Sequence: sequence, Run: 1}, at(1))
+	wall = 2 * simLease
+	sequence = holder.Heartbeats(at(20))[0].Sequence
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-1", Sequence: sequence, Run: 2, Reduced: true}, at(21))
+	if holder.Valid(at(22)) {
+		t.Error("the lease is valid by the support of one witness")
+	}
+	holder.HandleAck(Ack{Holder: holder.self, Witness: "w-2", Sequence: sequence, Run: 3}, at(23))
+	if !holder.Valid(at(24)) || !holder.Expires().Equal(at(20).Add(simLease-timing.reduction())) {
+		t.Errorf("valid: %v until %v, want until 75 ms after the last heartbeat", holder.Valid(at(24)), holder.Expires())
+	}
+}
+
 // TestRulesAreNeeded guards against checks that are too weak and against rules that aren't needed: it switches off one rule at a time
 // and requires that explore then finds a violation.
 func TestRulesAreNeeded(t *testing.T) {
