Grant: take over what an earlier session's upstream may hold

The manager of a session that ended forgot its grants: the next session released keys at once that the upstream still held by them, and nothing made the upstream refuse the unanswered ones.

WithEarlier makes a manager adopt the holds, the generation and the unanswered grants of the earlier one. They become segments in stateReleasing, which the manager releases before it grants their keys, and for which others wait that ask for a release. The earlier manager is closed, and its releases end before that.

Before, without the option:

TestNextSessionRefusesLateGrants: a late grant wasn't refused: <nil> (3 of 3 cases) TestNextSessionCountsEarlierHolds: both upstreams held key 150 for 1.825s (2 of 2 cases)

--- a/grant/lapse.go
+++ b/grant/lapse.go
@@ -11,6 +11,7 @@
 
 // followLease makes the upstream release lapsed keys until ctx ends, and claims them again once the lease is valid.
 func (m *Manager) followLease(ctx context.Context) {
+	m.takeOver()
 	for ctx.Err() == nil {
 		m.markLapsed()
 		m.releaseLapsed()
@@ -82,6 +83,11 @@
 func (m *Manager) releaseLapsed() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.beginReleases()
+}
+
+// beginReleases does what releaseLapsed does. m.mu must be held.
+func (m *Manager) beginReleases() {
 	if m.releasing.Err() != nil {
 		return
 	}
@@ -115,3 +121,42 @@
 		m.releaseLapsed()
 	}
 }
+
+// takeOver begins to release the keys of the earlier manager once its own releases have ended: one of them that arrived later would take
+// away keys that are granted again.
+func (m *Manager) takeOver() {
+	if m.earlier == nil {
+		return
+	}
+	m.earlier.Close()
+	m.adopt(m.earlier, stateNone)
+	m.earlier = nil
+}
+
+// adopt marks the keys as lapsed that the upstream may hold according to an earlier manager, and gives them a state. If that is stateNone,
+// their release begins.
+func (m *Manager) adopt(earlier *Manager, next state) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	earlier.mu.Lock()
+	defer earlier.mu.Unlock()
+	m.generation.Store(max(m.generation.Load(), earlier.generation.Load()))
+	now := time.Now()
+	for _, s := range earlier.segments {
+		pending := s.hold.pending(now) || earlier.sending(s.Range)
+		m.segments.change(s.Range, func(own *segment) {
+			switch {
+			case pending:
+				own.state, own.hold = next, s.hold
+				own.hold.lapsed = true
+			case own.state == stateReleasing:
+				// The earlier manager has released the keys since they were adopted.
+				own.state, own.hold = next, hold{epoch: s.hold.epoch}
+			}
+		})
+	}
+	if next == stateNone {
+		m.beginReleases()
+	}
+	m.notify()
+}
--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -1,11 +1,14 @@
 package grant_test
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
 	"sapphiretray/grant"
+	"sapphiretray/member"
 )
 
 // sendLate carries out the latest unanswered grant of the fake upstream.
@@ -142,3 +145,86 @@
 		}
 	})
 }
+
+// rejoin ends the session of a node and returns a node with the same upstream and the next incarnation, whose manager takes over.
+func (f fixture) rejoin(n *node) (next *node, end func()) {
+	n.stop()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	next = &node{self: member.NewIncarnation(n.self.Slot(), n.self.Number()+1), upstream: n.upstream, lease: &fakeLease{}}
+	next.lease.extend(time.Hour)
+	next.manager = grant.New(ctx, "bookings", next.self, next.lease, n.upstream, f.peers, grant.WithEarlier(n.manager))
+	f.peers.set(func(p *peers) { p.managers[next.self] = next.manager })
+	var running sync.WaitGroup
+	running.Go(func() { next.manager.Run(ctx) })
+	return next, func() {
+		cancel()
+		running.Wait()
+		next.manager.Wait()
+		next.manager.Close()
+	}
+}
+
+// TestNextSessionRefusesLateGrants guards against a session that forgets the unanswered grants of the one before it.
+func TestNextSessionRefusesLateGrants(t *testing.T) {
+	for _, unresponsive := range []time.Duration{0, time.Second, 6 * time.Second} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.releaseRaises = true, true })
+			time.Sleep(450 * time.Millisecond)
+			_, end := f.rejoin(a)
+			defer end()
+			time.Sleep(unresponsive)
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+			time.Sleep(300 * time.Millisecond)
+			if err := a.upstream.sendLate(t); !errors.Is(err, grant.ErrFenced) {
+				t.Errorf("a late grant wasn't refused: %v", err)
+			}
+		})
+	}
+}
+
+// TestNextSessionCountsEarlierHolds guards against a session that releases keys at once to a successor although the upstream holds them
+// by a grant of the session before.
+func TestNextSessionCountsEarlierHolds(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		withTwoNodes(t, func(f fixture) {
+			t, a, b := f.t, f.a, f.b
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = unanswered })
+			next, end := f.rejoin(a)
+			defer end()
+			b.manager.Update(assignAll(t, 2, b.self, next.self))
+			if both := f.heldByBoth(innerKey, 3*time.Second); both > 0 || !b.manager.Serves(innerKey) {
+				t.Errorf("unanswered %v: both upstreams held key %d for %v, the successor serves it: %v", unanswered, innerKey, both,
+					b.manager.Serves(innerKey))
+			}
+		})
+	}
+}
+
+// TestNextSessionAwaitsReleases guards against a release of an earlier session that arrives after the next session has granted the keys,
+// and takes them away, and against a fencing token of the next session that the upstream refuses.
+func TestNextSessionAwaitsReleases(t *testing.T) {
+	for _, busy := range []time.Duration{0, 300 * time.Millisecond} {
+		withTwoNodes(t, func(f fixture) {
+			t, a := f.t, f.a
+			a.upstream.set(func(u *fakeUpstream) { u.releaseRaises, u.unanswered = true, true })
+			a.lease.extend(0)
+			time.Sleep(210 * time.Millisecond)
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.busyUntil = false, time.Now().Add(busy) })
+			next, end := f.rejoin(a)
+			defer end()
+			next.manager.Update(assignAll(t, 1, next.self))
+			for started := time.Now(); time.Since(started) < 3*time.Second; time.Sleep(time.Millisecond) {
+				if next.manager.Serves(innerKey) && !a.upstream.holds(innerKey) {
+					t.Fatalf("%v after the next session began, it serves keys that the upstream doesn't hold", time.Since(started))
+				}
+				if time.Since(started) > ownerGap && !next.manager.Serves(innerKey) {
+					t.Fatalf("the keys aren't served %v after the next session began", time.Since(started))
+				}
+			}
+			if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{Range: allKeys, Epoch: 3, Holder: a.self}); err == nil {
+				t.Error("the earlier manager releases keys that the next session serves")
+			}
+		})
+	}
+}
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -90,6 +90,8 @@
 	// unansweredSince is when the first grant after the latest successful one was sent; zero if there is none.
 	unansweredSince time.Time
 
+	// earlier is the manager of an earlier session that this one takes over from; nil if there is none or its releases have ended.
+	earlier *Manager
 	// reclaim means that lapsed keys were released, which are claimed again once the lease is valid.
 	reclaim bool
 
@@ -117,6 +119,13 @@
 	}
 }
 
+// WithEarlier makes the manager take over from the manager of the earlier session with its upstream, which it closes. Keys that the
+// upstream may hold, or of which it left grants unanswered, are released before they are granted or released to a successor. Run begins to
+// release them. A nil manager is ignored.
+func WithEarlier(earlier *Manager) Option {
+	return func(m *Manager) { m.earlier = earlier }
+}
+
 // New returns a manager without keys. Its goroutines run until ctx ends; Wait waits for them.
 func New(ctx context.Context, service string, self member.Incarnation, lease Lease, upstream Upstream, peers Peers,
 	options ...Option,
@@ -130,6 +139,10 @@
 	for _, option := range options {
 		option(m)
 	}
+	if m.earlier != nil {
+		m.earlier.stopReleases()
+		m.adopt(m.earlier, stateReleasing)
+	}
 	return m
 }
 
@@ -138,11 +151,16 @@
 
 // Close ends the releases that go on after the context that was passed to New, and waits for them. Release then returns code.BadRequest.
 func (m *Manager) Close() {
+	m.stopReleases()
+	m.releases.Wait()
+}
+
+// stopReleases ends the releases without waiting for them.
+func (m *Manager) stopReleases() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.endReleases()
 	m.notify()
-	m.mu.Unlock()
-	m.releases.Wait()
 }
 
 // Update adopts a map and starts a claim for each entry that is now assigned to this incarnation. It ignores a map that isn't newer
--- a/grant/model_peers_test.go
+++ b/grant/model_peers_test.go
@@ -19,8 +19,9 @@
 // modelNode is an instance.
 type modelNode struct {
 	slot string
-	// current is the incarnation that has joined; nil while the instance restarts.
+	// current is the incarnation that has joined; nil while the instance restarts. latest is the latest one.
 	current  *modelMember
+	latest   *modelMember
 	upstream *upstreamRun
 	// cutUntil is the time until which the instance is cut off: its lease isn't extended, it gets no maps and no peer reaches it.
 	cutUntil time.Time
@@ -84,7 +85,11 @@
 	i := &modelMember{m: m, self: member.NewIncarnation(n.slot, n.number), node: n, upstream: n.upstream, joined: time.Now()}
 	i.extend()
 	ctx, cancel := context.WithCancel(ctx)
-	i.manager = grant.New(ctx, "bookings", i.self, i, n.upstream, m)
+	var earlier *grant.Manager
+	if n.latest != nil && n.latest.upstream == n.upstream {
+		earlier = n.latest.manager
+	}
+	i.manager = grant.New(ctx, "bookings", i.self, i, n.upstream, m, grant.WithEarlier(earlier))
 	var running sync.WaitGroup
 	running.Go(func() { i.manager.Run(ctx) })
 	i.stop = func() {
@@ -92,7 +97,7 @@
 		running.Wait()
 		i.manager.Wait()
 	}
-	n.current, m.members[i.self] = i, i
+	n.current, n.latest, m.members[i.self] = i, i, i
 	current := m.current
 	m.mu.Unlock()
 	if current != nil {
