Session: take over the grants of the session before

Releases of lapsed keys go on after a session has ended. Without the takeover, one of them could arrive after the next session has granted the keys, and take them away.

--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -276,8 +276,12 @@
 		s.upstream = newSessionUpstream(sc.adapters.Grants(sc.gateway), func() bool {
 			return s.upstreamRun.continues(sc.gateway.State().UpstreamRun)
 		})
+		var earlier *grant.Manager
+		if previous := sc.session.Load(); previous != nil {
+			earlier = previous.grantManager
+		}
 		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), sc.endpoint.Lease(), s.upstream, sc,
-			grant.WithMaxHold(sc.settings.MaxHold))
+			grant.WithMaxHold(sc.settings.MaxHold), grant.WithEarlier(earlier))
 		group.Go(func() error {
 			s.grantManager.Run(ctx)
 			return nil
