Grant: don't ask earlier holders again after a lapsed lease

Keys that were released because the lease had lapsed are claimed again once it is re-acquired. The claim asked all earlier holders of the map's entry once more, so that one that didn't respond any more kept the keys without an owner. Holders that have released keys for an epoch are still bound by that, and a lease that was proved to have expired can't be re-acquired.

--- a/grant/claim.go
+++ b/grant/claim.go
@@ -97,6 +97,7 @@
 			return err
 		}
 	}
+	m.updateSegments(e.Range, func(s *segment) { s.activated = max(s.activated, e.Epoch) })
 	if !m.isServed(e) {
 		// The keys were reset while their grant was in flight, by a claim under the same epoch that was abandoned.
 		return errBusy
@@ -115,6 +116,10 @@
 // cover the entry's range.
 func (m *Manager) collectHandovers(e keyspace.Entry) ([]Handover, error) {
 	var released []Handover
+	if m.wasActivated(e) {
+		// The lease has lapsed and was re-acquired. The earlier holders are still bound by their promise.
+		return fillGaps(e.Range, nil), nil
+	}
 	for _, holder := range e.Previous {
 		if holder.Slot() == m.self.Slot() || m.peers.Ended(holder) {
 			// An earlier process in this slot has ended and granted keys to the same upstream as this one.
@@ -132,6 +137,13 @@
 	return fillGaps(e.Range, released), nil
 }
 
+// wasActivated reports whether all keys of an entry have been served under its epoch here.
+func (m *Manager) wasActivated(e keyspace.Entry) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !slices.ContainsFunc(m.segments.within(e.Range), func(s segment) bool { return s.activated < e.Epoch })
+}
+
 // pace waits for raiseInterval after the wait of any other claim of served keys.
 func (m *Manager) pace() {
 	select {
--- a/grant/lapse.go
+++ b/grant/lapse.go
@@ -53,7 +53,8 @@
 	now := time.Now()
 	for _, s := range m.segments.within(allKeys) {
 		if !s.hold.lapsed && (s.hold.pending(now) || m.sending(s.Range)) {
-			klog.InfoS("grant: lease lapsed", "keys", s.Range, "epoch", s.hold.epoch, "state", s.state, "holdLeft", s.hold.until.Sub(now))
+			klog.InfoS("grant: lease lapsed", "keys", s.Range, "epoch", s.hold.epoch, "state", s.state, "holdLeft",
+				max(s.hold.until.Sub(now), -MaxLateness))
 			m.segments.change(s.Range, func(s *segment) { s.hold.lapsed = true })
 		}
 	}
--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -228,3 +228,22 @@
 		})
 	}
 }
+
+// TestLapsedKeysNeedNoHolders guards against keys without an owner after a short loss of the lease because an earlier holder, which had
+// released them before, doesn't respond any more.
+func TestLapsedKeysNeedNoHolders(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		time.Sleep(100 * time.Millisecond)
+		f.peers.set(func(p *peers) { p.unreachable[a.self] = true })
+		b.lease.extend(2 * time.Second)
+		time.Sleep(2100 * time.Millisecond)
+		b.lease.extend(time.Hour)
+		time.Sleep(200 * time.Millisecond)
+		if !b.manager.Serves(innerKey) || !b.upstream.holds(innerKey) {
+			t.Errorf("200ms after the lease was re-acquired, the keys are served: %v, the upstream holds them: %v",
+				b.manager.Serves(innerKey), b.upstream.holds(innerKey))
+		}
+	})
+}
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -46,6 +46,8 @@
 	epoch uint64
 	// minEpoch is the lowest epoch under which the keys may be served here. A promise to a successor raises it.
 	minEpoch uint64
+	// activated is the highest epoch for which all earlier holders have released the keys and the upstream has acknowledged a grant.
+	activated uint64
 	// successor is the incarnation that the keys were last released to.
 	successor member.Incarnation
 	// handover is the handover token of the last release. It is kept, since the successor retries its request if the response is
