--- a/grant/manager.go
+++ b/grant/manager.go
@@ -119,9 +119,9 @@
 	}
 }
 
-// WithEarlier makes the manager take over from the manager of the earlier session with its upstream, which it closes. Keys that the upstream
-// may hold, or of which it left grants unanswered, are released before they are granted or released to a successor. Run begins to release
-// them. A nil manager is ignored.
+// WithEarlier makes the manager take over from the manager of the earlier session with its upstream, which it closes. Keys that the
+// upstream may hold, or of which it left grants unanswered, are released before they are granted or released to a successor. Run begins to
+// release them. A nil manager is ignored.
 func WithEarlier(earlier *Manager) Option {
 	return func(m *Manager) { m.earlier = earlier }
 }
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -282,7 +282,12 @@
 		})
 		s.upstream.clearing = s.clearing
 		lease := clearedLease{Lease: sc.endpoint.Lease(), clearing: s.clearing}
-		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), lease, s.upstream, sc, grant.WithMaxHold(sc.settings.MaxHold))
+		var earlier *grant.Manager
+		if previous := sc.session.Load(); previous != nil {
+			earlier = previous.grantManager
+		}
+		s.grantManager = grant.New(ctx, sc.settings.Service, s.self(), lease, s.upstream, sc,
+			grant.WithMaxHold(sc.settings.MaxHold), grant.WithEarlier(earlier))
 		group.Go(func() error {
 			s.grantManager.Run(ctx)
 			return nil
