Sidecar: let a report of a valid lease refute a proof of expiry

The planner kept proofs of expiry for ever. A proof that was begun before the first lease of an incarnation can be false, and would have left a live owner out of all later lists of earlier holders.

Before the change:

TestReportRefutesExpiry: the lease counts as expired after a report of a valid one

--- a/sidecar/completeness_test.go
+++ b/sidecar/completeness_test.go
@@ -257,3 +257,20 @@
 	}
 	return store.Row{Table: TableName, Key: member.RowKey(slot), Value: value, Version: version}
 }
+
+// TestReportRefutesExpiry guards against a live owner that is left out of all later lists of earlier holders because its lease counts as
+// expired, although it has reported a valid one since.
+func TestReportRefutesExpiry(t *testing.T) {
+	runPlannerOf(t, 3, func(sc *Sidecar, _ *laggingStore) {
+		owner := member.NewIncarnation("10.0.0.1", 1)
+		sc.planner.startProof(owner)
+		sc.planner.endProof(owner, true)
+		if !sc.endedOrExpired(owner) {
+			t.Fatal("the proof doesn't count")
+		}
+		reportFor(sc, reportInterval, owner)
+		if sc.endedOrExpired(owner) {
+			t.Error("the lease counts as expired after a report of a valid one")
+		}
+	})
+}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -200,6 +200,10 @@
 	if before.GetUsable() != r.GetUsable() || before.GetLeaving() != r.GetLeaving() {
 		sc.planSoon()
 	}
+	if r.GetUsable() {
+		// The instance has a lease, so a proof of its expiry was false or has just been overtaken by the report.
+		delete(p.expired, instance)
+	}
 	p.reports[instance] = receivedReport{at: now, message: r}
 	return true
 }
