Sidecar: grant no keys to a run that registers while the call waits

A session checked only at the start of a grant call that the upstream's run is its own. The call may wait for a connection meanwhile. It now looks again when the hold is computed, immediately before the write. The end of earlier grants is taken from package grant in place of a copy of its constants.

Before: TestNoGrantToNextRun: error <nil>, calls [grant 1-9]; want too late to send the grant and none

--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -15,12 +15,8 @@
 )
 
 const (
-	// grantTransit bounds the time from the start of a grant call until the grant has arrived: package grant resets the connection of a
-	// call after 200 ms.
-	grantTransit = 200 * time.Millisecond
-	// earlierGrants is the time after the end of a session within which all holds that it granted end. The extra twentieth is a margin for
-	// clocks that run at different rates.
-	earlierGrants = grantTransit + grant.MaxHold + grant.MaxHold/20
+	// earlierGrants is the time after the end of a session within which all holds that it granted end.
+	earlierGrants = grant.MaxHeld
 	// clearTimeout bounds one attempt to release the keys of earlier sessions, and clearRetryDelay is the pause after a failed one.
 	clearTimeout    = 700 * time.Millisecond
 	clearRetryDelay = 50 * time.Millisecond
@@ -63,6 +59,14 @@
 	if g.Handover == "" {
 		g.Handover = u.clearing.handoverOf(g.Range)
 	}
+	hold := g.Hold
+	g.Hold = func() time.Duration {
+		if !u.isCurrent() {
+			// Another run of the upstream has registered while the call waited for a connection.
+			return 0
+		}
+		return hold()
+	}
 	err := u.upstream.Grant(ctx, g)
 	if err == nil {
 		u.clearing.granted(g.Range)
--- a/sidecar/upstream_test.go
+++ b/sidecar/upstream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,3 +189,34 @@
 		})
 	}
 }
+
+// connectingUpstream implements grant.Upstream. A grant waits for a connection before its hold is computed.
+type connectingUpstream struct {
+	testUpstream
+}
+
+// Grant implements grant.Upstream.
+func (u *connectingUpstream) Grant(ctx context.Context, g grant.Grant) error {
+	time.Sleep(u.took)
+	if g.Hold() == 0 {
+		return grant.ErrTooLate
+	}
+	return u.testUpstream.Grant(ctx, g)
+}
+
+// TestNoGrantToNextRun guards against a grant that waits for a connection while another run of the upstream registers, and then reaches
+// that run.
+func TestNoGrantToNextRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream, isCurrent := &connectingUpstream{testUpstream{took: 100 * time.Millisecond}}, atomic.Bool{}
+		isCurrent.Store(true)
+		u := newSessionUpstream(upstream, isCurrent.Load)
+		time.AfterFunc(50*time.Millisecond, func() { isCurrent.Store(false) })
+		err := u.Grant(t.Context(), grant.Grant{
+			Range: keyspace.Range{First: 1, Last: 9}, Fence: func(bool) uint64 { return 1 }, Hold: func() time.Duration { return time.Second },
+		})
+		if !errors.Is(err, grant.ErrTooLate) || len(upstream.calls) > 0 {
+			t.Errorf("error %v, calls %v; want %v and none", err, upstream.calls, grant.ErrTooLate)
+		}
+	})
+}
