--- a/sidecar/clearing_test.go
+++ b/sidecar/clearing_test.go
@@ -110,7 +110,10 @@
 func TestLateGrantOfEarlierSession(t *testing.T) {
 	keys := keyspace.Range{First: 100, Last: 199}
 	grantOf := func(epoch uint64) grant.Grant {
-		return grant.Grant{Range: keys, Fence: func(bool) uint64 { return keyspace.Fence(epoch, 3) }, Hold: func() time.Duration { return time.Second }}
+		return grant.Grant{
+			Range: keys, Fence: func(bool) uint64 { return keyspace.Fence(epoch, 3) },
+			Hold: func() time.Duration { return time.Second },
+		}
 	}
 	for _, test := range []struct {
 		name     string
--- a/sidecar/upstream_test.go
+++ b/sidecar/upstream_test.go
@@ -213,7 +213,8 @@
 		u := newSessionUpstream(upstream, isCurrent.Load)
 		time.AfterFunc(50*time.Millisecond, func() { isCurrent.Store(false) })
 		err := u.Grant(t.Context(), grant.Grant{
-			Range: keyspace.Range{First: 1, Last: 9}, Fence: func(bool) uint64 { return 1 }, Hold: func() time.Duration { return time.Second },
+			Range: keyspace.Range{First: 1, Last: 9}, Fence: func(bool) uint64 { return 1 },
+			Hold: func() time.Duration { return time.Second },
 		})
 		if !errors.Is(err, grant.ErrTooLate) || len(upstream.calls) > 0 {
 			t.Errorf("error %v, calls %v; want %v and none", err, upstream.calls, grant.ErrTooLate)
