--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -146,12 +146,19 @@
 	})
 }
 
-// rejoin ends the session of a node and returns a node with the same upstream and the next incarnation, whose manager takes over.
+// rejoin ends the session of a node and returns a node with the same upstream and the next incarnation, whose manager takes over. Its lease
+// is valid at once.
 func (f fixture) rejoin(n *node) (next *node, end func()) {
+	lease := &fakeLease{}
+	lease.extend(time.Hour)
+	return f.rejoinWithLease(n, lease)
+}
+
+// rejoinWithLease does what rejoin does, with a lease of the caller.
+func (f fixture) rejoinWithLease(n *node, lease *fakeLease) (next *node, end func()) {
 	n.stop()
 	ctx, cancel := context.WithCancel(f.t.Context())
-	next = &node{self: member.NewIncarnation(n.self.Slot(), n.self.Number()+1), upstream: n.upstream, lease: &fakeLease{}}
-	next.lease.extend(time.Hour)
+	next = &node{self: member.NewIncarnation(n.self.Slot(), n.self.Number()+1), upstream: n.upstream, lease: lease}
 	next.manager = grant.New(ctx, "bookings", next.self, next.lease, n.upstream, f.peers, grant.WithEarlier(n.manager))
 	f.peers.set(func(p *peers) { p.managers[next.self] = next.manager })
 	var running sync.WaitGroup
@@ -247,3 +254,40 @@
 		}
 	})
 }
+
+// TestNextSessionGrantsNothingForEarlierKeys guards against a grant that raises the fencing token before a release of keys of an earlier
+// session: the lease of that session has expired, so a successor may have the keys, and the next session's lease says nothing of them.
+func TestNextSessionGrantsNothingForEarlierKeys(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		// The process stands still with a renewal in flight until its lease has expired. The upstream doesn't respond.
+		a.lease.extend(1600 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) {
+			u.unanswered, u.releaseRaises, u.arrivalTime = true, true, 2200*time.Millisecond
+		})
+		time.Sleep(1900 * time.Millisecond)
+		f.peers.set(func(p *peers) { p.unreachable[a.self], p.expired[a.self] = true, true })
+		b.manager.Update(assignAll(t, 2, b.self, a.self))
+		time.Sleep(600 * time.Millisecond)
+		if !b.manager.Serves(innerKey) || a.upstream.holds(innerKey) {
+			t.Fatal("the successor hasn't taken over")
+		}
+		lease := &fakeLease{}
+		_, end := f.rejoinWithLease(a, lease)
+		defer end()
+		// The first attempt to release the keys fails, and the lease of the next session is valid at the second one.
+		time.Sleep(200 * time.Millisecond)
+		lease.extend(time.Hour)
+		time.Sleep(300 * time.Millisecond)
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered, u.arrivalTime = false, 0 })
+		var before, after time.Time
+		a.upstream.set(func(u *fakeUpstream) { before = u.lastGrantAt })
+		if both := f.heldByBoth(innerKey, 4*time.Second); both > 0 {
+			t.Errorf("both upstreams held key %d for %v", innerKey, both)
+		}
+		a.upstream.set(func(u *fakeUpstream) { after = u.lastGrantAt })
+		if !after.Equal(before) {
+			t.Error("keys of the earlier session were granted")
+		}
+	})
+}
