Store: claim completeness for a peer only from the last listing on

A listing doesn't tell which rows were removed before it. A process that listed the table after a removal answered the fetches of others as if it knew all changes, so that their copies counted as complete with the removed row in them. The same happened after lost history to copies that had got a row which was written and removed in between.

A copy now remembers the version of the last listing that raised its version. A fetch from an older version gets the newer rows with version 0, which claims nothing; older processes take that as "nothing newer" too. A process that fetches at intervals then asks the other reader of its data centre, and else makes one call for changes, which gets it past the listing of the reader. After a restart of all processes those whose listing is older than that of both readers make one such call each. The format of the messages stays.

The alternative of fetching the peer's whole copy and taking it as a listing saves that call. But rows whose version can't be read are missing from copies, so that they would count as removed, and the whole table would be transferred.

--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -22,10 +22,15 @@
 	return sc.planner.active(time.Now()) || len(slots) == 0 || slices.Contains(slots, sc.settings.Slot)
 }
 
-// fetchFromReader merges the rows of another reader in the data centre and returns false if none responds.
+// fetchFromReader merges the rows of another reader in the data centre and returns false if none responds that knows all changes. A
+// reader that has listed the table again lacks changes before its listing; one call to the store gets past these.
 func (sc *Sidecar) fetchFromReader(ctx context.Context, f *store.Follower) bool {
 	return slices.ContainsFunc(sc.readers(), func(slot string) bool {
-		return slot != sc.settings.Slot && sc.fetchAndMerge(ctx, slot, f, fetchTimeout)
+		if slot == sc.settings.Slot {
+			return false
+		}
+		complete, ok := sc.fetchAndMerge(ctx, slot, f, fetchTimeout)
+		return ok && complete > 0
 	})
 }
 
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -40,15 +40,15 @@
 	return s.sidecar.endpoint.Resign(ctx, r)
 }
 
-// Fetch returns the known rows of a table that are newer than a version, and the version up to which they are complete.
+// Fetch returns the known rows of a table that are newer than a version, and the version up to which they are complete, or 0 if changes
+// after the given version aren't known here, see store.Follower.ChangesAfter.
 func (s *peerService) Fetch(_ context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
 	f := s.sidecar.rows
 	if r.GetKind() == s.sidecar.adapters.ConfigTable {
 		f = s.sidecar.config
 	}
-	// The version is read first: rows that arrive after it may be included, but completeness isn't claimed for them.
-	version := f.Version()
-	value, err := json.Marshal(f.RowsAfter(r.GetHave()))
+	rows, version := f.ChangesAfter(r.GetHave())
+	value, err := json.Marshal(rows)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/service_test.go
+++ b/sidecar/service_test.go
@@ -1,7 +1,11 @@
 package sidecar
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"sapphiretray/keyspace"
@@ -45,6 +49,62 @@
 	}
 }
 
+// serverLink serves the calls of a process with the peer service of another one.
+type serverLink struct {
+	handler http.Handler
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l serverLink) RoundTrip(r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	l.handler.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// TestFetchAfterListing guards against a process that counts as complete because it fetched rows from another one that listed the table
+// after a row was removed: the listing doesn't tell which one. It also guards against calls to the store although the other one has all
+// changes.
+func TestFetchAfterListing(t *testing.T) {
+	tests := []struct {
+		name string
+		// listed and peerListed are the versions of the listings of the process and of the other one.
+		listed, peerListed uint64
+		wantAll            bool
+		wantVersion        uint64
+	}{
+		{"listed later by the other one", 20, 30, false, 20},
+		{"listed by both at once", 30, 30, true, 30},
+		{"listed earlier by the other one", 40, 30, true, 40},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := goodRecord()
+			r.DataCentre = "dc-0"
+			row := recordRow(t, r, 5)
+			gone := member.RowKey("slot-7")
+			testPlanner(t, test.listed, []store.Row{row, {Key: gone, Value: []byte("{}"), Version: 6}}, func(p plannerTest) {
+				other := newPeerService()
+				other.sidecar.rows = store.NewFollower(listedStore{rows: []store.Row{row}, version: test.peerListed}, TableName, nil)
+				ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
+				var group sync.WaitGroup
+				group.Go(func() { other.sidecar.rows.Run(ctx) })
+				if err := other.sidecar.rows.Wait(ctx); err != nil {
+					t.Error(err)
+				}
+				p.sc.dialer = peer.NewDialer(serverLink{peer.NewPeerServer(other)})
+				if all := p.sc.fetchFromReader(ctx, p.sc.rows); all != test.wantAll {
+					t.Errorf("all changes fetched: %v, want %v", all, test.wantAll)
+				}
+				if got := p.sc.rows.Version(); got != test.wantVersion {
+					t.Errorf("complete up to %d with row %d of %s, want %d", got, p.sc.rows.Get(gone).Version, gone, test.wantVersion)
+				}
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
+
 // FuzzPush guards against rows of a peer that end the process.
 func FuzzPush(f *testing.F) {
 	f.Add([]byte(`[{"Key":"slot/slot-3","Value":"e30=","Version":18446744073709551615},{"Key":"map/bookings","Value":"AP8=","Version":9}]`))
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -189,7 +189,8 @@
 				continue
 			}
 			tried[slot] = true
-			if started := time.Now(); !sc.fetchAndMerge(ctx, slot, sc.config, timeout) && time.Since(started) >= timeout {
+			started := time.Now()
+			if _, ok := sc.fetchAndMerge(ctx, slot, sc.config, timeout); !ok && time.Since(started) >= timeout {
 				// The transfer may take longer than the timeout.
 				timeout = min(2*timeout, maxFetchTimeout)
 			}
@@ -235,8 +236,9 @@
 // isConfigMissing reports whether another instance has announced a newer configuration than this one has.
 func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
 
-// fetchAndMerge merges the newer rows of a table from an instance and returns false if the call fails.
-func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower, timeout time.Duration) bool {
+// fetchAndMerge merges the newer rows of a table from an instance. It returns the version up to which they are complete, which is 0 if
+// the instance doesn't know all changes, and false if the call fails.
+func (sc *Sidecar) fetchAndMerge(ctx context.Context, slot string, f *store.Follower, timeout time.Duration) (complete uint64, ok bool) {
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -245,12 +247,12 @@
 		if !errors.Is(context.Cause(ctx), context.Canceled) {
 			sc.fetchLog(f).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "took", time.Since(started), "err", err)
 		}
-		return false
+		return 0, false
 	}
 	sc.fetchLog(f).InfoS("news: fetched", "slot", slot, "table", f.Table(), "rows", len(rows), "version", version,
 		"took", time.Since(started))
 	f.MergeUpTo(rows, version)
-	return true
+	return version, true
 }
 
 // fetchLog returns the log level of fetches of a table. Fetches of the configuration are rare and are always logged.
--- a/store/follower.go
+++ b/store/follower.go
@@ -50,6 +50,9 @@
 	rows map[string]Row
 	// version is the version up to which the copy is complete.
 	version uint64
+	// changesFrom is the version of the last listing that raised version. A listing doesn't tell which rows were removed before, so that
+	// all changes are known only from this version on.
+	changesFrom uint64
 	// newest is the version of the newest row, which may be above version.
 	newest uint64
 	// gaps holds the versions above version that are known to exist, in ascending order.
@@ -178,6 +181,9 @@
 	f.mu.Unlock()
 	newer = f.merge(rows, d)
 	f.mu.Lock()
+	if version > f.version {
+		f.changesFrom = version
+	}
 	f.advance(version)
 	f.listed = true
 	close(f.listings)
@@ -222,8 +228,8 @@
 	return len(newer) > 0
 }
 
-// MergeUpTo merges rows from a copy of the table that is complete up to the given version. The rows must be all of that copy's rows
-// with a version above Version.
+// MergeUpTo merges rows that another copy's ChangesAfter has returned for Version or an older version, and the version returned with
+// them.
 func (f *Follower) MergeUpTo(rows []Row, version uint64) {
 	f.Merge(rows)
 	f.mu.Lock()
@@ -276,6 +282,18 @@
 	return rows
 }
 
+// ChangesAfter returns the known rows that are newer than a version, in no particular order. They include all changes from there up to
+// the returned version. That is 0 if rows may be missing: a removal isn't known if the row was missing from a later listing already.
+func (f *Follower) ChangesAfter(version uint64) (rows []Row, complete uint64) {
+	f.mu.Lock()
+	if version >= f.changesFrom {
+		complete = f.version
+	}
+	f.mu.Unlock()
+	// Rows that are merged meanwhile may be included, but completeness isn't claimed for them.
+	return f.RowsAfter(version), complete
+}
+
 // Version returns the version up to which the copy is complete. Newer rows may be known, see Newest.
 func (f *Follower) Version() uint64 {
 	f.mu.Lock()
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,6 +305,84 @@
 	}, store.WithWatch(func() bool { return false }, noPeer))
 }
 
+// TestFollowerLearnsOfRemovals guards against a copy that counts as complete although it holds a removed row, because it was brought up to
+// date from another copy that doesn't know of the removal. It also guards against frequent calls to the store after that copy listed the
+// table.
+func TestFollowerLearnsOfRemovals(t *testing.T) {
+	tests := []struct {
+		name string
+		// events remove the row b. They may start the peer, which follows the store from then on.
+		events func(m *memory, f *store.Follower, startPeer func())
+	}{
+		{"the peer started after the removal", func(m *memory, _ *store.Follower, startPeer func()) {
+			m.put("b", "1")
+			time.Sleep(2 * time.Minute)
+			m.remove("b")
+			m.put("c", "1")
+			startPeer()
+		}},
+		{"the peer has lost the history", func(m *memory, f *store.Follower, startPeer func()) {
+			startPeer()
+			time.Sleep(2 * time.Minute)
+			m.set(func(m *memory) { m.unavailable = true })
+			m.put("b", "1")
+			f.Merge([]store.Row{{Key: "b", Value: []byte("1"), Version: m.version}})
+			m.remove("b")
+			m.put("c", "1")
+			m.set(func(m *memory) { m.dropped, m.history, m.unavailable = m.version, nil, false })
+		}},
+		{"the peer knows of the removal", func(m *memory, _ *store.Follower, startPeer func()) {
+			m.put("b", "1")
+			time.Sleep(2 * time.Minute)
+			startPeer()
+			time.Sleep(2 * time.Minute)
+			m.remove("b")
+			m.put("c", "1")
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var peer atomic.Pointer[store.Follower]
+			mergeFromPeer := func(_ context.Context, f *store.Follower) bool {
+				p := peer.Load()
+				if p == nil {
+					return false
+				}
+				rows, complete := p.ChangesAfter(f.Version())
+				f.MergeUpTo(rows, complete)
+				return complete > 0
+			}
+			follow(t, func(m *memory, f *store.Follower) {
+				ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
+				var group sync.WaitGroup
+				test.events(m, f, func() {
+					started := store.NewFollower(m, "t", nil)
+					group.Go(func() { started.Run(ctx) })
+					if err := started.Wait(ctx); err != nil {
+						t.Fatal(err)
+					}
+					peer.Store(started)
+				})
+				var before int
+				m.set(func(m *memory) { before = m.calls })
+				time.Sleep(10 * time.Second)
+				if row := f.Get("b"); value(f, "c") != "1" || f.Version() < m.version || !row.Deleted {
+					t.Errorf("complete up to %d of %d with b %+v and c %q", f.Version(), m.version, row, value(f, "c"))
+				}
+				time.Sleep(50 * time.Second)
+				cancel()
+				group.Wait()
+				m.set(func(m *memory) {
+					// The peer makes a call every 20 s.
+					if calls := m.calls - before; calls > 8 {
+						t.Errorf("%d calls in a minute", calls)
+					}
+				})
+			}, store.WithWatch(func() bool { return false }, mergeFromPeer))
+		})
+	}
+}
+
 // TestFollowerDelivery guards against rows whose source and call aren't reported, so that logs can't tell a slow store from a slow link.
 func TestFollowerDelivery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
