Store: list the table after a conflict on a row that the store lacks

A copy may count as complete beyond a removal that it has missed. Each write that replaced the removed row then conflicted, and since the conflict holds the row without a version, the copy kept it for ever: "join failed: the rows were changed by another writer".

A conflict tells that the row is gone, but not since which version. The follower now lists the table when the copy has a row that a conflict shows to be missing. It cancels an open call, since a call for changes may wait for 20 s and can't deliver a removal that is older than the copy. There is at most one such listing a second, because a row whose version can't be read looks the same in a conflict.

The fake store of the planner's tests names the missing row in a conflict, as the platform's client does.

--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -113,6 +113,7 @@
 	defer s.mu.Unlock()
 	w := t.Writes[0]
 	if row := s.rows[w.Key]; row.Version != t.Conditions[0].Version && !row.Deleted {
+		row.Table, row.Key = TableName, w.Key
 		return 0, store.NewConflictError([]store.Row{row})
 	}
 	s.version++
--- a/sidecar/rows.go
+++ b/sidecar/rows.go
@@ -22,7 +22,7 @@
 	case err == nil:
 		sc.rows.Merge([]store.Row{{Table: TableName, Key: key, Value: value, Version: version}})
 	case errors.As(err, &conflict):
-		sc.rows.Merge(conflict.Rows())
+		sc.rows.MergeConflict(conflict)
 		if row := sc.rows.Get(key); string(row.Value) == string(value) {
 			return row.Version, nil
 		}
--- a/store/call.go
+++ b/store/call.go
@@ -30,6 +30,9 @@
 // errAbandoned means that a call was cancelled because it didn't deliver rows that the copy lacks.
 var errAbandoned = errors.New("no response although a newer row is known to exist")
 
+// errSuperseded means that a call was cancelled because the table has to be listed.
+var errSuperseded = errors.New("the table has to be listed")
+
 // Delivery describes how rows reached a follower.
 type Delivery struct {
 	// Source tells where the rows come from.
@@ -127,6 +130,8 @@
 	limited  time.Duration
 	// abandoned is set when the call was cancelled by deadline. Follower.mu guards it.
 	abandoned bool
+	// superseded is set when the call was cancelled because the table has to be listed. Follower.mu guards it.
+	superseded bool
 }
 
 // delivery describes the rows of the response, whose end has just arrived.
@@ -166,6 +171,9 @@
 		}
 		return rows, version, d, nil
 	}
+	if c.superseded && ctx.Err() == nil {
+		return nil, 0, d, errSuperseded
+	}
 	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
 		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected(), "waited", d.Waited,
 			"took", d.Took, "abandoned", c.abandoned, "err", err)
--- a/store/follower.go
+++ b/store/follower.go
@@ -23,6 +23,9 @@
 	storeInterval = time.Minute
 	// batchInterval is the pause between two calls for changes. Changes come in groups, and each call to the store is billed.
 	batchInterval = 250 * time.Millisecond
+	// disputeInterval is the shortest time between two listings because of conflicts. A row whose version can't be read conflicts again
+	// and again.
+	disputeInterval = time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, of which a random part of up to half is left out. The longest
 	// is well below the time within which a configuration has to be in effect after an outage.
 	minRetryDelay = 100 * time.Millisecond
@@ -70,9 +73,12 @@
 	unknown gap
 	// responded is when the last successful call ended.
 	responded time.Time
-	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next.
+	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next, or when the
+	// copy has a row that the store doesn't have.
 	listed    bool
 	reachable bool
+	// disputed is when the copy was last found to have a row that the store doesn't have.
+	disputed time.Time
 	// listings is closed and replaced at each listing.
 	listings chan struct{}
 }
@@ -110,7 +116,7 @@
 		case err == nil:
 			retry = minRetryDelay
 		case ctx.Err() != nil:
-		case errors.Is(err, errAbandoned):
+		case errors.Is(err, errAbandoned), errors.Is(err, errSuperseded):
 		case errors.Is(err, ErrHistoryLost):
 			klog.InfoS("store: history lost, listing the table again", "table", f.table, "version", f.Version())
 			f.relist()
@@ -155,11 +161,11 @@
 	return nil
 }
 
-// pause waits for a time. A pause longer than batchInterval ends early when the follower should watch the store.
+// pause waits for a time. A pause longer than batchInterval ends early when the follower should watch the store or list the table.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
 		wait.For(ctx, min(batchInterval, time.Until(end)))
-		if d > batchInterval && f.shouldWatch() {
+		if d > batchInterval && (f.shouldWatch() || !f.isListed()) {
 			return
 		}
 	}
@@ -200,6 +206,13 @@
 	f.listed = false
 }
 
+// isListed reports whether the table has been listed and needn't be listed again.
+func (f *Follower) isListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
 // setReachable records whether the last call to the store succeeded, and logs each change.
 func (f *Follower) setReachable(err error) {
 	f.mu.Lock()
@@ -239,6 +252,28 @@
 	}
 }
 
+// MergeConflict merges the rows of a conflict. If the copy has a row that the store doesn't have, the table is listed soon: the conflict
+// doesn't tell at which version the row was removed, and the copy may already count as complete beyond it.
+func (f *Follower) MergeConflict(conflict *ConflictError) {
+	f.Merge(conflict.Rows())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range conflict.Rows() {
+		known, ok := f.rows[row.Key]
+		if row.Version > 0 || !ok || known.Deleted || !f.listed || time.Since(f.disputed) < disputeInterval {
+			continue
+		}
+		f.disputed = time.Now()
+		klog.InfoS("store: known row doesn't exist, listing the table again", "table", f.table, "key", row.Key, "row", known.Version,
+			"version", f.version)
+		f.listed = false
+		if f.open != nil {
+			f.open.superseded = true
+			f.open.cancel()
+		}
+	}
+}
+
 // mergeNewer stores the rows that are newer than the known ones and returns them.
 func (f *Follower) mergeNewer(rows []Row) []Row {
 	f.mu.Lock()
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptrace"
 	"slices"
 	"sync"
@@ -383,6 +384,43 @@
 	}
 }
 
+// TestFollowerMergeConflict guards against a copy that keeps a removed row for ever, so that each write that replaces the row conflicts. It
+// also guards against a listing for each conflict.
+func TestFollowerMergeConflict(t *testing.T) {
+	for _, watch := range []bool{true, false} {
+		t.Run(fmt.Sprintf("watch %v", watch), func(t *testing.T) {
+			mergeFromPeer := func(context.Context, *store.Follower) bool { return true }
+			follow(t, func(m *memory, f *store.Follower) {
+				var calls int
+				// The feed doesn't show the removal, as if it were older than the copy.
+				m.set(func(m *memory) {
+					delete(m.rows, "a")
+					m.version++
+					calls = m.calls
+				})
+				f.MergeUpTo(nil, 2)
+				time.Sleep(time.Second)
+				conflict := store.NewConflictError([]store.Row{{Table: "t", Key: "a"}, {Table: "t", Key: "z"}})
+				for range 10 {
+					f.MergeConflict(conflict)
+					time.Sleep(50 * time.Millisecond)
+				}
+				if row := f.Get("a"); !row.Deleted || row.Version != 2 || f.Version() != 2 {
+					t.Errorf("half a second later the copy has %+v and is complete up to %d", row, f.Version())
+				}
+				if !f.Reachable() {
+					t.Error("the store counts as unreachable")
+				}
+				m.set(func(m *memory) {
+					if m.listings != 2 || m.calls > calls+3 {
+						t.Errorf("%d listings, %d further calls", m.listings, m.calls-calls)
+					}
+				})
+			}, store.WithWatch(func() bool { return watch }, mergeFromPeer))
+		})
+	}
+}
+
 // TestFollowerDelivery guards against rows whose source and call aren't reported, so that logs can't tell a slow store from a slow link.
 func TestFollowerDelivery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
