Sidecar: don't take a removed row for a write that has taken effect

After a conflict, a write counts as done if the known row has its value, because an earlier attempt may have been committed. The known row could be one that the store no longer has: an instance whose record was removed then took its record for written, and so did a planner with a key map. A known row no longer counts if the conflict shows that the store lacks it.

TestReplaceRemovedRow/same_value: the write that replaces the removed row: error <nil>, want a conflict

--- a/sidecar/rows.go
+++ b/sidecar/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"sapphiretray/store"
 )
@@ -23,9 +24,14 @@
 		sc.rows.Merge([]store.Row{{Table: TableName, Key: key, Value: value, Version: version}})
 	case errors.As(err, &conflict):
 		sc.rows.MergeConflict(conflict)
-		if row := sc.rows.Get(key); string(row.Value) == string(value) {
+		if row := sc.rows.Get(key); isCurrent(conflict, row) && string(row.Value) == string(value) {
 			return row.Version, nil
 		}
 	}
 	return version, err
 }
+
+// isCurrent reports whether a known row is not one that the store no longer had at the time of a conflict.
+func isCurrent(conflict *store.ConflictError, known store.Row) bool {
+	return !slices.ContainsFunc(conflict.Rows(), func(row store.Row) bool { return row.Key == known.Key && row.Version == 0 })
+}
--- a/sidecar/rows_test.go
+++ b/sidecar/rows_test.go
@@ -11,9 +11,9 @@
 )
 
 // TestReplaceRemovedRow guards against a process whose writes of a row conflict for ever, because its copy counts as complete and holds a
-// row that was removed.
+// row that was removed, and against a write that counts as done because the removed row had the same value.
 func TestReplaceRemovedRow(t *testing.T) {
-	for _, test := range []struct{ name, value string }{{"other value", `{"State":"draining"}`}} {
+	for _, test := range []struct{ name, value string }{{"other value", `{"State":"draining"}`}, {"same value", `{"State":"ready"}`}} {
 		t.Run(test.name, func(t *testing.T) {
 			key := member.RowKey("slot-0")
 			row := store.Row{Table: TableName, Key: key, Value: []byte(`{"State":"ready"}`), Version: 5}
