--- a/grant/lapse.go
+++ b/grant/lapse.go
@@ -150,10 +150,11 @@
 			case pending:
 				own.state, own.hold = next, s.hold
 				own.hold.lapsed = true
-			case own.state == stateReleasing:
+			case own.adopted:
 				// The earlier manager has released the keys since they were adopted.
 				own.state, own.hold = next, hold{epoch: s.hold.epoch}
 			}
+			own.adopted = next == stateReleasing && pending
 		})
 	}
 	if next == stateNone {
--- a/grant/release.go
+++ b/grant/release.go
@@ -216,6 +216,13 @@
 // one with a higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys. It has the
 // epoch of the earlier grants, since the keys may be claimed under a newer epoch that other holders haven't released them for.
 func (m *Manager) tryRelease(ctx context.Context, r keyspace.Range, held *hold) (string, error) {
+	if held.lapsed {
+		// The lease under which the grants were sent has ended, so that another upstream may have the keys. The token of the release makes
+		// the upstream refuse the unanswered grants.
+		ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+		defer cancel()
+		return m.upstream.Release(ctx, r, m.fence(held.epoch)(false))
+	}
 	if held.carriedOutLater() && m.raiseHold(*held, time.Now()) > 0 {
 		c, err := m.callGrant(ctx, Handover{Range: r}, held.epoch, func(now time.Time) time.Duration { return m.raiseHold(*held, now) })
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", c.hold, "err", err)
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -57,6 +57,8 @@
 	usableUntil time.Time
 	// hold is what the upstream may hold, whatever has become of the claim for which it was granted.
 	hold hold
+	// adopted means that hold is that of an earlier manager, whose own release of the keys may not have returned.
+	adopted bool
 }
 
 // hold is what is known of the grants that were sent to the upstream for keys. Only a release that is complete clears it. The zero value
