--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -52,9 +52,6 @@
 	lastGrantAt time.Time
 }
 
-// allKeys is the range of all keys.
-var allKeys = keyspace.Range{Last: keyspace.MaxKey}
-
 // innerKey is a key that the fake upstream keeps track of besides the ends of granted ranges.
 const innerKey keyspace.Key = 150
 
@@ -314,7 +311,7 @@
 func assignAll(t *testing.T, version uint64, owner member.Incarnation, previous ...member.Incarnation) *keyspace.Map {
 	t.Helper()
 	m, err := keyspace.NewMap(version, []keyspace.Entry{{
-		Range: allKeys, Epoch: version, Members: []member.Incarnation{owner}, Previous: previous,
+		Range: keyspace.AllKeys, Epoch: version, Members: []member.Incarnation{owner}, Previous: previous,
 	}})
 	if err != nil {
 		t.Fatal(err)
--- a/grant/lapse.go
+++ b/grant/lapse.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/keyspace"
 	"sapphiretray/wait"
 )
 
@@ -51,7 +52,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	for _, s := range m.segments.within(allKeys) {
+	for _, s := range m.segments.within(keyspace.AllKeys) {
 		if !s.hold.lapsed && (s.hold.pending(now) || m.sending(s.Range)) {
 			klog.InfoS("grant: lease lapsed", "keys", s.Range, "epoch", s.hold.epoch, "state", s.state, "holdLeft",
 				max(s.hold.until.Sub(now), -MaxLateness))
--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sapphiretray/grant"
+	"sapphiretray/keyspace"
 	"sapphiretray/member"
 )
 
@@ -133,7 +134,7 @@
 		}
 		started := time.Now()
 		if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{
-			Range: allKeys, Service: "bookings", Epoch: 2, Holder: a.self, Successor: b.self,
+			Range: keyspace.AllKeys, Service: "bookings", Epoch: 2, Holder: a.self, Successor: b.self,
 		}); err != nil || time.Since(started) > 0 {
 			t.Errorf("a repeated release request took %v, error %v", time.Since(started), err)
 		}
@@ -229,7 +230,8 @@
 					t.Fatalf("the keys aren't served %v after the next session began", time.Since(started))
 				}
 			}
-			if _, err := a.manager.Release(t.Context(), grant.ReleaseRequest{Range: allKeys, Epoch: 3, Holder: a.self}); err == nil {
+			request := grant.ReleaseRequest{Range: keyspace.AllKeys, Epoch: 3, Holder: a.self}
+			if _, err := a.manager.Release(t.Context(), request); err == nil {
 				t.Error("the earlier manager releases keys that the next session serves")
 			}
 		})
--- a/grant/manager.go
+++ b/grant/manager.go
@@ -126,7 +126,8 @@
 	return func(m *Manager) { m.earlier = earlier }
 }
 
-// New returns a manager without keys. Its goroutines run until ctx ends; Wait waits for them.
+// New returns a manager without keys. Its claims run until ctx ends; Wait waits for them. Releases of lapsed keys go on after that until
+// Close or until the upstream can't carry out a grant any more.
 func New(ctx context.Context, service string, self member.Incarnation, lease Lease, upstream Upstream, peers Peers,
 	options ...Option,
 ) *Manager {
@@ -422,8 +423,12 @@
 	if late < lateCall || !m.lateCalls.Allow(r.String()+" "+late.Truncate(2*lateCall).String()) {
 		return
 	}
+	var leaseLeft time.Duration
+	if expires := m.lease.Expires(); !expires.IsZero() {
+		leaseLeft = expires.Sub(now)
+	}
 	klog.InfoS("grant: late", "keys", r, "epoch", epoch, "hold", c.hold, "written", c.written(), "waited", waited, "answered", answered,
-		"leaseLeft", m.lease.Expires().Sub(now), "err", err)
+		"leaseLeft", leaseLeft, "err", err)
 }
 
 // fence returns the function Grant.Fence for a grant under an epoch. A new connection may reach a restarted upstream, which must get
--- a/grant/segment.go
+++ b/grant/segment.go
@@ -126,14 +126,11 @@
 	return s == other
 }
 
-// allKeys is the range of all keys.
-var allKeys = keyspace.Range{Last: keyspace.MaxKey}
-
 // segments holds adjacent segments in order, which together cover all keys.
 type segments []segment
 
 func newSegments() segments {
-	return segments{{Range: allKeys}}
+	return segments{{Range: keyspace.AllKeys}}
 }
 
 // at returns the position of the segment that contains a key.
--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -20,6 +20,9 @@
 	First, Last Key
 }
 
+// AllKeys is the range of all keys.
+var AllKeys = Range{Last: MaxKey}
+
 // Contains reports whether a key is in the range.
 func (r Range) Contains(k Key) bool { return r.First <= k && k <= r.Last }
 
--- a/sidecar/clearing.go
+++ b/sidecar/clearing.go
@@ -134,7 +134,7 @@
 	sc.group.Go(func() error {
 		defer close(c.done)
 		started := time.Now()
-		handover, err := releaseWithin(ctx, clearTimeout, upstream, keyspace.Range{Last: keyspace.MaxKey}, current.lastFence())
+		handover, err := releaseWithin(ctx, clearTimeout, upstream, keyspace.AllKeys, current.lastFence())
 		c.handover, c.cleared = handover, err == nil
 		klog.InfoS("session: released the keys of earlier sessions of the same run", "upstream", run, "released", c.cleared,
 			"fence", current.lastFence(), "held", len(c.held), "took", time.Since(started), "err", err)
--- a/sidecar/completeness.go
+++ b/sidecar/completeness.go
@@ -40,14 +40,14 @@
 	}
 }
 
-// asked holds since when and until when instances have sent reports here without a pause of reportLifetime, whether they were accepted or
-// not. While they do, the copy of the rows is kept up to date from the store, since the instance is about to plan.
-type asked struct {
+// reportActivity holds since when and until when instances have sent reports here without a pause of reportLifetime, whether they were
+// accepted or not. While they do, the copy of the rows is kept up to date from the store, since the instance is about to plan.
+type reportActivity struct {
 	first, last time.Time
 }
 
 // note records a report.
-func (a *asked) note(now time.Time) {
+func (a *reportActivity) note(now time.Time) {
 	if !a.recently(now) {
 		a.first = now
 	}
@@ -55,6 +55,6 @@
 }
 
 // recently reports whether a report was sent within reportLifetime.
-func (a *asked) recently(now time.Time) bool {
+func (a *reportActivity) recently(now time.Time) bool {
 	return !a.last.IsZero() && now.Sub(a.last) <= reportLifetime
 }
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -42,8 +42,8 @@
 	pushed map[string]uint64
 	// unreachable holds the slots whose instances aren't chosen until they respond again.
 	unreachable map[string]bool
-	// invalid limits the log lines about rows of other writers.
-	invalid loglimit.Limiter
+	// logLimit limits the log lines about rows and holders.
+	logLimit loglimit.Limiter
 	// leaving holds the incarnations that have announced that they take no more work.
 	leaving map[member.Incarnation]bool
 	// changed is closed and replaced by notify.
@@ -133,7 +133,7 @@
 
 // logInvalid logs the row of a record that isn't used.
 func (d *directory) logInvalid(row store.Row, err error) {
-	if reason := loglimit.Text(err.Error()); d.invalid.Allow(row.Key + "\x00" + reason) {
+	if reason := loglimit.Text(err.Error()); d.logLimit.Allow(row.Key + "\x00" + reason) {
 		klog.InfoS("directory: invalid record ignored", "key", loglimit.Text(row.Key), "version", row.Version, "err", reason)
 	}
 }
@@ -173,7 +173,7 @@
 // logSetAside logs the row of a key map that isn't used, with the incarnations that it names.
 func (d *directory) logSetAside(row store.Row, known mapRow, named []member.Incarnation, err error) {
 	reason := loglimit.Text(err.Error())
-	if !d.invalid.Allow(row.Key + "\x00" + reason) {
+	if !d.logLimit.Allow(row.Key + "\x00" + reason) {
 		return
 	}
 	klog.InfoS("directory: key map set aside", "key", loglimit.Text(row.Key), "version", row.Version, "known", known.keys.Version(),
--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -21,7 +21,7 @@
 // the successor stopped waiting, or because the grant arrived late. It also guards against a token that doesn't make the upstream refuse
 // such a grant when it is carried out later.
 func TestReleaseOfEarlierIncarnation(t *testing.T) {
-	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
+	const holds = grant.MaxHeld
 	answered, gone := func() error { return nil }, func() error { return grant.ErrUpstreamGone }
 	keys := keyspace.Range{First: 100, Last: 199}
 	release := fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)
@@ -122,7 +122,7 @@
 // ones of the same run of the upstream may be in force or be carried out later: a successor that knows only the newest record of a slot
 // asks no other incarnation.
 func TestReleaseCoversEarlierIncarnations(t *testing.T) {
-	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
+	const holds = grant.MaxHeld
 	answered, gone := func() error { return nil }, func() error { return grant.ErrUpstreamGone }
 	keys := keyspace.Range{First: 100, Last: 199}
 	release := fmt.Sprint("release ", keys, " ", keyspace.Fence(9, 0)-1)
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -595,8 +595,8 @@
 	}
 }
 
-// TestReportingHolderIsRegistered guards against two owners of a key after the record of a running instance was removed and can't be written
-// again, because the store rejects that instance: its reports prove that it is registered, and it may hold keys.
+// TestReportingHolderIsRegistered guards against two owners of a key after the record of a running instance was removed and can't be
+// written again, because the store rejects that instance: its reports prove that it is registered, and it may hold keys.
 func TestReportingHolderIsRegistered(t *testing.T) {
 	holder, owner := member.NewIncarnation("slot-7", 3), member.NewIncarnation("slot-3", 4)
 	testPlanner(t, 25, []store.Row{recordRow(t, goodRecord(), 5), mapOf(t, 7, owner, 20)}, func(p plannerTest) {
--- a/sidecar/joined_test.go
+++ b/sidecar/joined_test.go
@@ -31,7 +31,7 @@
 // TestProofAwaitsEarlierGrants guards against a proof of the expiry of an incarnation that has only just joined, and perhaps never had a
 // lease, while grants of the one before it in the slot are in force. It also guards against a delay of other takeovers.
 func TestProofAwaitsEarlierGrants(t *testing.T) {
-	const holds = 200*time.Millisecond + grant.MaxHold + grant.MaxHold/20
+	const holds = grant.MaxHeld
 	witnessed := func(number, version uint64) store.Row {
 		row := linkedRecordRow(t, 1, number, version)
 		row.Value = bytes.Replace(row.Value, []byte(`"witnesses":null`), []byte(`"witnesses":["10.0.0.2","10.0.0.3","10.0.0.4"]`), 1)
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -87,7 +87,7 @@
 	if !incomplete && (lost.lostAt == 0 || !sc.directory.lacksRecords()) {
 		return true
 	}
-	if sc.directory.invalid.Allow(fmt.Sprint("incomplete ", lost.lostAt)) {
+	if sc.directory.logLimit.Allow(fmt.Sprint("incomplete ", lost.lostAt)) {
 		klog.InfoS("plan: records of possible holders may be missing", "service", sc.settings.Service, "row", lost.lostAt,
 			"complete", sc.rows.Version())
 	}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -39,7 +39,7 @@
 	// awaited holds the restarted incarnations that haven't reported yet, with the time at which they were first missed.
 	awaited map[member.Incarnation]time.Time
 	// asked is when reports were sent to this instance.
-	asked asked
+	asked reportActivity
 	// refrains means that the instance doesn't plan because rows are missing. Only runPlanner uses it.
 	refrains bool
 }
--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -198,7 +198,7 @@
 	if !sc.directory.neverRegistered(i, complete) {
 		return false
 	}
-	if sc.directory.invalid.Allow("holder " + i.String()) {
+	if sc.directory.logLimit.Allow("holder " + i.String()) {
 		klog.InfoS("directory: holder was never registered", "instance", loglimit.Text(i.String()), "complete", complete)
 	}
 	return true
--- a/sidecar/upstream.go
+++ b/sidecar/upstream.go
@@ -126,9 +126,8 @@
 	started := time.Now()
 	fence := sc.directory.keyMap(sc.settings.Service).lastFence()
 	upstream := sc.adapters.Grants(sc.gateway)
-	all := keyspace.Range{Last: keyspace.MaxKey}
 	for !cleared && time.Since(started) < earlierGrants {
-		_, err = releaseWithin(ctx, clearTimeout, upstream, all, fence)
+		_, err = releaseWithin(ctx, clearTimeout, upstream, keyspace.AllKeys, fence)
 		switch {
 		case err == nil:
 			cleared = true
