--- a/sidecar/holders.go
+++ b/sidecar/holders.go
@@ -21,8 +21,8 @@
 
 // neverRegistered reports whether an incarnation that a key map names doesn't exist. complete is the version up to which the rows are known
 // to be complete. An incarnation is registered by a row of its slot, of a version that isn't below its number, before any map names it.
-// Nothing is concluded for numbers up to the first listing: the row may have been removed before it, and the store may keep the instance from
-// writing it again for any time.
+// Nothing is concluded for numbers up to the first listing: the row may have been removed before it, and the store may keep the instance
+// from writing it again for any time.
 func (d *directory) neverRegistered(i member.Incarnation, complete uint64) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
