Grant: end the refusal of late grants with the upstream; sidecar: signs of life refute an absence

The refusal of late grants went on for up to 13 s when the upstream's process had ended, and without a pause if each attempt failed at once. A refused connection now ends it, and attempts after the first follow at intervals.

That nothing was concluded for incarnations with numbers up to the listing blocked the keys of a restarted process for ever when another writer's map names one that doesn't exist. The conclusion after 10 s is back, unless the instance has given a sign of life since: a report, a heartbeat or a forwarded request.

--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -46,8 +46,8 @@
 	lateHold  time.Duration
 	// longestHold is the longest hold of a grant.
 	longestHold time.Duration
-	// releases is the number of releases that arrived.
-	releases int
+	// releases is the number of releases that arrived, and refused that of calls that found the upstream gone.
+	releases, refused int
 	// lastGrantAt is when the last grant arrived.
 	lastGrantAt time.Time
 }
@@ -138,6 +138,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.gone {
+		u.refused++
 		return "", grant.ErrUpstreamGone
 	}
 	u.releases++
--- a/grant/lapse_test.go
+++ b/grant/lapse_test.go
@@ -147,6 +147,24 @@
 	})
 }
 
+// TestLateGrantsOfGoneUpstream guards against releases that are repeated for seconds, with a log line each, to refuse the late grants of an
+// upstream whose process has ended.
+func TestLateGrantsOfGoneUpstream(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		f.a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+		time.Sleep(250 * time.Millisecond)
+		f.b.manager.Update(assignAll(f.t, 2, f.b.self, f.a.self))
+		time.Sleep(grant.MaxHeld + time.Second)
+		f.a.upstream.set(func(u *fakeUpstream) { u.gone = true })
+		time.Sleep(5 * time.Second)
+		f.a.upstream.set(func(u *fakeUpstream) {
+			if u.refused > 1 {
+				f.t.Errorf("%d releases after the upstream had ended, want at most 1", u.refused)
+			}
+		})
+	})
+}
+
 // rejoin ends the session of a node and returns a node with the same upstream and the next incarnation, whose manager takes over. Its lease
 // is valid at once.
 func (f fixture) rejoin(n *node) (next *node, end func()) {
--- a/grant/release.go
+++ b/grant/release.go
@@ -138,8 +138,11 @@
 		}
 		s.state, s.usableUntil = stateNone, time.Time{}
 		if outcome == outcomeHoldEnded && s.hold.carriedOutLater() {
+			if !s.hold.lapsed {
+				// Later attempts follow at intervals, also if the upstream fails each at once.
+				m.wakeUp()
+			}
 			s.hold.lapsed = true
-			m.wakeUp()
 		} else {
 			s.hold = hold{epoch: s.hold.epoch}
 		}
@@ -205,25 +208,29 @@
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	handover, err := m.upstream.Release(ctx, r, m.fence(held.epoch)(false))
-	if err != nil {
+	switch {
+	case err == nil:
+		return handover, outcomeAcknowledged
+	case errors.Is(err, ErrUpstreamGone):
+		return "", outcomeUpstreamGone
+	case held.lapsed:
+		klog.V(1).InfoS("grant: late grants may still be carried out", "keys", r, "epoch", held.epoch, "err", err)
+	default:
 		klog.InfoS("grant: late grants may be carried out", "keys", r, "epoch", held.epoch, "err", err)
-		return "", outcomeHoldEnded
 	}
-	return handover, outcomeAcknowledged
+	return "", outcomeHoldEnded
 }
 
 // tryRelease makes one attempt to release the keys. If the upstream may carry out an earlier grant for them later, tryRelease first sends
 // one with a higher fencing token: otherwise the upstream could carry out the old grant after another upstream has got the keys. It has the
 // epoch of the earlier grants, since the keys may be claimed under a newer epoch that other holders haven't released them for.
 func (m *Manager) tryRelease(ctx context.Context, r keyspace.Range, held *hold) (string, error) {
+	timeout := releaseTimeout
 	if held.lapsed {
-		// The lease under which the grants were sent has ended, so that another upstream may have the keys. The token of the release makes
-		// the upstream refuse the unanswered grants.
-		ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-		defer cancel()
-		return m.upstream.Release(ctx, r, m.fence(held.epoch)(false))
-	}
-	if held.carriedOutLater() && m.raiseHold(*held, time.Now()) > 0 {
+		// No grant is sent for lapsed keys: the lease that is valid now isn't the one under which they were granted, and another upstream
+		// may have them. The token of the release makes the upstream refuse the unanswered grants, so that an attempt is short.
+		timeout = CallTimeout
+	} else if held.carriedOutLater() && m.raiseHold(*held, time.Now()) > 0 {
 		c, err := m.callGrant(ctx, Handover{Range: r}, held.epoch, func(now time.Time) time.Duration { return m.raiseHold(*held, now) })
 		klog.InfoS("grant: raised the fencing token before a release", "keys", r, "epoch", held.epoch, "hold", c.hold, "err", err)
 		*held = m.holdOf(r)
@@ -232,7 +239,7 @@
 		}
 		// A grant that wasn't sent, because the session has ended, doesn't keep the upstream from finishing its work.
 	}
-	releaseCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, time.Until(held.until)))
+	releaseCtx, cancel := context.WithTimeout(ctx, min(timeout, time.Until(held.until)))
 	defer cancel()
 	return m.upstream.Release(releaseCtx, r, m.fence(held.epoch)(false))
 }
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -34,6 +34,8 @@
 	// aren't known.
 	listed     time.Time
 	listedUpTo uint64
+	// heard is when the instance in a slot that was never registered gave the last sign of life.
+	heard map[string]time.Time
 	// maps holds the newest key map of each service.
 	maps map[string]mapRow
 	// awaiting holds the rows of key maps that aren't used because no record names one of their owners, by service.
@@ -80,7 +82,7 @@
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
 		registered: make(map[string]uint64), maps: make(map[string]mapRow), awaiting: make(map[string]store.Row),
-		pushed:      make(map[string]uint64),
+		pushed: make(map[string]uint64), heard: make(map[string]time.Time),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
--- a/sidecar/holders.go
+++ b/sidecar/holders.go
@@ -15,14 +15,14 @@
 	d.listed, d.listedUpTo = time.Now(), version
 }
 
-// unlistedWait is how long after the listing a lost map waits for records that were replaced by odd ones before. A running instance writes
-// its record again within restoreInterval after it has learned of the change, which takes up to 6 s if it doesn't watch the store.
+// unlistedWait is how long after the listing a record that was removed or replaced before it may come back. A running instance writes its
+// record again within restoreInterval after it has learned of the change, which takes up to 6 s if it doesn't watch the store.
 const unlistedWait = 10 * time.Second
 
 // neverRegistered reports whether an incarnation that a key map names doesn't exist. complete is the version up to which the rows are known
 // to be complete. An incarnation is registered by a row of its slot, of a version that isn't below its number, before any map names it.
-// Nothing is concluded for numbers up to the first listing: the row may have been removed before it, and the store may keep the instance
-// from writing it again for any time.
+// The row of one with a number up to the first listing may have been removed before it. It counts as absent once unlistedWait has passed
+// without a sign of life of its slot.
 func (d *directory) neverRegistered(i member.Incarnation, complete uint64) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -35,7 +35,17 @@
 			return false
 		}
 	}
-	return newest > 0 || i.Number() > d.listedUpTo
+	silent := time.Since(d.listed) >= unlistedWait && time.Since(d.heard[i.Slot()]) >= unlistedWait
+	return newest > 0 || i.Number() > d.listedUpTo || silent
+}
+
+// hear records a sign of life of the instance in a slot without a known row, which the store may keep from writing its record again.
+func (d *directory) hear(slot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.heard[slot]; d.registered[slot] == 0 && (known || len(d.heard) < maxAnnouncers) {
+		d.heard[slot] = time.Now()
+	}
 }
 
 // lacksRecords reports whether an instance may run whose record another writer had replaced by an odd one when the rows were listed, so
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -228,7 +228,7 @@
 		{"record replaced by an odd one", newer, 44, time.Minute, []store.Row{{Key: member.RowKey("slot-7"), Version: 36}}, false},
 		{"an earlier incarnation is registered", newer, 44, 0, []store.Row{recordRow(t, witnessed(older), 30)}, true},
 		{"may have been removed before the listing", older, 44, 5 * time.Second, nil, false},
-		{"may have been removed before the listing, long ago", older, 44, time.Minute, nil, false},
+		{"older than the listing, not back in time", older, 44, unlistedWait, nil, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -184,6 +184,7 @@
 		return false
 	}
 	sc.expectRecord(r.GetInstance().ToIncarnation())
+	sc.directory.hear(r.GetInstance().ToIncarnation().Slot())
 	now, lacksRows := time.Now(), sc.lacksRows()
 	p := &sc.planner
 	p.mu.Lock()
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -108,6 +108,7 @@
 	if len(v.Slot) > maxSlotBytes {
 		return
 	}
+	sc.directory.hear(v.Slot)
 	if known := sc.config.Known(); v.Config > known && v.Config <= store.MaxVersion {
 		sc.config.Expect(v.Config)
 		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
