--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -32,8 +32,8 @@
 	process  *ownerProcess
 	// starts counts the starts of the process, and sequence the registrations of the upstream.
 	starts, sequence int
-	// startedAt is when the process was started last. It stands still until stalledUntil.
-	startedAt, stalledUntil time.Time
+	// stalledUntil is until when the process stands still.
+	stalledUntil time.Time
 	// feedSilentUntil is when the store's change feed responds again, and feedLag how old the changes are that it returns.
 	feedSilentUntil time.Time
 	feedLag         time.Duration
@@ -100,7 +100,7 @@
 		if n.process == nil && !m.ended {
 			n.starts++
 			p.name = fmt.Sprintf("%s/%d", n.slot, n.starts)
-			n.startedAt, started = time.Now(), true
+			started = true
 			m.record("process %s starts", p.name)
 		}
 	})
--- a/sidecar/ownermodel_upstream_test.go
+++ b/sidecar/ownermodel_upstream_test.go
@@ -295,7 +295,7 @@
 	switch {
 	case g.heldUp:
 		kind = ownerHeldUp
-	case g.late && (node.process == nil || now.Sub(node.startedAt) < preventable || now.Sub(node.stalledUntil) < preventable ||
+	case g.late && (node.process == nil || now.Sub(node.stalledUntil) < preventable ||
 		now.Sub(m.network.healed(node)) < preventable):
 		kind = ownerLateAllowed
 	case g.late:
