Gateway: a refused connection is no proof that the upstream has ended

An upstream that leaves stops listening while it still works on keys and holds them. A release needs a new connection, found it refused, and counted that as the end of the process, so that the keys were granted elsewhere at once.

Gateway.HasEnded now asks for what an end shows: the address refuses connections, the upstream itself ended the last connection, none is open, and it hasn't announced that it leaves. Otherwise the release waits until the hold must have ended. A crash is still found at once.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -48,6 +48,8 @@
 	matches func(header http.Header, id string) bool
 	// memory is shared by all connections to the upstream.
 	memory *memory
+	// lost is set if the upstream has ended the connection. Only readLoop and the goroutine that called it use it.
+	lost bool
 	// written is 0 if it is certain that no byte of the newest request has been sent, and 1 otherwise.
 	written atomic.Int64
 
@@ -86,7 +88,10 @@
 }
 
 // readLoop reads responses until the connection ends.
-func (c *conn) readLoop() {
+func (c *conn) readLoop() { c.lost = endedByUpstream(c.readResponses()) }
+
+// readResponses reads responses until the connection ends, and returns why it did.
+func (c *conn) readResponses() error {
 	limited := &limitedReader{Reader: c.Conn, memory: c.memory}
 	limited.reset()
 	reader := bufio.NewReaderSize(limited, readBufferSize)
@@ -106,18 +111,18 @@
 		}
 		if err != nil {
 			c.fail(err)
-			return
+			return err
 		}
 		skipped, err := c.skipToStatusLine(reader, pending)
 		if err != nil {
 			c.fail(err)
-			return
+			return err
 		}
 		foreign = foreign || skipped
 		response, err := c.readResponse(reader, limited, pending)
 		if err != nil {
 			c.fail(err)
-			return
+			return err
 		}
 		if response == nil {
 			continue
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -50,6 +50,21 @@
 	g.crashTracker.RecordCrash(time.Now(), fingerprints)
 }
 
+// HasEnded reports whether the upstream's process has ended: its address refuses connections, it ended the last connection, and none is
+// open. An upstream that has announced that it leaves also stops listening and ends idle connections while it still holds keys, so this
+// isn't concluded of it.
+func (g *Gateway) HasEnded() bool {
+	g.mu.Lock()
+	refuses := g.down && !g.registry.leaving
+	g.mu.Unlock()
+	if !refuses {
+		return false
+	}
+	requests, requestLost := g.pool.connections()
+	controls, controlLost := g.control.connections()
+	return requests+controls == 0 && (requestLost || controlLost)
+}
+
 // markDown records that the upstream's address refuses connections, and which requests may have crashed its process.
 func (g *Gateway) markDown() {
 	now := time.Now()
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -39,7 +42,9 @@
 	idle []*conn
 	// reading holds all connections whose readLoop is running.
 	reading map[*conn]struct{}
-	closed  bool
+	// lost is set if the upstream has ended a connection since the newest one was opened.
+	lost   bool
+	closed bool
 }
 
 // get returns a connection for a request with the given id: the most recently used idle one, or a new one if none has been idle for at
@@ -67,8 +72,8 @@
 		return nil, errClosed
 	}
 	p.group.Go(func() error {
-		defer p.remove(c)
 		c.readLoop()
+		p.remove(c)
 		return nil
 	})
 	return c, nil
@@ -84,13 +89,28 @@
 		p.reading = make(map[*conn]struct{})
 	}
 	p.reading[c] = struct{}{}
+	p.lost = false
 	return true
 }
 
+// remove forgets a connection whose readLoop has returned.
 func (p *pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.reading, c)
+	p.lost = p.lost || c.lost
+}
+
+// connections returns the number of open connections, and whether the upstream has ended one since the newest was opened.
+func (p *pool) connections() (open int, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.reading), p.lost
+}
+
+// endedByUpstream reports whether a connection with the given error of its readLoop was ended by the upstream.
+func endedByUpstream(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // close closes all connections and the pool.
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -34,7 +34,8 @@
 	ErrUpstreamGone = errors.New("the upstream's process has ended")
 )
 
-// Upstream is the server that keys are granted to. Both methods return ErrUpstreamGone if the upstream refuses connections.
+// Upstream is the server that keys are granted to. Both methods return ErrUpstreamGone if the upstream's process has ended. A refused
+// connection alone doesn't show that.
 type Upstream interface {
 	// Grant grants keys or renews a grant. It returns ErrFenced if the fencing token is too old, and ErrTooLate without sending
 	// anything if g.Hold returns 0.
