Ingress: requests behind others on a connection begin before their turn

Callers that send safe requests behind one another waited for every answer in front of theirs: net/http's server serves a connection one request at a time.

While a request is served, its connection is now read on. Requests without a body that may be repeated begin at once, up to 16 of them or 1 MiB of responses ahead; their responses wait for their turn. All others begin when those in front of them have been answered, with the time that is left since their head arrived. A framer keeps the HTTP server from reading bytes of the next request, so that it is known where that begins; what it can't split with certainty is served as before. When the caller leaves, everything ahead is cancelled, which net/http didn't notice once a byte of another request had arrived.

The model found work that went on behind chunked bodies and behind a request that ends its connection, the fuzzer two chunked bodies that ended elsewhere.

--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -84,6 +85,24 @@
 	// readErr and writeErr are the first errors of the connection, except for expired deadlines of reads.
 	readErr, writeErr error
 	closed            bool
+	// readable is signalled when the deadline for reads changes or the connection is closed. readExpired is set while the deadline has
+	// passed.
+	readable    sync.Cond
+	readExpired bool
+	// framer splits what arrives into requests. chunk is the buffer for reads, which only the reading goroutine uses.
+	framer framer
+	chunk  []byte
+	// lost is the error with which the connection ended while requests were read ahead.
+	lost error
+	// ahead holds the requests that have arrived behind the one that is served, up to the first whose end isn't known. parsed is the number
+	// of buffered bytes that their heads take, and waitingBytes the size of their responses so far.
+	ahead        []*aheadRequest
+	parsed       int
+	waitingBytes int
+	// policy tells which requests may begin ahead; nil if none may. aheadContext is their context, which cancelAhead ends.
+	policy       AheadPolicy
+	aheadContext context.Context
+	cancelAhead  context.CancelFunc
 	// preface is the rest of the HTTP/2 preface to compare the next data with, or empty if the protocol of the connection is known.
 	preface string
 	// http2 is set once the preface has been read. The connection isn't tracked from then on.
@@ -114,7 +133,7 @@
 // a request can't be read from a connection while it is being closed.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.receive(p)
 		again, err := c.observeRead(p[:n], err)
 		if !again {
 			return n, err
@@ -166,6 +185,7 @@
 // resume ends an interruption. The caller holds mu.
 func (c *callerConn) resume() {
 	c.interrupted = false
+	c.setReadPast(time.Time{})
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil && c.readErr == nil {
 		c.readErr = err
 	}
@@ -182,7 +202,9 @@
 	if !t.IsZero() && c.connections.ending.Load() {
 		t = past
 	}
-	return c.Conn.SetReadDeadline(t)
+	err := c.Conn.SetReadDeadline(t)
+	c.setReadPast(t)
+	return err
 }
 
 // endRead ends the reading of the body of a request.
@@ -195,6 +217,7 @@
 	if err := c.Conn.SetReadDeadline(past); err != nil && c.readErr == nil {
 		c.readErr = err
 	}
+	c.setReadPast(past)
 }
 
 // await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
@@ -258,9 +281,11 @@
 		c.closed = true
 		c.reportUnanswered()
 		linger = c.state == requestFinished && c.writeErr == nil && !c.connections.ending.Load()
+		c.readable.Broadcast()
 	}
+	c.cancelAhead()
 	c.mu.Unlock()
-	if linger && hasPending(c.Conn) {
+	if linger && c.hasUnread() {
 		c.linger()
 	}
 	c.connections.remove(c)
@@ -338,6 +363,11 @@
 
 // setRequestID records the id of the request that is being served on its connection.
 func setRequestID(r *http.Request, id string) {
+	if a, ok := r.Context().Value(aheadKey{}).(*aheadRequest); ok && a.response != nil {
+		// The connection serves another request.
+		a.id = id
+		return
+	}
 	if c, ok := r.Context().Value(connectionKey{}).(*callerConn); ok {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -364,6 +394,6 @@
 		}
 		c.setState(result)
 	}()
-	handler.ServeHTTP(w, r)
+	c.serveInTurn(handler, w, r)
 	result = requestFinished
 }
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -45,6 +45,12 @@
 	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
 	unanswered *prometheus.CounterVec
+	// policy tells which requests of a connection may begin before their turn; nil if none may. next serves them, in the group ahead.
+	policy AheadPolicy
+	next   http.Handler
+	ahead  sync.WaitGroup
+	// stopping reports whether callers are to close their connections.
+	stopping func() bool
 	// http2 is set if the server also accepts HTTP/2 connections, which aren't tracked.
 	http2 bool
 }
@@ -53,7 +59,7 @@
 // registered with registerer.
 func NewConnections(limits func() routing.Limits, registerer prometheus.Registerer) *Connections {
 	c := &Connections{
-		limits: limits, open: make(map[*callerConn]struct{}),
+		limits: limits, open: make(map[*callerConn]struct{}), stopping: func() bool { return false },
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sapphiretray_callers_unanswered_total",
 			Help: "Requests of callers that were read and whose connection ended without an answer, by reason.",
@@ -63,6 +69,12 @@
 	return c
 }
 
+// ServeAhead makes requests that have arrived behind others on an HTTP/1.1 connection begin before their turn if the policy allows it.
+// Responses are sent in the order of the requests. stopping reports whether callers are to close their connections. Call it before Attach.
+func (c *Connections) ServeAhead(policy AheadPolicy, stopping func() bool) {
+	c.policy, c.stopping = policy, stopping
+}
+
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
@@ -76,15 +88,18 @@
 		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if conn, ok := conn.(*callerConn); ok {
+			conn.begin(ctx)
+		}
 		return context.WithValue(ctx, connectionKey{}, conn)
 	}
-	next := server.Handler
+	c.next = server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connectionKey{}).(*callerConn); ok {
-			conn.serve(next, w, r)
+			conn.serve(c.next, w, r)
 			return
 		}
-		next.ServeHTTP(w, r)
+		c.next.ServeHTTP(w, r)
 	})
 }
 
@@ -110,7 +125,8 @@
 
 // add returns a tracked connection.
 func (c *Connections) add(conn net.Conn) *callerConn {
-	tracked := &callerConn{Conn: conn, connections: c, since: time.Now(), limits: c.limits()}
+	tracked := &callerConn{Conn: conn, connections: c, since: time.Now(), limits: c.limits(), policy: c.policy, cancelAhead: func() {}}
+	tracked.readable.L = &tracked.mu
 	if c.http2 {
 		tracked.preface = http2Preface
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -87,7 +87,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := arrivalOf(r)
 	request := &gateway.Request{Method: r.Method, Target: target(r), Host: r.Host, Origin: s.service}
 	written := false
 	defer func() {
@@ -131,6 +131,16 @@
 	_, _ = w.Write(response.Body)
 }
 
+// MayRunAhead implements AheadPolicy. Requests that may be repeated may also run without a response.
+func (s *Server) MayRunAhead(r *http.Request) bool {
+	table := s.routes()
+	if table == nil || s.stopping() {
+		return false
+	}
+	route := table.Match(hostname(r.Host), r.URL.EscapedPath())
+	return route != nil && route.Kind.Retryable()
+}
+
 // target returns the path and query of a request. They are left as they were sent, except in an absolute target.
 func target(r *http.Request) string {
 	if r.URL.IsAbs() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -321,6 +321,7 @@
 		if s.name == callersServer {
 			// Connections of callers are bound by the limits of the configuration instead.
 			s.http.ReadHeaderTimeout = 0
+			sc.callers.ServeAhead(callers, sc.stopping.Load)
 			sc.callers.Attach(s.http)
 		}
 		listener, err := sc.adapters.Network.Listen(ctx, addresses[n])
