Planner: an even first map, loads from the first second, no map for small gains; one reader a data centre

The first map was made for the 21 of 155 instances that were registered 1.5 s after the first report; later ones got halves of halves, 1,561 keys down to 24. The first seconds of traffic looked idle, because the average of 2 s counted the time before as one without load, so that the fastest upstreams were given ranges of several others.

- The first map waits until all registered instances report to the planner and none has arrived for 0.8 s, at most 5 s (TestFirstMapAwaitsArrivals).
- Instances that join an idle service get a fair share by slots; a map that has carried no load is evened out as a whole (TestIdleServiceIsDividedEvenly for 1 to 1,040 instances in random groups: up to a factor of 1,188 before, at most 1.5 within three plans now; TestJoinedInstancesGetFairShares, TestFreshMap).
- Loads are extrapolated from the time since the first request (TestLoadAtTheStartOfTraffic).
- A map only for balance must save 1 % of the mean response time.
Of many instances, half as many ranges may move in one map.
- From three data centres on, one reader in each watches the store; the second one does while rows are missing for 0.5 s or the first can't be reached (TestReadersWatchTheStore).

--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxMoves is the largest number of balancing moves in one plan.
+	// maxMoves is the largest number of balancing moves in one plan; of more than twice as many candidates, it is half their number.
 	maxMoves = 24
 	// minCostRatio is the ratio of the donor's cost to the receiver's from which load moves. Measured loads are off by about 20%.
 	minCostRatio = 1.15
@@ -25,15 +25,39 @@
 	minSpeedup = 1.3
 	// minMoveLoad is the smallest load, in busy slots, that is moved.
 	minMoveLoad = 0.15
+	// minGain is the part of the mean response time that balancing must save for a map of its own: each map is sent to all instances, and
+	// makes requests for the moved keys wait. Smaller gains wait until further ones add up, or until a map is made for another reason.
+	minGain = 0.01
 )
 
+// balanceIfWorthwhile balances the load, and takes that back if it is the only reason for a new map and gains too little.
+func (b *builder) balanceIfWorthwhile() {
+	alone := len(b.moves) == 0
+	entries, carried := slices.Clone(b.entries), maps.Clone(b.carried)
+	before := b.totalCost()
+	b.balance()
+	if alone && before-b.totalCost() < minGain*before {
+		b.entries, b.carried, b.moves = entries, carried, nil
+	}
+}
+
+// totalCost returns the sum of the costs of all requests that run or wait, in mean service times.
+func (b *builder) totalCost() float64 {
+	sum := 0.0
+	for _, c := range b.input.Candidates {
+		sum += b.carried[c.Instance] * b.cost(c, 0)
+	}
+	return sum
+}
+
 // balance moves ranges from the candidates with the highest cost to those with the lowest until the costs are about equal.
 // Candidates that can't give up load, because it is on a single key or being moved already, are skipped, and the others are
 // balanced among themselves.
 func (b *builder) balance() {
 	candidates := slices.Clone(b.input.Candidates)
 	targets := b.targets(candidates)
-	for moves := 0; moves < maxMoves && len(candidates) > 1; {
+	limit := max(maxMoves, len(candidates)/2)
+	for moves := 0; moves < limit && len(candidates) > 1; {
 		costliest := slices.MaxFunc(candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
 		cheapest := slices.MinFunc(candidates, func(a, c Candidate) int {
 			return cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad))
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -41,6 +41,8 @@
 	Ended func(member.Incarnation) bool
 	// Keep reports whether an owner that isn't a candidate keeps its keys for now.
 	Keep func(member.Incarnation) bool
+	// Fresh is set if the map was made for a service without load and has carried none since, so that nothing is known of its keys.
+	Fresh bool
 	// Loads holds the measured loads. Where ranges overlap, their loads add up.
 	Loads []RangeLoad
 }
@@ -64,7 +66,7 @@
 	} else {
 		b.reassignLost()
 		b.seedNewCandidates()
-		b.balance()
+		b.balanceIfWorthwhile()
 	}
 	if len(b.moves) == 0 {
 		return nil, nil
@@ -192,17 +194,18 @@
 		owned[e.Owner()] = true
 		total += b.density.load(e.Range)
 	}
+	share := total / float64(len(b.input.Candidates))
+	if share < minMoveLoad {
+		// There is too little load to select keys by. An even share brings load once there is some.
+		b.spread()
+		return
+	}
 	for _, c := range b.input.Candidates {
 		if owned[c.Instance] {
 			continue
 		}
 		// The new candidate itself is left out: if it is slow, its cost may be the highest even without load.
 		others := slices.DeleteFunc(slices.Clone(b.input.Candidates), func(o Candidate) bool { return o.Instance == c.Instance })
-		share := total / float64(len(b.input.Candidates))
-		if share < minMoveLoad {
-			b.splitLargest(c)
-			continue
-		}
 		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
 		for _, from := range others {
 			// A candidate can't give up a single key, or keys that are being moved already.
@@ -213,23 +216,6 @@
 	}
 }
 
-// splitLargest gives a candidate half of the keys of the largest entry that isn't being moved already. It is used when there is too
-// little load to select keys by, so that the candidate has a share of the load once there is some.
-func (b *builder) splitLargest(to Candidate) {
-	largest := -1
-	for n, e := range b.entries {
-		if len(e.Previous) == 0 && e.Size() > 1 && (largest < 0 || e.Size() > b.entries[largest].Size()) {
-			largest = n
-		}
-	}
-	if largest < 0 {
-		return
-	}
-	e := b.entries[largest]
-	b.split(largest, e.First+Key(e.Size()/2)-1)
-	b.assign(largest+1, to.Instance, "the new owner has no keys yet")
-}
-
 const (
 	// maxRangesPerCandidate is the mean number of ranges per candidate above which the map is defragmented.
 	maxRangesPerCandidate = 8
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -356,6 +356,30 @@
 	return len(d.records)
 }
 
+// count returns the number of instances of a service with a record.
+func (d *directory) count(service string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	n := 0
+	for _, r := range d.records {
+		if r.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// dataCentres returns the number of data centres with a record.
+func (d *directory) dataCentres() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	names := make(map[string]struct{})
+	for _, r := range d.records {
+		names[r.DataCentre] = struct{}{}
+	}
+	return len(names)
+}
+
 // isRegistered reports whether a row of the slot is known that may have registered an incarnation, see nextIncarnation.
 func (d *directory) isRegistered(i member.Incarnation) bool {
 	d.mu.RLock()
--- a/sidecar/loads.go
+++ b/sidecar/loads.go
@@ -12,6 +12,10 @@
 const (
 	// loadTimeConstant is the time constant of the exponential average of a key's load. Hot ranges change within seconds.
 	loadTimeConstant = 2 * time.Second
+	// minLoadTime is the least time since the first request for which its load is extrapolated.
+	minLoadTime = time.Second
+	// loadPause is the time without requests after which the average begins anew.
+	loadPause = 10 * time.Second
 	// maxRangeLoad is the load, in busy slots, up to which keys are reported as one range: about the least that is worth a separate
 	// move.
 	maxRangeLoad = 0.08
@@ -24,6 +28,8 @@
 type loads struct {
 	mu   sync.Mutex
 	keys map[keyspace.Key]*keyLoad
+	// first is when the first request arrived after loadPause or more without any, and last when the newest one did.
+	first, last time.Time
 }
 
 // keyLoad is the average load of a key at a time.
@@ -37,6 +43,10 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if now.Sub(l.last) >= loadPause {
+		l.first = now
+	}
+	l.last = now
 	if l.keys == nil {
 		l.keys = make(map[keyspace.Key]*keyLoad)
 	}
@@ -68,8 +78,9 @@
 	}
 	slices.Sort(keys)
 	var ranges []keyspace.RangeLoad
+	scale := l.scale(now)
 	for _, key := range keys {
-		load := l.keys[key].decayed(now)
+		load := scale * l.keys[key].decayed(now)
 		if n := len(ranges); n > 0 && ranges[n-1].Load+load <= maxRangeLoad {
 			ranges[n-1].Last = key
 			ranges[n-1].Load += load
@@ -79,3 +90,10 @@
 	}
 	return ranges
 }
+
+// scale returns the factor that makes up for the time before the first request, which the average counts as one without load. Without it,
+// the loads in the first seconds of traffic are a part of the real ones, and the fastest upstreams get more ranges than they can serve.
+func (l *loads) scale(now time.Time) float64 {
+	since := max(now.Sub(l.first), minLoadTime)
+	return 1 / (1 - math.Exp(-since.Seconds()/loadTimeConstant.Seconds()))
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -23,8 +23,14 @@
 	gatherTime = 40 * time.Millisecond
 	// slowPlan is the computing time from which a plan is logged as slow. More would endanger the latency objectives of requests.
 	slowPlan = 20 * time.Millisecond
-	// firstPlanWait is how long the instances of a new service have to report before its keys are assigned for the first time.
-	firstPlanWait = 1500 * time.Millisecond
+	// firstPlanWait is the least time that the instances of a new service have to report before its keys are assigned for the first time,
+	// and maxFirstPlanWait the longest if further ones keep arriving. Keys that move later make requests wait.
+	firstPlanWait    = 1500 * time.Millisecond
+	maxFirstPlanWait = 5 * time.Second
+	// maxSilentWait bounds the part of the wait that is for instances that are registered and don't report.
+	maxSilentWait = 2500 * time.Millisecond
+	// arrivalPause is the time without a further instance after which a new service counts as complete.
+	arrivalPause = 800 * time.Millisecond
 	// lostMapWait takes its place if another writer has replaced the map: instances that know the map restore it within that time, and the
 	// grants of processes that have ended by its start have expired, see grant.MaxHold.
 	lostMapWait = 3 * time.Second
@@ -37,7 +43,7 @@
 func (sc *Sidecar) runPlanner(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	var first time.Time
+	var arrivals arrivalTimer
 	var restore restoreTimer
 	for {
 		select {
@@ -49,7 +55,7 @@
 			wait.For(ctx, gatherTime)
 		}
 		now := time.Now()
-		reports := sc.planner.fresh(now)
+		reports := sc.planner.recent(now)
 		current := sc.directory.keyMap(sc.settings.Service)
 		lost := current.keys != nil && current.lostAt > 0
 		mayPlan := sc.mayPlan(lost || len(reports) > 0)
@@ -60,24 +66,78 @@
 			continue
 		}
 		if len(reports) == 0 || !mayPlan {
-			first = time.Time{}
+			arrivals = arrivalTimer{}
 			continue
 		}
-		if first.IsZero() {
-			first = now
+		if current.keys == nil {
+			records, silent := sc.directory.count(sc.settings.Service), sc.silentInstances(reports)
+			arrivals.observe(now, records+len(reports))
+			if !arrivals.isDue(now, silent == 0, mapWasLost(current, reports)) {
+				continue
+			}
 		}
-		if current.keys != nil || now.Sub(first) >= initialWait(current, reports) {
-			sc.plan(ctx, current, reports)
+		sc.planner.observeLoad(current.keys == nil, reports)
+		sc.plan(ctx, current, reports)
+	}
+}
+
+// arrivalTimer tells when the keys of a service without a known map are assigned. The zero value is ready to use.
+type arrivalTimer struct {
+	first, last time.Time
+	known       int
+}
+
+// observe records the number of records and reports of the service's instances.
+func (t *arrivalTimer) observe(now time.Time, known int) {
+	if t.first.IsZero() {
+		t.first = now
+	}
+	if known > t.known {
+		t.known, t.last = known, now
+	}
+}
+
+// isDue reports whether the keys are to be assigned. complete means that all instances with a record report here: while they still learn of
+// each other, they report to several planners. lost is set if the service had a map before.
+func (t *arrivalTimer) isDue(now time.Time, complete, lost bool) bool {
+	waited := now.Sub(t.first)
+	if lost {
+		return waited >= lostMapWait
+	}
+	complete = complete || waited >= maxSilentWait
+	return waited >= maxFirstPlanWait || complete && waited >= firstPlanWait && now.Sub(t.last) >= arrivalPause
+}
+
+// silentInstances returns the number of instances of the local service that have a record and don't report to this one.
+func (sc *Sidecar) silentInstances(reports map[member.Incarnation]*peer.ReportRequest) int {
+	silent := 0
+	for _, r := range sc.directory.all() {
+		if _, ok := reports[r.Incarnation]; !ok && r.Service == sc.settings.Service && !r.State.Ended() {
+			silent++
 		}
 	}
+	return silent
 }
 
-// initialWait returns how long the instances of a service without a known map have to report before its keys are assigned.
-func initialWait(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) time.Duration {
-	if mapWasLost(current, reports) {
-		return lostMapWait
+// minFreshLoad is the load of a service, in busy slots, from which on its map isn't fresh any more. Single health checks stay below it.
+const minFreshLoad = 0.05
+
+// observeLoad records whether the service has no map yet and what load its instances report.
+func (p *plannerState) observeLoad(unassigned bool, reports map[member.Incarnation]*peer.ReportRequest) {
+	load := 0.0
+	for _, r := range reports {
+		load += r.GetLoad()
 	}
-	return firstPlanWait
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fresh = (p.fresh || unassigned) && load < minFreshLoad
+}
+
+// isFresh reports whether the map was made while this instance has planned, and has carried no load since.
+func (p *plannerState) isFresh() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fresh
 }
 
 // knowsHolders reports whether the rows are complete up to the loss of a map, so that all incarnations that may hold keys under it are
@@ -194,6 +254,7 @@
 	relative := relativeServiceTimes(reports)
 	p := keyspace.PlanInput{
 		Service: sc.settings.Service, Current: current.keys, Ended: sc.endedOrExpired, Loads: reportedLoads(reports, relative),
+		Fresh: sc.planner.isFresh(),
 	}
 	if current.keys == nil {
 		p.Used = max(current.lostAt, sc.rows.Version())
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -11,15 +11,31 @@
 	"sapphiretray/store"
 )
 
-// readersPerDataCentre is the number of instances in a data centre that watch the store for changed rows, so that one may fail.
-const readersPerDataCentre = 2
+const (
+	// readersPerDataCentre is the number of instances in a data centre that the others ask for changed rows, so that one may fail.
+	readersPerDataCentre = 2
+	// standbyDataCentres is the number of data centres from which on only the first reader of each watches the store. Each watcher makes a
+	// call for each change, and with so many, another watcher announces the changes that one misses.
+	standbyDataCentres = 3
+	// standbyDelay is how long rows must have been missing for a standby to watch the store itself. The first reader usually has an
+	// announced row within 310 ms: it pauses for 250 ms between two calls.
+	standbyDelay = 500 * time.Millisecond
+)
 
-// isReader reports whether this instance watches the store for changed rows. The planner and a few instances in each data centre do;
+// isReader reports whether this instance watches the store for changed rows. The planner and one or two instances in each data centre do;
 // the others fetch the rows from these, because calls to the store are billed and each change would cost one call per instance.
 // An instance that knows of no reader watches the store itself.
 func (sc *Sidecar) isReader() bool {
 	slots := sc.readers()
-	return sc.planner.active(time.Now()) || len(slots) == 0 || slices.Contains(slots, sc.settings.Slot)
+	position := slices.Index(slots, sc.settings.Slot)
+	switch {
+	case sc.planner.active(time.Now()), len(slots) == 0, position == 0:
+		return true
+	case position < 0:
+		return false
+	default:
+		return sc.directory.dataCentres() < standbyDataCentres || sc.rows.IncompleteFor() >= standbyDelay
+	}
 }
 
 // fetchFromReader merges the rows of another reader in the data centre and returns false if none responds that knows all changes. A
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -40,6 +40,8 @@
 	awaited map[member.Incarnation]time.Time
 	// asked is when reports were sent to this instance.
 	asked reportActivity
+	// fresh means that the map was made while this instance has planned, and has carried no load since.
+	fresh bool
 	// refrains means that the instance doesn't plan because rows are missing. Only runPlanner uses it.
 	refrains bool
 }
@@ -216,8 +218,8 @@
 	return p.asked.recently(now)
 }
 
-// fresh returns the reports that aren't outdated and deletes the others.
-func (p *plannerState) fresh(now time.Time) map[member.Incarnation]*peer.ReportRequest {
+// recent returns the reports that aren't outdated and deletes the others.
+func (p *plannerState) recent(now time.Time) map[member.Incarnation]*peer.ReportRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	fresh := make(map[member.Incarnation]*peer.ReportRequest)
