--- a/member/member.go
+++ b/member/member.go
@@ -110,6 +110,8 @@
 	AdminAddress string `json:"admin_address,omitempty"`
 	// Capacity is the instance's share of the load, relative to the other instances of the service.
 	Capacity float64 `json:"capacity"`
+	// Processor is the processor time that the instance has, in cores; 0 if it isn't known.
+	Processor float64 `json:"processor,omitempty"`
 	// Name is the machine's display name.
 	Name string `json:"name,omitempty"`
 	// Upstream is the id of the instance's local upstream; empty if none has registered.
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sapphiretray/member"
 	"sapphiretray/store"
 )
 
@@ -50,16 +51,20 @@
 	})
 }
 
-// readers returns the slots of the readers in the local data centre. Unreachable instances are left out.
+// readers returns the slots of the readers in the local data centre: the instances with most processor time, which also tend to have the
+// best links. Unreachable instances are left out.
 func (sc *Sidecar) readers() []string {
 	unreachable := sc.directory.unreachableSlots()
-	var slots []string
-	for _, r := range sc.directory.all() {
-		slot := r.Incarnation.Slot()
-		if r.DataCentre == sc.settings.DataCentre && !r.State.Ended() && !slices.Contains(unreachable, slot) {
-			slots = append(slots, slot)
-		}
+	records := slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
+		return r.DataCentre != sc.settings.DataCentre || r.State.Ended() || slices.Contains(unreachable, r.Incarnation.Slot())
+	})
+	slices.SortFunc(records, func(a, b member.Record) int {
+		return cmp.Or(cmp.Compare(b.Processor, a.Processor),
+			cmp.Compare(xxhash.Sum64String(a.Incarnation.Slot()), xxhash.Sum64String(b.Incarnation.Slot())))
+	})
+	slots := make([]string, 0, readersPerDataCentre)
+	for _, r := range records[:min(len(records), readersPerDataCentre)] {
+		slots = append(slots, r.Incarnation.Slot())
 	}
-	slices.SortFunc(slots, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	return slots[:min(len(slots), readersPerDataCentre)]
+	return slots
 }
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -158,24 +158,26 @@
 	}
 }
 
-// planners returns the slots of the local service's instances in the order in which they take the role of its planner. Unreachable
-// instances come last.
+// planners returns the slots of the local service's instances in the order in which they take the role of its planner. Those with more
+// processor time come first: the reports of a large service are more work than the smallest instances can do. Unreachable instances come
+// last.
 func (sc *Sidecar) planners() []string {
-	records := sc.directory.all()
 	unreachable := sc.directory.unreachableSlots()
 	service := sc.settings.Service
+	records := slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
+		return r.Service != service || r.State == member.Left
+	})
+	rank := func(r member.Record) uint64 { return xxhash.Sum64String(service + "\x00" + r.Incarnation.Slot()) }
+	slices.SortFunc(records, func(a, b member.Record) int {
+		return cmp.Or(
+			cmp.Compare(slices.Index(unreachable, a.Incarnation.Slot()), slices.Index(unreachable, b.Incarnation.Slot())),
+			cmp.Compare(b.Processor, a.Processor), cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(a.Incarnation.Slot(), b.Incarnation.Slot()))
+	})
 	slots := make([]string, 0, len(records))
 	for _, r := range records {
-		if r.Service == service && r.State != member.Left {
-			slots = append(slots, r.Incarnation.Slot())
-		}
+		slots = append(slots, r.Incarnation.Slot())
 	}
-	rank := func(slot string) uint64 { return xxhash.Sum64String(service + "\x00" + slot) }
-	slices.SortFunc(slots, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(slices.Index(unreachable, a), slices.Index(unreachable, b)),
-			cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
-	})
 	return slots
 }
 
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -1,10 +1,14 @@
 package sidecar
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/store"
 )
 
 // TestRelativeServiceTimes guards against an upstream that counts as much faster or slower than the others after a single request, and
@@ -40,3 +44,39 @@
 		})
 	}
 }
+
+// TestAbleInstancesPlan guards against a planner that can't keep up with the reports of a large service: on a machine of 0.16 cores, those
+// of 155 instances timed out, so that five instances planned at the same time, each with a part of the reports.
+func TestAbleInstancesPlan(t *testing.T) {
+	const instances, able = 155, 15
+	sc := newLinkedSidecar(t, &slowLink{}, instances)
+	sc.settings.DataCentre = "dc-0"
+	rows := make([]store.Row, 0, instances)
+	strong := make(map[string]bool)
+	for n := range instances {
+		var record member.Record
+		row := linkedRecordRow(t, n, 1, uint64(n+1))
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			t.Fatal(err)
+		}
+		record.Processor = 0.16
+		if n%(instances/able) == 3 {
+			record.Processor = 0.8
+			strong[fmt.Sprint("10.0.0.", n)] = true
+		}
+		row.Value, _ = json.Marshal(record)
+		rows = append(rows, row)
+	}
+	sc.directory.apply(rows)
+	planners := sc.planners()
+	if len(planners) != instances || slices.ContainsFunc(planners[:len(strong)], func(slot string) bool { return !strong[slot] }) {
+		t.Errorf("the first of %d planners are %v, want those with most processor time", len(planners), planners[:len(strong)])
+	}
+	if readers := sc.readers(); slices.ContainsFunc(readers, func(slot string) bool { return !strong[slot] }) {
+		t.Errorf("readers %v, want those with most processor time", readers)
+	}
+	sc.directory.MarkUnreachable(planners[0])
+	if next := sc.planners(); next[0] != planners[1] || next[instances-1] != planners[0] {
+		t.Errorf("after the first planner was lost, the first is %s and the last %s", next[0], next[instances-1])
+	}
+}
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -176,7 +176,7 @@
 		Incarnation: sc.nextIncarnation(row), Name: sc.settings.Name,
 		Service: sc.settings.Service, DataCentre: sc.settings.DataCentre, Region: sc.settings.Region,
 		PeerAddress: sc.settings.PeerAddress, HeartbeatAddress: sc.settings.HeartbeatAddress, CallerAddress: sc.settings.CallerAddress,
-		Capacity: float64(sc.gateway.State().Slots), Upstream: run.ID, UpstreamStarted: run.Started,
+		Capacity: float64(sc.gateway.State().Slots), Processor: sc.settings.Processor, Upstream: run.ID, UpstreamStarted: run.Started,
 		State: sc.wantedState(),
 	}
 	if sc.keyed() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,6 +59,9 @@
 	AdminAddress string
 	// UpstreamAddress is the address of the upstream.
 	UpstreamAddress string
+	// Processor is the processor time that the process has, in cores; 0 if it isn't known. Instances with more of it plan and read for the
+	// others.
+	Processor float64
 	// DrainLimit is how long requests may still be sent to an upstream after it has announced that it leaves.
 	DrainLimit time.Duration
 	// MaxHold is the longest time for which the upstream accepts a grant of keys; 0 selects the default of package grant.
