Instance: an upstream that refuses connections while it works hasn't ended

upstream.Client counts its open connections; HasEnded wants the upstream to refuse connections and all of them to be closed. Otherwise the grants are revoked, or end with their time, as for an upstream that doesn't answer.

TestHasEnded; without the count, the upstream that works on a request counts as ended.

--- a/instance/session.go
+++ b/instance/session.go
@@ -163,7 +163,7 @@
 	s.mu.Unlock()
 	granted, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	if granted.Err() != nil || s.instance.upstream.RefusesConnections(granted) {
+	if granted.Err() != nil || s.instance.upstream.HasEnded(granted) {
 		return ctx.Err() == nil
 	}
 	if err := s.owned.RevokeAll(granted); err != nil {
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // maxRefusedIDs bounds the request ids that connections remembers.
@@ -11,7 +12,9 @@
 // connections provides the connections for requests. A request that was refused is sent again on a new connection: if the upstream wrote
 // the refusal once more, it would be taken as the response to a request with the same id.
 type connections struct {
-	mu sync.Mutex
+	// open is the number of open connections to the upstream, those for control calls included.
+	open atomic.Int64
+	mu   sync.Mutex
 	// pooled keeps its connections for further requests, single closes each one after its request. Both are nil until they are needed.
 	pooled *http.Transport
 	single *http.Transport
@@ -25,13 +28,13 @@
 	defer c.mu.Unlock()
 	if _, ok := c.refused[id]; ok {
 		if c.single == nil {
-			c.single = newTransport()
+			c.single = newTransport(&c.open)
 			c.single.DisableKeepAlives = true
 		}
 		return c.single
 	}
 	if c.pooled == nil {
-		c.pooled = newTransport()
+		c.pooled = newTransport(&c.open)
 	}
 	return c.pooled
 }
--- a/upstream/do.go
+++ b/upstream/do.go
@@ -86,6 +86,17 @@
 	read    atomic.Int64
 	// sealed makes further writes fail.
 	sealed atomic.Bool
+	// open counts the open connections, and closed is set once this one doesn't count any more.
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // Write counts the bytes before it writes them, so that those of a failed write count as sent. It fails on a sealed connection.
@@ -342,3 +353,19 @@
 	}
 	return false
 }
+
+// HasEnded reports whether the upstream's process has ended: it refuses connections, and none is open. An upstream that only stops
+// listening, because it is about to end, still works on the requests of open connections.
+func (c *Client) HasEnded(ctx context.Context) bool {
+	if !c.RefusesConnections(ctx) {
+		return false
+	}
+	// The end of the connections is noticed a moment after that of the listener.
+	for range refusalChecks {
+		if c.connections.open.Load() == 0 {
+			return true
+		}
+		wait.For(ctx, refusalCheckInterval)
+	}
+	return c.connections.open.Load() == 0
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphiretray/code"
@@ -71,7 +72,7 @@
 		baseURL: "http://" + address, address: address,
 		probeInterval: DefaultProbeInterval, probeTimeout: DefaultProbeTimeout,
 	}
-	c.control, c.final = newTransport(), newTransport()
+	c.control, c.final = newTransport(&c.connections.open), newTransport(&c.connections.open)
 	c.final.DisableKeepAlives = true
 	for _, option := range options {
 		option(c)
@@ -79,8 +80,8 @@
 	return c
 }
 
-// newTransport returns an HTTP transport whose connections count their bytes.
-func newTransport() *http.Transport {
+// newTransport returns an HTTP transport whose connections count their bytes, and count in open while they are open.
+func newTransport(open *atomic.Int64) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -88,7 +89,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			open.Add(1)
+			return &countingConn{Conn: conn, open: open}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
