--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -54,15 +54,13 @@
 // Candidates that can't give up load, because it is on a single key or being moved already, are skipped, and the others are
 // balanced among themselves.
 func (b *builder) balance() {
-	candidates := slices.Clone(b.input.Candidates)
-	targets := b.targets(candidates)
-	limit := max(maxMoves, len(candidates)/2)
-	for moves := 0; moves < limit && len(candidates) > 1; {
-		costliest := slices.MaxFunc(candidates, func(a, c Candidate) int { return cmp.Compare(b.cost(a, 0), b.cost(c, 0)) })
-		cheapest := slices.MinFunc(candidates, func(a, c Candidate) int {
-			return cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad))
-		})
-		if b.cost(costliest, 0) < max(minDonorCost, minCostRatio*b.cost(cheapest, minMoveLoad)) {
+	costs := b.costsOf(slices.Clone(b.input.Candidates))
+	targets := b.targets(costs.candidates)
+	limit := max(maxMoves, len(costs.candidates)/2)
+	for moves := 0; moves < limit && len(costs.candidates) > 1; {
+		from, to := slices.Index(costs.present, slices.Max(costs.present)), slices.Index(costs.receiving, slices.Min(costs.receiving))
+		costliest, cheapest := costs.candidates[from], costs.candidates[to]
+		if costs.present[from] < max(minDonorCost, minCostRatio*costs.receiving[to]) {
 			return
 		}
 		surplus := b.carried[costliest.Instance] - targets[costliest.Instance]
@@ -72,22 +70,54 @@
 		}
 		if surplus >= minMoveLoad && b.moveLoad(costliest, cheapest, min(surplus, headroom), true) {
 			moves++
+			costs.update(b, from)
+			costs.update(b, to)
 			continue
 		}
-		omitted := costliest.Instance
-		fastest := b.fastest(candidates)
-		if costliest.utilisation(b.carried[omitted]) >= fullUtilisation &&
+		omitted := from
+		fastest := b.fastest(costs.candidates)
+		if costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
 			costliest.RelativeServiceTime >= minSpeedup*fastest.RelativeServiceTime &&
 			b.moveHotRange(costliest, fastest) {
 			// The next plans move the receiver's other keys away.
 			moves++
-			omitted = fastest.Instance
+			costs.update(b, from)
+			omitted = slices.IndexFunc(costs.candidates, func(c Candidate) bool { return c.Instance == fastest.Instance })
 		}
-		candidates = slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Instance == omitted })
-		targets = b.targets(candidates)
+		costs.remove(omitted)
+		targets = b.targets(costs.candidates)
 	}
 }
 
+// candidateCosts holds candidates with their costs, which are needed for all of them at each step of the balance.
+type candidateCosts struct {
+	candidates []Candidate
+	// present is the cost of each candidate at its load, and receiving that with minMoveLoad more.
+	present, receiving []float64
+}
+
+// costsOf returns the costs of candidates.
+func (b *builder) costsOf(candidates []Candidate) *candidateCosts {
+	costs := &candidateCosts{
+		candidates: candidates, present: make([]float64, len(candidates)), receiving: make([]float64, len(candidates)),
+	}
+	for n := range candidates {
+		costs.update(b, n)
+	}
+	return costs
+}
+
+// update computes the costs of candidate n anew.
+func (c *candidateCosts) update(b *builder, n int) {
+	c.present[n], c.receiving[n] = b.cost(c.candidates[n], 0), b.cost(c.candidates[n], minMoveLoad)
+}
+
+// remove removes candidate n.
+func (c *candidateCosts) remove(n int) {
+	c.candidates = slices.Delete(c.candidates, n, n+1)
+	c.present, c.receiving = slices.Delete(c.present, n, n+1), slices.Delete(c.receiving, n, n+1)
+}
+
 // fastest returns the candidate with the highest throughput.
 func (b *builder) fastest(candidates []Candidate) Candidate {
 	return slices.MinFunc(candidates, func(a, c Candidate) int {
