--- a/ingress/ahead.go
+++ b/ingress/ahead.go
@@ -177,8 +177,8 @@
 	c.connections.ahead.Go(func() {
 		defer func() {
 			if v := recover(); v != nil {
-				// The connection is aborted when it is the request's turn.
-				klog.V(1).InfoS("callers: request behind others aborted", "id", a.id, "panic", v)
+				// The connection is aborted when it is the request's turn, as the HTTP server does after a panic.
+				klog.ErrorS(nil, "callers: request behind others aborted", "id", a.id, "panic", v)
 				a.response.aborted = true
 			}
 			c.mu.Lock()
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -45,7 +45,8 @@
 	closedIdle, closedIncomplete atomic.Int64
 	// unanswered counts requests that were read and not answered, by reason.
 	unanswered *prometheus.CounterVec
-	// policy tells which requests of a connection may begin before their turn; nil if none may. next serves them, in the group ahead.
+	// policy tells which requests of a connection may begin before their turn; nil if none may. next serves them, in the group ahead. They
+	// end with their connections at the latest.
 	policy AheadPolicy
 	next   http.Handler
 	ahead  sync.WaitGroup
