--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -194,8 +194,8 @@
 		owned[e.Owner()] = true
 		total += b.density.load(e.Range)
 	}
-	share := total / float64(len(b.input.Candidates))
-	if share < minMoveLoad {
+	meanLoad := total / float64(len(b.input.Candidates))
+	if meanLoad < minMoveLoad {
 		// There is too little load to select keys by. An even share brings load once there is some.
 		b.spread()
 		return
@@ -209,7 +209,7 @@
 		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
 		for _, from := range others {
 			// A candidate can't give up a single key, or keys that are being moved already.
-			if b.moveLoad(from, c, newCandidateShare*share, false) {
+			if b.moveLoad(from, c, newCandidateShare*meanLoad, false) {
 				break
 			}
 		}
