--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -22,7 +22,7 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
-	// bytesPerSecond is the rate at which bodies are sent, or 0 for no limit.
+	// bytesPerSecond is the rate at which bodies are sent and received, or 0 for no limit.
 	bytesPerSecond float64
 	// answered is the number of requests answered on the connection.
 	answered int
@@ -36,7 +36,7 @@
 	status int
 	stamp  string
 	retry  string
-	body   []byte
+	size   int
 	// err is why there is no complete answer; closed is set if the process closed the connection.
 	err    error
 	closed bool
@@ -116,12 +116,31 @@
 	return nil
 }
 
+// readBody receives a body at the client's rate and returns its size.
+func (c *client) readBody(body io.Reader) (size int, err error) {
+	started := time.Now()
+	piece := make([]byte, 64<<10)
+	for {
+		n, err := body.Read(piece)
+		size += n
+		if err == io.EOF {
+			return size, nil
+		}
+		if err != nil {
+			return size, err
+		}
+		if c.bytesPerSecond > 0 {
+			time.Sleep(time.Until(started.Add(time.Duration(float64(size) / c.bytesPerSecond * float64(time.Second)))))
+		}
+	}
+}
+
 func (c *client) read(method string, a *answer) error {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return err
 	}
-	a.body, err = io.ReadAll(response.Body)
+	a.size, err = c.readBody(response.Body)
 	_ = response.Body.Close()
 	a.status, a.stamp = response.StatusCode, response.Header.Get("X-Sapphiretray-Server-Stamp")
 	a.retry = response.Header.Get("Retry-After")
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -301,6 +301,18 @@
 	}
 }
 
+// remove removes the machine for good, with its server.
+func (m *machine) remove() {
+	m.mu.Lock()
+	m.stopped = true
+	if m.process != nil {
+		_ = m.process.Signal(syscall.SIGKILL)
+	}
+	m.mu.Unlock()
+	m.server.stop()
+	m.d.rec.event("%s: removed for good", m.name)
+}
+
 // counts returns the ends of the process, those because of its memory, and the most memory in MB.
 func (m *machine) counts() (ends, kills, peak int) {
 	m.mu.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,9 @@
 type scenario func(rec *record, root string, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"memory": memoryScenario,
+	"memory":   memoryScenario,
+	"losses":   lossesScenario,
+	"download": downloadScenario,
 }
 
 func main() {
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -15,6 +15,10 @@
 	uploaders   = 4
 	largeUpload = 60 << 20
 	smallUpload = 60_000
+	// downloaders and the document sizes are those of the downloads. Instances pass on responses of up to 16 MiB.
+	downloaders   = 16
+	largeDocument = 15 << 20
+	smallDocument = 1_500
 	// linkBytesPerSecond is the rate of a machine's link, limits.link_mbps.
 	linkBytesPerSecond = 1000e6 / 8
 )
@@ -27,17 +31,17 @@
 		`"virtual_hosts":[{"host":"%s","paths":[`+
 		`{"name":"browse","prefix":"/browse/","route_type":"safe","timeout":"1500ms","target_latency":"600ms","priority":2,"service":"bookings","max_attempts":2},`+
 		`{"name":"book","prefix":"/book/","route_type":"unsafe","timeout":"2000ms","target_latency":"800ms","priority":1,"service":"bookings","max_attempts":2},`+
-		`{"name":"upload","prefix":"/upload/","route_type":"upload","timeout":"4000ms","target_latency":"1500ms","priority":1,"service":"clubdocs","max_attempts":2}`+
+		`{"name":"upload","prefix":"/upload/","route_type":"upload","timeout":"4000ms","target_latency":"1500ms","priority":1,"service":"clubdocs","max_attempts":2},`+
+		`{"name":"download","prefix":"/download/","route_type":"safe","timeout":"4000ms","target_latency":"1500ms","priority":1,"service":"clubdocs","max_attempts":2}`+
 		`]}]}`, version, maxBodyBytes, hostName)
 }
 
 // startClubs starts a deployment of bookings, which is divided by key, and clubdocs, and waits until all machines serve both.
-func startClubs(rec *record, root string) (*deployment, error) {
+func startClubs(rec *record, root string, services ...string) (*deployment, error) {
 	d, err := newDeployment(rec, root, clubsConfig)
 	if err != nil {
 		return nil, err
 	}
-	services := []string{"bookings", "bookings", "bookings", "bookings", "clubdocs", "clubdocs", "clubdocs"}
 	if err := d.add(services, func(service string) bool { return service == "bookings" }); err != nil {
 		return d, err
 	}
@@ -69,22 +73,55 @@
 	return d, nil
 }
 
-// memoryScenario checks LOST: it has requesters of one machine upload large bodies at once, each within max_body_bytes, while others of the same machine
-// browse on kept connections.
+// memoryScenario checks LOST: it has requesters of one machine upload large bodies at once, each within max_body_bytes, while others of the
+// same machine browse on kept connections.
 func memoryScenario(rec *record, root string, trouble bool) (bool, error) {
-	d, err := startClubs(rec, root)
+	size := smallUpload
+	if trouble {
+		size = largeUpload
+	}
+	body := make([]byte, size)
+	return transferScenario(rec, root, uploaders, func(*deployment) {}, func(c *client) answer {
+		return c.do(http.MethodPost, "/upload/x", -1, 4*time.Second, body)
+	})
+}
+
+// downloadScenario checks LOST: it has requesters of one machine fetch large documents at once, while others of the same machine browse on
+// kept connections.
+func downloadScenario(rec *record, root string, trouble bool) (bool, error) {
+	size := smallDocument
+	if trouble {
+		size = largeDocument
+	}
+	prepare := func(d *deployment) {
+		for _, m := range d.machines {
+			m.server.documentBytes = size
+		}
+	}
+	return transferScenario(rec, root, downloaders, prepare, func(c *client) answer {
+		return c.do(http.MethodGet, "/download/x", -1, 4*time.Second, nil)
+	})
+}
+
+// transferScenario has clients of one machine transfer bodies at the rate of its link, while others of it browse on kept connections. It
+// returns whether LOST was broken.
+func transferScenario(
+	rec *record, root string, clients int, prepare func(*deployment), transfer func(c *client) answer,
+) (bool, error) {
+	d, err := startClubs(rec, root, "bookings", "bookings", "bookings", "bookings", "clubdocs", "clubdocs", "clubdocs")
 	if d != nil {
 		defer d.stop()
 	}
 	if err != nil {
 		return false, err
 	}
+	prepare(d)
 	// The machines have to be in touch.
 	time.Sleep(4 * time.Second)
 	entry := d.machines[0]
 	end := time.Now().Add(12 * time.Second)
 	var mu sync.Mutex
-	lost, sent, served, uploads, uploaded := 0, 0, 0, 0, 0
+	lost, sent, served, transfers, complete := 0, 0, 0, 0, 0
 	var group sync.WaitGroup
 	for n := range 12 {
 		group.Go(func() {
@@ -113,22 +150,19 @@
 			}
 		})
 	}
-	size := smallUpload
-	if trouble {
-		size = largeUpload
-	}
-	body := make([]byte, size)
-	for n := range uploaders {
+	for n := range clients {
 		group.Go(func() {
-			c := &client{rec: rec, name: fmt.Sprintf("uploader-%d", n), address: entry.outbound(), bytesPerSecond: linkBytesPerSecond / float64(uploaders)}
+			c := &client{
+				rec: rec, name: fmt.Sprintf("transfer-%d", n), address: entry.outbound(), bytesPerSecond: linkBytesPerSecond / float64(clients),
+			}
 			defer c.drop()
 			time.Sleep(2 * time.Second)
 			for time.Now().Before(end.Add(-4 * time.Second)) {
-				a := c.do(http.MethodPost, "/upload/x", -1, 4*time.Second, body)
+				a := transfer(c)
 				mu.Lock()
-				uploads++
-				if a.status == http.StatusOK {
-					uploaded++
+				transfers++
+				if a.err == nil && a.status == http.StatusOK {
+					complete++
 				}
 				mu.Unlock()
 				time.Sleep(time.Second)
@@ -137,7 +171,7 @@
 	}
 	group.Wait()
 	ends, kills, peak := entry.counts()
-	rec.say("uploads of %d bytes: %d sent, %d served; other requests: %d sent, %d served", size, uploads, uploaded, sent, served)
+	rec.say("transfers: %d begun, %d served; other requests: %d sent, %d served", transfers, complete, sent, served)
 	rec.say("process of %s: most memory %d MB of %d MB, ended %d times, %d of them for its memory", entry.name, peak, d.memoryMB, ends, kills)
 	rec.say("requests passed on from a kept connection that was closed without an answer: %d, more than 3 break LOST", lost)
 	return lost > 3, nil
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,8 +28,10 @@
 	slots, queue                        int
 	// work returns how long a request runs.
 	work func(r *http.Request) time.Duration
-	born int64
-	rec  *record
+	// documentBytes is the size of the answer to a request under /download/.
+	documentBytes int
+	born          int64
+	rec           *record
 
 	mu       sync.Mutex
 	running  int
@@ -288,6 +291,9 @@
 	s.mu.Unlock()
 	<-s.free
 	text := fmt.Sprintf("%s ran %s with %d bytes\n", s.id, id, len(body))
+	if strings.HasPrefix(r.URL.Path, "/download/") {
+		text += strings.Repeat("d", s.documentBytes)
+	}
 	w.Header().Set("X-Sapphiretray-Server-Stamp", s.id+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
