Review: large answers end the process by its memory

Cause: an answer counts as memory while it is read, and not while it is held until its caller has received it. Change: a script with 24 requesters of one machine that fetch 15 MiB each beside requests on kept connections.

--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -16,7 +16,7 @@
 	largeUpload = 60 << 20
 	smallUpload = 60_000
 	// downloaders and the document sizes are those of the downloads. Instances pass on responses of up to 16 MiB.
-	downloaders   = 16
+	downloaders   = 24
 	largeDocument = 15 << 20
 	smallDocument = 1_500
 	// linkBytesPerSecond is the rate of a machine's link, limits.link_mbps.
