--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,7 @@
 type scenario func(rec *record, root string, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"freezes":  freezesScenario,
 	"memory":   memoryScenario,
 	"losses":   lossesScenario,
 	"download": downloadScenario,
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +18,9 @@
 const (
 	heartbeatInterval = 870 * time.Millisecond
 	idleTimeout       = 10 * time.Second
+	// Orders that are carried out late take effect after minLateness to maxLateness.
+	minLateness = 2 * time.Second
+	maxLateness = 12 * time.Second
 	// clockFactor is the rate of the server's clock, which may run 2% slow.
 	clockFactor = 1.0
 )
@@ -33,7 +37,11 @@
 	born          int64
 	rec           *record
 
+	// onGrant is called for each grant that takes effect; nil for none.
+	onGrant func(from, to int, fence uint64)
+
 	mu       sync.Mutex
+	late     float64
 	running  int
 	waiting  int
 	free     chan struct{}
@@ -147,9 +155,33 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if share := s.lateOrders(); rand.Float64() < share {
+		delay := minLateness + rand.N(maxLateness-minLateness)
+		s.rec.event("%s leaves a grant of keys %d-%d fence %d unanswered for %v", s.id, body.From, body.To, body.Fence, delay)
+		time.AfterFunc(delay, func() {
+			status := s.applyGrant(body.From, body.To, body.Fence, hold)
+			s.rec.event("%s carries out the late grant of keys %d-%d fence %d: %d", s.id, body.From, body.To, body.Fence, status)
+		})
+		<-r.Context().Done()
+		return
+	}
 	w.WriteHeader(s.applyGrant(body.From, body.To, body.Fence, hold))
 }
 
+// lateOrders returns the share of the grants that the server leaves unanswered and carries out late.
+func (s *server) lateOrders() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
+
+// setLateOrders sets the share that lateOrders returns.
+func (s *server) setLateOrders(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = share
+}
+
 // applyGrant grants keys and returns the status of the response.
 func (s *server) applyGrant(from, to int, fence uint64, hold time.Duration) int {
 	s.mu.Lock()
@@ -162,6 +194,9 @@
 		}
 		renewal = renewal || g.from == from && g.to == to && g.fence == fence && !g.released
 	}
+	if s.onGrant != nil {
+		s.onGrant(from, to, fence)
+	}
 	if !renewal {
 		s.rec.event("%s is granted keys %d-%d fence %d for %v", s.id, from, to, fence, hold)
 	}
