--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,6 +44,7 @@
 	callerTimeouts callerTimeouts
 	chooser        *chooser
 	outdated       func() bool
+	confirmedFor   func() (time.Duration, bool)
 	stopping       func() bool
 	outlasts       func(deadline time.Time) bool
 	metrics        *metrics
@@ -58,6 +59,8 @@
 	Local     LocalGateway
 	// Outdated reports whether a newer configuration than that of Routes is known to exist.
 	Outdated func() bool
+	// ConfirmedFor returns the time since the configuration was last known to be the newest one, and false if it never was. It may be nil.
+	ConfirmedFor func() (time.Duration, bool)
 	// Service is the service of the local upstream.
 	Service string
 	// DataCentre is the data centre that the instance runs in.
@@ -77,9 +80,12 @@
 	if c.Outlasts == nil {
 		c.Outlasts = func(time.Time) bool { return false }
 	}
+	if c.ConfirmedFor == nil {
+		c.ConfirmedFor = func() (time.Duration, bool) { return 0, false }
+	}
 	return &Server{
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
-		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, stopping: c.Stopping,
+		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, confirmedFor: c.ConfirmedFor, stopping: c.Stopping,
 		outlasts: c.Outlasts, budgets: budgets{create: c.NewBudget},
 		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
@@ -219,6 +225,9 @@
 // failure is temporary if a newer configuration may have one.
 func (s *Server) noRoute(table *routing.Table) *gateway.Failure {
 	f := &gateway.Failure{Code: code.NoRoute, Reason: "no route of configuration " + strconv.FormatUint(table.Version(), 10)}
+	if age, ok := s.confirmedFor(); ok {
+		f.Reason += fmt.Sprintf(", confirmed %v ago", age.Round(time.Millisecond))
+	}
 	if s.outdated() || s.routes() != table {
 		f.Code, f.RetryAfter = code.ConfigOutdated, noConfigRetryAfter
 	}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sapphiretray/gateway"
+	"sapphiretray/store"
 )
 
 // registerMetrics registers the metrics of the process. Their values are read at each scrape.
@@ -33,6 +34,8 @@
 	})
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(sc.routes.Load().Version()) })
 	gauge("store_reachable", "1 if the last call to the store succeeded.", func() float64 { return boolValue(sc.rows.Reachable()) })
+	sc.registerStoreMetrics("config", sc.config)
+	sc.registerStoreMetrics("rows", sc.rows)
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(sc.directory.unreachableSlots()))
 	})
@@ -46,6 +49,30 @@
 		func(s gateway.Stats) uint64 { return s.Unknown })
 }
 
+// registerStoreMetrics registers the metrics of the calls that keep a copy of a table of the store up to date.
+func (sc *Sidecar) registerStoreMetrics(copyName string, f *store.Follower) {
+	for outcome, count := range map[string]func(s store.Stats) uint64{
+		"answered": store.Stats.Answered, "failed": store.Stats.Failed, "unanswered": store.Stats.Unanswered,
+		"abandoned": store.Stats.Abandoned,
+	} {
+		sc.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name:        "sapphiretray_store_calls_total",
+			Help:        "Calls to the store by outcome. Abandoned calls also count as unanswered, and these as failed.",
+			ConstLabels: prometheus.Labels{"copy": copyName, "outcome": outcome},
+		}, func() float64 { return float64(count(f.Stats())) }))
+	}
+	sc.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sapphiretray_store_response_age_seconds", Help: "Time since the store last responded, -1 before the first response.",
+		ConstLabels: prometheus.Labels{"copy": copyName},
+	}, func() float64 {
+		age, ok := f.ConfirmedFor()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	}))
+}
+
 // keysServed returns the number of keys that the upstream may serve.
 func (sc *Sidecar) keysServed() float64 {
 	s := sc.session.Load()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -294,7 +294,8 @@
 // listen creates the servers and binds their addresses. The contexts of the requests of callers and other instances derive from requests.
 func (sc *Sidecar) listen(ctx, requests context.Context) ([]*server, error) {
 	callers := ingress.New(ingress.Config{
-		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated, Directory: sc.directory, Local: sc.gateway,
+		Protocol: sc.adapters.Callers, Routes: sc.routes.Load, Outdated: sc.isConfigOutdated,
+		ConfirmedFor: sc.config.ConfirmedFor, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(sc.group, sc.newTransport(peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
 		Outlasts:  sc.outlasts,
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -72,7 +72,8 @@
 		}
 		sc.routes.Store(table)
 		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version, "bytes", len(row.Value), "source", d.Source,
-			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind, "skipped", len(rows)-n-1)
+			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind, "inDoubt", d.InDoubt,
+			"skipped", len(rows)-n-1)
 		sc.wakeUp()
 		return
 	}
--- a/store/call.go
+++ b/store/call.go
@@ -40,6 +40,9 @@
 	// Waited is the time from the call to the store to the first byte of the response, and Took the time to its end. Both are 0 for
 	// merged rows; Waited is also 0 if the store's client doesn't support httptrace.
 	Waited, Took time.Duration
+	// InDoubt is the time since the start of the first call that had failed before, from which on the copy may have been out of date. It is
+	// 0 if none had, and for merged rows.
+	InDoubt time.Duration
 }
 
 // isSlow reports whether the transfer of the response took long.
@@ -132,6 +135,20 @@
 	abandoned bool
 	// superseded is set when the call was cancelled because the table has to be listed. Follower.mu guards it.
 	superseded bool
+	// connection describes the connection of the newest request of the call, nil before there is one.
+	connection atomic.Pointer[httptrace.GotConnInfo]
+}
+
+// connectionState tells for the log whether the call used a connection of earlier calls, and for how long that had been idle.
+func (c *call) connectionState() (state string, idle time.Duration) {
+	switch info := c.connection.Load(); {
+	case info == nil:
+		return "none", 0
+	case info.Reused:
+		return "reused", info.IdleTime
+	default:
+		return "new", 0
+	}
 }
 
 // delivery describes the rows of the response, whose end has just arrived.
@@ -147,9 +164,12 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &call{source: s, started: time.Now(), cancel: cancel}
-	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		c.waited.CompareAndSwap(0, int64(max(1, time.Since(c.started))))
-	}})
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { c.connection.Store(&info) },
+		GotFirstResponseByte: func() {
+			c.waited.CompareAndSwap(0, int64(max(1, time.Since(c.started))))
+		},
+	})
 	f.lastStoreCall, f.preferred = c.started, ""
 	f.mu.Lock()
 	f.open = c
@@ -163,20 +183,38 @@
 	if c.deadline != nil {
 		c.deadline.Stop()
 	}
-	if err == nil {
-		f.abandoned, f.responded = 0, time.Now()
-		f.observeLatency(c, d)
-		if len(rows) > 0 {
-			f.slowLink = d.isSlow()
-		}
-		return rows, version, d, nil
+	if ctx.Err() != nil && err != nil {
+		return nil, 0, d, err
+	}
+	f.stats.count(c, err)
+	if err != nil {
+		return nil, 0, d, f.observeFailure(c, d, err)
+	}
+	if !f.doubtSince.IsZero() {
+		d.InDoubt = time.Since(f.doubtSince)
+		f.doubtSince = time.Time{}
 	}
-	if c.superseded && ctx.Err() == nil {
-		return nil, 0, d, errSuperseded
+	f.abandoned, f.responded = 0, time.Now()
+	f.observeLatency(c, d)
+	if len(rows) > 0 {
+		f.slowLink = d.isSlow()
 	}
-	if ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
-		klog.InfoS("store: call failed", "table", f.table, "call", s, "version", f.version, "expected", f.expected(), "waited", d.Waited,
-			"took", d.Took, "abandoned", c.abandoned, "err", err)
+	return rows, version, d, nil
+}
+
+// observeFailure logs that a call has failed, selects the source of the next one, and returns the error of call. mu must be held.
+func (f *Follower) observeFailure(c *call, d Delivery, err error) error {
+	if c.superseded {
+		return errSuperseded
+	}
+	if f.doubtSince.IsZero() {
+		f.doubtSince = c.started
+	}
+	if !errors.Is(err, ErrHistoryLost) {
+		connection, idle := c.connectionState()
+		klog.InfoS("store: call failed", "table", f.table, "call", c.source, "version", f.version, "expected", f.expected(),
+			"waited", d.Waited, "took", d.Took, "abandoned", c.abandoned, "connection", connection, "idle", idle,
+			"sinceResponse", f.sinceResponse(), "err", err)
 	}
 	switch {
 	case c.abandoned:
@@ -184,14 +222,14 @@
 		// A listing responds at once even if the row doesn't exist.
 		f.preferred = SourceListing
 		if f.abandoned == 1 {
-			err = errAbandoned
+			return errAbandoned
 		}
-	case s == SourceListing:
+	case c.source == SourceListing:
 		f.preferred = SourceChanges
 	case d.Waited > 0 && d.Took-d.Waited >= partialTransfer:
 		f.preferred = SourceListing
 	}
-	return nil, 0, d, err
+	return err
 }
 
 // Expect tells the follower that a version of a row exists. If the copy isn't complete up to it, an open call to the store is abandoned
@@ -225,6 +263,20 @@
 	return f.responded
 }
 
+// ConfirmedFor returns the time since the store last responded, and false if it never did. The copy was complete then.
+func (f *Follower) ConfirmedFor() (time.Duration, bool) {
+	responded := f.Responded()
+	return time.Since(responded), !responded.IsZero()
+}
+
+// sinceResponse returns the time since the last successful call ended, 0 if there was none. mu must be held.
+func (f *Follower) sinceResponse() time.Duration {
+	if f.responded.IsZero() {
+		return 0
+	}
+	return time.Since(f.responded)
+}
+
 // responseDelay returns how long a response may take that is due at once. mu must be held.
 func (f *Follower) responseDelay() time.Duration {
 	delay := max(minResponseDelay, responseMargin*f.latency) << min(max(f.abandoned-1, 0), 8)
--- a/store/follower.go
+++ b/store/follower.go
@@ -71,8 +71,9 @@
 	latency   time.Duration
 	// unknown is the newest version that was expected and that the store was found not to have, and when.
 	unknown gap
-	// responded is when the last successful call ended.
-	responded time.Time
+	// responded is when the last successful call ended, and doubtSince when the first call began that failed since then, zero if none did.
+	responded, doubtSince time.Time
+	stats                 Stats
 	// listed is false until the table has been listed, and again after the store has lost the changes that are needed next, or when the
 	// copy has a row that the store doesn't have.
 	listed    bool
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -28,6 +28,8 @@
 	unavailable bool
 	// silent makes Changes return no rows.
 	silent bool
+	// deaf is closed and replaced when the calls that wait for changes must never be answered. They fail clientMargin after their wait.
+	deaf chan struct{}
 	// latency is the time to the first byte of a response, transfer that from there to its end.
 	latency, transfer time.Duration
 	changed           chan struct{}
@@ -36,7 +38,18 @@
 }
 
 func newMemory() *memory {
-	return &memory{rows: make(map[string]store.Row), changed: make(chan struct{})}
+	return &memory{rows: make(map[string]store.Row), changed: make(chan struct{}), deaf: make(chan struct{})}
+}
+
+// clientMargin is the time after which a client of the store gives up a call whose response is due.
+const clientMargin = 1500 * time.Millisecond
+
+// deafen makes the store forget the calls that wait for changes now. Later ones are answered.
+func (m *memory) deafen() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.deaf)
+	m.deaf = make(chan struct{})
 }
 
 func (m *memory) put(key, value string) {
@@ -116,10 +129,19 @@
 func (m *memory) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Row, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	limit, cancel := context.WithTimeout(ctx, wait+clientMargin)
+	defer cancel()
 	m.mu.Lock()
 	m.calls++
+	deaf := m.deaf
 	m.mu.Unlock()
 	for {
+		select {
+		case <-deaf:
+			<-limit.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+		default:
+		}
 		m.mu.Lock()
 		unavailable, silent, dropped, changed := m.unavailable, m.silent, after < m.dropped, m.changed
 		var rows []store.Row
@@ -140,6 +162,7 @@
 		}
 		select {
 		case <-changed:
+		case <-deaf:
 		case <-timer.C:
 			return nil, version, nil
 		case <-ctx.Done():
@@ -451,6 +474,39 @@
 	})
 }
 
+// TestFollowerCountsCalls guards against calls that the store doesn't answer but that no metric shows, and against a configuration whose
+// delay after such calls isn't reported.
+func TestFollowerCountsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		m.put("a", "1")
+		var last store.Delivery
+		f := store.NewFollower(m, "t", func(_ []store.Row, d store.Delivery) { last = d })
+		if _, ok := f.ConfirmedFor(); ok {
+			t.Error("the copy counts as confirmed before the first response")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { f.Run(ctx) })
+		time.Sleep(time.Second)
+		m.deafen()
+		m.put("a", "2")
+		time.Sleep(time.Minute)
+		s := f.Stats()
+		if s.Failed() == 0 || s.Unanswered() != s.Failed() || s.Answered() < 2 {
+			t.Errorf("%d calls answered, %d failed, %d of them unanswered", s.Answered(), s.Failed(), s.Unanswered())
+		}
+		if value(f, "a") != "2" || last.InDoubt <= 0 {
+			t.Errorf("a is %q after %v in doubt", value(f, "a"), last.InDoubt)
+		}
+		if age, ok := f.ConfirmedFor(); !ok || age > time.Minute {
+			t.Errorf("last confirmed %v ago: %v", age, ok)
+		}
+		cancel()
+		group.Wait()
+	})
+}
+
 // TestFollowerVersionOutOfRange guards against a row that is never updated again, and changes that are skipped, after a copy with an odd
 // version was merged from a peer.
 func TestFollowerVersionOutOfRange(t *testing.T) {
