--- /dev/null
+++ b/sidecar/configsilence_test.go
@@ -0,0 +1,240 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphiretray/peer"
+	"sapphiretray/routing"
+	"sapphiretray/store"
+)
+
+// configStore is a store with one configuration, whose calls for changes may go unanswered.
+type configStore struct {
+	store.Store
+	mu      sync.Mutex
+	version uint64
+	// changed is closed and replaced at each change, and forgotten when the open calls for changes are never answered. While feedSilent is
+	// set, none is.
+	changed, forgotten chan struct{}
+	feedSilent         bool
+	calls              int
+}
+
+// clientMargin is the time after which the client of the store gives up a call whose response is due.
+const clientMargin = 1500 * time.Millisecond
+
+func newConfigStore() *configStore {
+	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{})}
+}
+
+// set changes the store.
+func (s *configStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// put writes a configuration and returns its version.
+func (s *configStore) put() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+// forget makes the store not answer the calls for changes that are open.
+func (s *configStore) forget() {
+	s.set(func() {
+		close(s.forgotten)
+		s.forgotten = make(chan struct{})
+	})
+}
+
+// rows returns the row if it is newer than a version. s.mu must be held.
+func (s *configStore) rows(after uint64) []store.Row {
+	if s.version <= after {
+		return nil
+	}
+	return []store.Row{{Table: "op", Key: "config", Value: []byte(strconv.FormatUint(s.version, 10)), Version: s.version}}
+}
+
+// List implements store.Store.
+func (s *configStore) List(context.Context, string) ([]store.Row, uint64, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.rows(0), s.version, nil
+}
+
+// Changes implements store.Store.
+func (s *configStore) Changes(ctx context.Context, _ string, after uint64, poll time.Duration) ([]store.Row, uint64, error) {
+	limit, cancel := context.WithTimeout(ctx, poll+clientMargin)
+	defer cancel()
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	s.calls++
+	forgotten := s.forgotten
+	s.mu.Unlock()
+	for end := time.After(poll); ; {
+		s.mu.Lock()
+		rows, version, changed, silent := s.rows(after), s.version, s.changed, s.feedSilent
+		s.mu.Unlock()
+		if silent {
+			<-limit.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+		}
+		if len(rows) > 0 {
+			return rows, version, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, version, nil
+		case <-forgotten:
+			<-limit.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+		case <-limit.Done():
+			return nil, 0, limit.Err()
+		}
+	}
+}
+
+// configFleet is a deployment of instances that follow the configuration of one store. Instances of keyed services send heartbeats; every
+// fourth instance is of another service and takes no part in them.
+type configFleet struct {
+	store     *configStore
+	instances []*Sidecar
+	stops     []context.CancelFunc
+	group     sync.WaitGroup
+}
+
+// witnesses returns the instances that get the heartbeats of an instance.
+func (f *configFleet) witnesses(n int) []*Sidecar {
+	var keyed []*Sidecar
+	for other, sc := range f.instances {
+		if other != n && other%4 != 3 {
+			keyed = append(keyed, sc)
+		}
+	}
+	if n%4 == 3 || len(keyed) < witnessCount {
+		return nil
+	}
+	first := 5 * n % len(keyed)
+	return append(keyed, keyed...)[first : first+witnessCount]
+}
+
+// runConfigFleet runs a deployment while test runs, after all instances have the first configuration.
+func runConfigFleet(t *testing.T, instances int, test func(f *configFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &configFleet{store: newConfigStore()}
+		for n := range instances {
+			sc := New(Settings{Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3)}, Adapters{
+				Store: f.store, ConfigTable: "op", ConfigKey: "config",
+				DecodeConfig: func(content []byte) (*routing.Table, error) {
+					version, err := strconv.ParseUint(string(content), 10, 64)
+					if err != nil {
+						return nil, err
+					}
+					return routing.New(version, routing.Limits{}, nil, nil)
+				},
+			})
+			// Nobody answers a fetch: calls between the instances are silent too.
+			sc.dialer, sc.group = peer.NewDialer(peers{}), &errgroup.Group{}
+			for other := range instances {
+				sc.directory.apply([]store.Row{linkedRecordRow(t, other, 1, uint64(other+1))})
+			}
+			f.instances = append(f.instances, sc)
+		}
+		for n, sc := range f.instances {
+			ctx, stop := context.WithCancel(t.Context())
+			f.stops = append(f.stops, stop)
+			witnesses := f.witnesses(n)
+			heartbeats := func(ctx context.Context) {
+				time.Sleep(time.Duration(n) * 37 * time.Millisecond % leaseInterval)
+				for ; ctx.Err() == nil; time.Sleep(leaseInterval) {
+					for _, w := range witnesses {
+						w.ObserveVersions(sc.Versions())
+					}
+				}
+			}
+			for _, task := range []func(context.Context){sc.config.Run, sc.fetchConfig, heartbeats} {
+				f.group.Go(func() { task(ctx) })
+			}
+		}
+		time.Sleep(3 * time.Second)
+		test(f)
+		for _, stop := range f.stops {
+			stop()
+		}
+		f.group.Wait()
+		for _, sc := range f.instances {
+			_ = sc.group.Wait()
+		}
+	})
+}
+
+// latest returns how long after a time the last running instance has a configuration in effect, a minute if some never has.
+func (f *configFleet) latest(since time.Time, version uint64) time.Duration {
+	for ; time.Since(since) < time.Minute; time.Sleep(10 * time.Millisecond) {
+		late := 0
+		for _, sc := range f.instances {
+			if table := sc.routes.Load(); table == nil || table.Version() < version {
+				late++
+			}
+		}
+		if late == 0 {
+			break
+		}
+	}
+	return time.Since(since)
+}
+
+// TestConfigAfterSilence guards against a configuration that is in effect late on all instances because none of their calls for changes
+// is answered any more, so that nobody has the configuration and announces it.
+func TestConfigAfterSilence(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		// contact is the time after the loss of a connection from which on the bound holds.
+		contact = 3 * time.Second
+	)
+	tests := []struct {
+		name string
+		// begin makes calls for changes unanswered.
+		begin func(s *configStore)
+		// after is the time from there to the change.
+		after time.Duration
+	}{
+		{"calls forgotten, change at once", (*configStore).forget, 0},
+		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond},
+		{"feed silent for good, change at once", func(s *configStore) { s.set(func() { s.feedSilent = true }) }, 0},
+		{"feed silent for good, change in contact", func(s *configStore) { s.set(func() { s.feedSilent = true }) }, 20 * time.Second},
+	}
+	for _, instances := range []int{1, 2, 12, 60} {
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					silent := time.Now()
+					test.begin(f.store)
+					time.Sleep(test.after)
+					written := time.Now()
+					took := f.latest(written, f.store.put())
+					if limit := max(bound, contact-written.Sub(silent)); took > limit {
+						t.Errorf("in effect on all instances after %v, want at most %v", took, limit)
+					}
+				})
+			})
+		}
+	}
+}
