Sidecar: put configurations into effect in time after no call for changes is answered

Callers saw the old configuration for 10 to 20 s on all instances at once: removed and moved routes ran as before, and new ones got 404.

Cause: an instance took the silence of its call for changes as the absence of changes. The call had no other limit than its wait of 20 s and 1.5 s more, unless another instance announced a newer version. When the store no longer answers any open call, as after the loss of all connections at one moment, nobody has the newer version, so nobody announces it. As each change ends all calls at once, all of them also had the same phase.

Change: - store: every call for changes has a deadline from when its response is due, be it the end of its wait or the moment from which the copy is known to lack rows; it is abandoned then, and the table is listed.

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -177,7 +177,7 @@
 	e.stopped = true
 }
 
-// receive acknowledges the heartbeats of others.
+// receive acknowledges the heartbeats of others and takes their announcements.
 func (e *Endpoint) receive() error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -191,6 +191,7 @@
 		e.traffic.receive(n)
 		heartbeat, versions, ok := decodeHeartbeat(buffer[:n])
 		if !ok {
+			e.receiveAnnouncement(buffer[:n])
 			continue
 		}
 		now := time.Now()
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -354,3 +355,40 @@
 		}
 	}
 }
+
+// TestAnnounce guards against announcements of newer versions that don't reach an instance, or that name the sender instead of the instance
+// that has the versions.
+func TestAnnounce(t *testing.T) {
+	received := make(chan string, 1)
+	receiver := New(member.NewIncarnation("a", 1), WithOnVersions(func(slot string, v *peer.Versions) {
+		received <- fmt.Sprint(slot, " ", v.GetConfig())
+	}))
+	sender := New(member.NewIncarnation("b", 1))
+	if err := sender.Announce("127.0.0.1:9", "c", &peer.Versions{Config: 7}); err == nil {
+		t.Error("no error before the endpoint listens")
+	}
+	addresses := make([]string, 0, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, e := range []*Endpoint{receiver, sender} {
+		address, err := e.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, address)
+		group.Go(func() { _ = e.Run(ctx) })
+	}
+	if err := sender.Announce(addresses[0], "c", &peer.Versions{Config: 7}); err != nil {
+		t.Error(err)
+	}
+	select {
+	case got := <-received:
+		if got != "c 7" {
+			t.Errorf("received %q", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("nothing received")
+	}
+	cancel()
+	group.Wait()
+}
--- a/heartbeat/options.go
+++ b/heartbeat/options.go
@@ -41,8 +41,8 @@
 	return func(c *config) { c.versions = versions }
 }
 
-// WithOnVersions sets a function that is called with the sender's slot and the versions in each heartbeat and acknowledgement that carries
-// versions. It is called from several goroutines, and no further datagram is read from the same socket until it returns.
+// WithOnVersions sets a function that is called with the versions in each heartbeat, acknowledgement and announcement and the slot of the
+// instance that has them. It is called from several goroutines, and no further datagram is read from the same socket until it returns.
 func WithOnVersions(onVersions func(slot string, versions *peer.Versions)) Option {
 	return func(c *config) { c.onVersions = onVersions }
 }
--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/routing"
 	"sapphiretray/store"
@@ -60,6 +63,9 @@
 	})
 }
 
+// silenceFeed makes the store answer no call for changes.
+func (s *configStore) silenceFeed() { s.set(func() { s.feedSilent = true }) }
+
 // rows returns the row if it is newer than a version. s.mu must be held.
 func (s *configStore) rows(after uint64) []store.Row {
 	if s.version <= after {
@@ -110,13 +116,38 @@
 	}
 }
 
-// configFleet is a deployment of instances that follow the configuration of one store. Instances of keyed services send heartbeats; every
-// fourth instance is of another service and takes no part in them.
+// configFleet is a deployment of instances that follow the configuration of one store and announce it to each other. Instances of keyed
+// services send heartbeats; every fourth instance is of another service and takes no part in them.
 type configFleet struct {
 	store     *configStore
 	instances []*Sidecar
 	stops     []context.CancelFunc
-	group     sync.WaitGroup
+	// failed holds the instances that have failed.
+	failed sync.Map
+	group  sync.WaitGroup
+}
+
+// fail ends instances. The others don't notice.
+func (f *configFleet) fail(slots []string) {
+	for n, sc := range f.instances {
+		if slices.Contains(slots, sc.settings.Slot) {
+			f.failed.Store(sc, true)
+			f.stops[n]()
+		}
+	}
+}
+
+// hasFailed reports whether an instance has failed.
+func (f *configFleet) hasFailed(sc *Sidecar) bool {
+	_, failed := f.failed.Load(sc)
+	return failed
+}
+
+// deliver passes versions to an instance, unless it or the sender has failed.
+func (f *configFleet) deliver(from, to *Sidecar, slot string, v *peer.Versions) {
+	if !f.hasFailed(from) && !f.hasFailed(to) {
+		to.observeHeartbeat(slot, v)
+	}
 }
 
 // witnesses returns the instances that get the heartbeats of an instance.
@@ -152,6 +183,14 @@
 			})
 			// Nobody answers a fetch: calls between the instances are silent too.
 			sc.dialer, sc.group = peer.NewDialer(peers{}), &errgroup.Group{}
+			sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
+				number, err := strconv.Atoi(strings.TrimPrefix(to.Incarnation.Slot(), "10.0.0."))
+				f.group.Go(func() {
+					time.Sleep(2 * time.Millisecond)
+					f.deliver(sc, f.instances[number], slot, v)
+				})
+				return err
+			}
 			for other := range instances {
 				sc.directory.apply([]store.Row{linkedRecordRow(t, other, 1, uint64(other+1))})
 			}
@@ -165,7 +204,7 @@
 				time.Sleep(time.Duration(n) * 37 * time.Millisecond % leaseInterval)
 				for ; ctx.Err() == nil; time.Sleep(leaseInterval) {
 					for _, w := range witnesses {
-						w.ObserveVersions(sc.Versions())
+						f.deliver(sc, w, sc.settings.Slot, sc.heartbeatVersions())
 					}
 				}
 			}
@@ -190,7 +229,7 @@
 	for ; time.Since(since) < time.Minute; time.Sleep(10 * time.Millisecond) {
 		late := 0
 		for _, sc := range f.instances {
-			if table := sc.routes.Load(); table == nil || table.Version() < version {
+			if table := sc.routes.Load(); !f.hasFailed(sc) && (table == nil || table.Version() < version) {
 				late++
 			}
 		}
@@ -215,16 +254,23 @@
 		begin func(s *configStore)
 		// after is the time from there to the change.
 		after time.Duration
+		// failed is the number of instances that have failed, unnoticed by the others: those that check the configuration most often.
+		failed int
 	}{
-		{"calls forgotten, change at once", (*configStore).forget, 0},
-		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond},
-		{"feed silent for good, change at once", func(s *configStore) { s.set(func() { s.feedSilent = true }) }, 0},
-		{"feed silent for good, change in contact", func(s *configStore) { s.set(func() { s.feedSilent = true }) }, 20 * time.Second},
+		{"calls forgotten, change at once", (*configStore).forget, 0, 0},
+		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond, 0},
+		{"calls forgotten, change at once, two checkers failed", (*configStore).forget, 0, 2},
+		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0},
+		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0},
 	}
 	for _, instances := range []int{1, 2, 12, 60} {
 		for _, test := range tests {
+			if instances <= test.failed {
+				continue
+			}
 			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
 				runConfigFleet(t, instances, func(f *configFleet) {
+					f.fail(slotsOf(checkers(f.instances[0].reachable())[:test.failed]))
 					silent := time.Now()
 					test.begin(f.store)
 					time.Sleep(test.after)
@@ -238,3 +284,24 @@
 		}
 	}
 }
+
+// TestConfigCallsOfLargeFleets guards against checks of the configuration whose number grows with that of the instances: beyond the
+// checkers, an instance makes a call for each long poll only.
+func TestConfigCallsOfLargeFleets(t *testing.T) {
+	const (
+		small, large = 20, 120
+		// longPolls is the number of long polls of 15 to 20 s that begin in a minute.
+		longPolls = 4
+	)
+	calls := make(map[int]int)
+	for _, instances := range []int{small, large} {
+		runConfigFleet(t, instances, func(f *configFleet) {
+			f.store.set(func() { f.store.calls = 0 })
+			time.Sleep(time.Minute)
+			f.store.set(func() { calls[instances] = f.store.calls })
+		})
+	}
+	if further := calls[large] - calls[small]; further > longPolls*(large-small) {
+		t.Errorf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
+	}
+}
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -51,19 +51,30 @@
 	})
 }
 
-// readers returns the slots of the readers in the local data centre: the instances with most processor time, which also tend to have the
-// best links. Unreachable instances are left out.
+// readers returns the slots of the readers in the local data centre. Unreachable instances are left out.
 func (sc *Sidecar) readers() []string {
+	records := slices.DeleteFunc(sc.reachable(), func(r member.Record) bool { return r.DataCentre != sc.settings.DataCentre })
+	return slotsOf(records[:min(len(records), readersPerDataCentre)])
+}
+
+// reachable returns the records of the instances that haven't ended and aren't unreachable, those with most processor time first, which
+// also tend to have the best links.
+func (sc *Sidecar) reachable() []member.Record {
 	unreachable := sc.directory.unreachableSlots()
 	records := slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
-		return r.DataCentre != sc.settings.DataCentre || r.State.Ended() || slices.Contains(unreachable, r.Incarnation.Slot())
+		return r.State.Ended() || slices.Contains(unreachable, r.Incarnation.Slot())
 	})
 	slices.SortFunc(records, func(a, b member.Record) int {
 		return cmp.Or(cmp.Compare(b.Processor, a.Processor),
 			cmp.Compare(xxhash.Sum64String(a.Incarnation.Slot()), xxhash.Sum64String(b.Incarnation.Slot())))
 	})
-	slots := make([]string, 0, readersPerDataCentre)
-	for _, r := range records[:min(len(records), readersPerDataCentre)] {
+	return records
+}
+
+// slotsOf returns the slots of records.
+func slotsOf(records []member.Record) []string {
+	slots := make([]string, 0, len(records))
+	for _, r := range records {
 		slots = append(slots, r.Incarnation.Slot())
 	}
 	return slots
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
 	"sapphiretray/ingress"
+	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/policy"
 	"sapphiretray/routing"
@@ -66,6 +67,8 @@
 	DrainLimit time.Duration
 	// MaxHold is the longest time for which the upstream accepts a grant of keys; 0 selects the default of package grant.
 	MaxHold time.Duration
+	// ConfigLimit is the time within which a configuration has to be in effect on all instances; 0 selects 2 s.
+	ConfigLimit time.Duration
 	// StopTimeout is the time between the request to stop and the kill of the process.
 	StopTimeout time.Duration
 	// RetryBudget is the retry budget of the service. Its ratio and minimum apply to all instances together.
@@ -141,6 +144,8 @@
 	announcers      chan string
 	configAnnounced chan struct{}
 	configLag       configLag
+	// sendAnnouncement sends another instance the versions that the instance in a slot has.
+	sendAnnouncement func(to member.Record, slot string, v *peer.Versions) error
 	// decodingConfig is true while an arrived configuration isn't in effect yet.
 	decodingConfig atomic.Bool
 	// announcedMu guards announced.
@@ -149,6 +154,8 @@
 	announced map[string]uint64
 }
 
+var errNotRunning = errors.New("the process isn't running")
+
 // New returns a process; Run starts it.
 func New(s Settings, a Adapters) *Sidecar {
 	sc := &Sidecar{
@@ -164,7 +171,8 @@
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.applyRows, store.WithWatch(sc.isReader, sc.fetchFromReader))
-	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig)
+	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig, store.WithMaxWait(sc.configWait))
+	sc.sendAnnouncement = func(member.Record, string, *peer.Versions) error { return errNotRunning }
 	return sc
 }
 
@@ -183,6 +191,9 @@
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions),
 		heartbeat.WithOnVersions(sc.observeHeartbeat), heartbeat.WithOnChange(sc.leaseChanged))
+	sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
+		return sc.endpoint.Announce(to.HeartbeatAddress, slot, v)
+	}
 	sc.registerMetrics()
 	requests, giveUp := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer giveUp(nil)
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -57,6 +57,8 @@
 	// The newest row has arrived, even if its configuration is refused below.
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
 		behind = time.Since(since)
+	} else {
+		sc.announceConfig(sc.settings.Slot, rows[0].Version)
 	}
 	for n, row := range rows {
 		decoding := time.Now()
@@ -114,6 +116,7 @@
 		sc.config.Expect(v.Config)
 		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
+			sc.announceConfig(v.Slot, v.Config)
 		}
 		select {
 		case sc.configAnnounced <- struct{}{}:
--- a/store/call.go
+++ b/store/call.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// minResponseDelay is how long the first byte of a response may take while the copy lacks rows. It is above the 320 ms of a slow
-	// store. It doubles with each call that is abandoned, from the second one on, up to maxResponseDelay. It is also at least
-	// responseMargin times as long as the store took for the last response that was due at once.
+	// minResponseDelay is how long the first byte of a response that is due may take. It is above the 320 ms of a slow store. It doubles
+	// with each call that is abandoned, from the second one on, up to maxResponseDelay. It is also at least responseMargin times as long
+	// as the store took for the last response that was due.
 	minResponseDelay = 400 * time.Millisecond
 	maxResponseDelay = 3200 * time.Millisecond
 	responseMargin   = 2
@@ -27,8 +27,8 @@
 	slowTransfer = 250 * time.Millisecond
 )
 
-// errAbandoned means that a call was cancelled because it didn't deliver rows that the copy lacks.
-var errAbandoned = errors.New("no response although a newer row is known to exist")
+// errAbandoned means that a call was cancelled because its response was overdue.
+var errAbandoned = errors.New("the response is overdue")
 
 // errSuperseded means that a call was cancelled because the table has to be listed.
 var errSuperseded = errors.New("the table has to be listed")
@@ -75,7 +75,7 @@
 	f.mu.Lock()
 	expected, preferred := f.expected(), f.preferred == SourceListing
 	f.mu.Unlock()
-	rows, version, d, err := f.call(ctx, SourceListing, func(ctx context.Context) ([]Row, uint64, error) {
+	rows, version, d, err := f.call(ctx, SourceListing, 0, func(ctx context.Context) ([]Row, uint64, error) {
 		return f.store.List(ctx, f.table)
 	})
 	if err != nil {
@@ -127,11 +127,16 @@
 	cancel  context.CancelFunc
 	// waited is the time to the first byte of the response in nanoseconds, 0 before it.
 	waited atomic.Int64
-	// deadline abandons the call unless the response has begun; nil unless the copy lacks rows. limited is how long after its start the
-	// call was found to be due at once, 0 if it may wait for changes. Follower.mu guards both.
-	deadline *time.Timer
-	limited  time.Duration
-	// abandoned is set when the call was cancelled by deadline. Follower.mu guards it.
+	// wait is how long the store may wait for changes.
+	wait time.Duration
+	// timer abandons the call at deadline unless the response has begun; it is nil if there is no deadline. due is the time from the
+	// start at which the store has to respond: the end of the wait or, if lacksRows is set, when the copy was found to lack rows.
+	// Follower.mu guards them.
+	timer     *time.Timer
+	deadline  time.Time
+	due       time.Duration
+	lacksRows bool
+	// abandoned is set when the call was cancelled at its deadline. Follower.mu guards it.
 	abandoned bool
 	// superseded is set when the call was cancelled because the table has to be listed. Follower.mu guards it.
 	superseded bool
@@ -156,14 +161,14 @@
 	return Delivery{Source: c.source, Waited: time.Duration(c.waited.Load()), Took: time.Since(c.started)}
 }
 
-// call makes a call to the store. It logs errors unless ctx has ended, and returns errAbandoned for the first of several calls that
-// were abandoned in a row, since the next one may use another connection.
+// call makes a call to the store that may wait there for changes. It logs errors unless ctx has ended, and returns errAbandoned for the
+// first of several calls that were abandoned in a row, since the next one may use another connection.
 func (f *Follower) call(
-	ctx context.Context, s Source, read func(ctx context.Context) ([]Row, uint64, error),
+	ctx context.Context, s Source, pollWait time.Duration, read func(ctx context.Context) ([]Row, uint64, error),
 ) ([]Row, uint64, Delivery, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := &call{source: s, started: time.Now(), cancel: cancel}
+	c := &call{source: s, started: time.Now(), cancel: cancel, wait: pollWait, due: pollWait}
 	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { c.connection.Store(&info) },
 		GotFirstResponseByte: func() {
@@ -173,6 +178,7 @@
 	f.lastStoreCall, f.preferred = c.started, ""
 	f.mu.Lock()
 	f.open = c
+	f.setDeadline()
 	f.limitResponseDelay()
 	f.mu.Unlock()
 	rows, version, err := read(callCtx)
@@ -180,9 +186,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.open = nil
-	if c.deadline != nil {
-		c.deadline.Stop()
-	}
+	c.stopTimer()
 	if ctx.Err() != nil && err != nil {
 		return nil, 0, d, err
 	}
@@ -283,30 +287,58 @@
 	return min(delay, maxResponseDelay)
 }
 
-// observeLatency records how long the store took to respond, if the call wasn't waiting for changes. mu must be held.
+// observeLatency records how long the store took to respond once that was due. mu must be held.
 func (f *Follower) observeLatency(c *call, d Delivery) {
-	if d.Waited > 0 && (c.source == SourceListing || c.limited > 0) {
-		f.latency = max(0, d.Waited-c.limited)
+	if d.Waited > 0 && d.Waited >= c.due {
+		f.latency = d.Waited - c.due
 	}
 }
 
-// limitResponseDelay abandons the open call, if any, after a while unless its response begins before, if the copy lacks rows. The store
-// answers a call for changes at once if there are any. mu must be held.
+// limitResponseDelay makes the response to the open call, if any, due at once if the copy lacks rows: the store answers a call for changes
+// at once if there are any. mu must be held.
 func (f *Follower) limitResponseDelay() {
 	c := f.open
-	if c == nil || c.deadline != nil || len(f.gaps) == 0 {
+	if c == nil || c.lacksRows || len(f.gaps) == 0 {
 		return
 	}
-	if c.limited == 0 {
-		c.limited = max(1, time.Since(c.started))
+	c.lacksRows = true
+	if elapsed := time.Since(c.started); c.source == SourceListing || elapsed < c.due {
+		c.due = elapsed
+	}
+	f.setDeadline()
+}
+
+// unlimitResponseDelay undoes limitResponseDelay for the open call, if any, because the copy lacks no rows any more. mu must be held.
+func (f *Follower) unlimitResponseDelay() {
+	if c := f.open; c != nil && c.lacksRows {
+		c.lacksRows, c.due = false, c.wait
+		f.setDeadline()
+	}
+}
+
+// setDeadline makes the open call be abandoned unless its response begins within the response delay after it is due. A listing that nothing
+// calls for has no deadline but that of the store's client: it may be large, and the store may be slow at the start. mu must be held.
+func (f *Follower) setDeadline() {
+	c := f.open
+	c.stopTimer()
+	if c.source == SourceListing && len(f.gaps) == 0 && f.abandoned == 0 {
+		return
 	}
-	c.deadline = time.AfterFunc(f.responseDelay(), func() {
+	c.deadline = c.started.Add(c.due + f.responseDelay())
+	c.timer = time.AfterFunc(time.Until(c.deadline), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		c.deadline = nil
-		if f.open == c && c.waited.Load() == 0 && len(f.gaps) > 0 {
+		if f.open == c && c.waited.Load() == 0 && !time.Now().Before(c.deadline) {
 			c.abandoned = true
 			c.cancel()
 		}
 	})
 }
+
+// stopTimer stops the timer of the call's deadline. Follower.mu must be held.
+func (c *call) stopTimer() {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+}
--- a/store/completeness.go
+++ b/store/completeness.go
@@ -83,10 +83,7 @@
 	}
 	f.gaps = nil
 	f.logTimer.Stop()
-	if c := f.open; c != nil && c.deadline != nil {
-		c.deadline.Stop()
-		c.deadline, c.limited = nil, 0
-	}
+	f.unlimitResponseDelay()
 	if f.loggedIncomplete {
 		f.loggedIncomplete = false
 		klog.InfoS("store: copy complete", "table", f.table, "version", f.version, "newest", f.newest, "lackedRowsFor", lacked)
--- a/store/follower.go
+++ b/store/follower.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// longPollWait is how long one call to the store waits for changes. A longer wait saves calls; it is bounded because a call may
-	// hang.
+	// longPollWait is the longest time that one call to the store waits for changes. A longer wait saves calls; it is bounded because
+	// without a response nothing tells whether there are none.
 	longPollWait = 20 * time.Second
+	// pollSpread is the share of the wait of which a random part is left out. All calls end at each change, and without it the followers of
+	// a deployment would confirm their copies at the same moments only.
+	pollSpread = 0.25
 	// peerMergeInterval is the pause between two merges from a peer while the follower doesn't watch the store.
 	peerMergeInterval = 6 * time.Second
 	// storeInterval is the time after which a follower that doesn't watch the store still calls it even if peers respond, because they
@@ -38,6 +41,8 @@
 	table       string
 	changed     func(rows []Row, d Delivery)
 	shouldWatch func() bool
+	// maxWait returns how long a call may wait for changes.
+	maxWait func() time.Duration
 	// mergeFromPeer merges rows from a peer's copy and reports whether one responded. It is called while shouldWatch returns false.
 	mergeFromPeer func(ctx context.Context, f *Follower) bool
 	// lastStoreCall is when the store was last called, preferred the source to read from next, or empty for the usual one, and slowLink
@@ -89,7 +94,7 @@
 func NewFollower(s Store, table string, changed func(rows []Row, d Delivery), options ...Option) *Follower {
 	f := &Follower{
 		store: s, table: table, changed: changed, rows: make(map[string]Row), listings: make(chan struct{}),
-		shouldWatch: func() bool { return true },
+		shouldWatch: func() bool { return true }, maxWait: func() time.Duration { return longPollWait },
 	}
 	for _, option := range options {
 		option(f)
@@ -108,6 +113,13 @@
 	return func(f *Follower) { f.shouldWatch, f.mergeFromPeer = shouldWatch, mergeFromPeer }
 }
 
+// WithMaxWait sets a function that returns how long a call may wait for changes at the store, at most 20 s, which is the default. It is
+// called for each call. A copy is out of date without a sign of it for up to this time, plus the time that a response may take, if the
+// store no longer knows of the call or the connection is dead.
+func WithMaxWait(maxWait func() time.Duration) Option {
+	return func(f *Follower) { f.maxWait = func() time.Duration { return min(maxWait(), longPollWait) } }
+}
+
 // Run keeps the copy up to date until ctx ends. It retries failed calls.
 func (f *Follower) Run(ctx context.Context) {
 	retry := minRetryDelay
@@ -135,16 +147,16 @@
 	if f.nextSource(watch) == SourceListing {
 		return f.list(ctx)
 	}
-	maxWait, pause := longPollWait, batchInterval
+	pollWait, pause := spread(f.maxWait()), batchInterval
 	if !watch {
-		maxWait, pause = 0, peerMergeInterval
+		pollWait, pause = 0, peerMergeInterval
 		if time.Since(f.lastStoreCall) < storeInterval && f.mergeFromPeer(ctx, f) {
 			f.pause(ctx, pause)
 			return nil
 		}
 	}
-	rows, version, d, err := f.call(ctx, SourceChanges, func(ctx context.Context) ([]Row, uint64, error) {
-		return f.store.Changes(ctx, f.table, f.Version(), maxWait)
+	rows, version, d, err := f.call(ctx, SourceChanges, pollWait, func(ctx context.Context) ([]Row, uint64, error) {
+		return f.store.Changes(ctx, f.table, f.Version(), pollWait)
 	})
 	if err != nil {
 		return err
@@ -162,6 +174,11 @@
 	return nil
 }
 
+// spread returns a wait without a random part of up to pollSpread.
+func spread(wait time.Duration) time.Duration {
+	return wait - time.Duration(pollSpread*rand.Float64()*float64(wait))
+}
+
 // pause waits for a time. A pause longer than batchInterval ends early when the follower should watch the store or list the table.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); {
@@ -294,6 +311,13 @@
 	return newer
 }
 
+// InDoubt reports whether a call to the store has failed since the last one that succeeded, so that the copy may be out of date.
+func (f *Follower) InDoubt() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.doubtSince.IsZero()
+}
+
 // Get returns the row with a key. A row that isn't known has version 0.
 func (f *Follower) Get(key string) Row {
 	f.mu.Lock()
