Sidecar: answer 503 in place of 404 while the configuration may be out of date

Callers got a 404 for a route that was there, which they don't retry.

Cause: a configuration counted as outdated only once another instance had announced a newer one. While the store left this instance's calls unanswered, it took its copy for the newest. Change: from the first failed call to the store until the next one that succeeds, a request without a route is answered 503 with Retry-After (1505 config-outdated). A listing that confirms the copy ends that.

--- a/code/code.go
+++ b/code/code.go
@@ -150,7 +150,7 @@
 	{PlatformTimeout, "platform-timeout", http.StatusGatewayTimeout, RanUnknown, "The platform did not answer in time."},
 	{
 		ConfigOutdated, "config-outdated", http.StatusServiceUnavailable, RanNo,
-		"No route matches, but this instance awaits a newer configuration. Repeat after the time in Retry-After.",
+		"No route matches, but this instance may lack a newer configuration. Repeat after the time in Retry-After.",
 	},
 	{BadSettings, "bad-settings", http.StatusBadRequest, RanNo, "The settings are refused; each fault has its line and column."},
 	{BadSheet, "bad-sheet", http.StatusBadRequest, RanNo, "The sheet is refused whole; each fault has its line and column."},
--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -28,7 +28,9 @@
 	// set, none is.
 	changed, forgotten chan struct{}
 	feedSilent         bool
-	calls              int
+	// down makes all calls fail.
+	down  bool
+	calls int
 }
 
 // clientMargin is the time after which the client of the store gives up a call whose response is due.
@@ -80,6 +82,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.down {
+		return nil, 0, store.ErrUnavailable
+	}
 	return s.rows(0), s.version, nil
 }
 
@@ -94,8 +99,11 @@
 	s.mu.Unlock()
 	for end := time.After(poll); ; {
 		s.mu.Lock()
-		rows, version, changed, silent := s.rows(after), s.version, s.changed, s.feedSilent
+		rows, version, changed, silent, down := s.rows(after), s.version, s.changed, s.feedSilent, s.down
 		s.mu.Unlock()
+		if down {
+			return nil, 0, store.ErrUnavailable
+		}
 		if silent {
 			<-limit.Done()
 			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
@@ -305,3 +313,39 @@
 		t.Errorf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
 	}
 }
+
+// TestConfigInDoubt guards against a 404 for a route of a newer configuration, which callers don't retry, while an instance knows that it
+// may not have the newest one because the store doesn't answer it.
+func TestConfigInDoubt(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin func(s *configStore)
+		// want is whether the configuration counts as outdated from then on.
+		want bool
+	}{
+		{"nothing", func(*configStore) {}, false},
+		{"all calls fail", func(s *configStore) {
+			s.set(func() { s.down = true })
+			s.forget()
+		}, true},
+		// A listing confirms that there is no newer one.
+		{"calls forgotten", (*configStore).forget, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runConfigFleet(t, 1, func(f *configFleet) {
+				sc := f.instances[0]
+				test.begin(f.store)
+				time.Sleep(2 * time.Second)
+				if got := sc.isConfigOutdated(); got != test.want {
+					t.Errorf("the configuration counts as outdated: %v", got)
+				}
+				f.store.set(func() { f.store.down = false })
+				time.Sleep(2 * time.Second)
+				if sc.isConfigOutdated() {
+					t.Error("the configuration still counts as outdated after the store is back")
+				}
+			})
+		})
+	}
+}
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -235,8 +235,11 @@
 	return !reachable || !behindSince.IsZero() && now.Sub(behindSince) >= configFetchDelay
 }
 
-// isConfigOutdated reports whether a newer configuration than that in effect has arrived or was announced by another instance.
-func (sc *Sidecar) isConfigOutdated() bool { return sc.decodingConfig.Load() || sc.isConfigMissing() }
+// isConfigOutdated reports whether a newer configuration than that in effect has arrived, was announced by another instance, or may exist
+// because the last call to the store failed.
+func (sc *Sidecar) isConfigOutdated() bool {
+	return sc.decodingConfig.Load() || sc.isConfigMissing() || sc.config.InDoubt()
+}
 
 // isConfigMissing reports whether another instance has announced a newer configuration than this one has.
 func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
