--- a/fake/relay.go
+++ b/fake/relay.go
@@ -49,6 +49,15 @@
 	cuts map[string]Direction
 	// flows has the UDP socket towards the target for each source (host:port).
 	flows map[string]net.Conn
+	// open has the open TCP connections.
+	open map[*relayedConn]struct{}
+}
+
+// relayedConn is a TCP connection from a source to the target.
+type relayedConn struct {
+	source, target net.Conn
+	// silent means that the connection delivers nothing further.
+	silent atomic.Bool
 }
 
 // NewRelay listens on a free port of an IP address for TCP, and on the same port for UDP.
@@ -64,7 +73,7 @@
 	}
 	return &Relay{
 		target: target, listener: listener, packets: packets,
-		cuts: make(map[string]Direction), flows: make(map[string]net.Conn),
+		cuts: make(map[string]Direction), flows: make(map[string]net.Conn), open: make(map[*relayedConn]struct{}),
 	}, nil
 }
 
@@ -78,6 +87,15 @@
 	r.cuts[source] = direction
 }
 
+// Silence makes the open TCP connections deliver nothing further in either direction, without closing them. New connections work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		c.silent.Store(true)
+	}
+}
+
 // SetDelay sets how long TCP data that arrives from now on takes in each direction. The end of a connection takes as long.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
@@ -134,9 +152,18 @@
 		_ = target.Close()
 	})
 	defer stop()
+	c := &relayedConn{source: source, target: target}
+	r.mu.Lock()
+	r.open[c] = struct{}{}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, c)
+	}()
 	var pair sync.WaitGroup
-	pair.Go(func() { r.copyStream(ctx, target, source, ip, Outbound) })
-	pair.Go(func() { r.copyStream(ctx, source, target, ip, Inbound) })
+	pair.Go(func() { r.copyStream(ctx, c, ip, Outbound) })
+	pair.Go(func() { r.copyStream(ctx, c, ip, Inbound) })
 	pair.Wait()
 }
 
@@ -146,8 +173,12 @@
 	due  time.Time
 }
 
-// copyStream copies one direction of a connection and pauses while it is cut.
-func (r *Relay) copyStream(ctx context.Context, to, from net.Conn, source string, direction Direction) {
+// copyStream copies one direction of a connection and pauses while it is cut. It discards the data of a silent connection.
+func (r *Relay) copyStream(ctx context.Context, c *relayedConn, source string, direction Direction) {
+	from, to := c.source, c.target
+	if direction == Inbound {
+		from, to = c.target, c.source
+	}
 	queue := make(chan relayed, relayQueue)
 	var writer sync.WaitGroup
 	writer.Go(func() { deliver(ctx, to, from, queue) })
@@ -157,6 +188,16 @@
 		for r.isCut(source, direction) && ctx.Err() == nil {
 			time.Sleep(relayPollInterval)
 		}
+		if c.silent.Load() {
+			if err == nil {
+				continue
+			}
+			if direction == Outbound {
+				// The source has given up the connection. The target learns it so that both ends are freed.
+				_ = c.target.Close()
+			}
+			break
+		}
 		due := time.Now().Add(time.Duration(r.delay.Load()))
 		if n > 0 {
 			queue <- relayed{bytes.Clone(buffer[:n]), due}
--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -39,6 +39,9 @@
 	// refused has the IP addresses whose calls get status 503.
 	refused map[string]bool
 	calls   int
+	// forgets counts the calls of ForgetWaits, and muted means that the feed doesn't respond.
+	forgets int
+	muted   bool
 }
 
 // rowName identifies a row.
@@ -65,6 +68,24 @@
 	s.notify()
 }
 
+// ForgetWaits makes the store never respond to the calls that wait for changes. Later calls are answered.
+func (s *RowStore) ForgetWaits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgets++
+	s.notify()
+}
+
+// MuteFeed makes the store leave all calls for changes unanswered, those that wait too, until it is called with false. Calls that arrived
+// before are never answered.
+func (s *RowStore) MuteFeed(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted = mute
+	s.forgets++
+	s.notify()
+}
+
 // Calls returns the number of calls that arrived.
 func (s *RowStore) Calls() int {
 	s.mu.Lock()
@@ -228,8 +249,16 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
 	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	s.mu.Lock()
+	forgets := s.forgets
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.muted || s.forgets != forgets {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		if after < s.droppedVersion {
 			s.writeResponse(w, http.StatusGone, map[string]any{})
 			s.mu.Unlock()
