Store: don't wait for changes while the store doesn't answer

Callers got the old configuration for over 2 s after a store that had been silent for 9 s answered again.

Cause: calls that are never answered were followed by a call that waits for changes, whose response delay had grown to 3.2 s. If it began before the end of the silence, it hung after it, and an announcement ended it only after the delay. Change: after a failed call, the next one doesn't wait for changes, so that it is due at once; calls wait again after the first response.

--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -28,9 +28,9 @@
 	// set, none is.
 	changed, forgotten chan struct{}
 	feedSilent         bool
-	// down makes all calls fail.
-	down  bool
-	calls int
+	// down makes all calls fail. While silent is set, calls that arrive are never answered.
+	down, silent bool
+	calls        int
 }
 
 // clientMargin is the time after which the client of the store gives up a call whose response is due.
@@ -68,6 +68,15 @@
 // silenceFeed makes the store answer no call for changes.
 func (s *configStore) silenceFeed() { s.set(func() { s.feedSilent = true }) }
 
+// beSilent makes the store answer no call for a time, those included that are open at its end.
+func (s *configStore) beSilent(d time.Duration) {
+	s.set(func() { s.silent = true })
+	s.forget()
+	time.Sleep(d)
+	s.set(func() { s.silent = false })
+	s.forget()
+}
+
 // rows returns the row if it is newer than a version. s.mu must be held.
 func (s *configStore) rows(after uint64) []store.Row {
 	if s.version <= after {
@@ -76,12 +85,29 @@
 	return []store.Row{{Table: "op", Key: "config", Value: []byte(strconv.FormatUint(s.version, 10)), Version: s.version}}
 }
 
-// List implements store.Store.
-func (s *configStore) List(context.Context, string) ([]store.Row, uint64, error) {
+// arrive counts a call and waits for its end if it is never answered.
+func (s *configStore) arrive(limit context.Context) error {
 	time.Sleep(4 * time.Millisecond)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls++
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-limit.Done()
+	return fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+}
+
+// List implements store.Store.
+func (s *configStore) List(ctx context.Context, _ string) ([]store.Row, uint64, error) {
+	limit, cancel := context.WithTimeout(ctx, clientMargin)
+	defer cancel()
+	if err := s.arrive(limit); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
@@ -92,9 +118,10 @@
 func (s *configStore) Changes(ctx context.Context, _ string, after uint64, poll time.Duration) ([]store.Row, uint64, error) {
 	limit, cancel := context.WithTimeout(ctx, poll+clientMargin)
 	defer cancel()
-	time.Sleep(4 * time.Millisecond)
+	if err := s.arrive(limit); err != nil {
+		return nil, 0, err
+	}
 	s.mu.Lock()
-	s.calls++
 	forgotten := s.forgotten
 	s.mu.Unlock()
 	for end := time.After(poll); ; {
@@ -268,6 +295,8 @@
 		{"calls forgotten, change at once", (*configStore).forget, 0, 0},
 		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond, 0},
 		{"calls forgotten, change at once, two checkers failed", (*configStore).forget, 0, 2},
+		{"store silent for 4 s, change in contact", func(s *configStore) { s.beSilent(4 * time.Second) }, 3 * time.Second, 0},
+		{"store silent for 9 s, change in contact", func(s *configStore) { s.beSilent(9 * time.Second) }, 3 * time.Second, 0},
 		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0},
 		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0},
 	}
@@ -279,8 +308,8 @@
 			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
 				runConfigFleet(t, instances, func(f *configFleet) {
 					f.fail(slotsOf(checkers(f.instances[0].reachable())[:test.failed]))
-					silent := time.Now()
 					test.begin(f.store)
+					silent := time.Now()
 					time.Sleep(test.after)
 					written := time.Now()
 					took := f.latest(written, f.store.put())
--- a/store/follower.go
+++ b/store/follower.go
@@ -148,6 +148,10 @@
 		return f.list(ctx)
 	}
 	pollWait, pause := spread(f.maxWait()), batchInterval
+	if f.InDoubt() {
+		// While the store doesn't answer, a call that may wait there would hang long after it answers others again.
+		pollWait = 0
+	}
 	if !watch {
 		pollWait, pause = 0, peerMergeInterval
 		if time.Since(f.lastStoreCall) < storeInterval && f.mergeFromPeer(ctx, f) {
