Gateway: drop idle connections to the upstream after an unanswered request

When the open connections to the upstream go silent without a reset, a request on a kept one gets no response and fails at its deadline. The next one took the next idle connection, so that callers got one 1405 upstream-timeout for each connection that had been idle for up to 4 s (1 s if not idempotent), although the upstream served new connections.

If nothing has arrived for longer than responses usually take when a request ends, the gateway now closes the idle connections on which no response has arrived since that request began. Others have shown meanwhile that they are alive, so that an overloaded upstream keeps its connections.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -60,6 +60,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	used        bool // Whether the connection has carried a response.
+	answering   bool // Whether anything has arrived since the newest request began.
 	retired     bool // Whether the connection must not be reused.
 	// refused holds the ids of the requests that the upstream refused on this connection.
 	refused map[string]struct{}
@@ -105,6 +106,7 @@
 			// No request may begin on the connection before fail closes it.
 			c.closed = true
 		}
+		c.answering = err == nil
 		c.mu.Unlock()
 		if err == nil && pending == nil {
 			err = errUnsolicited
@@ -280,7 +282,7 @@
 	if c.closed || c.pending != nil {
 		return false
 	}
-	c.pending = e
+	c.pending, c.answering = e, false
 	c.written.Store(0)
 	return true
 }
@@ -294,6 +296,20 @@
 	return !c.closed && !c.retired && idle <= maxIdle && idle <= c.idleTimeout/2
 }
 
+// isSilent reports whether nothing has arrived since the newest request began.
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.answering
+}
+
+// respondedAfter reports whether the last response was complete after a time.
+func (c *conn) respondedAfter(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince.After(t)
+}
+
 // retire keeps the connection from being reused after the current request.
 func (c *conn) retire() {
 	c.mu.Lock()
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -146,20 +146,10 @@
 		return
 	}
 	now := time.Now()
+	p.closeIdleIf(func(other *conn) bool { return !other.usable(now, maxIdle) })
 	p.mu.Lock()
-	var old []*conn
-	p.idle = slices.DeleteFunc(p.idle, func(other *conn) bool {
-		if other.usable(now, maxIdle) {
-			return false
-		}
-		old = append(old, other)
-		return true
-	})
+	defer p.mu.Unlock()
 	p.idle = append(p.idle, c)
-	p.mu.Unlock()
-	for _, other := range old {
-		other.fail(errClosed)
-	}
 }
 
 // retire closes all idle connections, and keeps the others from being reused. Requests that follow one without a response then
@@ -174,12 +164,21 @@
 }
 
 // closeIdle closes all idle connections.
-func (p *pool) closeIdle() {
+func (p *pool) closeIdle() { p.closeIdleIf(func(*conn) bool { return true }) }
+
+// closeIdleIf closes the idle connections for which a function returns true.
+func (p *pool) closeIdleIf(matches func(*conn) bool) {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	var closing []*conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if !matches(c) {
+			return false
+		}
+		closing = append(closing, c)
+		return true
+	})
 	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range closing {
 		c.fail(errClosed)
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -376,6 +376,10 @@
 		if !sent && reused && ctx.Err() == nil {
 			continue
 		}
+		if sent && c.isSilent() && time.Since(started) >= g.expectedTime(r) {
+			// The connection may be dead without a reset, and so may those on which nothing has arrived in the meantime either.
+			g.pool.closeIdleIf(func(idle *conn) bool { return !idle.respondedAfter(started) })
+		}
 		return nil, g.recordFailure(r, g.exchangeFailure(ctx, r, sent, err))
 	}
 }
@@ -399,7 +403,12 @@
 	if !r.Kind.Retryable() {
 		return time.Time{}
 	}
-	return time.Now().Add(expectedServiceTimes*g.estimates.get(r.Route) + minExpectedTime)
+	return time.Now().Add(g.expectedTime(r))
+}
+
+// expectedTime returns the time within which most responses to requests like r arrive.
+func (g *Gateway) expectedTime(r *Request) time.Duration {
+	return expectedServiceTimes*g.estimates.get(r.Route) + minExpectedTime
 }
 
 // spawn runs f in a goroutine of the group.
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -61,6 +61,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveRaw(t, listener, respond)
+}
+
+// serveRaw returns a rawUpstream that accepts connections from a listener.
+func serveRaw(
+	t *testing.T, listener net.Listener, respond func(conn net.Conn, r *http.Request, id string, number int64),
+) *rawUpstream {
+	t.Helper()
 	u := &rawUpstream{listener: listener, respond: respond}
 	u.group.Go(u.serve)
 	t.Cleanup(func() {
