Gateway: end requests with long heads at their deadline if the upstream doesn't read

A request whose head is larger than what the connection takes without being read was written before anything else was awaited. On a connection that had gone silent, or to an upstream that accepts connections and doesn't read, the write blocked until the connection was reset: the caller got no response at its deadline, and the request held a slot of the upstream for that long. Only bodies above 4 KiB were written in the background.

The size of the whole request now decides, so that the end of its context closes the connection, which ends the write.

TestUnreadRequestEndsAtDeadline failed before with a head of 32 KiB and a window of 16 KiB: the request ended 59m59s after its deadline, when the test's network delivered again.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -20,6 +20,8 @@
 const (
 	// readBufferSize is the size of a connection's read buffer in bytes. Most responses fit.
 	readBufferSize = 4096
+	// maxSyncWrite is the size of requests up to which a connection takes them at once, whether or not the upstream reads them.
+	maxSyncWrite = 4096
 	// statusLinePrefix begins each response.
 	statusLinePrefix = "HTTP/"
 	// maxRefusedIDs bounds the request ids that a connection remembers. A connection that has carried more refusals is closed.
@@ -363,8 +365,8 @@
 			failed <- err
 		}
 	}
-	if len(body) > readBufferSize {
-		// The upstream may respond before it has read a long body, so the response is awaited during the write.
+	if len(head)+len(body) > maxSyncWrite {
+		// The upstream may respond before it has read a long request, or never read it, so the response is awaited during the write.
 		spawn(write)
 	} else {
 		write()
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/code"
 	"sapphiretray/fake"
 	"sapphiretray/gateway"
 	"sapphiretray/routing"
@@ -102,3 +105,36 @@
 	_, err := g.Do(ctx, r)
 	return err
 }
+
+// TestUnreadRequestEndsAtDeadline guards against requests that hold a slot of the upstream beyond their deadline because the connection
+// takes no more data.
+func TestUnreadRequestEndsAtDeadline(t *testing.T) {
+	const window = 16 << 10
+	tests := []struct {
+		name       string
+		head, body int
+	}{
+		{"small", 0, 0},
+		{"head larger than the window", 2 * window, 0},
+		{"body larger than the window", 0, 2 * window},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &fake.Network{Window: func(_, _ netip.AddrPort) int { return window }}
+				g := startOn(t, n)
+				if _, err := g.Do(t.Context(), request("first", routing.NonIdempotent)); err != nil {
+					t.Fatal(err)
+				}
+				silence(n)
+				r := request("second", routing.NonIdempotent)
+				r.Header = http.Header{"Test-Filler": {strings.Repeat("x", test.head)}}
+				r.Body = make([]byte, test.body)
+				_, err := g.Do(t.Context(), r)
+				if late := time.Since(r.Deadline); late > 0 || failureOf(t, err) != code.UpstreamTimeout {
+					t.Errorf("the request ended %v after its deadline with %v", late, err)
+				}
+			})
+		})
+	}
+}
