Object, table: drop idle connections after a call without a response

When open connections to the table service or the object store go silent without a reset, a call gets no response within its time-out (1 s and 5 s). The next one took the other idle connection, which was as silent, so that an instance of the product's own interface could neither read nor write for up to twice that time although new connections worked.

Both clients now close their idle connections after a call without a response, as platform's client does.

TestSilentIdleConnections failed before in both cases: 2 calls failed, want at most 1.

--- a/httplimit/clients_test.go
+++ b/httplimit/clients_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"sapphiretray/code"
 	"sapphiretray/fake"
 	"sapphiretray/httplimit"
@@ -90,3 +94,47 @@
 		server.Close()
 	}
 }
+
+// TestSilentIdleConnections guards against calls that fail one after another because each uses another idle connection that delivers
+// nothing further.
+func TestSilentIdleConnections(t *testing.T) {
+	for _, client := range clients {
+		t.Run(client.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var n fake.Network
+				listener, err := n.Listen("127.0.0.1:80")
+				if err != nil {
+					t.Fatal(err)
+				}
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(w, "{}")
+				})}
+				var group errgroup.Group
+				group.Go(func() error { return server.Serve(listener) })
+				transport := httplimit.NewTransport()
+				transport.DialContext = n.DialContext
+				get := func() error { return client.get(t.Context(), "http://127.0.0.1:80", transport) }
+				var first errgroup.Group
+				for range http.DefaultMaxIdleConnsPerHost {
+					first.Go(get)
+				}
+				if err := first.Wait(); err != nil {
+					t.Fatal(err)
+				}
+				for _, c := range n.Conns() {
+					c.Hold(time.Hour)
+				}
+				failed := 0
+				for get() != nil {
+					failed++
+				}
+				if failed > 1 {
+					t.Errorf("%d calls failed, want at most 1", failed)
+				}
+				transport.CloseIdleConnections()
+				_, _ = server.Close(), group.Wait()
+			})
+		})
+	}
+}
--- a/object/object.go
+++ b/object/object.go
@@ -119,6 +119,8 @@
 	}
 	resp, err := c.client.Do(req) //nolint:bodyclose // Limit.ReadAll closes the body.
 	if err != nil {
+		// If the call's connection is dead without a reset, those that were idle meanwhile may be as well.
+		c.client.CloseIdleConnections()
 		return 0, nil, err
 	}
 	body, err := httplimit.Limit{Max: maxObjectBytes, Memory: []*httplimit.Memory{c.memory}}.ReadAll(ctx, resp)
--- a/table/table.go
+++ b/table/table.go
@@ -171,6 +171,8 @@
 	}
 	resp, err := c.client.Do(req) //nolint:bodyclose // Limit.ReadAll closes the body.
 	if err != nil {
+		// If the call's connection is dead without a reset, those that were idle meanwhile may be as well.
+		c.client.CloseIdleConnections()
 		return 0, nil, code.Wrap(failureCode(method, err), err, "table service call")
 	}
 	body, err := httplimit.Limit{Max: MaxResponseBytes, Memory: []*httplimit.Memory{c.memory}}.ReadAll(ctx, resp)
