Forward: check a silent connection before each unrepeatable request

Callers saw 504 at the deadline for requests that can't be repeated, though new connections to the other instance worked: the request was sent on a connection that had delivered nothing for over a second, right behind one that may be repeated. Cause: "heard" was set when something was received, and also when a request was sent while none was in flight. For 700 ms after such a request, the link counted as sound, and no probe preceded a request that can't be repeated. Change: only received data and a new connection count as heard; the wait for a response begins at the later of that and the sending. A link with an open connection and nothing heard for 700 ms is probed before a request that can't be repeated, whatever was sent meanwhile.

--- a/forward/link.go
+++ b/forward/link.go
@@ -45,9 +45,9 @@
 	inFlight int
 	// probed is closed when the probe in progress ends. It is nil if there is none.
 	probed chan struct{}
-	// heard is when something was last received from the instance, or when a request was sent while none was in flight, whichever is
-	// later.
-	heard time.Time
+	// heard is when something was last received from the instance or a connection to it was opened, and began when a request was last
+	// sent while none was in flight.
+	heard, began time.Time
 	// connections are the open ones.
 	connections map[*linkConn]struct{}
 }
@@ -177,7 +177,7 @@
 		c := &linkConn{Conn: conn, link: l, accepted: make(chan struct{}), closed: make(chan struct{})}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.connections[c] = struct{}{}
+		l.connections[c], l.heard = struct{}{}, time.Now()
 		return c, nil
 	}
 	return l
@@ -225,9 +225,12 @@
 func (l *link) isUnused(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inFlight == 0 && now.Sub(l.heard) >= unusedAfter
+	return l.inFlight == 0 && l.quietFor(now) >= unusedAfter
 }
 
+// quietFor returns for how long a response could have arrived and nothing has been received. mu must be held.
+func (l *link) quietFor(now time.Time) time.Duration { return min(now.Sub(l.heard), now.Sub(l.began)) }
+
 func (l *link) isSilent() bool {
 	select {
 	case <-l.silent:
@@ -238,19 +241,19 @@
 }
 
 // enter counts a request in flight, unless the link is silent: its connections may be reset then. stale reports whether the link has a
-// connection that may be dead: one on which nothing was received for silentAfter, or that is being probed.
+// connection that may be dead: one on which nothing was received for silentAfter, or that is being probed. That a request was sent on it
+// meanwhile doesn't show that it delivers.
 func (l *link) enter(now time.Time) (entered, stale bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isSilent() {
 		return false, false
 	}
-	quiet, idle := now.Sub(l.heard), l.transport.IdleConnTimeout
 	if l.inFlight == 0 {
-		l.heard = now
+		l.began = now
 	}
 	l.inFlight++
-	return true, l.probed != nil || quiet >= silentAfter && (idle == 0 || quiet < idle)
+	return true, l.probed != nil || len(l.connections) > 0 && now.Sub(l.heard) >= silentAfter
 }
 
 // leave ends a request in flight. After the last one on a silent link, its connections are reset, so that what the network has held up
@@ -310,7 +313,7 @@
 func (l *link) needsProbe(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if left := silentAfter - now.Sub(l.heard); left > 0 {
+	if left := silentAfter - l.quietFor(now); left > 0 {
 		return left
 	}
 	if l.probed != nil || l.isSilent() {
@@ -369,7 +372,7 @@
 		return
 	}
 	klog.InfoS("forward: instance doesn't respond; further requests use a new connection", "address", l.address, "inFlight", l.inFlight,
-		"silentFor", time.Since(l.heard), "err", err)
+		"silentFor", l.quietFor(time.Now()), "err", err)
 	close(l.silent)
 	if l.inFlight == 0 {
 		l.reset()
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -215,18 +215,44 @@
 }
 
 // TestDeadIdleConnection guards against requests that can't be repeated and are sent on a connection that stopped delivering while it was
-// idle: nobody learns whether they ran.
+// idle: nobody learns whether they ran. A request that was sent on it just before is no sign that it delivers.
 func TestDeadIdleConnection(t *testing.T) {
-	t.Parallel()
-	client, i, l, address := newSlowLink(t)
-	i.serviceTime.Store(0)
-	if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
-		t.Fatal(err)
+	tests := []struct {
+		name string
+		// before is the number of requests that may be repeated and are sent on the connection before.
+		before int
+	}{
+		{"first request", 0},
+		{"after a request that may be repeated", 1},
 	}
-	l.stall(0)
-	time.Sleep(1100 * time.Millisecond)
-	started := time.Now()
-	if _, err := client.Do(t.Context(), address, newRequest("pay")); err != nil {
-		t.Errorf("%v after %v", err, time.Since(started))
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			client, i, l, address := newSlowLink(t)
+			i.serviceTime.Store(0)
+			if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
+				t.Fatal(err)
+			}
+			l.stall(0)
+			time.Sleep(1100 * time.Millisecond)
+			ctx, leave := context.WithCancel(t.Context())
+			var group errgroup.Group
+			for range test.before {
+				group.Go(func() error {
+					r := newRequest("")
+					r.Kind = routing.Idempotent
+					_, err := client.Do(ctx, address, r)
+					return err
+				})
+				time.Sleep(100 * time.Millisecond)
+			}
+			started := time.Now()
+			if _, err := client.Do(t.Context(), address, newRequest("pay")); err != nil {
+				t.Errorf("%v after %v", err, time.Since(started))
+			}
+			leave()
+			// The request before may have failed or not.
+			_ = group.Wait()
+		})
 	}
 }
