Forward: find a dead connection also with short deadlines

Callers saw one 504 after the other on routes with deadlines below a second, though new connections to the other instance worked: each request was sent on the same dead connection until its idle timeout or ping timeout, 8 s. Cause: each request began a wait of 700 ms of its own before the instance was probed. One that ended sooner took its wait along, and the next began anew. Change: the wait begins with the first request since which nothing has been received, whether that has ended or not, and a further request takes up the rest of it. On a sound connection each response, or the response to the ping that HTTP/2 sends with a cancellation, ends the wait.

--- a/forward/client.go
+++ b/forward/client.go
@@ -121,7 +121,8 @@
 	if !r.Kind.Retryable() {
 		silent = nil
 	}
-	check := time.NewTimer(silentAfter)
+	// An earlier request may have ended without a response, so that the instance is to be probed sooner than silentAfter from now.
+	check := time.NewTimer(l.untilProbe(time.Now()))
 	defer check.Stop()
 	for {
 		select {
--- a/forward/link.go
+++ b/forward/link.go
@@ -45,8 +45,8 @@
 	inFlight int
 	// probed is closed when the probe in progress ends. It is nil if there is none.
 	probed chan struct{}
-	// heard is when something was last received from the instance or a connection to it was opened, and began when a request was last
-	// sent while none was in flight.
+	// heard is when something was last received from the instance or a connection to it was opened, and began when the first request was
+	// sent since which nothing may have been received: earlier ones have ended, and something was received after them.
 	heard, began time.Time
 	// connections are the open ones.
 	connections map[*linkConn]struct{}
@@ -249,7 +249,7 @@
 	if l.isSilent() {
 		return false, false
 	}
-	if l.inFlight == 0 {
+	if l.inFlight == 0 && !l.heard.Before(l.began) {
 		l.began = now
 	}
 	l.inFlight++
@@ -309,13 +309,20 @@
 	l.heard = now
 }
 
-// needsProbe returns 0 if the instance is to be probed now, which it records, and otherwise the time until the next check.
-func (l *link) needsProbe(now time.Time) time.Duration {
+// untilProbe returns the time until the instance is to be probed unless something is received, 0 if that has passed.
+func (l *link) untilProbe(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if left := silentAfter - l.quietFor(now); left > 0 {
+	return max(0, silentAfter-l.quietFor(now))
+}
+
+// needsProbe returns 0 if the instance is to be probed now, which it records, and otherwise the time until the next check.
+func (l *link) needsProbe(now time.Time) time.Duration {
+	if left := l.untilProbe(now); left > 0 {
 		return left
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.probed != nil || l.isSilent() {
 		return silentAfter
 	}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -256,3 +256,36 @@
 		})
 	}
 }
+
+// TestShortDeadlinesOnDeadConnection guards against requests that wait for a dead connection one after the other, because each ends before
+// the instance counts as silent.
+func TestShortDeadlinesOnDeadConnection(t *testing.T) {
+	const deadline, within = 500 * time.Millisecond, 2 * time.Second
+	for _, kind := range []routing.Kind{routing.Idempotent, routing.NonIdempotent} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			client, i, l, address := newSlowLink(t)
+			i.serviceTime.Store(0)
+			if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
+				t.Fatal(err)
+			}
+			l.stall(0)
+			started := time.Now()
+			failed := 0
+			for time.Since(started) < 6*time.Second {
+				r := newRequest("")
+				r.Kind, r.Deadline = kind, time.Now().Add(deadline)
+				ctx, cancel := context.WithCancel(t.Context())
+				_, err := client.Do(ctx, address, r)
+				cancel()
+				if err == nil {
+					break
+				}
+				failed++
+			}
+			if took := time.Since(started); took > within {
+				t.Errorf("%d requests failed in %v, want a response within %v", failed, took, within)
+			}
+		})
+	}
+}
