--- a/sidecar/configsilence_test.go
+++ b/sidecar/checkers_test.go
@@ -378,3 +378,36 @@
 		})
 	}
 }
+
+// TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their calls
+// for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
+// unlistedWait.
+func TestRowsAfterSilence(t *testing.T) {
+	// An instance that doesn't watch the store asks a reader every 6 s, and writes its record within restoreInterval.
+	const bound = unlistedWait - 6*time.Second - restoreInterval
+	runConfigFleet(t, 12, func(f *configFleet) {
+		var readers []*Sidecar
+		ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
+		defer cancel()
+		for _, sc := range f.instances {
+			if sc.isReader() {
+				readers = append(readers, sc)
+				f.group.Go(func() { sc.rows.Run(ctx) })
+			}
+		}
+		time.Sleep(time.Second)
+		f.store.forget()
+		written, version := time.Now(), f.store.put()
+		for late := len(readers); late > 0 && time.Since(written) < time.Minute; time.Sleep(10 * time.Millisecond) {
+			late = 0
+			for _, sc := range readers {
+				if sc.rows.Version() < version {
+					late++
+				}
+			}
+		}
+		if took := time.Since(written); len(readers) != 3 || took > bound {
+			t.Errorf("%d readers have the rows after %v, want at most %v", len(readers), took, bound)
+		}
+	})
+}
