Sidecar: count an instance as reachable once its process responds

Callers saw requests that hung for a second each, again and again, at an instance whose process stood still, and the retries that followed. Cause: an unreachable instance was marked reachable as soon as a connection to it was established. The kernel accepts connections for a process that stands still, so that each mark lasted 250 ms. Change: the probe is a request that the process answers, over the transport of the control calls; any response counts, as in package caller. It may take as long for the response as for the connection.

--- a/peer/client.go
+++ b/peer/client.go
@@ -171,3 +171,17 @@
 	}
 	return client, nil
 }
+
+// Probe returns nil if the process at a host:port responds. The path names no call, so that any response shows that it does, also an error.
+// An established connection alone doesn't: the kernel accepts it for a process that stands still.
+func (d *Dialer) Probe(ctx context.Context, address string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", http.NoBody)
+	if err != nil {
+		return fmt.Errorf("peer address: %w", err)
+	}
+	response, err := d.client.Do(r)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -38,9 +38,10 @@
 	maxAnnouncers = 16 << 10
 	// maxSlotBytes bounds the name of a slot that announces versions.
 	maxSlotBytes = 256
-	// probeInterval is the time between two probes of an unreachable instance, and probeTimeout bounds one.
+	// probeInterval is the time between two probes of an unreachable instance, and probeTimeout bounds one, with as much time for the
+	// response as for the connection.
 	probeInterval = 250 * time.Millisecond
-	probeTimeout  = 250 * time.Millisecond
+	probeTimeout  = 2 * peer.DialTimeout
 )
 
 // applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
@@ -279,7 +280,7 @@
 	return rows, response.GetVersion(), err
 }
 
-// probeUnreachable connects to the unreachable instances at intervals and marks those that respond as reachable.
+// probeUnreachable probes the unreachable instances at intervals and marks those that respond as reachable.
 func (sc *Sidecar) probeUnreachable(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, probeInterval)
@@ -291,9 +292,7 @@
 			sc.group.Go(func() error {
 				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 				defer cancel()
-				conn, err := sc.adapters.Network.DialContext(ctx, "tcp", r.PeerAddress)
-				if err == nil {
-					_ = conn.Close()
+				if sc.dialer.Probe(ctx, r.PeerAddress) == nil {
 					sc.directory.markReachable(slot)
 				}
 				return nil
