Forward: end the wait for a body at the request's deadline

Callers would see 503 "no slot is free in time" and "too many other bodies are being transferred" from a sound upstream after connections between instances had gone silent. Cause: a request that waits for its body holds a concurrency slot of the upstream, or one of three slots for slow transfers. On a silent connection neither the rest of the body nor the cancellation of the request arrives, and only the end of the connection bounded the wait: the server pings it after 10 s, and waits 5 s for the response. Change: the body has a read deadline, that of the request.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -44,6 +44,7 @@
 	address  string
 	server   *http.Server
 	listener *peer.Listener
+	gateway  *gateway.Gateway
 	stopping atomic.Bool
 	// received is the number of body bytes that arrived.
 	received atomic.Int64
@@ -72,6 +73,7 @@
 	})}
 	upstreamAt := listenAndServe(t, group, upstream)
 	g := gateway.New(group, "books", upstreamAt, echo{})
+	i.gateway = g
 	if err := g.Register(gateway.Registration{
 		UpstreamRun: gateway.UpstreamRun{ID: "u1", Started: 1}, Service: "books", Address: upstreamAt, Sequence: 1, Slots: 4,
 	}); err != nil {
--- a/forward/server.go
+++ b/forward/server.go
@@ -66,6 +66,9 @@
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
 		if r.ContentLength != 0 {
 			request.ReadBody = func() ([]byte, error) { return readBody(r) }
+			// On a connection that has gone silent, neither the rest of the body nor the cancellation arrives. An error means that the
+			// server doesn't support deadlines; the end of the connection bounds the wait then.
+			_ = http.NewResponseController(w).SetReadDeadline(request.Deadline)
 		}
 		if r.ContentLength > 0 && r.ContentLength <= maxUnannouncedBody {
 			// A body of up to maxUnannouncedBody is sent right behind the headers. A larger one is requested only by ReadBody, once the
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -289,3 +289,35 @@
 		})
 	}
 }
+
+// TestSilentBody guards against a concurrency slot of the upstream that is held by a request whose body doesn't arrive, because its
+// connection has gone silent: nobody else is served there then.
+func TestSilentBody(t *testing.T) {
+	t.Parallel()
+	const deadline = time.Second
+	client, i, l, address := newSlowLink(t)
+	// After a response that took long, bodies are read by requests that have a slot.
+	if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
+		t.Fatal(err)
+	}
+	// The head of the request arrives, and a part of the body.
+	l.stall(10 << 10)
+	var group errgroup.Group
+	group.Go(func() error {
+		r := newRequest(strings.Repeat("x", 40<<10))
+		r.Kind, r.Deadline = routing.Upload, time.Now().Add(deadline)
+		_, err := client.Do(t.Context(), address, r)
+		return err
+	})
+	time.Sleep(deadline / 2)
+	if running := i.gateway.Load().Running; running != 1 {
+		t.Errorf("%d requests hold a slot before the deadline, want 1", running)
+	}
+	if group.Wait() == nil {
+		t.Error("the request got a response")
+	}
+	time.Sleep(deadline / 2)
+	if running := i.gateway.Load().Running; running > 0 {
+		t.Errorf("%d requests hold a slot %v after their deadline", running, deadline/2)
+	}
+}
