--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -43,10 +43,10 @@
 // rowsWait is like configWait for changes of the rows.
 func (sc *Sidecar) rowsWait() time.Duration { return sc.checkWait(rowsCheckWait) }
 
-// checkWait returns how long a call of this instance for changes may wait at the store if those of the first checker wait for the given time.
-// While no call is answered any more, as after the loss of all connections at once, no instance gets the changes and announces them. So some
-// instances, the checkers, ask again at intervals, the first ones at short intervals. Later checkers wait longer and matter if those before
-// them have failed, so that the number of calls doesn't grow with that of the instances.
+// checkWait returns how long a call of this instance for changes may wait at the store if those of the first checker wait for the given
+// time. While no call is answered any more, as after the loss of all connections at once, no instance gets the changes and announces them.
+// So some instances, the checkers, ask again at intervals, the first ones at short intervals. Later checkers wait longer and matter if
+// those before them have failed, so that the number of calls doesn't grow with that of the instances.
 func (sc *Sidecar) checkWait(first time.Duration) time.Duration {
 	records := sc.reachable()
 	if len(records) == 0 {
@@ -59,8 +59,8 @@
 	return time.Duration(float64(first) * math.Pow(checkWaitGrowth, float64(position)))
 }
 
-// checkers returns up to maxCheckers records in the order in which their instances check for changes: the first one of each data centre, then
-// the second ones and so on.
+// checkers returns up to maxCheckers records in the order in which their instances check for changes: the first one of each data centre,
+// then the second ones and so on.
 func checkers(records []member.Record) []member.Record {
 	type candidate struct {
 		member.Record
--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -379,8 +379,8 @@
 	}
 }
 
-// TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their calls
-// for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
+// TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their
+// calls for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
 // unlistedWait.
 func TestRowsAfterSilence(t *testing.T) {
 	// An instance that doesn't watch the store asks a reader every 6 s, and writes its record within restoreInterval.
