Sidecar: wait for one silent planner per report at most

The planner of a service forgot instances that were alive, since their reports came less than every 1.2 s: after the loss of several machines, those got no further keys. Cause: each report goes to the planners in their order, and waits 250 ms for each one that doesn't respond. Only a failed request of a caller marks an instance as unreachable, and nothing remembered the report before. Evidence: TestReportsPassSilentPlanners failed: with 5 silent instances first, reports were accepted every 1.25 s, with 12 every 3 s, want 1.2 s at most. Change: planners that left the last report unanswered are passed over, except one for each report in turn, so that one which responds again is found. With a single silent planner nothing changes.

--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -134,7 +134,7 @@
 
 // sendReport sends a report to the first instance in the order of planners that accepts it.
 func (sc *Sidecar) sendReport(ctx context.Context, r *peer.ReportRequest) {
-	for _, slot := range sc.planners() {
+	for _, slot := range sc.silentPlanners.order(sc.planners()) {
 		if slot == sc.settings.Slot {
 			if sc.acceptReport(r) {
 				return
@@ -148,6 +148,7 @@
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		response, err := client.Report(call, r)
 		cancel()
+		sc.silentPlanners.note(slot, err != nil && ctx.Err() == nil, time.Now())
 		if err == nil && response.GetAccepted() {
 			return
 		}
@@ -158,6 +159,37 @@
 	}
 }
 
+// silentPlanners holds the instances that didn't respond to the last report that was sent to them, with its time. The zero value is ready
+// to use.
+type silentPlanners struct {
+	since map[string]time.Time
+}
+
+// note records whether an instance failed to respond to a report.
+func (p *silentPlanners) note(slot string, silent bool, now time.Time) {
+	if !silent {
+		delete(p.since, slot)
+		return
+	}
+	if p.since == nil {
+		p.since = make(map[string]time.Time)
+	}
+	p.since[slot] = now
+}
+
+// order returns the planners in the order in which a report is sent to them. Only one of the silent ones that come before all others, the
+// one that was tried least recently, stays there, so that a report waits for one of them at most.
+func (p *silentPlanners) order(planners []string) []string {
+	responding := slices.IndexFunc(planners, func(slot string) bool { return p.since[slot].IsZero() })
+	if responding <= 0 {
+		return planners
+	}
+	silent := planners[:responding]
+	retried := slices.MinFunc(silent, func(a, b string) int { return p.since[a].Compare(p.since[b]) })
+	others := slices.DeleteFunc(slices.Clone(silent), func(slot string) bool { return slot == retried })
+	return slices.Concat([]string{retried}, planners[responding:], others)
+}
+
 // planners returns the slots of the local service's instances in the order in which they take the role of its planner. Those with more
 // processor time come first: the reports of a large service are more work than the smallest instances can do. Unreachable instances come
 // last.
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -1,10 +1,18 @@
 package sidecar
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
@@ -80,3 +88,61 @@
 		t.Errorf("after the first planner was lost, the first is %s and the last %s", next[0], next[instances-1])
 	}
 }
+
+// reportLink serves the reports of a process. Planners don't respond while silent returns true.
+type reportLink struct {
+	silent func(slot string) bool
+	// accepted holds when reports were accepted, and planner by which instance the last one was.
+	accepted []time.Time
+	planner  string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *reportLink) RoundTrip(r *http.Request) (*http.Response, error) {
+	slot := r.URL.Hostname()
+	if l.silent(slot) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	l.accepted, l.planner = append(l.accepted, time.Now()), slot
+	body, err := proto.Marshal(&peer.ReportResponse{Accepted: true})
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/protobuf"}}, Body: io.NopCloser(bytes.NewReader(body)),
+	}, err
+}
+
+// TestReportsPassSilentPlanners guards against reports that reach the planner so rarely that it forgets the instance between two of them,
+// because each waits for all the instances before it that don't respond.
+func TestReportsPassSilentPlanners(t *testing.T) {
+	for _, lost := range []int{1, 5, 12} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const settled, recovered = 5 * time.Second, 20 * time.Second
+				started := time.Now()
+				sc := newLinkedSidecar(t, &slowLink{}, 21)
+				planners := slices.DeleteFunc(sc.planners(), func(slot string) bool { return slot == sc.settings.Slot })
+				link := &reportLink{silent: func(slot string) bool {
+					return slices.Index(planners, slot) < lost && time.Since(started) < recovered
+				}}
+				sc.dialer = peer.NewDialer(link)
+				sc.directory.apply([]store.Row{{Key: member.RowKey(sc.settings.Slot), Version: 100, Deleted: true}})
+				ctx, cancel := context.WithTimeout(t.Context(), 2*recovered)
+				defer cancel()
+				for ticker := time.NewTicker(reportInterval); ctx.Err() == nil; <-ticker.C {
+					sc.sendReport(ctx, &peer.ReportRequest{})
+				}
+				last := started.Add(settled)
+				for _, at := range link.accepted {
+					if gap := at.Sub(last); gap > reportLifetime {
+						t.Errorf("no report was accepted for %v until %v, want at most %v", gap, at.Sub(started), reportLifetime)
+						break
+					}
+					last = at
+				}
+				if link.planner != planners[0] {
+					t.Errorf("in the end the planner is %s, want %s", link.planner, planners[0])
+				}
+			})
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,6 +128,8 @@
 	registry *prometheus.Registry
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
+	// silentPlanners holds the planners that don't respond. Only runReports uses it.
+	silentPlanners silentPlanners
 	// unresponsiveSince is when a witness was found not to respond, by slot. Only the session loop uses it.
 	unresponsiveSince map[string]time.Time
 	// wake makes the session loop check the state of the upstream and the configuration again.
