Store: list the table after a call for changes whose response is overdue

Callers got the old configuration, and 404 or 503 for new routes, for as long as the store answered no call for changes, though it answered listings.

Cause: only a call that the follower abandons is followed by a listing. After four calls without a response, the response delay has grown to 1.6 s and more, and the store's client gives up each call after 1.5 s. Failed that way, calls for changes followed one another. Change: a call for changes that fails without a byte of a response, when that was overdue, is followed by a listing, whoever ended the call.

--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -298,6 +298,10 @@
 		{"store silent for 4 s, change in contact", func(s *configStore) { s.beSilent(4 * time.Second) }, 3 * time.Second, 0},
 		{"store silent for 9 s, change in contact", func(s *configStore) { s.beSilent(9 * time.Second) }, 3 * time.Second, 0},
 		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0},
+		{"feed silent for good after the store was for 9 s, change in contact", func(s *configStore) {
+			s.silenceFeed()
+			s.beSilent(9 * time.Second)
+		}, 3 * time.Second, 0},
 		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0},
 	}
 	for _, instances := range []int{1, 2, 12, 60} {
--- a/store/call.go
+++ b/store/call.go
@@ -230,6 +230,9 @@
 		}
 	case c.source == SourceListing:
 		f.preferred = SourceChanges
+	case d.Waited == 0 && d.Took >= c.due+minResponseDelay:
+		// The store's client gave up before the deadline, which grows. Calls for changes may stay unanswered while listings don't.
+		f.preferred = SourceListing
 	case d.Waited > 0 && d.Took-d.Waited >= partialTransfer:
 		f.preferred = SourceListing
 	}
