Sidecar: instances that have left are no checkers and readers before others

Callers could get an old configuration for over 3 s after the loss of all connections to the store, and rows of a data centre were asked for in vain, after servers had been replaced.

Cause: the record of an instance that drains and leaves stays in the store as draining, and no request is sent to it that would find it unreachable. It kept its rank, so that the first checkers and both readers of a data centre could all be instances that are gone, and it took a place on the ring of announcements. Change: instances that are ready rank before others. Others on the ring are told in addition to the next three that are ready.

--- a/sidecar/configcheck.go
+++ b/sidecar/configcheck.go
@@ -29,6 +29,8 @@
 	// ones, drawn at random, through which it reaches the whole ring in a few steps.
 	ringFanout   = 3
 	randomFanout = 3
+	// maxRingTargets bounds the next instances with those that aren't ready, which may be most of them after many replacements.
+	maxRingTargets = 12
 )
 
 // configWait returns how long a call of this instance for changes of the configuration may wait at the store. While no call is answered any
@@ -50,7 +52,7 @@
 }
 
 // checkers returns up to maxCheckers records in the order in which their instances check the configuration: the first one of each data
-// centre, then the second ones and so on.
+// centre, then the second ones and so on, and those that aren't ready last.
 func checkers(records []member.Record) []member.Record {
 	type candidate struct {
 		member.Record
@@ -62,7 +64,9 @@
 		candidates = append(candidates, candidate{r, perDataCentre[r.DataCentre]})
 		perDataCentre[r.DataCentre]++
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.round, b.round) })
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(compareReady(a.Record, b.Record), cmp.Compare(a.round, b.round))
+	})
 	chosen := make([]member.Record, 0, maxCheckers)
 	for _, c := range candidates[:min(len(candidates), maxCheckers)] {
 		chosen = append(chosen, c.Record)
@@ -84,15 +88,22 @@
 	}
 }
 
-// announcementTargets returns the records of the instances to which this one passes an announcement on.
+// announcementTargets returns the records of the instances to which this one passes an announcement on. Instances that aren't ready may
+// have left, so that they are told in addition to ringFanout others.
 func (sc *Sidecar) announcementTargets() []member.Record {
 	ring := slices.DeleteFunc(sc.reachable(), func(r member.Record) bool { return r.Incarnation.Slot() == sc.settings.Slot })
 	self := xxhash.Sum64String(sc.settings.Slot)
 	// The distance from this instance on the ring, which wraps around.
 	distance := func(r member.Record) uint64 { return xxhash.Sum64String(r.Incarnation.Slot()) - self }
 	slices.SortFunc(ring, func(a, b member.Record) int { return cmp.Compare(distance(a), distance(b)) })
-	if rest := ring[min(len(ring), ringFanout):]; len(rest) > 0 {
-		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	next, ready := 0, 0
+	for ; next < len(ring) && next < maxRingTargets && ready < ringFanout; next++ {
+		if ring[next].State == member.Ready {
+			ready++
+		}
 	}
-	return ring[:min(len(ring), ringFanout+randomFanout)]
+	rest := ring[next:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	slices.SortStableFunc(rest, compareReady)
+	return ring[:next+min(len(rest), randomFanout)]
 }
--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -172,6 +172,32 @@
 	}
 }
 
+// leave makes instances drain and end, as those of servers that are replaced, and waits until the calls for changes that were open have
+// ended. The records stay in the store.
+func (f *configFleet) leave(t *testing.T, slots []string) {
+	t.Helper()
+	for n, left := range f.instances {
+		if !slices.Contains(slots, left.settings.Slot) {
+			continue
+		}
+		row := drainingRow(linkedRecordRow(t, n, 1, uint64(len(f.instances)+n+1)))
+		for _, sc := range f.instances {
+			sc.directory.apply([]store.Row{row})
+		}
+	}
+	f.fail(slots)
+	time.Sleep(longestPoll)
+}
+
+// drainingRow returns the row of a record of an instance that is ready with its state changed.
+func drainingRow(row store.Row) store.Row {
+	row.Value = []byte(strings.Replace(string(row.Value), string(member.Ready), string(member.Draining), 1))
+	return row
+}
+
+// longestPoll is the longest time for which a call for changes waits.
+const longestPoll = 20 * time.Second
+
 // hasFailed reports whether an instance has failed.
 func (f *configFleet) hasFailed(sc *Sidecar) bool {
 	_, failed := f.failed.Load(sc)
@@ -291,26 +317,33 @@
 		after time.Duration
 		// failed is the number of instances that have failed, unnoticed by the others: those that check the configuration most often.
 		failed int
+		// left is the number of instances that have left before: those that checked the configuration most often.
+		left int
 	}{
-		{"calls forgotten, change at once", (*configStore).forget, 0, 0},
-		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond, 0},
-		{"calls forgotten, change at once, two checkers failed", (*configStore).forget, 0, 2},
-		{"store silent for 4 s, change in contact", func(s *configStore) { s.beSilent(4 * time.Second) }, 3 * time.Second, 0},
-		{"store silent for 9 s, change in contact", func(s *configStore) { s.beSilent(9 * time.Second) }, 3 * time.Second, 0},
-		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0},
+		{"calls forgotten, change at once", (*configStore).forget, 0, 0, 0},
+		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond, 0, 0},
+		{"calls forgotten, change at once, two checkers failed", (*configStore).forget, 0, 2, 0},
+		{"calls forgotten, change at once, six instances left", (*configStore).forget, 0, 0, 6},
+		{"calls forgotten, change at once, six instances left, two checkers failed", (*configStore).forget, 0, 2, 6},
+		{"store silent for 4 s, change in contact", func(s *configStore) { s.beSilent(4 * time.Second) }, 3 * time.Second, 0, 0},
+		{"store silent for 9 s, change in contact", func(s *configStore) { s.beSilent(9 * time.Second) }, 3 * time.Second, 0, 0},
+		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0, 0},
 		{"feed silent for good after the store was for 9 s, change in contact", func(s *configStore) {
 			s.silenceFeed()
 			s.beSilent(9 * time.Second)
-		}, 3 * time.Second, 0},
-		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0},
+		}, 3 * time.Second, 0, 0},
+		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0, 0},
 	}
 	for _, instances := range []int{1, 2, 12, 60} {
 		for _, test := range tests {
-			if instances <= test.failed {
+			if instances <= test.failed+test.left {
 				continue
 			}
 			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
 				runConfigFleet(t, instances, func(f *configFleet) {
+					if test.left > 0 {
+						f.leave(t, slotsOf(checkers(f.instances[0].reachable())[:test.left]))
+					}
 					f.fail(slotsOf(checkers(f.instances[0].reachable())[:test.failed]))
 					test.begin(f.store)
 					silent := time.Now()
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -57,20 +57,33 @@
 	return slotsOf(records[:min(len(records), readersPerDataCentre)])
 }
 
-// reachable returns the records of the instances that haven't ended and aren't unreachable, those with most processor time first, which
-// also tend to have the best links.
+// reachable returns the records of the instances that haven't ended and aren't unreachable: those that are ready first, since the records
+// of instances that have drained and left stay in the store, and among them those with most processor time, which also tend to have the
+// best links.
 func (sc *Sidecar) reachable() []member.Record {
 	unreachable := sc.directory.unreachableSlots()
 	records := slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
 		return r.State.Ended() || slices.Contains(unreachable, r.Incarnation.Slot())
 	})
 	slices.SortFunc(records, func(a, b member.Record) int {
-		return cmp.Or(cmp.Compare(b.Processor, a.Processor),
+		return cmp.Or(compareReady(a, b), cmp.Compare(b.Processor, a.Processor),
 			cmp.Compare(xxhash.Sum64String(a.Incarnation.Slot()), xxhash.Sum64String(b.Incarnation.Slot())))
 	})
 	return records
 }
 
+// compareReady orders records of instances that are ready before others.
+func compareReady(a, b member.Record) int {
+	switch readyA, readyB := a.State == member.Ready, b.State == member.Ready; {
+	case readyA == readyB:
+		return 0
+	case readyA:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // slotsOf returns the slots of records.
 func slotsOf(records []member.Record) []string {
 	slots := make([]string, 0, len(records))
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,25 @@
 		}
 	})
 }
+
+// TestReadersAreReady guards against a data centre whose rows are late because the others ask readers that have left, whose records stay in
+// the store.
+func TestReadersAreReady(t *testing.T) {
+	const instances = 12
+	sc := newLinkedSidecar(t, &slowLink{took: time.Millisecond}, instances)
+	sc.settings.DataCentre = "dc-0"
+	for n := range instances {
+		sc.directory.apply([]store.Row{linkedRecordRow(t, n, 1, uint64(n+1))})
+	}
+	left := sc.readers()
+	for n := range instances {
+		if row := linkedRecordRow(t, n, 1, uint64(instances+n+1)); slices.Contains(left, fmt.Sprint("10.0.0.", n)) {
+			sc.directory.apply([]store.Row{drainingRow(row)})
+		}
+	}
+	for _, slot := range sc.readers() {
+		if slices.Contains(left, slot) {
+			t.Errorf("%s is a reader after it has left", slot)
+		}
+	}
+}
