Forward: probe a connection that left an earlier request unanswered

Callers saw a second request lost on a dead connection: with a deadline below a second as 504, and up to 6 s after the connection had gone silent as 502 "http2: client connection lost", for which a share of the retry budget was spent. Cause: a request that may be repeated was sent on a connection that had given no sign of life since an earlier request, which had ended. Besides, a new connection counted as a sign of life, although the transport may open one, close it again and send the request on the dead one. Only received data is a sign of life. A sound connection isn't probed: HTTP/2 pings with the cancellation.

--- a/forward/client.go
+++ b/forward/client.go
@@ -143,10 +143,12 @@
 	}
 }
 
-// link returns the link to send a request on. A request that can't be repeated isn't sent on a connection that may be dead.
+// link returns the link to send a request on. A request that can't be repeated isn't sent on a connection that may be dead, and none is
+// that follows one which has ended there without a sign of life.
 func (c *Client) link(ctx context.Context, address string, r *gateway.Request) *link {
-	l, stale := c.links.get(address, time.Now())
-	if stale && !r.Kind.Retryable() && !l.verify(ctx, c.spawn) {
+	l, state := c.links.get(address, time.Now())
+	doubtful := state == linkUnanswered || state == linkStale && !r.Kind.Retryable()
+	if doubtful && !l.verify(ctx, c.spawn) {
 		l.leave()
 		l, _ = c.links.get(address, time.Now())
 	}
--- a/forward/link.go
+++ b/forward/link.go
@@ -45,8 +45,9 @@
 	inFlight int
 	// probed is closed when the probe in progress ends. It is nil if there is none.
 	probed chan struct{}
-	// heard is when something was last received from the instance or a connection to it was opened, and began when the first request was
-	// sent since which nothing may have been received: earlier ones have ended, and something was received after them.
+	// heard is when something was last received from the instance, and began when the first request was sent since which nothing may have
+	// been received: earlier ones have ended, and something was received after them. A new connection isn't a sign: the transport may open
+	// one and send the request on another.
 	heard, began time.Time
 	// connections are the open ones.
 	connections map[*linkConn]struct{}
@@ -177,7 +178,7 @@
 		c := &linkConn{Conn: conn, link: l, accepted: make(chan struct{}), closed: make(chan struct{})}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.connections[c], l.heard = struct{}{}, time.Now()
+		l.connections[c] = struct{}{}
 		return c, nil
 	}
 	return l
@@ -192,14 +193,26 @@
 	byAddress map[string]*link
 }
 
-// get returns the link for a further request to an address, which the request must leave. stale reports whether its connection may be
-// dead.
-func (l *links) get(address string, now time.Time) (current *link, stale bool) {
+// linkState is what is known of the connection of a link when a request enters.
+type linkState int
+
+const (
+	// linkSound means that something was received within silentAfter, or that there is no connection yet.
+	linkSound linkState = iota
+	// linkStale means that nothing was received for silentAfter, or that the instance is being probed.
+	linkStale
+	// linkUnanswered means that nothing has been received since an earlier request, which has ended. HTTP/2 pings the instance when a
+	// request is cancelled, so that a sound connection doesn't stay in this state.
+	linkUnanswered
+)
+
+// get returns the link for a further request to an address, which the request must leave, and its state before.
+func (l *links) get(address string, now time.Time) (current *link, state linkState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if current = l.byAddress[address]; current != nil {
-		if entered, stale := current.enter(now); entered {
-			return current, stale
+		if entered, state := current.enter(now); entered {
+			return current, state
 		}
 	}
 	if l.byAddress == nil {
@@ -208,8 +221,8 @@
 	l.removeUnused(now)
 	current = newLink(address, l.transport)
 	l.byAddress[address] = current
-	_, stale = current.enter(now)
-	return current, stale
+	_, state = current.enter(now)
+	return current, state
 }
 
 // removeUnused removes the links that have had no request for a time. mu must be held.
@@ -240,20 +253,26 @@
 	}
 }
 
-// enter counts a request in flight, unless the link is silent: its connections may be reset then. stale reports whether the link has a
-// connection that may be dead: one on which nothing was received for silentAfter, or that is being probed. That a request was sent on it
-// meanwhile doesn't show that it delivers.
-func (l *link) enter(now time.Time) (entered, stale bool) {
+// enter counts a request in flight, unless the link is silent: its connections may be reset then. It returns the state of the link before.
+// That a request was sent doesn't show that the connection delivers.
+func (l *link) enter(now time.Time) (entered bool, state linkState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isSilent() {
-		return false, false
+		return false, linkSound
+	}
+	unanswered := l.heard.Before(l.began)
+	switch {
+	case len(l.connections) > 0 && l.inFlight == 0 && unanswered:
+		state = linkUnanswered
+	case l.probed != nil, len(l.connections) > 0 && now.Sub(l.heard) >= silentAfter:
+		state = linkStale
 	}
-	if l.inFlight == 0 && !l.heard.Before(l.began) {
+	if l.inFlight == 0 && !unanswered {
 		l.began = now
 	}
 	l.inFlight++
-	return true, l.probed != nil || len(l.connections) > 0 && now.Sub(l.heard) >= silentAfter
+	return true, state
 }
 
 // leave ends a request in flight. After the last one on a silent link, its connections are reset, so that what the network has held up
