--- a/sidecar/model_network_test.go
+++ b/sidecar/model_network_test.go
@@ -12,6 +12,8 @@
 	maxSlowLatency = 300 * time.Millisecond
 	// maxLinkStall bounds the time for which a link delivers nothing.
 	maxLinkStall = 200 * time.Millisecond
+	// silenceAllShare is the share of harms that silence all open connections for good.
+	silenceAllShare = 0.05
 	// maxWakeDelay bounds how late a process runs to read data that has arrived.
 	maxWakeDelay = 10 * time.Millisecond
 )
@@ -219,6 +221,13 @@
 		if len(conns) == 0 {
 			continue
 		}
+		if d.chance(silenceAllShare) {
+			for _, c := range conns {
+				c.Hold(time.Hour)
+			}
+			m.record("", "harm: all open connections silenced for good")
+			continue
+		}
 		c := conns[d.IntN(len(conns))]
 		var text string
 		switch d.IntN(4) {
