--- /dev/null
+++ b/sidecar/checkers_test.go
@@ -0,0 +1,413 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphiretray/member"
+	"sapphiretray/peer"
+	"sapphiretray/routing"
+	"sapphiretray/store"
+)
+
+// configStore is a store with one configuration, whose calls for changes may go unanswered.
+type configStore struct {
+	store.Store
+	mu      sync.Mutex
+	version uint64
+	// changed is closed and replaced at each change, and forgotten when the open calls for changes are never answered. While feedSilent is
+	// set, none is.
+	changed, forgotten chan struct{}
+	feedSilent         bool
+	// down makes all calls fail. While silent is set, calls that arrive are never answered.
+	down, silent bool
+	calls        int
+}
+
+// clientMargin is the time after which the client of the store gives up a call whose response is due.
+const clientMargin = 1500 * time.Millisecond
+
+func newConfigStore() *configStore {
+	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{})}
+}
+
+// set changes the store.
+func (s *configStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// put writes a configuration and returns its version.
+func (s *configStore) put() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+// forget makes the store not answer the calls for changes that are open.
+func (s *configStore) forget() {
+	s.set(func() {
+		close(s.forgotten)
+		s.forgotten = make(chan struct{})
+	})
+}
+
+// silenceFeed makes the store answer no call for changes.
+func (s *configStore) silenceFeed() { s.set(func() { s.feedSilent = true }) }
+
+// beSilent makes the store answer no call for a time, those included that are open at its end.
+func (s *configStore) beSilent(d time.Duration) {
+	s.set(func() { s.silent = true })
+	s.forget()
+	time.Sleep(d)
+	s.set(func() { s.silent = false })
+	s.forget()
+}
+
+// rows returns the row if it is newer than a version. s.mu must be held.
+func (s *configStore) rows(after uint64) []store.Row {
+	if s.version <= after {
+		return nil
+	}
+	return []store.Row{{Table: "op", Key: "config", Value: []byte(strconv.FormatUint(s.version, 10)), Version: s.version}}
+}
+
+// arrive counts a call and waits for its end if it is never answered.
+func (s *configStore) arrive(limit context.Context) error {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	s.calls++
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-limit.Done()
+	return fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+}
+
+// List implements store.Store.
+func (s *configStore) List(ctx context.Context, _ string) ([]store.Row, uint64, error) {
+	limit, cancel := context.WithTimeout(ctx, clientMargin)
+	defer cancel()
+	if err := s.arrive(limit); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, store.ErrUnavailable
+	}
+	return s.rows(0), s.version, nil
+}
+
+// Changes implements store.Store.
+func (s *configStore) Changes(ctx context.Context, _ string, after uint64, poll time.Duration) ([]store.Row, uint64, error) {
+	limit, cancel := context.WithTimeout(ctx, poll+clientMargin)
+	defer cancel()
+	if err := s.arrive(limit); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	forgotten := s.forgotten
+	s.mu.Unlock()
+	for end := time.After(poll); ; {
+		s.mu.Lock()
+		rows, version, changed, silent, down := s.rows(after), s.version, s.changed, s.feedSilent, s.down
+		s.mu.Unlock()
+		if down {
+			return nil, 0, store.ErrUnavailable
+		}
+		if silent {
+			<-limit.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+		}
+		if len(rows) > 0 {
+			return rows, version, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, version, nil
+		case <-forgotten:
+			<-limit.Done()
+			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+		case <-limit.Done():
+			return nil, 0, limit.Err()
+		}
+	}
+}
+
+// configFleet is a deployment of instances that follow the configuration of one store and announce it to each other. Instances of keyed
+// services send heartbeats; every fourth instance is of another service and takes no part in them.
+type configFleet struct {
+	store     *configStore
+	instances []*Sidecar
+	stops     []context.CancelFunc
+	// failed holds the instances that have failed.
+	failed sync.Map
+	group  sync.WaitGroup
+}
+
+// fail ends instances. The others don't notice.
+func (f *configFleet) fail(slots []string) {
+	for n, sc := range f.instances {
+		if slices.Contains(slots, sc.settings.Slot) {
+			f.failed.Store(sc, true)
+			f.stops[n]()
+		}
+	}
+}
+
+// hasFailed reports whether an instance has failed.
+func (f *configFleet) hasFailed(sc *Sidecar) bool {
+	_, failed := f.failed.Load(sc)
+	return failed
+}
+
+// deliver passes versions to an instance, unless it or the sender has failed.
+func (f *configFleet) deliver(from, to *Sidecar, slot string, v *peer.Versions) {
+	if !f.hasFailed(from) && !f.hasFailed(to) {
+		to.observeHeartbeat(slot, v)
+	}
+}
+
+// witnesses returns the instances that get the heartbeats of an instance.
+func (f *configFleet) witnesses(n int) []*Sidecar {
+	var keyed []*Sidecar
+	for other, sc := range f.instances {
+		if other != n && other%4 != 3 {
+			keyed = append(keyed, sc)
+		}
+	}
+	if n%4 == 3 || len(keyed) < witnessCount {
+		return nil
+	}
+	first := 5 * n % len(keyed)
+	return append(keyed, keyed...)[first : first+witnessCount]
+}
+
+// runConfigFleet runs a deployment while test runs, after all instances have the first configuration.
+func runConfigFleet(t *testing.T, instances int, test func(f *configFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &configFleet{store: newConfigStore()}
+		for n := range instances {
+			sc := New(Settings{Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3)}, Adapters{
+				Store: f.store, ConfigTable: "op", ConfigKey: "config",
+				DecodeConfig: func(content []byte) (*routing.Table, error) {
+					version, err := strconv.ParseUint(string(content), 10, 64)
+					if err != nil {
+						return nil, err
+					}
+					return routing.New(version, routing.Limits{}, nil, nil)
+				},
+			})
+			// Nobody answers a fetch: calls between the instances are silent too.
+			sc.dialer, sc.group = peer.NewDialer(peers{}), &errgroup.Group{}
+			sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
+				number, err := strconv.Atoi(strings.TrimPrefix(to.Incarnation.Slot(), "10.0.0."))
+				f.group.Go(func() {
+					time.Sleep(2 * time.Millisecond)
+					f.deliver(sc, f.instances[number], slot, v)
+				})
+				return err
+			}
+			for other := range instances {
+				sc.directory.apply([]store.Row{linkedRecordRow(t, other, 1, uint64(other+1))})
+			}
+			f.instances = append(f.instances, sc)
+		}
+		for n, sc := range f.instances {
+			ctx, stop := context.WithCancel(t.Context())
+			f.stops = append(f.stops, stop)
+			witnesses := f.witnesses(n)
+			heartbeats := func(ctx context.Context) {
+				time.Sleep(time.Duration(n) * 37 * time.Millisecond % leaseInterval)
+				for ; ctx.Err() == nil; time.Sleep(leaseInterval) {
+					for _, w := range witnesses {
+						f.deliver(sc, w, sc.settings.Slot, sc.heartbeatVersions())
+					}
+				}
+			}
+			for _, task := range []func(context.Context){sc.config.Run, sc.fetchConfig, heartbeats} {
+				f.group.Go(func() { task(ctx) })
+			}
+		}
+		time.Sleep(3 * time.Second)
+		test(f)
+		for _, stop := range f.stops {
+			stop()
+		}
+		f.group.Wait()
+		for _, sc := range f.instances {
+			_ = sc.group.Wait()
+		}
+	})
+}
+
+// latest returns how long after a time the last running instance has a configuration in effect, a minute if some never has.
+func (f *configFleet) latest(since time.Time, version uint64) time.Duration {
+	for ; time.Since(since) < time.Minute; time.Sleep(10 * time.Millisecond) {
+		late := 0
+		for _, sc := range f.instances {
+			if table := sc.routes.Load(); !f.hasFailed(sc) && (table == nil || table.Version() < version) {
+				late++
+			}
+		}
+		if late == 0 {
+			break
+		}
+	}
+	return time.Since(since)
+}
+
+// TestConfigAfterSilence guards against a configuration that is in effect late on all instances because none of their calls for changes
+// is answered any more, so that nobody has the configuration and announces it.
+func TestConfigAfterSilence(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		// contact is the time after the loss of a connection from which on the bound holds.
+		contact = 3 * time.Second
+	)
+	tests := []struct {
+		name string
+		// begin makes calls for changes unanswered.
+		begin func(s *configStore)
+		// after is the time from there to the change.
+		after time.Duration
+		// failed is the number of instances that have failed, unnoticed by the others: those that check the configuration most often.
+		failed int
+	}{
+		{"calls forgotten, change at once", (*configStore).forget, 0, 0},
+		{"calls forgotten, change in contact", (*configStore).forget, 2500 * time.Millisecond, 0},
+		{"calls forgotten, change at once, two checkers failed", (*configStore).forget, 0, 2},
+		{"store silent for 4 s, change in contact", func(s *configStore) { s.beSilent(4 * time.Second) }, 3 * time.Second, 0},
+		{"store silent for 9 s, change in contact", func(s *configStore) { s.beSilent(9 * time.Second) }, 3 * time.Second, 0},
+		{"feed silent for good, change at once", (*configStore).silenceFeed, 0, 0},
+		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0},
+	}
+	for _, instances := range []int{1, 2, 12, 60} {
+		for _, test := range tests {
+			if instances <= test.failed {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					f.fail(slotsOf(checkers(f.instances[0].reachable())[:test.failed]))
+					test.begin(f.store)
+					silent := time.Now()
+					time.Sleep(test.after)
+					written := time.Now()
+					took := f.latest(written, f.store.put())
+					if limit := max(bound, contact-written.Sub(silent)); took > limit {
+						t.Errorf("in effect on all instances after %v, want at most %v", took, limit)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestConfigCallsOfLargeFleets guards against checks of the configuration whose number grows with that of the instances: beyond the
+// checkers, an instance makes a call for each long poll only.
+func TestConfigCallsOfLargeFleets(t *testing.T) {
+	const (
+		small, large = 20, 120
+		// longPolls is the number of long polls of 15 to 20 s that begin in a minute.
+		longPolls = 4
+	)
+	calls := make(map[int]int)
+	for _, instances := range []int{small, large} {
+		runConfigFleet(t, instances, func(f *configFleet) {
+			f.store.set(func() { f.store.calls = 0 })
+			time.Sleep(time.Minute)
+			f.store.set(func() { calls[instances] = f.store.calls })
+		})
+	}
+	if further := calls[large] - calls[small]; further > longPolls*(large-small) {
+		t.Errorf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
+	}
+}
+
+// TestConfigInDoubt guards against a 404 for a route of a newer configuration, which callers don't retry, while an instance knows that it
+// may not have the newest one because the store doesn't answer it.
+func TestConfigInDoubt(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin func(s *configStore)
+		// want is whether the configuration counts as outdated from then on.
+		want bool
+	}{
+		{"nothing", func(*configStore) {}, false},
+		{"all calls fail", func(s *configStore) {
+			s.set(func() { s.down = true })
+			s.forget()
+		}, true},
+		// A listing confirms that there is no newer one.
+		{"calls forgotten", (*configStore).forget, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runConfigFleet(t, 1, func(f *configFleet) {
+				sc := f.instances[0]
+				test.begin(f.store)
+				time.Sleep(2 * time.Second)
+				if got := sc.isConfigOutdated(); got != test.want {
+					t.Errorf("the configuration counts as outdated: %v", got)
+				}
+				f.store.set(func() { f.store.down = false })
+				time.Sleep(2 * time.Second)
+				if sc.isConfigOutdated() {
+					t.Error("the configuration still counts as outdated after the store is back")
+				}
+			})
+		})
+	}
+}
+
+// TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their
+// calls for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
+// unlistedWait.
+func TestRowsAfterSilence(t *testing.T) {
+	// An instance that doesn't watch the store asks a reader every 6 s, and writes its record within restoreInterval.
+	const bound = unlistedWait - 6*time.Second - restoreInterval
+	runConfigFleet(t, 12, func(f *configFleet) {
+		var readers []*Sidecar
+		ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
+		defer cancel()
+		for _, sc := range f.instances {
+			if sc.isReader() {
+				readers = append(readers, sc)
+				f.group.Go(func() { sc.rows.Run(ctx) })
+			}
+		}
+		time.Sleep(time.Second)
+		f.store.forget()
+		written, version := time.Now(), f.store.put()
+		for late := len(readers); late > 0 && time.Since(written) < time.Minute; time.Sleep(10 * time.Millisecond) {
+			late = 0
+			for _, sc := range readers {
+				if sc.rows.Version() < version {
+					late++
+				}
+			}
+		}
+		if took := time.Since(written); len(readers) != 3 || took > bound {
+			t.Errorf("%d readers have the rows after %v, want at most %v", len(readers), took, bound)
+		}
+	})
+}
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -38,9 +38,10 @@
 	maxAnnouncers = 16 << 10
 	// maxSlotBytes bounds the name of a slot that announces versions.
 	maxSlotBytes = 256
-	// probeInterval is the time between two probes of an unreachable instance, and probeTimeout bounds one.
+	// probeInterval is the time between two probes of an unreachable instance, and probeTimeout bounds one, with as much time for the
+	// response as for the connection.
 	probeInterval = 250 * time.Millisecond
-	probeTimeout  = 250 * time.Millisecond
+	probeTimeout  = 2 * peer.DialTimeout
 )
 
 // applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
@@ -57,6 +58,8 @@
 	// The newest row has arrived, even if its configuration is refused below.
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
 		behind = time.Since(since)
+	} else {
+		sc.announceConfig(sc.settings.Slot, rows[0].Version)
 	}
 	for n, row := range rows {
 		decoding := time.Now()
@@ -114,6 +117,7 @@
 		sc.config.Expect(v.Config)
 		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
+			sc.announceConfig(v.Slot, v.Config)
 		}
 		select {
 		case sc.configAnnounced <- struct{}{}:
@@ -232,8 +236,11 @@
 	return !reachable || !behindSince.IsZero() && now.Sub(behindSince) >= configFetchDelay
 }
 
-// isConfigOutdated reports whether a newer configuration than that in effect has arrived or was announced by another instance.
-func (sc *Sidecar) isConfigOutdated() bool { return sc.decodingConfig.Load() || sc.isConfigMissing() }
+// isConfigOutdated reports whether a newer configuration than that in effect has arrived, was announced by another instance, or may exist
+// because the last call to the store failed.
+func (sc *Sidecar) isConfigOutdated() bool {
+	return sc.decodingConfig.Load() || sc.isConfigMissing() || sc.config.InDoubt()
+}
 
 // isConfigMissing reports whether another instance has announced a newer configuration than this one has.
 func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
@@ -279,7 +286,7 @@
 	return rows, response.GetVersion(), err
 }
 
-// probeUnreachable connects to the unreachable instances at intervals and marks those that respond as reachable.
+// probeUnreachable probes the unreachable instances at intervals and marks those that respond as reachable.
 func (sc *Sidecar) probeUnreachable(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, probeInterval)
@@ -291,9 +298,7 @@
 			sc.group.Go(func() error {
 				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 				defer cancel()
-				conn, err := sc.adapters.Network.DialContext(ctx, "tcp", r.PeerAddress)
-				if err == nil {
-					_ = conn.Close()
+				if sc.dialer.Probe(ctx, r.PeerAddress) == nil {
 					sc.directory.markReachable(slot)
 				}
 				return nil
