--- a/fake/relay.go
+++ b/fake/relay.go
@@ -62,8 +62,13 @@
 
 // NewRelay listens on a free port of an IP address for TCP, and on the same port for UDP.
 func NewRelay(ctx context.Context, ip, target string) (*Relay, error) {
+	return NewRelayAt(ctx, net.JoinHostPort(ip, "0"), target)
+}
+
+// NewRelayAt listens on an address (host:port) for TCP and UDP.
+func NewRelayAt(ctx context.Context, address, target string) (*Relay, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
+	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
