Store: a copy is in doubt until the rows of the first response are applied

Callers could get a 404 for a new route between the response that brought the configuration and the moment it was applied, after failed calls.

Cause: the response itself ended the doubt, before its rows were merged. Change: the doubt ends once they are merged. Result: TestFollowerInDoubtUntilApplied failed before, in both cases. go test ./store and the tests of configurations of ./sidecar passed.

--- a/store/call.go
+++ b/store/call.go
@@ -83,6 +83,7 @@
 	}
 	newer := f.applyListing(rows, version, d)
 	f.mu.Lock()
+	f.doubtSince = time.Time{}
 	missing := f.expected() > 0
 	if expected > f.version {
 		// The store has no rows above version that were expected when the listing began.
@@ -196,7 +197,6 @@
 	}
 	if !f.doubtSince.IsZero() {
 		d.InDoubt = time.Since(f.doubtSince)
-		f.doubtSince = time.Time{}
 	}
 	f.abandoned, f.responded = 0, time.Now()
 	f.observeLatency(c, d)
--- a/store/follower.go
+++ b/store/follower.go
@@ -168,6 +168,7 @@
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
+	f.doubtSince = time.Time{}
 	f.advance(version)
 	f.mu.Unlock()
 	if f.slowLink && haveSuperseded(rows) {
@@ -315,7 +316,8 @@
 	return newer
 }
 
-// InDoubt reports whether a call to the store has failed since the last one that succeeded, so that the copy may be out of date.
+// InDoubt reports whether a call to the store has failed since the last one that succeeded, so that the copy may be out of date. It still
+// does so while changed is called with the rows of that one.
 func (f *Follower) InDoubt() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -556,6 +556,44 @@
 	}
 }
 
+// TestFollowerInDoubtUntilApplied guards against a copy that counts as up to date, after failed calls to the store, before the rows that
+// the first response brings are applied.
+func TestFollowerInDoubtUntilApplied(t *testing.T) {
+	for _, historyLost := range []bool{false, true} {
+		t.Run(fmt.Sprint("history lost: ", historyLost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemory()
+				m.put("a", "1")
+				var doubts []bool
+				var f *store.Follower
+				f = store.NewFollower(m, "t", func([]store.Row, store.Delivery) { doubts = append(doubts, f.InDoubt()) })
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				group.Go(func() { f.Run(ctx) })
+				time.Sleep(time.Second)
+				m.set(func(m *memory) { m.unavailable = true })
+				time.Sleep(5 * time.Second)
+				m.put("a", "2")
+				m.set(func(m *memory) {
+					m.unavailable = false
+					if historyLost {
+						m.dropped = m.version
+					}
+				})
+				time.Sleep(5 * time.Second)
+				if f.InDoubt() {
+					t.Error("the copy is in doubt after the store has answered")
+				}
+				cancel()
+				group.Wait()
+				if want := []bool{false, true}; !slices.Equal(doubts, want) {
+					t.Errorf("in doubt while rows are applied: %v, want %v", doubts, want)
+				}
+			})
+		})
+	}
+}
+
 // TestFollowerHungFeed guards against a call for changes that hangs for its whole wait, and a store that counts as reachable, although the
 // process knows newer rows than the call has delivered: a planner went on writing key maps without the records of 17 s.
 func TestFollowerHungFeed(t *testing.T) {
