Sidecar: begin an open call again when an instance becomes a checker

Callers could get an old configuration for 10 to 13 s after the loss of all connections to the store, if several instances had left within 20 s before.

Cause: an instance that moved up among the checkers went on waiting for as long as it had been allowed to at the start of its call, up to 20 s. Change: when records change, or an instance is found unreachable, an open call for changes whose wait has over twice the allowed time left is begun again.

--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -172,8 +172,7 @@
 	}
 }
 
-// leave makes instances drain and end, as those of servers that are replaced, and waits until the calls for changes that were open have
-// ended. The records stay in the store.
+// leave makes instances drain and end, as those of servers that are replaced. Their records stay in the store.
 func (f *configFleet) leave(t *testing.T, slots []string) {
 	t.Helper()
 	for n, left := range f.instances {
@@ -182,11 +181,10 @@
 		}
 		row := drainingRow(linkedRecordRow(t, n, 1, uint64(len(f.instances)+n+1)))
 		for _, sc := range f.instances {
-			sc.directory.apply([]store.Row{row})
+			sc.rowsChanged([]store.Row{row}, store.Delivery{})
 		}
 	}
 	f.fail(slots)
-	time.Sleep(longestPoll)
 }
 
 // drainingRow returns the row of a record of an instance that is ready with its state changed.
@@ -195,9 +193,6 @@
 	return row
 }
 
-// longestPoll is the longest time for which a call for changes waits.
-const longestPoll = 20 * time.Second
-
 // hasFailed reports whether an instance has failed.
 func (f *configFleet) hasFailed(sc *Sidecar) bool {
 	_, failed := f.failed.Load(sc)
@@ -341,9 +336,7 @@
 			}
 			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
 				runConfigFleet(t, instances, func(f *configFleet) {
-					if test.left > 0 {
-						f.leave(t, slotsOf(checkers(f.instances[0].reachable())[:test.left]))
-					}
+					f.leave(t, slotsOf(checkers(f.instances[0].reachable())[:test.left]))
 					f.fail(slotsOf(checkers(f.instances[0].reachable())[:test.failed]))
 					test.begin(f.store)
 					silent := time.Now()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -170,7 +170,7 @@
 	sc.dialer = peer.NewDialer(sc.newTransport(peer.ControlIdleTimeout, peer.CloseOnGoAway))
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
-	sc.rows = store.NewFollower(a.Store, TableName, sc.applyRows, store.WithWatch(sc.isReader, sc.fetchFromReader))
+	sc.rows = store.NewFollower(a.Store, TableName, sc.rowsChanged, store.WithWatch(sc.isReader, sc.fetchFromReader))
 	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig, store.WithMaxWait(sc.configWait))
 	sc.sendAnnouncement = func(member.Record, string, *peer.Versions) error { return errNotRunning }
 	return sc
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"sapphiretray/forward"
+	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
 	"sapphiretray/wait"
@@ -81,6 +83,14 @@
 	}
 }
 
+// rowsChanged applies changed records and key maps. With other records, this instance may have to check the configuration more often.
+func (sc *Sidecar) rowsChanged(rows []store.Row, d store.Delivery) {
+	sc.applyRows(rows, d)
+	if slices.ContainsFunc(rows, func(r store.Row) bool { return strings.HasPrefix(r.Key, member.RowPrefix) }) {
+		sc.config.LimitWait()
+	}
+}
+
 // applyRows applies changed records and key maps.
 func (sc *Sidecar) applyRows(rows []store.Row, _ store.Delivery) {
 	sc.directory.apply(rows)
@@ -287,9 +297,15 @@
 
 // probeUnreachable connects to the unreachable instances at intervals and marks those that respond as reachable.
 func (sc *Sidecar) probeUnreachable(ctx context.Context) {
+	last := 0
 	for ctx.Err() == nil {
 		wait.For(ctx, probeInterval)
-		for _, slot := range sc.directory.unreachableSlots() {
+		unreachable := sc.directory.unreachableSlots()
+		if len(unreachable) > last {
+			sc.config.LimitWait()
+		}
+		last = len(unreachable)
+		for _, slot := range unreachable {
 			r, ok := sc.directory.record(slot)
 			if !ok {
 				continue
--- a/store/call.go
+++ b/store/call.go
@@ -30,8 +30,8 @@
 // errAbandoned means that a call was cancelled because its response was overdue.
 var errAbandoned = errors.New("the response is overdue")
 
-// errSuperseded means that a call was cancelled because the table has to be listed.
-var errSuperseded = errors.New("the table has to be listed")
+// errSuperseded means that a call was cancelled because another one is needed instead.
+var errSuperseded = errors.New("another call is needed")
 
 // Delivery describes how rows reached a follower.
 type Delivery struct {
@@ -139,7 +139,8 @@
 	lacksRows bool
 	// abandoned is set when the call was cancelled at its deadline. Follower.mu guards it.
 	abandoned bool
-	// superseded is set when the call was cancelled because the table has to be listed. Follower.mu guards it.
+	// superseded is set when the call was cancelled because the table has to be listed, or because it waits too long. Follower.mu guards
+	// it.
 	superseded bool
 	// connection describes the connection of the newest request of the call, nil before there is one.
 	connection atomic.Pointer[httptrace.GotConnInfo]
--- a/store/follower.go
+++ b/store/follower.go
@@ -24,6 +24,8 @@
 	// storeInterval is the time after which a follower that doesn't watch the store still calls it even if peers respond, because they
 	// may be cut off from the store.
 	storeInterval = time.Minute
+	// waitTolerance is the ratio of the rest of a wait to the longest one allowed up to which LimitWait lets the call wait.
+	waitTolerance = 2
 	// batchInterval is the pause between two calls for changes. Changes come in groups, and each call to the store is billed.
 	batchInterval = 250 * time.Millisecond
 	// disputeInterval is the shortest time between two listings because of conflicts. A row whose version can't be read conflicts again
@@ -120,6 +122,21 @@
 	return func(f *Follower) { f.maxWait = func() time.Duration { return min(maxWait(), longPollWait) } }
 }
 
+// LimitWait begins the open call for changes, if any, again if it would wait much longer than the function of WithMaxWait now allows.
+func (f *Follower) LimitWait() {
+	longest := f.maxWait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.open
+	if c == nil || c.source != SourceChanges || c.lacksRows || c.waited.Load() > 0 {
+		return
+	}
+	if c.wait-time.Since(c.started) > waitTolerance*longest {
+		c.superseded = true
+		c.cancel()
+	}
+}
+
 // Run keeps the copy up to date until ctx ends. It retries failed calls.
 func (f *Follower) Run(ctx context.Context) {
 	retry := minRetryDelay
