--- a/store/call.go
+++ b/store/call.go
@@ -30,8 +30,8 @@
 // errAbandoned means that a call was cancelled because its response was overdue.
 var errAbandoned = errors.New("the response is overdue")
 
-// errSuperseded means that a call was cancelled because the table has to be listed.
-var errSuperseded = errors.New("the table has to be listed")
+// errSuperseded means that a call was cancelled because another one is needed instead.
+var errSuperseded = errors.New("another call is needed")
 
 // Delivery describes how rows reached a follower.
 type Delivery struct {
@@ -83,6 +83,7 @@
 	}
 	newer := f.applyListing(rows, version, d)
 	f.mu.Lock()
+	f.doubtSince = time.Time{}
 	missing := f.expected() > 0
 	if expected > f.version {
 		// The store has no rows above version that were expected when the listing began.
@@ -138,7 +139,8 @@
 	lacksRows bool
 	// abandoned is set when the call was cancelled at its deadline. Follower.mu guards it.
 	abandoned bool
-	// superseded is set when the call was cancelled because the table has to be listed. Follower.mu guards it.
+	// superseded is set when the call was cancelled because the table has to be listed, or because it waits too long. Follower.mu guards
+	// it.
 	superseded bool
 	// connection describes the connection of the newest request of the call, nil before there is one.
 	connection atomic.Pointer[httptrace.GotConnInfo]
@@ -196,7 +198,6 @@
 	}
 	if !f.doubtSince.IsZero() {
 		d.InDoubt = time.Since(f.doubtSince)
-		f.doubtSince = time.Time{}
 	}
 	f.abandoned, f.responded = 0, time.Now()
 	f.observeLatency(c, d)
