Sidecar: announce a configuration also if an older one was announced before

Other instances could get a configuration later than needed while their calls to the store go unanswered and configurations follow one another.

Cause: an instance that lacked an announced configuration took one that arrived for the announced one, also if it was newer, and didn't announce it. Change: an arrived configuration is announced unless it or a newer one was. Result: TestConfigAnnouncements failed before (announced [5], want [5 6]). go test ./sidecar passed.

--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -61,6 +61,14 @@
 	return since
 }
 
+// isAnnounced reports whether a version of the row, or a newer one, was announced that this instance has lacked.
+func (l *configLag) isAnnounced(row uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.missing)
+	return n > 0 && l.missing[n-1].row >= row
+}
+
 // since returns since when this instance has lacked an announced configuration, or zero if it lacks none. known is the newest version of
 // the row that this instance can't lack.
 func (l *configLag) since(known uint64) time.Time {
--- a/sidecar/configsilence_test.go
+++ b/sidecar/configsilence_test.go
@@ -408,3 +408,40 @@
 		})
 	}
 }
+
+// TestConfigAnnouncements guards against a configuration that an instance doesn't announce, so that others get it late, because it lacked
+// an older one that was announced.
+func TestConfigAnnouncements(t *testing.T) {
+	tests := []struct {
+		name string
+		// announced is the newest version that another instance has announced before version 6 arrives, 0 for none.
+		announced uint64
+		// want holds the versions that the instance announces or passes on to the only other one.
+		want []uint64
+	}{
+		{"nothing announced", 0, []uint64{6}},
+		{"older one announced", 5, []uint64{5, 6}},
+		{"the same one announced", 6, []uint64{6}},
+		{"newer one announced", 7, []uint64{7}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sc := newLinkedSidecar(t, &slowLink{}, 2)
+			sc.adapters.ConfigKey = "config"
+			sc.adapters.DecodeConfig = func([]byte) (*routing.Table, error) { return routing.New(6, routing.Limits{}, nil, nil) }
+			var announced []uint64
+			sc.sendAnnouncement = func(_ member.Record, _ string, v *peer.Versions) error {
+				announced = append(announced, v.GetConfig())
+				return nil
+			}
+			if test.announced > 0 {
+				// The slot isn't that of the other instance, which would not be told of its own announcement.
+				sc.observeHeartbeat("10.0.0.9", &peer.Versions{Config: test.announced})
+			}
+			sc.config.Merge([]store.Row{{Key: "config", Version: 6}})
+			if !slices.Equal(announced, test.want) {
+				t.Errorf("announced %v, want %v", announced, test.want)
+			}
+		})
+	}
+}
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -55,12 +55,13 @@
 	}
 	sc.decodingConfig.Store(true)
 	defer sc.decodingConfig.Store(false)
+	if !sc.configLag.isAnnounced(rows[0].Version) {
+		sc.announceConfig(sc.settings.Slot, rows[0].Version)
+	}
 	var behind time.Duration
 	// The newest row has arrived, even if its configuration is refused below.
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
 		behind = time.Since(since)
-	} else {
-		sc.announceConfig(sc.settings.Slot, rows[0].Version)
 	}
 	for n, row := range rows {
 		decoding := time.Now()
