Forward: bound the wait for a probe by the request's deadline

Callers got no answer in time to a request with a short time left: it waited for the response to a probe for up to 0.3 s, past its deadline, and was then reported as one that may have run, although it had not been sent. Cause: the request that began a probe waited for its whole time, whatever was left. Change: the probe runs in a goroutine of its own, each request waits for it until its deadline at most, and one with too little time left then fails as not sent.

--- a/forward/client.go
+++ b/forward/client.go
@@ -104,12 +104,16 @@
 // If the instance stops responding, a request that may be repeated fails with code.PeerFailed and Result.Pending, so that it can be
 // sent elsewhere. Any other request goes on until its deadline.
 func (c *Client) Do(ctx context.Context, address string, r *gateway.Request) (Result, error) {
-	if left := time.Until(r.Deadline); left < gateway.MinTimeLeft {
-		// The other instance would refuse the request, and its refusal might come too late.
-		return Result{}, &gateway.Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v left until the deadline", left)}
+	if err := checkTimeLeft(r); err != nil {
+		return Result{}, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
 	l := c.link(ctx, address, r)
+	// The link may have been probed meanwhile.
+	if err := checkTimeLeft(r); err != nil {
+		l.leave()
+		return Result{}, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
 	done := make(chan outcome, 1)
 	c.spawn(func() {
 		defer cancel()
@@ -143,12 +147,24 @@
 	}
 }
 
+// checkTimeLeft returns a failure with code.TooLate if the other instance would refuse the request, since its refusal might come too late.
+func checkTimeLeft(r *gateway.Request) error {
+	if left := time.Until(r.Deadline); left < gateway.MinTimeLeft {
+		return &gateway.Failure{Code: code.TooLate, Reason: fmt.Sprintf("%v left until the deadline", left)}
+	}
+	return nil
+}
+
 // link returns the link to send a request on. A request that can't be repeated isn't sent on a connection that may be dead, and none is
 // that follows one which has ended there without a sign of life.
 func (c *Client) link(ctx context.Context, address string, r *gateway.Request) *link {
 	l, state := c.links.get(address, time.Now())
-	doubtful := state == linkUnanswered || state == linkStale && !r.Kind.Retryable()
-	if doubtful && !l.verify(ctx, c.spawn) {
+	if state == linkSound || state == linkStale && r.Kind.Retryable() {
+		return l
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	if !l.verify(ctx, c.spawn) {
 		l.leave()
 		l, _ = c.links.get(address, time.Now())
 	}
--- a/forward/link.go
+++ b/forward/link.go
@@ -349,19 +349,22 @@
 	return 0
 }
 
-// verify probes the instance, or waits for the probe in progress, and returns false if the link counts as silent then.
+// verify probes the instance, or waits for the probe in progress, and returns false if the link counts as silent then. It doesn't wait for
+// longer than until ctx ends.
 func (l *link) verify(ctx context.Context, spawn func(func())) bool {
 	l.mu.Lock()
 	probed := l.probed
 	begin := probed == nil && !l.isSilent()
 	if begin {
-		l.probed = make(chan struct{})
+		probed = make(chan struct{})
+		l.probed = probed
 	}
 	l.mu.Unlock()
-	switch {
-	case begin:
-		l.probe(context.WithoutCancel(ctx), spawn)
-	case probed != nil:
+	if begin {
+		// The probe's result concerns all requests on the link, so it doesn't end with this one.
+		spawn(func() { l.probe(context.WithoutCancel(ctx), spawn) })
+	}
+	if probed != nil {
 		select {
 		case <-probed:
 		case <-ctx.Done():
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -321,3 +321,24 @@
 		t.Errorf("%d requests hold a slot %v after their deadline", running, deadline/2)
 	}
 }
+
+// TestProbeEndsAtDeadline guards against a request that isn't answered in time because it waits for the response to a probe.
+func TestProbeEndsAtDeadline(t *testing.T) {
+	t.Parallel()
+	const deadline, slack = 100 * time.Millisecond, 100 * time.Millisecond
+	client, i, l, address := newSlowLink(t)
+	i.serviceTime.Store(0)
+	if _, err := client.Do(t.Context(), address, newRequest("")); err != nil {
+		t.Fatal(err)
+	}
+	l.stall(0)
+	time.Sleep(1100 * time.Millisecond)
+	r := newRequest("pay")
+	started := time.Now()
+	r.Deadline = started.Add(deadline)
+	_, err := client.Do(t.Context(), address, r)
+	var f *gateway.Failure
+	if took := time.Since(started); took > deadline+slack || !errors.As(err, &f) || !f.NotRun() {
+		t.Errorf("%v after %v, want a failure of a request that hasn't run after %v", err, took, deadline)
+	}
+}
