--- a/ingress/server.go
+++ b/ingress/server.go
@@ -57,7 +57,7 @@
 	Directory Directory
 	Forwarder Forwarder
 	Local     LocalGateway
-	// Outdated reports whether a newer configuration than that of Routes is known to exist.
+	// Outdated reports whether a newer configuration than that of Routes may exist: one is known to, or this can't be ruled out.
 	Outdated func() bool
 	// ConfirmedFor returns the time since the configuration was last known to be the newest one, and false if it never was. It may be nil.
 	ConfirmedFor func() (time.Duration, bool)
--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -61,7 +61,7 @@
 	return since
 }
 
-// isAnnounced reports whether a version of the row, or a newer one, was announced that this instance has lacked.
+// isAnnounced reports whether this instance has lacked a version of the row, or a newer one, that was announced.
 func (l *configLag) isAnnounced(row uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
