Forward: count a request as ended before its outcome is delivered

On a connection between instances that had gone dead, a second request was lost after the first: 504 at its deadline, or 502 "the other instance doesn't respond". Cause: the count of requests in flight was lowered after the outcome of a request had been delivered, in another goroutine. The next request could enter in between. If the one before had been answered, the link didn't record that a request was sent since then, and if it hadn't, the link didn't count as unanswered. In both cases the next request but one, or the next, was sent on the dead connection without a probe. Evidence: traces of two failures of TestShortDeadlinesOnDeadConnection with all reads, writes and dials. Only one connection was open, and nothing was read after the silence. So a second connection that counts as a sign of life, which had been suspected, isn't the cause; the 0.855 s in the log are counted from the start of the second request. Change: the count is lowered first.

--- a/forward/client.go
+++ b/forward/client.go
@@ -117,8 +117,9 @@
 	done := make(chan outcome, 1)
 	c.spawn(func() {
 		defer cancel()
-		defer l.leave()
 		result, err := c.roundTrip(ctx, l, r)
+		// A request that follows the outcome must not find this one in flight.
+		l.leave()
 		done <- outcome{result, err}
 	})
 	silent := l.silent
--- a/forward/link_test.go
+++ b/forward/link_test.go
@@ -1,10 +1,17 @@
 package forward
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sapphiretray/gateway"
 )
 
 // TestEnterSilentLink guards against a request that is put on a link whose connections are being reset, because the link was found to be
@@ -30,3 +37,47 @@
 		t.Errorf("%d requests on the link, want 1", chosen.inFlight)
 	}
 }
+
+// TestEndedRequestIsNotInFlight guards against a request that is still counted as in flight when its outcome is known. The next one then
+// was sent on a dead connection, because the one before counted neither as unanswered nor as the first since something was received.
+func TestEndedRequestIsNotInFlight(t *testing.T) {
+	dialing, fail := make(chan struct{}), make(chan struct{})
+	var group errgroup.Group
+	client := NewClient(&group, &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		close(dialing)
+		<-fail
+		return nil, errors.New("no route")
+	}}, noVersions{})
+	ended := make(chan struct{})
+	group.Go(func() error {
+		defer close(ended)
+		if _, err := client.Do(t.Context(), "a", &gateway.Request{Deadline: time.Now().Add(time.Minute)}); err == nil {
+			t.Error("the request has succeeded")
+		}
+		return nil
+	})
+	<-dialing
+	// The client waits for the outcome by now. If it doesn't yet, it does once mu is free.
+	time.Sleep(50 * time.Millisecond)
+	l := client.links.byAddress["a"]
+	l.mu.Lock()
+	close(fail)
+	select {
+	case <-ended:
+		t.Errorf("the request has ended with %d in flight", l.inFlight)
+	case <-time.After(50 * time.Millisecond):
+	}
+	l.mu.Unlock()
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if l.inFlight != 0 {
+		t.Errorf("%d requests in flight at the end", l.inFlight)
+	}
+}
+
+// noVersions exchanges no versions.
+type noVersions struct{}
+
+func (noVersions) Versions() Versions       { return Versions{} }
+func (noVersions) ObserveVersions(Versions) {}
