Forward: count a link as unanswered while other requests are in flight

On a connection between instances that had gone dead, a second request was lost after one with a short deadline if a longer one was in flight beside it: the later one was sent on the dead connection too, up to 1 s after the silence. Cause: whether a request had ended without a sign of life was derived from the count of requests in flight and the start of the first of them. Beside another request the count isn't 0, and the start is that of the other one. Change: the link records when the newest request was sent that has ended while nothing had been received since.

--- a/forward/client.go
+++ b/forward/client.go
@@ -108,9 +108,10 @@
 		return Result{}, err
 	}
 	l := c.link(ctx, address, r)
+	sent := time.Now()
 	// The link may have been probed meanwhile.
 	if err := checkTimeLeft(r); err != nil {
-		l.leave()
+		l.leave(sent)
 		return Result{}, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
@@ -119,7 +120,7 @@
 		defer cancel()
 		result, err := c.roundTrip(ctx, l, r)
 		// A request that follows the outcome must not find this one in flight.
-		l.leave()
+		l.leave(sent)
 		done <- outcome{result, err}
 	})
 	silent := l.silent
@@ -166,7 +167,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	if !l.verify(ctx, c.spawn) {
-		l.leave()
+		l.leave(time.Time{})
 		l, _ = c.links.get(address, time.Now())
 	}
 	return l
--- a/forward/link.go
+++ b/forward/link.go
@@ -49,6 +49,8 @@
 	// been received: earlier ones have ended, and something was received after them. A new connection isn't a sign: the transport may open
 	// one and send the request on another.
 	heard, began time.Time
+	// unanswered is when the newest request was sent that has ended while nothing had been received since.
+	unanswered time.Time
 	// connections are the open ones.
 	connections map[*linkConn]struct{}
 }
@@ -201,8 +203,8 @@
 	linkSound linkState = iota
 	// linkStale means that nothing was received for silentAfter, or that the instance is being probed.
 	linkStale
-	// linkUnanswered means that nothing has been received since an earlier request, which has ended. HTTP/2 pings the instance when a
-	// request is cancelled, so that a sound connection doesn't stay in this state.
+	// linkUnanswered means that nothing has been received since an earlier request, which has ended, whether others are in flight or not.
+	// HTTP/2 pings the instance when a request is cancelled, so that a sound connection doesn't stay in this state.
 	linkUnanswered
 )
 
@@ -261,25 +263,27 @@
 	if l.isSilent() {
 		return false, linkSound
 	}
-	unanswered := l.heard.Before(l.began)
 	switch {
-	case len(l.connections) > 0 && l.inFlight == 0 && unanswered:
+	case len(l.connections) > 0 && l.heard.Before(l.unanswered):
 		state = linkUnanswered
 	case l.probed != nil, len(l.connections) > 0 && now.Sub(l.heard) >= silentAfter:
 		state = linkStale
 	}
-	if l.inFlight == 0 && !unanswered {
+	if l.inFlight == 0 && !l.heard.Before(l.began) {
 		l.began = now
 	}
 	l.inFlight++
 	return true, state
 }
 
-// leave ends a request in flight. After the last one on a silent link, its connections are reset, so that what the network has held up
-// isn't delivered any more: nobody waits for a response.
-func (l *link) leave() {
+// leave ends a request in flight. sent is when it was sent, or the zero value. After the last request on a silent link, its connections are
+// reset, so that what the network has held up isn't delivered any more: nobody waits for a response.
+func (l *link) leave(sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.heard.Before(sent) && l.unanswered.Before(sent) {
+		l.unanswered = sent
+	}
 	l.inFlight--
 	if l.inFlight == 0 && l.isSilent() {
 		l.reset()
--- a/forward/link_test.go
+++ b/forward/link_test.go
@@ -19,7 +19,7 @@
 func TestEnterSilentLink(t *testing.T) {
 	l := links{transport: &http.Transport{}}
 	silent, _ := l.get("a", time.Now())
-	silent.leave()
+	silent.leave(time.Time{})
 	silent.mu.Lock()
 	var request sync.WaitGroup
 	var chosen *link
@@ -76,6 +76,36 @@
 	}
 }
 
+// TestUnansweredBesideOthers guards against a request that is sent on a dead connection after one that got no response there, because
+// another one is still in flight, and against requests that wait for a probe although something was received.
+func TestUnansweredBesideOthers(t *testing.T) {
+	const step = 100 * time.Millisecond
+	tests := []struct {
+		name string
+		// heard is when something was last received. A long request is sent at 0 and a short one at 2, which ends at 4, in steps.
+		heard int
+		want  linkState
+	}{
+		{"nothing received since the short request was sent", 1, linkUnanswered},
+		{"something received since", 3, linkSound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Now()
+			l := newLink("a", &http.Transport{})
+			l.connections[&linkConn{}] = struct{}{}
+			l.observe(start)
+			l.enter(start)
+			l.enter(start.Add(2 * step))
+			l.observe(start.Add(time.Duration(test.heard) * step))
+			l.leave(start.Add(2 * step))
+			if _, state := l.enter(start.Add(4 * step)); state != test.want {
+				t.Errorf("state %d for the next request, want %d", state, test.want)
+			}
+		})
+	}
+}
+
 // noVersions exchanges no versions.
 type noVersions struct{}
 
