Instance: maps don't hold up other rows and are read again

While the object store is silent, a configuration that arrives with maps takes effect 5 s later for each of them.

Change: rows of maps are kept until their map is in effect. A goroutine of its own reads them, and again after 1 to 8 s while the object store fails.

Evidence: TestMapAfterObjectStoreFailure failed (no map 5 s after the object store was back), TestConfigWhileObjectStoreIsSilent too (16.0 s with three maps, bound 8 s); both pass now. go test -race ./instance ./demo passes.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,6 +81,9 @@
 	fetchRequests chan string
 	// pollNow makes pollTable read the table at once, after this instance has written to it.
 	pollNow chan struct{}
+	// mapsChanged makes runMaps put pendingMaps into effect.
+	mapsChanged chan struct{}
+	pendingMaps pendingMaps
 	// background counts the goroutines that call other instances or the upstream and outlive the function that started them.
 	background  sync.WaitGroup
 	started     time.Time
@@ -116,6 +119,7 @@
 		ready:         make(chan struct{}),
 		fetchRequests: make(chan string, 1),
 		pollNow:       make(chan struct{}, 1),
+		mapsChanged:   make(chan struct{}, 1),
 		started:       time.Now(),
 	}
 	i.controlTraffic.Count(control)
@@ -144,6 +148,7 @@
 	group.Go(func() error { i.upstream.Watch(running, i.observeUpstream); return nil })
 	group.Go(func() error { i.pollTable(running); return nil })
 	group.Go(func() error { i.runFetches(running); return nil })
+	group.Go(func() error { i.runMaps(running); return nil })
 	group.Go(func() error { i.flushEvents(running); return nil })
 	group.Go(func() error {
 		defer cancel()
--- a/instance/tablesync.go
+++ b/instance/tablesync.go
@@ -37,7 +37,7 @@
 		if i.isReader() {
 			revision := i.rowCache.Revision()
 			if changes, err := i.table.Changes(ctx, revision); err == nil {
-				i.apply(ctx, revision, changes)
+				i.apply(revision, changes)
 			} else if ctx.Err() == nil {
 				klog.V(1).Infof("table: poll failed: %v", err)
 			}
@@ -105,18 +105,23 @@
 	if err := json.Unmarshal(response.GetValue(), &changes); err != nil {
 		return err
 	}
-	i.apply(ctx, revision, changes)
+	i.apply(revision, changes)
 	return nil
 }
 
 // apply merges rows that were written after the revision since into the cache, and puts those that changed into effect.
-func (i *Instance) apply(ctx context.Context, since uint64, changes table.Changes) {
+// runMaps does so with maps.
+func (i *Instance) apply(since uint64, changes table.Changes) {
 	for _, row := range i.rowCache.merge(since, changes) {
 		switch {
 		case strings.HasPrefix(row.Key, member.RowPrefix):
 			i.applyMember(row)
 		case strings.HasPrefix(row.Key, planner.MapPrefix):
-			i.applyMap(ctx, row)
+			i.pendingMaps.add(row)
+			select {
+			case i.mapsChanged <- struct{}{}:
+			default:
+			}
 		case row.Key == config.RowKey:
 			i.applyConfig(row)
 		case row.Key == sheet.RowKey:
@@ -142,25 +147,6 @@
 	}
 }
 
-func (i *Instance) applyMap(ctx context.Context, row table.Row) {
-	name := strings.TrimPrefix(row.Key, planner.MapPrefix)
-	decoded, err := planner.DecodeMapRow(row.Value)
-	if err != nil {
-		klog.Errorf("map: row %s can't be decoded: %v", row.Key, err)
-		return
-	}
-	m, err := decoded.Map(ctx, i.objects, name, i.directory.Map(name))
-	if err != nil {
-		klog.Errorf("map: %s can't be built: %v", name, err)
-		return
-	}
-	if i.directory.setMap(m) && name == i.settings.Service() {
-		if s := i.session.Load(); s != nil {
-			s.owned.Update(m)
-		}
-	}
-}
-
 func (i *Instance) applyConfig(row table.Row) {
 	accepted, err := table.Decode[config.Config](row)
 	if err != nil {
