Planner: time in which a step waits doesn't lengthen the pause

After a read of the table that got no response for 1 s, the planner plans nothing for 20 s, and after a suspension of the process during a step for 20 times as long. New instances get no partitions meanwhile.

Cause: the pause after a step, which bounds the planner's share of a core, is 20 times the step's duration, waits included.

Change: it is 20 times the processor time that the process has used during the step, and never longer than before.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -15,6 +15,7 @@
 	"sapphiretray/partition"
 	"sapphiretray/pause"
 	"sapphiretray/placement"
+	"sapphiretray/processor"
 	"sapphiretray/table"
 
 	"k8s.io/klog/v2"
@@ -25,8 +26,9 @@
 	DefaultInterval = time.Second
 	// DefaultMovesPerMinute is the budget of planned moves of a service for which the sheet sets none.
 	DefaultMovesPerMinute = 60
-	// minIdleFactor is the minimum pause after a step as a multiple of the step's duration. It limits planning to about 5%
-	// of a core, also with very many instances.
+	// minIdleFactor is the minimum pause after a step as a multiple of the processor time that the process used during it. It limits
+	// planning to about 5% of a core, also with very many instances. Time in which a step waits for the platform or other instances, or
+	// in which the process is suspended, doesn't count.
 	minIdleFactor = 20
 )
 
@@ -174,11 +176,11 @@
 			return nil
 		case <-timer.C:
 		}
-		start := time.Now()
+		start, used := time.Now(), processor.Time()
 		if err := p.Step(ctx); err != nil && ctx.Err() == nil {
 			klog.ErrorS(err, "planner: step failed")
 		}
-		timer.Reset(max(p.interval, minIdleFactor*time.Since(start)))
+		timer.Reset(max(p.interval, minIdleFactor*min(time.Since(start), processor.Time()-used)))
 	}
 }
 
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -13,6 +13,7 @@
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/processor"
 	"sapphiretray/wait"
 )
 
@@ -217,13 +218,13 @@
 	if current.keys == nil && !sc.knowsHolders(ctx, current, reports) {
 		return
 	}
-	started, used := time.Now(), processorTime()
+	started, used := time.Now(), processor.Time()
 	sc.fetchRecords(ctx, reports)
 	sc.proveExpiry(ctx, current.keys, reports)
 	input := sc.buildPlanInput(current, reports)
 	next, moves := keyspace.Plan(input)
 	if took := time.Since(started); took >= slowPlan {
-		klog.InfoS("plan: slow computation", "service", sc.settings.Service, "took", took, "processorTime", processorTime()-used,
+		klog.InfoS("plan: slow computation", "service", sc.settings.Service, "took", took, "processorTime", processor.Time()-used,
 			"ranges", len(current.keys.Entries()), "loads", len(input.Loads), "candidates", len(input.Candidates))
 	}
 	logCandidates(input, reports)
--- a/sidecar/stalls.go
+++ b/sidecar/stalls.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"sapphiretray/processor"
 	"sapphiretray/wait"
 )
 
@@ -52,20 +52,10 @@
 // less means that it wasn't scheduled.
 func (sc *Sidecar) watchStalls(ctx context.Context) {
 	s := newStallMonitor(sc.registry)
-	s.observe(time.Now(), processorTime())
+	s.observe(time.Now(), processor.Time())
 	for wait.For(ctx, stallInterval) {
-		if late, busy := s.observe(time.Now(), processorTime()); late >= stallLogThreshold {
+		if late, busy := s.observe(time.Now(), processor.Time()); late >= stallLogThreshold {
 			klog.InfoS("process: stalled", "late", late, "processorTime", busy, "running", sc.gateway.Load().Running)
 		}
 	}
 }
-
-// processorTime returns the user and system time that the process has used, or 0 if it isn't known.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		klog.V(1).InfoS("process: processor time unknown", "err", err)
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
