Sidecar: repeat the announcements of a configuration

With 30 % of lost datagrams and no traffic, an instance got a configuration up to 17 s late while no call for changes was answered.

Cause: each instance announced a version once, to the next three instances on the ring and three random ones. An instance for which all of these datagrams were lost learned nothing until its long poll ended. Change: an instance repeats the newest version that it knows of twice, 0.1 s apart, with random targets drawn anew. Configurations that follow one another closely share the repeats.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/wait"
 )
 
 const (
@@ -34,6 +36,10 @@
 	randomFanout = 3
 	// maxRingTargets bounds the next instances with those that aren't ready, which may be most of them after many replacements.
 	maxRingTargets = 12
+	// announcementRepeats is how often an instance repeats an announcement, since datagrams may be lost, and repeatInterval is the time
+	// between two of them. It is short because the time that the repeats take is part of that until a configuration is in effect.
+	announcementRepeats = 2
+	repeatInterval      = 100 * time.Millisecond
 )
 
 // configWait returns how long a call of this instance for changes of the configuration may wait at the store.
@@ -88,6 +94,42 @@
 // on what is news to it. Heartbeats and forwarded requests carry versions too, but they don't reach instances that neither witness a lease
 // nor have traffic.
 func (sc *Sidecar) announceConfig(slot string, row uint64) {
+	sc.sendConfigVersion(slot, row)
+	select {
+	case sc.announceAgain <- struct{}{}:
+	default:
+	}
+}
+
+// repeatAnnouncements repeats the announcements of configurations until ctx ends. Each round announces the newest configuration and draws
+// its random targets anew. Configurations that follow one another closely share rounds.
+func (sc *Sidecar) repeatAnnouncements(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sc.announceAgain:
+		}
+		for range announcementRepeats {
+			if !wait.For(ctx, repeatInterval) {
+				return
+			}
+			sc.sendConfigVersion(sc.newestConfig())
+		}
+	}
+}
+
+// newestConfig returns the newest version of the row with the configuration that this instance knows of, and the slot of an instance that
+// has it.
+func (sc *Sidecar) newestConfig() (slot string, row uint64) {
+	if slot, row = sc.configLag.newest(sc.config.Known()); row > 0 {
+		return slot, row
+	}
+	return sc.settings.Slot, sc.config.Newest()
+}
+
+// sendConfigVersion sends an announcement of a configuration to the targets of this instance.
+func (sc *Sidecar) sendConfigVersion(slot string, row uint64) {
 	for _, r := range sc.announcementTargets() {
 		if r.Incarnation.Slot() == slot {
 			continue
--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,7 +161,12 @@
 	stops     []context.CancelFunc
 	// failed holds the instances that have failed.
 	failed sync.Map
-	group  sync.WaitGroup
+	// lossMu guards loss, which tells for each datagram whether it is lost; nil if none is.
+	lossMu sync.Mutex
+	loss   func() bool
+	// announcements is the number of announcements sent.
+	announcements atomic.Int64
+	group         sync.WaitGroup
 }
 
 // fail ends instances. The others don't notice.
@@ -199,9 +206,24 @@
 	return failed
 }
 
-// deliver passes versions to an instance, unless it or the sender has failed.
+// lose makes a share of the datagrams be lost from now on.
+func (f *configFleet) lose(share float64, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	f.lossMu.Lock()
+	defer f.lossMu.Unlock()
+	f.loss = func() bool { return random.Float64() < share }
+}
+
+// isLost reports whether the next datagram is lost.
+func (f *configFleet) isLost() bool {
+	f.lossMu.Lock()
+	defer f.lossMu.Unlock()
+	return f.loss != nil && f.loss()
+}
+
+// deliver passes versions to an instance, unless it or the sender has failed or the datagram is lost.
 func (f *configFleet) deliver(from, to *Sidecar, slot string, v *peer.Versions) {
-	if !f.hasFailed(from) && !f.hasFailed(to) {
+	if !f.hasFailed(from) && !f.hasFailed(to) && !f.isLost() {
 		to.observeHeartbeat(slot, v)
 	}
 }
@@ -240,6 +262,7 @@
 			// Nobody answers a fetch: calls between the instances are silent too.
 			sc.dialer, sc.group = peer.NewDialer(peers{}), &errgroup.Group{}
 			sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
+				f.announcements.Add(1)
 				number, err := strconv.Atoi(strings.TrimPrefix(to.Incarnation.Slot(), "10.0.0."))
 				f.group.Go(func() {
 					time.Sleep(2 * time.Millisecond)
@@ -264,7 +287,7 @@
 					}
 				}
 			}
-			for _, task := range []func(context.Context){sc.config.Run, sc.fetchConfig, heartbeats} {
+			for _, task := range []func(context.Context){sc.config.Run, sc.fetchConfig, sc.repeatAnnouncements, heartbeats} {
 				f.group.Go(func() { task(ctx) })
 			}
 		}
@@ -352,6 +375,64 @@
 	}
 }
 
+// TestConfigAfterSilenceWithLoss guards against instances that get a configuration late because the datagrams that announce it to them are
+// lost while no call for changes is answered.
+func TestConfigAfterSilenceWithLoss(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		share = 0.3
+		seeds = 10
+	)
+	for _, instances := range []int{12, 60, 195} {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", instances, seed), func(t *testing.T) {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					f.lose(share, seed)
+					f.store.forget()
+					written := time.Now()
+					if took := f.latest(written, f.store.put()); took > bound {
+						t.Errorf("in effect on all instances after %v, want at most %v", took, bound)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestConfigAnnouncementsPerChange guards against announcements without end, and against ones whose number grows faster than that of the
+// instances.
+func TestConfigAnnouncementsPerChange(t *testing.T) {
+	const perInstance = (1 + announcementRepeats) * (ringFanout + randomFanout)
+	tests := []struct {
+		instances, changes int
+		// interval is the time between two changes.
+		interval time.Duration
+	}{
+		{2, 1, 0},
+		{12, 1, 0},
+		{12, 5, 20 * time.Second},
+		{12, 40, 50 * time.Millisecond},
+		{195, 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d instances, %d changes, every %v", test.instances, test.changes, test.interval), func(t *testing.T) {
+			runConfigFleet(t, test.instances, func(f *configFleet) {
+				f.announcements.Store(0)
+				for range test.changes {
+					f.store.put()
+					time.Sleep(test.interval)
+				}
+				time.Sleep(time.Minute)
+				sent := f.announcements.Load()
+				if limit := int64(test.changes * test.instances * perInstance); sent == 0 || sent > limit {
+					t.Errorf("%d announcements, want at most %d", sent, limit)
+				}
+				t.Logf("%d announcements", sent)
+			})
+		})
+	}
+}
+
 // TestConfigCallsOfLargeFleets guards against checks of the configuration whose number grows with that of the instances: beyond the
 // checkers, an instance makes a call for each long poll only.
 func TestConfigCallsOfLargeFleets(t *testing.T) {
--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -23,8 +23,9 @@
 // announcement tells that other instances have the configuration in a version of the row.
 type announcement struct {
 	row uint64
-	// at is when the first of them announced it.
-	at time.Time
+	// slot is that of the first of them, and at when it announced it.
+	slot string
+	at   time.Time
 }
 
 // announce records that the instance in a slot has a version of the row, which must be newer than this instance's, and reports whether
@@ -45,7 +46,7 @@
 		// The oldest announcement tells since when this instance lags; those in the middle matter least.
 		l.missing = l.missing[:maxAnnouncements-1]
 	}
-	l.missing = append(l.missing, announcement{row: row, at: now})
+	l.missing = append(l.missing, announcement{row: row, slot: slot, at: now})
 	return true
 }
 
@@ -82,6 +83,19 @@
 	return l.missing[0].at
 }
 
+// newest returns the newest announced version of the row that this instance lacks and the slot that announced it, or a row of 0 if it lacks
+// none. known is as in since.
+func (l *configLag) newest(known uint64) (slot string, row uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeUpTo(known)
+	if len(l.missing) == 0 {
+		return "", 0
+	}
+	last := l.missing[len(l.missing)-1]
+	return last.slot, last.row
+}
+
 // newerThan returns the slots that have announced a newer version than the given one.
 func (l *configLag) newerThan(known uint64) []string {
 	l.mu.Lock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -146,6 +146,8 @@
 	announcers      chan string
 	configAnnounced chan struct{}
 	configLag       configLag
+	// announceAgain receives a value when this instance has announced a configuration.
+	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
 	sendAnnouncement func(to member.Record, slot string, v *peer.Versions) error
 	// decodingConfig is true while an arrived configuration isn't in effect yet.
@@ -163,8 +165,8 @@
 	sc := &Sidecar{
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
-		configAnnounced: make(chan struct{}, 1), registry: prometheus.NewRegistry(), pushes: newPushes(),
-		unresponsiveSince: make(map[string]time.Time),
+		configAnnounced: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), registry: prometheus.NewRegistry(),
+		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time),
 	}
 	if sc.adapters.Network == nil {
 		sc.adapters.Network = tcpNetwork{}
@@ -211,7 +213,7 @@
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
 	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
-		sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+		sc.repeatAnnouncements, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
