Instance: an instance that doesn't respond holds up no fetch from others

An instance that doesn't poll the table gets no rows while requests are answered by instances with a newer map and the first ready instance of the service doesn't respond.

Cause: each such request asked for a fetch from the first ready instance. These requests filled the channel of one slot that they shared with the announcements of other instances, which were dropped.

Change: requests have a channel of their own and choose a ready instance at random.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -77,8 +77,9 @@
 	session   atomic.Pointer[session]
 	ready     chan struct{}
 	readyOnce sync.Once
-	// fetchRequests receives the slot of an instance to fetch missing rows from.
-	fetchRequests chan string
+	// fetchRequests receives the slot of an instance to fetch missing rows from, which has announced them. refreshRequests does so because
+	// of a request, of which there may be many.
+	fetchRequests, refreshRequests chan string
 	// pollNow makes pollTable read the table at once, after this instance has written to it.
 	pollNow chan struct{}
 	// mapsChanged makes runMaps put pendingMaps into effect.
@@ -117,10 +118,10 @@
 		budget:        &policy.RetryBudget{},
 		registry:      prometheus.NewRegistry(),
 		ready:         make(chan struct{}),
-		fetchRequests: make(chan string, 1),
-		pollNow:       make(chan struct{}, 1),
-		mapsChanged:   make(chan struct{}, 1),
-		started:       time.Now(),
+		fetchRequests: make(chan string, 1), refreshRequests: make(chan string, 1),
+		pollNow:     make(chan struct{}, 1),
+		mapsChanged: make(chan struct{}, 1),
+		started:     time.Now(),
 	}
 	i.controlTraffic.Count(control)
 	i.sheetCache.objects, i.sheetCache.log = i.objects, log
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -41,10 +41,10 @@
 // suspect records a sign that an incarnation has failed.
 func (i *Instance) suspect(m member.Incarnation) { i.suspects.add(m) }
 
-// requestFetch makes runFetches fetch rows from a slot, unless another request is waiting already.
-func (i *Instance) requestFetch(slot string) {
+// requestFetch makes runFetches fetch rows from a slot, unless another request waits in the channel already.
+func requestFetch(requests chan<- string, slot string) {
 	select {
-	case i.fetchRequests <- slot:
+	case requests <- slot:
 	default:
 	}
 }
--- a/instance/tablesync.go
+++ b/instance/tablesync.go
@@ -70,21 +70,23 @@
 func (i *Instance) observeVersions(slot string, v *peer.Versions) {
 	i.clock.Observe(timeline.Stamp(v.GetClock()))
 	if v.GetTable() > i.rowCache.Revision() {
-		i.requestFetch(slot)
+		requestFetch(i.fetchRequests, slot)
 	}
 }
 
-// runFetches fetches missing rows from the instances whose slots arrive in fetchRequests, one at a time.
+// runFetches fetches missing rows from the instances whose slots arrive in fetchRequests and refreshRequests, one at a time.
 func (i *Instance) runFetches(ctx context.Context) {
 	for {
+		var slot string
 		select {
-		case slot := <-i.fetchRequests:
-			if err := i.fetch(ctx, slot); err != nil {
-				klog.V(1).Infof("peer: fetch from %s failed: %v", slot, err)
-			}
+		case slot = <-i.fetchRequests:
+		case slot = <-i.refreshRequests:
 		case <-ctx.Done():
 			return
 		}
+		if err := i.fetch(ctx, slot); err != nil {
+			klog.V(1).Infof("peer: fetch from %s failed: %v", slot, err)
+		}
 	}
 }
 
--- a/instance/view.go
+++ b/instance/view.go
@@ -1,6 +1,9 @@
 package instance
 
 import (
+	"math/rand/v2"
+	"slices"
+
 	"sapphiretray/member"
 	"sapphiretray/partition"
 )
@@ -28,12 +31,12 @@
 // ReportUnreachable marks an incarnation as suspected, so that the planner asks its witnesses.
 func (d *callerDirectory) ReportUnreachable(i member.Incarnation) { d.session.instance.suspect(i) }
 
-// Refresh fetches missing rows from a ready member of the service.
+// Refresh fetches missing rows from a ready member of the service. Some may not respond, so it is a random one.
 func (d *callerDirectory) Refresh(service string, _ uint64) {
-	for _, m := range d.directory.all() {
-		if m.Service == service && m.State == member.Ready && m.Incarnation != d.session.self {
-			d.session.instance.requestFetch(m.Incarnation.Slot())
-			return
-		}
+	ready := slices.DeleteFunc(d.directory.all(), func(m member.Record) bool {
+		return m.Service != service || m.State != member.Ready || m.Incarnation == d.session.self
+	})
+	if len(ready) > 0 {
+		requestFetch(d.session.instance.refreshRequests, ready[rand.N(len(ready))].Incarnation.Slot())
 	}
 }
