Sidecar: all readers of the rows check for changes at short intervals

While no call for changes is answered, readers learn late of changed rows in deployments with many data centres, and records of running instances may count as removed meanwhile.

Cause: the wait of a call for changes of the rows grew with the rank of the instance among the checkers of all data centres. But the readers are others than the checkers: one or two in each data centre, and the planner, which may have any rank.

Change: each call for changes of the rows may wait for 1.5 s. Only readers make such calls, so that their number grows with that of the data centres and not with that of the instances.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -22,9 +22,9 @@
 	// checkWaitShare is the share of the configuration's limit for which a call of the first checker waits for changes. The rest is for the
 	// delay of an overdue response, the announcement to the other instances, the end of their calls and the transfer.
 	checkWaitShare = 0.3
-	// rowsCheckWait is how long a call of the first checker waits for changes of the rows. Readers have to learn of a change within 3 s, so
-	// that other instances do within unlistedWait.
-	rowsCheckWait = 1500 * time.Millisecond
+	// readerWait is how long a reader's call waits for changes of the rows. Readers have to learn of a change within 3 s, so that other
+	// instances do within unlistedWait.
+	readerWait = 1500 * time.Millisecond
 	// checkWaitGrowth is the ratio between the waits of one checker and the one before it.
 	checkWaitGrowth = 1.5
 	// maxCheckers is the number of instances whose calls end early. The next one would wait longer than calls do anyway.
@@ -42,31 +42,27 @@
 	repeatInterval      = 100 * time.Millisecond
 )
 
-// configWait returns how long a call of this instance for changes of the configuration may wait at the store.
+// configWait returns how long a call of this instance for changes of the configuration may wait at the store. While no call is answered any
+// more, as after the loss of all connections at once, no instance gets the changes and announces them. So some instances, the checkers, ask
+// again at intervals, the first ones at short intervals. Later checkers wait longer and matter if those before them have failed, so that
+// the number of calls doesn't grow with that of the instances.
 func (sc *Sidecar) configWait() time.Duration {
-	limit := cmp.Or(sc.settings.ConfigLimit, defaultConfigLimit)
-	return sc.checkWait(time.Duration(checkWaitShare * float64(limit)))
-}
-
-// rowsWait is like configWait for changes of the rows.
-func (sc *Sidecar) rowsWait() time.Duration { return sc.checkWait(rowsCheckWait) }
-
-// checkWait returns how long a call of this instance for changes may wait at the store if those of the first checker wait for the given
-// time. While no call is answered any more, as after the loss of all connections at once, no instance gets the changes and announces them.
-// So some instances, the checkers, ask again at intervals, the first ones at short intervals. Later checkers wait longer and matter if
-// those before them have failed, so that the number of calls doesn't grow with that of the instances.
-func (sc *Sidecar) checkWait(first time.Duration) time.Duration {
+	first := checkWaitShare * float64(cmp.Or(sc.settings.ConfigLimit, defaultConfigLimit))
 	records := sc.reachable()
 	if len(records) == 0 {
-		return first
+		return time.Duration(first)
 	}
 	position := slices.Index(slotsOf(checkers(records)), sc.settings.Slot)
 	if position < 0 {
 		position = maxCheckers
 	}
-	return time.Duration(float64(first) * math.Pow(checkWaitGrowth, float64(position)))
+	return time.Duration(first * math.Pow(checkWaitGrowth, float64(position)))
 }
 
+// rowsWait returns how long a call of this instance for changes of the rows may wait at the store. It is short for all of them, because only
+// readers make such calls, of which there are few.
+func (sc *Sidecar) rowsWait() time.Duration { return readerWait }
+
 // checkers returns up to maxCheckers records in the order in which their instances check for changes: the first one of each data centre,
 // then the second ones and so on, and those that aren't ready last.
 func checkers(records []member.Record) []member.Record {
