Sidecar: checkers that don't run any more lose their ranks

With 4 of 12 instances gone for two minutes, a configuration was in effect 2.9 s after a change while no call for changes was answered, and 14.4 s with 8 of 24 (bound 2 s).

Cause: the ranks of the instances that check for changes follow from their records. That of a process that was killed stays ready, and only a request to it shows that it is unreachable. So the first instances that run may have ranks with long waits, or none.

Change: every 5 s, each instance probes those before it in the order, the nearest first, until three respond, and leaves out those that don't. It keeps the ranks if nobody responds, neither before nor after it, because its own links may be the fault; else all instances would become checkers while they can't reach each other. Routing doesn't use the result.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -48,7 +48,7 @@
 // the number of calls doesn't grow with that of the instances.
 func (sc *Sidecar) configWait() time.Duration {
 	first := checkWaitShare * float64(cmp.Or(sc.settings.ConfigLimit, defaultConfigLimit))
-	records := sc.reachable()
+	records := sc.responding()
 	if len(records) == 0 {
 		return time.Duration(first)
 	}
@@ -59,13 +59,19 @@
 	return time.Duration(first * math.Pow(checkWaitGrowth, float64(position)))
 }
 
-// rowsWait returns how long a call of this instance for changes of the rows may wait at the store. It is short for all of them, because only
-// readers make such calls, of which there are few.
+// rowsWait returns how long a call of this instance for changes of the rows may wait at the store. It is short for all instances, because
+// only readers make such calls, of which there are few.
 func (sc *Sidecar) rowsWait() time.Duration { return readerWait }
 
-// checkers returns up to maxCheckers records in the order in which their instances check for changes: the first one of each data centre,
-// then the second ones and so on, and those that aren't ready last.
+// checkers returns the first records in the order of checkOrder, up to maxCheckers.
 func checkers(records []member.Record) []member.Record {
+	order := checkOrder(records)
+	return order[:min(len(order), maxCheckers)]
+}
+
+// checkOrder returns the records in the order in which their instances check for changes: the first one of each data centre, then the
+// second ones and so on, and those that aren't ready last.
+func checkOrder(records []member.Record) []member.Record {
 	type candidate struct {
 		member.Record
 		round int
@@ -79,11 +85,11 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(compareReady(a.Record, b.Record), cmp.Compare(a.round, b.round))
 	})
-	chosen := make([]member.Record, 0, maxCheckers)
-	for _, c := range candidates[:min(len(candidates), maxCheckers)] {
-		chosen = append(chosen, c.Record)
+	order := make([]member.Record, 0, len(candidates))
+	for _, c := range candidates {
+		order = append(order, c.Record)
 	}
-	return chosen
+	return order
 }
 
 // announceConfig tells some other instances that the instance in a slot has the configuration in a version of the row. Each instance passes
--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -161,6 +162,8 @@
 	stops     []context.CancelFunc
 	// failed holds the instances that have failed.
 	failed sync.Map
+	// isolated makes calls between the instances remain unanswered.
+	isolated atomic.Bool
 	// lossMu guards loss, which tells for each datagram whether it is lost; nil if none is.
 	lossMu sync.Mutex
 	loss   func() bool
@@ -228,6 +231,21 @@
 	}
 }
 
+// fleetPeers passes calls to the instances of a deployment. They respond to probes unless they have failed. Nobody answers a fetch: such
+// calls are silent too.
+type fleetPeers struct{ fleet *configFleet }
+
+// RoundTrip implements http.RoundTripper.
+func (p fleetPeers) RoundTrip(r *http.Request) (*http.Response, error) {
+	for _, sc := range p.fleet.instances {
+		if r.Method == http.MethodGet && r.URL.Hostname() == sc.settings.Slot && !p.fleet.hasFailed(sc) && !p.fleet.isolated.Load() {
+			return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody}, nil
+		}
+	}
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
 // witnesses returns the instances that get the heartbeats of an instance.
 func (f *configFleet) witnesses(n int) []*Sidecar {
 	var keyed []*Sidecar
@@ -259,8 +277,7 @@
 					return routing.New(version, routing.Limits{}, nil, nil)
 				},
 			})
-			// Nobody answers a fetch: calls between the instances are silent too.
-			sc.dialer, sc.group = peer.NewDialer(peers{}), &errgroup.Group{}
+			sc.dialer, sc.group = peer.NewDialer(fleetPeers{f}), &errgroup.Group{}
 			sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
 				f.announcements.Add(1)
 				number, err := strconv.Atoi(strings.TrimPrefix(to.Incarnation.Slot(), "10.0.0."))
@@ -287,7 +304,9 @@
 					}
 				}
 			}
-			for _, task := range []func(context.Context){sc.config.Run, sc.fetchConfig, sc.repeatAnnouncements, heartbeats} {
+			for _, task := range []func(context.Context){
+				sc.config.Run, sc.fetchConfig, sc.repeatAnnouncements, sc.probeCheckers, heartbeats,
+			} {
 				f.group.Go(func() { task(ctx) })
 			}
 		}
@@ -434,23 +453,37 @@
 }
 
 // TestConfigCallsOfLargeFleets guards against checks of the configuration whose number grows with that of the instances: beyond the
-// checkers, an instance makes a call for each long poll only.
+// checkers, an instance makes a call for each long poll only, also while no instance reaches another one.
 func TestConfigCallsOfLargeFleets(t *testing.T) {
 	const (
 		small, large = 20, 120
 		// longPolls is the number of long polls of 15 to 20 s that begin in a minute.
 		longPolls = 4
 	)
-	calls := make(map[int]int)
-	for _, instances := range []int{small, large} {
-		runConfigFleet(t, instances, func(f *configFleet) {
-			f.store.set(func() { f.store.calls = 0 })
-			time.Sleep(time.Minute)
-			f.store.set(func() { calls[instances] = f.store.calls })
-		})
+	tests := []struct {
+		name     string
+		isolated bool
+	}{
+		{"sound links", false},
+		{"no calls between instances", true},
 	}
-	if further := calls[large] - calls[small]; further > longPolls*(large-small) {
-		t.Errorf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			calls := make(map[int]int)
+			for _, instances := range []int{small, large} {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					f.isolated.Store(test.isolated)
+					time.Sleep(time.Minute)
+					f.store.set(func() { f.store.calls = 0 })
+					time.Sleep(time.Minute)
+					f.store.set(func() { calls[instances] = f.store.calls })
+				})
+			}
+			if further := calls[large] - calls[small]; further > longPolls*(large-small) {
+				t.Errorf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
+			}
+			t.Logf("%d calls a minute with %d instances and %d with %d", calls[small], small, calls[large], large)
+		})
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -146,6 +146,7 @@
 	announcers      chan string
 	configAnnounced chan struct{}
 	configLag       configLag
+	silentCheckers  silentSlots
 	// announceAgain receives a value when this instance has announced a configuration.
 	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
@@ -213,7 +214,7 @@
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
 	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
-		sc.repeatAnnouncements, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+		sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -313,9 +313,7 @@
 				continue
 			}
 			sc.group.Go(func() error {
-				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				if sc.dialer.Probe(ctx, r.PeerAddress) == nil {
+				if sc.responds(ctx, r) {
 					sc.directory.markReachable(slot)
 				}
 				return nil
