forward: let callers leave well before the response in a test

TestCallerLeavesSilentInstance expects CallerGone for a caller that leaves 1.2 s after its request began, while the upstream responds after 1.3 s. The link stalls only what the client sends, so the response arrives, and Do returns it if the timers of the process are 0.1 s late. Both cases failed with "error <nil>" in 1 of 20 runs at a load of 22 to 29, and in 0 of 100 at a load of 13 to 23.

The upstream now takes 5 s, beyond the deadline of the request.

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -184,6 +184,8 @@
 		t.Run(kind.String(), func(t *testing.T) {
 			t.Parallel()
 			_, i, l, address := newSlowLink(t)
+			// The response must not be ready before the caller leaves, even if the timers of this process are late.
+			i.serviceTime.Store(int64(5 * time.Second))
 			var group errgroup.Group
 			client := forward.NewClient(&group, peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute)), &i.exchange)
 			ctx, leave := context.WithCancel(t.Context())
