forward: test silence with a process that stands still

TestSlowPeerKeepsRequests failed with "pending: false, error <nil>" in 1 of 20 runs at a load of 22 to 29: no link counted as silent in that run. The wait for the response to a probe counts a stall of the own process as one of its steps, but the test released the link after a fixed time, and the upstream responded 0.1 s later. With the process stopped for 0.45 s from 0.8 s after its start, it fails in 3 of 3 runs in the same way, and TestSilentConnectionIsReplaced in 2 of 3 runs: the response to the first request is a sign of life of the connection that the test takes for dead.

The stall of the link is now counted in steps too, and upstreams respond later. If the process does not stand still, the times until an instance has to count as silent are the same. With the same stop, 0 of 3 and 0 of 4 runs fail, and 0 of 65 of TestSlowPeerKeepsRequests did at a load of 17 to 30.

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -32,6 +32,8 @@
 // TestSlowPeerKeepsRequests guards against requests that are given up while their upstream works on them, because the other instance or
 // the network between stands still for a second.
 func TestSlowPeerKeepsRequests(t *testing.T) {
+	// serviceTime is beyond the end of the silence even if this process stands still meanwhile: a response is a sign of life.
+	const serviceTime = 3 * time.Second
 	tests := []struct {
 		name string
 		kind routing.Kind
@@ -46,10 +48,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			client, i, l, address := newSlowLink(t)
+			i.serviceTime.Store(int64(serviceTime))
 			var group errgroup.Group
 			group.Go(func() error {
 				r := newRequest("pay")
-				r.Kind = test.kind
+				r.Kind, r.Deadline = test.kind, time.Now().Add(2*serviceTime)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				result, err := client.Do(ctx, address, r)
@@ -66,7 +69,10 @@
 			})
 			time.Sleep(100 * time.Millisecond)
 			l.stall(0)
-			time.Sleep(1100 * time.Millisecond)
+			// A stall of this process counts as one step, as in the wait for the response to a probe.
+			for range 22 {
+				time.Sleep(50 * time.Millisecond)
+			}
 			l.release()
 			if err := group.Wait(); err != nil {
 				t.Error(err)
@@ -83,6 +89,9 @@
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	t.Parallel()
 	client, i, l, address := newSlowLink(t)
+	// The response to the first request is a sign of life, so it must not arrive before the instance counts as silent, even if this process
+	// stands still meanwhile.
+	i.serviceTime.Store(int64(1800 * time.Millisecond))
 	var group errgroup.Group
 	group.Go(func() error {
 		_, err := client.Do(t.Context(), address, newRequest("pay"))
