forward: stall the connection that carries the requests in tests

TestSilentConnectionIsReplaced failed with "the request on the silent connection ended with <nil>" and "EOF, want a reset" in 1 of 40 runs at a load of 13 to 23. If the first connection has not been opened 0.1 s after the first request, the HTTP/2 transport opens a second one for the next request, and may send both on it, while the link stalls the first one only.

The link is now stalled once a request has reached the upstream, 0.1 s later as before.

--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -29,6 +29,20 @@
 	return forward.NewClient(newGroup(t), transport, &i.exchange), i, l, address
 }
 
+// stallRunning makes a link stall 100 ms after the first request has reached the upstream. Before that, the transport may open a second
+// connection for a further request, and the link stalls only the first one.
+func stallRunning(t *testing.T, i *instance, l *link) {
+	t.Helper()
+	for started := time.Now(); i.ran.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Since(started) > 2*time.Second {
+			t.Error("the first request doesn't reach the upstream")
+			break
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	l.stall(0)
+}
+
 // TestSlowPeerKeepsRequests guards against requests that are given up while their upstream works on them, because the other instance or
 // the network between stands still for a second.
 func TestSlowPeerKeepsRequests(t *testing.T) {
@@ -67,8 +81,7 @@
 				}
 				return err
 			})
-			time.Sleep(100 * time.Millisecond)
-			l.stall(0)
+			stallRunning(t, i, l)
 			// A stall of this process counts as one step, as in the wait for the response to a probe.
 			for range 22 {
 				time.Sleep(50 * time.Millisecond)
@@ -97,8 +110,7 @@
 		_, err := client.Do(t.Context(), address, newRequest("pay"))
 		return err
 	})
-	time.Sleep(100 * time.Millisecond)
-	l.stall(0)
+	stallRunning(t, i, l)
 	lost := newRequest("pay")
 	started := time.Now()
 	group.Go(func() error {
@@ -208,8 +220,7 @@
 				}
 				return err
 			})
-			time.Sleep(100 * time.Millisecond)
-			l.stall(0)
+			stallRunning(t, i, l)
 			time.Sleep(1100 * time.Millisecond)
 			left := time.Now()
 			leave()
