--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -29,9 +29,25 @@
 	return forward.NewClient(newGroup(t), transport, &i.exchange), i, l, address
 }
 
+// stallRunning makes a link stall 100 ms after the first request has reached the upstream. Before that, the transport may open a second
+// connection for a further request, and the link stalls only the first one.
+func stallRunning(t *testing.T, i *instance, l *link) {
+	t.Helper()
+	for started := time.Now(); i.ran.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Since(started) > 2*time.Second {
+			t.Error("the first request doesn't reach the upstream")
+			break
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	l.stall(0)
+}
+
 // TestSlowPeerKeepsRequests guards against requests that are given up while their upstream works on them, because the other instance or
 // the network between stands still for a second.
 func TestSlowPeerKeepsRequests(t *testing.T) {
+	// serviceTime is beyond the end of the silence even if this process stands still meanwhile: a response is a sign of life.
+	const serviceTime = 3 * time.Second
 	tests := []struct {
 		name string
 		kind routing.Kind
@@ -46,10 +62,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			client, i, l, address := newSlowLink(t)
+			i.serviceTime.Store(int64(serviceTime))
 			var group errgroup.Group
 			group.Go(func() error {
 				r := newRequest("pay")
-				r.Kind = test.kind
+				r.Kind, r.Deadline = test.kind, time.Now().Add(2*serviceTime)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				result, err := client.Do(ctx, address, r)
@@ -64,9 +81,11 @@
 				}
 				return err
 			})
-			time.Sleep(100 * time.Millisecond)
-			l.stall(0)
-			time.Sleep(1100 * time.Millisecond)
+			stallRunning(t, i, l)
+			// A stall of this process counts as one step, as in the wait for the response to a probe.
+			for range 22 {
+				time.Sleep(50 * time.Millisecond)
+			}
 			l.release()
 			if err := group.Wait(); err != nil {
 				t.Error(err)
@@ -83,13 +102,15 @@
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	t.Parallel()
 	client, i, l, address := newSlowLink(t)
+	// The response to the first request is a sign of life, so it must not arrive before the instance counts as silent, even if this process
+	// stands still meanwhile.
+	i.serviceTime.Store(int64(1800 * time.Millisecond))
 	var group errgroup.Group
 	group.Go(func() error {
 		_, err := client.Do(t.Context(), address, newRequest("pay"))
 		return err
 	})
-	time.Sleep(100 * time.Millisecond)
-	l.stall(0)
+	stallRunning(t, i, l)
 	lost := newRequest("pay")
 	started := time.Now()
 	group.Go(func() error {
@@ -184,6 +205,8 @@
 		t.Run(kind.String(), func(t *testing.T) {
 			t.Parallel()
 			_, i, l, address := newSlowLink(t)
+			// The response must not be ready before the caller leaves, even if the timers of this process are late.
+			i.serviceTime.Store(int64(5 * time.Second))
 			var group errgroup.Group
 			client := forward.NewClient(&group, peer.NewTransport("", time.Minute, peer.WithPings(time.Minute, time.Minute)), &i.exchange)
 			ctx, leave := context.WithCancel(t.Context())
@@ -197,8 +220,7 @@
 				}
 				return err
 			})
-			time.Sleep(100 * time.Millisecond)
-			l.stall(0)
+			stallRunning(t, i, l)
 			time.Sleep(1100 * time.Millisecond)
 			left := time.Now()
 			leave()
