Store: limit what a call allows for slow responses before it

After slow responses, a configuration written 1 s after the store forgot the open calls was in effect after 2.8 s (bound 2 s), and one written at once after up to 3.5 s (bound 3 s). A copy whose calls wait for a short time could lack an expected row without end.

Cause: a call allows twice the time of the last response that was due, up to 3.2 s. That time is measured only when a response is due, on most instances every 15 to 20 s, so that it outlasted the slowness. A call for changes that ended with its wait also counted as slow by the time since a row was expected: the next call could end before its response was overdue, and so on. Change: a call allows at most 1.1 s for slow responses before it, unless one was abandoned. The time of a response without rows is measured from the end of the wait. Result: TestConfigAfterSilence, calls forgotten after slow ones, failed in 30 of 40 cases with 12 and 60 instances and passes in 50 of 50 runs. TestFollowerExpectsUnknownRowDuringShortWaits failed in 173 of 800 cases and passes in 50 of 50 runs. The store models of the tests report the first byte of a response, which they left out, so that no latency was learned. go test -race passed for store, sidecar, heartbeat and platform.

--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,6 +20,7 @@
 	"sapphiretray/peer"
 	"sapphiretray/routing"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // configStore is a store with one configuration, whose calls for changes may go unanswered.
@@ -32,14 +34,19 @@
 	feedSilent         bool
 	// down makes all calls fail. While silent is set, calls that arrive are never answered.
 	down, silent bool
-	calls        int
+	// latency is the time from a call to its arrival.
+	latency time.Duration
+	calls   int
 }
 
 // clientMargin is the time after which the client of the store gives up a call whose response is due.
 const clientMargin = 1500 * time.Millisecond
 
+// fastStore is the usual latency of the store.
+const fastStore = 4 * time.Millisecond
+
 func newConfigStore() *configStore {
-	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{})}
+	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{}), latency: fastStore}
 }
 
 // set changes the store.
@@ -79,6 +86,29 @@
 	s.forget()
 }
 
+// beSlow delays all calls that arrive within a time.
+func (s *configStore) beSlow(latency, d time.Duration) {
+	s.set(func() { s.latency = latency })
+	time.Sleep(d)
+	s.set(func() { s.latency = fastStore })
+}
+
+// forgetAfterSlow is like forget, but the calls that are open follow slow responses.
+func forgetAfterSlow(s *configStore) {
+	const latency = 1400 * time.Millisecond
+	s.beSlow(latency, 30*time.Second)
+	// The slow calls have arrived by then.
+	time.Sleep(latency)
+	s.forget()
+}
+
+// beginResponse reports the first byte of a response.
+func beginResponse(ctx context.Context) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
+}
+
 // rows returns the row if it is newer than a version. s.mu must be held.
 func (s *configStore) rows(after uint64) []store.Row {
 	if s.version <= after {
@@ -89,7 +119,12 @@
 
 // arrive counts a call and waits for its end if it is never answered.
 func (s *configStore) arrive(limit context.Context) error {
-	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	if !wait.For(limit, latency) {
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+	}
 	s.mu.Lock()
 	s.calls++
 	silent := s.silent
@@ -113,6 +148,7 @@
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
+	beginResponse(ctx)
 	return s.rows(0), s.version, nil
 }
 
@@ -138,11 +174,13 @@
 			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
 		}
 		if len(rows) > 0 {
+			beginResponse(ctx)
 			return rows, version, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
+			beginResponse(ctx)
 			return nil, version, nil
 		case <-forgotten:
 			<-limit.Done()
@@ -351,6 +389,8 @@
 			s.beSilent(9 * time.Second)
 		}, 3 * time.Second, 0, 0},
 		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0, 0},
+		{"calls forgotten after slow ones, change at once", forgetAfterSlow, 0, 0, 0},
+		{"calls forgotten after slow ones, change in contact", forgetAfterSlow, time.Second, 0, 0},
 	}
 	for _, instances := range []int{1, 2, 12, 60} {
 		for _, test := range tests {
--- a/store/call.go
+++ b/store/call.go
@@ -17,6 +17,10 @@
 	minResponseDelay = 400 * time.Millisecond
 	maxResponseDelay = 3200 * time.Millisecond
 	responseMargin   = 2
+	// maxLearnedDelay bounds what a call allows for slow responses before it, unless one was abandoned. The store may be silent after them,
+	// and then a configuration waits for 0.6 s in a call of the instance that learns of it first, for its overdue response and for those of
+	// the others. It has to be in effect 3 s after the silence.
+	maxLearnedDelay = 1100 * time.Millisecond
 	// unknownRowTime is how long announcements of a version are ignored after a listing has shown that the store doesn't have it. The
 	// instance that announces it does so several times a second.
 	unknownRowTime = time.Minute
@@ -200,7 +204,7 @@
 		d.InDoubt = time.Since(f.doubtSince)
 	}
 	f.abandoned, f.responded = 0, time.Now()
-	f.observeLatency(c, d)
+	f.observeLatency(c, d, len(rows))
 	if len(rows) > 0 {
 		f.slowLink = d.isSlow()
 	}
@@ -287,14 +291,23 @@
 
 // responseDelay returns how long a response may take that is due at once. mu must be held.
 func (f *Follower) responseDelay() time.Duration {
-	delay := max(minResponseDelay, responseMargin*f.latency) << min(max(f.abandoned-1, 0), 8)
+	learned := responseMargin * f.latency
+	if f.abandoned == 0 {
+		learned = min(learned, maxLearnedDelay)
+	}
+	delay := max(minResponseDelay, learned) << min(max(f.abandoned-1, 0), 8)
 	return min(delay, maxResponseDelay)
 }
 
-// observeLatency records how long the store took to respond once that was due. mu must be held.
-func (f *Follower) observeLatency(c *call, d Delivery) {
-	if d.Waited > 0 && d.Waited >= c.due {
-		f.latency = d.Waited - c.due
+// observeLatency records how long the store took to respond once that was due. A call for changes without any was due at the end of its
+// wait, although the copy may have lacked rows that were expected before. mu must be held.
+func (f *Follower) observeLatency(c *call, d Delivery, rows int) {
+	due := c.due
+	if rows == 0 {
+		due = c.wait
+	}
+	if d.Waited > 0 && d.Waited >= due {
+		f.latency = d.Waited - due
 	}
 }
 
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -164,7 +164,7 @@
 		case <-changed:
 		case <-deaf:
 		case <-timer.C:
-			return nil, version, nil
+			return nil, version, m.respond(ctx)
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
