Sidecar: drop announced configurations that the store doesn't have

After an announcement of a configuration that doesn't exist, instances answered 503 instead of 404 for unknown routes until their restart.

Cause: the follower stops expecting a version that a listing doesn't have, but the record of announced configurations kept it until that version arrived. Change: a version that the store was found not to have counts as known for the minute in which announcements of it are ignored, so that it leaves that record. Announcements that the follower ignores no longer enter it. The follower logs the version. In that minute announcements of newer versions are ignored too, as the follower did before, and such configurations are not fetched from other instances either.

--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -530,6 +530,48 @@
 	}
 }
 
+// TestConfigAnnouncementWithoutRow guards against an instance that counts as outdated until its restart, and so answers 503 instead of 404,
+// after an announcement of a configuration that doesn't exist.
+func TestConfigAnnouncementWithoutRow(t *testing.T) {
+	const bound = 2 * time.Second
+	tests := []struct {
+		name string
+		// announced holds the versions that are announced at intervals.
+		announced []uint64
+		interval  time.Duration
+	}{
+		{"once", []uint64{1000}, 0},
+		{"the next version", []uint64{2}, 0},
+		{"different versions at once", []uint64{1000, 2000, 3000}, 0},
+		{"a newer one while the store is asked", []uint64{1000, 2000}, 402 * time.Millisecond},
+		{"a newer one after the store was asked", []uint64{1000, 2000}, time.Second},
+		{"the same one after the store was asked", []uint64{1000, 1000}, time.Second},
+	}
+	for _, instances := range []int{1, 12} {
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					for _, version := range test.announced {
+						// No instance runs in the slot.
+						f.instances[0].observeHeartbeat("10.0.1.1", &peer.Versions{Config: version})
+						time.Sleep(test.interval)
+					}
+					time.Sleep(bound)
+					for _, sc := range f.instances {
+						if sc.isConfigOutdated() {
+							t.Errorf("%s counts as outdated %v after the announcement", sc.settings.Slot, bound)
+						}
+					}
+					written := time.Now()
+					if took := f.latest(written, f.store.put()); took > bound {
+						t.Errorf("the next configuration is in effect on all instances after %v, want at most %v", took, bound)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their
 // calls for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
 // unlistedWait.
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -124,8 +124,7 @@
 		return
 	}
 	sc.directory.hear(v.Slot)
-	if known := sc.config.Known(); v.Config > known && v.Config <= store.MaxVersion {
-		sc.config.Expect(v.Config)
+	if known := sc.config.Known(); v.Config > known && sc.config.Expect(v.Config) {
 		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
 			sc.announceConfig(v.Slot, v.Config)
--- a/store/call.go
+++ b/store/call.go
@@ -91,6 +91,7 @@
 	missing := f.expected() > 0
 	if expected > f.version {
 		// The store has no rows above version that were expected when the listing began.
+		klog.InfoS("store: expected version doesn't exist", "table", f.table, "version", f.version, "expected", expected)
 		f.unknown = gap{version: expected, since: time.Now()}
 		f.closeGaps(expected)
 	}
@@ -245,23 +246,34 @@
 }
 
 // Expect tells the follower that a version of a row exists. If the copy isn't complete up to it, an open call to the store is abandoned
-// unless its response begins soon, because the connection may be dead, and over a slow link the table is listed next. A version above
-// MaxVersion is ignored, and for unknownRowTime those that the store was found not to have.
-func (f *Follower) Expect(version uint64) {
+// unless its response begins soon, because the connection may be dead, and over a slow link the table is listed next. Expect ignores a
+// version above MaxVersion, and for unknownRowTime those that the store was found not to have, and returns false for them.
+func (f *Follower) Expect(version uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	unknown := f.unknown.version > f.version && version >= f.unknown.version && time.Since(f.unknown.since) < unknownRowTime
-	if version <= MaxVersion && !unknown {
-		f.noteVersion(version)
-		f.limitResponseDelay()
+	if unknown := f.unknownVersion(); version > MaxVersion || unknown > 0 && version >= unknown {
+		return false
 	}
+	f.noteVersion(version)
+	f.limitResponseDelay()
+	return true
+}
+
+// unknownVersion returns the version from which on Expect ignores those that the store was found not to have, 0 if there is none. mu must
+// be held.
+func (f *Follower) unknownVersion() uint64 {
+	if f.unknown.version <= f.version || time.Since(f.unknown.since) >= unknownRowTime {
+		return 0
+	}
+	return f.unknown.version
 }
 
-// Known returns the newest version that can't be missing: that of the newest known row, or that up to which the copy is complete.
+// Known returns the newest version that can't be missing: that of the newest known row, that up to which the copy is complete, or for
+// unknownRowTime the one that was expected and that the store was found not to have.
 func (f *Follower) Known() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.newest, f.version)
+	return max(f.newest, f.version, f.unknownVersion())
 }
 
 // Responded returns when the store last responded: when the response to the open call began, or when the last successful call ended. It
