--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +21,7 @@
 	"sapphiretray/peer"
 	"sapphiretray/routing"
 	"sapphiretray/store"
+	"sapphiretray/wait"
 )
 
 // configStore is a store with one configuration, whose calls for changes may go unanswered.
@@ -33,14 +35,19 @@
 	feedSilent         bool
 	// down makes all calls fail. While silent is set, calls that arrive are never answered.
 	down, silent bool
-	calls        int
+	// latency is the time from a call to its arrival.
+	latency time.Duration
+	calls   int
 }
 
 // clientMargin is the time after which the client of the store gives up a call whose response is due.
 const clientMargin = 1500 * time.Millisecond
 
+// fastStore is the usual latency of the store.
+const fastStore = 4 * time.Millisecond
+
 func newConfigStore() *configStore {
-	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{})}
+	return &configStore{version: 1, changed: make(chan struct{}), forgotten: make(chan struct{}), latency: fastStore}
 }
 
 // set changes the store.
@@ -80,6 +87,29 @@
 	s.forget()
 }
 
+// beSlow delays all calls that arrive within a time.
+func (s *configStore) beSlow(latency, d time.Duration) {
+	s.set(func() { s.latency = latency })
+	time.Sleep(d)
+	s.set(func() { s.latency = fastStore })
+}
+
+// forgetAfterSlow is like forget, but the calls that are open follow slow responses.
+func forgetAfterSlow(s *configStore) {
+	const latency = 1400 * time.Millisecond
+	s.beSlow(latency, 30*time.Second)
+	// The slow calls have arrived by then.
+	time.Sleep(latency)
+	s.forget()
+}
+
+// beginResponse reports the first byte of a response.
+func beginResponse(ctx context.Context) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
+}
+
 // rows returns the row if it is newer than a version. s.mu must be held.
 func (s *configStore) rows(after uint64) []store.Row {
 	if s.version <= after {
@@ -90,7 +120,12 @@
 
 // arrive counts a call and waits for its end if it is never answered.
 func (s *configStore) arrive(limit context.Context) error {
-	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	if !wait.For(limit, latency) {
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
+	}
 	s.mu.Lock()
 	s.calls++
 	silent := s.silent
@@ -114,6 +149,7 @@
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
+	beginResponse(ctx)
 	return s.rows(0), s.version, nil
 }
 
@@ -139,11 +175,13 @@
 			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, limit.Err())
 		}
 		if len(rows) > 0 {
+			beginResponse(ctx)
 			return rows, version, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
+			beginResponse(ctx)
 			return nil, version, nil
 		case <-forgotten:
 			<-limit.Done()
@@ -370,6 +408,8 @@
 			s.beSilent(9 * time.Second)
 		}, 3 * time.Second, 0, 0},
 		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0, 0},
+		{"calls forgotten after slow ones, change at once", forgetAfterSlow, 0, 0, 0},
+		{"calls forgotten after slow ones, change in contact", forgetAfterSlow, time.Second, 0, 0},
 	}
 	for _, instances := range []int{1, 2, 12, 60} {
 		for _, test := range tests {
@@ -523,6 +563,48 @@
 	}
 }
 
+// TestConfigAnnouncementWithoutRow guards against an instance that counts as outdated until its restart, and so answers 503 instead of 404,
+// after an announcement of a configuration that doesn't exist.
+func TestConfigAnnouncementWithoutRow(t *testing.T) {
+	const bound = 2 * time.Second
+	tests := []struct {
+		name string
+		// announced holds the versions that are announced at intervals.
+		announced []uint64
+		interval  time.Duration
+	}{
+		{"once", []uint64{1000}, 0},
+		{"the next version", []uint64{2}, 0},
+		{"different versions at once", []uint64{1000, 2000, 3000}, 0},
+		{"a newer one while the store is asked", []uint64{1000, 2000}, 402 * time.Millisecond},
+		{"a newer one after the store was asked", []uint64{1000, 2000}, time.Second},
+		{"the same one after the store was asked", []uint64{1000, 1000}, time.Second},
+	}
+	for _, instances := range []int{1, 12} {
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
+				runConfigFleet(t, instances, func(f *configFleet) {
+					for _, version := range test.announced {
+						// No instance runs in the slot.
+						f.instances[0].observeHeartbeat("10.0.1.1", &peer.Versions{Config: version})
+						time.Sleep(test.interval)
+					}
+					time.Sleep(bound)
+					for _, sc := range f.instances {
+						if sc.isConfigOutdated() {
+							t.Errorf("%s counts as outdated %v after the announcement", sc.settings.Slot, bound)
+						}
+					}
+					written := time.Now()
+					if took := f.latest(written, f.store.put()); took > bound {
+						t.Errorf("the next configuration is in effect on all instances after %v, want at most %v", took, bound)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their
 // calls for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
 // unlistedWait.
--- a/store/call.go
+++ b/store/call.go
@@ -17,6 +17,10 @@
 	minResponseDelay = 400 * time.Millisecond
 	maxResponseDelay = 3200 * time.Millisecond
 	responseMargin   = 2
+	// maxLearnedDelay bounds what a call allows for slow responses before it, unless one was abandoned. The store may be silent after them,
+	// and then a configuration waits for 0.6 s in a call of the instance that learns of it first, for its overdue response and for those of
+	// the others. It has to be in effect 3 s after the silence.
+	maxLearnedDelay = 1100 * time.Millisecond
 	// unknownRowTime is how long announcements of a version are ignored after a listing has shown that the store doesn't have it. The
 	// instance that announces it does so several times a second.
 	unknownRowTime = time.Minute
@@ -87,6 +91,7 @@
 	missing := f.expected() > 0
 	if expected > f.version {
 		// The store has no rows above version that were expected when the listing began.
+		klog.InfoS("store: expected version doesn't exist", "table", f.table, "version", f.version, "expected", expected)
 		f.unknown = gap{version: expected, since: time.Now()}
 		f.closeGaps(expected)
 	}
@@ -200,7 +205,7 @@
 		d.InDoubt = time.Since(f.doubtSince)
 	}
 	f.abandoned, f.responded = 0, time.Now()
-	f.observeLatency(c, d)
+	f.observeLatency(c, d, len(rows))
 	if len(rows) > 0 {
 		f.slowLink = d.isSlow()
 	}
@@ -241,23 +246,34 @@
 }
 
 // Expect tells the follower that a version of a row exists. If the copy isn't complete up to it, an open call to the store is abandoned
-// unless its response begins soon, because the connection may be dead, and over a slow link the table is listed next. A version above
-// MaxVersion is ignored, and for unknownRowTime those that the store was found not to have.
-func (f *Follower) Expect(version uint64) {
+// unless its response begins soon, because the connection may be dead, and over a slow link the table is listed next. Expect ignores a
+// version above MaxVersion, and for unknownRowTime those that the store was found not to have, and returns false for them.
+func (f *Follower) Expect(version uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	unknown := f.unknown.version > f.version && version >= f.unknown.version && time.Since(f.unknown.since) < unknownRowTime
-	if version <= MaxVersion && !unknown {
-		f.noteVersion(version)
-		f.limitResponseDelay()
+	if unknown := f.unknownVersion(); version > MaxVersion || unknown > 0 && version >= unknown {
+		return false
 	}
+	f.noteVersion(version)
+	f.limitResponseDelay()
+	return true
 }
 
-// Known returns the newest version that can't be missing: that of the newest known row, or that up to which the copy is complete.
+// unknownVersion returns the version from which on Expect ignores those that the store was found not to have, 0 if there is none. mu must
+// be held.
+func (f *Follower) unknownVersion() uint64 {
+	if f.unknown.version <= f.version || time.Since(f.unknown.since) >= unknownRowTime {
+		return 0
+	}
+	return f.unknown.version
+}
+
+// Known returns the newest version that can't be missing: that of the newest known row, that up to which the copy is complete, or for
+// unknownRowTime the one that was expected and that the store was found not to have.
 func (f *Follower) Known() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.newest, f.version)
+	return max(f.newest, f.version, f.unknownVersion())
 }
 
 // Responded returns when the store last responded: when the response to the open call began, or when the last successful call ended. It
@@ -287,14 +303,23 @@
 
 // responseDelay returns how long a response may take that is due at once. mu must be held.
 func (f *Follower) responseDelay() time.Duration {
-	delay := max(minResponseDelay, responseMargin*f.latency) << min(max(f.abandoned-1, 0), 8)
+	learned := responseMargin * f.latency
+	if f.abandoned == 0 {
+		learned = min(learned, maxLearnedDelay)
+	}
+	delay := max(minResponseDelay, learned) << min(max(f.abandoned-1, 0), 8)
 	return min(delay, maxResponseDelay)
 }
 
-// observeLatency records how long the store took to respond once that was due. mu must be held.
-func (f *Follower) observeLatency(c *call, d Delivery) {
-	if d.Waited > 0 && d.Waited >= c.due {
-		f.latency = d.Waited - c.due
+// observeLatency records how long the store took to respond once that was due. A call for changes without any was due at the end of its
+// wait, although the copy may have lacked rows that were expected before. mu must be held.
+func (f *Follower) observeLatency(c *call, d Delivery, rows int) {
+	due := c.due
+	if rows == 0 {
+		due = c.wait
+	}
+	if d.Waited > 0 && d.Waited >= due {
+		f.latency = d.Waited - due
 	}
 }
 
