forward: don't count unsent requests as unanswered

A request whose time was over once its link had been probed was recorded as sent without a response, although it had never been sent. HTTP/2 pings the instance only when a request is cancelled, so the next idempotent request waited for a probe on a link that was merely stale.

Such a request now leaves the link without a send time. TestUnsentRequestIsNotUnanswered failed before (state 2, want 1) and passes now, with -race.

--- a/forward/client.go
+++ b/forward/client.go
@@ -108,12 +108,12 @@
 		return Result{}, err
 	}
 	l := c.link(ctx, address, r)
-	sent := time.Now()
 	// The link may have been probed meanwhile.
 	if err := checkTimeLeft(r); err != nil {
-		l.leave(sent)
+		l.leave(time.Time{})
 		return Result{}, err
 	}
+	sent := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(responseGrace))
 	done := make(chan outcome, 1)
 	c.spawn(func() {
--- a/forward/link.go
+++ b/forward/link.go
@@ -276,8 +276,8 @@
 	return true, state
 }
 
-// leave ends a request in flight. sent is when it was sent, or the zero value. After the last request on a silent link, its connections are
-// reset, so that what the network has held up isn't delivered any more: nobody waits for a response.
+// leave ends a request in flight. sent is when it was sent, or the zero value if it wasn't. After the last request on a silent link, its
+// connections are reset, so that what the network has held up isn't delivered any more: nobody waits for a response.
 func (l *link) leave(sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/forward/link_test.go
+++ b/forward/link_test.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/code"
 	"sapphiretray/gateway"
 )
 
@@ -106,6 +107,27 @@
 	}
 }
 
+// TestUnsentRequestIsNotUnanswered guards against requests that wait for a probe because the one before, whose time was over before it was
+// sent, counts as one without a response.
+func TestUnsentRequestIsNotUnanswered(t *testing.T) {
+	var group errgroup.Group
+	client := NewClient(&group, &http.Transport{}, noVersions{})
+	l, _ := client.links.get("a", time.Now())
+	l.leave(time.Time{})
+	l.connections[&linkConn{}] = struct{}{}
+	l.observe(time.Now().Add(-silentAfter))
+	// The request waits until its deadline for the probe in progress.
+	l.probed = make(chan struct{})
+	r := &gateway.Request{Deadline: time.Now().Add(2 * gateway.MinTimeLeft)}
+	var failure *gateway.Failure
+	if _, err := client.Do(t.Context(), "a", r); !errors.As(err, &failure) || failure.Code != code.TooLate {
+		t.Errorf("the request ended with %v, want %v", err, code.TooLate)
+	}
+	if _, state := l.enter(time.Now()); state != linkStale {
+		t.Errorf("state %d for the next request, want %d", state, linkStale)
+	}
+}
+
 // noVersions exchanges no versions.
 type noVersions struct{}
 
