Sidecar: a version that doesn't exist hides no announcement of older ones

Once a listing had shown that the store doesn't have an announced configuration, Known returned that version for a minute. An announcement with a high version, such as a forged one, so made all instances ignore those of real configurations below it, although Expect accepts them. Without the drop of such versions they weren't passed on either.

Known no longer includes the version. Instead, the sidecar drops the announcements that were made before the listing began, which Unknown returns. Later announcements of versions below it are accepted and passed on.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -124,7 +124,7 @@
 // newestConfig returns the newest version of the row with the configuration that this instance knows of, and the slot of an instance that
 // has it.
 func (sc *Sidecar) newestConfig() (slot string, row uint64) {
-	if slot, row = sc.configLag.newest(sc.config.Known()); row > 0 {
+	if slot, row = sc.configLag.newest(sc.knownConfig()); row > 0 {
 		return slot, row
 	}
 	return sc.settings.Slot, sc.config.Newest()
--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -605,6 +605,26 @@
 	}
 }
 
+// TestConfigAfterUnknownAnnouncement guards against a configuration that instances get late because an announcement of a later version that
+// the store doesn't have makes them ignore that of the configuration.
+func TestConfigAfterUnknownAnnouncement(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, instances := range []int{12, 60} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			runConfigFleet(t, instances, func(f *configFleet) {
+				// No instance runs in the slot.
+				f.instances[0].observeHeartbeat("10.0.1.1", &peer.Versions{Config: 1000})
+				time.Sleep(bound)
+				f.store.forget()
+				written := time.Now()
+				if took := f.latest(written, f.store.put()); took > bound {
+					t.Errorf("the next configuration is in effect on all instances after %v, want at most %v", took, bound)
+				}
+			})
+		})
+	}
+}
+
 // TestRowsAfterSilence guards against readers that don't learn for 20 s that another writer has changed the rows, because none of their
 // calls for changes is answered any more. An incarnation whose record was removed counts as absent unless it is written again within
 // unlistedWait.
--- a/sidecar/configlag.go
+++ b/sidecar/configlag.go
@@ -96,6 +96,16 @@
 	return last.slot, last.row
 }
 
+// drop removes the announcements of versions of the row up to the given one that were made until a time.
+func (l *configLag) drop(row uint64, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missing = slices.DeleteFunc(l.missing, func(a announcement) bool { return a.row <= row && !a.at.After(until) })
+	if len(l.missing) == 0 {
+		clear(l.holders)
+	}
+}
+
 // newerThan returns the slots that have announced a newer version than the given one.
 func (l *configLag) newerThan(known uint64) []string {
 	l.mu.Lock()
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -124,8 +124,10 @@
 		return
 	}
 	sc.directory.hear(v.Slot)
-	if known := sc.config.Known(); v.Config > known && sc.config.Expect(v.Config) {
-		if sc.configLag.announce(v.Slot, v.Config, time.Now()) {
+	// A listing that begins after Expect shows whether the version exists, so the announcement must not count as a later one.
+	now := time.Now()
+	if known := sc.knownConfig(); v.Config > known && sc.config.Expect(v.Config) {
+		if sc.configLag.announce(v.Slot, v.Config, now) {
 			klog.InfoS("config: announced by an instance", "row", v.Config, "known", known, "slot", v.Slot)
 			sc.announceConfig(v.Slot, v.Config)
 		}
@@ -218,7 +220,7 @@
 // data centre, and false if there is none.
 func (sc *Sidecar) configSource(tried map[string]bool) (slot string, ok bool) {
 	unreachable := sc.directory.unreachableSlots()
-	for _, candidate := range sc.configLag.newerThan(sc.config.Known()) {
+	for _, candidate := range sc.configLag.newerThan(sc.knownConfig()) {
 		if tried[candidate] || slices.Contains(unreachable, candidate) {
 			continue
 		}
@@ -233,7 +235,7 @@
 // isConfigOverdue reports whether an announced configuration should be fetched from another instance, see isOverdue. While the store
 // responds, a fetch would delay its responses on a slow link.
 func (sc *Sidecar) isConfigOverdue(now time.Time) bool {
-	since := sc.configLag.since(sc.config.Known())
+	since := sc.configLag.since(sc.knownConfig())
 	if responded := sc.config.Responded(); !since.IsZero() && responded.After(since) {
 		since = responded
 	}
@@ -253,7 +255,16 @@
 }
 
 // isConfigMissing reports whether another instance has announced a newer configuration than this one has.
-func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.config.Known()).IsZero() }
+func (sc *Sidecar) isConfigMissing() bool { return !sc.configLag.since(sc.knownConfig()).IsZero() }
+
+// knownConfig drops the announcements of configurations that the store doesn't have, and returns the newest version of the row that this
+// instance can't lack.
+func (sc *Sidecar) knownConfig() uint64 {
+	if version, listed := sc.config.Unknown(); version > 0 {
+		sc.configLag.drop(version, listed)
+	}
+	return sc.config.Known()
+}
 
 // fetchAndMerge merges the newer rows of a table from an instance. It returns the version up to which they are complete, which is 0 if
 // the instance doesn't know all changes, and false if the call fails.
--- a/store/call.go
+++ b/store/call.go
@@ -77,7 +77,7 @@
 // list lists the table.
 func (f *Follower) list(ctx context.Context) error {
 	f.mu.Lock()
-	expected, preferred := f.expected(), f.preferred == SourceListing
+	began, expected, preferred := time.Now(), f.expected(), f.preferred == SourceListing
 	f.mu.Unlock()
 	rows, version, d, err := f.call(ctx, SourceListing, 0, func(ctx context.Context) ([]Row, uint64, error) {
 		return f.store.List(ctx, f.table)
@@ -92,7 +92,7 @@
 	if expected > f.version {
 		// The store has no rows above version that were expected when the listing began.
 		klog.InfoS("store: expected version doesn't exist", "table", f.table, "version", f.version, "expected", expected)
-		f.unknown = gap{version: expected, since: time.Now()}
+		f.unknown = gap{version: expected, since: began}
 		f.closeGaps(expected)
 	}
 	f.mu.Unlock()
@@ -259,6 +259,14 @@
 	return true
 }
 
+// Unknown returns the newest expected version that the store was found not to have, and when the listing that showed it began: versions up
+// to that one that were expected before don't exist unless the copy has them. The version is 0 if there is none, and after unknownRowTime.
+func (f *Follower) Unknown() (version uint64, listed time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unknownVersion(), f.unknown.since
+}
+
 // unknownVersion returns the version from which on Expect ignores those that the store was found not to have, 0 if there is none. mu must
 // be held.
 func (f *Follower) unknownVersion() uint64 {
@@ -268,12 +276,11 @@
 	return f.unknown.version
 }
 
-// Known returns the newest version that can't be missing: that of the newest known row, that up to which the copy is complete, or for
-// unknownRowTime the one that was expected and that the store was found not to have.
+// Known returns the newest version that can't be missing: that of the newest known row, or that up to which the copy is complete.
 func (f *Follower) Known() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.newest, f.version, f.unknownVersion())
+	return max(f.newest, f.version)
 }
 
 // Responded returns when the store last responded: when the response to the open call began, or when the last successful call ended. It
--- a/store/follower.go
+++ b/store/follower.go
@@ -76,7 +76,7 @@
 	// that was due at once.
 	abandoned int
 	latency   time.Duration
-	// unknown is the newest version that was expected and that the store was found not to have, and when.
+	// unknown is the newest version that was expected and that the store was found not to have, and when the listing began that showed it.
 	unknown gap
 	// responded is when the last successful call ended, and doubtSince when the first call began that failed since then, zero if none did.
 	responded, doubtSince time.Time
