--- a/sidecar/probes.go
+++ b/sidecar/probes.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// checkProbeInterval is the time between two rounds of probes of the instances before this one in the order of the checkers.
+	// checkProbeInterval is the time between two rounds of probes of the instances before this one in the order of checkOrder.
 	checkProbeInterval = 5 * time.Second
 	// checkProbes is the number of instances that have to respond for a round to end, so that as many checkers know of those before them
 	// that have failed.
@@ -41,24 +41,25 @@
 
 // responding returns the records of reachable without those of instances that didn't respond to probes.
 func (sc *Sidecar) responding() []member.Record {
-	silent := sc.silentCheckers.get()
+	silent := sc.silentBefore.get()
 	return slices.DeleteFunc(sc.reachable(), func(r member.Record) bool { return slices.Contains(silent, r.Incarnation.Slot()) })
 }
 
-// probeCheckers probes, at intervals, the instances before this one in the order of the checkers until ctx ends. The record of a process
-// that was killed stays ready, and a checker to which no requests go would be missed only when the configuration is late.
+// probeCheckers probes, at intervals, the instances before this one in the order of checkOrder until ctx ends. The record of a process that
+// was killed stays ready, and a checker to which no requests go would be missed only when the configuration is late.
 func (sc *Sidecar) probeCheckers(ctx context.Context) {
 	for wait.For(ctx, checkProbeInterval) {
 		silent, ok := sc.findSilent(ctx)
-		if ok && sc.silentCheckers.set(silent) {
-			klog.InfoS("config: checkers that don't respond", "slots", silent)
+		if ok && sc.silentBefore.set(silent) {
+			klog.InfoS("config: checking without instances that don't respond", "slots", silent)
 			sc.config.LimitWait()
 		}
 	}
 }
 
 // findSilent probes the instances before this one, the nearest first, until checkProbes have responded, and returns the slots of those that
-// haven't. It returns false if the links of this instance may be the cause: then all instances would become checkers at once.
+// haven't. It returns false if the links of this instance may be the cause: else all instances would become checkers at once. That of the
+// first maxCheckers, which are checkers anyway, doesn't matter.
 func (sc *Sidecar) findSilent(ctx context.Context) (silent []string, ok bool) {
 	order := checkOrder(sc.reachable())
 	position := slices.IndexFunc(order, func(r member.Record) bool { return r.Incarnation.Slot() == sc.settings.Slot })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -146,7 +146,7 @@
 	announcers      chan string
 	configAnnounced chan struct{}
 	configLag       configLag
-	silentCheckers  silentSlots
+	silentBefore    silentSlots
 	// announceAgain receives a value when this instance has announced a configuration.
 	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
