Bubble: tests in synctest bubbles use one processor with the race detector

Cause: the runtime keeps one race context for all timers of a bubble (bubble.timers.raceCtx). A goroutine that sets a timer which is due, or polls the channel of one, runs the timer itself under that context. If two threads do so at once, the race detector's state is corrupted. Outside of bubbles each processor has a context of its own.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,12 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 # Number of packages tested at the same time. Timing tests need idle cores.
 PACKAGES_AT_ONCE := 3
+# Packages whose tests run mostly in synctest bubbles, which use one processor with the race detector, see bubble.Test.
+BUBBLE_PACKAGES := ./bubble ./grant ./httplimit ./ingress ./ownership ./planner ./policy ./sidecar ./store
 
-.PHONY: test lint format generate unit
+.PHONY: test lint format generate unit parallel
 
-test: lint unit
+test: lint unit parallel
 
 lint:
 	go mod tidy -diff
@@ -18,6 +20,11 @@
 	if [ -n "$$skip" ]; then echo "skipped, see KNOWN-RED.txt: $$skip"; fi; \
 	go test -race -count=1 -timeout 8m -p $(PACKAGES_AT_ONCE) $${skip:+-skip "$$skip"} ./...
 
+# Runs the goroutines of bubbles on all processors, without the race detector.
+parallel:
+	@skip=$$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -); \
+	go test -count=1 -timeout 8m -p $(PACKAGES_AT_ONCE) $${skip:+-skip "$$skip"} $(BUBBLE_PACKAGES)
+
 format:
 	$(GOLANGCI_LINT) fmt ./...
 
--- a/caller/dedup_test.go
+++ b/caller/dedup_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/member"
 )
@@ -84,7 +84,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := NewDedup(self, WithDedupBounds(10*time.Minute, 10))
 				time.Sleep(1500 * time.Microsecond)
 				s := state{dedup: d, since: time.Now()}
--- a/caller/quarantine_test.go
+++ b/caller/quarantine_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/fake"
 )
@@ -51,7 +51,7 @@
 // TestIsolation guards against suspects that run concurrently with other requests, concurrent runs of one request that count as two
 // crashes, and suspects that delay other requests by more than 250 ms.
 func TestIsolation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := NewQuarantine()
 		enter := func(fingerprint uint64) *GuardedRun {
 			run, err := q.Enter(t.Context(), fingerprint)
--- a/caller/unreachable_test.go
+++ b/caller/unreachable_test.go
@@ -6,13 +6,14 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 )
 
 // TestUnreachable guards against requests that wait for a failed owner although a successor serves already. It also guards against
 // more than one probe per interval, and against a member that is skipped after it has recovered.
 func TestUnreachable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		down, other := member.NewIncarnation("slot-1", 1), member.NewIncarnation("slot-2", 1)
 		var u unreachable
 		var probes atomic.Int64
--- a/fake/network_test.go
+++ b/fake/network_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/fake"
 )
 
@@ -86,7 +87,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				dialled, accepted := networkPair(t)
 				test.end(dialled, accepted)
 				content, err := io.ReadAll(dialled)
@@ -100,7 +101,7 @@
 
 // TestNetworkReset guards against writes that succeed for ever although the other end is closed.
 func TestNetworkReset(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		dialled, accepted := networkPair(t)
 		_ = accepted.Close()
 		if _, err := io.WriteString(dialled, "a"); err != nil {
@@ -116,7 +117,7 @@
 
 // TestNetworkDeadlines guards against deadlines that end no waiting read or write.
 func TestNetworkDeadlines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		dialled, _ := networkPair(t)
 		started := time.Now()
 		_ = dialled.SetDeadline(started.Add(time.Second))
@@ -136,7 +137,7 @@
 
 // TestNetworkRefusal guards against failed dials that package forward doesn't tell from failures of an open connection.
 func TestNetworkRefusal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := new(fake.Network)
 		_, err := n.DialContext(t.Context(), "tcp", networkAddress)
 		var operation *net.OpError
@@ -160,7 +161,7 @@
 
 // TestNetworkHoldAccept guards against a process that accepts late but to which connecting fails or waits.
 func TestNetworkHoldAccept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := new(fake.Network)
 		l, err := n.Listen(networkAddress)
 		if err != nil {
--- a/forward/transit_test.go
+++ b/forward/transit_test.go
@@ -4,9 +4,9 @@
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/gateway"
 )
 
@@ -14,7 +14,7 @@
 // its receiver, has that much less time left. Neither a slow clock nor a restart of the sender may shorten the time of requests that
 // weren't delayed.
 func TestDelayedRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var delays delayEstimator
 		started := time.Now().Add(-time.Hour)
 		left := func(delay time.Duration, rate float64) time.Duration {
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -9,11 +9,11 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/fake"
 	"sapphiretray/gateway"
@@ -61,7 +61,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				n := new(fake.Network)
 				g := startOn(t, n)
 				const idle = 3
@@ -120,7 +120,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				n := &fake.Network{Window: func(_, _ netip.AddrPort) int { return window }}
 				g := startOn(t, n)
 				if _, err := g.Do(t.Context(), request("first", routing.NonIdempotent)); err != nil {
--- a/grant/harness_test.go
+++ b/grant/harness_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/grant"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
@@ -338,7 +338,7 @@
 	ended := make(chan struct{})
 	group.Go(func() {
 		defer close(ended)
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			p := newPeers()
 			a, b := newNode(ctx, p, "a"), newNode(ctx, p, "b")
--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/grant"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
@@ -124,7 +124,7 @@
 		{0, grant.MaxHold}, {10 * time.Second, grant.MaxHold}, {500 * time.Millisecond, 500 * time.Millisecond},
 	}
 	for _, test := range tests {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			n := newNode(ctx, newPeers(), "a", grant.WithMaxHold(test.limit))
 			n.manager.Update(assignAll(t, 1, n.self))
@@ -295,7 +295,7 @@
 // TestEpochRaisedWhileServing guards against keys that aren't served while their owner claims them again from all possible holders, after
 // the key map was restored, and against a burst of requests to the holders, which takes the processor time of other requests.
 func TestEpochRaisedWhileServing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		p := newPeers()
 		owner := newNode(ctx, p, "owner")
--- a/httplimit/clients_test.go
+++ b/httplimit/clients_test.go
@@ -7,11 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/fake"
 	"sapphiretray/httplimit"
@@ -100,7 +100,7 @@
 func TestSilentIdleConnections(t *testing.T) {
 	for _, client := range clients {
 		t.Run(client.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				var n fake.Network
 				listener, err := n.Listen("127.0.0.1:80")
 				if err != nil {
--- a/httplimit/httplimit_test.go
+++ b/httplimit/httplimit_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/httplimit"
 )
 
@@ -100,7 +101,7 @@
 func TestMemory(t *testing.T) {
 	const bodies, size = 6, 3 * medium
 	for _, length := range []int64{-1, size} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			limit := httplimit.Limit{Max: 4 * medium, Memory: []*httplimit.Memory{httplimit.NewMemory(8 * medium)}}
 			var read atomic.Int64
 			finish := make(chan struct{})
@@ -146,7 +147,7 @@
 
 // TestMemoryOfOneServer guards against a server whose large responses don't end and that takes the memory of the other servers' responses.
 func TestMemoryOfOneServer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		// limitedMedium is the number of responses of 1 MiB of the faulty server, of which 8 may be read at the same time.
 		const limitedMedium = 12
 		all := httplimit.NewMemory(32 * medium)
@@ -190,7 +191,7 @@
 
 // TestSmallBodies guards against small bodies that wait for memory, or for the rest of a response after its length.
 func TestSmallBodies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		limit := httplimit.Limit{Max: 4 * medium, Memory: []*httplimit.Memory{httplimit.NewMemory(4 * medium)}}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
--- a/ingress/ahead_test.go
+++ b/ingress/ahead_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/ingress"
 	"sapphiretray/wait"
 )
@@ -124,7 +125,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				_, far := connectTo(t, noLimits, newPipelineHandler(), getsRunAhead{})
 				var writing sync.WaitGroup
 				writing.Go(func() { _, _ = io.WriteString(far, strings.Join(test.requests, "")) })
@@ -161,7 +162,7 @@
 // TestCallerLeavesPipeline guards against work for requests behind others whose caller has closed the connection: their number doesn't hide
 // that it has.
 func TestCallerLeavesPipeline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		handler := newPipelineHandler()
 		_, far := connectTo(t, noLimits, handler, getsRunAhead{})
 		for n := range 3 {
@@ -188,7 +189,7 @@
 		requests = 400
 		ahead    = 16
 	)
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		handler := newPipelineHandler()
 		_, far := connectTo(t, noLimits, handler, getsRunAhead{})
 		var writing sync.WaitGroup
@@ -217,7 +218,7 @@
 // TestDeadlineBehindOthers guards against a request that can't be repeated and gets a whole timeout once it is its turn: its caller has
 // waited since the request arrived.
 func TestDeadlineBehindOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := newDeployment("a", map[string][]outcome{"a": {{status: 200, run: func() { time.Sleep(timeout * 4 / 5) }}, {endless: true}}})
 		server := newServer(t, d, table(t))
 		_, far := connectTo(t, noLimits, server, server)
@@ -257,7 +258,7 @@
 func TestPipelineModel(t *testing.T) {
 	for seed := *aheadSeed; seed < *aheadSeed+uint64(*aheadSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playPipeline(t, rand.New(rand.NewPCG(seed, 1))) })
+			bubble.Test(t, func(t *testing.T) { playPipeline(t, rand.New(rand.NewPCG(seed, 1))) })
 		})
 	}
 }
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/ingress"
 	"sapphiretray/routing"
 )
@@ -100,7 +101,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				current := limits
 				connections, far := connectByPipe(t, func() routing.Limits { return current })
 				_, _ = io.WriteString(far, test.sent)
@@ -131,7 +132,7 @@
 		{11 * time.Second, false},
 	}
 	for _, test := range tests {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			changes := []time.Duration{5 * time.Second, 10 * time.Second, time.Second}
 			begun := time.Now()
 			connections, far := connectByPipe(t, func() routing.Limits {
@@ -168,7 +169,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				connections, far := connectByPipe(t, func() routing.Limits { return test.limits })
 				ctx, cancel := context.WithCancel(t.Context())
 				var group errgroup.Group
--- a/ingress/retry_test.go
+++ b/ingress/retry_test.go
@@ -5,9 +5,9 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/gateway"
 	"sapphiretray/ingress"
@@ -34,7 +34,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("b", nil)
 				d.outcomes = map[string][]outcome{
 					"b": {{failure: gateway.Failure{Code: test.code, Arrived: true}, run: func() {
@@ -73,7 +73,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				var outlasts atomic.Bool
 				first := outcome{failure: test.failure, run: func() { outlasts.Store(true) }}
 				d := newDeployment("b", map[string][]outcome{"b": {first, {status: 200}}})
@@ -106,7 +106,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("", map[string][]outcome{"b": {test.first}, "c": {ok}})
 				d.marked = map[string]bool{"a": true}
 				w := httptest.NewRecorder()
@@ -136,7 +136,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("", map[string][]outcome{"b": test.outcomes})
 				d.marked = map[string]bool{"a": true, "c": true}
 				w := httptest.NewRecorder()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -16,11 +16,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
@@ -411,7 +411,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment(test.owner, test.outcomes)
 				w := httptest.NewRecorder()
 				newServer(t, d, table(t)).ServeHTTP(w, request(t, test.path, "body", "Key", "7", "Left", "1s"))
@@ -431,7 +431,7 @@
 
 // TestRetryBudget guards against upstreams that are flooded with retries while all of their responses are lost.
 func TestRetryBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		lost := outcome{failure: gateway.Failure{Code: code.UpstreamFailed, Arrived: true}}
 		d := newDeployment("b", map[string][]outcome{"b": {lost}})
 		server := newServer(t, d, table(t))
@@ -460,7 +460,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("b", map[string][]outcome{"b": {{status: 200}}})
 				server := newServer(t, d, table(t))
 				// The first request sets the caller timeout that the server assumes for the route.
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http/httptest"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/gateway"
 )
@@ -66,7 +66,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("b", test.outcomes)
 				w := httptest.NewRecorder()
 				begun := time.Now()
@@ -98,7 +98,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				d := newDeployment("b", test.outcomes)
 				begun := time.Now()
 				ctx, leave := context.WithTimeout(t.Context(), 200*time.Millisecond)
--- a/loglimit/loglimit_test.go
+++ b/loglimit/loglimit_test.go
@@ -3,15 +3,15 @@
 import (
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/loglimit"
 )
 
 // TestLimiter guards against a log line for the same odd input each time it is read, and against unbounded lines for many odd inputs.
 func TestLimiter(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var l loglimit.Limiter
 		lines := 0
 		for n := range 10 * loglimit.MaxLines {
--- a/ownership/grants_test.go
+++ b/ownership/grants_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
@@ -85,7 +85,7 @@
 		{"both", &slowUpstream{grantDelay: 300 * time.Millisecond, failRevokes: 2}, 100 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				upstream := test.upstream
 				upstream.held = make(map[int]uint64)
 				owner, successor := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
@@ -108,7 +108,7 @@
 // TestOutdatedRequestKeepsGrant guards against a promise to an incarnation with an older entry, which would revoke the grant of the newer
 // one.
 func TestOutdatedRequestKeepsGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		upstream := &slowUpstream{held: make(map[int]uint64), grantDelay: 300 * time.Millisecond}
 		owner, outdated := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
 		m, cancel := managerOf(t, owner, upstream, alwaysValid{})
@@ -131,7 +131,7 @@
 // TestNoGrantWithoutLease guards against a grant after the lease has expired, such as while the machine was suspended: its end would be
 // computed from the monotonic clock, which has stopped meanwhile.
 func TestNoGrantWithoutLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		upstream := &slowUpstream{held: make(map[int]uint64)}
 		owner := member.NewIncarnation("slot-0", 1)
 		m, cancel := managerOf(t, owner, upstream, neverValid{})
--- a/ownership/override_test.go
+++ b/ownership/override_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
@@ -13,7 +13,7 @@
 // TestPromiseOfOverride guards against a promise for the partition of a single key while a request for that key is in flight that was
 // admitted to the partition that the key was in before: the successor would run requests for the key at the same time.
 func TestPromiseOfOverride(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		owner, successor := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
 		m, cancel := managerOf(t, owner, &slowUpstream{held: make(map[int]uint64)}, alwaysValid{})
 		defer cancel()
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
@@ -263,7 +264,7 @@
 // simulate runs one random simulation. It returns the first violation that check found, and the result of settle.
 func simulate(t *testing.T, seed uint64, ignorePrevious bool) (violation string, unserved int) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m, err := partition.New("bookings", simPartitions)
 		if err != nil {
 			t.Fatal(err)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/fake"
 	"sapphiretray/member"
 	"sapphiretray/object"
@@ -71,7 +71,7 @@
 // runWithPlatform runs a test in a synctest bubble with a fake platform, to which the clients have in-memory connections.
 func runWithPlatform(t *testing.T, test func(env *testEnv)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 		transport := &http.Transport{DialContext: listener.dial}
 		env := &testEnv{
--- a/policy/limiter_test.go
+++ b/policy/limiter_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/policy"
 )
@@ -60,7 +61,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				l := policy.NewLimiter(1)
 				release := mustAcquire(t, l, 9)
 				var order []int
@@ -95,7 +96,7 @@
 
 // TestLimiterShedsLeastImportant guards against shedding an important request while a less important one stays queued.
 func TestLimiterShedsLeastImportant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := policy.NewLimiter(1, policy.WithQueue(2))
 		release := mustAcquire(t, l, 9)
 		results := make([]error, 5)
@@ -129,7 +130,7 @@
 // TestLimiterDeadline guards against waiting for a slot until after the deadline, and against an estimate of the service time that
 // is never corrected because all requests are refused.
 func TestLimiterDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := policy.NewLimiter(1, policy.WithMaximum(1))
 		_, err := l.Acquire(t.Context(), 5, time.Now())
 		wantCode(t, err, code.TooLate)
@@ -158,7 +159,7 @@
 
 // TestLimiterRelease guards against a slot that is freed twice, and against one that leaks if release isn't called.
 func TestLimiterRelease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := policy.NewLimiter(2)
 		first, _ := mustAcquire(t, l, 5), mustAcquire(t, l, 5)
 		first(time.Millisecond, true)
@@ -198,7 +199,7 @@
 // TestLimiterDoesNotStarve guards against starvation of unimportant requests by important ones, and against a fairness rule that
 // gives them too many slots.
 func TestLimiterDoesNotStarve(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := policy.NewLimiter(1, policy.WithQueue(4))
 		var served [policy.MaxImportance + 1]atomic.Int64
 		ctx, cancel := context.WithCancel(t.Context())
@@ -244,7 +245,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				l := policy.NewLimiter(6)
 				fill := func(windows int, latency time.Duration, ok bool) {
 					for range windows {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
+	"sapphiretray/bubble"
 	"sapphiretray/policy"
 )
 
@@ -98,7 +98,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				var b policy.RetryBudget
 				for range test.attempts {
 					b.Attempt()
@@ -134,7 +134,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				var e policy.Ejector[int]
 				for target := range test.targets {
 					e.Add(target)
@@ -158,7 +158,7 @@
 
 // TestEjectorPrefersFailing guards against a failing target that stays in use because slow ones fill the allowed share of ejections.
 func TestEjectorPrefersFailing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var e policy.Ejector[int]
 		for range 40 {
 			for target := range 4 {
@@ -183,7 +183,7 @@
 
 // TestEjectionTime guards against ejections that don't get longer, don't end, or are still long after a recovery.
 func TestEjectionTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var e policy.Ejector[int]
 		for target := range 10 {
 			e.Add(target)
@@ -212,7 +212,7 @@
 
 // TestSlowStart guards against a weight outside 0.3 to 1, or one that doesn't grow linearly.
 func TestSlowStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var s policy.SlowStart
 		if s.Weight() != 1 {
 			t.Errorf("weight %v of the zero value, want 1", s.Weight())
--- a/sidecar/clearing_test.go
+++ b/sidecar/clearing_test.go
@@ -7,11 +7,11 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
@@ -120,7 +120,7 @@
 		sessions int
 	}{{"new process", 0}, {"new session", 1}} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				u := &fencedUpstream{started: time.Now()}
 				sc := newJoiningSidecar(t, u)
 				for range test.sessions {
@@ -173,7 +173,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				u := &fencedUpstream{answersAfter: test.answersAfter, started: time.Now()}
 				sc := newJoiningSidecar(t, u)
 				s, err := sc.join(t.Context())
@@ -235,7 +235,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				u := &fencedUpstream{answersAfter: test.answersAfter, started: time.Now()}
 				sc := newJoiningSidecar(t, u)
 				if test.otherOwner {
@@ -273,7 +273,7 @@
 
 // TestClearingOnceWhileStoreIsAway guards against a release of all keys at each attempt to join while the store can't be reached.
 func TestClearingOnceWhileStoreIsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		u := &fencedUpstream{started: time.Now()}
 		sc := newJoiningSidecar(t, u)
 		sc.adapters.Store = unavailableStore{}
--- a/sidecar/completeness_test.go
+++ b/sidecar/completeness_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
@@ -104,7 +104,7 @@
 // records are at most at version 100, that of the store.
 func runPlannerOf(t *testing.T, instances int, test func(sc *Sidecar, s *laggingStore)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		sc := newLinkedSidecar(t, &slowLink{took: time.Millisecond}, instances)
 		var rows []store.Row
 		for n := range instances {
--- a/sidecar/configfetch_test.go
+++ b/sidecar/configfetch_test.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphiretray/bubble"
 	"sapphiretray/forward"
 	"sapphiretray/member"
 	"sapphiretray/peer"
@@ -95,7 +95,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				sc := New(Settings{Slot: "10.0.0.0", DataCentre: "dc-0"}, Adapters{
 					Store: &silentStore{}, ConfigTable: "op", ConfigKey: "config",
 					DecodeConfig: func(content []byte) (*routing.Table, error) {
--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -12,11 +12,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/routing"
@@ -302,7 +302,7 @@
 // runConfigFleet runs a deployment while test runs, after all instances have the first configuration.
 func runConfigFleet(t *testing.T, instances int, test func(f *configFleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := &configFleet{store: newConfigStore()}
 		for n := range instances {
 			sc := New(Settings{Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3)}, Adapters{
--- a/sidecar/configlag_test.go
+++ b/sidecar/configlag_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"sapphiretray/bubble"
 )
 
 // TestConfigLag guards against a lag that is measured from the newest announcement, or from one of a configuration that has arrived.
@@ -32,7 +33,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				start := time.Now()
 				var l configLag
 				if since := l.arrive(3); !since.IsZero() {
--- a/sidecar/earlier_test.go
+++ b/sidecar/earlier_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/code"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
@@ -47,7 +47,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				upstream := &testUpstream{released: test.released}
 				sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
 				sc.adapters.Grants = func(*gateway.Gateway) grant.Upstream { return upstream }
@@ -88,7 +88,7 @@
 // TestNewerMapEndsRelease guards against a release for an earlier incarnation that goes on when a newer map has assigned the keys again,
 // and takes keys from the upstream that the current incarnation serves.
 func TestNewerMapEndsRelease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		upstream := &testUpstream{}
 		sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
 		successor, self := member.NewIncarnation("slot-5", 8), member.NewIncarnation("slot-3", 7)
@@ -148,7 +148,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				upstream := &testUpstream{released: test.released}
 				sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
 				successor, self := member.NewIncarnation("slot-5", 8), member.NewIncarnation("slot-3", 7)
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"sapphiretray/bubble"
 	"sapphiretray/heartbeat"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
@@ -150,7 +151,7 @@
 // testPlanner runs a process with a copy of the rows of a store, on the paused clock. The listing has the given rows and version.
 func testPlanner(t *testing.T, listed uint64, rows []store.Row, test func(p plannerTest)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &feedStore{rows: make(map[string]store.Row), version: listed, shown: listed}
 		s.put(rows...)
--- a/sidecar/joined_test.go
+++ b/sidecar/joined_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphiretray/bubble"
 	"sapphiretray/grant"
 	"sapphiretray/member"
 	"sapphiretray/peer"
@@ -65,7 +65,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				sc := newLinkedSidecar(t, &slowLink{}, 5)
 				sc.dialer = peer.NewDialer(confirmingWitnesses{})
 				sc.rows.Merge([]store.Row{witnessed(2, 6)})
--- a/sidecar/loads_test.go
+++ b/sidecar/loads_test.go
@@ -4,8 +4,9 @@
 	"math"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"sapphiretray/bubble"
 )
 
 // TestLoadAtTheStartOfTraffic guards against loads that are too low in the first seconds of traffic: the planner took upstreams for idle
@@ -17,7 +18,7 @@
 		want    = 10.0
 	)
 	for _, after := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 1))
 			var l loads
 			started := time.Now()
--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -13,6 +13,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/bubble"
 	"sapphiretray/fake"
 	"sapphiretray/routing"
 )
@@ -54,7 +55,7 @@
 			ended := make(chan struct{})
 			group.Go(func() {
 				defer close(ended)
-				synctest.Test(t, m.run)
+				bubble.Test(t, m.run)
 			})
 			select {
 			case <-ended:
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -11,11 +11,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/bubble"
 	"sapphiretray/keyspace"
 	"sapphiretray/routing"
 )
@@ -75,7 +75,7 @@
 			ended := make(chan struct{})
 			group.Go(func() {
 				defer close(ended)
-				synctest.Test(t, m.run)
+				bubble.Test(t, m.run)
 			})
 			select {
 			case <-ended:
--- a/sidecar/push_test.go
+++ b/sidecar/push_test.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"sapphiretray/bubble"
 	"sapphiretray/forward"
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
@@ -93,7 +93,7 @@
 // TestMapPushesAreBounded guards against a planner whose link is full of key maps that have been superseded: nothing else passes for
 // seconds, and the requests of its callers get no answer in time.
 func TestMapPushesAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const instances, maps = 31, 20
 		link := &slowLink{took: 200 * time.Millisecond}
 		sc := newLinkedSidecar(t, link, instances)
@@ -141,7 +141,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				announced := time.Now()
 				link := &slowLink{took: 5 * time.Millisecond, known: func(slot string) uint64 {
 					if slot == announcer || time.Since(announced) >= test.readers {
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/store"
 )
 
@@ -27,7 +27,7 @@
 		sc.rows = store.NewFollower(newLaggingStore(rows, 100), TableName, nil)
 		return sc
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		order := newProcess(t, "10.0.0.0").readers()
 		first, second := newProcess(t, order[0]), newProcess(t, order[1])
 		var others []*Sidecar
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
@@ -116,7 +116,7 @@
 func TestReportsPassSilentPlanners(t *testing.T) {
 	for _, lost := range []int{1, 5, 12} {
 		t.Run(fmt.Sprint(lost), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				const settled, recovered = 5 * time.Second, 20 * time.Second
 				started := time.Now()
 				sc := newLinkedSidecar(t, &slowLink{}, 21)
--- a/sidecar/silence_test.go
+++ b/sidecar/silence_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/heartbeat"
 	"sapphiretray/member"
 	"sapphiretray/peer"
@@ -54,7 +54,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				sc := &Sidecar{directory: newDirectory("slot-0"), wake: make(chan struct{}, 1)}
 				sc.rows = store.NewFollower(listedStore{rows: test.rows, version: 30}, TableName, sc.applyRows)
--- a/sidecar/unreachable_test.go
+++ b/sidecar/unreachable_test.go
@@ -7,9 +7,9 @@
 	"net/netip"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/caller"
 	"sapphiretray/fake"
 	"sapphiretray/peer"
@@ -31,7 +31,7 @@
 // TestUnreachableUntilItResponds guards against an instance that counts as reachable although its process stands still: the kernel accepts
 // connections for it, and each request waits there until its instance counts as silent.
 func TestUnreachableUntilItResponds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const slot, address, still = "10.0.0.1", "10.0.0.1:1", 3 * time.Second
 		network := newMemoryNetwork()
 		listener, err := network.Listen(t.Context(), address)
--- a/sidecar/upstream_test.go
+++ b/sidecar/upstream_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
 	"sapphiretray/keyspace"
@@ -47,7 +48,7 @@
 // TestNoGrantAfterSession guards against grants of a session that reach the next run of the upstream, or are in flight while the next
 // session grants keys.
 func TestNoGrantAfterSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		upstream, isCurrent := &testUpstream{took: 100 * time.Millisecond}, true
 		u := newSessionUpstream(upstream, func() bool { return isCurrent })
 		g := grant.Grant{Range: keyspace.Range{First: 1, Last: 9}}
@@ -91,7 +92,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				upstream := &testUpstream{released: func() error { return nil }}
 				u := newSessionUpstream(upstream, func() bool { return false })
 				u.end()
@@ -158,7 +159,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				upstream := &testUpstream{released: test.released}
 				sc := &Sidecar{settings: Settings{Slot: "slot-3", Service: "bookings"}, directory: newDirectory("slot-3")}
 				sc.adapters.Grants = func(*gateway.Gateway) grant.Upstream { return upstream }
@@ -207,7 +208,7 @@
 // TestNoGrantToNextRun guards against a grant that waits for a connection while another run of the upstream registers, and then reaches
 // that run.
 func TestNoGrantToNextRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		upstream, isCurrent := &connectingUpstream{testUpstream{took: 100 * time.Millisecond}}, atomic.Bool{}
 		isCurrent.Store(true)
 		u := newSessionUpstream(upstream, isCurrent.Load)
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/forward"
 	"sapphiretray/routing"
 	"sapphiretray/store"
@@ -101,7 +101,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				sc := New(Settings{}, Adapters{ConfigKey: "config", DecodeConfig: func(content []byte) (*routing.Table, error) {
 					time.Sleep(decodeTime)
 					version, err := strconv.ParseUint(string(content), 10, 64)
--- a/sidecar/witnesses_test.go
+++ b/sidecar/witnesses_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/store"
@@ -124,7 +124,7 @@
 
 // TestRestartedOwnerKeepsKeys guards against the first instance to report after a restart of all instances getting all their keys.
 func TestRestartedOwnerKeepsKeys(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		sc := newTestSidecar(t, nil)
 		owner, next := member.NewIncarnation("slot-3", 0), member.NewIncarnation("slot-3", 1)
 		reports := map[member.Incarnation]*peer.ReportRequest{}
--- a/stdout/writer_test.go
+++ b/stdout/writer_test.go
@@ -5,9 +5,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/stdout"
 )
 
@@ -42,7 +42,7 @@
 // run runs a test with a writer whose output goes to a sink. The clock is that of synctest.
 func run(t *testing.T, s *sink, test func(w *stdout.Writer), options ...stdout.Option) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	bubble.Test(t, func(*testing.T) {
 		w := stdout.New(s, options...)
 		stop := make(chan struct{})
 		var group sync.WaitGroup
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -7,9 +7,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/store"
 )
 
@@ -280,7 +280,7 @@
 
 // TestFollowerDelivery guards against rows whose source and call aren't reported, so that logs can't tell a slow store from a slow link.
 func TestFollowerDelivery(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := newMemory()
 		m.put("a", "1")
 		m.transfer = 300 * time.Millisecond
@@ -311,7 +311,7 @@
 // TestFollowerCountsCalls guards against calls that the store doesn't answer but that no metric shows, and against a configuration whose
 // delay after such calls isn't reported.
 func TestFollowerCountsCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := newMemory()
 		m.put("a", "1")
 		var last store.Delivery
@@ -395,7 +395,7 @@
 func TestFollowerInDoubtUntilApplied(t *testing.T) {
 	for _, historyLost := range []bool{false, true} {
 		t.Run(fmt.Sprint("history lost: ", historyLost), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				m := newMemory()
 				m.put("a", "1")
 				var doubts []bool
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -7,9 +7,9 @@
 	"net/http/httptrace"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/store"
 	"sapphiretray/wait"
 )
@@ -172,7 +172,7 @@
 // follow runs a test with a follower of a store that holds the row a. The clock is that of synctest.
 func follow(t *testing.T, test func(m *memory, f *store.Follower), options ...store.Option) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := newMemory()
 		m.put("a", "1")
 		f := store.NewFollower(m, "t", nil, options...)
--- a/wait/wait_test.go
+++ b/wait/wait_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/wait"
 )
 
@@ -22,7 +22,7 @@
 		{-time.Second, 0, 0, false},
 	}
 	for _, test := range tests {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
 			defer cancel()
 			start := time.Now()
@@ -36,7 +36,7 @@
 
 // TestEvery guards against calls after the context has ended, and against a call before the first interval has passed.
 func TestEvery(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
 		defer cancel()
 		start, calls := time.Now(), 0
