store: pause between listings while the history is always lost

Callers saw: nothing by itself. While the store discards its history at once, each instance made calls without a pause. Cause: after status 410 the table is listed and the call for changes follows at once. If that gets 410 again, which the protocol allows (the history may be discarded early), the two calls repeat at the pace of the store, so that a dozen instances exceed its 2,000 reads per second and all calls get 429. Result: TestFollowerFeedFails printed "250.0 calls per second, want at most 5" (7499 calls in 30 s) before; after, 3.4 calls per second, and a change arrives within 0.71 s.

--- a/store/call.go
+++ b/store/call.go
@@ -103,6 +103,10 @@
 	if missing || f.preferred != "" {
 		f.pause(ctx, batchInterval)
 	}
+	if f.losses > 1 {
+		// The store discards its history at once, so that the next call for changes may well fail again.
+		waitAbout(ctx, min(minRetryDelay<<min(f.losses-2, 8), maxRetryDelay))
+	}
 	return nil
 }
 
@@ -236,6 +240,8 @@
 		}
 	case c.source == SourceListing:
 		f.preferred = SourceChanges
+	case errors.Is(err, ErrHistoryLost):
+		f.losses++
 	case d.Waited == 0 && d.Took >= c.due+minResponseDelay:
 		// The store's client gave up before the deadline, which grows. Calls for changes may stay unanswered while listings don't.
 		f.preferred = SourceListing
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,6 +52,8 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
+	// losses is the number of calls for changes that found the history lost since the last one that succeeded. Only Run uses it.
+	losses int
 
 	// mergeMu keeps the calls of changed in order.
 	mergeMu sync.Mutex
@@ -152,7 +154,7 @@
 			f.relist()
 		default:
 			f.setReachable(err)
-			wait.For(ctx, retry/2+rand.N(retry/2))
+			waitAbout(ctx, retry)
 			retry = min(2*retry, maxRetryDelay)
 		}
 	}
@@ -182,6 +184,7 @@
 	if err != nil {
 		return err
 	}
+	f.losses = 0
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
@@ -196,6 +199,9 @@
 	return nil
 }
 
+// waitAbout waits for a time of which a random part of up to half is left out, or until ctx ends.
+func waitAbout(ctx context.Context, d time.Duration) { wait.For(ctx, d/2+rand.N(d/2)) }
+
 // spread returns a wait without a random part of up to pollSpread.
 func spread(wait time.Duration) time.Duration {
 	return wait - time.Duration(pollSpread*rand.Float64()*float64(wait))
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -58,6 +58,53 @@
 	}
 }
 
+// TestFollowerFeedFails guards against a copy that is out of date, and against calls without a pause, while no call for changes succeeds
+// because the store has always discarded the history.
+func TestFollowerFeedFails(t *testing.T) {
+	const (
+		bound = 2 * time.Second
+		// maxRate bounds the calls per second. 195 instances may make 2,000 reads per second, and each follows two tables.
+		maxRate = 5
+		changes = 30
+	)
+	tests := []struct {
+		name string
+		err  error
+	}{
+		{"history lost each time", store.ErrHistoryLost},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(m *memory, f *store.Follower) {
+				m.set(func(m *memory) { m.feedErr, m.latency = test.err, 4*time.Millisecond })
+				time.Sleep(10 * time.Second)
+				m.set(func(m *memory) { m.calls = 0 })
+				var latest time.Duration
+				start := time.Now()
+				for n := range changes {
+					written := time.Now()
+					m.put("a", fmt.Sprint(n))
+					for value(f, "a") != fmt.Sprint(n) && time.Since(written) < 2*bound {
+						time.Sleep(10 * time.Millisecond)
+					}
+					latest = max(latest, time.Since(written))
+					time.Sleep(time.Until(written.Add(time.Second)))
+				}
+				if latest > bound {
+					t.Errorf("a change arrived after %v, want at most %v", latest, bound)
+				}
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				rate := float64(m.calls) / time.Since(start).Seconds()
+				if rate > maxRate {
+					t.Errorf("%.1f calls per second, want at most %d", rate, maxRate)
+				}
+				t.Logf("%.1f calls per second, changes arrive after at most %v", rate, latest)
+			})
+		})
+	}
+}
+
 // TestFollowerReachableOnceListed guards against a store that still counts as unreachable right after the first listing: an instance then
 // refused the reports of others.
 func TestFollowerReachableOnceListed(t *testing.T) {
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -22,8 +22,9 @@
 	version uint64
 	// dropped is the version up to which the history is no longer kept.
 	dropped uint64
-	// unavailable makes all calls fail with ErrUnavailable.
+	// unavailable makes all calls fail with ErrUnavailable. feedErr is the error of calls for changes, nil if they are answered.
 	unavailable bool
+	feedErr     error
 	// silent makes Changes return no rows.
 	silent bool
 	// deaf is closed and replaced when the calls that wait for changes must never be answered. They fail clientMargin after their wait.
@@ -141,7 +142,7 @@
 		default:
 		}
 		m.mu.Lock()
-		unavailable, silent, dropped, changed := m.unavailable, m.silent, after < m.dropped, m.changed
+		unavailable, silent, dropped, changed, feedErr := m.unavailable, m.silent, after < m.dropped, m.changed, m.feedErr
 		var rows []store.Row
 		for _, row := range m.history {
 			if row.Version > after {
@@ -153,6 +154,11 @@
 		switch {
 		case unavailable:
 			return nil, 0, store.ErrUnavailable
+		case feedErr != nil:
+			if err := m.respond(ctx); err != nil {
+				return nil, 0, err
+			}
+			return nil, 0, feedErr
 		case dropped:
 			return nil, 0, store.ErrHistoryLost
 		case len(rows) > 0 && !silent:
