store: list the table while calls for changes are refused

Callers saw: while the store refused calls for changes (503 or 429) and answered others, no configuration took effect on any instance. Cause: a refused call for changes was followed by the same call, without end. A listing followed only after a call that had no response or a partial one. Change: after two refused calls for changes the table is listed once, and at once if a newer row is expected. The retry delay keeps growing until a call for changes succeeds.

--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -44,6 +44,8 @@
 			s.silenceFeed()
 			s.beSilent(9 * time.Second)
 		}, 3 * time.Second, 0, 0},
+		{"feed refused, change at once", (*configStore).refuseFeed, 0, 0, 0},
+		{"feed refused, change in contact", (*configStore).refuseFeed, 20 * time.Second, 0, 0},
 		{"feed silent for good, change in contact", (*configStore).silenceFeed, 20 * time.Second, 0, 0},
 		{"calls forgotten after slow ones, change at once", forgetAfterSlow, 0, 0, 0},
 		{"calls forgotten after slow ones, change in contact", forgetAfterSlow, time.Second, 0, 0},
--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -33,8 +33,8 @@
 	// set, none is.
 	changed, forgotten chan struct{}
 	feedSilent         bool
-	// down makes all calls fail. While silent is set, calls that arrive are never answered.
-	down, silent bool
+	// down makes all calls fail, and feedDown those for changes. While silent is set, calls that arrive are never answered.
+	down, feedDown, silent bool
 	// latency is the time from a call to its arrival.
 	latency time.Duration
 	calls   int
@@ -78,6 +78,15 @@
 // silenceFeed makes the store answer no call for changes.
 func (s *configStore) silenceFeed() { s.set(func() { s.feedSilent = true }) }
 
+// refuseFeed makes the store refuse calls for changes.
+func (s *configStore) refuseFeed() {
+	s.set(func() {
+		s.feedDown = true
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+}
+
 // beSilent makes the store answer no call for a time, those included that are open at its end.
 func (s *configStore) beSilent(d time.Duration) {
 	s.set(func() { s.silent = true })
@@ -165,7 +174,7 @@
 	s.mu.Unlock()
 	for end := time.After(poll); ; {
 		s.mu.Lock()
-		rows, version, changed, silent, down := s.rows(after), s.version, s.changed, s.feedSilent, s.down
+		rows, version, changed, silent, down := s.rows(after), s.version, s.changed, s.feedSilent, s.down || s.feedDown
 		s.mu.Unlock()
 		if down {
 			return nil, 0, store.ErrUnavailable
--- a/store/call.go
+++ b/store/call.go
@@ -27,6 +27,9 @@
 	// partialTransfer is the time from the first byte of a response to a failure from which the response counts as too large. A
 	// response without rows arrives in one piece.
 	partialTransfer = 20 * time.Millisecond
+	// refusalsPerListing is the number of refused calls for changes after which the table is listed once, because the store may refuse only
+	// those calls. Listings are larger and are made by all followers while the store is down.
+	refusalsPerListing = 2
 	// slowTransfer is the time from the first byte of a response to its end from which the link counts as slow.
 	slowTransfer = 250 * time.Millisecond
 )
@@ -111,7 +114,7 @@
 }
 
 // nextSource returns how to read the store next. A follower that watches the store over a slow link lists missing rows, because a listing
-// has only the newest version of each row.
+// has only the newest version of each row. It also does so while calls for changes are refused.
 //
 // The responses to calls for changes may be larger and take longer than listings before they fail, or the other way round, so each
 // follows after a failure of the other.
@@ -123,7 +126,7 @@
 		return SourceListing
 	case f.preferred != "":
 		return f.preferred
-	case watch && f.slowLink && f.expected() > f.newest:
+	case watch && (f.slowLink || f.refusals > 0) && f.expected() > f.newest:
 		return SourceListing
 	default:
 		return SourceChanges
@@ -247,6 +250,11 @@
 		f.preferred = SourceListing
 	case d.Waited > 0 && d.Took-d.Waited >= partialTransfer:
 		f.preferred = SourceListing
+	default:
+		f.refusals++
+		if f.refusals%refusalsPerListing == 0 {
+			f.preferred = SourceListing
+		}
 	}
 	return err
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,8 +52,9 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
-	// losses is the number of calls for changes that found the history lost since the last one that succeeded. Only Run uses it.
-	losses int
+	// refusals is the number of calls for changes that failed, and losses of those that found the history lost, since the last one that
+	// succeeded. Only Run uses them.
+	refusals, losses int
 
 	// mergeMu keeps the calls of changed in order.
 	mergeMu sync.Mutex
@@ -146,7 +147,10 @@
 		err := f.step(ctx)
 		switch {
 		case err == nil:
-			retry = minRetryDelay
+			// Listings may be answered while calls for changes are refused.
+			if f.refusals == 0 {
+				retry = minRetryDelay
+			}
 		case ctx.Err() != nil:
 		case errors.Is(err, errAbandoned), errors.Is(err, errSuperseded):
 		case errors.Is(err, ErrHistoryLost):
@@ -184,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	f.losses = 0
+	f.refusals, f.losses = 0, 0
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// TestFollowerFeedFails guards against a copy that is out of date, and against calls without a pause, while no call for changes succeeds
-// because the store has always discarded the history.
+// TestFollowerFeedFails guards against a copy that stays out of date while the store answers listings but no calls for changes, and against
+// calls without a pause.
 func TestFollowerFeedFails(t *testing.T) {
 	const (
 		bound = 2 * time.Second
@@ -71,6 +71,7 @@
 		name string
 		err  error
 	}{
+		{"refused", store.ErrUnavailable},
 		{"history lost each time", store.ErrHistoryLost},
 	}
 	for _, test := range tests {
