Sidecar: instances without a record check the configuration at short intervals

Callers saw (model): an instance whose upstream has not registered yet served an old configuration for up to 18 s after all calls for changes had gone silent, unless it forwarded a request meanwhile. Cause: announcements go to instances that have a record. One without a record, among others that have theirs, counted as behind all checkers, so that its call for changes could wait for 20 s. Change: it waits no longer than the first checker. This was the rule before only while no instance had a record. Result: TestConfigAfterSilenceWithoutRecord printed "in effect on all instances after 15.09s, want at most 2s" (4 instances), 15.88s (12) and 18.25s (60) before; it passes after, and the calls of a minute in TestConfigCallsOfLargeFleets stay within their bound.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -48,11 +48,11 @@
 // the number of calls doesn't grow with that of the instances.
 func (sc *Sidecar) configWait() time.Duration {
 	first := checkWaitShare * float64(cmp.Or(sc.settings.ConfigLimit, defaultConfigLimit))
-	records := sc.responding()
-	if len(records) == 0 {
+	if _, registered := sc.directory.record(sc.settings.Slot); !registered {
+		// The others announce nothing to an instance that they don't know.
 		return time.Duration(first)
 	}
-	position := slices.Index(slotsOf(checkers(records)), sc.settings.Slot)
+	position := slices.Index(slotsOf(checkers(sc.responding())), sc.settings.Slot)
 	if position < 0 {
 		position = maxCheckers
 	}
