store: don't count as reachable while calls for changes are refused

Cause: each listing made the store count as reachable until the next refused call. The planner accepts reports only while it is reachable, so that two instances would have taken turns. Result: TestFollowerFeedFails printed "the store counts as reachable: true at 11 times" before; it passes after, and a change arrives within 1.56 s.

--- a/store/follower.go
+++ b/store/follower.go
@@ -243,7 +243,9 @@
 	f.advance(version)
 	f.listed = true
 	// Those who wait for the listing then find the store reachable.
-	f.noteReachable(nil)
+	if f.refusals == 0 {
+		f.noteReachable(nil)
+	}
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
@@ -410,7 +412,7 @@
 // Table returns the table's name.
 func (f *Follower) Table() string { return f.table }
 
-// Reachable reports whether the last call to the store succeeded.
+// Reachable reports whether the last call to the store succeeded. After refused calls for changes, it doesn't until one succeeds.
 func (f *Follower) Reachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
