--- a/store/follower.go
+++ b/store/follower.go
@@ -52,6 +52,9 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
+	// refusals is the number of calls for changes that failed, and losses of those that found the history lost, since the last one that
+	// succeeded. Only Run uses them.
+	refusals, losses int
 
 	// mergeMu keeps the calls of changed in order.
 	mergeMu sync.Mutex
@@ -144,7 +147,10 @@
 		err := f.step(ctx)
 		switch {
 		case err == nil:
-			retry = minRetryDelay
+			// Listings may be answered while calls for changes are refused.
+			if f.refusals == 0 {
+				retry = minRetryDelay
+			}
 		case ctx.Err() != nil:
 		case errors.Is(err, errAbandoned), errors.Is(err, errSuperseded):
 		case errors.Is(err, ErrHistoryLost):
@@ -152,7 +158,7 @@
 			f.relist()
 		default:
 			f.setReachable(err)
-			wait.For(ctx, retry/2+rand.N(retry/2))
+			waitAbout(ctx, retry)
 			retry = min(2*retry, maxRetryDelay)
 		}
 	}
@@ -182,6 +188,7 @@
 	if err != nil {
 		return err
 	}
+	f.refusals, f.losses = 0, 0
 	f.setReachable(nil)
 	f.merge(rows, d)
 	f.mu.Lock()
@@ -196,6 +203,9 @@
 	return nil
 }
 
+// waitAbout waits for a time of which a random part of up to half is left out, or until ctx ends.
+func waitAbout(ctx context.Context, d time.Duration) { wait.For(ctx, d/2+rand.N(d/2)) }
+
 // spread returns a wait without a random part of up to pollSpread.
 func spread(wait time.Duration) time.Duration {
 	return wait - time.Duration(pollSpread*rand.Float64()*float64(wait))
@@ -233,7 +243,9 @@
 	f.advance(version)
 	f.listed = true
 	// Those who wait for the listing then find the store reachable.
-	f.noteReachable(nil)
+	if f.refusals == 0 {
+		f.noteReachable(nil)
+	}
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
@@ -400,7 +412,7 @@
 // Table returns the table's name.
 func (f *Follower) Table() string { return f.table }
 
-// Reachable reports whether the last call to the store succeeded.
+// Reachable reports whether the last call to the store succeeded. After refused calls for changes, it doesn't until one succeeds.
 func (f *Follower) Reachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
