Ownership: a silent earlier owner delays only the claims that need it

While partitions move from an owner that doesn't respond but whose lease is valid, the keys of other, lost owners stay without an owner (1202, 1203) for seconds, and moves from owners that respond wait too.

Cause: 32 claims ran at a time, whatever they waited for. Each waits up to 0.5 s for the silent owner and 2 s for a proof of its expiry, and begins again.

Change: the limit of 32 holds for the calls to each earlier owner and to the upstream, not for claims as a whole. A claim that got its turn late checks again that it isn't outdated. The call that obtains the last promise counts until the grant is done, so that an owner doesn't give up partitions faster than they are granted.

Evidence: TestClaimsBesideSilentOwner (255 partitions of a silent owner; one of a lost or of a responding owner) printed "served after 17.41s, want at most 1s" in 3 of 3 cases; it passes now. TestPromisesKeepPaceWithGrants guards the change; it fails if the last call ends before the grant.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -71,19 +71,15 @@
 
 // tryClaim makes one attempt of a claim. After an error, again reports whether another attempt makes sense.
 func (m *Manager) tryClaim(p int) (again bool, err error) {
-	select {
-	case m.claimLimit <- struct{}{}:
-		defer func() { <-m.claimLimit }()
-	case <-m.ctx.Done():
-		return false, m.ctx.Err()
-	}
 	e, rank, ok := m.beginClaim(p)
 	if !ok {
 		return false, errSuperseded
 	}
-	if err := m.collectPromises(p, e); err != nil {
+	release, err := m.collectPromises(p, e)
+	if err != nil {
 		return true, err
 	}
+	defer release()
 	return true, m.startServing(p, e, rank)
 }
 
@@ -115,20 +111,22 @@
 // collectPromises obtains a promise or a proof of expiry for each incarnation that may still serve under an older epoch. The one
 // that serves now is asked last, so that it continues to serve if another promise can't be obtained. The upstream is warmed up before
 // any promise is requested, while the earlier owner still serves.
-func (m *Manager) collectPromises(p int, e partition.Entry) error {
+//
+// Unless it returns an error, the function release has to be called after the grant. Until then the last call counts as running, so that
+// an owner doesn't give up partitions faster than they are granted.
+func (m *Manager) collectPromises(p int, e partition.Entry) (release func(), err error) {
 	var serving []member.Incarnation
 	var notServing []member.Incarnation
 	for _, i := range e.Previous {
 		if i == m.self || m.Ended(i) {
 			continue
 		}
-		response, err := m.requestPromise(i, p, e.Epoch, false)
+		serves, ended, err := m.isServing(i, p, e.Epoch)
 		switch {
 		case err != nil:
-			if proved := m.proveExpired(i); !proved {
-				return err
-			}
-		case response.GetServing():
+			return nil, err
+		case ended:
+		case serves:
 			serving = append(serving, i)
 		default:
 			notServing = append(notServing, i)
@@ -137,21 +135,73 @@
 	ctx, cancel := context.WithTimeout(m.ctx, m.drainTimeout)
 	defer cancel()
 	if err := m.granter.Warm(ctx); err != nil {
-		return code.Wrap(code.UpstreamNotWarmed, err, "warm up the upstream")
+		return nil, code.Wrap(code.UpstreamNotWarmed, err, "warm up the upstream")
 	}
+	release = func() {}
 	for _, i := range slices.Concat(notServing, serving) {
-		response, err := m.requestPromise(i, p, e.Epoch, true)
-		if err != nil {
-			if m.proveExpired(i) {
-				continue
-			}
-			return err
+		release()
+		if release, err = m.acquireCall(i, p, e.Epoch); err != nil {
+			return nil, err
 		}
-		if !response.GetPromised() {
-			return code.New(code.Moved, "%s still serves partition %d", i, p)
+		if err := m.collectPromise(i, p, e.Epoch); err != nil {
+			release()
+			return nil, err
 		}
-		m.dedupCache.Import(p, e.Epoch, i, response)
 	}
+	return release, nil
+}
+
+// acquireCall waits until a call to an incarnation may run for a claim. It returns errSuperseded if the claim is outdated by then.
+func (m *Manager) acquireCall(i member.Incarnation, p int, epoch uint64) (release func(), err error) {
+	release, err = m.calls.acquire(m.ctx, i)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.current.Entry(p); e.Epoch != epoch || !m.entitled(p, e.Rank(m.self)) {
+		release()
+		return nil, errSuperseded
+	}
+	return release, nil
+}
+
+// isServing asks an incarnation whether it serves the partition. If it can't be reached, its expiry has to be proved.
+func (m *Manager) isServing(i member.Incarnation, p int, epoch uint64) (serves, ended bool, err error) {
+	release, err := m.acquireCall(i, p, epoch)
+	if err != nil {
+		return false, false, err
+	}
+	defer release()
+	if m.Ended(i) {
+		return false, true, nil
+	}
+	response, err := m.requestPromise(i, p, epoch, false)
+	if err != nil {
+		if m.proveExpired(i) {
+			return false, true, nil
+		}
+		return false, false, err
+	}
+	return response.GetServing(), false, nil
+}
+
+// collectPromise obtains the promise of an incarnation or a proof of its expiry.
+func (m *Manager) collectPromise(i member.Incarnation, p int, epoch uint64) error {
+	if m.Ended(i) {
+		return nil
+	}
+	response, err := m.requestPromise(i, p, epoch, true)
+	if err != nil {
+		if m.proveExpired(i) {
+			return nil
+		}
+		return err
+	}
+	if !response.GetPromised() {
+		return code.New(code.Moved, "%s still serves partition %d", i, p)
+	}
+	m.dedupCache.Import(p, epoch, i, response)
 	return nil
 }
 
@@ -193,6 +243,11 @@
 
 // startServing grants the partition to the upstream and begins to serve it.
 func (m *Manager) startServing(p int, e partition.Entry, rank int) error {
+	release, err := m.acquireCall(m.self, p, e.Epoch)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if err := m.beginGrant(p, e, rank); err != nil {
 		return err
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -26,8 +26,8 @@
 	proofTimeout = 2 * time.Second
 	// callTimeout bounds a call to another instance or to the upstream, without the time for draining.
 	callTimeout = 500 * time.Millisecond
-	// maxConcurrentClaims bounds the claims whose calls run at the same time.
-	maxConcurrentClaims = 32
+	// maxConcurrentCalls bounds the calls to one other incarnation, and those to the upstream, that run at the same time.
+	maxConcurrentCalls = 32
 )
 
 // Lease is this incarnation's lease.
@@ -86,9 +86,9 @@
 	draining        bool
 
 	ctx context.Context
-	// claimLimit holds an element for each claim whose calls are running.
-	claimLimit chan struct{}
-	group      sync.WaitGroup
+	// calls bounds the calls for claims. Those to the upstream count for this incarnation.
+	calls callLimits
+	group sync.WaitGroup
 }
 
 // localPartition is this incarnation's state of one partition. Manager.mu guards it.
@@ -150,7 +150,6 @@
 		localPartitions: make(map[int]*localPartition),
 		ended:           make(map[member.Incarnation]bool),
 		ctx:             ctx,
-		claimLimit:      make(chan struct{}, maxConcurrentClaims),
 	}
 	for _, option := range options {
 		option(m)
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -162,7 +162,7 @@
 	}
 	m.mu.Unlock()
 	var revocations errgroup.Group
-	revocations.SetLimit(maxConcurrentClaims)
+	revocations.SetLimit(maxConcurrentCalls)
 	for p, fence := range granted {
 		revocations.Go(func() error { return m.granter.Revoke(ctx, p, fence) })
 	}
