Ownership: claims don't wait for an owner that has ended

Keys that were being moved from an owner when it was lost can stay without an owner for longer than 1 s after the loss. Between processes the pings of connections end such calls after 0.3 s; the package itself waits for 0.5 s, and for 5.5 s if the owner was giving up the partition.

Cause: a claim waited for the response of the owner, and then for a proof, although the end of the owner had been recorded meanwhile.

Change: once the end of an incarnation is recorded, the calls to it and the waits for such calls are cancelled.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -140,10 +140,12 @@
 	release = func() {}
 	for _, i := range slices.Concat(notServing, serving) {
 		release()
-		if release, err = m.acquireCall(i, p, e.Epoch); err != nil {
+		call, end, err := m.acquireCall(i, p, e.Epoch)
+		if err != nil {
 			return nil, err
 		}
-		if err := m.collectPromise(i, p, e.Epoch); err != nil {
+		release = end
+		if err := m.collectPromise(call, i, p, e.Epoch); err != nil {
 			release()
 			return nil, err
 		}
@@ -151,24 +153,25 @@
 	return release, nil
 }
 
-// acquireCall waits until a call to an incarnation may run for a claim. It returns errSuperseded if the claim is outdated by then.
-func (m *Manager) acquireCall(i member.Incarnation, p int, epoch uint64) (release func(), err error) {
-	release, err = m.calls.acquire(m.ctx, i)
+// acquireCall waits until a call to an incarnation may run for a claim. The call has to use the returned context, which ends if the
+// incarnation does. acquireCall returns errSuperseded if the claim is outdated by then.
+func (m *Manager) acquireCall(i member.Incarnation, p int, epoch uint64) (call context.Context, release func(), err error) {
+	call, release, err = m.calls.acquire(m.ctx, i)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.current.Entry(p); e.Epoch != epoch || !m.entitled(p, e.Rank(m.self)) {
 		release()
-		return nil, errSuperseded
+		return nil, nil, errSuperseded
 	}
-	return release, nil
+	return call, release, nil
 }
 
 // isServing asks an incarnation whether it serves the partition. If it can't be reached, its expiry has to be proved.
 func (m *Manager) isServing(i member.Incarnation, p int, epoch uint64) (serves, ended bool, err error) {
-	release, err := m.acquireCall(i, p, epoch)
+	call, release, err := m.acquireCall(i, p, epoch)
 	if err != nil {
 		return false, false, err
 	}
@@ -176,9 +179,9 @@
 	if m.Ended(i) {
 		return false, true, nil
 	}
-	response, err := m.requestPromise(i, p, epoch, false)
+	response, err := m.requestPromise(call, i, p, epoch, false)
 	if err != nil {
-		if m.proveExpired(i) {
+		if m.proveExpired(call, i) {
 			return false, true, nil
 		}
 		return false, false, err
@@ -187,13 +190,13 @@
 }
 
 // collectPromise obtains the promise of an incarnation or a proof of its expiry.
-func (m *Manager) collectPromise(i member.Incarnation, p int, epoch uint64) error {
+func (m *Manager) collectPromise(call context.Context, i member.Incarnation, p int, epoch uint64) error {
 	if m.Ended(i) {
 		return nil
 	}
-	response, err := m.requestPromise(i, p, epoch, true)
+	response, err := m.requestPromise(call, i, p, epoch, true)
 	if err != nil {
-		if m.proveExpired(i) {
+		if m.proveExpired(call, i) {
 			return nil
 		}
 		return err
@@ -206,7 +209,9 @@
 }
 
 // requestPromise asks an incarnation for its promise or, without commit, only whether it serves the partition.
-func (m *Manager) requestPromise(i member.Incarnation, p int, epoch uint64, commit bool) (*peer.PromiseResponse, error) {
+func (m *Manager) requestPromise(
+	call context.Context, i member.Incarnation, p int, epoch uint64, commit bool,
+) (*peer.PromiseResponse, error) {
 	client, err := m.dial(i)
 	if err != nil {
 		return nil, err
@@ -215,7 +220,7 @@
 	if commit {
 		timeout += m.drainTimeout
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, timeout)
+	ctx, cancel := context.WithTimeout(call, timeout)
 	defer cancel()
 	return client.Promise(ctx, &peer.PromiseRequest{
 		Service: m.serviceName(), Partition: uint32(p), Epoch: epoch, Commit: commit,
@@ -229,11 +234,15 @@
 	return m.current.Service()
 }
 
-// proveExpired reports whether the witnesses prove within proofTimeout that an incarnation's lease has expired, and records it.
-func (m *Manager) proveExpired(i member.Incarnation) bool {
-	ctx, cancel := context.WithTimeout(m.ctx, proofTimeout)
+// proveExpired reports whether an incarnation has ended, or the witnesses prove within proofTimeout that its lease has expired, which it
+// records.
+func (m *Manager) proveExpired(call context.Context, i member.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(call, proofTimeout)
 	defer cancel()
 	proved, err := m.prove(ctx, i)
+	if m.Ended(i) {
+		return true
+	}
 	if err != nil || !proved {
 		return false
 	}
@@ -243,7 +252,7 @@
 
 // startServing grants the partition to the upstream and begins to serve it.
 func (m *Manager) startServing(p int, e partition.Entry, rank int) error {
-	release, err := m.acquireCall(m.self, p, e.Epoch)
+	call, release, err := m.acquireCall(m.self, p, e.Epoch)
 	if err != nil {
 		return err
 	}
@@ -251,7 +260,7 @@
 	if err := m.beginGrant(p, e, rank); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(call, callTimeout)
 	defer cancel()
 	grantErr := m.granter.Grant(ctx, p, e.Fence(rank))
 	m.mu.Lock()
--- a/ownership/limit.go
+++ b/ownership/limit.go
@@ -18,25 +18,37 @@
 type callLimit struct {
 	slots chan struct{}
 	users int
+	// ctx ends once the incarnation has ended.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
-// acquire waits until fewer than maxConcurrentCalls calls to an incarnation are running. The returned function ends the call. It returns
-// the error of ctx if that ends first.
-func (l *callLimits) acquire(ctx context.Context, i member.Incarnation) (release func(), err error) {
-	limit := l.enter(i)
+// acquire waits until fewer than maxConcurrentCalls calls to an incarnation are running. The returned context is that of the call and
+// derives from ctx, and the returned function ends the call. Both the wait and the call are cancelled by endCalls.
+func (l *callLimits) acquire(ctx context.Context, i member.Incarnation) (call context.Context, release func(), err error) {
+	limit := l.enter(ctx, i)
 	select {
 	case limit.slots <- struct{}{}:
-		return func() {
+		return limit.ctx, func() {
 			<-limit.slots
 			l.leave(i, limit)
 		}, nil
-	case <-ctx.Done():
+	case <-limit.ctx.Done():
 		l.leave(i, limit)
-		return nil, ctx.Err()
+		return nil, nil, limit.ctx.Err()
 	}
 }
 
-func (l *callLimits) enter(i member.Incarnation) *callLimit {
+// endCalls cancels the calls to an incarnation that has ended.
+func (l *callLimits) endCalls(i member.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit, ok := l.limits[i]; ok {
+		limit.cancel()
+	}
+}
+
+func (l *callLimits) enter(ctx context.Context, i member.Incarnation) *callLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limits == nil {
@@ -45,6 +57,7 @@
 	limit, ok := l.limits[i]
 	if !ok {
 		limit = &callLimit{slots: make(chan struct{}, maxConcurrentCalls)}
+		limit.ctx, limit.cancel = context.WithCancel(ctx)
 		l.limits[i] = limit
 	}
 	limit.users++
@@ -56,6 +69,7 @@
 	defer l.mu.Unlock()
 	limit.users--
 	if limit.users == 0 {
+		limit.cancel()
 		delete(l.limits, i)
 	}
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -174,7 +174,7 @@
 }
 
 // SetEnded records that an incarnation's lease has expired and can't be re-acquired, or that the incarnation has left. It starts
-// the claims that this allows.
+// the claims that this allows, and cancels the calls to the incarnation.
 func (m *Manager) SetEnded(i member.Incarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -182,6 +182,7 @@
 		return
 	}
 	m.ended[i] = true
+	m.calls.endCalls(i)
 	m.startClaims()
 }
 
--- a/ownership/silent_test.go
+++ b/ownership/silent_test.go
@@ -138,3 +138,52 @@
 		}
 	})
 }
+
+// TestOwnerEndsDuringCall guards against claims that wait for the response of an earlier owner whose end is known: its partitions have to
+// be served again within a second of its loss.
+func TestOwnerEndsDuringCall(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		earlier peer.Peer
+	}{
+		{"silent", silentPeer{}},
+		{"silent while it gives up the partitions", drainingPeer{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				self, earlier := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
+				ctx, cancel := context.WithCancel(t.Context())
+				prove := func(ctx context.Context, _ member.Incarnation) (bool, error) {
+					<-ctx.Done()
+					return false, ctx.Err()
+				}
+				dial := func(member.Incarnation) (peer.Peer, error) { return test.earlier, nil }
+				m := New(ctx, self, alwaysValid{}, &slowUpstream{held: make(map[int]uint64)}, noHandover{}, prove, dial)
+				defer func() {
+					cancel()
+					m.Wait()
+				}()
+				const partitions = 256
+				m.Update(movedFrom(t, partitions, earlier, self))
+				// A lease that isn't extended any more is proved to have expired after at least simLease.
+				time.Sleep(simLease)
+				m.SetEnded(earlier)
+				for started := time.Now(); len(m.Serving()) < partitions-1; time.Sleep(10 * time.Millisecond) {
+					if took := time.Since(started); took > time.Second-simLease {
+						t.Fatalf("%d of %d partitions served after %v", len(m.Serving()), partitions-1, took)
+					}
+				}
+			})
+		})
+	}
+}
+
+// drainingPeer is an instance that serves the partitions and becomes silent when it is asked to give them up.
+type drainingPeer struct{ silentPeer }
+
+func (p drainingPeer) Promise(ctx context.Context, r *peer.PromiseRequest) (*peer.PromiseResponse, error) {
+	if r.GetCommit() {
+		return p.silentPeer.Promise(ctx, r)
+	}
+	return &peer.PromiseResponse{Serving: true}, nil
+}
