Sidecar: crash reports are repeated until they arrive

A request that crashes upstreams can crash more of them than the limit of three: an instance that didn't get the report of a crash counts it never.

Cause: the report of a crash is one call of at most a second to each instance. A refused or silent connection or a lost response lost it, and nothing else tells other instances of a crash.

Change: the call is repeated for 30 s with pauses of up to 1.5 s, so that an instance knows within 3 s after it can be reached, the bound that the users' rule on retries gives. A report has an idempotency key, so that one whose response was lost counts once. Instances of the previous version ignore the key and may count such a report twice.

Not covered: instances that start or can be reached again more than 30 s after the crash.

TestCrashReportsEndWithProcess guards the change.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -50,6 +50,11 @@
 	g.crashTracker.RecordCrash(time.Now(), fingerprints)
 }
 
+// IsQuarantined reports whether a request with a fingerprint must not run because too many upstreams crashed while it was running.
+func (g *Gateway) IsQuarantined(fingerprint uint64) bool {
+	return g.crashTracker.IsQuarantined(time.Now(), fingerprint)
+}
+
 // HasEnded reports whether the upstream's process has ended: its address refuses connections, it ended the last connection, and none is
 // open. An upstream that has announced that it leaves also stops listening and ends idle connections while it still holds keys, so this
 // isn't concluded of it.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -233,7 +233,7 @@
 		return nil, g.recordFailure(r, f)
 	}
 	r.fingerprint = fingerprint(r)
-	if g.crashTracker.IsQuarantined(time.Now(), r.fingerprint) {
+	if g.IsQuarantined(r.fingerprint) {
 		return nil, g.recordFailure(r, &Failure{
 			Code: code.Quarantined, RetryAfter: quarantineRetryAfter, Reason: "too many upstreams crashed while this request was running",
 		})
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,6 @@
 		if path.Base(r.URL.Path) == "Push" {
 			limit.Max = maxPushBytes
 		}
-		limit.Handler(calls).ServeHTTP(w, r)
+		limit.Handler(calls).ServeHTTP(w, receiveIdempotencyKey(r))
 	})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -131,6 +131,8 @@
 	registry *prometheus.Registry
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
+	// crashReports holds the crash reports that were received.
+	crashReports crashReports
 	// silentPlanners holds the planners that don't respond. Only runReports uses it.
 	silentPlanners silentPlanners
 	// unresponsiveSince is when a witness was found not to respond, by slot. Only the session loop uses it.
@@ -191,7 +193,7 @@
 	sc.group = group
 	sc.gateway = gateway.New(group, sc.settings.Service, sc.settings.UpstreamAddress, sc.adapters.Upstream,
 		gateway.WithKeys(sc.keys), gateway.WithOnChange(sc.upstreamChanged), gateway.WithDrainLimit(sc.settings.DrainLimit),
-		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(sc.broadcastCrash),
+		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(func(f []uint64) { sc.broadcastCrash(running, f) }),
 		gateway.WithDial(sc.adapters.Network.DialContext))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
