Caller: a route that the owner lacks isn't denied

A request for a new route gets 404, which callers don't repeat, if the instance that receives it has the route and that of the owner doesn't yet.

Cause: the 1102 of the other instance was passed on.

Change: it counts as 1505, and the request waits for the owner to get the route, at most as long as for an owner (2 s by default). 1505 has a Retry-After of a second.

Evidence: TestOwnerLacksRoute printed "404, 1102 no-route" in both cases; now 200 once the owner has the route 0.3 s later, and 1505 if it doesn't get it. go test ./caller passes.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -71,6 +71,10 @@
 		}
 	}
 	o := outcome{code: code.Code(number), ran: code.Ran(resp.Header.Get(HeaderRan)), text: "response of " + target.String()}
+	if o.code == code.NoRoute {
+		// The request has a route here, so the other instance lacks it.
+		o.code = code.ConfigOutdated
+	}
 	return result{outcome: o, path: pathForwarded}
 }
 
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,9 +49,16 @@
 }
 
 // testRoutes matches the kinds of testRoute.
-type testRoutes struct{ timeout time.Duration }
+type testRoutes struct {
+	timeout time.Duration
+	// empty is set while the configuration has no routes; nil means that it always has them.
+	empty *atomic.Bool
+}
 
 func (t testRoutes) Match(path, _ string) (Route, bool) {
+	if t.empty != nil && t.empty.Load() {
+		return nil, false
+	}
 	kind, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	switch kind {
 	case "once", "plain", "read", "tiny":
@@ -59,6 +67,8 @@
 	return nil, false
 }
 
+func (testRoutes) Outdated() bool { return false }
+
 // testCluster is a set of instances that share one partition map. It replaces the packages that decide on ownership.
 type testCluster struct {
 	mu                 sync.Mutex
@@ -70,6 +80,8 @@
 
 // testInstance is one instance with its upstream.
 type testInstance struct {
+	// noRoutes is set while the instance's configuration has no routes.
+	noRoutes atomic.Bool
 	cluster  *testCluster
 	self     member.Incarnation
 	server   *Server
@@ -246,7 +258,7 @@
 		}
 	}))
 	options := append([]Option{WithQuarantine(quarantine)}, settings.options...)
-	i.server = New(i, i, testRoutes{timeout: timeout}, i.client, options...)
+	i.server = New(i, i, testRoutes{timeout: timeout, empty: &i.noRoutes}, i.client, options...)
 	public, private := listen(t), fake.NewListener(listen(t))
 	i.peers = private
 	i.url = "http://" + public.Addr().String()
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -94,7 +94,7 @@
 	if in.token != "" {
 		h.Set(HeaderToken, in.token)
 	}
-	if o.code == code.Shed {
+	if o.code == code.Shed || o.code == code.ConfigOutdated {
 		h.Set("Retry-After", "1")
 	}
 	if o.code == code.NotOwner || o.code == code.NoOwner {
--- a/caller/path_test.go
+++ b/caller/path_test.go
@@ -119,3 +119,19 @@
 	_ = resp.Body.Close()
 	group.Wait()
 }
+
+// TestOwnerLacksRoute guards against a 404 for a route that exists because it hasn't reached the instance of the owner yet. Callers don't
+// retry a 404.
+func TestOwnerLacksRoute(t *testing.T) {
+	c := newCluster(t, 2, testSettings{})
+	owner, other := c.instances[0], c.instances[1]
+	owner.noRoutes.Store(true)
+	time.AfterFunc(300*time.Millisecond, func() { owner.noRoutes.Store(false) })
+	if a := other.send(t.Context(), testRequest{method: "GET", path: "/read/k", id: "x"}); a.code != code.OK {
+		t.Errorf("%v, want a success once the owner has the route", a)
+	}
+	owner.noRoutes.Store(true)
+	if a := other.send(t.Context(), testRequest{method: "GET", path: "/read/k", id: "x"}); a.code != code.ConfigOutdated {
+		t.Errorf("%v, want %v while the owner lacks the route", a, code.ConfigOutdated)
+	}
+}
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -268,7 +268,7 @@
 	switch o.code {
 	case code.NotOwner:
 		return retryNextMember
-	case code.NoOwner, code.Moved, code.Draining, code.UpstreamNotWarmed:
+	case code.NoOwner, code.Moved, code.Draining, code.UpstreamNotWarmed, code.ConfigOutdated:
 		return retryWait
 	case code.UpstreamRefused:
 		return retryWaitChargeOnce
