Instance: no 404 while a newer configuration may exist

Requests for a new route, or for all routes at an instance that has just joined, get 404, which callers don't repeat, from an instance that knows that it lacks rows or can't read the table.

Cause: the lack of a configuration, or of a newer one, was taken for the absence of the route.

Change: a request without a route gets 1505 while no configuration is in effect, while another instance has announced newer rows, and while the last poll of the table failed. A successful poll ends the doubt about announced rows that don't exist.

Evidence: TestNoRouteInDoubt printed "got 1102 no-route, want 1505 config-outdated" for no configuration and for announced rows; TestNoRouteWhileTableFails the same. Both pass now. go test ./caller ./instance passes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -73,6 +73,8 @@
 type Routes interface {
 	// Match returns false if no route matches.
 	Match(path, method string) (Route, bool)
+	// Outdated reports whether there may be newer routes: they are known to exist, or this can't be ruled out.
+	Outdated() bool
 }
 
 // Limiter limits the number of requests that run at the upstream concurrently.
--- a/caller/request.go
+++ b/caller/request.go
@@ -75,6 +75,9 @@
 		return err
 	}
 	route, ok := s.routes.Match(r.URL.Path, r.Method)
+	if !ok && s.routes.Outdated() {
+		return code.New(code.ConfigOutdated, "no route for %s %s", r.Method, r.URL.Path)
+	}
 	if !ok {
 		return code.New(code.NoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -123,6 +123,7 @@
 		mapsChanged: make(chan struct{}, 1),
 		started:     time.Now(),
 	}
+	i.routes.rows = &i.rowCache
 	i.controlTraffic.Count(control)
 	i.sheetCache.objects, i.sheetCache.log = i.objects, log
 	i.health.machine = chart.New(chart.MustLoad("upstream"), s.Slot(), log)
--- a/instance/tablesync.go
+++ b/instance/tablesync.go
@@ -35,12 +35,9 @@
 	defer ticker.Stop()
 	for {
 		if i.isReader() {
-			revision := i.rowCache.Revision()
-			if changes, err := i.table.Changes(ctx, revision); err == nil {
-				i.apply(revision, changes)
-			} else if ctx.Err() == nil {
-				klog.V(1).Infof("table: poll failed: %v", err)
-			}
+			i.poll(ctx)
+		} else {
+			i.routes.pollFailed.Store(false)
 		}
 		select {
 		case <-ticker.C:
@@ -51,6 +48,19 @@
 	}
 }
 
+// poll reads the rows that have changed. Announced revisions above that of the table don't exist.
+func (i *Instance) poll(ctx context.Context) {
+	announced, revision := i.routes.announced.Load(), i.rowCache.Revision()
+	changes, err := i.table.Changes(ctx, revision)
+	if err == nil {
+		i.apply(revision, changes)
+		i.routes.announced.CompareAndSwap(announced, 0)
+	} else if ctx.Err() == nil {
+		klog.V(1).Infof("table: poll failed: %v", err)
+	}
+	i.routes.pollFailed.Store(err != nil)
+}
+
 // isReader reports whether this instance polls the table: it is among the first readersPerDataCentre ready members of its
 // data centre in the order of their slot hashes, or has no valid lease and therefore gets no versions with heartbeats.
 func (i *Instance) isReader() bool {
@@ -70,6 +80,7 @@
 func (i *Instance) observeVersions(slot string, v *peer.Versions) {
 	i.clock.Observe(timeline.Stamp(v.GetClock()))
 	if v.GetTable() > i.rowCache.Revision() {
+		i.routes.announce(v.GetTable())
 		requestFetch(i.fetchRequests, slot)
 	}
 }
--- a/instance/tablesync_test.go
+++ b/instance/tablesync_test.go
@@ -23,10 +23,11 @@
 	"sapphiretray/table"
 )
 
-// faultyObjects is a platform whose object store refuses or never answers reads.
+// faultyObjects is a platform whose object store refuses or never answers reads, or whose table refuses calls.
 type faultyObjects struct {
 	platform     fake.Platform
 	down, silent atomic.Bool
+	tableDown    atomic.Bool
 }
 
 func (f *faultyObjects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -34,7 +35,7 @@
 	switch {
 	case isRead && f.silent.Load():
 		<-r.Context().Done()
-	case isRead && f.down.Load():
+	case isRead && f.down.Load(), f.tableDown.Load() && strings.HasPrefix(r.URL.Path, "/v1/rows"):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		f.platform.Handler().ServeHTTP(w, r)
