--- a/sidecar/crash.go
+++ b/sidecar/crash.go
@@ -81,14 +81,15 @@
 		if time.Since(started) > crashReportPeriod || !wait.For(ctx, delay) {
 			return
 		}
-		if current, ok := sc.directory.record(to.Incarnation.Slot()); !ok || current.State.Ended() || current.PeerAddress != to.PeerAddress {
+		current, ok := sc.directory.record(to.Incarnation.Slot())
+		if !ok || current.State.Ended() || current.PeerAddress != to.PeerAddress {
 			return
 		}
 	}
 }
 
-// callQuarantine makes one call that reports a crash. The call doesn't end with the process's context, so that a crash during a planned stop
-// is reported.
+// callQuarantine makes one call that reports a crash. The call doesn't end with the process's context, so that a crash during a planned
+// stop is reported.
 func (sc *Sidecar) callQuarantine(to member.Record, request *peer.QuarantineRequest, key string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 	defer cancel()
--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -51,8 +51,8 @@
 	return w.Result(), nil
 }
 
-// TestCrashReportsArrive guards against instances that don't know of a crash because the call that reports it failed: a request that crashes
-// upstreams would run at theirs too. An instance that has been reachable for 3 s has to know.
+// TestCrashReportsArrive guards against instances that don't know of a crash because the call that reports it failed: a request that
+// crashes upstreams would run at theirs too. An instance that has been reachable for 3 s has to know.
 func TestCrashReportsArrive(t *testing.T) {
 	const contact = 3 * time.Second
 	for _, test := range []struct {
