--- a/ownership/silent_test.go
+++ b/ownership/silent_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"sapphiretray/bubble"
 	"sapphiretray/member"
 	"sapphiretray/partition"
 	"sapphiretray/peer"
@@ -72,7 +73,7 @@
 		{"moved", partition.Entry{Epoch: 2, Members: []member.Incarnation{self}, Previous: []member.Incarnation{responding}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				prove := func(ctx context.Context, _ member.Incarnation) (bool, error) {
 					<-ctx.Done()
@@ -115,7 +116,7 @@
 // TestPromisesKeepPaceWithGrants guards against an owner that gives up many partitions before the upstream has been granted the first
 // ones, which leaves them without an owner for longer than the move of each takes.
 func TestPromisesKeepPaceWithGrants(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		self, earlier := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
 		ctx, cancel := context.WithCancel(t.Context())
 		prove := func(context.Context, member.Incarnation) (bool, error) { return false, nil }
@@ -150,7 +151,7 @@
 		{"silent while it gives up the partitions", drainingPeer{}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				self, earlier := member.NewIncarnation("slot-0", 1), member.NewIncarnation("slot-1", 1)
 				ctx, cancel := context.WithCancel(t.Context())
 				prove := func(ctx context.Context, _ member.Incarnation) (bool, error) {
--- a/sidecar/crash_test.go
+++ b/sidecar/crash_test.go
@@ -7,11 +7,11 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/gateway"
 	"sapphiretray/peer"
 )
@@ -70,7 +70,7 @@
 		{"refused for a while", 10 * time.Second, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				other := New(Settings{Slot: "10.0.0.1", Service: "books"}, Adapters{Store: &silentStore{}, ConfigTable: "op"})
 				other.gateway = gateway.New(new(errgroup.Group), "books", "", struct{ gateway.Protocol }{})
 				link := &crashLink{
@@ -111,7 +111,7 @@
 
 // TestCrashReportsEndWithProcess guards against a process that can't stop while an instance doesn't respond to a crash report.
 func TestCrashReportsEndWithProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		sc := newLinkedSidecar(t, &slowLink{}, 2)
 		sc.dialer = peer.NewDialer(&crashLink{reachable: time.Now().Add(time.Hour)})
 		ctx, cancel := context.WithCancel(t.Context())
