Sidecar: pass announcements on within the data centre

With two of three data centres lost while no call for changes was answered, requests for new routes got 404 on single remaining instances for up to 19 s.

Each instance announced a configuration to the next three instances on a ring of all and to three others, drawn at random. With two thirds of them gone, an instance whose predecessors are all lost depends on the random targets, and some get nothing until their own call ends.

The ring is now that of the local data centre. Announcements reach all of its instances as soon as one has them, and the others through the random targets. The number of datagrams is the same, and more of them stay within the data centre.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -29,9 +29,9 @@
 	checkWaitGrowth = 1.5
 	// maxCheckers is the number of instances whose calls end early. The next one would wait longer than calls do anyway.
 	maxCheckers = 10
-	// ringFanout is the number of the next instances on a ring of all instances to which each passes an announcement on, so that everyone
-	// gets it unless the ringFanout instances before it have failed, or their datagrams are lost. randomFanout is the number of further
-	// ones, drawn at random, through which it reaches the whole ring in a few steps.
+	// ringFanout is the number of the next instances on a ring to which each passes an announcement on, so that everyone gets it unless the
+	// ringFanout instances before it have failed, or their datagrams are lost. randomFanout is the number of further ones, drawn at random,
+	// through which it reaches the other data centres, and the whole ring in a few steps.
 	ringFanout   = 3
 	randomFanout = 3
 	// maxRingTargets bounds the next instances with those that aren't ready, which may be most of them after many replacements.
@@ -142,14 +142,18 @@
 	}
 }
 
-// announcementTargets returns the records of the instances to which this one passes an announcement on. Instances that aren't ready may
-// have left, so that they are told in addition to ringFanout others.
+// announcementTargets returns the records of the instances to which this one passes an announcement on. The ring is that of the local data
+// centre, which stays whole when others are lost or cut off; in a small data centre the next instances of the others follow. Instances that
+// aren't ready may have left, so that they are told in addition to ringFanout others.
 func (sc *Sidecar) announcementTargets() []member.Record {
 	ring := slices.DeleteFunc(sc.reachable(), func(r member.Record) bool { return r.Incarnation.Slot() == sc.settings.Slot })
 	self := xxhash.Sum64String(sc.settings.Slot)
 	// The distance from this instance on the ring, which wraps around.
 	distance := func(r member.Record) uint64 { return xxhash.Sum64String(r.Incarnation.Slot()) - self }
-	slices.SortFunc(ring, func(a, b member.Record) int { return cmp.Compare(distance(a), distance(b)) })
+	isLocal := func(r member.Record) bool { return r.DataCentre == sc.settings.DataCentre }
+	slices.SortFunc(ring, func(a, b member.Record) int {
+		return cmp.Or(compareFirst(isLocal(a), isLocal(b)), cmp.Compare(distance(a), distance(b)))
+	})
 	next, ready := 0, 0
 	for ; next < len(ring) && next < maxRingTargets && ready < ringFanout; next++ {
 		if ring[next].State == member.Ready {
--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -301,11 +301,19 @@
 
 // runConfigFleet runs a deployment while test runs, after all instances have the first configuration.
 func runConfigFleet(t *testing.T, instances int, test func(f *configFleet)) {
+	t.Helper()
+	runConfigFleetWithin(t, instances, 0, test)
+}
+
+// runConfigFleetWithin is like runConfigFleet with instances whose settings have a limit of the configuration.
+func runConfigFleetWithin(t *testing.T, instances int, limit time.Duration, test func(f *configFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &configFleet{store: newConfigStore()}
 		for n := range instances {
-			sc := New(Settings{Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3)}, Adapters{
+			sc := New(Settings{
+				Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3), ConfigLimit: limit,
+			}, Adapters{
 				Store: f.store, ConfigTable: "op", ConfigKey: "config",
 				DecodeConfig: func(content []byte) (*routing.Table, error) {
 					version, err := strconv.ParseUint(string(content), 10, 64)
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -74,10 +74,15 @@
 
 // compareReady orders records of instances that are ready before others.
 func compareReady(a, b member.Record) int {
-	switch readyA, readyB := a.State == member.Ready, b.State == member.Ready; {
-	case readyA == readyB:
+	return compareFirst(a.State == member.Ready, b.State == member.Ready)
+}
+
+// compareFirst orders what has a property before what hasn't.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
 		return 0
-	case readyA:
+	case a:
 		return -1
 	default:
 		return 1
