Sidecar: an announced configuration is fetched from whoever responds

While the store doesn't respond to an instance, a configuration isn't in effect there in time if several of the instances that announced it to this one don't respond either, and not before these or the store respond again if none does, although all other instances have it.

Cause: only announcers were asked, one after the other, and a silent one was given the time of a slow transfer, which doubles each time.

Change: once a fetch has failed, up to eight instances are probed at the same time and the first that responds is asked, announcers before others. If none responds within 0.5 s, the next announcer is asked as before, so that slow links are still given time. At most eight others are asked before the pause that follows a round.

--- a/sidecar/configfetch_test.go
+++ b/sidecar/configfetch_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,17 +43,31 @@
 	return nil, 0, ctx.Err()
 }
 
-// peers serves the calls to other instances. Those with configuration 2 respond after the given time, the others don't respond.
+// peers serves the calls to other instances. Those with configuration 2 transfer it within the given time and respond to probes at once,
+// the others don't respond.
 type peers struct {
 	delays map[string]time.Duration
 }
 
+// allBut returns peers of which all have the configuration except those in some slots.
+func allBut(transfer time.Duration, silent ...string) peers {
+	p := peers{make(map[string]time.Duration)}
+	for n := range 9 {
+		if slot := fmt.Sprint("10.0.0.", n); !slices.Contains(silent, slot) {
+			p.delays[slot] = transfer
+		}
+	}
+	return p
+}
+
 // RoundTrip implements http.RoundTripper. The host of the request is the slot of the instance.
 func (p peers) RoundTrip(r *http.Request) (*http.Response, error) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	delay, ok := p.delays[r.URL.Hostname()]
 	if !ok {
 		delay = time.Hour
+	} else if r.Method == http.MethodGet {
+		delay = 5 * time.Millisecond
 	}
 	if !wait.For(r.Context(), delay) {
 		return nil, r.Context().Err()
@@ -90,6 +105,15 @@
 		{"newer rows are announced too", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.1"}, 100},
 		// Slot 3 is in the local data centre.
 		{"an announcer doesn't respond", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.3", "10.0.0.1"}, 0},
+		{"the only announcer doesn't respond", allBut(transfer, "10.0.0.3"), bound, []string{"10.0.0.3"}, 0},
+		{
+			"three announcers don't respond", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound,
+			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2", "10.0.0.1"}, 0,
+		},
+		{
+			"no announcer responds", allBut(transfer, "10.0.0.3", "10.0.0.6", "10.0.0.2"), bound,
+			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2"}, 0,
+		},
 		// The transfer takes most of the bound, so only a fetch without end is a failure.
 		{"slow transfer", peers{map[string]time.Duration{"10.0.0.1": 1500 * time.Millisecond}}, 10 * time.Second, []string{"10.0.0.1"}, 0},
 	}
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -185,7 +185,8 @@
 	return sc.announced[slot]
 }
 
-// fetchConfig fetches announced configurations that the store doesn't deliver from the instances that have them, until ctx ends.
+// fetchConfig fetches announced configurations that the store doesn't deliver from other instances, until ctx ends. Those that have
+// announced them are asked first.
 func (sc *Sidecar) fetchConfig(ctx context.Context) {
 	for {
 		select {
@@ -195,12 +196,19 @@
 		}
 		timeout := configFetchTimeout
 		tried := make(map[string]bool)
+		// After a failed fetch, another timeout isn't spent on an instance that doesn't respond.
+		failed := false
 		for delay := fetchDelay; sc.isConfigMissing() && wait.For(ctx, delay); {
 			delay = configPollInterval
 			if !sc.isConfigOverdue(time.Now()) {
 				continue
 			}
 			slot, ok := sc.configSource(tried)
+			if failed {
+				if responding, found := sc.respondingSource(ctx, tried); found {
+					slot, ok = responding, true
+				}
+			}
 			if !ok {
 				clear(tried)
 				delay = fetchRetryDelay
@@ -208,7 +216,9 @@
 			}
 			tried[slot] = true
 			started := time.Now()
-			if _, ok := sc.fetchAndMerge(ctx, slot, sc.config, timeout); !ok && time.Since(started) >= timeout {
+			_, ok = sc.fetchAndMerge(ctx, slot, sc.config, timeout)
+			failed = failed || !ok
+			if !ok && time.Since(started) >= timeout {
 				// The transfer may take longer than the timeout.
 				timeout = min(2*timeout, maxFetchTimeout)
 			}
@@ -216,22 +226,6 @@
 	}
 }
 
-// configSource returns the slot of a reachable instance that has a newer configuration and wasn't tried yet, if possible one in the local
-// data centre, and false if there is none.
-func (sc *Sidecar) configSource(tried map[string]bool) (slot string, ok bool) {
-	unreachable := sc.directory.unreachableSlots()
-	for _, candidate := range sc.configLag.newerThan(sc.knownConfig()) {
-		if tried[candidate] || slices.Contains(unreachable, candidate) {
-			continue
-		}
-		if r, known := sc.directory.record(candidate); known && r.DataCentre == sc.settings.DataCentre {
-			return candidate, true
-		}
-		slot, ok = candidate, true
-	}
-	return slot, ok
-}
-
 // isConfigOverdue reports whether an announced configuration should be fetched from another instance, see isOverdue. While the store
 // responds, a fetch would delay its responses on a slow link.
 func (sc *Sidecar) isConfigOverdue(now time.Time) bool {
