Sidecar: metrics tell an old configuration

Operators saw: sapphiretray_store_reachable 1 on an instance whose calls for the configuration weren't answered. The age of the last response doesn't tell either, since a call waits for changes for up to 20 s.

Cause: the metric was that of the rows alone, and none showed the doubt by which the instance answers 1505 in place of 1102.

Change: sapphiretray_store_reachable is 1 only if the last calls for both succeeded. sapphiretray_config_outdated is 1 while a newer configuration has been announced or can't be ruled out. Readiness stays as it is, and docs/OPERATIONS.md says so: an instance with an old configuration still serves the routes that it knows.

Evidence: TestMetricsTellOldConfig printed "store_reachable is 1, want 0" and had no metric of the doubt; it passes now.

--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -33,7 +33,10 @@
 		return float64(sc.directory.keyMap(sc.settings.Service).keys.Version())
 	})
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(sc.routes.Load().Version()) })
-	gauge("store_reachable", "1 if the last call to the store succeeded.", func() float64 { return boolValue(sc.rows.Reachable()) })
+	gauge("config_outdated", "1 while a newer configuration than that in force is known to exist or can't be ruled out.",
+		func() float64 { return boolValue(sc.routes.Load() == nil || sc.isConfigOutdated()) })
+	gauge("store_reachable", "1 if the last calls to the store for the configuration and for the rows succeeded.",
+		func() float64 { return boolValue(sc.config.Reachable() && sc.rows.Reachable()) })
 	sc.registerStoreMetrics("config", sc.config)
 	sc.registerStoreMetrics("rows", sc.rows)
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
