--- a/sidecar/configfetch_test.go
+++ b/sidecar/configfetch_test.go
@@ -107,12 +107,16 @@
 		{"an announcer doesn't respond", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound, []string{"10.0.0.3", "10.0.0.1"}, 0},
 		{"the only announcer doesn't respond", allBut(transfer, "10.0.0.3"), bound, []string{"10.0.0.3"}, 0},
 		{
-			"three announcers don't respond", peers{map[string]time.Duration{"10.0.0.1": transfer}}, bound,
-			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2", "10.0.0.1"}, 0,
+			"three announcers don't respond",
+			peers{map[string]time.Duration{"10.0.0.1": transfer}},
+			bound,
+			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2", "10.0.0.1"},
+			0,
 		},
 		{
 			"no announcer responds", allBut(transfer, "10.0.0.3", "10.0.0.6", "10.0.0.2"), bound,
-			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2"}, 0,
+			[]string{"10.0.0.3", "10.0.0.6", "10.0.0.2"},
+			0,
 		},
 		// The transfer takes most of the bound, so only a fetch without end is a failure.
 		{"slow transfer", peers{map[string]time.Duration{"10.0.0.1": 1500 * time.Millisecond}}, 10 * time.Second, []string{"10.0.0.1"}, 0},
--- a/sidecar/configsource.go
+++ b/sidecar/configsource.go
@@ -57,7 +57,7 @@
 	for _, records := range [][]member.Record{preferred, others} {
 		rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 	}
-	candidates := append(preferred, others...)
+	candidates := slices.Concat(preferred, others)
 	return sc.firstResponding(ctx, candidates[:min(len(candidates), maxSourceProbes)])
 }
 
