--- a/instance/instance.go
+++ b/instance/instance.go
@@ -86,7 +86,10 @@
 	mapsChanged chan struct{}
 	pendingMaps pendingMaps
 	// background counts the goroutines that call other instances or the upstream and outlive the function that started them.
-	background  sync.WaitGroup
+	background sync.WaitGroup
+	// lifetime ends when the servers and control loops have ended.
+	lifetime    context.Context
+	endLifetime context.CancelFunc
 	started     time.Time
 	suspects    suspectedIncarnations
 	statusCache statusCache
@@ -123,6 +126,7 @@
 		mapsChanged: make(chan struct{}, 1),
 		started:     time.Now(),
 	}
+	i.lifetime, i.endLifetime = context.WithCancel(context.Background())
 	i.routes.rows = &i.rowCache
 	i.controlTraffic.Count(control)
 	i.sheetCache.objects, i.sheetCache.log = i.objects, log
@@ -157,6 +161,7 @@
 		return i.runSessions(ctx, running)
 	})
 	err = group.Wait()
+	i.endLifetime()
 	i.background.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
