--- a/instance/quarantine_test.go
+++ b/instance/quarantine_test.go
@@ -50,7 +50,8 @@
 			server.Start()
 			t.Cleanup(server.Close)
 			i.directory.members["b"] = member.Record{
-				Incarnation: member.NewIncarnation("b", 1), Service: "bookings", State: member.Ready, PeerAddress: server.Listener.Addr().String(),
+				Incarnation: member.NewIncarnation("b", 1), Service: "bookings", State: member.Ready,
+				PeerAddress: server.Listener.Addr().String(),
 			}
 			i.broadcastQuarantine([]uint64{1}, nil)
 			select {
