Sidecar: readers that don't respond aren't asked twice before the announcer

While neither the store nor the readers of its data centre respond to an instance, announced rows arrive there 4.2 s late, so that it looks for keys at owners that have gone.

Cause: each reader was asked twice, for up to 1 s each time, before the instance that had announced the rows. Between processes the pings of a connection end such a call after 0.3 s.

Change: readers that didn't respond are left out the second time.

Evidence: TestAnnouncedRowsComeFromReaders, "the readers don't respond", printed "the rows arrived after 4.22s, want at most 3s"; it passes now.

--- a/sidecar/push_test.go
+++ b/sidecar/push_test.go
@@ -27,6 +27,8 @@
 	took time.Duration
 	// known returns the version of the rows that an instance has.
 	known func(slot string) uint64
+	// silent holds the slots of instances that don't respond.
+	silent map[string]bool
 
 	mu            sync.Mutex
 	calls         map[string]int
@@ -47,6 +49,10 @@
 	l.inFlight++
 	l.max = max(l.max, l.inFlight)
 	l.mu.Unlock()
+	if l.silent[slot] {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	time.Sleep(l.took)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,10 +140,13 @@
 		within  time.Duration
 		// asked is the number of calls to the announcer.
 		asked int
+		// silent is set if the readers don't respond.
+		silent bool
 	}{
-		{"the readers have the rows", 0, 200 * time.Millisecond, 0},
-		{"the readers are about to get the rows", 200 * time.Millisecond, 250 * time.Millisecond, 0},
-		{"the readers don't get the rows", time.Hour, 300 * time.Millisecond, 1},
+		{"the readers have the rows", 0, 200 * time.Millisecond, 0, false},
+		{"the readers are about to get the rows", 200 * time.Millisecond, 250 * time.Millisecond, 0, false},
+		{"the readers don't get the rows", time.Hour, 300 * time.Millisecond, 1, false},
+		{"the readers don't respond", time.Hour, 3 * time.Second, 1, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -150,6 +159,14 @@
 					return 0
 				}}
 				sc := newLinkedSidecar(t, link, 13)
+				link.silent = make(map[string]bool)
+				if test.silent {
+					// An instance that isn't a reader itself asks both of them.
+					sc.settings.Slot = "10.0.0.12"
+					for _, slot := range sc.readers() {
+						link.silent[slot] = true
+					}
+				}
 				ctx, cancel := context.WithCancel(t.Context())
 				var group sync.WaitGroup
 				group.Go(func() { sc.fetchAnnounced(ctx) })
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -151,8 +151,8 @@
 }
 
 // fetchAnnounced fetches announced rows from other instances until ctx ends. It asks the readers of the local data centre, because traffic
-// between data centres is expensive. The instance that announced the rows is asked only if the readers don't get them from the store soon:
-// each change is announced to all instances by the one that made it, and its link can't carry the rows to all of them.
+// between data centres is expensive. The instance that announced the rows is asked only if the readers don't respond or don't get them from
+// the store soon: each change is announced to all instances by the one that made it, and its link can't carry the rows to all of them.
 func (sc *Sidecar) fetchAnnounced(ctx context.Context) {
 	for {
 		select {
@@ -161,21 +161,27 @@
 		case slot := <-sc.announcers:
 			wanted := sc.announcedBy(slot)
 			wait.For(ctx, fetchDelay)
-			sc.fetchRowsFrom(ctx, wanted, sc.readers())
+			failed := sc.fetchRowsFrom(ctx, wanted, sc.readers())
 			if wanted > sc.rows.Newest() && wait.For(ctx, readerDelay) {
-				sc.fetchRowsFrom(ctx, wanted, append(sc.readers(), slot))
+				readers := slices.DeleteFunc(sc.readers(), func(s string) bool { return slices.Contains(failed, s) })
+				sc.fetchRowsFrom(ctx, wanted, append(readers, slot))
 			}
 		}
 	}
 }
 
-// fetchRowsFrom fetches rows from one instance after the other until those of the wanted version have arrived.
-func (sc *Sidecar) fetchRowsFrom(ctx context.Context, wanted uint64, slots []string) {
+// fetchRowsFrom fetches rows from one instance after the other until those of the wanted version have arrived. It returns the slots of
+// those that didn't respond.
+func (sc *Sidecar) fetchRowsFrom(ctx context.Context, wanted uint64, slots []string) (failed []string) {
 	for _, slot := range slots {
-		if slot != sc.settings.Slot && wanted > sc.rows.Newest() && ctx.Err() == nil {
-			sc.fetchAndMerge(ctx, slot, sc.rows, fetchTimeout)
+		if slot == sc.settings.Slot || wanted <= sc.rows.Newest() || ctx.Err() != nil {
+			continue
+		}
+		if _, ok := sc.fetchAndMerge(ctx, slot, sc.rows, fetchTimeout); !ok {
+			failed = append(failed, slot)
 		}
 	}
+	return failed
 }
 
 // announcedBy returns the last newer version of the rows that an instance has announced.
