Ownership: a drain doesn't end claims that wait for their grant

Cause: the check that a claim isn't outdated, which follows the wait, also refuses incarnations that drain.

Change: only a newer entry or promise ends a claim before its grant, as before.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -252,7 +252,8 @@
 
 // startServing grants the partition to the upstream and begins to serve it.
 func (m *Manager) startServing(p int, e partition.Entry, rank int) error {
-	call, release, err := m.acquireCall(m.self, p, e.Epoch)
+	// A drain that begins now doesn't end the claim: the earlier owners have given up the partition.
+	call, release, err := m.calls.acquire(m.ctx, m.self)
 	if err != nil {
 		return err
 	}
@@ -291,12 +292,12 @@
 }
 
 // beginGrant records that the upstream may hold the partition from now on. It returns an error if the grant must not be sent, because
-// the lease has expired or a promise forbids it.
+// the lease has expired, there is a newer entry or a promise forbids it.
 func (m *Manager) beginGrant(p int, e partition.Entry, rank int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lp := m.localPartition(p)
-	if lp.minEpoch > e.Epoch {
+	if m.current.Epoch(p) != e.Epoch || lp.minEpoch > e.Epoch {
 		return errSuperseded
 	}
 	if !m.lease.Valid() {
--- a/ownership/silent_test.go
+++ b/ownership/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -187,3 +188,42 @@
 	}
 	return &peer.PromiseResponse{Serving: true}, nil
 }
+
+// TestDrainBeforeGrant guards against a partition without an owner because this incarnation began to drain after the earlier owner had
+// given it up and before the grant.
+func TestDrainBeforeGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := member.NewIncarnation("slot-0", 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		prove := func(context.Context, member.Incarnation) (bool, error) { return false, nil }
+		var promised atomic.Int64
+		dial := func(member.Incarnation) (peer.Peer, error) { return promisingPeer{promised: &promised}, nil }
+		upstream := &slowUpstream{held: make(map[int]uint64), grantDelay: 100 * time.Millisecond}
+		m := New(ctx, self, alwaysValid{}, upstream, noHandover{}, prove, dial)
+		defer func() {
+			cancel()
+			m.Wait()
+		}()
+		current, err := partition.New("bookings", 256)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var moves []partition.Move
+		for p := range 256 {
+			// The calls to several owners run at the same time, so that their partitions wait for their grants.
+			earlier := member.NewIncarnation(fmt.Sprint("slot-", 1+p%4), 1)
+			entry := partition.Entry{Epoch: 1, Members: []member.Incarnation{self}, Previous: []member.Incarnation{earlier}}
+			moves = append(moves, partition.Move{Partition: p, Entry: entry})
+		}
+		if current, err = current.Apply(1, moves); err != nil {
+			t.Fatal(err)
+		}
+		m.Update(current)
+		time.Sleep(50 * time.Millisecond)
+		m.Drain()
+		time.Sleep(time.Second)
+		if served := len(m.Serving()); int64(served) != promised.Load() {
+			t.Errorf("%d of %d partitions that were given up are served", served, promised.Load())
+		}
+	})
+}
