store: don't count as reachable while calls for changes are refused

Cause: each listing made the store count as reachable until the next refused call. The planner accepts reports only while it is reachable, so that two instances would have taken turns. The next call for changes doesn't wait at the store, so that this shows at once after an outage. History lost counts as an answer.

--- a/store/call.go
+++ b/store/call.go
@@ -245,6 +245,7 @@
 		f.preferred = SourceChanges
 	case errors.Is(err, ErrHistoryLost):
 		f.losses++
+		f.refusals = 0
 	case d.Waited == 0 && d.Took >= c.due+minResponseDelay:
 		// The store's client gave up before the deadline, which grows. Calls for changes may stay unanswered while listings don't.
 		f.preferred = SourceListing
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,8 +52,8 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
-	// refusals is the number of calls for changes that failed, and losses of those that found the history lost, since the last one that
-	// succeeded. Only Run uses them.
+	// refusals is the number of calls for changes that were refused since the last one that was answered, and losses that of those that found
+	// the history lost since the last one that succeeded. Only Run uses them.
 	refusals, losses int
 
 	// mergeMu keeps the calls of changed in order.
@@ -171,8 +171,9 @@
 		return f.list(ctx)
 	}
 	pollWait, pause := spread(f.maxWait()), batchInterval
-	if f.InDoubt() {
-		// While the store doesn't answer, a call that may wait there would hang long after it answers others again.
+	if f.InDoubt() || f.refusals > 0 {
+		// While the store doesn't answer, a call that may wait there would hang long after it answers others again. After refused calls,
+		// one that is answered at once shows that calls for changes succeed.
 		pollWait = 0
 	}
 	if !watch {
@@ -243,7 +244,9 @@
 	f.advance(version)
 	f.listed = true
 	// Those who wait for the listing then find the store reachable.
-	f.noteReachable(nil)
+	if f.refusals == 0 {
+		f.noteReachable(nil)
+	}
 	close(f.listings)
 	f.listings = make(chan struct{})
 	f.mu.Unlock()
@@ -410,7 +413,7 @@
 // Table returns the table's name.
 func (f *Follower) Table() string { return f.table }
 
-// Reachable reports whether the last call to the store succeeded.
+// Reachable reports whether the last call to the store succeeded. After refused calls for changes, it doesn't until one succeeds.
 func (f *Follower) Reachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// TestFollowerFeedFails guards against a copy that stays out of date while the store answers listings but no calls for changes, and against
-// calls without a pause.
+// TestFollowerFeedFails guards against a copy that stays out of date while the store answers listings but no calls for changes, against
+// calls without a pause, and against a store that counts as reachable now and then: two instances would take turns as the planner.
 func TestFollowerFeedFails(t *testing.T) {
 	const (
 		bound = 2 * time.Second
@@ -68,11 +68,12 @@
 		changes = 30
 	)
 	tests := []struct {
-		name string
-		err  error
+		name      string
+		err       error
+		reachable bool
 	}{
-		{"refused", store.ErrUnavailable},
-		{"history lost each time", store.ErrHistoryLost},
+		{"refused", store.ErrUnavailable, false},
+		{"history lost each time", store.ErrHistoryLost, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -81,15 +82,24 @@
 				time.Sleep(10 * time.Second)
 				m.set(func(m *memory) { m.calls = 0 })
 				var latest time.Duration
+				flips := 0
 				start := time.Now()
 				for n := range changes {
-					written := time.Now()
+					written, arrived := time.Now(), false
 					m.put("a", fmt.Sprint(n))
-					for value(f, "a") != fmt.Sprint(n) && time.Since(written) < 2*bound {
+					for time.Since(written) < time.Second || !arrived && time.Since(written) < 2*bound {
 						time.Sleep(10 * time.Millisecond)
+						if !arrived {
+							latest = max(latest, time.Since(written))
+						}
+						arrived = value(f, "a") == fmt.Sprint(n)
+						if f.Reachable() != test.reachable {
+							flips++
+						}
 					}
-					latest = max(latest, time.Since(written))
-					time.Sleep(time.Until(written.Add(time.Second)))
+				}
+				if flips > 0 {
+					t.Errorf("the store counts as reachable: %v at %d times", !test.reachable, flips)
 				}
 				if latest > bound {
 					t.Errorf("a change arrived after %v, want at most %v", latest, bound)
