--- a/store/follower.go
+++ b/store/follower.go
@@ -52,8 +52,8 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
-	// refusals is the number of calls for changes that failed, and losses of those that found the history lost, since the last one that
-	// succeeded. Only Run uses them.
+	// refusals is the number of calls for changes that were refused since the last one that was answered, and losses that of those that found
+	// the history lost since the last one that succeeded. Only Run uses them.
 	refusals, losses int
 
 	// mergeMu keeps the calls of changed in order.
@@ -171,8 +171,9 @@
 		return f.list(ctx)
 	}
 	pollWait, pause := spread(f.maxWait()), batchInterval
-	if f.InDoubt() {
-		// While the store doesn't answer, a call that may wait there would hang long after it answers others again.
+	if f.InDoubt() || f.refusals > 0 {
+		// While the store doesn't answer, a call that may wait there would hang long after it answers others again. After refused calls,
+		// one that is answered at once shows that calls for changes succeed.
 		pollWait = 0
 	}
 	if !watch {
