fake, Platform: connections silent in one direction, resets, lost datagrams

Relays can silence open connections in one direction only, reset them and drop a share of the datagrams. An upstream can take longer for paths with a prefix.

--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,9 +32,12 @@
 	mu          sync.Mutex
 	slots       int
 	serviceTime time.Duration
-	running     int
-	maxRunning  int
-	grants      []keyGrant
+	// slowPrefix is the prefix of the paths of requests that take slowTime.
+	slowPrefix string
+	slowTime   time.Duration
+	running    int
+	maxRunning int
+	grants     []keyGrant
 	// runs counts the runs of a request by its id.
 	runs map[string]int
 	// sequence numbers the heartbeats.
@@ -75,6 +79,11 @@
 	u.Set(func(u *KeyedUpstream) { u.serviceTime = d })
 }
 
+// SetSlow sets the time that requests take whose paths have a prefix.
+func (u *KeyedUpstream) SetSlow(prefix string, d time.Duration) {
+	u.Set(func(u *KeyedUpstream) { u.slowPrefix, u.slowTime = prefix, d })
+}
+
 // SetShed makes the upstream refuse all requests.
 func (u *KeyedUpstream) SetShed(shed bool) { u.Set(func(u *KeyedUpstream) { u.shed = shed }) }
 
@@ -247,6 +256,9 @@
 	u.running++
 	u.maxRunning = max(u.maxRunning, u.running)
 	serviceTime := u.serviceTime
+	if u.slowPrefix != "" && strings.HasPrefix(r.URL.Path, u.slowPrefix) {
+		serviceTime = u.slowTime
+	}
 	u.mu.Unlock()
 	body, _ := io.ReadAll(r.Body)
 	wait.For(r.Context(), serviceTime)
--- a/fake/relay.go
+++ b/fake/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	relayPollInterval = 20 * time.Millisecond
 	// relayQueue is how many pieces of data may be on their way in one direction of a connection.
 	relayQueue = 64
+	// lossUnit is a share of 1 of the packets that are dropped.
+	lossUnit = 1_000_000
 )
 
 // Direction is the direction of the data that a cut affects, as seen from the side that opens connections.
@@ -37,11 +40,14 @@
 )
 
 // Relay forwards TCP connections and UDP packets to one target and simulates network partitions: it can cut the traffic of a source
-// address. A cut delays TCP data and leaves the connections open; it drops UDP packets. A relay can also be slow, see SetDelay.
+// address. A cut delays TCP data and leaves the connections open; it drops UDP packets. A relay can also be slow, see SetDelay, and lose
+// packets, see SetLoss.
 type Relay struct {
 	target   string
 	listener net.Listener
 	packets  net.PacketConn
+	// loss is the share of UDP packets that are dropped, in millionths.
+	loss atomic.Int64
 	// delay is the time in nanoseconds that TCP data takes.
 	delay atomic.Int64
 	mu    sync.Mutex
@@ -56,8 +62,12 @@
 // relayedConn is a TCP connection from a source to the target.
 type relayedConn struct {
 	source, target net.Conn
-	// silent means that the connection delivers nothing further.
-	silent atomic.Bool
+	// silent has the directions in which the connection delivers nothing further.
+	silent atomic.Int32
+}
+
+func (c *relayedConn) isSilent(direction Direction) bool {
+	return Direction(c.silent.Load())&direction != 0
 }
 
 // NewRelay listens on a free port of an IP address for TCP, and on the same port for UDP.
@@ -93,14 +103,36 @@
 }
 
 // Silence makes the open TCP connections deliver nothing further in either direction, without closing them. New connections work.
-func (r *Relay) Silence() {
+func (r *Relay) Silence() { r.SilenceOneWay(Both) }
+
+// SilenceOneWay makes the open TCP connections deliver nothing further in the directions given, without closing them.
+func (r *Relay) SilenceOneWay(direction Direction) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.open {
-		c.silent.Store(true)
+		c.silent.Or(int32(direction))
 	}
 }
 
+// Reset resets the open TCP connections on both sides.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		for _, conn := range []net.Conn{c.source, c.target} {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+}
+
+// SetLoss sets the share of UDP packets, from 0 to 1, that are dropped in each direction.
+func (r *Relay) SetLoss(share float64) { r.loss.Store(int64(share * lossUnit)) }
+
+func (r *Relay) isLost() bool { return rand.Int64N(lossUnit) < r.loss.Load() }
+
 // SetDelay sets how long TCP data that arrives from now on takes in each direction. The end of a connection takes as long.
 func (r *Relay) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
@@ -193,7 +225,7 @@
 		for r.isCut(source, direction) && ctx.Err() == nil {
 			time.Sleep(relayPollInterval)
 		}
-		if c.silent.Load() {
+		if c.isSilent(direction) {
 			if err == nil {
 				continue
 			}
@@ -250,7 +282,7 @@
 		if err != nil {
 			return err
 		}
-		if !r.isCut(hostOf(source), Outbound) {
+		if !r.isCut(hostOf(source), Outbound) && !r.isLost() {
 			// As on a network, a packet to a target that doesn't listen is lost.
 			_, _ = flow.Write(buffer[:n])
 		}
@@ -285,7 +317,7 @@
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) {
 			return
 		}
-		if err == nil && !r.isCut(hostOf(source), Inbound) {
+		if err == nil && !r.isCut(hostOf(source), Inbound) && !r.isLost() {
 			_, _ = r.packets.WriteTo(buffer[:n], source)
 		}
 	}
