--- a/ownership/silent_test.go
+++ b/ownership/silent_test.go
@@ -193,7 +193,7 @@
 // TestDrainBeforeGrant guards against a partition without an owner because this incarnation began to drain after the earlier owner had
 // given it up and before the grant.
 func TestDrainBeforeGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		self := member.NewIncarnation("slot-0", 1)
 		ctx, cancel := context.WithCancel(t.Context())
 		prove := func(context.Context, member.Incarnation) (bool, error) { return false, nil }
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"sapphiretray/bubble"
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
 	"sapphiretray/heartbeat"
@@ -53,7 +53,7 @@
 
 // TestMetricsTellOldConfig guards against an instance whose metrics look sound while its configuration is, or may be, an old one.
 func TestMetricsTellOldConfig(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		sc := New(Settings{Slot: "10.0.0.0", Service: "books"}, Adapters{
 			Store: &silentConfigStore{}, ConfigTable: "op", ConfigKey: "config",
 			DecodeConfig: func(content []byte) (*routing.Table, error) {
