Sidecar: let any single checker learn of a configuration in time

If the instances that check for changes most often fail at the moment from which on no call for changes is answered, a configuration was in effect on the others 3.0 to 5.5 s later, so that requests for new routes got 404.

The waits of ten checkers grew by half from one to the next, without a bound: the fifth waited for 3 s and the sixth for 4.6 s at a limit of 2 s. Now there are eight whose waits double up to 2 s. Each of them learns of a change early enough for all others to have it within 3 s, so that seven may fail at once, or two of three data centres.

--- a/sidecar/checkers.go
+++ b/sidecar/checkers.go
@@ -25,10 +25,14 @@
 	// readerWait is how long a reader's call waits for changes of the rows. Readers have to learn of a change within 3 s, so that other
 	// instances do within unlistedWait.
 	readerWait = 1500 * time.Millisecond
-	// checkWaitGrowth is the ratio between the waits of one checker and the one before it.
-	checkWaitGrowth = 1.5
-	// maxCheckers is the number of instances whose calls end early. The next one would wait longer than calls do anyway.
-	maxCheckers = 10
+	// checkWaitGrowth is the ratio between the waits of one checker and the one before it, and maxCheckWait the longest wait of a checker.
+	// With it any single checker learns of a change in time for the others to have it within 3 s after their calls went silent.
+	checkWaitGrowth = 2
+	maxCheckWait    = 2 * time.Second
+	// maxCheckers is the number of instances whose calls end early. All but one of them may fail at once.
+	maxCheckers = 8
+	// unlimitedWait lets calls wait for as long as the follower allows.
+	unlimitedWait time.Duration = math.MaxInt64
 	// ringFanout is the number of the next instances on a ring to which each passes an announcement on, so that everyone gets it unless the
 	// ringFanout instances before it have failed, or their datagrams are lost. randomFanout is the number of further ones, drawn at random,
 	// through which it reaches the other data centres, and the whole ring in a few steps.
@@ -44,8 +48,8 @@
 
 // configWait returns how long a call of this instance for changes of the configuration may wait at the store. While no call is answered any
 // more, as after the loss of all connections at once, no instance gets the changes and announces them. So some instances, the checkers, ask
-// again at intervals, the first ones at short intervals. Later checkers wait longer and matter if those before them have failed, so that
-// the number of calls doesn't grow with that of the instances.
+// again at intervals, the first ones at short intervals. Later checkers wait longer and matter if those before them have failed at the same
+// moment. The number of checkers, and so that of their calls, doesn't grow with that of the instances.
 func (sc *Sidecar) configWait() time.Duration {
 	first := checkWaitShare * float64(cmp.Or(sc.settings.ConfigLimit, defaultConfigLimit))
 	records := sc.responding()
@@ -54,9 +58,9 @@
 	}
 	position := slices.Index(slotsOf(checkers(records)), sc.settings.Slot)
 	if position < 0 {
-		position = maxCheckers
+		return unlimitedWait
 	}
-	return time.Duration(first * math.Pow(checkWaitGrowth, float64(position)))
+	return min(time.Duration(first*math.Pow(checkWaitGrowth, float64(position))), maxCheckWait)
 }
 
 // rowsWait returns how long a call of this instance for changes of the rows may wait at the store. It is short for all instances, because
--- a/sidecar/lostcheckers_test.go
+++ b/sidecar/lostcheckers_test.go
@@ -18,17 +18,25 @@
 	return slots
 }
 
-// TestConfigAfterSilenceAndLoss guards against a configuration that is in effect late on the remaining instances because whole data
-// centres fail at the moment from which on no call for changes is answered any more.
+// TestConfigAfterSilenceAndLoss guards against a configuration that is in effect late on the remaining instances because those that check
+// for changes most often, or whole data centres, fail at the moment from which on no call for changes is answered any more.
 func TestConfigAfterSilenceAndLoss(t *testing.T) {
 	// bound is the time after the loss of connections from which on a configuration has to be in effect within its limit again. The longest
 	// limit is as long.
 	const bound = 3 * time.Second
+	first := func(count int) func(*configFleet) []string {
+		return func(f *configFleet) []string { return slotsOf(checkOrder(f.instances[0].reachable())[:count]) }
+	}
 	tests := []struct {
 		name string
 		// lost returns the slots of the instances that fail.
 		lost func(f *configFleet) []string
 	}{
+		{"first 3", first(3)},
+		{"first 4", first(4)},
+		{"first 5", first(5)},
+		{"first 6", first(6)},
+		{"first 7", first(7)},
 		{"one data centre", func(f *configFleet) []string { return f.inDataCentres(1) }},
 		{"two data centres", func(f *configFleet) []string { return f.inDataCentres(2) }},
 	}
