instance: rows take effect in the order of their versions

Callers saw (test): an older configuration in effect after a newer one, until the next change. Cause: an instance that reads the table also fetches rows from others. Both merge rows under the lock of the cache but put them into effect after it, so that the later rows may come first. An older record of a member then replaces the newer one too, and the newer incarnation is passed on as ended. Change: rows are merged and put into effect under one lock.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,9 +61,11 @@
 	// sheetState is the state machine of the operators' sheet and pauses.
 	sheetState *chart.Machine
 	rowCache   rowCache
-	directory  *directory
-	routes     routes
-	dialer     *peer.Dialer
+	// applyMu makes rows take effect in the order in which rowCache gets them.
+	applyMu   sync.Mutex
+	directory *directory
+	routes    routes
+	dialer    *peer.Dialer
 	// transport carries forwarded requests; control calls have connections of their own.
 	transport *http.Transport
 	// controlTraffic counts the bytes of the control calls that this instance makes.
--- a/instance/tablesync.go
+++ b/instance/tablesync.go
@@ -114,6 +114,8 @@
 // apply merges rows that were written after the revision since into the cache, and puts those that changed into effect.
 // runMaps does so with maps.
 func (i *Instance) apply(since uint64, changes table.Changes) {
+	i.applyMu.Lock()
+	defer i.applyMu.Unlock()
 	for _, row := range i.rowCache.merge(since, changes) {
 		switch {
 		case strings.HasPrefix(row.Key, member.RowPrefix):
