store: pause after refused calls whose responses arrive slowly

Callers saw: nothing by itself; on a slow processor an instance made ten times as many calls while calls for changes were refused. Cause: 20 ms between the first byte and the end of a failed response count as a response that is too large, and the table is listed next. The listing reset the retry delay and made the store count as reachable until the next refused call. Change: such a call counts as refused, too.

--- a/store/call.go
+++ b/store/call.go
@@ -249,11 +249,9 @@
 	case d.Waited == 0 && d.Took >= c.due+minResponseDelay:
 		// The store's client gave up before the deadline, which grows. Calls for changes may stay unanswered while listings don't.
 		f.preferred = SourceListing
-	case d.Waited > 0 && d.Took-d.Waited >= partialTransfer:
-		f.preferred = SourceListing
 	default:
 		f.refusals++
-		if f.refusals%refusalsPerListing == 0 {
+		if d.Waited > 0 && d.Took-d.Waited >= partialTransfer || f.refusals%refusalsPerListing == 0 {
 			f.preferred = SourceListing
 		}
 	}
--- a/store/follower.go
+++ b/store/follower.go
@@ -52,8 +52,8 @@
 	lastStoreCall time.Time
 	preferred     Source
 	slowLink      bool
-	// refusals is the number of calls for changes that were refused since the last one that was answered, and losses that of those that found
-	// the history lost since the last one that succeeded. Only Run uses them.
+	// refusals is the number of calls for changes that failed with a response or without a connection since the last one that was answered,
+	// and losses that of those that found the history lost since the last one that succeeded. Only Run uses them.
 	refusals, losses int
 
 	// mergeMu keeps the calls of changed in order.
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -68,17 +68,21 @@
 		changes = 30
 	)
 	tests := []struct {
-		name      string
-		err       error
+		name string
+		err  error
+		// transfer is the time from the begin of a response to its end.
+		transfer  time.Duration
 		reachable bool
 	}{
-		{"refused", store.ErrUnavailable, false},
-		{"history lost each time", store.ErrHistoryLost, true},
+		{"refused", store.ErrUnavailable, 0, false},
+		{"refused, slow processor", store.ErrUnavailable, 30 * time.Millisecond, false},
+		{"history lost each time", store.ErrHistoryLost, 0, true},
+		{"history lost each time, slow processor", store.ErrHistoryLost, 30 * time.Millisecond, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			follow(t, func(m *memory, f *store.Follower) {
-				m.set(func(m *memory) { m.feedErr, m.latency = test.err, 4*time.Millisecond })
+				m.set(func(m *memory) { m.feedErr, m.latency, m.transfer = test.err, 4*time.Millisecond, test.transfer })
 				time.Sleep(10 * time.Second)
 				m.set(func(m *memory) { m.calls = 0 })
 				var latest time.Duration
