--- a/instance/order_test.go
+++ b/instance/order_test.go
@@ -13,12 +13,13 @@
 	"sapphiretray/table"
 )
 
-// TestRowsTakeEffectInOrder guards against an older configuration, or an older incarnation of an instance, that replaces a newer one because
-// rows from the table and from another instance arrive at the same time.
+// TestRowsTakeEffectInOrder guards against an older configuration, or an older incarnation of an instance, that replaces a newer one
+// because rows from the table and from another instance arrive at the same time.
 func TestRowsTakeEffectInOrder(t *testing.T) {
 	const routes = 20_000
 	record := func(version uint64) table.Row {
-		value, err := json.Marshal(member.Record{Incarnation: member.NewIncarnation("b", version), Service: "bookings", State: member.Ready})
+		incarnation := member.NewIncarnation("b", version)
+		value, err := json.Marshal(member.Record{Incarnation: incarnation, Service: "bookings", State: member.Ready})
 		if err != nil {
 			t.Fatal(err)
 		}
