--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -39,9 +39,11 @@
 	// refused has the IP addresses whose calls get status 503.
 	refused map[string]bool
 	calls   int
-	// forgets counts the calls of ForgetWaits, and muted means that the feed doesn't respond.
-	forgets int
-	muted   bool
+	// forgets counts the calls of ForgetWaits, and muted means that the feed doesn't respond. feedStatus is the status with which the feed
+	// refuses all calls, or 0.
+	forgets    int
+	muted      bool
+	feedStatus int
 }
 
 // rowName identifies a row.
@@ -86,6 +88,14 @@
 	s.notify()
 }
 
+// RefuseFeed makes the store respond with a status to all calls for changes, those that wait too, or serve them again if it is 0.
+func (s *RowStore) RefuseFeed(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feedStatus = status
+	s.notify()
+}
+
 // Calls returns the number of calls that arrived.
 func (s *RowStore) Calls() int {
 	s.mu.Lock()
@@ -259,6 +269,11 @@
 			<-r.Context().Done()
 			return
 		}
+		if s.feedStatus != 0 {
+			s.writeResponse(w, s.feedStatus, map[string]any{})
+			s.mu.Unlock()
+			return
+		}
 		if after < s.droppedVersion {
 			s.writeResponse(w, http.StatusGone, map[string]any{})
 			s.mu.Unlock()
