Sidecar: count only lines about directories in TestOddRecordIsLoggedOnce

Cause: the test counts all lines that klog writes while it runs. Followers of earlier tests run on the real clock and log "store: copy lacks rows" 1 s after a row was expected, which may be within this test. The product is not at fault.

Change: only lines that begin with "directory: " count, as all lines of a directory do; the bounds are unchanged. klog no longer writes to the buffer when it is read.

--- a/sidecar/record_test.go
+++ b/sidecar/record_test.go
@@ -119,7 +119,9 @@
 		d.apply([]store.Row{{Table: TableName, Key: keyspace.RowKey("bookings"), Value: []byte("{"), Version: version + 1}})
 	}
 	klog.Flush()
-	if lines := strings.Count(output.String(), "\n"); lines < 1 || lines > 2 {
+	// Ends the writes to output. Timers that earlier tests have started may have logged to it, but not about a directory.
+	klog.SetOutput(io.Discard)
+	if lines := strings.Count(output.String(), `"directory: `); lines < 1 || lines > 2 {
 		t.Errorf("%d lines for 600 odd rows:\n%.300s", lines, output.String())
 	}
 }
