Instance: an announced revision that doesn't exist is given up

Requests without a route got 503 in place of 404 from an instance that isn't a reader, for as long as a revision of the table was announced to it that nobody has any more, as after the table has lost its last writes. Only readers poll the table and so learn that the revision doesn't exist.

An instance that still lacks an announced revision after a poll interval now polls the table itself, which also gets it rows that no other instance delivers.

TestNoRouteAfterLostRevision, bound 3 s: before, "got 1505 config-outdated after 3s, want 1102 no-route"; after, passes. Package instance passes with -race.

--- a/instance/routes_test.go
+++ b/instance/routes_test.go
@@ -1,9 +1,13 @@
 package instance
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"sapphiretray/config"
 	"sapphiretray/member"
 	"sapphiretray/peer"
+	"sapphiretray/table"
 )
 
 // TestNoRouteInDoubt guards against a 404 from an instance that may lack a newer configuration. Callers don't retry a 404.
@@ -74,3 +79,43 @@
 	}
 	return code.Code(number)
 }
+
+// TestNoRouteAfterLostRevision guards against an instance that never answers 404 again, because a revision of the table was announced to it
+// that nobody has any more. Instances that are not readers get rows from others.
+func TestNoRouteAfterLostRevision(t *testing.T) {
+	const bound = 3 * time.Second
+	upstream := httptest.NewServer(newGrantingUpstream())
+	defer upstream.Close()
+	defer upstream.CloseClientConnections()
+	s := newGrantingSession(t, upstream.URL, func() {})
+	i := s.instance
+	i.table = newPollingInstance(t, &faultyObjects{}).table
+	i.routes.current.Store(&config.Config{})
+	i.session.Store(s)
+	waitUntil(t, "the lease is valid", func() bool { return s.lease().Valid() })
+	for n := 0; i.isReader(); n++ {
+		slot := fmt.Sprint("slot-", n)
+		row, err := json.Marshal(member.Record{
+			Incarnation: member.NewIncarnation(slot, 1), Service: "bookings", Region: "r", DataCentre: "d", State: member.Ready,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		i.directory.setMember(table.Row{Key: member.RowPrefix + slot, Version: 1, Value: row})
+	}
+	i.observeVersions("b", &peer.Versions{Table: 5})
+	ctx, cancel := context.WithCancel(t.Context())
+	var polling sync.WaitGroup
+	polling.Go(func() { i.pollTable(ctx) })
+	defer func() {
+		cancel()
+		polling.Wait()
+	}()
+	began := time.Now()
+	for requestUnknownRoute(t, i) != code.NoRoute {
+		if time.Since(began) > bound {
+			t.Fatalf("got %v after %v, want %v", requestUnknownRoute(t, i), bound, code.NoRoute)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/instance/tablesync.go
+++ b/instance/tablesync.go
@@ -29,12 +29,16 @@
 	readersPerDataCentre = 3
 )
 
-// pollTable reads changed rows every pollInterval, and at once after pollNow, while this instance is a reader.
+// pollTable reads changed rows every pollInterval, and at once after pollNow, while this instance is a reader. Others do so while they lack
+// an announced revision for longer, which may not exist.
 func (i *Instance) pollTable(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	var announced uint64
 	for {
-		if i.isReader() {
+		before := announced
+		announced = i.routes.announced.Load()
+		if i.isReader() || before > i.rowCache.Revision() {
 			i.poll(ctx)
 		} else {
 			i.routes.pollFailed.Store(false)
