Sidecar: one table for instances to which nobody announces configurations

TestConfigAfterSilenceWithoutRecord and TestConfigAfterSilenceWithEndedRecord differed in the row only, and shared their steps with TestConfigAfterSilenceWithoutCheckers. The cases and bounds are the same.

--- a/sidecar/checkers_test.go
+++ b/sidecar/checkers_test.go
@@ -73,52 +73,32 @@
 	}
 }
 
-// TestConfigAfterSilenceWithoutRecord guards against an instance that gets a configuration late because it isn't registered yet: the others
-// don't know it and announce nothing to it.
+// TestConfigAfterSilenceWithoutRecord guards against an instance that gets a configuration late because the others announce nothing to it:
+// it isn't registered yet, or its record is that of an earlier incarnation, as after a restart.
 func TestConfigAfterSilenceWithoutRecord(t *testing.T) {
 	const bound = 2 * time.Second
-	for _, instances := range []int{4, 12, 60} {
-		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
-			runConfigFleet(t, instances, func(f *configFleet) {
-				// The last instance is of a service whose instances send no heartbeats.
-				last := instances - 1
-				removed := linkedRecordRow(t, last, 1, uint64(instances+1))
-				removed.Deleted = true
-				for _, sc := range f.instances {
-					sc.rowsChanged([]store.Row{removed}, store.Delivery{})
-				}
-				// A configuration ends all calls for changes at once.
-				f.latest(time.Now(), f.store.put())
-				time.Sleep(time.Second)
-				f.store.forget()
-				written := time.Now()
-				if took := f.latest(written, f.store.put()); took > bound {
-					t.Errorf("in effect on all instances after %v, want at most %v", took, bound)
-				}
-			})
-		})
+	tests := []struct {
+		name string
+		// change changes the row of the instance.
+		change func(row store.Row) store.Row
+	}{
+		{"not registered", func(row store.Row) store.Row {
+			row.Deleted = true
+			return row
+		}},
+		{"left", func(row store.Row) store.Row { return rowInState(row, member.Left) }},
+		{"expired", func(row store.Row) store.Row { return rowInState(row, member.Expired) }},
 	}
-}
-
-// TestConfigAfterSilenceWithEndedRecord guards against an instance that gets a configuration late because its record is that of an earlier
-// incarnation, as after a restart: the others announce nothing to it.
-func TestConfigAfterSilenceWithEndedRecord(t *testing.T) {
-	const bound = 2 * time.Second
-	for _, state := range []member.State{member.Left, member.Expired} {
+	for _, test := range tests {
 		for _, instances := range []int{4, 12, 60} {
-			t.Run(fmt.Sprint(state, ", ", instances, " instances"), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, %d instances", test.name, instances), func(t *testing.T) {
 				runConfigFleet(t, instances, func(f *configFleet) {
 					// The last instance is of a service whose instances send no heartbeats.
-					ended := rowInState(linkedRecordRow(t, instances-1, 1, uint64(instances+1)), state)
+					row := test.change(linkedRecordRow(t, instances-1, 1, uint64(instances+1)))
 					for _, sc := range f.instances {
-						sc.rowsChanged([]store.Row{ended}, store.Delivery{})
+						sc.rowsChanged([]store.Row{row}, store.Delivery{})
 					}
-					// A configuration ends all calls for changes at once.
-					f.latest(time.Now(), f.store.put())
-					time.Sleep(time.Second)
-					f.store.forget()
-					written := time.Now()
-					if took := f.latest(written, f.store.put()); took > bound {
+					if took := f.latestAfterSilence(); took > bound {
 						t.Errorf("in effect on all instances after %v, want at most %v", took, bound)
 					}
 				})
--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -311,6 +311,16 @@
 	return append(keyed, keyed...)[first : first+witnessCount]
 }
 
+// latestAfterSilence puts a configuration, which ends all calls for changes at once, makes the store forget those that follow, and returns
+// how long the next configuration takes to be in effect on all instances.
+func (f *configFleet) latestAfterSilence() time.Duration {
+	f.latest(time.Now(), f.store.put())
+	time.Sleep(time.Second)
+	f.store.forget()
+	written := time.Now()
+	return f.latest(written, f.store.put())
+}
+
 // runConfigFleet runs a deployment while test runs, after all instances have the first configuration.
 func runConfigFleet(t *testing.T, instances int, test func(f *configFleet)) {
 	t.Helper()
--- a/sidecar/silentcheckers_test.go
+++ b/sidecar/silentcheckers_test.go
@@ -23,12 +23,7 @@
 				}
 				f.fail(order[:test.failed])
 				time.Sleep(2 * time.Minute)
-				// A configuration ends all calls for changes at once.
-				f.latest(time.Now(), f.store.put())
-				time.Sleep(time.Second)
-				f.store.forget()
-				written := time.Now()
-				if took := f.latest(written, f.store.put()); took > bound {
+				if took := f.latestAfterSilence(); took > bound {
 					t.Errorf("in effect on all instances after %v, want at most %v", took, bound)
 				}
 			})
