Grant: no claim begins while a manager is waited for

The wait group may then be reused before the wait has returned.

Change: Wait marks the manager, and maps that arrive later start no claims. TestUpdateAtEnd reports the race in the code before.

--- a/grant/manager.go
+++ b/grant/manager.go
@@ -95,8 +95,10 @@
 	// reclaim means that lapsed keys were released, which are claimed again once the lease is valid.
 	reclaim bool
 
-	ctx   context.Context
-	group sync.WaitGroup
+	ctx context.Context
+	// group holds the running claims. None begins once waited is set; m.mu guards both.
+	group  sync.WaitGroup
+	waited bool
 	// wake ends the pause between two checks of the lease.
 	wake chan struct{}
 	// releasing is the context of the releases, which go on after ctx has ended until the manager is closed. endReleases ends it.
@@ -147,8 +149,14 @@
 	return m
 }
 
-// Wait returns when all goroutines have ended but those that release keys. They end after the context that was passed to New.
-func (m *Manager) Wait() { m.group.Wait() }
+// Wait returns when all goroutines have ended but those that release keys. They end after the context that was passed to New. Key maps that
+// arrive from then on start no claims.
+func (m *Manager) Wait() {
+	m.mu.Lock()
+	m.waited = true
+	m.mu.Unlock()
+	m.group.Wait()
+}
 
 // Close ends the releases that go on after the context that was passed to New, and waits for them. Release then returns code.BadRequest.
 func (m *Manager) Close() {
@@ -178,6 +186,9 @@
 
 // claimAll starts a claim for each entry of this incarnation that needs one. m.mu must be held.
 func (m *Manager) claimAll() {
+	if m.waited {
+		return
+	}
 	for _, e := range m.current.Entries() {
 		if e.Owner() != m.self || m.claims[e.Range] == e.Epoch || !m.needsClaim(e) {
 			continue
