Forward, Routing, Platform: fields for cold upstreams, load forecasts and the limits of a process

Cause: a chooser of targets knows running and waiting requests of another instance only, and nothing reads how many requests a cold upstream takes, how soon an evacuation must be in force or how much memory a process has.

Change: configurations carry the cold time and rate of a service, settings the bounds and limits, and responses between instances a forecast of the load in a header of its own, since earlier versions check the fields of S-Res.

Measured: packages forward, ingress and platform pass; nothing uses the fields yet.

--- a/forward/client.go
+++ b/forward/client.go
@@ -281,6 +281,7 @@
 		}
 	}
 	response.Header.Del(headerResult)
+	response.Header.Del(headerForecast)
 	// The Date was added by the other instance's HTTP server, not by the upstream.
 	response.Header.Del("Date")
 	result.Response = &gateway.Response{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -29,6 +29,9 @@
 	// slots, pressure in per cent), how long the request waited and ran in milliseconds, the instance's versions, and the slot of the
 	// instance that owns the key if that is another one.
 	headerResult = "S-Res"
+	// headerForecast holds the load in the form of encodeForecast. It isn't a part of headerResult, whose number of fields instances of
+	// earlier versions check.
+	headerForecast = "S-Fc"
 	// headerProbe marks a request that only asks whether the instance responds.
 	headerProbe = "S-Probe"
 )
@@ -207,11 +210,12 @@
 		numbers[n] = value
 	}
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	load := gateway.Load{Running: numbers[4], Waiting: numbers[5], Slots: numbers[6], Pressure: float64(numbers[7]) / percent}
+	if err := decodeForecast(header.Get(headerForecast), &load); err != nil {
+		return resultFields{}, err
+	}
 	return resultFields{
-		code: code.Code(numbers[0]), status: numbers[1], retryAfter: ms(numbers[2]), arrived: numbers[3] != 0,
-		load: gateway.Load{
-			Running: numbers[4], Waiting: numbers[5], Slots: numbers[6], Pressure: float64(numbers[7]) / percent,
-		},
+		code: code.Code(numbers[0]), status: numbers[1], retryAfter: ms(numbers[2]), arrived: numbers[3] != 0, load: load,
 		waited: ms(numbers[8]), took: ms(numbers[9]), versions: parseVersions(fields[resultNumbers]),
 		owner: fields[resultNumbers+1],
 	}, nil
--- a/forward/server.go
+++ b/forward/server.go
@@ -43,13 +43,15 @@
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
-		refuse := func(f *gateway.Failure) { writeFailure(w, f, g.Load(), exchange.Versions()) }
+		var route string
+		refuse := func(f *gateway.Failure) { writeFailure(w, f, g.RouteLoad(route), exchange.Versions()) }
 		forwarded, err := decodeCall(r.Header.Get(headerCall), time.Now(), &delays)
 		if err != nil {
 			refuse(&gateway.Failure{Code: code.BadRequest, Reason: err.Error()})
 			return
 		}
 		request := forwarded.request
+		route = request.Route
 		exchange.ObserveVersions(forwarded.versions)
 		if stopping() && request.Key == gateway.NoKey {
 			refuse(&gateway.Failure{Code: code.Draining, Reason: "the instance is stopping"})
@@ -92,7 +94,7 @@
 			refuse(&gateway.Failure{Code: code.UpstreamFailed, Arrived: true, Reason: err.Error()})
 			return
 		}
-		writeResponse(w, response, g.Load(), exchange.Versions())
+		writeResponse(w, response, g.RouteLoad(route), exchange.Versions())
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		limit := httplimit.Limit{Max: maxRequestBytes, Memory: []*httplimit.Memory{memory}}
@@ -157,6 +159,7 @@
 	header.Set(headerResult, encodeResult(resultFields{
 		code: code.OK, status: response.Status, load: load, waited: response.Waited, took: response.Took, versions: v,
 	}))
+	header.Set(headerForecast, encodeForecast(load))
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	// A nil value keeps the HTTP server from adding the header.
 	header["Date"] = nil
@@ -171,6 +174,7 @@
 	header.Set(headerResult, encodeResult(resultFields{
 		code: f.Code, retryAfter: f.RetryAfter, arrived: f.Arrived, load: load, versions: v, owner: f.OwnerSlot,
 	}))
+	header.Set(headerForecast, encodeForecast(load))
 	header.Set("Content-Type", "text/plain")
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,16 @@
 	Slots   int
 	// Pressure is the share of recent requests that were refused because no slot was free in time, from 0 to 1.
 	Pressure float64
+	// ServiceTime is the time that the upstream usually needs for a request of the route for which the load was asked, or 0 if it isn't
+	// known.
+	ServiceTime time.Duration
+	// Slowness is how long work takes at the upstream now, as a multiple of the usual time, or 0 if it isn't known.
+	Slowness float64
+	// StartRate is the number of requests per second that may begin at the upstream while it is cold, or 0 if it isn't cold.
+	StartRate float64
+	// Waits holds the expected waits for a slot by priority, the most urgent first. Less urgent requests wait at least as long as the last
+	// one.
+	Waits []time.Duration
 }
 
 // ResponseInfo is the metadata of an upstream's response, as interpreted by its Protocol.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -175,6 +175,13 @@
 	}
 }
 
+// RouteLoad returns the current load of the upstream, with the estimates for requests of a route.
+func (g *Gateway) RouteLoad(route string) Load {
+	load := g.Load()
+	load.ServiceTime = g.estimates.get(route)
+	return load
+}
+
 // Run periodically refuses waiting requests that can't be served in time any more. When ctx ends, it closes the connections to
 // the upstream and returns.
 func (g *Gateway) Run(ctx context.Context) {
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -222,7 +222,7 @@
 	defer func() { done(load, o) }()
 	if target.Slot == s.directory.Self() {
 		response, err := s.local.Do(ctx, d.request)
-		load, o = s.local.Load(), outcomeOf(response, err)
+		load, o = s.local.RouteLoad(d.request.Route), outcomeOf(response, err)
 		if response != nil {
 			response.InstanceSlot = target.Slot
 		}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -67,8 +67,8 @@
 type LocalGateway interface {
 	// Do sends a request to the local upstream.
 	Do(ctx context.Context, r *gateway.Request) (*gateway.Response, error)
-	// Load returns the current load.
-	Load() gateway.Load
+	// RouteLoad returns the current load, with the estimates for requests of a route.
+	RouteLoad(route string) gateway.Load
 	// Runs reports whether the upstream is running a request with this id.
 	Runs(id string) bool
 	// ObserveNestedCall records the load of the instance to which a nested call of the local upstream was sent.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -170,7 +170,7 @@
 	return u.respond(ctx, "a")
 }
 
-func (upstream) Load() gateway.Load { return gateway.Load{Slots: 4} }
+func (upstream) RouteLoad(string) gateway.Load { return gateway.Load{Slots: 4} }
 
 func (u upstream) Runs(id string) bool          { return id == u.running }
 func (upstream) ObserveNestedCall(gateway.Load) {}
--- a/routing/check.go
+++ b/routing/check.go
@@ -3,6 +3,13 @@
 import (
 	"fmt"
 	"strings"
+	"time"
+)
+
+const (
+	// maxColdStart and maxColdRate, in requests per second, bound what a configuration may say of cold upstreams.
+	maxColdStart = 24 * time.Hour
+	maxColdRate  = 1e6
 )
 
 // ValidationErrors lists all errors of a configuration, one text for each.
@@ -22,12 +29,7 @@
 		add("a limit is negative")
 	}
 	for _, s := range services {
-		if s.Name == "" {
-			add("a service has no name")
-		}
-		if s.MaxConnections < 0 || s.Warmup < 0 {
-			add("service %q: the number of connections or the warm-up time is negative", s.Name)
-		}
+		errs = append(errs, s.check()...)
 		t.services[s.Name] = s
 	}
 	names := make(map[string]bool)
@@ -43,6 +45,21 @@
 	return errs
 }
 
+// check returns the errors of a service.
+func (s Service) check() ValidationErrors {
+	var errs ValidationErrors
+	if s.Name == "" {
+		errs = append(errs, "a service has no name")
+	}
+	if s.MaxConnections < 0 || s.Warmup < 0 {
+		errs = append(errs, fmt.Sprintf("service %q: the number of connections or the warm-up time is negative", s.Name))
+	}
+	if s.ColdStart < 0 || s.ColdStart > maxColdStart || !(s.ColdRate >= 0 && s.ColdRate <= maxColdRate) {
+		errs = append(errs, fmt.Sprintf("service %q: cold time %v or cold rate %v out of range", s.Name, s.ColdStart, s.ColdRate))
+	}
+	return errs
+}
+
 // checkRoute returns the errors of one route.
 func (t *Table) checkRoute(r Route) ValidationErrors {
 	var errs ValidationErrors
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -74,6 +74,10 @@
 	MaxConnections int
 	// HealthPath is the path of the upstreams' health check.
 	HealthPath string
+	// ColdStart is how long an upstream is cold after it has started, and ColdRate the number of requests per second that it takes
+	// meanwhile. 0 means that upstreams aren't limited after a start.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits bound the requests and connections of callers. A limit of 0 is none.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,6 +65,15 @@
 	Processor float64
 	// DrainLimit is how long requests may still be sent to an upstream after it has announced that it leaves.
 	DrainLimit time.Duration
+	// ColdOverrun and ColdSlack bound the requests that a cold upstream may get within any second, over all instances: ColdOverrun times
+	// its cold rate, plus ColdSlack. 0 means that the bound isn't known.
+	ColdOverrun, ColdSlack float64
+	// EvacuationLimit is the time within which no request may reach the upstreams of an evacuated data centre any more; 0 if it isn't
+	// known.
+	EvacuationLimit time.Duration
+	// MemoryLimit is the memory of the process in bytes, and MaxDescriptors the number of its file descriptors; 0 if they aren't known.
+	MemoryLimit    int64
+	MaxDescriptors int
 	// MaxHold is the longest time for which the upstream accepts a grant of keys; 0 selects the default of package grant.
 	MaxHold time.Duration
 	// ConfigLimit is the time within which a configuration has to be in effect on all instances; 0 selects 2 s.
