Gateway: throttled requests are no pressure of the own service

Cause: a request that is refused because the service that its calls need is overloaded counted as pressure of the own service, whose slots may be free. Services that call it throttled theirs in turn: under a crest at the last service of a chain, upstreams of the first one refused two in three requests with 6 to 10 of 18 slots in use.

Change: only refusals for want of a slot are pressure.

TestThrottledRequestsAreNoPressure fails on the code before (pressure 0.70 with 1 of 2 slots in use).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -480,3 +480,37 @@
 		t.Errorf("error %v, %d requests reported", err, reported.Load())
 	}
 }
+
+// TestThrottledRequestsAreNoPressure guards against throttling that spreads from service to service: an upstream whose slots are free, but
+// which refuses requests because of a service that it calls, seemed to be full to the services that call it, and these refused theirs too.
+func TestThrottledRequestsAreNoPressure(t *testing.T) {
+	held := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) {
+		<-held
+		_, _ = io.WriteString(conn, ok(id, ""))
+	})
+	g := start(t, u)
+	for range 12 {
+		time.Sleep(210 * time.Millisecond)
+		g.ObserveNestedCall(gateway.Load{Pressure: 0.9})
+	}
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer close(held)
+	running.Go(func() {
+		if _, err := g.Do(t.Context(), request("running", routing.Idempotent)); err != nil {
+			t.Error(err)
+		}
+	})
+	for g.Load().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for n := range 60 {
+		if _, err := g.Do(t.Context(), request(fmt.Sprint("throttled", n), routing.Idempotent)); failureOf(t, err) != code.Shed {
+			t.Fatalf("a request beyond the limit ended with %v", err)
+		}
+	}
+	if load := g.Load(); load.Pressure > 0 {
+		t.Errorf("pressure %.2f with %d of %d slots in use", load.Pressure, load.Running, load.Slots)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -299,10 +299,11 @@
 func (g *Gateway) acquireSlot(ctx context.Context, r *Request) (admitted *policy.Job, f *Failure) {
 	decided := make(chan policy.Decision, 1)
 	spec := g.jobSpec(r)
-	defer func() { g.observePressure(r, f) }()
 	if f := g.enterThrottle(r); f != nil {
+		g.observeThrottled()
 		return nil, f
 	}
+	defer func() { g.observePressure(r, f) }()
 	g.mu.Lock()
 	job, decision := g.scheduler.Submit(time.Now(), spec, func(d policy.Decision) { decided <- d })
 	waiting := job.Waiting()
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// observeThrottled records that a request was throttled. That isn't pressure of this service: its slots may be free, and the services that
+// call it would refuse requests for nothing.
+func (g *Gateway) observeThrottled() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leastUrgentPressure.Observe(time.Now(), true)
+}
+
 // observePressure records whether a request was admitted, or refused because no slot was free in time.
 func (g *Gateway) observePressure(r *Request, f *Failure) {
 	g.mu.Lock()
