Policy, Gateway: room for nested and urgent requests

Cause: an upstream held back its least urgent requests by the refused share at the service that they call, whichever requests were refused there. Each failure wastes the work of the request that made the call.

Change: upstreams report for how many requests of each priority they have room; services that call them admit that share (policy.Shares, CallGate; they replace policy.Throttle). A nested call has the priority of its parent. The last free slot is left to nested requests while long ones hold the others. Nested requests wait for a key's owner until their deadline.

--- a/forward/client.go
+++ b/forward/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -209,6 +210,9 @@
 		header = make(http.Header)
 	}
 	header.Set(headerCall, encodeCall(r, now, c.exchange.Versions(), newSendTime(c.started, now)))
+	if r.Weight >= minSentWeight {
+		header.Set(headerWeight, strconv.FormatFloat(r.Weight, 'f', 2, 64))
+	}
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := (&http.Request{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,8 @@
 	// headerForecast holds the load in the form of encodeForecast. It isn't a part of headerResult, whose number of fields instances of
 	// earlier versions check.
 	headerForecast = "S-Fc"
+	// headerWeight holds the weight of a request if it is above 1, with up to two decimals.
+	headerWeight = "S-Weight"
 	// headerProbe marks a request that only asks whether the instance responds.
 	headerProbe = "S-Probe"
 )
--- a/forward/server.go
+++ b/forward/server.go
@@ -63,7 +63,9 @@
 			})
 			return
 		}
+		request.Weight = decodeWeight(r.Header)
 		r.Header.Del(headerCall)
+		r.Header.Del(headerWeight)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
 		if r.ContentLength != 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,16 +41,21 @@
 	Kind routing.Kind
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// Nested is set for a request that an upstream sent while it served another request.
-	Nested bool
+	// Nested is set for a request that an upstream sent while it served another request, whose route ParentRoute is. It has the priority of
+	// that request. ParentRoute is known to the instance beside that upstream only.
+	Nested      bool
+	ParentRoute string
+	// Weight is the number of requests that this one stands for, at least 1: all but this one weren't sent, since the requested service has
+	// no room for their nested calls. 0 counts as 1.
+	Weight float64
 	// Retry is set for the retry of a refused request.
 	Retry bool
 	// Objective is the time by which the response should arrive. Deadline is the time at which the caller gives up or the route's
 	// timeout ends.
 	Objective time.Time
 	Deadline  time.Time
-	// throttled is set while the request counts in Gateway.throttled.
-	throttled bool
+	// admittedShare is the share of the requests of the route that the services which they call have room for.
+	admittedShare float64
 	// fingerprint is set once the body has been read.
 	fingerprint uint64
 }
@@ -93,7 +98,8 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pressure is the share of recent requests that were refused because no slot was free in time, from 0 to 1.
+	// Pressure is the share of recent requests that were refused because no slot was free in time, from 0 to 1. Instances of earlier
+	// versions throttle by it.
 	Pressure float64
 	// ServiceTime is the time that the upstream usually needs for a request of the route for which the load was asked, or 0 if it isn't
 	// known.
@@ -105,6 +111,20 @@
 	// Waits holds the expected waits for a slot by priority, the most urgent first. Less urgent requests wait at least as long as the last
 	// one.
 	Waits []time.Duration
+	// Room holds the room for requests of each priority, the most urgent first, as a multiple of what they ask for. It is ample for those
+	// that are left out.
+	Room []float64
+}
+
+// ampleRoom is the room for requests of a priority for which no other is reported.
+const ampleRoom = 1.5
+
+// RoomFor returns the room for requests of a priority, as a multiple of what they ask for. Below 1, it is the share that can be served.
+func (l Load) RoomFor(priority int) float64 {
+	if priority < 0 || priority >= len(l.Room) {
+		return ampleRoom
+	}
+	return l.Room[priority]
 }
 
 // ResponseInfo is the metadata of an upstream's response, as interpreted by its Protocol.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,26 +61,21 @@
 	mu        sync.Mutex
 	registry  registry
 	scheduler *policy.Scheduler
-	// pressure is the share of all requests that are refused, callerPressure that of the requests that aren't nested, and
-	// leastUrgentPressure that of the least urgent requests.
-	pressure            policy.Pressure
-	callerPressure      policy.Pressure
-	leastUrgentPressure policy.Pressure
-	// throttle limits the least urgent requests by the pressure at the services that the upstream calls. It is nil until the first
-	// nested call.
-	throttle *policy.Throttle
-	// leastUrgentPriority is the largest priority number among all requests so far; requests with it are the least urgent ones.
-	// throttled is the number of them that wait or run.
-	leastUrgentPriority int
-	throttled           int
-	down                bool
-	closing             bool
+	// pressure is the share of all requests that are refused, and callerPressure that of the requests that aren't nested.
+	pressure       policy.Pressure
+	callerPressure policy.Pressure
+	// shares tells the services that call the upstream how much it has room for, and callGate admits requests by the shares that other
+	// services report for the nested calls of their routes.
+	shares   policy.Shares
+	callGate policy.CallGate[string, string]
+	down     bool
+	closing  bool
 	// transferTimes are the times to read a body from another instance. transferSlots is a semaphore for slow transfers.
 	transferTimes estimates
 	transferSlots chan struct{}
-	// runningIDs are the ids of the running requests.
-	runningIDs map[string]struct{}
-	stats      Stats
+	// running holds the running requests by id.
+	running map[string]*Request
+	stats   Stats
 	// interrupted holds the requests whose connections failed within the last crashWindow.
 	interrupted []interruption
 }
@@ -130,7 +125,7 @@
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
 		onCrash:   func([]uint64) {},
-		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
+		scheduler: policy.NewScheduler(1), running: make(map[string]*Request), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
 	for _, p := range []*pool{&g.pool, &g.control} {
@@ -156,12 +151,28 @@
 	return g.stats
 }
 
-// Runs reports whether the upstream is running the request with the given id.
-func (g *Gateway) Runs(id string) bool {
+// Parent describes a request that the upstream is running to the instance that gets its nested calls.
+type Parent struct {
+	Route    string
+	Priority int
+	// Weight is the number of requests that it stands for, see Request.Weight.
+	Weight float64
+}
+
+// Running returns the request with the given id that the upstream is running, and false if there is none.
+func (g *Gateway) Running(id string) (Parent, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.runningIDs[id]
-	return ok
+	r, ok := g.running[id]
+	if !ok {
+		return Parent{}, false
+	}
+	p := Parent{Route: r.Route, Priority: r.Priority, Weight: max(r.Weight, 1)}
+	if !r.Retry {
+		// A request that was refused before has been counted among those that were held back then.
+		p.Weight /= r.admittedShare
+	}
+	return p, true
 }
 
 // Load returns the current load of the upstream.
@@ -172,6 +183,7 @@
 	return Load{
 		Running: g.scheduler.Running(), Waiting: g.scheduler.Waiting(), Slots: g.scheduler.Slots(),
 		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)),
+		Room:     g.shares.Room(now, g.scheduler.Slots()),
 	}
 }
 
@@ -226,7 +238,7 @@
 	}
 	defer g.releaseSlot(r, job)
 	g.mu.Lock()
-	g.runningIDs[r.ID] = struct{}{}
+	g.running[r.ID] = r
 	g.mu.Unlock()
 	// The upstream may have left, or the key may have moved, while the request waited.
 	if f := g.checkAvailable(r); f != nil {
@@ -281,8 +293,13 @@
 		return nil
 	}
 	until := time.Now().Add(maxKeyWait)
-	if r.Objective.Before(until) {
-		until = r.Objective
+	latest := r.Objective
+	if r.Nested {
+		// Its failure fails the request that made it, so that a late response is worth the wait.
+		latest = r.Deadline.Add(-g.estimates.get(r.Route))
+	}
+	if latest.Before(until) {
+		until = latest
 	}
 	return keys.Admit(ctx, uint16(r.Key), until)
 }
@@ -299,8 +316,7 @@
 func (g *Gateway) acquireSlot(ctx context.Context, r *Request) (admitted *policy.Job, f *Failure) {
 	decided := make(chan policy.Decision, 1)
 	spec := g.jobSpec(r)
-	if f := g.enterThrottle(r); f != nil {
-		g.observeThrottled()
+	if f := g.admitCalls(r); f != nil {
 		return nil, f
 	}
 	defer func() { g.observePressure(r, f) }()
@@ -335,8 +351,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.scheduler.Finish(time.Now(), job)
-	g.leaveThrottle(r)
-	delete(g.runningIDs, r.ID)
+	delete(g.running, r.ID)
 }
 
 // recordFailure logs and counts a failure, and returns it as an error.
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -64,9 +64,14 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	now := time.Now()
+	hold := request.Objective
+	if request.Nested {
+		// Its failure fails the request that made it, which has no use for an earlier refusal.
+		hold = request.Deadline
+	}
 	d := &dispatchState{
 		request: request, route: route, tried: make(map[string]bool),
-		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))), cancel: cancel,
+		holdUntil: now.Add(time.Duration(holdShare * float64(hold.Sub(now)))), cancel: cancel,
 	}
 	s.budgets.get(request.Service).Attempt()
 	response, err := s.attempt(ctx, d)
@@ -223,6 +228,9 @@
 	if target.Slot == s.directory.Self() {
 		response, err := s.local.Do(ctx, d.request)
 		load, o = s.local.RouteLoad(d.request.Route), outcomeOf(response, err)
+		if d.request.Nested {
+			s.local.ObserveNestedCall(d.request, load)
+		}
 		if response != nil {
 			response.InstanceSlot = target.Slot
 		}
@@ -237,7 +245,7 @@
 	}
 	load, o = result.Load, outcomeOf(result.Response, err)
 	if d.request.Nested {
-		s.local.ObserveNestedCall(result.Load)
+		s.local.ObserveNestedCall(d.request, result.Load)
 	}
 	var failure *gateway.Failure
 	if result.Pending != nil && errors.As(err, &failure) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -69,10 +69,10 @@
 	Do(ctx context.Context, r *gateway.Request) (*gateway.Response, error)
 	// RouteLoad returns the current load, with the estimates for requests of a route.
 	RouteLoad(route string) gateway.Load
-	// Runs reports whether the upstream is running a request with this id.
-	Runs(id string) bool
+	// Running returns the request with this id that the upstream is running, and false if there is none.
+	Running(id string) (gateway.Parent, bool)
 	// ObserveNestedCall records the load of the instance to which a nested call of the local upstream was sent.
-	ObserveNestedCall(load gateway.Load)
+	ObserveNestedCall(r *gateway.Request, load gateway.Load)
 }
 
 // Budget bounds the retries of requests to a service.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -237,7 +237,9 @@
 // applyRoute sets the fields of a request that depend on its route: service, key, priority and deadlines.
 func (s *Server) applyRoute(request *gateway.Request, route *routing.Route, table *routing.Table, call Call, arrived time.Time) {
 	request.Route, request.Kind, request.Priority = route.Name, route.Kind, route.Priority
-	request.Nested = call.Parent != "" && s.local.Runs(call.Parent)
+	if parent, ok := s.local.Running(call.Parent); ok {
+		request.Nested, request.ParentRoute, request.Priority, request.Weight = true, parent.Route, parent.Priority, parent.Weight
+	}
 	request.Service = s.roundRobin.next(route)
 	request.Key = gateway.NoKey
 	if service, ok := table.Service(request.Service); ok && service.Keyed {
--- a/policy/metrics.go
+++ b/policy/metrics.go
@@ -93,3 +93,25 @@
 		},
 	}
 }
+
+// RoomCollector returns a collector for the room that an upstream has for the requests of each priority, and for the share of each route's
+// requests that the services which they call have room for. room and admitted are called at each scrape.
+func RoomCollector(room func() []float64, admitted func() map[string]float64) prometheus.Collector {
+	return &collector{
+		descriptions: []*prometheus.Desc{
+			prometheus.NewDesc("sapphiretray_upstream_room",
+				"Room for requests of a priority as a multiple of what they ask for; below 1, the share that can be served.",
+				[]string{"priority"}, nil),
+			prometheus.NewDesc("sapphiretray_call_room",
+				"Share of the requests of a route that is admitted, by the room of the services that they call.", []string{"route"}, nil),
+		},
+		collect: func(d []*prometheus.Desc, metrics chan<- prometheus.Metric) {
+			for p, multiple := range room() {
+				metrics <- prometheus.MustNewConstMetric(d[0], prometheus.GaugeValue, multiple, strconv.Itoa(p))
+			}
+			for route, share := range admitted() {
+				metrics <- prometheus.MustNewConstMetric(d[1], prometheus.GaugeValue, share, route)
+			}
+		},
+	}
+}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -70,8 +70,8 @@
 // to be served within its objective. Otherwise it is refused at once, with the delay after which a slot is expected, so that its
 // caller can retry then. A retry may also wait for a late response, because its caller doesn't retry again.
 //
-// Nested requests are started first. Then the order is by priority, then requests that can still meet their objective before those
-// that can't, then by objective. Late responses are worth less, so they must not make others late.
+// Nested requests are started first, and the last free slot is kept for them while the others are held by long requests. Then the order is
+// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less, so they must not make others late.
 //
 // Some upstreams never respond to a request that they can't queue. It would hold its slot until its deadline, so the slot of a stalled
 // request is freed, while its response is still awaited.
@@ -84,7 +84,8 @@
 	running  []*Job
 	waiting  []*Job
 	// announced holds the requests that will be submitted once their bodies have arrived.
-	announced []*Job
+	announced   []*Job
+	reservation reservation
 }
 
 // NewScheduler returns a scheduler for an upstream with the given number of slots, at least 1.
@@ -114,7 +115,8 @@
 		j.state = jobDone
 		return j, Decision{RetryAfter: minRetryAfter}
 	}
-	if s.usedSlots() < s.slots && len(s.waiting) == 0 {
+	s.reservation.observe(now, jobSpec)
+	if s.usedSlots() < s.slots && len(s.waiting) == 0 && !s.isReserved(now, jobSpec) {
 		s.start(now, j)
 		return j, Decision{Admitted: true}
 	}
@@ -234,9 +236,13 @@
 
 // startWaiting starts waiting requests in order while slots are free.
 func (s *Scheduler) startWaiting(now time.Time) {
-	for s.usedSlots() < s.slots && len(s.waiting) > 0 {
-		j := s.waiting[0]
-		s.waiting = slices.Delete(s.waiting, 0, 1)
+	for s.usedSlots() < s.slots {
+		n, ok := s.nextToStart(now)
+		if !ok {
+			return
+		}
+		j := s.waiting[n]
+		s.waiting = slices.Delete(s.waiting, n, n+1)
 		if !j.spec.Deadline.After(now) {
 			s.refuse(j, minRetryAfter)
 			continue
@@ -259,6 +265,9 @@
 	late := 0
 	var refused []*Job
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *Job) bool {
+		if len(free) > 1 && !free[0].After(now) && s.isReserved(now, j.spec) {
+			free[0] = free[1]
+		}
 		end := free[0].Add(j.spec.ServiceTime)
 		if end.After(j.spec.Objective) {
 			late++
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sapphiretray/gateway"
+	"sapphiretray/policy"
 	"sapphiretray/store"
 )
 
@@ -37,6 +38,7 @@
 		func() float64 { return boolValue(sc.routes.Load() == nil || sc.isConfigOutdated()) })
 	gauge("store_reachable", "1 if the last calls to the store for the configuration and for the rows succeeded.",
 		func() float64 { return boolValue(sc.config.Reachable() && sc.rows.Reachable()) })
+	sc.registry.MustRegister(policy.RoomCollector(func() []float64 { return sc.gateway.Load().Room }, sc.gateway.CallRoom))
 	sc.registerStoreMetrics("config", sc.config)
 	sc.registerStoreMetrics("rows", sc.rows)
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
