--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -71,7 +71,8 @@
 // caller can retry then. A retry may also wait for a late response, because its caller doesn't retry again.
 //
 // Nested requests are started first, and the last free slot is kept for them while the others are held by long requests. Then the order is
-// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less, so they must not make others late.
+// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less,
+// so they must not make others late.
 //
 // Some upstreams never respond to a request that they can't queue. It would hold its slot until its deadline, so the slot of a stalled
 // request is freed, while its response is still awaited.
