Policy, Gateway, Keyspace: bounded starts at cold upstreams

Cause: nothing bounded what a cold upstream gets.

Change: policy.StartLimit bounds the requests that begin at a cold upstream: a token bucket for the pace, and an exact bound for any second that counts each request from its beginning until a second after it was sent. Scheduler obeys it when it starts and predicts. The gateway learns of cold times from heartbeats and health responses, and assumes one after a loss of all connections or of heartbeats until a health check tells. Reports to the planner carry rate and time; keys move to a cold owner only as far as it bears them.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -33,7 +33,7 @@
 	job, decision := g.scheduler.Announce(time.Now(), spec)
 	g.mu.Unlock()
 	if !decision.Admitted {
-		f := &Failure{Code: code.Shed, RetryAfter: decision.RetryAfter, Reason: "no slot is free in time"}
+		f := g.shed(decision.RetryAfter)
 		g.observePressure(r, f)
 		return f
 	}
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/policy"
+)
+
+const (
+	// heartbeatOverdue is the time without a heartbeat after which the upstream may have become cold without saying so.
+	heartbeatOverdue = 2500 * time.Millisecond
+	// heartbeatDelay is the time within which heartbeats arrive. One that arrives sooner after a loss of all connections may have been
+	// sent before it.
+	heartbeatDelay = 150 * time.Millisecond
+	// coldNoticeDelay is the time that a heartbeat or a health response takes to arrive, so that the upstream has been cold for longer than
+	// these say.
+	coldNoticeDelay = 100 * time.Millisecond
+	// coldCheckInterval is the time between two health checks of an upstream that may be cold, and coldCheckTimeout bounds one of them.
+	coldCheckInterval = time.Second
+	coldCheckTimeout  = 300 * time.Millisecond
+	// maxColdFactor is the largest cold time that is believed, in multiples of the cold time after a start.
+	maxColdFactor = 10
+)
+
+// ColdTerms are the terms of a service for its cold upstreams.
+type ColdTerms struct {
+	// Starts limits the requests to a cold upstream. The zero value is no limit.
+	Starts policy.StartTerms
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
+	// HealthPath is the path of the health check, whose response tells how long the upstream stays cold.
+	HealthPath string
+}
+
+// WithColdTerms sets a function that returns the terms of the service for cold upstreams.
+func WithColdTerms(terms func() ColdTerms) Option { return func(g *Gateway) { g.coldTerms = terms } }
+
+// coldState is what the gateway knows of the cold times of its upstream.
+type coldState struct {
+	// until is the time until which the upstream is cold, as it last said.
+	until time.Time
+	// heard is when the upstream last said how long it stays cold, or that it isn't.
+	heard time.Time
+	// suspected is when the upstream may have become cold without saying so; zero if that isn't suspected.
+	suspected time.Time
+	// checked is when the last health check because of a suspicion began.
+	checked time.Time
+	// logged is set while the last log line said that the upstream is cold.
+	logged bool
+	// started and refused count the requests since then.
+	started, refused uint64
+}
+
+// observeCold records how long the upstream stays cold, as it says itself. Cold times that can't be true are ignored. g.mu must be held.
+func (g *Gateway) observeCold(now time.Time, coldFor time.Duration, source string) {
+	terms := g.coldTerms()
+	if coldFor < 0 || terms.Duration > 0 && coldFor > maxColdFactor*terms.Duration {
+		klog.InfoS("upstream: cold time ignored", "life", g.registry.current.UpstreamRun, "cold", coldFor, "usual", terms.Duration,
+			"source", source)
+		return
+	}
+	c := &g.cold
+	c.heard = now
+	if coldFor == 0 && source == sourceHeartbeat && now.Sub(c.suspected) < heartbeatDelay {
+		return
+	}
+	c.until, c.suspected = now.Add(coldFor), time.Time{}
+	if coldFor == 0 {
+		g.scheduler.LiftStartLimit(now)
+		g.logCold(now, source)
+		return
+	}
+	g.limitStarts(now, terms, source)
+}
+
+// limitStarts limits the requests while the upstream is cold. It does nothing as long as no terms are known. g.mu must be held.
+func (g *Gateway) limitStarts(now time.Time, terms ColdTerms, source string) {
+	left := g.cold.until.Sub(now)
+	if left <= 0 || terms.Starts.IsZero() {
+		return
+	}
+	since := time.Time{}
+	if age := terms.Duration - left; age >= 0 {
+		since = now.Add(-age - coldNoticeDelay)
+		g.assumeEarlierStarts(now, now.Add(-age), terms.Starts)
+	}
+	g.scheduler.LimitStarts(now, since, g.cold.until, terms.Starts)
+	g.logCold(now, source)
+}
+
+// Sources of what is known of the upstream's cold time.
+const (
+	sourceHeartbeat       = "heartbeat"
+	sourceHealthCheck     = "health check"
+	sourceLostConnections = "all connections lost"
+	sourceOverdue         = "heartbeats overdue"
+	sourceConfiguration   = "configuration"
+)
+
+// assumeEarlierStarts counts the requests that an earlier process may have sent to the upstream, if that has been cold for longer than this
+// process has run. g.mu must be held.
+func (g *Gateway) assumeEarlierStarts(now, since time.Time, terms policy.StartTerms) {
+	earlier := g.started.Sub(since)
+	if g.earlierAssumed || earlier <= 0 || now.Sub(g.started) > time.Second {
+		return
+	}
+	g.earlierAssumed = true
+	g.scheduler.AssumeSent(min(terms.Maximum, terms.Burst+int(terms.Rate*earlier.Seconds())), g.started)
+}
+
+// updateStartLimit applies the terms of a configuration that arrived after the upstream had become cold, and limits the requests if the
+// upstream may have become cold without saying so: all its connections ended, or no heartbeat has arrived for long. A health check clears
+// that up. g.mu must be held.
+func (g *Gateway) updateStartLimit(now time.Time) {
+	c := &g.cold
+	if g.scheduler.IsStartLimited(now) || !g.registry.known {
+		return
+	}
+	terms := g.coldTerms()
+	if now.Before(c.until) {
+		g.limitStarts(now, terms, sourceConfiguration)
+		return
+	}
+	if terms.Starts.IsZero() || !c.suspected.IsZero() {
+		return
+	}
+	lostAt, source := g.pool.allLostAt(), sourceLostConnections
+	switch {
+	case lostAt.After(c.heard):
+	case now.Sub(c.heard) > heartbeatOverdue:
+		lostAt, source = time.Time{}, sourceOverdue
+	default:
+		return
+	}
+	c.suspected = now
+	g.scheduler.LimitStarts(now, lostAt, now.Add(terms.Duration), terms.Starts)
+	g.logCold(now, source)
+}
+
+// checkSuspicion sends a health check if the upstream may have become cold without saying so. It is called at short intervals.
+func (g *Gateway) checkSuspicion(ctx context.Context, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.After(g.scheduler.StartLimitEnd()) {
+		g.logCold(now, "end of the cold time")
+	}
+	c := &g.cold
+	if c.suspected.IsZero() || g.down || now.Sub(c.checked) < coldCheckInterval {
+		return
+	}
+	c.checked = now
+	path := g.coldTerms().HealthPath
+	g.spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, coldCheckTimeout)
+		defer cancel()
+		report, err := g.CheckHealth(ctx, path)
+		if err != nil || !report.ColdKnown {
+			klog.V(1).InfoS("upstream: cold time unknown", "err", err)
+			return
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if report.ID == g.registry.current.ID && !g.cold.suspected.IsZero() {
+			g.observeCold(time.Now(), report.ColdFor, sourceHealthCheck)
+		}
+	})
+}
+
+// logCold logs whether the upstream is cold if the last line said something else. g.mu must be held.
+func (g *Gateway) logCold(now time.Time, source string) {
+	c := &g.cold
+	terms, until := g.scheduler.StartTerms(now)
+	cold := !terms.IsZero()
+	if cold == c.logged {
+		return
+	}
+	c.logged = cold
+	life := g.registry.current.UpstreamRun
+	if cold {
+		c.started, c.refused = 0, 0
+		klog.InfoS("upstream: cold, requests are limited", "life", life, "source", source, "for", until.Sub(now), "rate", terms.Rate,
+			"burst", terms.Burst, "maximum", terms.Maximum, "running", g.scheduler.Running(), "waiting", g.scheduler.Waiting())
+		return
+	}
+	klog.InfoS("upstream: no longer cold", "life", life, "source", source, "started", c.started, "refused", c.refused)
+}
+
+// coldReason returns why a request was refused. g.mu must be held.
+func (g *Gateway) coldReason(now time.Time) string {
+	terms, until := g.scheduler.StartTerms(now)
+	if terms.IsZero() {
+		return "no slot is free in time"
+	}
+	g.cold.refused++
+	g.stats.ColdRefused++
+	return fmt.Sprintf("the upstream is cold for %v more and takes %.1f requests per second", until.Sub(now).Round(time.Millisecond),
+		terms.Rate)
+}
+
+// countColdStart counts an admitted request if the upstream is cold.
+func (g *Gateway) countColdStart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cold.logged {
+		g.cold.started++
+	}
+}
+
+// ColdFor returns how long requests to the upstream stay limited because it is or may be cold, or 0 if they aren't limited.
+func (g *Gateway) ColdFor() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if !g.scheduler.IsStartLimited(now) {
+		return 0
+	}
+	return g.scheduler.StartLimitEnd().Sub(now)
+}
+
+// minBearableService is the service time that is assumed if it isn't known or shorter.
+const minBearableService = 50 * time.Millisecond
+
+// Bearable returns the number of requests that the upstream can run at once: its slots, or, while it is cold, those that begin within a
+// service time.
+func (l Load) Bearable() float64 {
+	slots := float64(max(l.Slots, 1))
+	if l.StartRate <= 0 {
+		return slots
+	}
+	return min(slots, max(l.StartRate*max(l.ServiceTime, minBearableService).Seconds(), 1))
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -348,12 +348,21 @@
 	return c.closed || c.retired
 }
 
-// do sends a request, of which head is the encoded request line and headers, and waits for its response. It sends nothing once ctx has
-// ended. If sent is false, no byte of the request has been sent. expectedBy is that of the exchange. spawn runs a function in a goroutine.
-func (c *conn) do(
-	ctx context.Context, id, method string, expectedBy time.Time, head, body []byte, spawn func(func()),
-) (response *rawResponse, sent bool, err error) {
-	e := &exchange{ctx: ctx, id: id, method: method, expectedBy: expectedBy, done: make(chan result, 1)}
+// outgoing is a request that is sent on a connection.
+type outgoing struct {
+	// id and expectedBy are those of the exchange.
+	id, method string
+	expectedBy time.Time
+	// head is the encoded request line and headers.
+	head, body []byte
+	// onSent is called when the last byte has been sent, unless it is nil.
+	onSent func()
+}
+
+// do sends a request and waits for its response. It sends nothing once ctx has ended. If sent is false, no byte of the request has been
+// sent. spawn runs a function in a goroutine.
+func (c *conn) do(ctx context.Context, r outgoing, spawn func(func())) (response *rawResponse, sent bool, err error) {
+	e := &exchange{ctx: ctx, id: r.id, method: r.method, expectedBy: r.expectedBy, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
@@ -361,11 +370,13 @@
 	wrote := make(chan struct{})
 	write := func() {
 		defer close(wrote)
-		if err := c.write(ctx, head, body); err != nil {
+		if err := c.write(ctx, r.head, r.body); err != nil {
 			failed <- err
+		} else if r.onSent != nil {
+			r.onSent()
 		}
 	}
-	if len(head)+len(body) > maxSyncWrite {
+	if len(r.head)+len(r.body) > maxSyncWrite {
 		// The upstream may respond before it has read a long request, or never read it, so the response is awaited during the write.
 		spawn(write)
 	} else {
@@ -373,11 +384,11 @@
 	}
 	for {
 		select {
-		case r := <-e.done:
-			if r.err == nil {
+		case result := <-e.done:
+			if result.err == nil {
 				c.closeUnlessWritten(wrote)
 			}
-			return r.response, c.written.Load() > 0, r.err
+			return result.response, c.written.Load() > 0, result.err
 		case err := <-failed:
 			if c.written.Load() == 0 {
 				c.fail(err)
@@ -388,8 +399,8 @@
 		case <-ctx.Done():
 			c.abort(ctx.Err())
 			// The response may have arrived at the same time.
-			r := <-e.done
-			return r.response, c.written.Load() > 0, r.err
+			result := <-e.done
+			return result.response, c.written.Load() > 0, result.err
 		}
 	}
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -171,8 +171,8 @@
 	defer cancel()
 	peak := peakHeap(func() {
 		for range rounds {
-			if id, err := g.Identify(ctx, "/health"); err == nil || ctx.Err() != nil {
-				t.Errorf("health check: id %q, error %v", id, err)
+			if report, err := g.CheckHealth(ctx, "/health"); err == nil || ctx.Err() != nil {
+				t.Errorf("health check: %+v, error %v", report, err)
 			}
 			_, _, err := g.SendControlRequest(ctx, func(bool) (gateway.ControlRequest, error) {
 				return gateway.ControlRequest{Method: http.MethodPost, Target: "/grant", Body: []byte("{}")}, nil
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -43,7 +43,9 @@
 	// reading holds all connections whose readLoop is running.
 	reading map[*conn]struct{}
 	// lost is set if the upstream has ended a connection since the newest one was opened.
-	lost   bool
+	lost bool
+	// lostAt is when the upstream last ended the only open connection.
+	lostAt time.Time
 	closed bool
 }
 
@@ -99,6 +101,16 @@
 	defer p.mu.Unlock()
 	delete(p.reading, c)
 	p.lost = p.lost || c.lost
+	if p.lost && len(p.reading) == 0 {
+		p.lostAt = time.Now()
+	}
+}
+
+// allLostAt returns when the upstream last ended the only open connection, as it does when its process ends.
+func (p *pool) allLostAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostAt
 }
 
 // connections returns the number of open connections, and whether the upstream has ended one since the newest was opened.
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -41,8 +41,9 @@
 	Slots int
 	// Leaving is set if the upstream will stop shortly. Until then it serves requests.
 	Leaving bool
-	// ColdFor is the remaining time during which the upstream is slow after its start.
-	ColdFor time.Duration
+	// ColdFor is the remaining time during which the upstream is slow after its start, and ColdUnknown is set if it isn't known.
+	ColdFor     time.Duration
+	ColdUnknown bool
 	// Sequence increases with each heartbeat of a run.
 	Sequence uint64
 }
@@ -56,7 +57,6 @@
 	known        bool
 	leaving      bool
 	leavingSince time.Time
-	coldTill     time.Time
 	endedRuns    []UpstreamRun
 }
 
@@ -82,7 +82,6 @@
 	default:
 		r.current = n
 	}
-	r.coldTill = now.Add(n.ColdFor)
 	if n.Leaving {
 		beganLeaving = r.startLeaving(now)
 	}
@@ -119,6 +118,7 @@
 	if newRun || g.registry.current.Sequence == n.Sequence {
 		// A heartbeat newer than all previous ones shows that the upstream's process is running.
 		g.down = false
+		g.observeCold(time.Now(), n.ColdFor, sourceHeartbeat)
 	}
 	g.mu.Unlock()
 	if newRun {
@@ -142,6 +142,9 @@
 	if assumed {
 		g.registry.current, g.registry.known = r, true
 		g.scheduler.SetSlots(time.Now(), r.Slots)
+		if !r.ColdUnknown {
+			g.observeCold(time.Now(), r.ColdFor, sourceHealthCheck)
+		}
 	}
 	g.mu.Unlock()
 	if assumed {
@@ -150,14 +153,29 @@
 	}
 }
 
-// Identify returns the upstream's id, which it reads from the response to a health check at the given path. The id is empty if the
-// upstream isn't healthy or doesn't send it. The error is that of the connection; an unhealthy upstream is no error.
-func (g *Gateway) Identify(ctx context.Context, path string) (string, error) {
+// HealthReport is the response of a healthy upstream to a health check.
+type HealthReport struct {
+	// ID is the upstream's id, or empty if the upstream isn't healthy or doesn't send it.
+	ID string
+	// ColdFor is how much longer the upstream stays cold. ColdKnown is set if the response says so.
+	ColdFor   time.Duration
+	ColdKnown bool
+}
+
+// CheckHealth sends a health check to the given path. The report of an unhealthy upstream is empty. The error is that of the connection.
+func (g *Gateway) CheckHealth(ctx context.Context, path string) (HealthReport, error) {
+	g.mu.Lock()
+	g.scheduler.CountUnscheduled(time.Now())
+	g.mu.Unlock()
 	status, header, err := g.SendControlRequestOnce(ctx, ControlRequest{Method: http.MethodGet, Target: path})
 	if err != nil || status != http.StatusOK {
-		return "", err
+		return HealthReport{}, err
+	}
+	info := g.protocol.Read(status, header)
+	if info.ColdErr != nil {
+		klog.InfoS("upstream: cold time ignored", "id", info.UpstreamID, "err", info.ColdErr, "source", sourceHealthCheck)
 	}
-	return g.protocol.Read(status, header).UpstreamID, nil
+	return HealthReport{ID: info.UpstreamID, ColdFor: info.ColdFor, ColdKnown: info.ColdKnown}, nil
 }
 
 // Deregister processes the deregistration of the upstream with the given id, which is its last message. The upstream then counts as
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -58,9 +58,16 @@
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
 
+	// coldTerms returns the terms of the service for cold upstreams, and started is when the gateway was created.
+	coldTerms func() ColdTerms
+	started   time.Time
+
 	mu        sync.Mutex
 	registry  registry
 	scheduler *policy.Scheduler
+	cold      coldState
+	// earlierAssumed is set once the requests of an earlier process were counted.
+	earlierAssumed bool
 	// pressure is the share of all requests that are refused, callerPressure that of the requests that aren't nested, and
 	// leastUrgentPressure that of the least urgent requests.
 	pressure            policy.Pressure
@@ -91,6 +98,7 @@
 	Responses   uint64 // Complete responses received from the upstream, refusals included.
 	Refused     uint64 // Requests that certainly did not run.
 	Unknown     uint64 // Failed requests that may have run.
+	ColdRefused uint64 // Requests that were refused because the upstream was cold.
 }
 
 // Option configures a Gateway.
@@ -129,7 +137,7 @@
 	g := &Gateway{
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
-		onCrash:   func([]uint64) {},
+		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, started: time.Now(),
 		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
@@ -169,9 +177,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	terms, _ := g.scheduler.StartTerms(now)
 	return Load{
 		Running: g.scheduler.Running(), Waiting: g.scheduler.Waiting(), Slots: g.scheduler.Slots(),
-		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)),
+		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)), StartRate: terms.Rate,
 	}
 }
 
@@ -188,6 +197,7 @@
 	defer g.pool.close()
 	defer g.control.close()
 	wait.Every(ctx, rescheduleInterval, func(now time.Time) {
+		g.checkSuspicion(ctx, now)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.scheduler.Waiting() > 0 {
@@ -245,7 +255,7 @@
 			Code: code.Quarantined, RetryAfter: quarantineRetryAfter, Reason: "too many upstreams crashed while this request was running",
 		})
 	}
-	response, err := g.send(ctx, r)
+	response, err := g.send(ctx, r, job)
 	if response != nil {
 		response.Waited = waited
 	}
@@ -304,6 +314,7 @@
 		return nil, f
 	}
 	g.mu.Lock()
+	g.updateStartLimit(time.Now())
 	job, decision := g.scheduler.Submit(time.Now(), spec, func(d policy.Decision) { decided <- d })
 	waiting := job.Waiting()
 	g.mu.Unlock()
@@ -324,11 +335,19 @@
 		}
 	}
 	if !decision.Admitted {
-		return nil, &Failure{Code: code.Shed, RetryAfter: decision.RetryAfter, Reason: "no slot is free in time"}
+		return nil, g.shed(decision.RetryAfter)
 	}
+	g.countColdStart()
 	return job, nil
 }
 
+// shed returns the failure of a request that the scheduler refused.
+func (g *Gateway) shed(retryAfter time.Duration) *Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &Failure{Code: code.Shed, RetryAfter: retryAfter, Reason: g.coldReason(time.Now())}
+}
+
 // releaseSlot ends a request that acquireSlot admitted.
 func (g *Gateway) releaseSlot(r *Request, job *policy.Job) {
 	g.mu.Lock()
@@ -356,7 +375,7 @@
 
 // send sends the request and returns its response. If a reused connection fails before any byte was sent, the request is sent on
 // another connection.
-func (g *Gateway) send(ctx context.Context, r *Request) (*Response, error) {
+func (g *Gateway) send(ctx context.Context, r *Request, job *policy.Job) (*Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	idleLimit := maxIdle
@@ -369,11 +388,18 @@
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
 		started := time.Now()
-		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
+		response, sent, err := c.do(ctx, outgoing{
+			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), head: g.head(r), body: r.Body,
+			onSent: func() { g.recordSent(job) },
+		}, g.spawn)
+		if err != nil && sent {
+			g.recordSent(job)
+		}
 		if err == nil {
 			took := time.Since(started)
 			g.crashTracker.RecordCompletion(r.fingerprint)
 			info := g.protocol.Read(response.status, response.header)
+			g.recordArrival(job, info)
 			if info.NotRun || info.Misdirected {
 				c.recordRefusal(r.ID)
 			}
@@ -391,6 +417,24 @@
 	}
 }
 
+// recordSent records that a request was sent to the upstream. Only the first call for a request matters.
+func (g *Gateway) recordSent(job *policy.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.Sent(time.Now(), job)
+}
+
+// recordArrival records that the upstream responded to a request. Those that are meant for another upstream don't burden it.
+func (g *Gateway) recordArrival(job *policy.Job, info ResponseInfo) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if info.Misdirected {
+		g.scheduler.Uncount(job)
+		return
+	}
+	g.scheduler.Sent(time.Now(), job)
+}
+
 // connection returns a connection for a request, and whether it has been used before. A HEAD request has one of its own: its response looks
 // like one with a body, so that neither could be read where one to a request with another method arrives once more.
 func (g *Gateway) connection(ctx context.Context, r *Request, idleLimit time.Duration) (c *conn, reused bool, err error) {
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,7 @@
 	headerGenuine = "Test-Mark"
 	headerNotRun  = "Test-Not-Run"
 	headerExpect  = "Test-Expect"
+	headerCold    = "Test-Cold"
 )
 
 // testProtocol implements gateway.Protocol.
@@ -39,10 +41,14 @@
 func (testProtocol) Matches(header http.Header, id string) bool { return header.Get(headerID) == id }
 
 func (testProtocol) Read(status int, header http.Header) gateway.ResponseInfo {
-	return gateway.ResponseInfo{
+	info := gateway.ResponseInfo{
 		Genuine: header.Get(headerGenuine) != "", NotRun: header.Get(headerNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest, UpstreamID: "upstream-1",
 	}
+	if ms, err := strconv.Atoi(header.Get(headerCold)); err == nil {
+		info.ColdFor, info.ColdKnown = time.Duration(ms)*time.Millisecond, true
+	}
+	return info
 }
 
 // rawUpstream is an upstream whose respond function writes the bytes of each response, so that tests can send invalid ones. It counts
--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"sapphiretray/member"
@@ -64,7 +65,7 @@
 			return
 		}
 		surplus := b.carried[costliest.Instance] - targets[costliest.Instance]
-		headroom := targets[cheapest.Instance] - b.carried[cheapest.Instance]
+		headroom := min(targets[cheapest.Instance]-b.carried[cheapest.Instance], b.coldRoom(cheapest)/maxOvershoot)
 		if headroom < minMoveLoad || cheapest.utilisation(b.carried[cheapest.Instance]+minMoveLoad) > maxReceiverUtilisation {
 			return
 		}
@@ -76,7 +77,8 @@
 		}
 		omitted := from
 		fastest := b.fastest(costs.candidates)
-		if costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
+		if b.canReceive(fastest, b.carried[costliest.Instance]) &&
+			costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
 			costliest.RelativeServiceTime >= minSpeedup*fastest.RelativeServiceTime &&
 			b.moveHotRange(costliest, fastest) {
 			// The next plans move the receiver's other keys away.
@@ -110,6 +112,9 @@
 // update computes the costs of candidate n anew.
 func (c *candidateCosts) update(b *builder, n int) {
 	c.present[n], c.receiving[n] = b.cost(c.candidates[n], 0), b.cost(c.candidates[n], minMoveLoad)
+	if !b.canReceive(c.candidates[n], minMoveLoad) {
+		c.receiving[n] = math.Inf(1)
+	}
 }
 
 // remove removes candidate n.
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -18,6 +18,9 @@
 	RelativeServiceTime float64
 	// SettledVersion is the newest map version of which the instance serves all keys that are assigned to it.
 	SettledVersion uint64
+	// ColdLoad is the load that the upstream bears while it is cold, in busy slots of an upstream with the mean service time; 0 if it isn't
+	// cold. It bounds the load that is moved to the candidate, which keeps what it has.
+	ColdLoad float64
 }
 
 // RangeLoad is the load of a range of keys, in busy concurrency slots of an upstream with the mean service time.
@@ -157,7 +160,7 @@
 		if _, ok := b.byInstance[owner]; ok || b.input.Keep(owner) {
 			continue
 		}
-		if next, ok := b.newerIncarnation(owner); ok {
+		if next, ok := b.newerIncarnation(owner); ok && b.keepsInSlot(n, next) {
 			b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
 			continue
 		}
@@ -175,10 +178,10 @@
 			break
 		}
 		b.split(n, cut)
-		b.assign(n, b.lowestCost(), reason)
+		b.assign(n, b.lowestCost(n), reason)
 		n++
 	}
-	b.assign(n, b.lowestCost(), reason)
+	b.assign(n, b.lowestCost(n), reason)
 	return n
 }
 
@@ -209,7 +212,7 @@
 		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
 		for _, from := range others {
 			// A candidate can't give up a single key, or keys that are being moved already.
-			if b.moveLoad(from, c, newCandidateShare*meanLoad, false) {
+			if b.moveLoad(from, c, min(newCandidateShare*meanLoad, b.coldRoom(c)/maxOvershoot), false) {
 				break
 			}
 		}
@@ -386,10 +389,13 @@
 	return c.cost(b.carried[c.Instance] + more)
 }
 
-// lowestCost returns the candidate with the lowest cost; of several, the one with the least load.
-func (b *builder) lowestCost() member.Incarnation {
+// lowestCost returns the candidate with the lowest cost, of those that can receive the load of entry n if there are any; of several, the
+// one with the least load.
+func (b *builder) lowestCost(n int) member.Incarnation {
+	load := b.density.load(b.entries[n].Range)
 	return slices.MinFunc(b.input.Candidates, func(a, c Candidate) int {
-		return cmp.Or(cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad)),
+		return cmp.Or(-compareBool(b.canReceive(a, load), b.canReceive(c, load)),
+			cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad)),
 			cmp.Compare(b.carried[a.Instance], b.carried[c.Instance]))
 	}).Instance
 }
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -56,6 +56,8 @@
 	overtakers int
 	// stalled is set for a running request that the upstream has presumably dropped. It doesn't count as using a slot.
 	stalled bool
+	// start counts a running request in Scheduler.starts.
+	start *Start
 }
 
 type jobState int
@@ -85,6 +87,8 @@
 	waiting  []*Job
 	// announced holds the requests that will be submitted once their bodies have arrived.
 	announced []*Job
+	// starts limits the requests that begin while the upstream is cold.
+	starts StartLimit
 }
 
 // NewScheduler returns a scheduler for an upstream with the given number of slots, at least 1.
@@ -114,7 +118,7 @@
 		j.state = jobDone
 		return j, Decision{RetryAfter: minRetryAfter}
 	}
-	if s.usedSlots() < s.slots && len(s.waiting) == 0 {
+	if s.usedSlots() < s.slots && len(s.waiting) == 0 && s.starts.Allows(now) {
 		s.start(now, j)
 		return j, Decision{Admitted: true}
 	}
@@ -124,7 +128,7 @@
 	case jobRunning:
 		return j, Decision{Admitted: true}
 	case jobDone:
-		return j, Decision{RetryAfter: s.ExpectedWait(now)}
+		return j, Decision{RetryAfter: s.retryAfter(now, now.Add(s.ExpectedWait(now)), jobSpec.ServiceTime)}
 	default:
 		j.onDecision = onDecision
 		return j, Decision{}
@@ -136,17 +140,18 @@
 // later Announce calls until Retract is called.
 func (s *Scheduler) Announce(now time.Time, jobSpec JobSpec) (*Job, Decision) {
 	j := &Job{spec: jobSpec, state: jobDone}
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	for _, others := range [][]*Job{s.waiting, s.announced} {
 		for _, other := range others {
 			if compareJobs(now, other, j) <= 0 {
-				occupyEarliest(free, other.spec.ServiceTime)
+				f.add(other.spec.ServiceTime)
 			}
 		}
 	}
-	end := free[0].Add(jobSpec.ServiceTime)
-	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && free[0].After(now) {
-		return j, Decision{RetryAfter: max(free[0].Sub(now), minRetryAfter)}
+	start := f.next()
+	end := start.Add(jobSpec.ServiceTime)
+	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
+		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec.ServiceTime)}
 	}
 	s.announced = append(s.announced, j)
 	return j, Decision{Admitted: true}
@@ -163,6 +168,9 @@
 		return
 	}
 	j.state = jobDone
+	if j.start.sent.IsZero() {
+		s.starts.Discard(j.start)
+	}
 	s.running = slices.DeleteFunc(s.running, func(other *Job) bool { return other == j })
 	s.detectStalled(now, j)
 	if len(s.waiting) > 0 {
@@ -225,16 +233,16 @@
 
 // ExpectedWait returns how long a new request at the end of the queue is expected to wait for a slot, and at least minRetryAfter.
 func (s *Scheduler) ExpectedWait(now time.Time) time.Duration {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	for _, j := range s.waiting {
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 	}
-	return max(free[0].Sub(now), minRetryAfter)
+	return max(f.next().Sub(now), minRetryAfter)
 }
 
 // startWaiting starts waiting requests in order while slots are free.
 func (s *Scheduler) startWaiting(now time.Time) {
-	for s.usedSlots() < s.slots && len(s.waiting) > 0 {
+	for s.usedSlots() < s.slots && len(s.waiting) > 0 && s.starts.Allows(now) {
 		j := s.waiting[0]
 		s.waiting = slices.Delete(s.waiting, 0, 1)
 		if !j.spec.Deadline.After(now) {
@@ -249,31 +257,32 @@
 }
 
 func (s *Scheduler) start(now time.Time, j *Job) {
-	j.state, j.started = jobRunning, now
+	j.state, j.started, j.start = jobRunning, now, s.starts.Begin(now)
 	s.running = append(s.running, j)
 }
 
 // refuseInfeasible predicts when each request of the sorted queue would start, and refuses those that can't be served in time.
 func (s *Scheduler) refuseInfeasible(now time.Time) {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	late := 0
 	var refused []*Job
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *Job) bool {
-		end := free[0].Add(j.spec.ServiceTime)
+		start := f.next()
+		end := start.Add(j.spec.ServiceTime)
 		if end.After(j.spec.Objective) {
 			late++
 			// A slot that is free now is used in any case, since a late response is better than none.
-			mayBeLate := (j.spec.Retry || j.spec.Nested || !free[0].After(now)) && late <= lateQueueFactor*s.slots
+			mayBeLate := (j.spec.Retry || j.spec.Nested || !start.After(now)) && late <= lateQueueFactor*s.slots
 			if !mayBeLate || end.After(j.spec.Deadline) {
 				refused = append(refused, j)
 				return true
 			}
 		}
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 		return false
 	})
 	for _, j := range refused {
-		s.refuse(j, max(free[0].Sub(now), minRetryAfter))
+		s.refuse(j, s.retryAfter(now, f.next(), j.spec.ServiceTime))
 	}
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -26,6 +26,10 @@
 	gauge("upstream_waiting", "Requests that wait for a slot.", func() float64 { return float64(sc.gateway.Load().Waiting) })
 	gauge("upstream_slots", "Requests that may run at once.", func() float64 { return float64(sc.gateway.Load().Slots) })
 	gauge("upstream_usable", "1 if the upstream takes work.", func() float64 { return boolValue(sc.gateway.State().Usable()) })
+	gauge("upstream_start_rate", "Requests per second that may begin while the upstream is cold, 0 if it isn't.",
+		func() float64 { return sc.gateway.Load().StartRate })
+	gauge("upstream_cold_seconds", "How long requests stay limited because the upstream is or may be cold.",
+		func() float64 { return sc.gateway.ColdFor().Seconds() })
 	gauge("lease_valid", "1 if the lease of the instance is valid.", func() float64 { return boolValue(sc.endpoint.Lease().Valid()) })
 	gauge("lease_generation", "How often the lease was acquired.", func() float64 { return float64(sc.endpoint.Lease().Generation()) })
 	gauge("keys_served", "Keys that the upstream may serve now.", sc.keysServed)
@@ -48,6 +52,8 @@
 		func(s gateway.Stats) uint64 { return s.Responses })
 	counter("upstream_refused_total", "Requests that were refused beside the upstream.",
 		func(s gateway.Stats) uint64 { return s.Refused })
+	counter("upstream_cold_refused_total", "Requests that were refused because the upstream was cold.",
+		func(s gateway.Stats) uint64 { return s.ColdRefused })
 	counter("upstream_unknown_total", "Requests with an unknown outcome.",
 		func(s gateway.Stats) uint64 { return s.Unknown })
 }
--- a/sidecar/ownermodel_upstream_test.go
+++ b/sidecar/ownermodel_upstream_test.go
@@ -146,7 +146,7 @@
 // markGone lets the gateway find out that the upstream refuses connections.
 func (g ownerGrants) markGone(ctx context.Context, err error) {
 	if errors.Is(err, grant.ErrUpstreamGone) {
-		_, _ = g.process.sc.gateway.Identify(ctx, "/")
+		_, _ = g.process.sc.gateway.CheckHealth(ctx, "/")
 	}
 }
 
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -261,10 +261,12 @@
 		p.Used = max(current.lostAt, sc.rows.Version())
 		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
+	serviceTime := meanServiceTime(reports)
 	for i, r := range reports {
 		if r.GetUsable() && sc.directory.isRegistered(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
+				ColdLoad: coldLoad(r, serviceTime),
 			})
 		}
 	}
@@ -428,6 +430,6 @@
 	}
 	for _, c := range p.Candidates {
 		klog.V(2).InfoS("plan: candidate", "instance", c.Instance, "pace", c.RelativeServiceTime, "settled", c.SettledVersion,
-			"load", reports[c.Instance].GetLoad(), "version", p.Current.Version(), "reports", len(reports))
+			"coldLoad", c.ColdLoad, "load", reports[c.Instance].GetLoad(), "version", p.Current.Version(), "reports", len(reports))
 	}
 }
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -122,6 +122,7 @@
 	case unanswered:
 		r.Reason = "the upstream leaves grants unanswered"
 	}
+	r.StartRate, r.ColdSeconds = sc.gateway.Load().StartRate, sc.gateway.ColdFor().Seconds()
 	for _, k := range sc.loads.rangeLoads(time.Now()) {
 		r.Load += k.Load
 		r.Keys = append(r.Keys, &peer.KeyLoad{First: uint32(k.First), Last: uint32(k.Last), Load: k.Load})
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -125,7 +125,8 @@
 	service, _ := table.Service(sc.settings.Service)
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	id, err := sc.gateway.Identify(ctx, service.HealthPath)
+	report, err := sc.gateway.CheckHealth(ctx, service.HealthPath)
+	id := report.ID
 	if err != nil || id == "" {
 		klog.InfoS("upstream: id unknown; waiting for its heartbeat", "err", err)
 		return
@@ -136,7 +137,7 @@
 	}
 	sc.gateway.Assume(gateway.Registration{
 		UpstreamRun: run, Service: record.Service, Address: sc.settings.UpstreamAddress, DataCentre: record.DataCentre,
-		Slots: int(record.Capacity),
+		Slots: int(record.Capacity), ColdFor: report.ColdFor, ColdUnknown: !report.ColdKnown,
 	})
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -203,7 +203,7 @@
 	sc.gateway = gateway.New(group, sc.settings.Service, sc.settings.UpstreamAddress, sc.adapters.Upstream,
 		gateway.WithKeys(sc.keys), gateway.WithOnChange(sc.upstreamChanged), gateway.WithDrainLimit(sc.settings.DrainLimit),
 		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(func(f []uint64) { sc.broadcastCrash(running, f) }),
-		gateway.WithDial(sc.adapters.Network.DialContext))
+		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithColdTerms(sc.coldTerms))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions),
@@ -381,6 +381,19 @@
 	return terms
 }
 
+// coldTerms returns the terms of the configuration in effect for cold upstreams, or the zero value if there is none yet.
+func (sc *Sidecar) coldTerms() gateway.ColdTerms {
+	table := sc.routes.Load()
+	if table == nil {
+		return gateway.ColdTerms{}
+	}
+	service, _ := table.Service(sc.settings.Service)
+	return gateway.ColdTerms{
+		Starts:   policy.NewStartTerms(service.ColdRate, sc.settings.ColdOverrun, sc.settings.ColdSlack),
+		Duration: service.ColdStart, HealthPath: service.HealthPath,
+	}
+}
+
 // limits returns the limits of the configuration in effect, or a default header timeout if there is none yet.
 func (sc *Sidecar) limits() routing.Limits {
 	if table := sc.routes.Load(); table != nil {
