Gateway, Fake, Platform: suspicion of unannounced cold times, soak of cold upstreams

Change: connections that overlap prove that the upstream's process wasn't replaced since its last sign of life; without a proof, requests are limited until a health check or a heartbeat tells.

--- a/fake/cold.go
+++ b/fake/cold.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +17,7 @@
 	most     int
 }
 
-// Start makes the upstream cold for d, during which it bears a number of requests within any second.
+// Start makes the upstream cold for d, during which it bears a number of requests within any second; math.MaxInt if it bears any number.
 func (c *ColdLimit) Start(d time.Duration, maximum int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -32,7 +33,9 @@
 		return true
 	}
 	c.arrivals = append(slices.DeleteFunc(c.arrivals, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
-	c.most = max(c.most, len(c.arrivals))
+	if c.maximum < math.MaxInt {
+		c.most = max(c.most, len(c.arrivals))
+	}
 	return len(c.arrivals) <= c.maximum
 }
 
--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,6 +49,9 @@
 	unresponsive bool
 	// misdirected counts requests for another upstream or for a key without a grant.
 	misdirected int
+	cold        ColdLimit
+	// heartbeatless is set while no heartbeats are sent.
+	heartbeatless bool
 }
 
 // keyGrant is a grant of a range of keys, both ends included, or its release. Later entries override earlier ones.
@@ -92,6 +96,24 @@
 	u.Set(func(u *KeyedUpstream) { u.unresponsive = unresponsive })
 }
 
+// SetCold makes the upstream cold for d. It bears a number of requests within any second then, and breaks off the connections of others.
+func (u *KeyedUpstream) SetCold(d time.Duration, maximum int) { u.cold.Start(d, maximum) }
+
+// BecomeCold makes the upstream cold for d like SetCold, once it has said so in a heartbeat.
+func (u *KeyedUpstream) BecomeCold(ctx context.Context, d time.Duration, maximum int) {
+	u.cold.Start(d, math.MaxInt)
+	u.sendHeartbeat(ctx)
+	u.cold.Start(u.cold.Remaining(), maximum)
+}
+
+// MostCold returns the largest number of requests that have arrived within a second while the upstream was cold.
+func (u *KeyedUpstream) MostCold() int { return u.cold.Most() }
+
+// SetHeartbeatless makes the upstream send no heartbeats.
+func (u *KeyedUpstream) SetHeartbeatless(heartbeatless bool) {
+	u.Set(func(u *KeyedUpstream) { u.heartbeatless = heartbeatless })
+}
+
 // Leave makes the heartbeats report the state draining.
 func (u *KeyedUpstream) Leave() { u.Set(func(u *KeyedUpstream) { u.leaving = true }) }
 
@@ -137,6 +159,10 @@
 
 func (u *KeyedUpstream) sendHeartbeat(ctx context.Context) {
 	u.mu.Lock()
+	if u.heartbeatless {
+		u.mu.Unlock()
+		return
+	}
 	u.sequence++
 	state := "ready"
 	if u.leaving {
@@ -145,7 +171,7 @@
 	body := map[string]any{
 		"address": u.address, "born": u.started,
 		"info":   map[string]any{"service": u.service, "version": "v1", "zone": "north", "slots": u.slots},
-		"status": map[string]any{"state": state, "sequence": u.sequence, "cold_remaining": "0ms"},
+		"status": map[string]any{"state": state, "sequence": u.sequence, "cold_remaining": u.cold.Remaining().String()},
 	}
 	u.mu.Unlock()
 	content, _ := json.Marshal(body)
@@ -166,6 +192,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/grant", u.grant)
 	mux.HandleFunc("POST /-/release", u.release)
+	mux.HandleFunc("GET /health", u.health)
 	mux.HandleFunc("/", u.request)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.mu.Lock()
@@ -230,6 +257,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// health responds to a health check. The check counts as a request to a cold upstream.
+func (u *KeyedUpstream) health(w http.ResponseWriter, _ *http.Request) {
+	u.cold.Arrive()
+	w.Header().Set("X-Sapphiretray-Instance-Id", u.id)
+	w.Header().Set("X-Sapphiretray-Cold-Ms", strconv.FormatInt(u.cold.Remaining().Milliseconds(), 10))
+	w.WriteHeader(http.StatusOK)
+}
+
 // request runs a request, or refuses it with 421 if it is for another upstream or for a key without a grant, and with 503 while the
 // upstream sheds.
 func (u *KeyedUpstream) request(w http.ResponseWriter, r *http.Request) {
@@ -252,6 +287,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !u.cold.Arrive() {
+		u.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	u.runs[id]++
 	u.running++
 	u.maxRunning = max(u.maxRunning, u.running)
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -20,7 +20,7 @@
 	// these say.
 	coldNoticeDelay = 100 * time.Millisecond
 	// coldCheckInterval is the time between two health checks of an upstream that may be cold, and coldCheckTimeout bounds one of them.
-	coldCheckInterval = time.Second
+	coldCheckInterval = 300 * time.Millisecond
 	coldCheckTimeout  = 300 * time.Millisecond
 	// maxColdFactor is the largest cold time that is believed, in multiples of the cold time after a start.
 	maxColdFactor = 10
@@ -55,8 +55,10 @@
 	started, refused uint64
 }
 
-// observeCold records how long the upstream stays cold, as it says itself. Cold times that can't be true are ignored. g.mu must be held.
-func (g *Gateway) observeCold(now time.Time, coldFor time.Duration, source string) {
+// observeCold records how long the upstream stays cold, as it says itself. newRun is set if it is the first time that this run says so. Cold
+// times that can't be true are ignored, and so is an earlier end of the cold time of the same run: it was said before the upstream became
+// cold, and arrived late. g.mu must be held.
+func (g *Gateway) observeCold(now time.Time, coldFor time.Duration, newRun bool, source string) {
 	terms := g.coldTerms()
 	if coldFor < 0 || terms.Duration > 0 && coldFor > maxColdFactor*terms.Duration {
 		klog.InfoS("upstream: cold time ignored", "life", g.registry.current.UpstreamRun, "cold", coldFor, "usual", terms.Duration,
@@ -65,11 +67,16 @@
 	}
 	c := &g.cold
 	c.heard = now
+	g.pool.prove(now.Add(-heartbeatDelay))
 	if coldFor == 0 && source == sourceHeartbeat && now.Sub(c.suspected) < heartbeatDelay {
 		return
 	}
-	c.until, c.suspected = now.Add(coldFor), time.Time{}
-	if coldFor == 0 {
+	until := now.Add(coldFor)
+	if !newRun && until.Before(c.until) {
+		until = c.until
+	}
+	c.until, c.suspected = until, time.Time{}
+	if !now.Before(until) {
 		g.scheduler.LiftStartLimit(now)
 		g.logCold(now, source)
 		return
@@ -96,7 +103,7 @@
 const (
 	sourceHeartbeat       = "heartbeat"
 	sourceHealthCheck     = "health check"
-	sourceLostConnections = "all connections lost"
+	sourceLostConnections = "no connection since the last sign of life"
 	sourceOverdue         = "heartbeats overdue"
 	sourceConfiguration   = "configuration"
 )
@@ -113,8 +120,8 @@
 }
 
 // updateStartLimit applies the terms of a configuration that arrived after the upstream had become cold, and limits the requests if the
-// upstream may have become cold without saying so: all its connections ended, or no heartbeat has arrived for long. A health check clears
-// that up. g.mu must be held.
+// upstream may have become cold without saying so: its process may have been replaced, or no heartbeat has arrived for long. A health check
+// clears that up. g.mu must be held.
 func (g *Gateway) updateStartLimit(now time.Time) {
 	c := &g.cold
 	if g.scheduler.IsStartLimited(now) || !g.registry.known {
@@ -128,16 +135,16 @@
 	if terms.Starts.IsZero() || !c.suspected.IsZero() {
 		return
 	}
-	lostAt, source := g.pool.allLostAt(), sourceLostConnections
-	switch {
-	case lostAt.After(c.heard):
-	case now.Sub(c.heard) > heartbeatOverdue:
-		lostAt, source = time.Time{}, sourceOverdue
-	default:
-		return
+	since, continuous := g.pool.proof()
+	source := sourceLostConnections
+	if continuous {
+		if now.Sub(c.heard) <= heartbeatOverdue {
+			return
+		}
+		since, source = time.Time{}, sourceOverdue
 	}
 	c.suspected = now
-	g.scheduler.LimitStarts(now, lostAt, now.Add(terms.Duration), terms.Starts)
+	g.scheduler.LimitStarts(now, since, now.Add(terms.Duration), terms.Starts)
 	g.logCold(now, source)
 }
 
@@ -157,6 +164,7 @@
 	g.spawn(func() {
 		ctx, cancel := context.WithTimeout(ctx, coldCheckTimeout)
 		defer cancel()
+		sent := time.Now()
 		report, err := g.CheckHealth(ctx, path)
 		if err != nil || !report.ColdKnown {
 			klog.V(1).InfoS("upstream: cold time unknown", "err", err)
@@ -165,7 +173,8 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if report.ID == g.registry.current.ID && !g.cold.suspected.IsZero() {
-			g.observeCold(time.Now(), report.ColdFor, sourceHealthCheck)
+			g.observeCold(time.Now(), report.ColdFor, false, sourceHealthCheck)
+			g.pool.prove(sent)
 		}
 	})
 }
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -182,6 +182,7 @@
 				if served, refused := rig.load(time.Second); served != 40 || refused > 0 {
 					t.Errorf("warm: %d requests served and %d refused, want 40 and 0", served, refused)
 				}
+				rig.checks.Store(0)
 				test.before(rig)
 				served, refused := rig.load(2 * time.Second)
 				if rig.exceeded.Load() > 0 {
@@ -210,6 +211,13 @@
 		name    string
 		happens func(rig *coldRig)
 	}{
+		{"idle", func(rig *coldRig) {
+			for range 6 {
+				time.Sleep(2 * time.Second)
+				rig.heartbeat(2001, 0)
+			}
+			rig.resetConns()
+		}},
 		{"connections ended", func(rig *coldRig) { rig.resetConns() }},
 		{"heartbeats overdue", func(*coldRig) { time.Sleep(3 * time.Second) }},
 	}
@@ -218,6 +226,7 @@
 			bubble.Test(t, func(t *testing.T) {
 				rig := newColdRig(t)
 				rig.load(time.Second)
+				rig.checks.Store(0)
 				test.happens(rig)
 				served, refused := rig.load(2 * time.Second)
 				if refused > 4 || served < 70 {
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -50,6 +50,8 @@
 	matches func(header http.Header, id string) bool
 	// memory is shared by all connections to the upstream.
 	memory *memory
+	// opened is when the connection was opened.
+	opened time.Time
 	// lost is set if the upstream has ended the connection. Only readLoop and the goroutine that called it use it.
 	lost bool
 	// written is 0 if it is certain that no byte of the newest request has been sent, and 1 otherwise.
@@ -87,7 +89,7 @@
 }
 
 func newConn(raw net.Conn, matches func(http.Header, string) bool, m *memory) *conn {
-	return &conn{Conn: raw, matches: matches, memory: m, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: raw, matches: matches, memory: m, idleTimeout: defaultIdleTimeout, opened: time.Now()}
 }
 
 // readLoop reads responses until the connection ends.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -22,6 +22,8 @@
 	// upstream has dropped the connection, a request that isn't idempotent can't be sent again.
 	maxIdle              = 4 * time.Second
 	maxIdleNonIdempotent = time.Second
+	// restartSpan is the time within which all connections to a process that ends are found to be ended. New ones may be opened meanwhile.
+	restartSpan = 100 * time.Millisecond
 	// dialTimeout bounds the time to connect to the upstream, which is on the same machine.
 	dialTimeout = 300 * time.Millisecond
 )
@@ -44,9 +46,9 @@
 	reading map[*conn]struct{}
 	// lost is set if the upstream has ended a connection since the newest one was opened.
 	lost bool
-	// lostAt is when the upstream last ended the only open connection.
-	lostAt time.Time
-	closed bool
+	// provenAt is the last time at which the upstream's process was known not to have been replaced.
+	provenAt time.Time
+	closed   bool
 }
 
 // get returns a connection for a request with the given id: the most recently used idle one, or a new one if none has been idle for at
@@ -101,16 +103,41 @@
 	defer p.mu.Unlock()
 	delete(p.reading, c)
 	p.lost = p.lost || c.lost
-	if p.lost && len(p.reading) == 0 {
-		p.lostAt = time.Now()
+	p.extendProof(c)
+}
+
+// prove records a time at which the upstream's process hadn't been replaced.
+func (p *pool) prove(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at.After(p.provenAt) {
+		p.provenAt = at
 	}
 }
 
-// allLostAt returns when the upstream last ended the only open connection, as it does when its process ends.
-func (p *pool) allLostAt() time.Time {
+// proof reports whether the upstream's process can't have been replaced since prove was last called: connections that overlap have been
+// open all the time. If it may have been, proof returns when that was still known.
+func (p *pool) proof() (at time.Time, continuous bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lostAt
+	for c := range p.reading {
+		if p.extendProof(c) {
+			return p.provenAt, true
+		}
+	}
+	return p.provenAt, false
+}
+
+// extendProof extends the proof up to a connection's end or until now, except for restartSpan, if the connection was opened before the end of
+// the proof. Otherwise it returns false. p.mu must be held.
+func (p *pool) extendProof(c *conn) bool {
+	if c.opened.After(p.provenAt) {
+		return false
+	}
+	if at := time.Now().Add(-restartSpan); at.After(p.provenAt) {
+		p.provenAt = at
+	}
+	return true
 }
 
 // connections returns the number of open connections, and whether the upstream has ended one since the newest was opened.
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -118,7 +118,7 @@
 	if newRun || g.registry.current.Sequence == n.Sequence {
 		// A heartbeat newer than all previous ones shows that the upstream's process is running.
 		g.down = false
-		g.observeCold(time.Now(), n.ColdFor, sourceHeartbeat)
+		g.observeCold(time.Now(), n.ColdFor, newRun, sourceHeartbeat)
 	}
 	g.mu.Unlock()
 	if newRun {
@@ -143,7 +143,7 @@
 		g.registry.current, g.registry.known = r, true
 		g.scheduler.SetSlots(time.Now(), r.Slots)
 		if !r.ColdUnknown {
-			g.observeCold(time.Now(), r.ColdFor, sourceHealthCheck)
+			g.observeCold(time.Now(), r.ColdFor, true, sourceHealthCheck)
 		}
 	}
 	g.mu.Unlock()
