--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -55,9 +55,9 @@
 	started, refused uint64
 }
 
-// observeCold records how long the upstream stays cold, as it says itself. newRun is set if it is the first time that this run says so. Cold
-// times that can't be true are ignored, and so is an earlier end of the cold time of the same run: it was said before the upstream became
-// cold, and arrived late. g.mu must be held.
+// observeCold records how long the upstream stays cold, as it says itself; newRun is set if its run is new. Cold times that can't be true
+// are ignored, and so is an earlier end of the cold time of the same run: it was said before that began, and arrived late. g.mu
+// must be held.
 func (g *Gateway) observeCold(now time.Time, coldFor time.Duration, newRun bool, source string) {
 	terms := g.coldTerms()
 	if coldFor < 0 || terms.Duration > 0 && coldFor > maxColdFactor*terms.Duration {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -128,7 +128,7 @@
 	return p.provenAt, false
 }
 
-// extendProof extends the proof up to a connection's end or until now, except for restartSpan, if the connection was opened before the end of
+// extendProof extends the proof until restartSpan before now if a connection, which is open or has just ended, was opened before the end of
 // the proof. Otherwise it returns false. p.mu must be held.
 func (p *pool) extendProof(c *conn) bool {
 	if c.opened.After(p.provenAt) {
