--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -23,8 +23,8 @@
 	startMargin = 1
 	// startRateShare is the share of the requests within any second that is used in the long run, and startBurstShare that which may begin
 	// at once. Together they stay below the whole, since some upstreams bear less than others.
-	startRateShare  = 0.6
-	startBurstShare = 0.2
+	startRateShare  = 0.7
+	startBurstShare = 0.15
 )
 
 // NewStartTerms returns the terms for an upstream that bears rate requests per second while it is cold, and within any second overrun times
@@ -35,7 +35,7 @@
 	}
 	bound := max(rate, rate*overrun+slack)
 	return StartTerms{
-		Rate: max(rate, startRateShare*bound), Burst: max(1, int(startBurstShare*bound)), Maximum: max(1, int(bound)-startMargin),
+		Rate: startRateShare * bound, Burst: max(1, int(startBurstShare*bound)), Maximum: max(1, int(bound)-startMargin),
 	}
 }
 
--- a/sidecar/coldplan.go
+++ b/sidecar/coldplan.go
@@ -32,7 +32,7 @@
 // coldLoad returns the load that a reporting upstream bears while it is cold, in busy slots of an upstream with the mean service time, or 0
 // if it is warm before keys could move to it.
 func coldLoad(r *peer.ReportRequest, serviceTime time.Duration) float64 {
-	if r.GetStartRate() <= 0 || r.GetColdSeconds() <= moveDuration.Seconds() {
+	if !(r.GetStartRate() > 0) || r.GetColdSeconds() <= moveDuration.Seconds() {
 		return 0
 	}
 	return r.GetStartRate() * serviceTime.Seconds()
