--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/code"
 	"sapphiretray/policy"
 )
 
@@ -24,6 +25,17 @@
 	coldCheckTimeout  = 300 * time.Millisecond
 	// maxColdFactor is the largest cold time that is believed, in multiples of the cold time after a start.
 	maxColdFactor = 10
+	// minBearableService is the service time that Load.Bearable assumes if it isn't known or shorter.
+	minBearableService = 50 * time.Millisecond
+)
+
+// Sources of what is known of the upstream's cold time.
+const (
+	sourceHeartbeat     = "heartbeat"
+	sourceHealthCheck   = "health check"
+	sourceNoConnection  = "no connection since the last sign of life"
+	sourceOverdue       = "heartbeats overdue"
+	sourceConfiguration = "configuration"
 )
 
 // ColdTerms are the terms of a service for its cold upstreams.
@@ -99,15 +111,6 @@
 	g.logCold(now, source)
 }
 
-// Sources of what is known of the upstream's cold time.
-const (
-	sourceHeartbeat       = "heartbeat"
-	sourceHealthCheck     = "health check"
-	sourceLostConnections = "no connection since the last sign of life"
-	sourceOverdue         = "heartbeats overdue"
-	sourceConfiguration   = "configuration"
-)
-
 // assumeEarlierStarts counts the requests that an earlier process may have sent to the upstream, if that has been cold for longer than this
 // process has run. g.mu must be held.
 func (g *Gateway) assumeEarlierStarts(now, since time.Time, terms policy.StartTerms) {
@@ -136,7 +139,7 @@
 		return
 	}
 	since, continuous := g.pool.proof()
-	source := sourceLostConnections
+	source := sourceNoConnection
 	if continuous {
 		if now.Sub(c.heard) <= heartbeatOverdue {
 			return
@@ -144,6 +147,7 @@
 		since, source = time.Time{}, sourceOverdue
 	}
 	c.suspected = now
+	g.assumeEarlierStarts(now, since, terms.Starts)
 	g.scheduler.LimitStarts(now, since, now.Add(terms.Duration), terms.Starts)
 	g.logCold(now, source)
 }
@@ -156,7 +160,7 @@
 		g.logCold(now, "end of the cold time")
 	}
 	c := &g.cold
-	if c.suspected.IsZero() || g.down || now.Sub(c.checked) < coldCheckInterval {
+	if c.suspected.IsZero() || g.down || now.Sub(c.checked) < coldCheckInterval || !g.scheduler.IsStartLimited(now) {
 		return
 	}
 	c.checked = now
@@ -198,16 +202,19 @@
 	klog.InfoS("upstream: no longer cold", "life", life, "source", source, "started", c.started, "refused", c.refused)
 }
 
-// coldReason returns why a request was refused. g.mu must be held.
-func (g *Gateway) coldReason(now time.Time) string {
-	terms, until := g.scheduler.StartTerms(now)
-	if terms.IsZero() {
-		return "no slot is free in time"
+// shed returns the failure of a request that the scheduler refused.
+func (g *Gateway) shed(retryAfter time.Duration) *Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := &Failure{Code: code.Shed, RetryAfter: retryAfter, Reason: "no slot is free in time"}
+	now := time.Now()
+	if terms, until := g.scheduler.StartTerms(now); !terms.IsZero() {
+		g.cold.refused++
+		g.stats.ColdRefused++
+		f.Reason = fmt.Sprintf("the upstream is cold for %v more and takes %.1f requests per second",
+			until.Sub(now).Round(time.Millisecond), terms.Rate)
 	}
-	g.cold.refused++
-	g.stats.ColdRefused++
-	return fmt.Sprintf("the upstream is cold for %v more and takes %.1f requests per second", until.Sub(now).Round(time.Millisecond),
-		terms.Rate)
+	return f
 }
 
 // countColdStart counts an admitted request if the upstream is cold.
@@ -230,9 +237,6 @@
 	return g.scheduler.StartLimitEnd().Sub(now)
 }
 
-// minBearableService is the service time that is assumed if it isn't known or shorter.
-const minBearableService = 50 * time.Millisecond
-
 // Bearable returns the number of requests that the upstream can run at once: its slots, or, while it is cold, those that begin within a
 // service time.
 func (l Load) Bearable() float64 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -342,13 +342,6 @@
 	return job, nil
 }
 
-// shed returns the failure of a request that the scheduler refused.
-func (g *Gateway) shed(retryAfter time.Duration) *Failure {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return &Failure{Code: code.Shed, RetryAfter: retryAfter, Reason: g.coldReason(time.Now())}
-}
-
 // releaseSlot ends a request that acquireSlot admitted.
 func (g *Gateway) releaseSlot(r *Request, job *policy.Job) {
 	g.mu.Lock()
--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -44,7 +44,6 @@
 
 // Start is a request that begins at an upstream. It counts until a second after it was sent.
 type Start struct {
-	at time.Time
 	// sent is when the last byte of the request was sent; zero until then.
 	sent time.Time
 }
@@ -106,7 +105,7 @@
 // AssumeSent counts requests that another process sent to the upstream.
 func (l *StartLimit) AssumeSent(requests int, at time.Time) {
 	for range requests {
-		l.starts = append(l.starts, &Start{at: at, sent: at})
+		l.starts = append(l.starts, &Start{sent: at})
 	}
 	l.tokens = max(0, l.tokens-float64(requests))
 }
@@ -122,7 +121,7 @@
 
 // Begin counts a request that begins. It reaches the upstream only if it is sent.
 func (l *StartLimit) Begin(now time.Time) *Start {
-	s := &Start{at: now}
+	s := &Start{}
 	if l.Limited(now) {
 		l.refill(now)
 		l.tokens--
@@ -188,7 +187,7 @@
 		return startTimes{next: now}
 	}
 	l.refill(now)
-	f := startTimes{next: now, until: l.until, interval: l.interval(), tokens: l.tokens}
+	f := startTimes{next: now, until: l.until, interval: l.interval(), tokens: l.tokens, burst: float64(l.terms.Burst)}
 	if counted := l.counted(now); len(counted) >= l.terms.Maximum {
 		if oldest := counted[len(counted)-l.terms.Maximum]; !oldest.sent.IsZero() {
 			f.next = oldest.sent.Add(startWindow)
@@ -202,9 +201,9 @@
 
 // startTimes predicts the times at which the limit of an upstream allows requests to begin.
 type startTimes struct {
-	next, until time.Time
-	interval    time.Duration
-	tokens      float64
+	next, until   time.Time
+	interval      time.Duration
+	tokens, burst float64
 }
 
 // advance sets next to the time from which on there is a token.
@@ -226,7 +225,7 @@
 	if !at.Before(f.until) {
 		return
 	}
-	f.tokens += at.Sub(f.next).Seconds()/f.interval.Seconds() - 1
+	f.tokens = min(f.tokens+at.Sub(f.next).Seconds()/f.interval.Seconds(), f.burst) - 1
 	f.next = at
 	f.advance()
 }
