--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -128,7 +128,7 @@
 	case jobRunning:
 		return j, Decision{Admitted: true}
 	case jobDone:
-		return j, Decision{RetryAfter: s.retryAfter(now, now.Add(s.ExpectedWait(now)), jobSpec.ServiceTime)}
+		return j, Decision{RetryAfter: s.retryAfter(now, now.Add(s.ExpectedWait(now)), jobSpec)}
 	default:
 		j.onDecision = onDecision
 		return j, Decision{}
@@ -151,7 +151,7 @@
 	start := f.next()
 	end := start.Add(jobSpec.ServiceTime)
 	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
-		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec.ServiceTime)}
+		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec)}
 	}
 	s.announced = append(s.announced, j)
 	return j, Decision{Admitted: true}
@@ -282,7 +282,7 @@
 		return false
 	})
 	for _, j := range refused {
-		s.refuse(j, s.retryAfter(now, f.next(), j.spec.ServiceTime))
+		s.refuse(j, s.retryAfter(now, f.next(), j.spec))
 	}
 }
 
--- a/policy/scheduler_starts.go
+++ b/policy/scheduler_starts.go
@@ -45,10 +45,10 @@
 	return &forecast{free: s.slotFreeTimes(now), starts: s.starts.forecast(now)}
 }
 
-// retryAfter returns the delay after which a refused caller should return, if a request could start at a time. serviceTime is that of the
-// refused request.
-func (s *Scheduler) retryAfter(now, start time.Time, serviceTime time.Duration) time.Duration {
-	at := s.starts.Return(now, start, serviceTime/time.Duration(s.slots))
+// retryAfter returns the delay after which the caller of a refused request should return, if a request could start at a time.
+func (s *Scheduler) retryAfter(now, start time.Time, refused JobSpec) time.Duration {
+	latest := refused.Deadline.Add(-refused.ServiceTime)
+	at := s.starts.Return(now, start, latest, refused.ServiceTime/time.Duration(s.slots))
 	return max(at.Sub(now), minRetryAfter)
 }
 
@@ -60,12 +60,7 @@
 }
 
 // next returns the time at which the next request can start.
-func (f *forecast) next() time.Time {
-	if f.starts.next.After(f.free[0]) {
-		return f.starts.next
-	}
-	return f.free[0]
-}
+func (f *forecast) next() time.Time { return latestOf(f.starts.next, f.free[0]) }
 
 // add predicts the start of the next request.
 func (f *forecast) add(serviceTime time.Duration) {
--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -70,8 +70,9 @@
 	refilled time.Time
 	// starts holds the requests that still count, in the order in which they began.
 	starts []*Start
-	// returns is the time from which on further refused callers are asked to return.
-	returns time.Time
+	// returns is the time from which on further refused callers are asked to return, and lateReturns the same for those that can't be served
+	// by then.
+	returns, lateReturns time.Time
 }
 
 // Limit sets the terms that hold until a time. since is when the upstream became cold; requests that were sent before don't count.
@@ -80,7 +81,8 @@
 		return !s.countsAt(now) || !s.sent.IsZero() && s.sent.Before(since)
 	})
 	if !l.Limited(now) {
-		l.tokens, l.refilled, l.returns = max(0, float64(terms.Burst-len(l.starts))), now, time.Time{}
+		l.tokens, l.refilled = max(0, float64(terms.Burst-len(l.starts))), now
+		l.returns, l.lateReturns = time.Time{}, time.Time{}
 	}
 	l.terms, l.until = terms, until
 }
@@ -148,22 +150,31 @@
 }
 
 // Return returns the time at which a refused caller should return: not before the given one, at which a request could begin, and not
-// together with other refused callers. interval is the time between two requests that the upstream can serve once the limit has ended.
-func (l *StartLimit) Return(now, earliest time.Time, interval time.Duration) time.Time {
+// together with other refused callers. Callers that can't be served after latest don't delay those that can be. interval is the time between
+// two requests that the upstream can serve once the limit has ended.
+func (l *StartLimit) Return(now, earliest, latest time.Time, interval time.Duration) time.Time {
 	if !l.Limited(now) {
 		return earliest
 	}
-	at := earliest
-	if l.returns.After(at) {
-		at = l.returns
+	at, next := latestOf(earliest, l.returns), &l.returns
+	if at.After(latest) {
+		at, next = latestOf(at, l.lateReturns), &l.lateReturns
 	}
 	if at.Before(l.until) {
 		interval = l.interval()
 	}
-	l.returns = at.Add(interval)
+	*next = at.Add(interval)
 	return at
 }
 
+// latestOf returns the later one of two times.
+func latestOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // refill adds the tokens since the last call.
 func (l *StartLimit) refill(now time.Time) {
 	elapsed := max(0, now.Sub(l.refilled).Seconds())
