--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -70,8 +70,8 @@
 	refilled time.Time
 	// starts holds the requests that still count, in the order in which they began.
 	starts []*Start
-	// returns is the time from which on further refused callers are asked to return, and lateReturns the same for those that can't be served
-	// by then.
+	// returns is the time from which on further refused callers are asked to return, and lateReturns the same for those that can't be
+	// served by then.
 	returns, lateReturns time.Time
 }
 
@@ -150,8 +150,8 @@
 }
 
 // Return returns the time at which a refused caller should return: not before the given one, at which a request could begin, and not
-// together with other refused callers. Callers that can't be served after latest don't delay those that can be. interval is the time between
-// two requests that the upstream can serve once the limit has ended.
+// together with other refused callers. Callers that can't be served after latest don't delay those that can be. interval is the time
+// between two requests that the upstream can serve once the limit has ended.
 func (l *StartLimit) Return(now, earliest, latest time.Time, interval time.Duration) time.Time {
 	if !l.Limited(now) {
 		return earliest
