--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -156,6 +156,26 @@
 			rig.unconfigured.Store(false)
 		}, 0},
 		{"restart without a heartbeat", func(rig *coldRig) { rig.restart() }, 1},
+		{"connections end one after another", func(rig *coldRig) {
+			var group errgroup.Group
+			send := func(n int) {
+				group.Go(func() error {
+					_, _ = rig.gateway.Do(rig.t.Context(), request(fmt.Sprint("parallel", n), routing.Idempotent))
+					return nil
+				})
+			}
+			for n := range 6 {
+				send(n)
+			}
+			_ = group.Wait()
+			rig.cold.Start(coldTime, coldBound)
+			for n, c := range rig.network.Conns() {
+				c.Reset()
+				send(6 + n)
+				time.Sleep(2 * time.Millisecond)
+			}
+			_ = group.Wait()
+		}, 1},
 		{"heartbeat after the restart is late", func(rig *coldRig) {
 			rig.restart()
 			rig.load(500 * time.Millisecond)
