--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -160,11 +160,16 @@
 		if _, ok := b.byInstance[owner]; ok || b.input.Keep(owner) {
 			continue
 		}
-		if next, ok := b.newerIncarnation(owner); ok && b.keepsInSlot(n, next) {
-			b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
-			continue
+		reason := fmt.Sprintf("%s is no longer a candidate", owner)
+		if next, ok := b.newerIncarnation(owner); ok {
+			if b.keepsInSlot(n, next) {
+				b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
+				continue
+			}
+			load := b.density.load(b.entries[n].Range)
+			reason = fmt.Sprintf("%s replaces %s in its slot and is too cold for %.2f busy slots", next, owner, load)
 		}
-		n = b.distribute(n, fmt.Sprintf("%s is no longer a candidate", owner))
+		n = b.distribute(n, reason)
 	}
 }
 
