--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -65,7 +65,7 @@
 			return
 		}
 		surplus := b.carried[costliest.Instance] - targets[costliest.Instance]
-		headroom := min(targets[cheapest.Instance]-b.carried[cheapest.Instance], b.coldRoom(cheapest)/maxOvershoot)
+		headroom := targets[cheapest.Instance] - b.carried[cheapest.Instance]
 		if headroom < minMoveLoad || cheapest.utilisation(b.carried[cheapest.Instance]+minMoveLoad) > maxReceiverUtilisation {
 			return
 		}
@@ -77,7 +77,7 @@
 		}
 		omitted := from
 		fastest := b.fastest(costs.candidates)
-		if b.canReceive(fastest, b.carried[costliest.Instance]) &&
+		if !fastest.isCold() &&
 			costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
 			costliest.RelativeServiceTime >= minSpeedup*fastest.RelativeServiceTime &&
 			b.moveHotRange(costliest, fastest) {
@@ -94,7 +94,8 @@
 // candidateCosts holds candidates with their costs, which are needed for all of them at each step of the balance.
 type candidateCosts struct {
 	candidates []Candidate
-	// present is the cost of each candidate at its load, and receiving that with minMoveLoad more.
+	// present is the cost of each candidate at its load, and receiving that with minMoveLoad more. Cold candidates receive nothing: their
+	// loads and service times say little about those after the cold time.
 	present, receiving []float64
 }
 
@@ -112,7 +113,7 @@
 // update computes the costs of candidate n anew.
 func (c *candidateCosts) update(b *builder, n int) {
 	c.present[n], c.receiving[n] = b.cost(c.candidates[n], 0), b.cost(c.candidates[n], minMoveLoad)
-	if !b.canReceive(c.candidates[n], minMoveLoad) {
+	if c.candidates[n].isCold() {
 		c.receiving[n] = math.Inf(1)
 	}
 }
--- a/keyspace/cold.go
+++ b/keyspace/cold.go
@@ -7,9 +7,12 @@
 	"sapphiretray/member"
 )
 
+// isCold reports whether the upstream is cold.
+func (c Candidate) isCold() bool { return c.ColdLoad > 0 }
+
 // coldRoom returns the load that may still be moved to a candidate, which is unlimited if its upstream isn't cold.
 func (b *builder) coldRoom(c Candidate) float64 {
-	if c.ColdLoad <= 0 {
+	if !c.isCold() {
 		return math.Inf(1)
 	}
 	return c.ColdLoad - b.carried[c.Instance]
@@ -24,7 +27,7 @@
 	if b.canReceive(b.byInstance[next], b.density.load(b.entries[n].Range)) {
 		return true
 	}
-	return !slices.ContainsFunc(b.input.Candidates, func(c Candidate) bool { return c.ColdLoad <= 0 })
+	return !slices.ContainsFunc(b.input.Candidates, func(c Candidate) bool { return !c.isCold() })
 }
 
 // compareBool orders false before true.
--- a/keyspace/cold_test.go
+++ b/keyspace/cold_test.go
@@ -84,6 +84,8 @@
 	warm := candidates(slices.Repeat([]float64{1}, 8)...)
 	m, _ := converge(t, mustPlan(t, planInput(nil, warm, loads)), warm, loads)
 	cold := restarted(warm, 1.5, 0, 1, 2, 3, 4, 5, 6, 7)
+	// Callers that return make the load of some keys rise.
+	loads = append(loads, keyspace.RangeLoad{Range: keyspace.Range{First: 100, Last: 5000}, Load: 4})
 	next, _ := converge(t, m, cold, loads)
 	for _, e := range m.Entries() {
 		for _, key := range []keyspace.Key{e.First, e.Last} {
