Gateway, Sidecar: changed terms apply to a cold upstream at once

Cause: other instances may send requests before a process has its configuration, and a limit kept the terms with which it began.

Change: without a configuration the slack of the settings alone bounds a cold upstream; the terms in effect apply from the next request on.

Measured: packages gateway, policy and sidecar pass.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -88,18 +88,15 @@
 		until = c.until
 	}
 	c.until, c.suspected = until, time.Time{}
-	if !now.Before(until) {
-		g.scheduler.LiftStartLimit(now)
-		g.logCold(now, source)
-		return
-	}
 	g.limitStarts(now, terms, source)
 }
 
-// limitStarts limits the requests while the upstream is cold. It does nothing as long as no terms are known. g.mu must be held.
+// limitStarts limits the requests while the upstream is cold, unless there are no terms. g.mu must be held.
 func (g *Gateway) limitStarts(now time.Time, terms ColdTerms, source string) {
 	left := g.cold.until.Sub(now)
 	if left <= 0 || terms.Starts.IsZero() {
+		g.scheduler.LiftStartLimit(now)
+		g.logCold(now, source)
 		return
 	}
 	since := time.Time{}
@@ -127,15 +124,14 @@
 // clears that up. g.mu must be held.
 func (g *Gateway) updateStartLimit(now time.Time) {
 	c := &g.cold
-	if g.scheduler.IsStartLimited(now) || !g.registry.known {
-		return
-	}
 	terms := g.coldTerms()
 	if now.Before(c.until) {
-		g.limitStarts(now, terms, sourceConfiguration)
+		if limit, _ := g.scheduler.StartTerms(now); limit != terms.Starts {
+			g.limitStarts(now, terms, sourceConfiguration)
+		}
 		return
 	}
-	if terms.Starts.IsZero() || !c.suspected.IsZero() {
+	if terms.Starts.IsZero() || !c.suspected.IsZero() || !g.registry.known || g.scheduler.IsStartLimited(now) {
 		return
 	}
 	since, continuous := g.pool.proof()
--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -28,12 +28,12 @@
 )
 
 // NewStartTerms returns the terms for an upstream that bears rate requests per second while it is cold, and within any second overrun times
-// as many plus slack. If overrun is 0, it bears no more than the rate. A rate of 0 is no limit.
+// as many plus slack. If overrun is 0, it bears no more than the rate. There is no limit if all are 0.
 func NewStartTerms(rate, overrun, slack float64) StartTerms {
-	if rate <= 0 {
+	bound := max(rate, rate*overrun+slack)
+	if bound <= 0 {
 		return StartTerms{}
 	}
-	bound := max(rate, rate*overrun+slack)
 	return StartTerms{
 		Rate: startRateShare * bound, Burst: max(1, int(startBurstShare*bound)), Maximum: max(1, int(bound)-startMargin),
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -381,17 +381,19 @@
 	return terms
 }
 
-// coldTerms returns the terms of the configuration in effect for cold upstreams, or the zero value if there is none yet.
+// coldTerms returns the terms of the configuration in effect for cold upstreams. While there is none yet, other instances may send requests
+// already, and the settings alone say what a cold upstream bears at least.
 func (sc *Sidecar) coldTerms() gateway.ColdTerms {
 	table := sc.routes.Load()
 	if table == nil {
-		return gateway.ColdTerms{}
+		return gateway.ColdTerms{Starts: policy.NewStartTerms(0, 0, sc.settings.ColdSlack)}
 	}
 	service, _ := table.Service(sc.settings.Service)
-	return gateway.ColdTerms{
-		Starts:   policy.NewStartTerms(service.ColdRate, sc.settings.ColdOverrun, sc.settings.ColdSlack),
-		Duration: service.ColdStart, HealthPath: service.HealthPath,
+	terms := gateway.ColdTerms{Duration: service.ColdStart, HealthPath: service.HealthPath}
+	if service.ColdRate > 0 {
+		terms.Starts = policy.NewStartTerms(service.ColdRate, sc.settings.ColdOverrun, sc.settings.ColdSlack)
 	}
+	return terms
 }
 
 // limits returns the limits of the configuration in effect, or a default header timeout if there is none yet.
