Platform, Gateway: a health response without a cold time is one of a warm upstream

Change: a healthy response that doesn't say that the upstream is cold ends the suspicion; one whose cold time can't be read doesn't.

--- a/fake/keyed.go
+++ b/fake/keyed.go
@@ -261,7 +261,9 @@
 func (u *KeyedUpstream) health(w http.ResponseWriter, _ *http.Request) {
 	u.cold.Arrive()
 	w.Header().Set("X-Sapphiretray-Instance-Id", u.id)
-	w.Header().Set("X-Sapphiretray-Cold-Ms", strconv.FormatInt(u.cold.Remaining().Milliseconds(), 10))
+	if left := u.cold.Remaining(); left > 0 {
+		w.Header().Set("X-Sapphiretray-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -79,8 +79,11 @@
 	}
 	if r.URL.Path == coldHealthPath {
 		rig.checks.Add(1)
-		left := strconv.FormatInt(rig.cold.Remaining().Milliseconds(), 10)
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headerCold+": "+left+"\r\nContent-Length: 0\r\n\r\n")
+		cold := ""
+		if left := rig.cold.Remaining(); left > 0 {
+			cold = headerCold + ": " + strconv.FormatInt(left.Milliseconds(), 10) + "\r\n"
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+cold+"Content-Length: 0\r\n\r\n")
 		return
 	}
 	time.Sleep(20 * time.Millisecond)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,11 +117,10 @@
 	Misdirected bool
 	// UpstreamID is the id of the upstream that responded, or empty if the response doesn't contain it.
 	UpstreamID string
-	// ColdFor is how much longer the upstream stays cold. ColdKnown is set if the response says so. ColdErr is the error of a value that
-	// can't be read.
-	ColdFor   time.Duration
-	ColdKnown bool
-	ColdErr   error
+	// ColdFor is how much longer the upstream stays cold, as it says in responses to health checks, or 0 if it doesn't say that it is cold.
+	// ColdErr is the error of a value that can't be read.
+	ColdFor time.Duration
+	ColdErr error
 }
 
 // Protocol translates between requests and the headers that the upstream understands.
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -157,7 +157,7 @@
 type HealthReport struct {
 	// ID is the upstream's id, or empty if the upstream isn't healthy or doesn't send it.
 	ID string
-	// ColdFor is how much longer the upstream stays cold. ColdKnown is set if the response says so.
+	// ColdFor is how much longer the upstream stays cold. ColdKnown is set if the upstream is healthy and the value can be read.
 	ColdFor   time.Duration
 	ColdKnown bool
 }
@@ -175,7 +175,7 @@
 	if info.ColdErr != nil {
 		klog.InfoS("upstream: cold time ignored", "id", info.UpstreamID, "err", info.ColdErr, "source", sourceHealthCheck)
 	}
-	return HealthReport{ID: info.UpstreamID, ColdFor: info.ColdFor, ColdKnown: info.ColdKnown}, nil
+	return HealthReport{ID: info.UpstreamID, ColdFor: info.ColdFor, ColdKnown: info.ColdErr == nil}, nil
 }
 
 // Deregister processes the deregistration of the upstream with the given id, which is its last message. The upstream then counts as
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -46,7 +46,7 @@
 		Misdirected: status == http.StatusMisdirectedRequest, UpstreamID: "upstream-1",
 	}
 	if ms, err := strconv.Atoi(header.Get(headerCold)); err == nil {
-		info.ColdFor, info.ColdKnown = time.Duration(ms)*time.Millisecond, true
+		info.ColdFor = time.Duration(ms) * time.Millisecond
 	}
 	return info
 }
