--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -19,7 +19,7 @@
 }
 
 const (
-	// startMargin is subtracted from the number of requests that may reach a cold upstream within any second, for those of other origin.
+	// startMargin is a reserve below the number of requests that may reach a cold upstream within any second.
 	startMargin = 1
 	// startRateShare is the share of the requests within any second that is used in the long run, and startBurstShare that which may begin
 	// at once. Together they stay below the whole, since some upstreams bear less than others.
