Ingress: the choice of a cold target is left to the balancer

Change: the lines in ingress/choose.go and gateway.Load.Bearable are gone.

Measured: packages policy, ingress and gateway pass.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -25,8 +25,6 @@
 	coldCheckTimeout  = 300 * time.Millisecond
 	// maxColdFactor is the largest cold time that is believed, in multiples of the cold time after a start.
 	maxColdFactor = 10
-	// minBearableService is the service time that Load.Bearable assumes if it isn't known or shorter.
-	minBearableService = 50 * time.Millisecond
 )
 
 // Sources of what is known of the upstream's cold time.
@@ -232,13 +230,3 @@
 	}
 	return g.scheduler.StartLimitEnd().Sub(now)
 }
-
-// Bearable returns the number of requests that the upstream can run at once: its slots, or, while it is cold, those that begin within a
-// service time.
-func (l Load) Bearable() float64 {
-	slots := float64(max(l.Slots, 1))
-	if l.StartRate <= 0 {
-		return slots
-	}
-	return min(slots, max(l.StartRate*max(l.ServiceTime, minBearableService).Seconds(), 1))
-}
--- a/ingress/choose.go
+++ b/ingress/choose.go
@@ -12,8 +12,6 @@
 	// reportHalfAge is the age at which a load report counts half. Reports age quickly because the load changes within a few
 	// service times.
 	reportHalfAge = 250 * time.Millisecond
-	// coldReportAge is the age up to which a report that a target is cold counts.
-	coldReportAge = time.Second
 	// remoteCost is added for a target in another data centre, in units of load per concurrency slot, because traffic between data centres
 	// is expensive.
 	remoteCost = 0.35
@@ -127,9 +125,6 @@
 	s := c.target(t.Slot)
 	slots := float64(max(s.reported.Slots, 1))
 	used := float64(s.inFlight)
-	if now.Sub(s.reportedAt) < coldReportAge {
-		slots = s.reported.Bearable()
-	}
 	if !s.reportedAt.IsZero() {
 		weight := 1 / (1 + float64(now.Sub(s.reportedAt))/float64(reportHalfAge))
 		used = max(used, weight*float64(s.reported.Running+waitingWeight*s.reported.Waiting+s.sentSinceReport))
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -140,6 +140,17 @@
 // later Announce calls until Retract is called.
 func (s *Scheduler) Announce(now time.Time, jobSpec JobSpec) (*Job, Decision) {
 	j := &Job{spec: jobSpec, state: jobDone}
+	start := s.expectedStart(now, j)
+	end := start.Add(jobSpec.ServiceTime)
+	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
+		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec)}
+	}
+	s.announced = append(s.announced, j)
+	return j, Decision{Admitted: true}
+}
+
+// expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
+func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
 	f := s.forecast(now)
 	for _, others := range [][]*Job{s.waiting, s.announced} {
 		for _, other := range others {
@@ -148,13 +159,7 @@
 			}
 		}
 	}
-	start := f.next()
-	end := start.Add(jobSpec.ServiceTime)
-	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
-		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec)}
-	}
-	s.announced = append(s.announced, j)
-	return j, Decision{Admitted: true}
+	return f.next()
 }
 
 // Retract removes an announced request, before it is submitted or given up.
