Sidecar: no keyed request reaches the upstream of an instance without a configuration

Cause: after a restart while the store was down, an instance had no configuration for 3.4 s and took its service for one without keys.

Change: without a configuration no key is admitted.

--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -65,9 +65,10 @@
 	return member.NewIncarnation(sc.settings.Slot, 0)
 }
 
-// keys returns the keys that the upstream may serve, or nil if the service isn't keyed.
+// keys returns the keys that the upstream may serve, or nil if the service isn't keyed. Without a configuration, the instance that sent a
+// request knows that its key matters.
 func (sc *Sidecar) keys() gateway.Keys {
-	if !sc.keyed() {
+	if sc.routes.Load() != nil && !sc.keyed() {
 		return nil
 	}
 	s := sc.session.Load()
