--- a/keyspace/balance.go
+++ b/keyspace/balance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"sapphiretray/member"
@@ -76,7 +77,8 @@
 		}
 		omitted := from
 		fastest := b.fastest(costs.candidates)
-		if costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
+		if !fastest.isCold() &&
+			costliest.utilisation(b.carried[costliest.Instance]) >= fullUtilisation &&
 			costliest.RelativeServiceTime >= minSpeedup*fastest.RelativeServiceTime &&
 			b.moveHotRange(costliest, fastest) {
 			// The next plans move the receiver's other keys away.
@@ -92,7 +94,8 @@
 // candidateCosts holds candidates with their costs, which are needed for all of them at each step of the balance.
 type candidateCosts struct {
 	candidates []Candidate
-	// present is the cost of each candidate at its load, and receiving that with minMoveLoad more.
+	// present is the cost of each candidate at its load, and receiving that with minMoveLoad more. Cold candidates receive nothing: their
+	// loads and service times say little about those after the cold time.
 	present, receiving []float64
 }
 
@@ -110,6 +113,9 @@
 // update computes the costs of candidate n anew.
 func (c *candidateCosts) update(b *builder, n int) {
 	c.present[n], c.receiving[n] = b.cost(c.candidates[n], 0), b.cost(c.candidates[n], minMoveLoad)
+	if c.candidates[n].isCold() {
+		c.receiving[n] = math.Inf(1)
+	}
 }
 
 // remove removes candidate n.
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -65,9 +65,10 @@
 	return member.NewIncarnation(sc.settings.Slot, 0)
 }
 
-// keys returns the keys that the upstream may serve, or nil if the service isn't keyed.
+// keys returns the keys that the upstream may serve, or nil if the service isn't keyed. Without a configuration, the instance that sent a
+// request knows that its key matters.
 func (sc *Sidecar) keys() gateway.Keys {
-	if !sc.keyed() {
+	if sc.routes.Load() != nil && !sc.keyed() {
 		return nil
 	}
 	s := sc.session.Load()
@@ -125,7 +126,8 @@
 	service, _ := table.Service(sc.settings.Service)
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	id, err := sc.gateway.Identify(ctx, service.HealthPath)
+	report, err := sc.gateway.CheckHealth(ctx, service.HealthPath)
+	id := report.ID
 	if err != nil || id == "" {
 		klog.InfoS("upstream: id unknown; waiting for its heartbeat", "err", err)
 		return
@@ -136,7 +138,7 @@
 	}
 	sc.gateway.Assume(gateway.Registration{
 		UpstreamRun: run, Service: record.Service, Address: sc.settings.UpstreamAddress, DataCentre: record.DataCentre,
-		Slots: int(record.Capacity),
+		Slots: int(record.Capacity), ColdFor: report.ColdFor, ColdUnknown: !report.ColdKnown,
 	})
 }
 
