Evacuation: evacuated data centres get no requests within the operator's limit

Cause: nothing read the rows with which the operator evacuates data centres, so that upstreams there got requests until they were taken back.

Change: package platform decodes the rows, which arrive with the machinery for configurations, and package evacuation holds the data centres with the time at which each closes. Targets leave them out at once, the planner moves their keys by planned handover, and the gateway beside each upstream admits nothing new from the close on (code 1306 with a Retry-After); what runs ends. Requests that no open data centre can serve are refused at once. A row that can't be used is logged and leaves the state as it was.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,6 +29,8 @@
 	maxKeyWait = 600 * time.Millisecond
 	// downRetryAfter is the Retry-After while the upstream's address refuses connections.
 	downRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the upstream's data centre is evacuated. Keys usually have another owner by then.
+	evacuatedRetryAfter = 300 * time.Millisecond
 	// MinTimeLeft is the shortest time until its deadline at which a request is still sent.
 	MinTimeLeft = 10 * time.Millisecond
 	// responseMargin is subtracted from the deadline that is sent to the upstream, so that its response arrives before the caller
@@ -51,6 +53,7 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	evacuated    func() bool
 	// pool holds the connections for requests, control those for control requests.
 	pool         pool
 	control      pool
@@ -91,6 +94,7 @@
 	Responses   uint64 // Complete responses received from the upstream, refusals included.
 	Refused     uint64 // Requests that certainly did not run.
 	Unknown     uint64 // Failed requests that may have run.
+	Evacuated   uint64 // Requests that were refused because the data centre is evacuated. They count in Refused, too.
 }
 
 // Option configures a Gateway.
@@ -116,6 +120,10 @@
 // requests are refused as soon as it has.
 func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
 
+// WithEvacuated sets a function that reports whether the data centre of the upstream is evacuated and closed. Requests are then refused
+// unless they have been sent to the upstream already.
+func WithEvacuated(evacuated func() bool) Option { return func(g *Gateway) { g.evacuated = evacuated } }
+
 // DialFunc connects to an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -130,6 +138,7 @@
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
 		onCrash:   func([]uint64) {},
+		evacuated: func() bool { return false },
 		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
@@ -268,12 +277,19 @@
 		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetryAfter, Reason: "the upstream has not registered yet"}
 	case g.registry.leaving && time.Since(g.registry.leavingSince) > g.drainLimit-drainMargin:
 		return &Failure{Code: code.Draining, Reason: "the upstream is leaving"}
+	case g.evacuated():
+		return evacuatedFailure()
 	case g.down:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetryAfter, Reason: "the upstream refuses connections"}
 	}
 	return nil
 }
 
+// evacuatedFailure returns the failure of a request to an upstream in a closed data centre.
+func evacuatedFailure() *Failure {
+	return &Failure{Code: code.Evacuated, RetryAfter: evacuatedRetryAfter, Reason: "the data centre is evacuated"}
+}
+
 // admitKey returns a Failure if the upstream may not serve the request's key.
 func (g *Gateway) admitKey(ctx context.Context, r *Request) *Failure {
 	keys := g.keys()
@@ -351,6 +367,9 @@
 	} else {
 		g.stats.Unknown++
 	}
+	if f.Code == code.Evacuated {
+		g.stats.Evacuated++
+	}
 	return f
 }
 
@@ -368,6 +387,11 @@
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
+		if g.evacuated() {
+			// The data centre was closed while the body was read or the connection was opened.
+			g.pool.put(c)
+			return nil, g.recordFailure(r, evacuatedFailure())
+		}
 		started := time.Now()
 		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
 		if err == nil {
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -20,6 +20,9 @@
 	ownerPollInterval = 30 * time.Millisecond
 	// noOwnerRetryAfter is the Retry-After of a request whose key gets no owner in time, or that no instance of its service accepts.
 	noOwnerRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while no data centre that could serve a request is open. The operator ends that, or the store
+	// becomes reachable again.
+	evacuatedRetryAfter = time.Second
 	// holdShare is the share of the time to a request's objective for which it may wait for its key's owner; the rest is for the
 	// upstream. For a request that may have run and is repeated, it is the share of the time to its deadline. A longer wait of callers'
 	// retries, for half of the time to their deadline, serves no more of them and keeps more of them waiting that are refused in the end.
@@ -169,6 +172,11 @@
 
 // target returns the instance to try next. A request whose key has no owner waits for one.
 func (s *Server) target(ctx context.Context, d *dispatchState) (Target, *gateway.Failure) {
+	if s.directory.Evacuated(d.request.Service, d.request.Key) {
+		return Target{}, &gateway.Failure{
+			Code: code.Evacuated, RetryAfter: evacuatedRetryAfter, Reason: "the data centres that could serve the request are evacuated",
+		}
+	}
 	if d.request.Key == gateway.NoKey {
 		target, ok := s.chooser.choose(time.Now(), s.directory.Targets(d.request.Service), d.tried, len(d.request.Body))
 		if !ok {
@@ -372,7 +380,7 @@
 // isOwnerChange reports whether a code can mean that the key is changing its owner.
 func isOwnerChange(c code.Code) bool {
 	switch c {
-	case code.NotOwner, code.NoOwner, code.Moved, code.Draining, code.UpstreamRefused, code.UpstreamNotWarmed:
+	case code.NotOwner, code.NoOwner, code.Moved, code.Draining, code.Evacuated, code.UpstreamRefused, code.UpstreamNotWarmed:
 		return true
 	default:
 		return false
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,6 +49,9 @@
 	Owner(service string, key uint16) (Target, bool)
 	// Instance returns the instance in a slot, and false if none is known or it can't be reached.
 	Instance(slot string) (Target, bool)
+	// Evacuated reports whether a request can't be served for now because no upstream of the service is outside of evacuated data
+	// centres, or because the owner of its key is in one that is closed and the key doesn't move. key may be gateway.NoKey.
+	Evacuated(service string, key int) bool
 	// Changed returns a channel that is closed when the owners of keys or the known instances change.
 	Changed() <-chan struct{}
 	// MarkLeaving records that an instance accepts no more requests.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -51,6 +51,8 @@
 	// marked holds the slots of the instances that were marked as leaving or unreachable and are no targets any more. If it is nil, all
 	// instances stay targets.
 	marked map[string]bool
+	// evacuated is set while no data centre may serve requests.
+	evacuated bool
 	// group runs the goroutines of pending requests.
 	group sync.WaitGroup
 }
@@ -154,6 +156,7 @@
 
 func (d *deployment) MarkLeaving(slot string)     { d.mark(slot) }
 func (d *deployment) MarkUnreachable(slot string) { d.mark(slot) }
+func (d *deployment) Evacuated(string, int) bool  { return d.evacuated }
 
 func (d *deployment) mark(slot string) {
 	d.mu.Lock()
@@ -312,6 +315,22 @@
 	}
 }
 
+// TestEvacuated guards against requests that are sent, or wait until they time out, while no data centre that could serve them is open.
+func TestEvacuated(t *testing.T) {
+	for _, path := range []string{"/keyed/", "/plain/", "/once/"} {
+		bubble.Test(t, func(t *testing.T) {
+			d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+			d.evacuated = true
+			w, started := httptest.NewRecorder(), time.Now()
+			newServer(t, d, table(t)).ServeHTTP(w, request(t, path, "", "Key", "7"))
+			if w.Code != 503 || w.Header().Get("Retry-After") != "1.000" || d.order() != "" || time.Since(started) > 0 {
+				t.Errorf("%s: status %d, Retry-After %q, requests went to %q, took %v", path, w.Code, w.Header().Get("Retry-After"),
+					d.order(), time.Since(started))
+			}
+		})
+	}
+}
+
 // TestOutdatedConfig guards against a 404, after which callers don't retry, for a route of a newer configuration that has not arrived yet.
 func TestOutdatedConfig(t *testing.T) {
 	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -29,6 +29,8 @@
 	store.Store
 	mu      sync.Mutex
 	version uint64
+	// evacuated is the version of the row that evacuates dc-1, 0 if there is none.
+	evacuated uint64
 	// changed is closed and replaced at each change, and forgotten when the open calls for changes are never answered. While feedSilent is
 	// set, none is.
 	changed, forgotten chan struct{}
@@ -67,6 +69,12 @@
 	return s.version
 }
 
+// evacuate writes the row that evacuates dc-1.
+func (s *configStore) evacuate() {
+	version := s.put()
+	s.set(func() { s.evacuated = version })
+}
+
 // forget makes the store not answer the calls for changes that are open.
 func (s *configStore) forget() {
 	s.set(func() {
@@ -124,7 +132,11 @@
 	if s.version <= after {
 		return nil
 	}
-	return []store.Row{{Table: "op", Key: "config", Value: []byte(strconv.FormatUint(s.version, 10)), Version: s.version}}
+	rows := []store.Row{{Table: "op", Key: "config", Value: []byte(strconv.FormatUint(s.version, 10)), Version: s.version}}
+	if s.evacuated > after {
+		rows = append(rows, store.Row{Table: "op", Key: "evacuate/dc-1", Version: s.evacuated})
+	}
+	return rows
 }
 
 // arrive counts a call and waits for its end if it is never answered.
@@ -335,6 +347,7 @@
 		for n := range instances {
 			sc := New(Settings{
 				Slot: fmt.Sprint("10.0.0.", n), Service: "books", DataCentre: fmt.Sprint("dc-", n%3), ConfigLimit: limit,
+				EvacuationLimit: fleetEvacuationLimit,
 			}, Adapters{
 				Store: f.store, ConfigTable: "op", ConfigKey: "config",
 				DecodeConfig: func(content []byte) (*routing.Table, error) {
@@ -344,6 +357,7 @@
 					}
 					return routing.New(version, routing.Limits{}, nil, nil)
 				},
+				DecodeEvacuation: decodeTestEvacuation,
 			})
 			sc.dialer, sc.group = peer.NewDialer(fleetPeers{f}), &errgroup.Group{}
 			sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/evacuation"
 	"sapphiretray/ingress"
 	"sapphiretray/keyspace"
 	"sapphiretray/loglimit"
@@ -23,6 +24,8 @@
 type directory struct {
 	// self is the slot of this instance.
 	self string
+	// evacuations holds the data centres that are evacuated.
+	evacuations *evacuation.Registry
 
 	mu sync.RWMutex
 	// records holds the newest record of each slot, and history the records of up to maxHistory incarnations of each slot, oldest first.
@@ -80,7 +83,8 @@
 
 func newDirectory(self string) *directory {
 	return &directory{
-		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
+		self: self, evacuations: new(evacuation.Registry),
+		records: make(map[string]member.Record), history: make(map[string][]member.Record),
 		registered: make(map[string]uint64), maps: make(map[string]mapRow), awaiting: make(map[string]store.Row),
 		pushed: make(map[string]uint64), heard: make(map[string]time.Time),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
@@ -227,6 +231,13 @@
 	return numbers
 }
 
+// notifyChange wakes all goroutines that wait for a change.
+func (d *directory) notifyChange() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notify()
+}
+
 // notify wakes all goroutines that wait for a change. mu must be held.
 func (d *directory) notify() {
 	close(d.changed)
@@ -249,7 +260,8 @@
 	defer d.mu.RUnlock()
 	var targets []ingress.Target
 	for slot, r := range d.records {
-		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] && !d.leaving[r.Incarnation] {
+		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] && !d.leaving[r.Incarnation] &&
+			!d.evacuations.Has(r.DataCentre) {
 			targets = append(targets, target(r))
 		}
 	}
@@ -285,6 +297,9 @@
 	if !ok || d.unreachable[slot] {
 		return ingress.Target{}, false
 	}
+	if _, closed := d.evacuations.ClosedFor(r.DataCentre, time.Now()); closed {
+		return ingress.Target{}, false
+	}
 	return target(r), true
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -48,6 +48,14 @@
 		func(s gateway.Stats) uint64 { return s.Responses })
 	counter("upstream_refused_total", "Requests that were refused beside the upstream.",
 		func(s gateway.Stats) uint64 { return s.Refused })
+	gauge("evacuated_data_centres", "Data centres that are evacuated.",
+		func() float64 { return float64(len(sc.directory.evacuations.DataCentres())) })
+	gauge("evacuated", "1 while the data centre of the instance is evacuated, 2 once its upstream gets no requests because of that.",
+		func() float64 {
+			return boolValue(sc.directory.evacuations.Has(sc.settings.DataCentre)) + boolValue(sc.isClosed())
+		})
+	counter("upstream_evacuated_total", "Requests that were refused beside the upstream because its data centre is evacuated.",
+		func(s gateway.Stats) uint64 { return s.Evacuated })
 	counter("upstream_unknown_total", "Requests with an unknown outcome.",
 		func(s gateway.Stats) uint64 { return s.Unknown })
 }
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -236,6 +236,7 @@
 		return
 	}
 	sc.pushMap(ctx, moves)
+	sc.explainEvacuations(next.Version(), moves)
 	for _, move := range moves {
 		klog.InfoS("plan: keys moved", "service", sc.settings.Service, "version", next.Version(), "keys", move.Range,
 			"from", move.From, "to", move.To, "reason", move.Reason)
@@ -262,7 +263,7 @@
 		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
 	for i, r := range reports {
-		if r.GetUsable() && sc.directory.isRegistered(i) {
+		if r.GetUsable() && sc.directory.isRegistered(i) && !sc.isEvacuated(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
 			})
@@ -284,6 +285,9 @@
 
 // keepsKeys reports whether an owner that isn't a candidate for further keys keeps those that it has.
 func (sc *Sidecar) keepsKeys(owner member.Incarnation, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	if sc.isEvacuated(owner) {
+		return false
+	}
 	if r, ok := reports[owner]; ok {
 		return !r.GetLeaving()
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/caller"
+	"sapphiretray/evacuation"
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
@@ -98,6 +99,9 @@
 	ConfigTable  string
 	ConfigKey    string
 	DecodeConfig func(content []byte) (*routing.Table, error)
+	// DecodeEvacuation translates a row of ConfigTable that begins or ends the evacuation of a data centre. It returns false for other
+	// rows, and an error for one that can't be used. nil means that there are none.
+	DecodeEvacuation func(r store.Row) (n evacuation.Notice, ok bool, err error)
 	// Registrations returns the HTTP handler of the upstream's heartbeats.
 	Registrations func(r Registrar) http.Handler
 	// Ready returns the HTTP handler of the platform's readiness checks.
@@ -186,9 +190,10 @@
 	sc.dialer = peer.NewDialer(sc.newTransport(peer.ControlIdleTimeout, peer.CloseOnGoAway))
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
 	sc.directory = newDirectory(s.Slot)
+	sc.directory.evacuations = evacuation.New(s.EvacuationLimit, s.ConfigLimit)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.rowsChanged, store.WithWatch(sc.isReader, sc.fetchFromReader),
 		store.WithMaxWait(sc.rowsWait))
-	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig, store.WithMaxWait(sc.configWait))
+	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyOperatorRows, store.WithMaxWait(sc.configWait))
 	sc.sendAnnouncement = func(member.Record, string, *peer.Versions) error { return errNotRunning }
 	return sc
 }
@@ -203,7 +208,7 @@
 	sc.gateway = gateway.New(group, sc.settings.Service, sc.settings.UpstreamAddress, sc.adapters.Upstream,
 		gateway.WithKeys(sc.keys), gateway.WithOnChange(sc.upstreamChanged), gateway.WithDrainLimit(sc.settings.DrainLimit),
 		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(func(f []uint64) { sc.broadcastCrash(running, f) }),
-		gateway.WithDial(sc.adapters.Network.DialContext))
+		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithEvacuated(sc.isClosed))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions),
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -46,24 +46,32 @@
 	probeTimeout  = 2 * peer.DialTimeout
 )
 
-// applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
-// decoded, because a large configuration takes a slow processor a tenth of a second.
-func (sc *Sidecar) applyConfig(rows []store.Row, d store.Delivery) {
-	rows = slices.DeleteFunc(slices.Clone(rows), func(r store.Row) bool { return r.Key != sc.adapters.ConfigKey || r.Deleted })
-	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(b.Version, a.Version) })
+// applyOperatorRows puts what the operator has changed into effect: evacuations and the configuration.
+func (sc *Sidecar) applyOperatorRows(rows []store.Row, d store.Delivery) {
 	if len(rows) == 0 {
 		return
 	}
 	sc.decodingConfig.Store(true)
 	defer sc.decodingConfig.Store(false)
-	if !sc.configLag.isAnnounced(rows[0].Version) {
-		sc.announceConfig(sc.settings.Slot, rows[0].Version)
+	newest := slices.MaxFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) }).Version
+	if !sc.configLag.isAnnounced(newest) {
+		sc.announceConfig(sc.settings.Slot, newest)
 	}
 	var behind time.Duration
-	// The newest row has arrived, even if its configuration is refused below.
-	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
+	// The newest row has arrived, even if it is refused below.
+	if since := sc.configLag.arrive(newest); !since.IsZero() {
 		behind = time.Since(since)
 	}
+	// Evacuations go first, since decoding a large configuration takes a slow processor a tenth of a second.
+	sc.applyEvacuations(rows, d, behind)
+	sc.applyConfig(rows, d, behind)
+}
+
+// applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
+// decoded. behind is the time since another instance announced the newest row, 0 if none did.
+func (sc *Sidecar) applyConfig(rows []store.Row, d store.Delivery, behind time.Duration) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(r store.Row) bool { return r.Key != sc.adapters.ConfigKey || r.Deleted })
+	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(b.Version, a.Version) })
 	for n, row := range rows {
 		decoding := time.Now()
 		table, err := sc.adapters.DecodeConfig(row.Value)
