--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -3,7 +3,7 @@
 // From the moment at which an instance learns of an evacuation it chooses no upstream of the data centre for further requests, and the
 // planner moves the keys of the data centre elsewhere. Requests that are sent nevertheless, such as those for keys that haven't moved yet,
 // are served until the data centre closes. It closes so early that the limit for the evacuation is kept even if the instance was the last
-// to learn of it.
+// to learn of it. It opens as soon as an instance learns of the end, and is chosen again a moment later.
 package evacuation
 
 import (
@@ -19,6 +19,9 @@
 	closeMargin = 500 * time.Millisecond
 	// defaultPropagation is the time that a change of the operator may take to reach all instances, if the settings don't say.
 	defaultPropagation = 2 * time.Second
+	// returnDelay is the time after the end of an evacuation from which the data centre is chosen again. Instances learn of the end at
+	// different times, and those that don't know it yet refuse requests.
+	returnDelay = 500 * time.Millisecond
 )
 
 // Notice is a change of the operator: the evacuation of a data centre begins or ends.
@@ -32,7 +35,7 @@
 	limit, propagation time.Duration
 
 	mu sync.RWMutex
-	// closings holds when each evacuated data centre closes, and endings when the last evacuation of one that isn't evacuated ended.
+	// closings holds when each evacuated data centre closes, and endings when the last evacuation of each other one ended.
 	closings, endings map[string]time.Time
 }
 
@@ -79,12 +82,24 @@
 	return true
 }
 
-// Has reports whether a data centre is evacuated, so that its upstreams are chosen for no further requests and keys.
+// Has reports whether a data centre is evacuated, so that its keys have to move elsewhere.
 func (r *Registry) Has(dataCentre string) bool {
 	_, ok := r.Closes(dataCentre)
 	return ok
 }
 
+// Avoids reports whether a data centre is evacuated, or was until a moment ago, so that its upstreams are chosen for no requests and get no
+// keys.
+func (r *Registry) Avoids(dataCentre string, now time.Time) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if _, ok := r.closings[dataCentre]; ok {
+		return true
+	}
+	ended, ok := r.endings[dataCentre]
+	return ok && now.Sub(ended) < returnDelay
+}
+
 // Closes returns when an evacuated data centre closes, and false if it isn't evacuated. Its upstreams get no requests from then on.
 func (r *Registry) Closes(dataCentre string) (time.Time, bool) {
 	r.mu.RLock()
@@ -102,13 +117,6 @@
 	return now.Sub(closes), true
 }
 
-// EndedAt returns when the last evacuation of a data centre ended, or zero if there was none or it is evacuated again.
-func (r *Registry) EndedAt(dataCentre string) time.Time {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.endings[dataCentre]
-}
-
 // DataCentres returns the evacuated data centres in alphabetical order.
 func (r *Registry) DataCentres() []string {
 	r.mu.RLock()
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -51,7 +51,7 @@
 func TestSeveral(t *testing.T) {
 	now := time.Now()
 	r := evacuation.New(5*time.Second, 2*time.Second)
-	if r.End("north", now) || !r.EndedAt("north").IsZero() {
+	if r.End("north", now) || r.Avoids("north", now) {
 		t.Error("an evacuation ended that had not begun")
 	}
 	r.Begin("south", now, 0)
@@ -59,10 +59,14 @@
 	if got := r.DataCentres(); !slices.Equal(got, []string{"north", "south"}) {
 		t.Errorf("evacuated: %v", got)
 	}
-	if !r.End("north", now.Add(time.Second)) || r.Has("north") || !r.Has("south") || r.EndedAt("north") != now.Add(time.Second) {
+	ended := now.Add(time.Second)
+	if !r.End("north", ended) || r.Has("north") || !r.Has("south") {
 		t.Errorf("evacuated after the end: %v", r.DataCentres())
 	}
-	if _, begun := r.Begin("north", now.Add(2*time.Second), 0); !begun || !r.EndedAt("north").IsZero() {
+	if !r.Avoids("north", ended) || r.Avoids("north", ended.Add(time.Second)) || !r.Avoids("south", ended.Add(time.Second)) {
+		t.Error("chosen too early or too late after the end")
+	}
+	if _, begun := r.Begin("north", now.Add(2*time.Second), 0); !begun || !r.Has("north") {
 		t.Error("not evacuated again")
 	}
 }
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -259,9 +259,10 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var targets []ingress.Target
+	now := time.Now()
 	for slot, r := range d.records {
 		if r.Service == service && r.State == member.Ready && !d.unreachable[slot] && !d.leaving[r.Incarnation] &&
-			!d.evacuations.Has(r.DataCentre) {
+			!d.evacuations.Avoids(r.DataCentre, now) {
 			targets = append(targets, target(r))
 		}
 	}
--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -26,8 +26,8 @@
 	}
 	age := behind
 	switch {
-	case sc.routes.Load() == nil:
-		// A process that has just started finds evacuations of any age.
+	case sc.config.Version() == 0:
+		// A process that has just started and hasn't listed the table finds evacuations of any age.
 		age = sc.settings.EvacuationLimit
 	case age == 0:
 		// No other instance has announced the rows, so none may have got an answer from the store for as long.
@@ -72,6 +72,12 @@
 	return ok && sc.directory.evacuations.Has(r.DataCentre)
 }
 
+// isAvoided reports whether an incarnation gets no keys because its data centre is evacuated, or was until a moment ago.
+func (sc *Sidecar) isAvoided(i member.Incarnation) bool {
+	r, ok := sc.directory.record(i.Slot())
+	return ok && sc.directory.evacuations.Avoids(r.DataCentre, time.Now())
+}
+
 // explainEvacuations gives the moves from evacuated data centres their reason, and logs their number.
 func (sc *Sidecar) explainEvacuations(version uint64, moves []keyspace.Move) {
 	var dataCentres []string
--- a/sidecar/evacuations_test.go
+++ b/sidecar/evacuations_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,7 +16,6 @@
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
 	"sapphiretray/peer"
-	"sapphiretray/routing"
 	"sapphiretray/store"
 )
 
@@ -34,19 +35,47 @@
 func evacuationTest(t *testing.T) *Sidecar {
 	t.Helper()
 	sc := New(Settings{Slot: "10.0.0.0", Service: "books", DataCentre: "dc-0", EvacuationLimit: 5 * time.Second}, Adapters{
+		Store:       operatorStore{rows: func() []store.Row { return nil }},
 		ConfigTable: "op", ConfigKey: "config", DecodeEvacuation: decodeTestEvacuation,
 	})
-	table, err := routing.New(1, routing.Limits{}, nil, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	sc.routes.Store(table)
 	for n := range 6 {
 		sc.directory.apply([]store.Row{linkedRecordRow(t, n, 1, uint64(n+1))})
 	}
 	return sc
 }
 
+// operatorStore is a store that lists rows, as of version 1, and never has changes.
+type operatorStore struct {
+	store.Store
+	rows func() []store.Row
+}
+
+// List implements store.Store.
+func (s operatorStore) List(context.Context, string) ([]store.Row, uint64, error) {
+	return s.rows(), 1, nil
+}
+
+// Changes implements store.Store.
+func (operatorStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]store.Row, uint64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// followOperator makes an instance list the operator's rows and returns a function that ends that.
+func followOperator(t *testing.T, sc *Sidecar) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { sc.config.Run(ctx) })
+	if err := sc.config.Wait(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // targetsOf returns the data centres of the targets of requests, sorted.
 func targetsOf(sc *Sidecar) string {
 	var dataCentres []string
@@ -60,50 +89,56 @@
 // TestEvacuationRows guards against an evacuation that isn't in effect, is lost with a row of another writer, or stays after its end, and
 // against a change that others aren't told of.
 func TestEvacuationRows(t *testing.T) {
-	sc := evacuationTest(t)
-	var announced []uint64
-	sc.sendAnnouncement = func(_ member.Record, _ string, v *peer.Versions) error {
-		announced = append(announced, v.GetConfig())
-		return nil
-	}
-	tests := []struct {
-		name string
-		row  store.Row
-		want string
-	}{
-		{"begin", store.Row{Key: "evacuate/dc-1"}, "dc-0 dc-2"},
-		{"another data centre", store.Row{Key: "evacuate/dc-2"}, "dc-0"},
-		{"odd row", store.Row{Key: "evacuate/dc-1", Value: []byte("odd")}, "dc-0"},
-		{"odd row of an open data centre", store.Row{Key: "evacuate/dc-0", Value: []byte("odd")}, "dc-0"},
-		{"unknown data centre", store.Row{Key: "evacuate/elsewhere"}, "dc-0"},
-		{"unknown row", store.Row{Key: "notes"}, "dc-0"},
-		{"end", store.Row{Key: "evacuate/dc-1", Deleted: true}, "dc-0 dc-1"},
-		{"end of one that never began", store.Row{Key: "evacuate/dc-0", Deleted: true}, "dc-0 dc-1"},
-		{"own data centre", store.Row{Key: "evacuate/dc-0"}, "dc-1"},
-		{"all", store.Row{Key: "evacuate/dc-1"}, ""},
-	}
-	for n, test := range tests {
-		announced = nil
-		test.row.Version = uint64(n + 1)
-		sc.config.Merge([]store.Row{test.row})
-		if got := targetsOf(sc); got != test.want {
-			t.Errorf("%s: targets in %q, want %q", test.name, got, test.want)
+	bubble.Test(t, func(t *testing.T) {
+		sc := evacuationTest(t)
+		var announced []uint64
+		sc.sendAnnouncement = func(_ member.Record, _ string, v *peer.Versions) error {
+			announced = append(announced, v.GetConfig())
+			return nil
 		}
-		if len(announced) == 0 || announced[0] != test.row.Version {
-			t.Errorf("%s: announced %v", test.name, announced)
+		tests := []struct {
+			name string
+			row  store.Row
+			want string
+		}{
+			{"begin", store.Row{Key: "evacuate/dc-1"}, "dc-0 dc-2"},
+			{"another data centre", store.Row{Key: "evacuate/dc-2"}, "dc-0"},
+			{"odd row", store.Row{Key: "evacuate/dc-1", Value: []byte("odd")}, "dc-0"},
+			{"odd row of an open data centre", store.Row{Key: "evacuate/dc-0", Value: []byte("odd")}, "dc-0"},
+			{"unknown data centre", store.Row{Key: "evacuate/elsewhere"}, "dc-0"},
+			{"unknown row", store.Row{Key: "notes"}, "dc-0"},
+			{"end", store.Row{Key: "evacuate/dc-1", Deleted: true}, "dc-0 dc-1"},
+			{"end of one that never began", store.Row{Key: "evacuate/dc-0", Deleted: true}, "dc-0 dc-1"},
+			{"own data centre", store.Row{Key: "evacuate/dc-0"}, "dc-1"},
+			{"all", store.Row{Key: "evacuate/dc-1"}, ""},
 		}
-	}
+		for n, test := range tests {
+			announced = nil
+			test.row.Version = uint64(n + 1)
+			sc.config.Merge([]store.Row{test.row})
+			time.Sleep(time.Second)
+			if got := targetsOf(sc); got != test.want {
+				t.Errorf("%s: targets in %q, want %q", test.name, got, test.want)
+			}
+			if len(announced) == 0 || announced[0] != test.row.Version {
+				t.Errorf("%s: announced %v", test.name, announced)
+			}
+		}
+	})
 }
 
 // TestEvacuationAfterStart guards against requests that a restarted process sends to its upstream although the data centre has been
 // evacuated for long.
 func TestEvacuationAfterStart(t *testing.T) {
-	sc := evacuationTest(t)
-	sc.routes.Store(nil)
-	sc.config.Merge([]store.Row{{Key: "evacuate/dc-0", Version: 3}})
-	if !sc.isClosed() {
-		t.Error("the data centre is open")
-	}
+	bubble.Test(t, func(t *testing.T) {
+		sc := evacuationTest(t)
+		sc.adapters.Store = operatorStore{rows: func() []store.Row { return []store.Row{{Key: "evacuate/dc-0", Version: 1}} }}
+		sc.config = store.NewFollower(sc.adapters.Store, "op", sc.applyOperatorRows)
+		defer followOperator(t, sc)()
+		if !sc.isClosed() {
+			t.Error("the data centre is open")
+		}
+	})
 }
 
 // TestEvacuatedKeys guards against requests that wait for a key whose owner can't serve it because its data centre is closed, and against
@@ -111,10 +146,11 @@
 func TestEvacuatedKeys(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		sc := evacuationTest(t)
+		defer followOperator(t, sc)()
 		m := mapOf(t, 7, member.NewIncarnation("10.0.0.1", 1), 20)
 		m.Key = keyspace.RowKey("books")
 		sc.directory.apply([]store.Row{m})
-		sc.config.Merge([]store.Row{{Key: "evacuate/dc-1", Version: 1}})
+		sc.config.Merge([]store.Row{{Key: "evacuate/dc-1", Version: 2}})
 		started := time.Now()
 		tests := []struct {
 			name  string
@@ -139,11 +175,11 @@
 				t.Errorf("%s: requests without a key are refused", test.name)
 			}
 		}
-		sc.config.Merge([]store.Row{{Key: "evacuate/dc-0", Version: 2}, {Key: "evacuate/dc-2", Version: 3}})
+		sc.config.Merge([]store.Row{{Key: "evacuate/dc-0", Version: 3}, {Key: "evacuate/dc-2", Version: 4}})
 		if !sc.directory.Evacuated("books", gateway.NoKey) || sc.directory.Evacuated("unknown", gateway.NoKey) {
 			t.Error("not refused although all data centres of the service are evacuated")
 		}
-		sc.config.Merge([]store.Row{{Key: "evacuate/dc-1", Version: 4, Deleted: true}})
+		sc.config.Merge([]store.Row{{Key: "evacuate/dc-1", Version: 5, Deleted: true}})
 		if _, ok := sc.directory.Owner("books", 100); !ok || sc.directory.Evacuated("books", 100) {
 			t.Error("the key isn't served after the end of the evacuation")
 		}
--- a/sidecar/model_instance_test.go
+++ b/sidecar/model_instance_test.go
@@ -33,6 +33,8 @@
 	upstream *modelUpstream
 	// current is the running instance, or nil. m.mu guards it.
 	current *modelInstance
+	// evacuation is the newest one of the node's data centre. m.mu guards it.
+	evacuation modelEvacuation
 }
 
 // modelInstance is one run of the product's process.
@@ -92,12 +94,14 @@
 	m := n.m
 	i := &modelInstance{node: n, changed: make(chan struct{})}
 	i.sc = New(Settings{
-		Slot: n.slot, Name: n.slot, Service: modelService, DataCentre: "dc", CallerAddress: n.address(modelCallerPort),
+		Slot: n.slot, Name: n.slot, Service: modelService, DataCentre: n.dataCentre(), CallerAddress: n.address(modelCallerPort),
 		PeerAddress: n.address(modelPeerPort), ReadyAddress: n.address(modelReadyPort),
 		RegistrationAddress: n.address(modelRegistrationPort), AdminAddress: n.address(modelAdminPort),
 		HeartbeatAddress: n.address(modelHeartbeatPort), UpstreamAddress: n.upstream.address, DrainLimit: 2 * time.Second,
 		StopTimeout: modelStopTimeout, RetryBudget: policy.RetryBudgetTerms{Ratio: 1, Window: 10 * time.Second, Minimum: 100},
+		EvacuationLimit: modelEvacuationLimit, ConfigLimit: modelPropagation,
 	}, Adapters{
+		Store: operatorStore{rows: m.listOperatorRows()}, ConfigKey: "config", DecodeEvacuation: decodeTestEvacuation,
 		Upstream: modelProtocol{}, Callers: modelProtocol{}, Network: modelNetwork{m, i},
 		Registrations: func(Registrar) http.Handler { return http.NotFoundHandler() },
 		Ready:         func(func() bool) http.Handler { return http.NotFoundHandler() },
@@ -112,7 +116,8 @@
 	sc := i.sc
 	sc.group, sc.giveUp = group, giveUp
 	sc.gateway = gateway.New(group, modelService, n.upstream.address, modelProtocol{}, gateway.WithDrainLimit(sc.settings.DrainLimit),
-		gateway.WithKeys(func() gateway.Keys { return i }), gateway.WithDial(sc.adapters.Network.DialContext))
+		gateway.WithKeys(func() gateway.Keys { return i }), gateway.WithDial(sc.adapters.Network.DialContext),
+		gateway.WithEvacuated(sc.isClosed))
 	if err := sc.gateway.Register(gateway.Registration{
 		UpstreamRun: gateway.UpstreamRun{ID: "upstream-" + n.slot, Started: 1}, Service: modelService, Address: n.upstream.address,
 		Slots: modelSlots, Sequence: 1,
@@ -126,7 +131,7 @@
 	for _, s := range servers {
 		group.Go(func() error { return s.serve(running) })
 	}
-	sc.background(running, group, sc.gateway.Run, sc.callers.Run, sc.probeUnreachable)
+	sc.background(running, group, sc.gateway.Run, sc.callers.Run, sc.probeUnreachable, sc.config.Run)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
--- a/sidecar/model_keys_test.go
+++ b/sidecar/model_keys_test.go
@@ -165,7 +165,7 @@
 	if m.keys.moving[r] {
 		return
 	}
-	lost := owner.stopping || owner.node.current != owner
+	lost := owner.stopping || owner.node.current != owner || owner.node.isEvacuated()
 	if lost && m.keys.lostAt[r].IsZero() {
 		if owner.killed {
 			slowest = min(slowest, maxKilledOwner)
@@ -177,7 +177,7 @@
 	}
 	var candidates []*modelInstance
 	for _, n := range m.nodes {
-		if i := n.current; i != nil && !i.stopping && i != owner {
+		if i := n.current; i != nil && !i.stopping && i != owner && !n.isEvacuated() {
 			candidates = append(candidates, i)
 		}
 	}
--- a/sidecar/model_test.go
+++ b/sidecar/model_test.go
@@ -16,6 +16,7 @@
 	"sapphiretray/bubble"
 	"sapphiretray/fake"
 	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 var (
@@ -37,8 +38,8 @@
 
 // TestModel guards against requests that are lost, run twice or are answered wrongly while instances stop, routes change, keys move and
 // upstreams fail. Each third seed also harms connections; only there may a request end without an answer. Another third has slow links,
-// each second seed overlapping stops, and each sixth one kills processes, with which the requests in progress there end. A failure prints
-// the seed, which replays mostly the same sequence:
+// each second seed overlapping stops, and each sixth one kills processes, with which the requests in progress there end. Another sixth
+// evacuates data centres. A failure prints the seed, which replays mostly the same sequence:
 //
 //	go test -race ./sidecar -run TestModel -sidecar.seed 17 -sidecar.seeds 1
 func TestModel(t *testing.T) {
@@ -91,7 +92,9 @@
 	sparse bool
 	// killing makes processes end without a stop.
 	killing bool
-	network *fake.Network
+	// evacuating makes the operator evacuate data centres, of which each node then has its own.
+	evacuating bool
+	network    *fake.Network
 	// links holds the links between instances by their sender and receiver, and feeds the times in which an instance gets no rows.
 	links   [modelNodes][modelNodes]modelLink
 	feeds   [modelNodes][]timeSpan
@@ -113,6 +116,8 @@
 	tables     []modelTable
 	// rowVersion is the version of the newest row of a record or key map.
 	rowVersion uint64
+	// operatorRows holds the newest rows of the operator by key.
+	operatorRows map[string]store.Row
 	// refusing holds when an instance that stops may refuse requests because of its stop.
 	refusing   []timeSpan
 	kills      []modelKill
@@ -155,6 +160,7 @@
 func newModel(seed uint64) *model {
 	return &model{
 		seed: seed, harmful: seed%3 == 0, slow: seed%3 == 1, overlapping: seed%2 == 0, sparse: seed%6 == 4, killing: seed%6 == 5,
+		evacuating: seed%6 == 2, operatorRows: make(map[string]store.Row),
 		network: new(fake.Network), counts: make(map[string]uint64),
 		requests: make(map[string]*modelRequest), byConn: make(map[string]*modelConnState), acceptedAt: make(map[string]time.Time),
 		outcomes: make(map[string]int),
@@ -167,7 +173,14 @@
 	for _, p := range []struct {
 		is   bool
 		name string
-	}{{m.harmful, "harm"}, {m.slow, "slow links"}, {m.overlapping, "overlapping stops"}, {m.sparse, "sparse"}, {m.killing, "kills"}} {
+	}{
+		{m.harmful, "harm"},
+		{m.slow, "slow links"},
+		{m.overlapping, "overlapping stops"},
+		{m.sparse, "sparse"},
+		{m.killing, "kills"},
+		{m.evacuating, "evacuations"},
+	} {
 		if p.is {
 			text += ", " + p.name
 		}
@@ -245,6 +258,7 @@
 	m.assignKeys()
 	for _, loop := range []func(){
 		m.planKeys, m.changeTables, m.stopInstances, m.beginSessions, m.harmConnections, m.stallAccepts, m.killInstances,
+		m.evacuate,
 	} {
 		m.group.Go(loop)
 	}
--- a/sidecar/model_upstream_test.go
+++ b/sidecar/model_upstream_test.go
@@ -334,6 +334,7 @@
 	if r.Method != request.method || r.RequestURI != request.target || !bytes.Equal(body, request.body) {
 		m.violate("changed request runs", request, fmt.Sprintf("%s %s with %d bytes", r.Method, r.RequestURI, len(body)))
 	}
+	m.checkEvacuation(upstream, request)
 	request.runs = append(request.runs, run)
 	return len(request.runs)
 }
