Grant: an upstream whose keys moved because it left grants unanswered gets keys again

Cause: an upstream counts as unresponsive from the first of several unanswered grants until one succeeds. Once its keys have moved, no grant is sent any more, so that it never got keys again until its process or the upstream restarted.

Change: 2 s after the last grant the upstream may get keys again; the pause doubles each time up to a minute until a grant succeeds.

--- a/grant/manager.go
+++ b/grant/manager.go
@@ -49,6 +49,10 @@
 	// fails, up to maxRetryDelay.
 	retryDelay    = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the time after the last grant from which an upstream that left all grants unanswered is assumed
+	// to respond again.
+	minRetryPause = 2 * time.Second
+	maxRetryPause = time.Minute
 	// expiryProofDelay is the time that an earlier holder has to respond before its witnesses are asked to prove that its lease has
 	// expired.
 	expiryProofDelay = 150 * time.Millisecond
@@ -89,6 +93,9 @@
 	inFlight map[*keyspace.Range]struct{}
 	// unansweredSince is when the first grant after the latest successful one was sent; zero if there is none.
 	unansweredSince time.Time
+	// grantedAt is when the last grant was sent, and retryPause the time after it from which the upstream is assumed to respond again.
+	grantedAt  time.Time
+	retryPause time.Duration
 
 	// earlier is the manager of an earlier session that this one takes over from; nil if there is none or its releases have ended.
 	earlier *Manager
@@ -303,12 +310,21 @@
 
 // UnansweredFor returns the time since the first grant after the latest successful one was sent, or 0 if there is none. An upstream
 // that doesn't respond makes it grow.
+//
+// Once the keys have moved elsewhere, no grant is sent that could succeed. So UnansweredFor returns 0 again after a pause, which doubles
+// each time until a grant succeeds: the upstream may get keys, and loses them soon if it still doesn't respond.
 func (m *Manager) UnansweredFor() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unansweredSince.IsZero() {
 		return 0
 	}
+	pause := max(m.retryPause, minRetryPause)
+	if len(m.inFlight) == 0 && time.Since(m.grantedAt) >= pause {
+		m.unansweredSince, m.retryPause = time.Time{}, min(2*pause, maxRetryPause)
+		klog.InfoS("grant: the upstream may respond again", "instance", m.self, "after", pause)
+		return 0
+	}
 	return time.Since(m.unansweredSince)
 }
 
@@ -337,7 +353,7 @@
 	defer m.mu.Unlock()
 	delete(m.inFlight, &h.Range)
 	if err == nil {
-		m.unansweredSince = time.Time{}
+		m.unansweredSince, m.retryPause = time.Time{}, 0
 		m.segments.change(h.Range, func(s *segment) {
 			if s.epoch == epoch && (s.state == stateServing || s.state == stateClaiming) {
 				s.state, s.handover, s.usableUntil = stateServing, "", c.writtenAt.Add(c.hold)
@@ -475,6 +491,7 @@
 	}
 	m.segments.change(*r, func(s *segment) { s.hold.epoch = max(s.hold.epoch, epoch) })
 	m.inFlight[r] = struct{}{}
+	m.grantedAt = time.Now()
 	if m.unansweredSince.IsZero() {
 		m.unansweredSince = time.Now()
 	}
--- a/grant/manager_test.go
+++ b/grant/manager_test.go
@@ -161,6 +161,35 @@
 	})
 }
 
+// TestUnresponsiveUpstreamReturns guards against an upstream that never gets keys again because it left grants unanswered before its keys
+// moved elsewhere, and against one that gets them again and again while it doesn't respond.
+func TestUnresponsiveUpstreamReturns(t *testing.T) {
+	withTwoNodes(t, func(f fixture) {
+		t, a, b := f.t, f.a, f.b
+		version := uint64(1)
+		for _, pause := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+			a.upstream.set(func(u *fakeUpstream) { u.unanswered = true })
+			time.Sleep(time.Second)
+			b.manager.Update(assignAll(t, version+1, b.self, a.self))
+			a.manager.Update(assignAll(t, version+1, b.self, a.self))
+			time.Sleep(3 * time.Second)
+			for began := time.Now(); a.manager.UnansweredFor() > 0; time.Sleep(10 * time.Millisecond) {
+				if time.Since(began) > pause {
+					t.Fatalf("still unanswered for %v after the keys have moved, want a pause of %v", a.manager.UnansweredFor(), pause)
+				}
+			}
+			version += 2
+			a.manager.Update(assignAll(t, version, a.self, b.self))
+			b.manager.Update(assignAll(t, version, a.self, b.self))
+		}
+		a.upstream.set(func(u *fakeUpstream) { u.unanswered = false })
+		time.Sleep(3 * time.Second)
+		if !a.manager.Serves(5) || a.manager.UnansweredFor() > time.Second {
+			t.Errorf("serves %v, unanswered for %v after the upstream has returned", a.manager.Serves(5), a.manager.UnansweredFor())
+		}
+	})
+}
+
 // TestUpstreamGone guards against a release that waits for the end of a hold though the upstream's process has ended.
 func TestUpstreamGone(t *testing.T) {
 	withTwoNodes(t, func(f fixture) {
--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -115,7 +115,7 @@
 		Store: ownerStoreClient{m.store, p}, Upstream: ownerProtocol{}, Callers: modelProtocol{}, Network: ownerTCP{p},
 		Grants:      func(*gateway.Gateway) grant.Upstream { return ownerGrants{p} },
 		ConfigTable: ownerConfigTable, ConfigKey: ownerConfigKey,
-		DecodeConfig: func([]byte) (*routing.Table, error) { return m.table, nil },
+		DecodeConfig: func([]byte) (*routing.Table, error) { return m.table, nil }, DecodeEvacuation: decodeTestEvacuation,
 	})
 	p.sc = sc
 	sc.dialer = peer.NewDialer(ownerTransport{p})
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -18,6 +18,7 @@
 	"sapphiretray/bubble"
 	"sapphiretray/keyspace"
 	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 var (
@@ -48,9 +49,9 @@
 )
 
 // TestOwnershipModel guards against sequences of faults after which two upstreams hold the same keys, an upstream takes them with a fencing
-// token that isn't above those of others, or they stay without an owner. It runs the product's directory, follower, planner, reports,
-// pushes, leases, grant managers and sessions, with fakes of the store, the network and the upstreams. A failure prints the seed, which
-// replays mostly the same sequence:
+// token that isn't above those of others, or they stay without an owner or, in each third seed, in an evacuated data centre. It runs the
+// product's directory, follower, planner, reports, pushes, leases, grant managers and sessions, with fakes of the store, the network and the
+// upstreams. A failure prints the seed, which replays mostly the same sequence:
 //
 //	go test -race ./sidecar -run TestOwnershipModel -owner.seed 17 -owner.seeds 1
 func TestOwnershipModel(t *testing.T) {
@@ -116,10 +117,14 @@
 	mu sync.Mutex
 	// faulty makes calls fail, and ended means that nothing new begins.
 	faulty, ended bool
-	counts        map[string]uint64
-	totals        map[string]int
-	runs          []*ownerUpstream
-	violations    []modelViolation
+	// evacuated tells which of the two data centres the operator evacuates, and operatorRows holds the newest row of each.
+	evacuated       [2]bool
+	operatorRows    [2]store.Row
+	operatorVersion uint64
+	counts          map[string]uint64
+	totals          map[string]int
+	runs            []*ownerUpstream
+	violations      []modelViolation
 
 	// eventsMu guards events. It is taken last, because log lines are written while other locks are held.
 	eventsMu sync.Mutex
@@ -135,7 +140,9 @@
 }
 
 func newOwnerModel(seed uint64) *ownerModel {
-	m := &ownerModel{seed: seed, counts: make(map[string]uint64), totals: make(map[string]int)}
+	m := &ownerModel{
+		seed: seed, operatorVersion: 1, counts: make(map[string]uint64), totals: make(map[string]int),
+	}
 	m.store = newOwnerStore(m)
 	m.network = newOwnerNetwork(m)
 	table, err := routing.New(1, routing.Limits{}, []routing.Service{{Name: ownerService, Keyed: true, HealthPath: "/health"}}, nil)
@@ -263,6 +270,9 @@
 	m.group.Go(m.makeLoad)
 	time.Sleep(ownerStartTime)
 	m.locked(func() { m.faulty = true })
+	if m.evacuates() {
+		m.group.Go(m.evacuate)
+	}
 	m.makeTroubles(initial)
 	m.endTroubles()
 	time.Sleep(ownerCalmTime)
@@ -289,6 +299,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.checkLeft()
 	for n, owned := range owned {
 		if !owned {
 			m.violate("not one owner", m.samples[n], "%v after the last trouble, %q hold the key", ownerCalmTime, m.holders(n))
--- a/sidecar/ownermodel_store_test.go
+++ b/sidecar/ownermodel_store_test.go
@@ -186,7 +186,8 @@
 // List implements store.Store.
 func (s ownerStoreClient) List(ctx context.Context, table string) ([]store.Row, uint64, error) {
 	if table == ownerConfigTable {
-		return []store.Row{{Table: table, Key: ownerConfigKey, Version: 1}}, 1, nil
+		rows, version := s.m.listOperatorRows()
+		return rows, version, nil
 	}
 	d, err := s.begin(ctx, "list")
 	if err != nil {
