Keyspace: keys of many lost owners go to upstreams that have room for them

Cause: the parts of lost ranges were assigned in the order of their keys, to the upstream with the lowest mean response time before it got them. A fast upstream has a low one even when it gets more than it can serve, and balancing then moved other keys in the same plan.

Change: parts with the most load come first, and upstreams that would be full come last.

--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -150,8 +150,10 @@
 }
 
 // reassignLost reassigns the keys of owners that are neither candidates nor kept: to a newer incarnation in the same slot, whose
-// upstream may still hold them, or else to the candidates with the lowest cost.
+// upstream may still hold them, or else to the candidates with the lowest cost. Parts with the most load come first, so that the last ones
+// even out what these leave uneven.
 func (b *builder) reassignLost() {
+	var lost []Range
 	for n := 0; n < len(b.entries); n++ {
 		owner := b.entries[n].Owner()
 		if _, ok := b.byInstance[owner]; ok || b.input.Keep(owner) {
@@ -161,12 +163,25 @@
 			b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
 			continue
 		}
-		n = b.distribute(n, fmt.Sprintf("%s is no longer a candidate", owner))
+		first := n
+		n = b.divide(n)
+		for _, e := range b.entries[first : n+1] {
+			lost = append(lost, e.Range)
+		}
+	}
+	loads := make(map[Range]float64, len(lost))
+	for _, r := range lost {
+		loads[r] = b.density.load(r)
+	}
+	slices.SortStableFunc(lost, func(x, y Range) int { return cmp.Compare(loads[y], loads[x]) })
+	for _, r := range lost {
+		n, _ := slices.BinarySearchFunc(b.entries, r.First, func(e Entry, first Key) int { return cmp.Compare(e.First, first) })
+		b.assign(n, b.lowestCost(loads[r]), fmt.Sprintf("%s is no longer a candidate", b.entries[n].Owner()))
 	}
 }
 
-// distribute divides an entry among a few of the candidates with the lowest cost and returns the position of its last part.
-func (b *builder) distribute(n int, reason string) int {
+// divide divides an entry of a lost owner into a few parts with the same load and returns the position of the last one.
+func (b *builder) divide(n int) int {
 	parts := min(maxReceivers, len(b.input.Candidates), max(1, b.entries[n].Size()/minSplitKeys))
 	loadPerPart := b.density.load(b.entries[n].Range) / float64(parts)
 	for range parts - 1 {
@@ -175,10 +190,8 @@
 			break
 		}
 		b.split(n, cut)
-		b.assign(n, b.lowestCost(), reason)
 		n++
 	}
-	b.assign(n, b.lowestCost(), reason)
 	return n
 }
 
@@ -386,10 +399,15 @@
 	return c.cost(b.carried[c.Instance] + more)
 }
 
-// lowestCost returns the candidate with the lowest cost; of several, the one with the least load.
-func (b *builder) lowestCost() member.Incarnation {
+// lowestCost returns the candidate with the lowest cost once it has got a load; of several, the one with the least load. Candidates that
+// would be full come last, the least overloaded first: a fast upstream has a low cost even when it gets more than it can serve.
+func (b *builder) lowestCost(load float64) member.Incarnation {
+	load = max(load, minMoveLoad)
+	excess := func(c Candidate) float64 {
+		return max(0, c.utilisation(b.carried[c.Instance]+load)-fullUtilisation)
+	}
 	return slices.MinFunc(b.input.Candidates, func(a, c Candidate) int {
-		return cmp.Or(cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad)),
+		return cmp.Or(cmp.Compare(excess(a), excess(c)), cmp.Compare(b.cost(a, load), b.cost(c, load)),
 			cmp.Compare(b.carried[a.Instance], b.carried[c.Instance]))
 	}).Instance
 }
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -50,8 +50,8 @@
 
 // TestOwnershipModel guards against sequences of faults after which two upstreams hold the same keys, an upstream takes them with a fencing
 // token that isn't above those of others, or they stay without an owner or, in each third seed, in an evacuated data centre. It runs the
-// product's directory, follower, planner, reports, pushes, leases, grant managers and sessions, with fakes of the store, the network and the
-// upstreams. A failure prints the seed, which replays mostly the same sequence:
+// product's directory, follower, planner, reports, pushes, leases, grant managers and sessions, with fakes of the store, the network and
+// the upstreams. A failure prints the seed, which replays mostly the same sequence:
 //
 //	go test -race ./sidecar -run TestOwnershipModel -owner.seed 17 -owner.seeds 1
 func TestOwnershipModel(t *testing.T) {
