--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -152,9 +152,18 @@
 	}
 }
 
+// lostRange is a part of a lost owner's keys, with its load and the reason why it moves.
+type lostRange struct {
+	Range
+	load   float64
+	reason string
+}
+
 // reassignLost reassigns the keys of owners that are neither candidates nor kept: to a newer incarnation in the same slot, whose
-// upstream may still hold them, or else to the candidates with the lowest cost.
+// upstream may still hold them, or else to the candidates with the lowest cost. Parts with the most load come first, so that the last ones
+// even out what these leave uneven.
 func (b *builder) reassignLost() {
+	var lost []lostRange
 	for n := 0; n < len(b.entries); n++ {
 		owner := b.entries[n].Owner()
 		if _, ok := b.byInstance[owner]; ok || b.input.Keep(owner) {
@@ -169,12 +178,21 @@
 			load := b.density.load(b.entries[n].Range)
 			reason = fmt.Sprintf("%s replaces %s in its slot and is too cold for %.2f busy slots", next, owner, load)
 		}
-		n = b.distribute(n, reason)
+		first := n
+		n = b.divide(n)
+		for _, e := range b.entries[first : n+1] {
+			lost = append(lost, lostRange{Range: e.Range, load: b.density.load(e.Range), reason: reason})
+		}
+	}
+	slices.SortStableFunc(lost, func(x, y lostRange) int { return cmp.Compare(y.load, x.load) })
+	for _, r := range lost {
+		n, _ := slices.BinarySearchFunc(b.entries, r.First, func(e Entry, first Key) int { return cmp.Compare(e.First, first) })
+		b.assign(n, b.lowestCost(r.load), r.reason)
 	}
 }
 
-// distribute divides an entry among a few of the candidates with the lowest cost and returns the position of its last part.
-func (b *builder) distribute(n int, reason string) int {
+// divide divides an entry of a lost owner into a few parts with the same load and returns the position of the last one.
+func (b *builder) divide(n int) int {
 	parts := min(maxReceivers, len(b.input.Candidates), max(1, b.entries[n].Size()/minSplitKeys))
 	loadPerPart := b.density.load(b.entries[n].Range) / float64(parts)
 	for range parts - 1 {
@@ -183,10 +201,8 @@
 			break
 		}
 		b.split(n, cut)
-		b.assign(n, b.lowestCost(n), reason)
 		n++
 	}
-	b.assign(n, b.lowestCost(n), reason)
 	return n
 }
 
@@ -394,13 +410,17 @@
 	return c.cost(b.carried[c.Instance] + more)
 }
 
-// lowestCost returns the candidate with the lowest cost, of those that can receive the load of entry n if there are any; of several, the
-// one with the least load.
-func (b *builder) lowestCost(n int) member.Incarnation {
-	load := b.density.load(b.entries[n].Range)
+// lowestCost returns the candidate with the lowest cost once it has got a load; of several, the one with the least load. Candidates that
+// are too cold for it come last, and before them those that would be full, the least overloaded first: a fast upstream has a low cost even
+// when it gets more than it can serve.
+func (b *builder) lowestCost(load float64) member.Incarnation {
+	load = max(load, minMoveLoad)
+	excess := func(c Candidate) float64 {
+		return max(0, c.utilisation(b.carried[c.Instance]+load)-fullUtilisation)
+	}
 	return slices.MinFunc(b.input.Candidates, func(a, c Candidate) int {
 		return cmp.Or(-compareBool(b.canReceive(a, load), b.canReceive(c, load)),
-			cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad)),
+			cmp.Compare(excess(a), excess(c)), cmp.Compare(b.cost(a, load), b.cost(c, load)),
 			cmp.Compare(b.carried[a.Instance], b.carried[c.Instance]))
 	}).Instance
 }
