Store, Keyspace, Sidecar, Platform: versions that don't go back when the store returns from a copy

Cause: nothing read the store's era. After a return from a copy, versions are given out again: followers missed rows, conditions held on other rows, incarnation numbers, map versions and fencing tokens repeated.

Change: store.Eras puts the era in the high bits of a version, above a backend whose versions are counters. A condition of an earlier era fails, changes after a version of an earlier era are listed anew, late responses are dropped, and an odd, missing or falling era is logged and ignored.

--- a/keyspace/encode.go
+++ b/keyspace/encode.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 // allHolders is the only reference of an entry whose previous holders are all holders of the row but its owner. It keeps the row of a
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if version := row.GetVersion(); version == 0 || version > min(limit, maxEpoch) {
+	if version := row.GetVersion(); version == 0 || version > min(limit, store.MaxVersion) {
 		return nil, fmt.Errorf("map row: version %d is out of range", version)
 	}
 	holders, err := decodeHolders(row, limit)
--- a/keyspace/keyspace.go
+++ b/keyspace/keyspace.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 // Key is a key of a service.
@@ -40,16 +41,19 @@
 // String returns the form "100-199".
 func (r Range) String() string { return fmt.Sprintf("%d-%d", r.First, r.Last) }
 
-// generationBits is the number of low bits of a fencing token that hold the generation; the high bits hold the epoch.
-const generationBits = 20
-
-// maxEpoch is the largest epoch of which a fencing token holds all bits.
-const maxEpoch = 1<<(64-generationBits) - 1
+const (
+	// generationBits is the number of low bits of a fencing token that hold the generation; the high bits hold the epoch.
+	generationBits = 20
+	// eraBits is how far a new era of the store raises the epoch in a fencing token. A copy that the store comes back from lacks fewer
+	// transactions than 2^eraBits. Few bits keep fencing tokens below 2^53, up to which upstreams read JSON numbers exactly, for the first
+	// 100 eras and 2^26 transactions.
+	eraBits = 26
+)
 
-// Fence returns the fencing token of a generation of an epoch. Fencing tokens are ordered by epoch, then by generation. Generations from
-// 2^20-1 on have the same fencing token.
+// Fence returns the fencing token of a generation of an epoch, which is a version of the store. Fencing tokens are ordered by epoch, then
+// by generation. Generations from 2^20-1 on have the same fencing token.
 func Fence(epoch, generation uint64) uint64 {
-	return epoch<<generationBits | min(generation, 1<<generationBits-1)
+	return (store.Era(epoch)<<eraBits+store.Counter(epoch))<<generationBits | min(generation, 1<<generationBits-1)
 }
 
 // Entry assigns a range to an owner and its successors.
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -34,6 +34,10 @@
 	// aren't known.
 	listed     time.Time
 	listedUpTo uint64
+	// era is the newest era of the store of which a row is known.
+	era uint64
+	// lost holds the slots whose records the store has lost, with the versions at which that was found. The instances may run.
+	lost map[string]uint64
 	// heard is when the instance in a slot that was never registered gave the last sign of life.
 	heard map[string]time.Time
 	// maps holds the newest key map of each service.
@@ -64,25 +68,31 @@
 	awaitsRecords bool
 	// awaited is the version of that map, 0 if there is none. A planner may have sent it to its owners already.
 	awaited uint64
+	// earlierEra means that keys is of an earlier era of the store than its row or the loss of that. Newer maps may have been lost, and
+	// with them the records of their owners.
+	earlierEra bool
+	// unconfirmed means that this process knows keys only from a row of a later era, whose writer may have known nothing of the maps before
+	// it. Requests are routed by it, but no keys are claimed.
+	unconfirmed bool
 	// setAside are the incarnations that the rows since that of keys name, none of which could be used.
 	setAside []member.Incarnation
 }
 
 // lastFence returns the highest fencing token of the maps so far. The tokens of later maps are higher.
 func (r mapRow) lastFence() uint64 {
-	version := max(r.keys.Version(), r.awaited)
+	last := keyspace.Fence(max(r.keys.Version(), r.awaited)+1, 0) - 1
 	if !r.awaitsRecords {
 		// The next map will have a version above that of a lost row.
-		version = max(version, r.lostAt)
+		last = max(last, keyspace.Fence(r.lostAt+1, 0)-1)
 	}
-	return keyspace.Fence(version+1, 0) - 1
+	return last
 }
 
 func newDirectory(self string) *directory {
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
 		registered: make(map[string]uint64), maps: make(map[string]mapRow), awaiting: make(map[string]store.Row),
-		pushed: make(map[string]uint64), heard: make(map[string]time.Time),
+		pushed: make(map[string]uint64), heard: make(map[string]time.Time), lost: make(map[string]uint64),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
@@ -91,6 +101,7 @@
 func (d *directory) apply(rows []store.Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteEra(rows)
 	for _, row := range rows {
 		if slot, ok := strings.CutPrefix(row.Key, member.RowPrefix); ok {
 			d.applyRecord(slot, row)
@@ -111,6 +122,11 @@
 // must be held.
 func (d *directory) applyRecord(slot string, row store.Row) {
 	d.registered[slot] = max(d.registered[slot], row.Version)
+	delete(d.lost, slot)
+	if row.Lost {
+		d.keepLost(slot, row.Version)
+		return
+	}
 	if row.Deleted {
 		delete(d.records, slot)
 		delete(d.unreachable, slot)
@@ -144,13 +160,28 @@
 // with an owner that no record names. mu must be held.
 func (d *directory) applyMap(service string, row store.Row) {
 	known := d.maps[service]
+	earlierEra := store.Era(known.keys.Version()) < store.Era(row.Version)
 	if row.Deleted {
-		klog.InfoS("directory: key map removed", "service", service, "version", row.Version)
-		d.maps[service] = mapRow{keys: known.keys, lostAt: row.Version, setAside: known.setAside}
+		klog.InfoS("directory: key map removed", "service", service, "version", row.Version, "lost", row.Lost)
+		d.maps[service] = mapRow{
+			keys: known.keys, lostAt: row.Version, earlierEra: earlierEra, unconfirmed: known.unconfirmed, setAside: known.setAside,
+		}
 		return
 	}
 	keys, err := keyspace.Decode(row.Value, row.Version)
-	if err == nil && keys.Version() <= known.keys.Version() {
+	switch {
+	case err != nil:
+	case store.Era(keys.Version()) < store.Era(row.Version):
+		// Maps that were written after this one may be lost, or it was written late over another one.
+		err = fmt.Errorf("map version %d is of an earlier era of the store", keys.Version())
+		if known.keys == nil {
+			d.logSetAside(row, known, keys.Holders(), err)
+			d.maps[service] = mapRow{
+				keys: keys, version: row.Version, lostAt: row.Version, earlierEra: true, unconfirmed: true, setAside: known.setAside,
+			}
+			return
+		}
+	case keys.Version() <= known.keys.Version():
 		err = fmt.Errorf("map version %d isn't newer than %d", keys.Version(), known.keys.Version())
 	}
 	awaits, awaited := false, uint64(0)
@@ -168,7 +199,7 @@
 	d.logSetAside(row, known, named, err)
 	d.maps[service] = mapRow{
 		keys: known.keys, version: row.Version, lostAt: row.Version, awaitsRecords: awaits, awaited: awaited,
-		setAside: union(known.setAside, named),
+		earlierEra: earlierEra, unconfirmed: known.unconfirmed, setAside: union(known.setAside, named),
 	}
 }
 
--- /dev/null
+++ b/sidecar/era.go
@@ -0,0 +1,46 @@
+package sidecar
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"sapphiretray/store"
+)
+
+// eraWait is how long after the begin of an era of the store its key maps are restored. Instances learn of the era with the next
+// heartbeats, and those whose records are lost write them again within restoreInterval, so that all that may hold keys are known. Grants
+// of processes that have ended by its start have expired.
+const eraWait = lostMapWait
+
+// noteEra records that the store has begun another era if one of the rows is of it. Incarnations and key maps may then be lost that this
+// process has never known. mu must be held.
+func (d *directory) noteEra(rows []store.Row) {
+	before := d.era
+	for _, row := range rows {
+		d.era = max(d.era, store.Era(row.Version))
+	}
+	if d.era == before || d.listed.IsZero() && len(d.registered) == 0 && len(d.maps) == 0 {
+		return
+	}
+	d.listed, d.listedUpTo = time.Now(), store.NewVersion(d.era, store.MaxCounter)
+	klog.InfoS("directory: new era of the store", "from", before, "to", d.era, "records", len(d.records), "maps", len(d.maps))
+}
+
+// keepLost keeps the record of a slot that the store has lost, so that requests reach its instance, until that must have written it again.
+// mu must be held.
+func (d *directory) keepLost(slot string, version uint64) {
+	d.lost[slot] = version
+	time.AfterFunc(unlistedWait, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.lost[slot] != version {
+			return
+		}
+		klog.InfoS("directory: lost record wasn't written again", "slot", slot, "name", d.records[slot].Name, "version", version)
+		delete(d.lost, slot)
+		delete(d.records, slot)
+		delete(d.unreachable, slot)
+		d.notify()
+	})
+}
--- a/sidecar/holders.go
+++ b/sidecar/holders.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 // markListed records that the rows were listed at a version.
 func (d *directory) markListed(version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listed, d.listedUpTo = time.Now(), version
+	d.listed, d.listedUpTo, d.era = time.Now(), version, max(d.era, store.Era(version))
 }
 
 // unlistedWait is how long after the listing a record that was removed or replaced before it may come back. A running instance writes its
--- a/sidecar/holders_test.go
+++ b/sidecar/holders_test.go
@@ -340,7 +340,7 @@
 					s.put(row)
 					sc.rows.Merge([]store.Row{row})
 				}
-				sc.restoreMap(t.Context(), sc.directory.keyMap("bookings"))
+				sc.restoreMap(t.Context(), sc.directory.keyMap("bookings"), nil)
 				written := s.written(t)
 				if len(written) != 1 {
 					t.Fatalf("%d maps were written", len(written))
--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -16,6 +16,7 @@
 	"sapphiretray/heartbeat"
 	"sapphiretray/peer"
 	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 // ownerNode is a machine: an upstream and an instance. The model's mutex guards the fields from upstream on.
@@ -112,7 +113,7 @@
 		CallerAddress: n.address(modelCallerPort), PeerAddress: n.address(modelPeerPort),
 		HeartbeatAddress: n.address(modelHeartbeatPort), UpstreamAddress: n.address(ownerUpstreamPort), StopTimeout: 6 * time.Second,
 	}, Adapters{
-		Store: ownerStoreClient{m.store, p}, Upstream: ownerProtocol{}, Callers: modelProtocol{}, Network: ownerTCP{p},
+		Store: store.NewEras(ownerStoreClient{m.store, p}), Upstream: ownerProtocol{}, Callers: modelProtocol{}, Network: ownerTCP{p},
 		Grants:      func(*gateway.Gateway) grant.Upstream { return ownerGrants{p} },
 		ConfigTable: ownerConfigTable, ConfigKey: ownerConfigKey,
 		DecodeConfig: func([]byte) (*routing.Table, error) { return m.table, nil },
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -54,6 +54,12 @@
 //
 //	go test -race ./sidecar -run TestOwnershipModel -owner.seed 17 -owner.seeds 1
 func TestOwnershipModel(t *testing.T) {
+	runOwnershipModel(t, *ownerSeed, *ownerSeeds, func(*ownerModel) {})
+}
+
+// runOwnershipModel runs the model with some seeds, after configure has changed it.
+func runOwnershipModel(t *testing.T, first uint64, count int, configure func(m *ownerModel)) {
+	t.Helper()
 	klog.LogToStderr(false)
 	defer klog.LogToStderr(true)
 	logFlags := flag.NewFlagSet("klog", flag.PanicOnError)
@@ -66,10 +72,11 @@
 	defer func() { _ = threshold.Set(before) }()
 	failures := make(map[string][]uint64)
 	total := make(map[string]int)
-	for n := range *ownerSeeds {
-		seed := *ownerSeed + uint64(n)
+	for n := range count {
+		seed := first + uint64(n)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			m := newOwnerModel(seed)
+			configure(m)
 			klog.SetOutput(m)
 			var group sync.WaitGroup
 			ended := make(chan struct{})
@@ -95,7 +102,7 @@
 		})
 	}
 	for kind, seeds := range failures {
-		t.Logf("%s: %d of %d seeds: %v", kind, len(seeds), *ownerSeeds, seeds)
+		t.Logf("%s: %d of %d seeds: %v", kind, len(seeds), count, seeds)
 	}
 	t.Logf("totals: %v", total)
 }
@@ -111,6 +118,8 @@
 	// samples are the checked keys, sorted.
 	samples []keyspace.Key
 	nodes   []*ownerNode
+	// losesWrites means that storeFromCopy is among the troubles.
+	losesWrites bool
 
 	// mu guards the fields below and those of the store, the network, the nodes and the upstreams.
 	mu sync.Mutex
--- a/sidecar/ownermodel_store_test.go
+++ b/sidecar/ownermodel_store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"sapphiretray/keyspace"
@@ -22,9 +23,11 @@
 	m       *ownerModel
 	version uint64
 	rows    map[string]store.Row
-	// history holds all changes after dropped, in order.
+	// history holds all changes in order. Those up to the version dropped are not returned any more.
 	history []ownerChange
 	dropped uint64
+	// era is the number of times that the store has come back from a copy.
+	era uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// downUntil is when all calls succeed again, and troubledUntil when writes do.
@@ -42,7 +45,7 @@
 	return &ownerStore{m: m, rows: make(map[string]store.Row)}
 }
 
-// ownerStoreClient is the store as one process sees it. It implements store.Store.
+// ownerStoreClient is the store as one process sees it. It implements store.Backend.
 type ownerStoreClient struct {
 	*ownerStore
 	process *ownerProcess
@@ -88,13 +91,18 @@
 	ownerWriteOutcomes
 )
 
-// Commit implements store.Store.
-func (s ownerStoreClient) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+// response returns a response with the era of now. The model's mutex must be held.
+func (s *ownerStore) response(rows []store.Row, version uint64) store.Response {
+	return store.Response{Rows: rows, Version: version, Arrived: true, Era: strconv.FormatUint(s.era, 10)}
+}
+
+// Commit implements store.Backend.
+func (s ownerStoreClient) Commit(ctx context.Context, t store.Transaction) (store.Response, error) {
+	var response store.Response
 	d, err := s.begin(ctx, "commit")
 	if err != nil {
-		return 0, err
+		return response, err
 	}
-	var version uint64
 	outcome := ownerWriteDone
 	s.m.locked(func() {
 		chance := 0.03
@@ -106,7 +114,9 @@
 		}
 		switch outcome {
 		case ownerWriteDone, ownerWriteAnswerLost, ownerWriteSlow:
+			var version uint64
 			version, err = s.apply(t, s.process.name)
+			response = s.response(nil, version)
 		case ownerWriteLate:
 			delay := d.between(100*time.Millisecond, 4*time.Second)
 			s.m.group.Go(func() {
@@ -118,20 +128,20 @@
 	switch outcome {
 	case ownerWriteAnswerLost, ownerWriteLate:
 		wait.For(ctx, d.between(10*time.Millisecond, 4*time.Second))
-		version, err = 0, store.ErrUnknown
+		response, err = store.Response{}, store.ErrUnknown
 	case ownerWriteRefused:
-		version, err = 0, store.ErrUnavailable
+		response, err = store.Response{}, store.ErrUnavailable
 	case ownerWriteSlow:
 		if !wait.For(ctx, d.between(50*time.Millisecond, 1500*time.Millisecond)) {
-			version, err = 0, store.ErrUnknown
+			response, err = store.Response{}, store.ErrUnknown
 		}
 	default:
 		if !wait.For(ctx, d.between(2*time.Millisecond, 25*time.Millisecond)) {
-			version, err = 0, store.ErrUnknown
+			response, err = store.Response{}, store.ErrUnknown
 		}
 	}
 	s.process.awaitRunning()
-	return version, err
+	return response, err
 }
 
 // apply carries out a transaction if its conditions hold. The model's mutex must be held.
@@ -167,7 +177,7 @@
 		s.m.record("%s writes row %d, %s, deleted: %v", writer, row.Version, row.Key, row.Deleted)
 		return
 	}
-	keys, err := keyspace.Decode(row.Value, row.Version)
+	keys, err := keyspace.Decode(row.Value, store.NewVersion(s.era, row.Version))
 	if err != nil {
 		s.m.record("%s writes row %d, invalid: %v", writer, row.Version, err)
 		return
@@ -183,57 +193,58 @@
 	s.keys = keys
 }
 
-// List implements store.Store.
-func (s ownerStoreClient) List(ctx context.Context, table string) ([]store.Row, uint64, error) {
+// List implements store.Backend. The table with the configuration belongs to another store, which loses nothing.
+func (s ownerStoreClient) List(ctx context.Context, table string) (store.Response, error) {
 	if table == ownerConfigTable {
-		return []store.Row{{Table: table, Key: ownerConfigKey, Version: 1}}, 1, nil
+		return store.Response{Rows: []store.Row{{Table: table, Key: ownerConfigKey, Version: 1}}, Version: 1, Arrived: true}, nil
 	}
 	d, err := s.begin(ctx, "list")
 	if err != nil {
-		return nil, 0, err
+		return store.Response{}, err
 	}
-	var rows []store.Row
-	var version uint64
+	var response store.Response
 	s.m.locked(func() {
-		version = s.version
+		response = s.response(nil, s.version)
 		for _, row := range s.rows {
 			if !row.Deleted {
-				rows = append(rows, row)
+				response.Rows = append(response.Rows, row)
 			}
 		}
 	})
 	if !wait.For(ctx, d.between(2*time.Millisecond, 25*time.Millisecond)) {
-		return nil, 0, store.ErrUnavailable
+		return store.Response{}, store.ErrUnavailable
 	}
 	s.process.awaitRunning()
-	return rows, version, nil
+	return response, nil
 }
 
-// Changes implements store.Store.
-func (s ownerStoreClient) Changes(ctx context.Context, table string, after uint64, poll time.Duration) ([]store.Row, uint64, error) {
+// Changes implements store.Backend.
+func (s ownerStoreClient) Changes(ctx context.Context, table string, after uint64, poll time.Duration) (store.Response, error) {
 	if table == ownerConfigTable {
 		wait.For(ctx, poll)
-		return nil, after, ctx.Err()
+		return store.Response{Version: after, Arrived: true}, ctx.Err()
 	}
 	d, err := s.begin(ctx, "changes")
 	if err != nil {
-		return nil, 0, err
+		return store.Response{}, err
 	}
 	end := time.Now().Add(poll)
 	for {
-		var rows []store.Row
-		var version uint64
+		var response store.Response
 		var changed chan struct{}
 		var pause time.Duration
 		var lost bool
 		s.m.locked(func() {
+			var rows []store.Row
+			var version uint64
 			rows, version, pause = s.changesAfter(after, s.process.node.feedLag)
-			changed, lost = s.changed, after < s.dropped
+			response = s.response(rows, version)
+			changed, lost = s.changed, after < s.dropped || after > s.version
 		})
 		if lost {
-			return nil, 0, store.ErrHistoryLost
+			return response, store.ErrHistoryLost
 		}
-		if left := time.Until(end); len(rows) == 0 && left > 0 {
+		if left := time.Until(end); len(response.Rows) == 0 && left > 0 {
 			ctx, cancel := context.WithTimeout(ctx, min(left, pause))
 			select {
 			case <-changed:
@@ -242,14 +253,14 @@
 			cancel()
 		}
 		if ctx.Err() != nil {
-			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+			return store.Response{}, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
 		}
-		if len(rows) > 0 || !time.Now().Before(end) {
+		if len(response.Rows) > 0 || !time.Now().Before(end) {
 			if err := s.awaitFeed(ctx, d); err != nil {
-				return nil, 0, err
+				return store.Response{}, err
 			}
 			s.process.awaitRunning()
-			return rows, version, nil
+			return response, nil
 		}
 	}
 }
--- a/sidecar/ownermodel_trouble_test.go
+++ b/sidecar/ownermodel_trouble_test.go
@@ -194,7 +194,11 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	return kinds[:3+d.IntN(4)]
+	kinds = kinds[:3+d.IntN(4)]
+	if m.losesWrites {
+		kinds[0] = storeFromCopy
+	}
+	return kinds
 }
 
 // endTroubles waits until the processes and upstreams that were stopped run again, and ends all other troubles.
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -14,6 +14,7 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/processor"
+	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -73,7 +74,7 @@
 		if current.keys == nil {
 			records, silent := sc.directory.count(sc.settings.Service), sc.silentInstances(reports)
 			arrivals.observe(now, records+len(reports))
-			if !arrivals.isDue(now, silent == 0, mapWasLost(current, reports)) {
+			if !arrivals.isDue(now, silent == 0, sc.mapWasLost(current, reports)) {
 				continue
 			}
 		}
@@ -274,7 +275,7 @@
 
 // holdersOfUnknownMap returns the incarnations that may serve keys under an earlier map, of which none is known.
 func (sc *Sidecar) holdersOfUnknownMap(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) []member.Incarnation {
-	if !mapWasLost(current, reports) {
+	if !sc.mapWasLost(current, reports) {
 		// The instances of a new service aren't asked for keys.
 		return sc.directory.holdersBeforeListing(sc.settings.Service)
 	}
@@ -353,10 +354,11 @@
 	}
 }
 
-// mapWasLost reports whether the service had a map before another writer replaced or removed its row, which this instance may not know.
-func mapWasLost(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
-	for _, r := range reports {
-		if r.GetSettled() > 0 {
+// mapWasLost reports whether the service may have had a map before another writer replaced or removed its row, or the store lost it, which
+// this instance may not know.
+func (sc *Sidecar) mapWasLost(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	for i, r := range reports {
+		if r.GetSettled() > 0 || store.Era(i.Number()) < store.Era(sc.rows.Version()) {
 			return true
 		}
 	}
@@ -366,7 +368,8 @@
 // restoreTimer tells when an instance restores the map of its service. The zero value is ready to use.
 type restoreTimer struct {
 	lostAt uint64
-	due    time.Time
+	// from is when the planner restores the map, and due when other instances do.
+	from, due time.Time
 }
 
 // isDue reports whether an instance that knows the map has to restore it. The planner does so at once, or after restoreDelay if it may
@@ -374,10 +377,13 @@
 // map was lost doesn't know it.
 func (t *restoreTimer) isDue(lost mapRow, now time.Time, planner bool) bool {
 	if lost.lostAt != t.lostAt {
-		t.lostAt, t.due = lost.lostAt, now.Add(restoreDelay+rand.N(restoreDelay))
+		t.lostAt, t.from, t.due = lost.lostAt, now, now.Add(restoreDelay+rand.N(restoreDelay))
+		if lost.earlierEra {
+			t.from, t.due = now.Add(eraWait), t.due.Add(eraWait)
+		}
 	}
 	if planner && !lost.awaitsRecords {
-		return true
+		return !now.Before(t.from)
 	}
 	return planner == lost.awaitsRecords && !now.Before(t.due)
 }
@@ -390,16 +396,19 @@
 	planner := len(reports) > 0
 	due := timer.isDue(lost, now, planner)
 	if (due || planner) && sc.knowsHolders(ctx, lost, reports) && due {
-		sc.restoreMap(ctx, lost)
+		sc.restoreMap(ctx, lost, reports)
 	}
 }
 
 // restoreMap writes the last known map again after another writer has replaced or removed it, or after a row was set aside. Keys are
-// claimed from all incarnations that the map and the rows since name, and from all that have a record.
-func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
+// claimed from all incarnations that the map and the rows since name, from all that have a record, and from those that report: the store
+// may have lost their records.
+func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
 	complete := sc.rows.Version()
 	possible := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
-	next := current.keys.Restore(current.lostAt, possible, sc.endedOrExpired)
+	possible = union(possible, slices.Collect(maps.Keys(reports)))
+	// The row's own version may be older than those of maps that the store has lost.
+	next := current.keys.Restore(max(current.lostAt, complete), possible, sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -313,8 +313,8 @@
 	if s.grantManager == nil {
 		return
 	}
-	if keys := s.sidecar.directory.keyMap(s.sidecar.settings.Service).keys; keys != nil {
-		s.grantManager.Update(keys)
+	if current := s.sidecar.directory.keyMap(s.sidecar.settings.Service); current.keys != nil && !current.unconfirmed {
+		s.grantManager.Update(current.keys)
 	}
 }
 
--- a/store/follower.go
+++ b/store/follower.go
@@ -223,17 +223,27 @@
 }
 
 // applyListing merges a full listing as of a version, and reports whether it had newer rows than those known. Known rows that are
-// missing from it were deleted.
+// missing from it were deleted or, if they are of an earlier era, lost.
 func (f *Follower) applyListing(rows []Row, version uint64, d Delivery) (newer bool) {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
 	}
 	f.mu.Lock()
+	listed, lost := len(rows), 0
 	for key, row := range f.rows {
-		if !present[key] && row.Version <= version && !row.Deleted {
-			rows = append(rows, Row{Table: f.table, Key: key, Version: version, Deleted: true})
+		if present[key] || row.Version > version || row.Deleted {
+			continue
+		}
+		missing := Row{Table: f.table, Key: key, Version: version, Deleted: true, Lost: Era(row.Version) < Era(version)}
+		if missing.Lost {
+			lost++
 		}
+		rows = append(rows, missing)
+	}
+	if before := max(f.newest, f.version); before > 0 && Era(before) < Era(version) {
+		klog.InfoS("store: table listed in a new era", "table", f.table, "from", Era(before), "to", Era(version),
+			"newest", Counter(before), "listed", Counter(version), "rows", listed, "lost", lost)
 	}
 	f.mu.Unlock()
 	newer = f.merge(rows, d)
@@ -333,13 +343,15 @@
 	}
 }
 
-// mergeNewer stores the rows that are newer than the known ones and returns them.
+// mergeNewer stores the rows that are newer than the known ones and returns them. Rows that the store had in an earlier era, and that an
+// instance still has that doesn't know of the era of this copy, aren't stored.
 func (f *Follower) mergeNewer(rows []Row) []Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	newer := make([]Row, 0, len(rows))
 	for _, row := range rows {
-		if known, ok := f.rows[row.Key]; ok && row.Version <= known.Version || row.Version == 0 || row.Version > MaxVersion {
+		if known, ok := f.rows[row.Key]; ok && row.Version <= known.Version || row.Version == 0 || row.Version > MaxVersion ||
+			Era(row.Version) < Era(f.version) {
 			continue
 		}
 		row.Table = f.table
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http/httptrace"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +22,8 @@
 	rows    map[string]store.Row
 	history []store.Row
 	version uint64
+	// era is the number of times that the store has come back from a copy.
+	era uint64
 	// dropped is the version up to which the history is no longer kept.
 	dropped uint64
 	// unavailable makes all calls fail with ErrUnavailable. feedErr is the error of calls for changes, nil if they are answered.
@@ -71,6 +75,45 @@
 	m.notify()
 }
 
+// restore replaces the content by a copy of a version, from which the store counts on in the next era.
+func (m *memory) restore(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.version, m.rows = version, make(map[string]store.Row)
+	m.history = slices.DeleteFunc(m.history, func(r store.Row) bool { return r.Version > version })
+	for _, row := range m.history {
+		if m.rows[row.Key] = row; row.Deleted {
+			delete(m.rows, row.Key)
+		}
+	}
+	m.notify()
+}
+
+// memoryBackend implements store.Backend with a memory, whose versions are counters.
+type memoryBackend struct{ *memory }
+
+// response returns the response to a call in the era in which it arrived.
+func (b memoryBackend) response(call func() ([]store.Row, uint64, error)) (store.Response, error) {
+	rows, version, err := call()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	arrived := err == nil || errors.Is(err, store.ErrHistoryLost)
+	return store.Response{Rows: rows, Version: version, Arrived: arrived, Era: strconv.FormatUint(b.era, 10)}, err
+}
+
+func (b memoryBackend) Commit(context.Context, store.Transaction) (store.Response, error) {
+	return store.Response{}, errors.ErrUnsupported
+}
+
+func (b memoryBackend) List(ctx context.Context, table string) (store.Response, error) {
+	return b.response(func() ([]store.Row, uint64, error) { return b.memory.List(ctx, table) })
+}
+
+func (b memoryBackend) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Response, error) {
+	return b.response(func() ([]store.Row, uint64, error) { return b.memory.Changes(ctx, table, after, wait) })
+}
+
 // notify wakes the calls that wait for changes.
 func (m *memory) notify() {
 	close(m.changed)
@@ -142,7 +185,8 @@
 		default:
 		}
 		m.mu.Lock()
-		unavailable, silent, dropped, changed, feedErr := m.unavailable, m.silent, after < m.dropped, m.changed, m.feedErr
+		unavailable, silent, changed, feedErr := m.unavailable, m.silent, m.changed, m.feedErr
+		dropped := after < m.dropped || after > m.version
 		var rows []store.Row
 		for _, row := range m.history {
 			if row.Version > after {
--- a/store/store.go
+++ b/store/store.go
@@ -11,17 +11,16 @@
 	"time"
 )
 
-// MaxVersion is the largest version of a row. Versions count the transactions of the store, which don't get there.
-const MaxVersion = 1 << 53
-
 // Row is one row of a table. Version 0 means that the row doesn't exist.
 type Row struct {
 	Table   string
 	Key     string
 	Value   []byte
 	Version uint64
-	// Deleted means that the row was deleted at Version.
+	// Deleted means that the row was deleted at Version. Lost is set if it isn't known to have been deleted: it was missing when the store
+	// began an era, and its writer may write it again.
 	Deleted bool
+	Lost    bool
 }
 
 // maxDecodedRows bounds the rows that DecodeRows accepts: many short ones take a multiple of their size. A store has one row for each
