Sidecar: records that the store has lost are written again at a bounded rate

Cause: all instances learn of a new era at the same time, and a record whose write the store refused was tried again every 150 ms.

Change: the first write is spread over a second, and a failed one is repeated after one second. Metrics tell the era of the rows and how many rows were written again.

--- a/keyspace/keyspace_test.go
+++ b/keyspace/keyspace_test.go
@@ -10,6 +10,7 @@
 
 	"sapphiretray/keyspace"
 	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 // incarnation returns the first incarnation in slot 10.0.0.n.
@@ -148,11 +149,25 @@
 	}
 }
 
-// TestFence checks that the fencing tokens of a newer epoch are above those of all generations of an older one.
+// TestFence checks that the fencing tokens of a newer epoch are above those of all generations of an older one, also if the store has
+// come back from a copy in between.
 func TestFence(t *testing.T) {
 	if keyspace.Fence(1, 1<<30) >= keyspace.Fence(2, 0) || keyspace.Fence(2, 1) <= keyspace.Fence(2, 0) {
 		t.Error("fencing tokens are out of order")
 	}
+	epochs := []uint64{
+		1, 1 << 20, store.NewVersion(1, 1), store.NewVersion(1, 1<<20), store.NewVersion(2, 1<<20-5000), store.NewVersion(3, 1<<33),
+		store.NewVersion(4, 1<<33-50_000), store.NewVersion(store.MaxEra, store.MaxCounter),
+	}
+	for n, epoch := range epochs[1:] {
+		if last, first := keyspace.Fence(epochs[n], 1<<30), keyspace.Fence(epoch, 0); first <= last {
+			t.Errorf("the first token %d of epoch %d is not above the last one %d of epoch %d", first, epoch, last, epochs[n])
+		}
+	}
+	// Larger integers aren't read exactly by all upstreams.
+	if token := keyspace.Fence(store.NewVersion(99, 1<<26), 1<<30); token >= 1<<53 {
+		t.Errorf("a fencing token of the 99th era is %d", token)
+	}
 }
 
 // TestLostOwnerIsReplaced guards against keys that stay with an owner that can't serve, and against entries that don't tell the new
--- a/sidecar/directory_test.go
+++ b/sidecar/directory_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -123,10 +124,14 @@
 		{"another instance, at first", false, false, restoreDelay / 2, false},
 		{"another instance", false, false, 2 * restoreDelay, true},
 		{"another instance that lacks records", false, true, time.Minute, false},
+		{"planner in a new era, at first", true, false, eraWait - 1, false},
+		{"planner in a new era", true, false, eraWait, true},
+		{"another instance in a new era, at first", false, false, eraWait + restoreDelay/2, false},
+		{"another instance in a new era", false, false, eraWait + 2*restoreDelay, true},
 	}
 	for _, test := range tests {
 		var timer restoreTimer
-		lost := mapRow{lostAt: 30, awaitsRecords: test.awaitsRecords}
+		lost := mapRow{lostAt: 30, awaitsRecords: test.awaitsRecords, earlierEra: strings.Contains(test.name, "in a new era")}
 		timer.isDue(lost, start, false)
 		if got := timer.isDue(lost, start.Add(test.after), test.planner); got != test.want {
 			t.Errorf("%s: due %v after %v, want %v", test.name, got, test.after, test.want)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -7,6 +7,14 @@
 	"sapphiretray/store"
 )
 
+// newRewritten returns the counter of rows that were written again.
+func newRewritten() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphiretray_rows_written_again_total",
+		Help: "Writes of the own record or the key map after another writer had replaced it or the store had lost it.",
+	}, []string{"row"})
+}
+
 // registerMetrics registers the metrics of the process. Their values are read at each scrape.
 func (sc *Sidecar) registerMetrics() {
 	gauge := func(name, help string, value func() float64) {
@@ -39,6 +47,10 @@
 		func() float64 { return boolValue(sc.config.Reachable() && sc.rows.Reachable()) })
 	sc.registerStoreMetrics("config", sc.config)
 	sc.registerStoreMetrics("rows", sc.rows)
+	gauge("store_era", "Era of the store in the newest complete copy of the rows.", func() float64 {
+		return float64(store.Era(sc.rows.Version()))
+	})
+	sc.registry.MustRegister(sc.rewritten)
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(sc.directory.unreachableSlots()))
 	})
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -413,6 +413,7 @@
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
 	}
+	sc.rewritten.WithLabelValues("map").Inc()
 	holders := next.Holders()
 	missing := slices.DeleteFunc(slices.Clone(current.setAside), func(i member.Incarnation) bool { return slices.Contains(holders, i) })
 	klog.InfoS("plan: map restored", "service", sc.settings.Service, "version", next.Version(), "known", current.keys.Version(),
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,9 +53,13 @@
 	expiredAt time.Time
 	// witnessNumbers holds the numbers of the witnesses' incarnations at the time they were chosen, by slot.
 	witnessNumbers map[string]uint64
-	// restoredAt is when the record was last written because another writer had replaced it.
+	// restoredAt is when the record was last written because another writer had replaced it or the store had lost it. unwritten means that
+	// the write failed.
 	restoredAt time.Time
-	ctx        context.Context
+	unwritten  bool
+	// era is the newest era of the store in which the row is known.
+	era uint64
+	ctx context.Context
 }
 
 // self returns the incarnation of the session.
@@ -158,7 +163,9 @@
 // join starts a session with a new incarnation: it chooses the witnesses and writes the record.
 func (sc *Sidecar) join(ctx context.Context) (*session, error) {
 	run := sc.gateway.State().UpstreamRun
-	s := &session{sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, ctx: ctx}
+	s := &session{
+		sidecar: sc, started: time.Now(), upstreamRun: trackedRun{run: run}, era: store.Era(sc.rows.Version()), ctx: ctx,
+	}
 	if sc.keyed() {
 		cleared, err := sc.clearEarlierGrants(ctx, run)
 		if err != nil {
@@ -326,15 +333,7 @@
 		if !s.upstreamRun.continues(s.sidecar.gateway.State().UpstreamRun) || s.mustRejoin() {
 			return
 		}
-		wanted := s.sidecar.wantedState()
-		replaced := time.Since(s.restoredAt) >= restoreInterval && s.adoptRow()
-		if replaced {
-			s.restoredAt = time.Now()
-			klog.InfoS("session: another writer has replaced the record; writing it again", "instance", s.self())
-		}
-		if replaced || wanted != s.record.State {
-			s.publishState(ctx, wanted)
-		}
+		s.updateRecord(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -344,6 +343,35 @@
 	}
 }
 
+// updateRecord writes the record if its state has changed, another writer has replaced it or the store has lost it.
+func (s *session) updateRecord(ctx context.Context) {
+	s.spreadRestore()
+	replaced := time.Since(s.restoredAt) >= restoreInterval && (s.adoptRow() || s.unwritten)
+	wanted := s.sidecar.wantedState()
+	if replaced {
+		s.restoredAt = time.Now()
+		row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
+		klog.InfoS("session: another writer has replaced the record; writing it again", "instance", s.self(), "row", row.Version,
+			"lost", row.Lost, "era", store.Era(row.Version))
+		s.sidecar.rewritten.WithLabelValues("record").Inc()
+	}
+	if replaced || wanted != s.record.State {
+		written := s.publishState(ctx, wanted)
+		if s.unwritten = replaced && !written; s.unwritten {
+			s.record.State = wanted
+		}
+	}
+}
+
+// spreadRestore lets the record be written again at a random time within restoreInterval once the store has begun another era: all
+// instances learn of it at the same time.
+func (s *session) spreadRestore() {
+	if era := store.Era(s.sidecar.rows.Get(member.RowKey(s.self().Slot())).Version); era > s.era {
+		s.era = era
+		s.restoredAt = time.Now().Add(-rand.N(restoreInterval))
+	}
+}
+
 // wantedState returns the state to publish in the record: other instances send no requests without a key to one that drains.
 func (sc *Sidecar) wantedState() member.State {
 	if !sc.gateway.State().Usable() || sc.stopping.Load() {
@@ -352,15 +380,16 @@
 	return member.Ready
 }
 
-// publishState writes the record with a state. After a failure, the write is retried in the next round.
-func (s *session) publishState(ctx context.Context, state member.State) {
+// publishState writes the record with a state, and reports whether that succeeded. After a failure, the write is retried in the next round.
+func (s *session) publishState(ctx context.Context, state member.State) bool {
 	s.record.State = state
 	if err := s.write(ctx); err != nil && ctx.Err() == nil {
 		klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", state, "err", err)
 		s.record.State = ""
-		return
+		return false
 	}
 	klog.InfoS("session: state changed", "instance", s.self(), "state", state)
+	return true
 }
 
 // mustRejoin reports whether the instance must join as a new incarnation, because its lease is lost, has been invalid for too long, or
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -138,6 +138,8 @@
 	giveUp   context.CancelCauseFunc
 	group    *errgroup.Group
 	registry *prometheus.Registry
+	// rewritten counts the rows that were written again, by kind.
+	rewritten *prometheus.CounterVec
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
 	// crashReports holds the crash reports that were received.
@@ -178,7 +180,7 @@
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
 		configAnnounced: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), registry: prometheus.NewRegistry(),
-		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time),
+		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time), rewritten: newRewritten(),
 	}
 	if sc.adapters.Network == nil {
 		sc.adapters.Network = tcpNetwork{}
