--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -30,8 +31,8 @@
 	// history has all changes after droppedVersion in their order.
 	history        []StoredRow
 	droppedVersion uint64
-	// version grows by one with each transaction.
-	version uint64
+	// version grows by one with each transaction. era grows by one with each return from a copy, and is part of all responses.
+	version, era uint64
 	// started is the time of the first response; responses carry the time since then.
 	started time.Time
 	// changed is closed at the next change.
@@ -96,6 +97,32 @@
 	s.notify()
 }
 
+// RowStoreCopy is a copy of a RowStore.
+type RowStoreCopy struct {
+	rows    map[rowName]StoredRow
+	version uint64
+}
+
+// Copy returns a copy of the present content.
+func (s *RowStore) Copy() RowStoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return RowStoreCopy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore replaces the content by a copy, from whose version the store counts on in the next era. The calls that wait for changes never
+// get a response.
+func (s *RowStore) Restore(c RowStoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.history = slices.DeleteFunc(s.history, func(row StoredRow) bool { return row.Ver > c.version })
+	s.droppedVersion = min(s.droppedVersion, c.version)
+	s.era++
+	s.forgets++
+	s.notify()
+}
+
 // Calls returns the number of calls that arrived.
 func (s *RowStore) Calls() int {
 	s.mu.Lock()
@@ -142,6 +169,7 @@
 		s.mu.Lock()
 		s.calls++
 		refused := s.refused[host]
+		s.nameEra(w)
 		s.mu.Unlock()
 		if refused {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -151,6 +179,9 @@
 	})
 }
 
+// nameEra sets the header with the era. mu must be held.
+func (s *RowStore) nameEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10)) }
+
 // set stores a row or, if Deleted is set, removes it, and adds it to the history. mu must be held.
 func (s *RowStore) set(row StoredRow) {
 	if s.rows == nil {
@@ -220,6 +251,7 @@
 	}
 	body["ver"], body["now"] = s.version, strconv.FormatInt(time.Since(s.started).Milliseconds(), 10)+"ms"
 	w.Header().Set("Content-Type", "application/json")
+	s.nameEra(w)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
@@ -253,7 +285,7 @@
 }
 
 // feed returns the changes of a table after a version. If there are none yet, it waits for one for up to wait_ms. It responds with 410 if
-// the history no longer has all of them.
+// the history no longer has all of them, or the store doesn't have the version.
 func (s *RowStore) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -274,7 +306,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if after < s.droppedVersion {
+		if after < s.droppedVersion || after > s.version {
 			s.writeResponse(w, http.StatusGone, map[string]any{})
 			s.mu.Unlock()
 			return
