--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -180,7 +180,9 @@
 }
 
 // nameEra sets the header with the era. mu must be held.
-func (s *RowStore) nameEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10)) }
+func (s *RowStore) nameEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
 
 // set stores a row or, if Deleted is set, removes it, and adds it to the history. mu must be held.
 func (s *RowStore) set(row StoredRow) {
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -17,7 +17,7 @@
 
 // startClaims starts a claim for each partition that this incarnation should serve but doesn't yet. m.mu must be held.
 func (m *Manager) startClaims() {
-	if m.current == nil || m.ctx.Err() != nil || m.draining {
+	if m.current == nil || m.ctx.Err() != nil || m.draining || m.waited {
 		return
 	}
 	for p := range m.current.Partitions() {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -88,7 +88,9 @@
 	ctx context.Context
 	// calls bounds the calls for claims. Those to the upstream count for this incarnation.
 	calls callLimits
-	group sync.WaitGroup
+	// group holds the running claims and proofs. None begins once waited is set; mu guards both.
+	group  sync.WaitGroup
+	waited bool
 }
 
 // localPartition is this incarnation's state of one partition. Manager.mu guards it.
@@ -157,8 +159,14 @@
 	return m
 }
 
-// Wait blocks until all goroutines of the manager have ended. Their context, the one given to New, must end first.
-func (m *Manager) Wait() { m.group.Wait() }
+// Wait blocks until all goroutines of the manager have ended. Their context, the one given to New, must end first. Maps and notices that
+// arrive from then on start none.
+func (m *Manager) Wait() {
+	m.mu.Lock()
+	m.waited = true
+	m.mu.Unlock()
+	m.group.Wait()
+}
 
 // Update replaces the partition map of the instance's service and starts the claims that the new map requires. A map that isn't
 // newer than the current one is ignored.
@@ -227,6 +235,11 @@
 	if m.Ended(i) || !m.MaySucceed(i) {
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.waited {
+		return
+	}
 	m.group.Go(func() {
 		ctx, cancel := context.WithTimeout(m.ctx, proofTimeout)
 		defer cancel()
