Sidecar: a new process learns of a configuration that the store has lost

Cause: a process that starts between the return of the store from a copy and the next write of the operator takes the copy's configuration, although other instances have a newer one in effect.

Change: an instance answers a fetch of the configuration with the one in effect, too, if the store has lost it. Older versions than that in effect stay out.

--- a/sidecar/service.go
+++ b/sidecar/service.go
@@ -41,13 +41,17 @@
 }
 
 // Fetch returns the known rows of a table that are newer than a version, and the version up to which they are complete, or 0 if changes
-// after the given version aren't known here, see store.Follower.ChangesAfter.
+// after the given version aren't known here, see store.Follower.ChangesAfter. A configuration that is in effect and that the store has lost
+// is among them.
 func (s *peerService) Fetch(_ context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
 	f := s.sidecar.rows
 	if r.GetKind() == s.sidecar.adapters.ConfigTable {
 		f = s.sidecar.config
 	}
 	rows, version := f.ChangesAfter(r.GetHave())
+	if f == s.sidecar.config {
+		rows = append(rows, s.sidecar.lostConfig()...)
+	}
 	value, err := json.Marshal(rows)
 	if err != nil {
 		return nil, err
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -164,6 +164,9 @@
 	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
 	sendAnnouncement func(to member.Record, slot string, v *peer.Versions) error
+	// adoptMu guards the replacement of routes. configRow is the row of the configuration in effect, nil if there is none.
+	adoptMu   sync.Mutex
+	configRow atomic.Pointer[store.Row]
 	// decodingConfig is true while an arrived configuration isn't in effect yet.
 	decodingConfig atomic.Bool
 	// announcedMu guards announced.
@@ -226,7 +229,7 @@
 		group.Go(func() error { return s.serve(running) })
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
-	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
+	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig, sc.fetchLostConfig,
 		sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -64,6 +64,14 @@
 	if since := sc.configLag.arrive(rows[0].Version); !since.IsZero() {
 		behind = time.Since(since)
 	}
+	sc.adoptConfig(rows, d, behind)
+}
+
+// adoptConfig puts the newest valid configuration of the rows, the newest of which comes first, into effect unless it is older than that in
+// effect.
+func (sc *Sidecar) adoptConfig(rows []store.Row, d store.Delivery, behind time.Duration) {
+	sc.adoptMu.Lock()
+	defer sc.adoptMu.Unlock()
 	for n, row := range rows {
 		decoding := time.Now()
 		table, err := sc.adapters.DecodeConfig(row.Value)
@@ -77,6 +85,7 @@
 			continue
 		}
 		sc.routes.Store(table)
+		sc.configRow.Store(&row)
 		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version, "bytes", len(row.Value), "source", d.Source,
 			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind, "inDoubt", d.InDoubt,
 			"skipped", len(rows)-n-1)
@@ -273,6 +282,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rows, version, err := sc.fetchRows(ctx, slot, f)
+	if f == sc.config {
+		rows = sc.adoptLostConfig(rows)
+	}
 	if err != nil {
 		if !errors.Is(context.Cause(ctx), context.Canceled) {
 			sc.fetchLog(f).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "took", time.Since(started), "err", err)
