--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -229,8 +229,9 @@
 		group.Go(func() error { return s.serve(running) })
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
-	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig, sc.fetchLostConfig,
-		sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
+		sc.fetchLostConfig, sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run,
+		sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
