Store: a lost row counts as deleted once it wasn't written again for 10 s

Change: the follower passes rows that the store has lost at once, marked as lost, and as deleted after 10 s unless they were written again.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -36,8 +36,6 @@
 	listedUpTo uint64
 	// era is the newest era of the store of which a row is known.
 	era uint64
-	// lost holds the slots whose records the store has lost, with the versions at which that was found. The instances may run.
-	lost map[string]uint64
 	// heard is when the instance in a slot that was never registered gave the last sign of life.
 	heard map[string]time.Time
 	// maps holds the newest key map of each service.
@@ -92,7 +90,7 @@
 	return &directory{
 		self: self, records: make(map[string]member.Record), history: make(map[string][]member.Record),
 		registered: make(map[string]uint64), maps: make(map[string]mapRow), awaiting: make(map[string]store.Row),
-		pushed: make(map[string]uint64), heard: make(map[string]time.Time), lost: make(map[string]uint64),
+		pushed: make(map[string]uint64), heard: make(map[string]time.Time),
 		unreachable: make(map[string]bool), leaving: make(map[member.Incarnation]bool), changed: make(chan struct{}),
 	}
 }
@@ -122,9 +120,8 @@
 // must be held.
 func (d *directory) applyRecord(slot string, row store.Row) {
 	d.registered[slot] = max(d.registered[slot], row.Version)
-	delete(d.lost, slot)
 	if row.Lost {
-		d.keepLost(slot, row.Version)
+		// The instance may run, and writes its record again.
 		return
 	}
 	if row.Deleted {
--- a/sidecar/era.go
+++ b/sidecar/era.go
@@ -26,21 +26,3 @@
 	d.listed, d.listedUpTo = time.Now(), store.NewVersion(d.era, store.MaxCounter)
 	klog.InfoS("directory: new era of the store", "from", before, "to", d.era, "records", len(d.records), "maps", len(d.maps))
 }
-
-// keepLost keeps the record of a slot that the store has lost, so that requests reach its instance, until that must have written it again.
-// mu must be held.
-func (d *directory) keepLost(slot string, version uint64) {
-	d.lost[slot] = version
-	time.AfterFunc(unlistedWait, func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.lost[slot] != version {
-			return
-		}
-		klog.InfoS("directory: lost record wasn't written again", "slot", slot, "name", d.records[slot].Name, "version", version)
-		delete(d.lost, slot)
-		delete(d.records, slot)
-		delete(d.unreachable, slot)
-		d.notify()
-	})
-}
--- a/sidecar/era_test.go
+++ b/sidecar/era_test.go
@@ -94,21 +94,21 @@
 		want           bool
 	}{
 		{"at first", 0, 0, true},
-		{"until it must have been written", 0, unlistedWait - time.Second, true},
-		{"not written", 0, unlistedWait + time.Second, false},
+		{"until it must have been written", 0, 9 * time.Second, true},
+		{"not written", 0, 11 * time.Second, false},
 		{"written", time.Second, time.Minute, true},
 	}
 	for _, test := range tests {
 		bubble.Test(t, func(t *testing.T) {
-			d := newDirectory("slot-0")
-			d.apply([]store.Row{recordRow(t, goodRecord(), 5)})
-			d.apply([]store.Row{lostRow(member.RowKey("slot-3"), store.NewVersion(1, 4))})
+			sc := New(Settings{Slot: "slot-0", Service: "bookings"}, Adapters{})
+			sc.rows.Merge([]store.Row{recordRow(t, goodRecord(), 5)})
+			sc.rows.Merge([]store.Row{lostRow(member.RowKey("slot-3"), store.NewVersion(1, 4))})
 			if test.written > 0 {
 				time.Sleep(test.written)
-				d.apply([]store.Row{recordRow(t, goodRecord(), store.NewVersion(1, 5))})
+				sc.rows.Merge([]store.Row{recordRow(t, goodRecord(), store.NewVersion(1, 5))})
 			}
 			time.Sleep(test.after)
-			if got := len(d.Targets("bookings")) == 1; got != test.want {
+			if got := len(sc.directory.Targets("bookings")) == 1; got != test.want {
 				t.Errorf("%s: the instance is a target: %v, want %v", test.name, got, test.want)
 			}
 		})
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	// disputeInterval is the shortest time between two listings because of conflicts. A row whose version can't be read conflicts again
 	// and again.
 	disputeInterval = time.Second
+	// lostRowTime is how long a row that the store has lost may be missing before it counts as deleted. Its writer writes it again within a
+	// second after it has learned of the loss, and the operator soon.
+	lostRowTime = 10 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, of which a random part of up to half is left out. The longest
 	// is well below the time within which a configuration has to be in effect after an outage.
 	minRetryDelay = 100 * time.Millisecond
@@ -95,7 +99,8 @@
 }
 
 // NewFollower returns a follower of a table. It calls changed, which may be nil, with each batch of rows that are newer than those
-// known before, in order and from one goroutine at a time. Deleted rows have Deleted set.
+// known before, in order and from one goroutine at a time. Deleted rows have Deleted set. Those that the store has lost have Lost set, too,
+// and are passed once more without it if they aren't written again.
 func NewFollower(s Store, table string, changed func(rows []Row, d Delivery), options ...Option) *Follower {
 	f := &Follower{
 		store: s, table: table, changed: changed, rows: make(map[string]Row), listings: make(chan struct{}),
@@ -307,9 +312,36 @@
 	if len(newer) > 0 && f.changed != nil {
 		f.changed(newer, d)
 	}
+	if lost := slices.DeleteFunc(slices.Clone(newer), func(row Row) bool { return !row.Lost }); len(lost) > 0 {
+		time.AfterFunc(lostRowTime, func() { f.removeLost(lost) })
+	}
 	return len(newer) > 0
 }
 
+// removeLost passes lost rows that weren't written again to changed as deleted ones.
+func (f *Follower) removeLost(lost []Row) {
+	f.mergeMu.Lock()
+	defer f.mergeMu.Unlock()
+	f.mu.Lock()
+	var deleted []Row
+	for _, row := range lost {
+		if known := f.rows[row.Key]; known.Lost && known.Version == row.Version {
+			row.Lost = false
+			f.rows[row.Key] = row
+			deleted = append(deleted, row)
+		}
+	}
+	f.mu.Unlock()
+	if len(deleted) == 0 {
+		return
+	}
+	klog.InfoS("store: lost rows weren't written again", "table", f.table, "rows", len(deleted), "first", deleted[0].Key,
+		"version", deleted[0].Version)
+	if f.changed != nil {
+		f.changed(deleted, Delivery{Source: SourceMerge})
+	}
+}
+
 // MergeUpTo merges rows that another copy's ChangesAfter has returned for Version or an older version, and the version returned with
 // them.
 func (f *Follower) MergeUpTo(rows []Row, version uint64) {
--- a/store/store.go
+++ b/store/store.go
@@ -17,8 +17,8 @@
 	Key     string
 	Value   []byte
 	Version uint64
-	// Deleted means that the row was deleted at Version. Lost is set if it isn't known to have been deleted: it was missing when the store
-	// began an era, and its writer may write it again.
+	// Deleted means that the row was deleted at Version. Lost is set for a while if it isn't known to have been deleted: it was missing
+	// when the store began an era, and its writer may write it again.
 	Deleted bool
 	Lost    bool
 }
