--- a/sidecar/era_test.go
+++ b/sidecar/era_test.go
@@ -200,6 +200,10 @@
 		{"unchanged", own, 0, 0, 0},
 		{"lost", lostRow(member.RowKey("slot-3"), store.NewVersion(1, 8)), 0, 1, 1},
 		{"earlier incarnation", recordRow(t, older, store.NewVersion(1, 6)), 0, 1, 1},
+		{
+			"earlier incarnation, while the store refuses writes",
+			recordRow(t, older, store.NewVersion(1, 6)), 10 * time.Second, 9, 13,
+		},
 		{"lost, while the store refuses writes", lostRow(member.RowKey("slot-3"), store.NewVersion(1, 8)), 10 * time.Second, 9, 13},
 	}
 	for _, test := range tests {
--- a/sidecar/ownermodel_era_test.go
+++ b/sidecar/ownermodel_era_test.go
@@ -11,7 +11,7 @@
 
 var (
 	eraSeeds = flag.Int("owner.eraseeds", 4, "number of seeds that TestOwnershipModelEras runs")
-	eraSeed  = flag.Uint64("owner.eraseed", 1, "first seed that TestOwnershipModelEras runs")
+	eraSeed  = flag.Uint64("owner.eraseed", 20, "first seed that TestOwnershipModelEras runs")
 )
 
 // TestOwnershipModelEras guards against conclusions from versions, incarnation numbers and epochs that the store gives out again after it
