--- a/sidecar/evacuations.go
+++ b/sidecar/evacuations.go
@@ -35,6 +35,10 @@
 	}
 	changed := false
 	for _, row := range slices.SortedFunc(slices.Values(rows), func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) }) {
+		if row.Lost {
+			// The operator writes it again, or the follower delivers it once more as a deleted one.
+			continue
+		}
 		n, ok, err := sc.adapters.DecodeEvacuation(row)
 		switch now := time.Now(); {
 		case !ok:
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -142,6 +142,8 @@
 	giveUp   context.CancelCauseFunc
 	group    *errgroup.Group
 	registry *prometheus.Registry
+	// rewritten counts the rows that were written again, by kind.
+	rewritten *prometheus.CounterVec
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
 	// crashReports holds the crash reports that were received.
@@ -166,6 +168,9 @@
 	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
 	sendAnnouncement func(to member.Record, slot string, v *peer.Versions) error
+	// adoptMu guards the replacement of routes. configRow is the row of the configuration in effect, nil if there is none.
+	adoptMu   sync.Mutex
+	configRow atomic.Pointer[store.Row]
 	// decodingConfig is true while an arrived configuration isn't in effect yet.
 	decodingConfig atomic.Bool
 	// announcedMu guards announced.
@@ -182,7 +187,7 @@
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
 		configAnnounced: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), registry: prometheus.NewRegistry(),
-		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time),
+		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time), rewritten: newRewritten(),
 	}
 	if sc.adapters.Network == nil {
 		sc.adapters.Network = tcpNetwork{}
@@ -230,7 +235,8 @@
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
 	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
-		sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+		sc.fetchLostConfig, sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run,
+		sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
--- a/sidecar/versions.go
+++ b/sidecar/versions.go
@@ -64,14 +64,16 @@
 	}
 	// Evacuations go first, since decoding a large configuration takes a slow processor a tenth of a second.
 	sc.applyEvacuations(rows, d, behind)
-	sc.applyConfig(rows, d, behind)
-}
-
-// applyConfig puts the newest valid configuration of the rows into effect. An invalid one is refused as a whole. Older ones aren't
-// decoded. behind is the time since another instance announced the newest row, 0 if none did.
-func (sc *Sidecar) applyConfig(rows []store.Row, d store.Delivery, behind time.Duration) {
 	rows = slices.DeleteFunc(slices.Clone(rows), func(r store.Row) bool { return r.Key != sc.adapters.ConfigKey || r.Deleted })
 	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(b.Version, a.Version) })
+	sc.adoptConfig(rows, d, behind)
+}
+
+// adoptConfig puts the newest valid configuration of the rows, the newest of which comes first, into effect unless it is older than that in
+// effect. behind is the time since another instance announced the newest row, 0 if none did.
+func (sc *Sidecar) adoptConfig(rows []store.Row, d store.Delivery, behind time.Duration) {
+	sc.adoptMu.Lock()
+	defer sc.adoptMu.Unlock()
 	for n, row := range rows {
 		decoding := time.Now()
 		table, err := sc.adapters.DecodeConfig(row.Value)
@@ -85,6 +87,7 @@
 			continue
 		}
 		sc.routes.Store(table)
+		sc.configRow.Store(&row)
 		klog.InfoS("config: in effect", "version", table.Version(), "row", row.Version, "bytes", len(row.Value), "source", d.Source,
 			"waited", d.Waited, "took", d.Took, "decoded", time.Since(decoding), "behind", behind, "inDoubt", d.InDoubt,
 			"skipped", len(rows)-n-1)
@@ -281,6 +284,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rows, version, err := sc.fetchRows(ctx, slot, f)
+	if f == sc.config {
+		rows = sc.adoptLostConfig(rows)
+	}
 	if err != nil {
 		if !errors.Is(context.Cause(ctx), context.Canceled) {
 			sc.fetchLog(f).InfoS("news: fetch failed", "slot", slot, "table", f.Table(), "took", time.Since(started), "err", err)
