Gateway: load reports of upstreams tell their speed

Cause: an upstream that is slow for a part of a second raised the moving average of its service times, which then was wrong for all requests of the next seconds; the report in its responses wasn't read.

The gateway divides each sample by the slowness at its start, keeps the median slowness of five seconds as the usual one, and expects service times by the newest report while it is fresh. The planner gets the usual times, so that spells don't move keys. A malformed report is logged at a bounded rate and changes nothing.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -22,7 +22,7 @@
 	if r.Body != nil || r.ReadBody == nil {
 		return false
 	}
-	return float64(g.transferTimes.get(r.Route)) > slowBodyShare*float64(g.estimates.get(r.Route))
+	return float64(g.transferTimes.get(r.Route)) > slowBodyShare*float64(g.serviceTime(r.Route))
 }
 
 // expectBody reads a slow body before the request has a slot, if the request is expected to get one in time.
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -28,15 +28,21 @@
 	Requests int
 }
 
+// get returns the estimate for a route, which is firstEstimate without samples.
 func (e *estimates) get(route string) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if m, ok := e.means[route]; ok {
-		return m.Mean
+	if mean := e.measured(route); mean > 0 {
+		return mean
 	}
 	return firstEstimate
 }
 
+// measured returns the estimate for a route, or 0 without samples.
+func (e *estimates) measured(route string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.means[route].Mean
+}
+
 func (e *estimates) observe(route string, took time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -57,6 +63,3 @@
 	defer e.mu.Unlock()
 	return maps.Clone(e.means)
 }
-
-// ServiceTimes returns the estimated service time of each route that the upstream has served.
-func (g *Gateway) ServiceTimes() map[string]ServiceTime { return g.estimates.all() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,17 @@
 	Misdirected bool
 	// UpstreamID is the id of the upstream that responded, or empty if the response doesn't contain it.
 	UpstreamID string
+	// Report is the load that the upstream states. It is zero if the response contains no report or a malformed one; ReportError then is
+	// the reason.
+	Report      UpstreamReport
+	ReportError error
+}
+
+// UpstreamReport is the load that an upstream states in a response.
+type UpstreamReport struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at the upstream now, as a multiple of the time at an upstream of mean speed, or 0 if it isn't stated.
+	Slowness float64
 }
 
 // Protocol translates between requests and the headers that the upstream understands.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/loglimit"
 	"sapphiretray/policy"
 	"sapphiretray/wait"
 )
@@ -52,9 +53,13 @@
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
 	// pool holds the connections for requests, control those for control requests.
-	pool         pool
-	control      pool
-	estimates    estimates
+	pool    pool
+	control pool
+	// estimates are the service times that an upstream of mean speed would have.
+	estimates estimates
+	slowness  slowness
+	// reportLog limits the log lines about malformed load reports.
+	reportLog    loglimit.Limiter
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
 
@@ -178,7 +183,10 @@
 // RouteLoad returns the current load of the upstream, with the estimates for requests of a route.
 func (g *Gateway) RouteLoad(route string) Load {
 	load := g.Load()
-	load.ServiceTime = g.estimates.get(route)
+	load.Slowness = g.slowness.relative(time.Now())
+	if g.estimates.measured(route) > 0 {
+		load.ServiceTime = g.usualServiceTime(route)
+	}
 	return load
 }
 
@@ -213,7 +221,7 @@
 		return nil, g.recordFailure(r, f)
 	}
 	if r.Key != NoKey {
-		g.onKeyRequest(uint16(r.Key), g.estimates.get(r.Route))
+		g.onKeyRequest(uint16(r.Key), g.usualServiceTime(r.Route))
 	}
 	if g.isBodySlow(r) {
 		if f := g.expectBody(ctx, r); f != nil {
@@ -291,7 +299,7 @@
 func (g *Gateway) jobSpec(r *Request) policy.JobSpec {
 	return policy.JobSpec{
 		Priority: r.Priority, Nested: r.Nested, Retry: r.Retry, Objective: r.Objective, Deadline: r.Deadline,
-		ServiceTime: g.estimates.get(r.Route),
+		ServiceTime: g.serviceTime(r.Route),
 	}
 }
 
@@ -342,7 +350,8 @@
 func (g *Gateway) recordFailure(r *Request, f *Failure) error {
 	load := g.Load()
 	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.estimates.get(r.Route), "objectiveLeft", time.Until(r.Objective),
+		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route), "slowness",
+		g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective),
 		"left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -369,16 +378,18 @@
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
 		started := time.Now()
+		slowness, _ := g.slowness.current(started)
 		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
 		if err == nil {
-			took := time.Since(started)
+			ended := time.Now()
 			g.crashTracker.RecordCompletion(r.fingerprint)
 			info := g.protocol.Read(response.status, response.header)
+			g.observeReport(ended, info)
 			if info.NotRun || info.Misdirected {
 				c.recordRefusal(r.ID)
 			}
 			g.pool.put(c)
-			return g.checkResponse(r, response, info, took)
+			return g.checkResponse(r, response, info, ended.Sub(started), slowness)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -415,7 +426,7 @@
 
 // expectedTime returns the time within which most responses to requests like r arrive.
 func (g *Gateway) expectedTime(r *Request) time.Duration {
-	return expectedServiceTimes*g.estimates.get(r.Route) + minExpectedTime
+	return expectedServiceTimes*g.serviceTime(r.Route) + minExpectedTime
 }
 
 // spawn runs f in a goroutine of the group.
@@ -453,8 +464,11 @@
 	}
 }
 
-// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream.
-func (g *Gateway) checkResponse(r *Request, response *rawResponse, info ResponseInfo, took time.Duration) (*Response, error) {
+// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream. took is how long the upstream took,
+// and slowness its slowness when the request was sent, which has decided how long it took.
+func (g *Gateway) checkResponse(
+	r *Request, response *rawResponse, info ResponseInfo, took time.Duration, slowness float64,
+) (*Response, error) {
 	g.mu.Lock()
 	g.stats.Responses++
 	g.mu.Unlock()
@@ -475,7 +489,7 @@
 		})
 	}
 	// Refusals aren't counted, since they take almost no time and would distort the estimate.
-	g.estimates.observe(r.Route, took)
+	g.estimates.observe(r.Route, time.Duration(float64(took)/slowness))
 	removeHopHeaders(response.header)
 	return &Response{Status: response.status, Header: response.header, Body: response.body, Took: took}, nil
 }
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,8 +27,13 @@
 	headerGenuine = "Test-Mark"
 	headerNotRun  = "Test-Not-Run"
 	headerExpect  = "Test-Expect"
+	// headerSlowness holds the upstream's slowness, and headerInvalid is set if its load report is malformed.
+	headerSlowness = "Test-Slowness"
+	headerInvalid  = "Test-Invalid"
 )
 
+var errInvalid = errors.New("malformed load report")
+
 // testProtocol implements gateway.Protocol.
 type testProtocol struct{}
 
@@ -39,10 +45,16 @@
 func (testProtocol) Matches(header http.Header, id string) bool { return header.Get(headerID) == id }
 
 func (testProtocol) Read(status int, header http.Header) gateway.ResponseInfo {
-	return gateway.ResponseInfo{
+	info := gateway.ResponseInfo{
 		Genuine: header.Get(headerGenuine) != "", NotRun: header.Get(headerNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest, UpstreamID: "upstream-1",
 	}
+	// A missing value stands for 0.
+	info.Report.Slowness, _ = strconv.ParseFloat(header.Get(headerSlowness), 64)
+	if header.Get(headerInvalid) != "" {
+		info.ReportError = errInvalid
+	}
+	return info
 }
 
 // rawUpstream is an upstream whose respond function writes the bytes of each response, so that tests can send invalid ones. It counts
