Policy, Ingress: the choice of an instance expects the time of the response

Cause: the choice for requests without a key compared loads by slots.

It expects wait, service time and slowness now, and draws the load of a target from a distribution that widens with the report's age.

--- a/forward/client.go
+++ b/forward/client.go
@@ -209,6 +209,9 @@
 		header = make(http.Header)
 	}
 	header.Set(headerCall, encodeCall(r, now, c.exchange.Versions(), newSendTime(c.started, now)))
+	if bound := encodeBound(r); bound != "" {
+		header.Set(headerBound, bound)
+	}
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := (&http.Request{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,9 @@
 	// headerForecast holds the load in the form of encodeForecast. It isn't a part of headerResult, whose number of fields instances of
 	// earlier versions check.
 	headerForecast = "S-Fc"
+	// headerBound holds the bound of the expected time until the response in the form of encodeBound. It isn't a part of headerCall, whose
+	// number of fields instances of earlier versions check.
+	headerBound = "S-Max"
 	// headerProbe marks a request that only asks whether the instance responds.
 	headerProbe = "S-Probe"
 )
--- a/forward/server.go
+++ b/forward/server.go
@@ -46,6 +46,9 @@
 		var route string
 		refuse := func(f *gateway.Failure) { writeFailure(w, f, g.RouteLoad(route), exchange.Versions()) }
 		forwarded, err := decodeCall(r.Header.Get(headerCall), time.Now(), &delays)
+		if err == nil {
+			err = decodeBound(r.Header.Get(headerBound), forwarded.request)
+		}
 		if err != nil {
 			refuse(&gateway.Failure{Code: code.BadRequest, Reason: err.Error()})
 			return
@@ -64,6 +67,7 @@
 			return
 		}
 		r.Header.Del(headerCall)
+		r.Header.Del(headerBound)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
 		if r.ContentLength != 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,12 @@
 	// timeout ends.
 	Objective time.Time
 	Deadline  time.Time
+	// Within bounds the expected time until the response: the request is refused with code.Busy if it would take longer here, because
+	// another instance is expected to respond sooner. 0 is no bound.
+	Within time.Duration
+	// Spilled is set for a request that left its data centre although that has upstreams of the service. It is refused with code.Busy
+	// unless room is left beside the requests of this data centre.
+	Spilled bool
 	// throttled is set while the request counts in Gateway.throttled.
 	throttled bool
 	// fingerprint is set once the body has been read.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -217,6 +217,9 @@
 	if f := g.checkAvailable(r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
+	if f := g.checkBusy(r); f != nil {
+		return nil, g.recordFailure(r, f)
+	}
 	if f := g.admitKey(ctx, r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -13,8 +13,8 @@
 const (
 	// slownessLifetime is the age up to which a reported slowness is used. It changes several times a second.
 	slownessLifetime = 200 * time.Millisecond
-	// usualWindow is the time over which the usual slowness is the median. Slow spells last for a part of a second and fill a smaller part of
-	// the window than half, unlike a lasting change.
+	// usualWindow is the time over which the usual slowness is the median. Slow spells last for a part of a second and fill less than half
+	// of the window, unlike a lasting change.
 	usualWindow = 5 * time.Second
 	// usualInterval is the time between two samples of the window.
 	usualInterval = 100 * time.Millisecond
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -12,6 +12,7 @@
 	"sapphiretray/code"
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
+	"sapphiretray/policy"
 	"sapphiretray/routing"
 )
 
@@ -40,6 +41,11 @@
 	ran *gateway.Response
 	// tried holds the slots of the instances that refused or failed a request without a key, or that were named as owner of the key.
 	tried map[string]bool
+	// busy holds the slots of the instances that refused a request without a key because another one is expected to respond sooner, and
+	// refusedBy the data centres that have no room for requests of this one.
+	busy, refusedBy map[string]bool
+	// placement is where a request without a key is sent.
+	placement placement
 	// ownerHint is the slot of the instance that was last named as the key's owner by another one, or empty.
 	ownerHint string
 	// holdUntil bounds the wait for the key's owner.
@@ -65,7 +71,7 @@
 	defer cancel()
 	now := time.Now()
 	d := &dispatchState{
-		request: request, route: route, tried: make(map[string]bool),
+		request: request, route: route, tried: make(map[string]bool), busy: make(map[string]bool), refusedBy: make(map[string]bool),
 		holdUntil: now.Add(time.Duration(holdShare * float64(request.Objective.Sub(now)))), cancel: cancel,
 	}
 	s.budgets.get(request.Service).Attempt()
@@ -170,13 +176,12 @@
 // target returns the instance to try next. A request whose key has no owner waits for one.
 func (s *Server) target(ctx context.Context, d *dispatchState) (Target, *gateway.Failure) {
 	if d.request.Key == gateway.NoKey {
-		target, ok := s.chooser.choose(time.Now(), s.directory.Targets(d.request.Service), d.tried, len(d.request.Body))
-		if !ok {
+		if !s.place(d) {
 			return Target{}, &gateway.Failure{
 				Code: code.NoOwner, RetryAfter: noOwnerRetryAfter, Reason: "no instance of the service accepts requests",
 			}
 		}
-		return target, nil
+		return d.placement.Target, nil
 	}
 	if ownerHint := d.ownerHint; ownerHint != "" {
 		d.ownerHint = ""
@@ -195,6 +200,26 @@
 	}
 }
 
+// place chooses the instance for a request without a key, and returns false if there is none.
+func (s *Server) place(d *dispatchState) bool {
+	now, targets := time.Now(), s.directory.Targets(d.request.Service)
+	if slices.ContainsFunc(targets, func(t Target) bool { return t.Slot == s.directory.Self() }) {
+		s.balance.report(now, d.request, s.local.RouteLoad(d.request.Route))
+	}
+	p, ok := s.balance.choose(now, d, targets)
+	if !ok {
+		return false
+	}
+	d.placement = p
+	s.metrics.placed(d.request.Service, p.reason)
+	if p.reason != reasonOwn || len(d.busy) > 0 {
+		klog.InfoS("request: placed", "id", d.request.ID, "service", d.request.Service, "slot", p.Slot, "dataCentre", p.DataCentre,
+			"reason", p.reason, "expected", p.expected, "within", p.within, "busy", len(d.busy),
+			"objectiveLeft", d.request.Objective.Sub(now))
+	}
+	return true
+}
+
 // waitForChange waits for a change of the directory, at most for ownerPollInterval. It returns false if the request can't wait any
 // longer.
 func (s *Server) waitForChange(ctx context.Context, d *dispatchState, changed <-chan struct{}) bool {
@@ -214,21 +239,33 @@
 }
 
 // send sends the request to one instance and records the outcome.
-func (s *Server) send(ctx context.Context, d *dispatchState, target Target) (*gateway.Response, error) {
-	done := s.chooser.begin(target.Slot)
+func (s *Server) send(ctx context.Context, d *dispatchState, target Target) (response *gateway.Response, err error) {
+	// An earlier attempt may still be using the request.
+	request := *d.request
+	if request.Key == gateway.NoKey {
+		request.Within, request.Spilled = d.placement.within, d.placement.spilled
+	}
+	done := s.balance.begin(target, &request)
+	begun := time.Now()
 	var load gateway.Load
 	// A panic says nothing about the target.
-	o := outcomeServed
-	defer func() { done(load, o) }()
+	o := policy.TargetServed
+	defer func() {
+		done(load, o)
+		if request.Key == gateway.NoKey {
+			now := time.Now()
+			s.balance.observe(now, d.placement, &request, isBusy(err), now.Sub(begun), response)
+		}
+	}()
 	if target.Slot == s.directory.Self() {
-		response, err := s.local.Do(ctx, d.request)
-		load, o = s.local.RouteLoad(d.request.Route), outcomeOf(response, err)
+		response, err = s.local.Do(ctx, &request)
+		load, o = s.local.RouteLoad(request.Route), outcomeOf(response, err)
 		if response != nil {
 			response.InstanceSlot = target.Slot
 		}
 		return response, err
 	}
-	result, err := s.forwarder.Do(ctx, target.Address, d.request)
+	result, err := s.forwarder.Do(ctx, target.Address, &request)
 	if isUnreachable(err) {
 		s.directory.MarkUnreachable(target.Slot)
 	}
@@ -236,7 +273,7 @@
 		s.directory.MarkLeaving(target.Slot)
 	}
 	load, o = result.Load, outcomeOf(result.Response, err)
-	if d.request.Nested {
+	if request.Nested {
 		s.local.ObserveNestedCall(result.Load)
 	}
 	var failure *gateway.Failure
@@ -250,17 +287,17 @@
 }
 
 // outcomeOf classifies a result by what it says about the target.
-func outcomeOf(response *gateway.Response, err error) outcome {
+func outcomeOf(response *gateway.Response, err error) policy.TargetOutcome {
 	var f *gateway.Failure
 	switch {
 	case isUnreachable(err):
-		return outcomeUnreachable
+		return policy.TargetUnreachable
 	case errors.As(err, &f) && f.Arrived && f.Code != code.CallerGone && f.Code != code.NotOwner:
-		return outcomeFault
+		return policy.TargetFault
 	case response != nil && response.Status == http.StatusInternalServerError:
-		return outcomeFault
+		return policy.TargetFault
 	default:
-		return outcomeServed
+		return policy.TargetServed
 	}
 }
 
@@ -274,6 +311,12 @@
 	return errors.As(err, &f) && f.Code == code.Draining
 }
 
+// isBusy reports whether an instance refused a request because another one is expected to respond sooner.
+func isBusy(err error) bool {
+	var f *gateway.Failure
+	return errors.As(err, &f) && f.Code == code.Busy
+}
+
 // isRetryable reports whether a response is a failure that another upstream may not have.
 func (s *Server) isRetryable(d *dispatchState, response *gateway.Response) bool {
 	return response.Status == http.StatusInternalServerError && d.request.Key == gateway.NoKey && d.route.Kind.Retryable()
@@ -360,6 +403,14 @@
 		}
 		return isOwnerChange(f.Code) && s.waitForChange(ctx, d, s.directory.Changed())
 	}
+	if f.Code == code.Busy {
+		// The last instance is asked without a bound, so that it isn't busy in this sense.
+		d.busy[target.Slot] = true
+		if d.placement.spilled {
+			d.refusedBy[target.DataCentre] = true
+		}
+		return true
+	}
 	d.tried[target.Slot] = true
 	return f.Code != code.TooLate && len(d.tried) < maxTargets && s.hasUntried(d)
 }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -17,6 +17,7 @@
 	latency  *prometheus.HistogramVec
 	waited   prometheus.Histogram
 	retries  prometheus.Counter
+	places   *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -36,8 +37,12 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sapphiretray_repeats_total", Help: "Requests that were sent to an upstream once more within the retry budget.",
 		}),
+		places: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sapphiretray_placements_total",
+			Help: "Instances chosen for requests without a key, by service and why the data centre was chosen.",
+		}, []string{"service", "reason"}),
 	}
-	registerer.MustRegister(m.requests, m.latency, m.waited, m.retries)
+	registerer.MustRegister(m.requests, m.latency, m.waited, m.retries, m.places)
 	return m
 }
 
@@ -48,6 +53,9 @@
 	m.waited.Observe(response.Waited.Seconds())
 }
 
+// placed records that an instance was chosen for a request.
+func (m *metrics) placed(service, reason string) { m.places.WithLabelValues(service, reason).Inc() }
+
 // failed records a request that ended with a failure.
 func (m *metrics) failed(kind routing.Kind, c code.Code, took time.Duration) {
 	m.requests.WithLabelValues(kind.String(), codeLabel(c)).Inc()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -42,7 +42,7 @@
 	budgets        budgets
 	roundRobin     roundRobin
 	callerTimeouts callerTimeouts
-	chooser        *chooser
+	balance        *balance
 	outdated       func() bool
 	confirmedFor   func() (time.Duration, bool)
 	stopping       func() bool
@@ -87,7 +87,7 @@
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, confirmedFor: c.ConfirmedFor, stopping: c.Stopping,
 		outlasts: c.Outlasts, budgets: budgets{create: c.NewBudget},
-		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
+		balance: newBalance(c.Directory.Self(), c.DataCentre), metrics: newMetrics(c.Registerer),
 	}
 }
 
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -136,6 +136,22 @@
 // later Announce calls until Retract is called.
 func (s *Scheduler) Announce(now time.Time, jobSpec JobSpec) (*Job, Decision) {
 	j := &Job{spec: jobSpec, state: jobDone}
+	start := s.expectedStart(now, j)
+	end := start.Add(jobSpec.ServiceTime)
+	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
+		return j, Decision{RetryAfter: max(start.Sub(now), minRetryAfter)}
+	}
+	s.announced = append(s.announced, j)
+	return j, Decision{Admitted: true}
+}
+
+// WaitFor returns how long a request would be expected to wait for a slot if it were submitted now, behind the requests that go before it.
+func (s *Scheduler) WaitFor(now time.Time, jobSpec JobSpec) time.Duration {
+	return s.expectedStart(now, &Job{spec: jobSpec, sequence: s.sequence + 1}).Sub(now)
+}
+
+// expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
+func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
 	free := s.slotFreeTimes(now)
 	for _, others := range [][]*Job{s.waiting, s.announced} {
 		for _, other := range others {
@@ -144,12 +160,7 @@
 			}
 		}
 	}
-	end := free[0].Add(jobSpec.ServiceTime)
-	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && free[0].After(now) {
-		return j, Decision{RetryAfter: max(free[0].Sub(now), minRetryAfter)}
-	}
-	s.announced = append(s.announced, j)
-	return j, Decision{Admitted: true}
+	return free[0]
 }
 
 // Retract removes an announced request, before it is submitted or given up.
