Planner: loads include slow spells; tests of dozens of hot keys

Change: reports tell how long work took in the mean as a multiple of the usual time, and the planner scales all loads by the mean of that. One value for all upstreams keeps their single spells out of the plan. An upstream isn't compared with others by a service time of fewer than five requests.

--- a/gateway/busy.go
+++ b/gateway/busy.go
@@ -27,6 +27,10 @@
 		}
 	}
 	wait := g.scheduler.WaitFor(time.Now(), spec)
+	if g.estimates.measured(r.Route) == 0 {
+		// The sender's bound is better known than the service time here.
+		spec.ServiceTime = 0
+	}
 	if expected := wait + spec.ServiceTime; r.Within > 0 && expected > r.Within {
 		reason := fmt.Sprintf("a response is expected in %v, of it %v in the queue; asked for within %v", expected, wait, r.Within)
 		return &Failure{Code: code.Busy, Reason: reason}
--- a/gateway/estimates.go
+++ b/gateway/estimates.go
@@ -11,6 +11,9 @@
 	estimateWeight = 0.1
 	// firstEstimate is the estimate for a route without samples.
 	firstEstimate = 100 * time.Millisecond
+	// minSamples is the number of samples from which other instances compare an estimate with that of other upstreams. Service times vary
+	// by half their mean and more.
+	minSamples = 5
 )
 
 // estimates holds the moving average of a duration, such as the service time, for each route. It is safe for concurrent use, and its
@@ -30,17 +33,22 @@
 
 // get returns the estimate for a route, which is firstEstimate without samples.
 func (e *estimates) get(route string) time.Duration {
-	if mean := e.measured(route); mean > 0 {
-		return mean
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m, ok := e.means[route]; ok {
+		return m.Mean
 	}
 	return firstEstimate
 }
 
-// measured returns the estimate for a route, or 0 without samples.
+// measured returns the estimate for a route, or 0 if it has fewer than minSamples.
 func (e *estimates) measured(route string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.means[route].Mean
+	if m := e.means[route]; m.Requests >= minSamples {
+		return m.Mean
+	}
+	return 0
 }
 
 func (e *estimates) observe(route string, took time.Duration) {
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -27,9 +27,9 @@
 	// reported is the newest report, 0 before the first one, and at when it arrived.
 	reported float64
 	at       time.Time
-	// samples are the reports of the last usualWindow, one per usualInterval, and median is their median, 0 before the first one.
-	samples []slownessSample
-	median  float64
+	// samples are the reports of the last usualWindow, one per usualInterval. mean and median are those of the samples, 0 before the first.
+	samples      []slownessSample
+	mean, median float64
 }
 
 // slownessSample is a reported slowness with the time of its arrival.
@@ -48,11 +48,13 @@
 	}
 	s.samples = slices.DeleteFunc(s.samples, func(o slownessSample) bool { return now.Sub(o.at) > usualWindow })
 	s.samples = append(s.samples, slownessSample{at: now, slowness: reported})
-	values := make([]float64, 0, len(s.samples))
+	values, sum := make([]float64, 0, len(s.samples)), 0.0
 	for _, o := range s.samples {
 		values = append(values, o.slowness)
+		sum += o.slowness
 	}
 	slices.Sort(values)
+	s.mean = sum / float64(len(values))
 	s.median = values[(len(values)-1)/2]
 }
 
@@ -66,6 +68,16 @@
 	return s.median
 }
 
+// excess returns the mean slowness as a multiple of the usual one, or 0 before the first report.
+func (s *slowness) excess() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.median == 0 {
+		return 0
+	}
+	return s.mean / s.median
+}
+
 // current returns the slowness now, and false if no recent report contains it; it is the usual one then.
 func (s *slowness) current(now time.Time) (float64, bool) {
 	s.mu.Lock()
@@ -110,6 +122,10 @@
 	return time.Duration(current * float64(g.estimates.get(route)))
 }
 
+// MeanSlowness returns how long work took at the upstream recently, as a multiple of the usual time, or 0 if the upstream doesn't report it.
+// Slow spells raise it.
+func (g *Gateway) MeanSlowness() float64 { return g.slowness.excess() }
+
 // ServiceTimes returns the usual service time of each route that the upstream has served. Slow spells don't change them.
 func (g *Gateway) ServiceTimes() map[string]ServiceTime {
 	usual, times := g.slowness.usual(), g.estimates.all()
--- a/keyspace/balance_test.go
+++ b/keyspace/balance_test.go
@@ -1,6 +1,8 @@
 package keyspace_test
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -101,3 +103,69 @@
 		t.Errorf("load was moved between full upstreams: %+v", moves)
 	}
 }
+
+// TestHotKeysByDozens guards against an upstream that stays overloaded when dozens of adjacent keys turn hot at once, against moves of more
+// keys than that takes, and against moves to and fro while the demand rises and falls in waves of 11 to 13 s.
+func TestHotKeysByDozens(t *testing.T) {
+	const (
+		all         = 120.0
+		hotShare    = 0.35
+		maxPlans    = 3
+		maxUse      = 0.95
+		planSeconds = 0.25
+	)
+	speeds := make([]float64, 30)
+	for n := range speeds {
+		speeds[n] = []float64{0.7, 0.7, 1.6}[n%3]
+	}
+	c := candidates(speeds...)
+	first, _ := converge(t, mustPlan(t, planInput(nil, c, nil)), c, uniform(all))
+	for _, hot := range []int{60, 120, 200} {
+		t.Run(fmt.Sprint(hot, " keys"), func(t *testing.T) {
+			loads := uniform((1 - hotShare) * all)
+			for key := range hot {
+				key := keyspace.Key(30000 + key)
+				loads = append(loads, rangeLoad(key, key, hotShare*all/float64(hot)))
+			}
+			m, plans, moved := first, 0, 0
+			for ; plans < 50; plans++ {
+				next, moves := keyspace.Plan(planInput(m, settle(c, m), loads))
+				if next == nil {
+					break
+				}
+				for _, move := range moves {
+					moved += move.Size()
+				}
+				m = next
+			}
+			use := 0.0
+			for n := range c {
+				use = max(use, carried(m, loads)[c[n].Instance]*c[n].RelativeServiceTime/float64(c[n].Slots))
+			}
+			t.Logf("%d plans moved %.3f of all keys; utilisation at most %.2f", plans, float64(moved)/(1<<16), use)
+			if plans > maxPlans || use > maxUse {
+				t.Errorf("utilisation of up to %.2f after %d plans, want at most %.2f after %d", use, plans, maxUse, maxPlans)
+			}
+			// The keys of an upstream that stands still for a moment of the balance don't have to be more than those of three.
+			if moved > 3<<16/len(c) {
+				t.Errorf("%d keys were moved, more than three upstreams own", moved)
+			}
+			for _, period := range []float64{11, 13} {
+				moves := 0
+				for at := 0.0; at < 2*period; at += planSeconds {
+					wave := slices.Clone(loads)
+					for n := range wave {
+						wave[n].Load *= 1 + 0.15*math.Sin(2*math.Pi*at/period)
+					}
+					if next, made := keyspace.Plan(planInput(m, settle(c, m), wave)); next != nil {
+						m, moves = next, moves+len(made)
+					}
+				}
+				t.Logf("%d moves in two waves of %v s", moves, period)
+				if moves > len(c)/3 {
+					t.Errorf("%d moves in two waves of %v s", moves, period)
+				}
+			}
+		})
+	}
+}
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -107,7 +107,7 @@
 	unanswered := s.grantManager.UnansweredFor() > unansweredLimit
 	r := &peer.ReportRequest{
 		Service: sc.settings.Service, Instance: peer.FromIncarnation(s.self()),
-		Settled: s.grantManager.SettledVersion(), Slots: uint32(state.Slots),
+		Settled: s.grantManager.SettledVersion(), Slots: uint32(state.Slots), Slowness: sc.gateway.MeanSlowness(),
 	}
 	leaving := !state.Usable() || !s.upstreamRun.continues(state.UpstreamRun) || unanswered || sc.stopping.Load()
 	r.Leaving = leaving
@@ -307,14 +307,31 @@
 // minRelativeServiceTime is the least relative service time of an upstream, so that loads divided by it stay finite.
 const minRelativeServiceTime = 0.1
 
+// meanSlowness returns how long work takes at the upstreams in the mean, as a multiple of their usual times. One value for all of them keeps
+// the slow spells of single upstreams out of the plan.
+func meanSlowness(reports map[member.Incarnation]*peer.ReportRequest) float64 {
+	sum, known := 0.0, 0
+	for _, r := range reports {
+		if slowness := r.GetSlowness(); slowness > 0 {
+			sum += slowness
+			known++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return sum / float64(known)
+}
+
 // reportedLoads returns the loads of all reported ranges, converted to busy slots of an upstream with the mean service time.
 func reportedLoads(reports map[member.Incarnation]*peer.ReportRequest, relative map[member.Incarnation]float64) []keyspace.RangeLoad {
 	var loads []keyspace.RangeLoad
+	slowness := meanSlowness(reports)
 	for i, r := range reports {
 		for _, k := range r.GetKeys() {
 			loads = append(loads, keyspace.RangeLoad{
 				Range: keyspace.Range{First: keyspace.Key(k.GetFirst()), Last: keyspace.Key(k.GetLast())},
-				Load:  k.GetLoad() / relative[i],
+				Load:  slowness * k.GetLoad() / relative[i],
 			})
 		}
 	}
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// TestLoadsIncludeSlowSpells guards against a plan that counts the upstreams as less used than they are, since the usual service times leave
+// out slow spells: the planner then gave the keys of slower upstreams to the fastest ones, which refused requests.
+func TestLoadsIncludeSlowSpells(t *testing.T) {
+	a, b, c := member.NewIncarnation("a", 1), member.NewIncarnation("b", 1), member.NewIncarnation("c", 1)
+	tests := []struct {
+		name     string
+		slowness [3]float64
+		want     float64
+	}{
+		{"not reported", [3]float64{}, 1},
+		{"reported by two", [3]float64{1.2, 1.6, 0}, 1.4},
+		{"a spell of one", [3]float64{1, 2.5, 1}, 1.5},
+	}
+	for _, test := range tests {
+		reports := make(map[member.Incarnation]*peer.ReportRequest)
+		relative := make(map[member.Incarnation]float64)
+		for n, i := range []member.Incarnation{a, b, c} {
+			reports[i] = &peer.ReportRequest{
+				Slowness: test.slowness[n], Keys: []*peer.KeyLoad{{First: uint32(n), Last: uint32(n), Load: 2}},
+			}
+			relative[i] = 0.5
+		}
+		for _, load := range reportedLoads(reports, relative) {
+			if want := 2 / 0.5 * test.want; load.Load < want-1e-9 || load.Load > want+1e-9 {
+				t.Errorf("%s: load of key %d is %v, want %v", test.name, load.First, load.Load, want)
+			}
+		}
+	}
+}
+
 // TestAbleInstancesPlan guards against a planner that can't keep up with the reports of a large service: on a machine of 0.16 cores, those
 // of 155 instances timed out, so that five instances planned at the same time, each with a part of the reports.
 func TestAbleInstancesPlan(t *testing.T) {
