--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -122,8 +122,8 @@
 	return time.Duration(current * float64(g.estimates.get(route)))
 }
 
-// MeanSlowness returns how long work took at the upstream recently, as a multiple of the usual time, or 0 if the upstream doesn't report it.
-// Slow spells raise it.
+// MeanSlowness returns how long work took at the upstream recently, as a multiple of the usual time, or 0 if the upstream doesn't report
+// it. Slow spells raise it.
 func (g *Gateway) MeanSlowness() float64 { return g.slowness.excess() }
 
 // ServiceTimes returns the usual service time of each route that the upstream has served. Slow spells don't change them.
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -307,8 +307,8 @@
 // minRelativeServiceTime is the least relative service time of an upstream, so that loads divided by it stay finite.
 const minRelativeServiceTime = 0.1
 
-// meanSlowness returns how long work takes at the upstreams in the mean, as a multiple of their usual times. One value for all of them keeps
-// the slow spells of single upstreams out of the plan.
+// meanSlowness returns how long work takes at the upstreams in the mean, as a multiple of their usual times. One value for all of them
+// keeps the slow spells of single upstreams out of the plan.
 func meanSlowness(reports map[member.Incarnation]*peer.ReportRequest) float64 {
 	sum, known := 0.0, 0
 	for _, r := range reports {
--- a/sidecar/report_test.go
+++ b/sidecar/report_test.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// TestLoadsIncludeSlowSpells guards against a plan that counts the upstreams as less used than they are, since the usual service times leave
-// out slow spells: the planner then gave the keys of slower upstreams to the fastest ones, which refused requests.
+// TestLoadsIncludeSlowSpells guards against a plan that counts the upstreams as less used than they are, since the usual service times
+// leave out slow spells: the planner then gave the keys of slower upstreams to the fastest ones, which refused requests.
 func TestLoadsIncludeSlowSpells(t *testing.T) {
 	a, b, c := member.NewIncarnation("a", 1), member.NewIncarnation("b", 1), member.NewIncarnation("c", 1)
 	tests := []struct {
