--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -25,6 +25,8 @@
 	gauge("upstream_running", "Requests that run at the upstream.", func() float64 { return float64(sc.gateway.Load().Running) })
 	gauge("upstream_waiting", "Requests that wait for a slot.", func() float64 { return float64(sc.gateway.Load().Waiting) })
 	gauge("upstream_slots", "Requests that may run at once.", func() float64 { return float64(sc.gateway.Load().Slots) })
+	gauge("upstream_slowness", "Mean time that work took recently, as a multiple of the usual time; 0 if the upstream doesn't report it.",
+		sc.gateway.MeanSlowness)
 	gauge("upstream_usable", "1 if the upstream takes work.", func() float64 { return boolValue(sc.gateway.State().Usable()) })
 	gauge("lease_valid", "1 if the lease of the instance is valid.", func() float64 { return boolValue(sc.endpoint.Lease().Valid()) })
 	gauge("lease_generation", "How often the lease was acquired.", func() float64 { return float64(sc.endpoint.Lease().Generation()) })
