--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -403,8 +403,7 @@
 		}
 		return isOwnerChange(f.Code) && s.waitForChange(ctx, d, s.directory.Changed())
 	}
-	if f.Code == code.Busy {
-		// The last instance is asked without a bound, so that it isn't busy in this sense.
+	if f.Code == code.Busy && (d.placement.within > 0 || d.placement.spilled) {
 		d.busy[target.Slot] = true
 		if d.placement.spilled {
 			d.refusedBy[target.DataCentre] = true
