--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -29,6 +30,8 @@
 	unreachableTime = 500 * time.Millisecond
 	// unreachableCost exceeds any expected time, in seconds.
 	unreachableCost = 3600
+	// targetLifetime is how long the state of a target is kept that isn't a candidate any more.
+	targetLifetime = time.Minute
 	// minDeviation is the standard deviation, in requests, below which a number of requests counts as known.
 	minDeviation = 1e-6
 	// waitWeight is the weight of a wait in a choice: a request that waits also delays later ones.
@@ -100,6 +103,8 @@
 	// their squares over all kinds. All are in seconds.
 	services         map[string]float64
 	held, heldSquare float64
+	// prunedAt is when targets were last removed.
+	prunedAt time.Time
 }
 
 // target is what a balancer knows of one target.
@@ -113,6 +118,8 @@
 	requests   float64
 	// use is the mean share of its slots that are in use, waiting requests included, as of reportedAt.
 	use float64
+	// candidateAt is when the target was last a candidate.
+	candidateAt time.Time
 	// services are the usual service times by kind of request.
 	services map[string]time.Duration
 	// unreachableUntil is the time until which the target counts as unreachable.
@@ -180,11 +187,13 @@
 	b.heldSquare += useWeight * (service*service - b.heldSquare)
 }
 
-// Forget removes a target's state.
-func (b *Balancer[K]) Forget(key K) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.targets, key)
+// prune removes the targets that haven't been candidates for targetLifetime. mu must be held.
+func (b *Balancer[K]) prune(now time.Time) {
+	if now.Sub(b.prunedAt) < targetLifetime {
+		return
+	}
+	b.prunedAt = now
+	maps.DeleteFunc(b.targets, func(_ K, t *target) bool { return t.inFlight == 0 && now.Sub(t.candidateAt) > targetLifetime })
 }
 
 // Choose returns the best candidate for a request of a kind, and false if there are none.
@@ -201,6 +210,7 @@
 	for n := range candidates {
 		n = (first + n) % len(candidates)
 		t := b.target(candidates[n].Target)
+		t.candidateAt = now
 		mean, deviation := b.predict(now, t, kind)
 		slots := b.slots(t, kind)
 		fixed, perRequest := b.cost(now, t, kind)
@@ -212,6 +222,7 @@
 			best, bestDrawn = n, drawn
 		}
 	}
+	b.prune(now)
 	choice := Choice[K]{Target: candidates[best].Target, Expected: seconds(expected[best])}
 	if others := slices.Delete(expected, best, best+1); len(others) > 0 {
 		choice.Next = seconds(slices.Min(others))
