--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -111,12 +111,13 @@
 // choose returns the placement of a request among targets, and false if there is none. It leaves out the instances that failed or refused
 // it. Those that were busy are left out, too, until maxBusy have been.
 func (b *balance) choose(now time.Time, d *dispatchState, targets []Target) (placement, bool) {
-	bounded := len(d.busy) < maxBusy
-	left := func(t Target) bool { return !d.tried[t.Slot] && (!bounded || !d.busy[t.Slot]) }
-	if bounded && !slices.ContainsFunc(targets, left) {
-		bounded = false
+	untried := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return d.tried[t.Slot] })
+	notBusy := slices.DeleteFunc(slices.Clone(untried), func(t Target) bool { return d.busy[t.Slot] })
+	bounded := len(d.busy) < maxBusy && len(notBusy) > 0
+	if bounded {
+		untried = notBusy
 	}
-	own, others := b.bestByDataCentre(now, d.request, targets, left)
+	own, others := b.bestByDataCentre(now, d.request, untried)
 	p, ok := b.weigh(now, d, own, others, bounded)
 	if !bounded {
 		p.within, p.spilled = 0, false
@@ -125,15 +126,10 @@
 }
 
 // bestByDataCentre returns the best target in the own data centre, nil if it has none, and that of each other one.
-func (b *balance) bestByDataCentre(
-	now time.Time, r *gateway.Request, targets []Target, usable func(Target) bool,
-) (own *placement, others []placement) {
+func (b *balance) bestByDataCentre(now time.Time, r *gateway.Request, targets []Target) (own *placement, others []placement) {
 	candidates := make(map[string][]policy.Candidate[string])
 	bySlot := make(map[string]Target, len(targets))
 	for _, t := range targets {
-		if !usable(t) {
-			continue
-		}
 		bySlot[t.Slot] = t
 		extra := time.Duration(0)
 		if t.Slot != b.self {
