--- a/policy/spill_test.go
+++ b/policy/spill_test.go
@@ -12,18 +12,19 @@
 )
 
 const (
-	// centreSlots is the number of slots of a data centre, and centreInstances the number of instances there that decide on their own.
+	// centreSlots is the number of slots for which the demand of a data centre is stated, and centreInstances the number of instances there
+	// that decide on their own.
 	centreSlots     = 48
 	centreInstances = 20
-	// centreReserve is the number of slots that a data centre keeps free of requests from others.
-	centreReserve = centreSlots / 6
+	// centreReserve is the part of its slots that a data centre keeps free of requests from others.
+	centreReserve = 1.0 / 6
 	centreTime    = 20 * time.Second
 	// centreObjective is the latency objective, and centreBytes the size of a request and its answer.
 	centreObjective = 3 * testWork
 	centreBytes     = 2 << 10
 )
 
-// centre is a data centre: its upstreams, which share a queue, and the demand there, in multiples of their capacity.
+// centre is a data centre: its upstreams, which share a queue, and the demand there, in multiples of the capacity of centreSlots.
 type centre struct {
 	*testTarget
 	demand func(now time.Duration) float64
@@ -92,10 +93,16 @@
 	here, _ := i.balancer[0].Choose(arrived, "", []policy.Candidate[int]{{}})
 	there, _ := i.balancer[1].Choose(arrived, "", []policy.Candidate[int]{{Extra: 2 * c.link}})
 	at := own
-	if i.leave(arrived, here, there) {
+	if cap(own.slots) == 0 {
+		// Without an upstream there is nothing to decide.
+		c.travel()
+		at = other
+		own.left++
+		own.lefts[second]++
+	} else if cap(other.slots) > 0 && i.leave(arrived, here, there) {
 		end := i.balancer[1].Begin(0, "")
 		c.travel()
-		room := i.spill == nil || len(other.slots)+other.waiting < centreSlots-centreReserve
+		room := i.spill == nil || float64(len(other.slots)+other.waiting+1) <= (1-centreReserve)*float64(cap(other.slots))
 		if room {
 			at = other
 			own.left++
@@ -134,7 +141,8 @@
 
 // TestSpillArrivals guards against requests that wait in a data centre short of room while another has some, and against leaving where it
 // gains callers nothing: over a slow link, after the shortage has ended, or to a data centre whose own callers then wait. The sequences of
-// arrivals are waves of demand out of phase, a lasting and a passing shortage of one data centre, a shortage of both, and a slow link.
+// arrivals are waves of demand out of phase, a lasting and a passing shortage of one data centre, a shortage of both, a slow link, uneven data
+// centres, and one whose upstreams were lost or emptied.
 func TestSpillArrivals(t *testing.T) {
 	constant := func(demand float64) func(time.Duration) float64 {
 		return func(time.Duration) float64 { return demand }
@@ -148,9 +156,12 @@
 		}
 		return 0.5
 	}
+	even, uneven, emptied := [2]int{centreSlots, centreSlots}, [2]int{centreSlots / 2, 2 * centreSlots}, [2]int{0, centreSlots}
+	const near = 2 * time.Millisecond
 	tests := []struct {
 		name    string
 		demands [2]func(time.Duration) float64
+		slots   [2]int
 		link    time.Duration
 		// gain is by how much the share of all requests in time rises at least over that without leaving, and worst the most by which it
 		// falls in the second data centre.
@@ -158,12 +169,14 @@
 		// leaves is the largest share of all requests that leaves, and after that of the last ten seconds.
 		leaves, after float64
 	}{
-		{"waves out of phase", [2]func(time.Duration) float64{wave(0), wave(0.5)}, 2 * time.Millisecond, 0.2, 0, 0.3, 0.3},
-		{"a lasting shortage", [2]func(time.Duration) float64{constant(1.2), constant(0.4)}, 2 * time.Millisecond, 0.3, 0.02, 0.35, 0.35},
-		{"a passing shortage", [2]func(time.Duration) float64{passing, constant(0.4)}, 2 * time.Millisecond, 0.2, 0.02, 0.25, 0.01},
-		{"both are short", [2]func(time.Duration) float64{constant(1.1), constant(1.1)}, 2 * time.Millisecond, -0.02, 0.02, 0.02, 0.02},
-		{"a slow link", [2]func(time.Duration) float64{constant(0.9), constant(0.4)}, 250 * time.Millisecond, -0.02, 0.02, 0.02, 0.02},
-		{"no shortage", [2]func(time.Duration) float64{constant(0.8), constant(0.4)}, 2 * time.Millisecond, -0.01, 0.01, 0.01, 0.01},
+		{"waves out of phase", [2]func(time.Duration) float64{wave(0), wave(0.5)}, even, near, 0.2, 0, 0.3, 0.3},
+		{"a lasting shortage", [2]func(time.Duration) float64{constant(1.2), constant(0.4)}, even, near, 0.3, 0.02, 0.35, 0.35},
+		{"a passing shortage", [2]func(time.Duration) float64{passing, constant(0.4)}, even, near, 0.2, 0.02, 0.25, 0.01},
+		{"both are short", [2]func(time.Duration) float64{constant(1.1), constant(1.1)}, even, near, -0.02, 0.02, 0.02, 0.02},
+		{"a slow link", [2]func(time.Duration) float64{constant(0.9), constant(0.4)}, even, 250 * time.Millisecond, -0.02, 0.02, 0.02, 0.02},
+		{"uneven data centres", [2]func(time.Duration) float64{constant(0.6), constant(0.6)}, uneven, near, 0.2, 0.02, 0.15, 0.15},
+		{"an emptied data centre", [2]func(time.Duration) float64{constant(0.4), constant(0.4)}, emptied, near, 0, 0.02, 0.55, 0.55},
+		{"no shortage", [2]func(time.Duration) float64{constant(0.8), constant(0.4)}, even, near, -0.01, 0.01, 0.01, 0.01},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -171,7 +184,7 @@
 				run := func(link time.Duration, spill bool) (inTime, second, leaves, after float64) {
 					c := &centres{link: link}
 					for n := range c.pair {
-						target := &testTarget{slots: make(chan struct{}, centreSlots), slowness: constant(1), usual: 1}
+						target := &testTarget{slots: make(chan struct{}, test.slots[n]), slowness: constant(1), usual: 1}
 						c.pair[n] = &centre{testTarget: target, demand: test.demands[n]}
 					}
 					c.run(spill)
