--- a/policy/spill_test.go
+++ b/policy/spill_test.go
@@ -141,8 +141,8 @@
 
 // TestSpillArrivals guards against requests that wait in a data centre short of room while another has some, and against leaving where it
 // gains callers nothing: over a slow link, after the shortage has ended, or to a data centre whose own callers then wait. The sequences of
-// arrivals are waves of demand out of phase, a lasting and a passing shortage of one data centre, a shortage of both, a slow link, uneven data
-// centres, and one whose upstreams were lost or emptied.
+// arrivals are waves of demand out of phase, a lasting and a passing shortage of one data centre, a shortage of both, a slow link, uneven
+// data centres, and one whose upstreams were lost or emptied.
 func TestSpillArrivals(t *testing.T) {
 	constant := func(demand float64) func(time.Duration) float64 {
 		return func(time.Duration) float64 { return demand }
