--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -68,6 +68,16 @@
 	return s.median
 }
 
+// meanTime returns the time that work takes in the mean, spells included, if it takes a time at an upstream of mean speed.
+func (s *slowness) meanTime(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mean == 0 {
+		return d
+	}
+	return time.Duration(s.mean * float64(d))
+}
+
 // excess returns the mean slowness as a multiple of the usual one, or 0 before the first report.
 func (s *slowness) excess() float64 {
 	s.mu.Lock()
--- a/ingress/balance_test.go
+++ b/ingress/balance_test.go
@@ -44,9 +44,9 @@
 	return upstream{u.deployment}.Do(ctx, r)
 }
 
-func (u boundedUpstream) RouteLoad(string) gateway.Load  { return u.load }
-func (u boundedUpstream) Runs(string) bool               { return false }
-func (u boundedUpstream) ObserveNestedCall(gateway.Load) {}
+func (boundedUpstream) Running(string) (gateway.Parent, bool)              { return gateway.Parent{}, false }
+func (u boundedUpstream) RouteLoad(string) gateway.Load                    { return u.load }
+func (u boundedUpstream) ObserveNestedCall(*gateway.Request, gateway.Load) {}
 
 func (u boundedRemote) Do(ctx context.Context, address string, r *gateway.Request) (forward.Result, error) {
 	u.record(address, r)
