--- a/policy/spill_test.go
+++ b/policy/spill_test.go
@@ -157,7 +157,7 @@
 		return 0.5
 	}
 	even, uneven, emptied := [2]int{centreSlots, centreSlots}, [2]int{centreSlots / 2, 2 * centreSlots}, [2]int{0, centreSlots}
-	const near = 2 * time.Millisecond
+	const near, slow = 2 * time.Millisecond, 250 * time.Millisecond
 	tests := []struct {
 		name    string
 		demands [2]func(time.Duration) float64
@@ -173,7 +173,7 @@
 		{"a lasting shortage", [2]func(time.Duration) float64{constant(1.2), constant(0.4)}, even, near, 0.3, 0.02, 0.35, 0.35},
 		{"a passing shortage", [2]func(time.Duration) float64{passing, constant(0.4)}, even, near, 0.2, 0.02, 0.25, 0.01},
 		{"both are short", [2]func(time.Duration) float64{constant(1.1), constant(1.1)}, even, near, -0.02, 0.02, 0.02, 0.02},
-		{"a slow link", [2]func(time.Duration) float64{constant(0.9), constant(0.4)}, even, 250 * time.Millisecond, -0.02, 0.02, 0.02, 0.02},
+		{"a slow link", [2]func(time.Duration) float64{constant(0.9), constant(0.4)}, even, slow, -0.02, 0.02, 0.02, 0.02},
 		{"uneven data centres", [2]func(time.Duration) float64{constant(0.6), constant(0.6)}, uneven, near, 0.2, 0.02, 0.15, 0.15},
 		{"an emptied data centre", [2]func(time.Duration) float64{constant(0.4), constant(0.4)}, emptied, near, 0, 0.02, 0.55, 0.55},
 		{"no shortage", [2]func(time.Duration) float64{constant(0.8), constant(0.4)}, even, near, -0.01, 0.01, 0.01, 0.01},
