Policy, Gateway: upstreams tell the wait for a slot by priority

An urgent request goes before the less urgent ones that wait, so that their number doesn't tell its wait. The expected wait counts a slot that is kept for nested requests.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -194,8 +194,11 @@
 
 // RouteLoad returns the current load of the upstream, with the estimates for requests of a route.
 func (g *Gateway) RouteLoad(route string) Load {
-	load := g.Load()
-	load.Slowness = g.slowness.relative(time.Now())
+	load, now := g.Load(), time.Now()
+	load.Slowness = g.slowness.relative(now)
+	g.mu.Lock()
+	load.Waits = g.scheduler.Waits(now)
+	g.mu.Unlock()
 	if g.estimates.measured(route) > 0 {
 		load.ServiceTime = g.usualServiceTime(route)
 	}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -163,9 +164,34 @@
 			}
 		}
 	}
+	if len(free) > 1 && !free[0].After(now) && s.isReserved(now, j.spec) {
+		return free[1]
+	}
 	return free[0]
 }
 
+// maxReportedPriority bounds the priorities for which Waits tells the wait.
+const maxReportedPriority = 3
+
+// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests wait as
+// long as those of the last priority. It returns nil while nothing waits and a slot is free.
+func (s *Scheduler) Waits(now time.Time) []time.Duration {
+	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
+		return nil
+	}
+	last := 0
+	for _, j := range s.waiting {
+		last = max(last, min(j.spec.Priority, maxReportedPriority))
+	}
+	waits := make([]time.Duration, 0, last+1)
+	for priority := range last + 1 {
+		// Requests of the same priority go first.
+		spec := JobSpec{Priority: priority, Objective: now.Add(math.MaxInt64), Deadline: now.Add(math.MaxInt64)}
+		waits = append(waits, s.WaitFor(now, spec))
+	}
+	return waits
+}
+
 // Retract removes an announced request, before it is submitted or given up.
 func (s *Scheduler) Retract(j *Job) {
 	s.announced = slices.DeleteFunc(s.announced, func(other *Job) bool { return other == j })
--- a/policy/scheduler_test.go
+++ b/policy/scheduler_test.go
@@ -1,6 +1,7 @@
 package policy_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -210,3 +211,37 @@
 		})
 	}
 }
+
+// TestWaits guards against urgent requests that avoid an upstream because less urgent ones wait there, and against requests that are sent to
+// an upstream whose free slot is kept for nested ones.
+func TestWaits(t *testing.T) {
+	const service = 100 * time.Millisecond
+	job := func(now time.Time, priority int) policy.JobSpec {
+		return policy.JobSpec{Priority: priority, Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute), ServiceTime: service}
+	}
+	tests := []struct {
+		name string
+		// jobs are the priorities of the requests that run in two slots and wait.
+		jobs []int
+		want []time.Duration
+	}{
+		{"idle", nil, nil},
+		{"a free slot", []int{0}, nil},
+		{"full", []int{0, 0}, []time.Duration{service}},
+		{"urgent requests wait", []int{0, 0, 0, 0}, []time.Duration{2 * service}},
+		{"less urgent requests wait", []int{0, 0, 2, 2, 2, 2}, []time.Duration{service, service, 3 * service}},
+		{"least urgent requests wait", []int{0, 0, 9, 9}, []time.Duration{service, service, service, service}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := policy.NewScheduler(2)
+			for _, priority := range test.jobs {
+				s.Submit(now, job(now, priority), func(policy.Decision) {})
+			}
+			if got := s.Waits(now); !slices.Equal(got, test.want) {
+				t.Errorf("waits %v, want %v", got, test.want)
+			}
+		})
+	}
+}
