--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -173,8 +173,8 @@
 // maxReportedPriority bounds the priorities for which Waits tells the wait.
 const maxReportedPriority = 3
 
-// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests wait as
-// long as those of the last priority. It returns nil while nothing waits and a slot is free.
+// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests
+// wait as long as those of the last priority. It returns nil while nothing waits and a slot is free.
 func (s *Scheduler) Waits(now time.Time) []time.Duration {
 	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
 		return nil
--- a/policy/scheduler_test.go
+++ b/policy/scheduler_test.go
@@ -212,8 +212,7 @@
 	}
 }
 
-// TestWaits guards against urgent requests that avoid an upstream because less urgent ones wait there, and against requests that are sent to
-// an upstream whose free slot is kept for nested ones.
+// TestWaits guards against urgent requests that avoid an upstream because less urgent ones wait there.
 func TestWaits(t *testing.T) {
 	const service = 100 * time.Millisecond
 	job := func(now time.Time, priority int) policy.JobSpec {
