--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,10 @@
 	// the reason.
 	Report      UpstreamReport
 	ReportError error
+	// ColdFor is how much longer the upstream stays cold, as it says in responses to health checks, or 0 if it doesn't say that it is cold.
+	// ColdErr is the error of a value that can't be read.
+	ColdFor time.Duration
+	ColdErr error
 }
 
 // UpstreamReport is the load that an upstream states in a response.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,6 +30,8 @@
 	maxKeyWait = 600 * time.Millisecond
 	// downRetryAfter is the Retry-After while the upstream's address refuses connections.
 	downRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the upstream's data centre is evacuated. Keys usually have another owner by then.
+	evacuatedRetryAfter = 300 * time.Millisecond
 	// MinTimeLeft is the shortest time until its deadline at which a request is still sent.
 	MinTimeLeft = 10 * time.Millisecond
 	// responseMargin is subtracted from the deadline that is sent to the upstream, so that its response arrives before the caller
@@ -52,6 +54,7 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	evacuated    func() bool
 	// pool holds the connections for requests, control those for control requests.
 	pool    pool
 	control pool
@@ -63,9 +66,16 @@
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
 
+	// coldTerms returns the terms of the service for cold upstreams, and started is when the gateway was created.
+	coldTerms func() ColdTerms
+	started   time.Time
+
 	mu        sync.Mutex
 	registry  registry
 	scheduler *policy.Scheduler
+	cold      coldState
+	// earlierAssumed is set once the requests of an earlier process were counted.
+	earlierAssumed bool
 	// pressure is the share of all requests that are refused, and callerPressure that of the requests that aren't nested.
 	pressure       policy.Pressure
 	callerPressure policy.Pressure
@@ -91,6 +101,8 @@
 	Responses   uint64 // Complete responses received from the upstream, refusals included.
 	Refused     uint64 // Requests that certainly did not run.
 	Unknown     uint64 // Failed requests that may have run.
+	ColdRefused uint64 // Requests that were refused because the upstream was cold.
+	Evacuated   uint64 // Requests that were refused because the data centre is evacuated. They count in Refused, too.
 }
 
 // Option configures a Gateway.
@@ -116,6 +128,10 @@
 // requests are refused as soon as it has.
 func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
 
+// WithEvacuated sets a function that reports whether the data centre of the upstream is evacuated and closed. Requests are then refused
+// unless they have been sent to the upstream already.
+func WithEvacuated(evacuated func() bool) Option { return func(g *Gateway) { g.evacuated = evacuated } }
+
 // DialFunc connects to an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -129,7 +145,8 @@
 	g := &Gateway{
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
-		onCrash:   func([]uint64) {},
+		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, evacuated: func() bool { return false },
+		started:   time.Now(),
 		scheduler: policy.NewScheduler(1), running: make(map[string]*Request), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
@@ -185,10 +202,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	terms, _ := g.scheduler.StartTerms(now)
 	return Load{
 		Running: g.scheduler.Running(), Waiting: g.scheduler.Waiting(), Slots: g.scheduler.Slots(),
-		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)),
-		Room:     g.shares.Room(now, g.scheduler.Slots()),
+		Pressure:  max(g.pressure.Share(now), g.callerPressure.Share(now)),
+		StartRate: terms.Rate, Room: g.shares.Room(now, g.scheduler.Slots()),
 	}
 }
 
@@ -211,6 +229,7 @@
 	defer g.pool.close()
 	defer g.control.close()
 	wait.Every(ctx, rescheduleInterval, func(now time.Time) {
+		g.checkSuspicion(ctx, now)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.scheduler.Waiting() > 0 {
@@ -271,7 +290,7 @@
 			Code: code.Quarantined, RetryAfter: quarantineRetryAfter, Reason: "too many upstreams crashed while this request was running",
 		})
 	}
-	response, err := g.send(ctx, r)
+	response, err := g.send(ctx, r, job)
 	if response != nil {
 		response.Waited = waited
 	}
@@ -294,12 +313,19 @@
 		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetryAfter, Reason: "the upstream has not registered yet"}
 	case g.registry.leaving && time.Since(g.registry.leavingSince) > g.drainLimit-drainMargin:
 		return &Failure{Code: code.Draining, Reason: "the upstream is leaving"}
+	case g.evacuated():
+		return evacuatedFailure()
 	case g.down:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetryAfter, Reason: "the upstream refuses connections"}
 	}
 	return nil
 }
 
+// evacuatedFailure returns the failure of a request to an upstream in a closed data centre.
+func evacuatedFailure() *Failure {
+	return &Failure{Code: code.Evacuated, RetryAfter: evacuatedRetryAfter, Reason: "the data centre is evacuated"}
+}
+
 // admitKey returns a Failure if the upstream may not serve the request's key.
 func (g *Gateway) admitKey(ctx context.Context, r *Request) *Failure {
 	keys := g.keys()
@@ -335,6 +361,7 @@
 	}
 	defer func() { g.observePressure(r, f) }()
 	g.mu.Lock()
+	g.updateStartLimit(time.Now())
 	job, decision := g.scheduler.Submit(time.Now(), spec, func(d policy.Decision) { decided <- d })
 	waiting := job.Waiting()
 	g.mu.Unlock()
@@ -355,8 +382,9 @@
 		}
 	}
 	if !decision.Admitted {
-		return nil, &Failure{Code: code.Shed, RetryAfter: decision.RetryAfter, Reason: "no slot is free in time"}
+		return nil, g.shed(decision.RetryAfter)
 	}
+	g.countColdStart()
 	return job, nil
 }
 
@@ -382,12 +410,15 @@
 	} else {
 		g.stats.Unknown++
 	}
+	if f.Code == code.Evacuated {
+		g.stats.Evacuated++
+	}
 	return f
 }
 
 // send sends the request and returns its response. If a reused connection fails before any byte was sent, the request is sent on
 // another connection.
-func (g *Gateway) send(ctx context.Context, r *Request) (*Response, error) {
+func (g *Gateway) send(ctx context.Context, r *Request, job *policy.Job) (*Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	idleLimit := maxIdle
@@ -399,19 +430,23 @@
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
+		if g.evacuated() {
+			// The data centre was closed while the body was read or the connection was opened.
+			g.pool.put(c)
+			return nil, g.recordFailure(r, evacuatedFailure())
+		}
 		started := time.Now()
 		slowness, _ := g.slowness.current(started)
-		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
+		response, sent, err := c.do(ctx, outgoing{
+			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), head: g.head(r), body: r.Body,
+			onSent: func() { g.recordSent(job) },
+		}, g.spawn)
+		if err != nil && sent {
+			g.recordSent(job)
+		}
 		if err == nil {
-			ended := time.Now()
-			g.crashTracker.RecordCompletion(r.fingerprint)
-			info := g.protocol.Read(response.status, response.header)
-			g.observeReport(ended, info)
-			if info.NotRun || info.Misdirected {
-				c.recordRefusal(r.ID)
-			}
-			g.pool.put(c)
-			return g.checkResponse(r, response, info, ended.Sub(started), slowness)
+			info := g.readInfo(r, c, job, response)
+			return g.checkResponse(r, response, info, time.Since(started), slowness)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -424,6 +459,37 @@
 	}
 }
 
+// readInfo records what a response says of its upstream and of the request, and returns its connection to the pool.
+func (g *Gateway) readInfo(r *Request, c *conn, job *policy.Job, response *rawResponse) ResponseInfo {
+	g.crashTracker.RecordCompletion(r.fingerprint)
+	info := g.protocol.Read(response.status, response.header)
+	g.observeReport(time.Now(), info)
+	g.recordArrival(job, info)
+	if info.NotRun || info.Misdirected {
+		c.recordRefusal(r.ID)
+	}
+	g.pool.put(c)
+	return info
+}
+
+// recordSent records that a request was sent to the upstream. Only the first call for a request matters.
+func (g *Gateway) recordSent(job *policy.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.Sent(time.Now(), job)
+}
+
+// recordArrival records that the upstream responded to a request. Those that are meant for another upstream don't burden it.
+func (g *Gateway) recordArrival(job *policy.Job, info ResponseInfo) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if info.Misdirected {
+		g.scheduler.Uncount(job)
+		return
+	}
+	g.scheduler.Sent(time.Now(), job)
+}
+
 // connection returns a connection for a request, and whether it has been used before. A HEAD request has one of its own: its response looks
 // like one with a body, so that neither could be read where one to a request with another method arrives once more.
 func (g *Gateway) connection(ctx context.Context, r *Request, idleLimit time.Duration) (c *conn, reused bool, err error) {
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -30,6 +30,7 @@
 	// headerSlowness holds the upstream's slowness, and headerInvalid is set if its load report is malformed.
 	headerSlowness = "Test-Slowness"
 	headerInvalid  = "Test-Invalid"
+	headerCold     = "Test-Cold"
 )
 
 var errInvalid = errors.New("malformed load report")
@@ -54,6 +55,9 @@
 	if header.Get(headerInvalid) != "" {
 		info.ReportError = errInvalid
 	}
+	if ms, err := strconv.Atoi(header.Get(headerCold)); err == nil {
+		info.ColdFor = time.Duration(ms) * time.Millisecond
+	}
 	return info
 }
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -28,6 +28,8 @@
 	faultServiceTimes = 6
 	// unreachableTime is how long a target that could not be reached is chosen only if there is no other.
 	unreachableTime = 500 * time.Millisecond
+	// startRateLifetime is how long a reported start rate counts. Upstreams are cold for seconds.
+	startRateLifetime = 3 * time.Second
 	// unreachableCost exceeds any expected time, in seconds.
 	unreachableCost = 3600
 	// targetLifetime is how long the state of a target is kept that isn't a candidate any more.
@@ -212,7 +214,7 @@
 		t := b.target(candidates[n].Target)
 		t.candidateAt = now
 		mean, deviation := b.predict(now, t, kind)
-		slots := b.slots(t, kind)
+		slots := b.slots(now, t, kind)
 		fixed, perRequest := b.cost(now, t, kind)
 		fixed += candidates[n].Extra.Seconds()
 		requests := max(mean+deviation*b.normal(), float64(t.inFlight))
@@ -323,12 +325,12 @@
 
 // slots returns the number of requests that a target runs at once. A target with a limited start rate can't keep more slots in use than
 // requests begin while one is held.
-func (b *Balancer[K]) slots(t *target, kind string) float64 {
+func (b *Balancer[K]) slots(now time.Time, t *target, kind string) float64 {
 	if t.load.Slots == 0 {
 		return assumedSlots
 	}
 	slots := float64(t.load.Slots)
-	if t.load.StartRate > 0 {
+	if t.load.StartRate > 0 && now.Sub(t.reportedAt) < startRateLifetime {
 		slots = min(slots, max(1, t.load.StartRate*b.holding(t, kind)))
 	}
 	return slots
@@ -337,7 +339,7 @@
 // predict returns the mean and the standard deviation of the number of requests at a target. Without further reports, the number follows
 // an Ornstein-Uhlenbeck process: it forgets the report while the requests at the target end, and at rest varies as independent arrivals do.
 func (b *Balancer[K]) predict(now time.Time, t *target, kind string) (mean, deviation float64) {
-	rest := b.targetUse(now, t) * b.slots(t, kind)
+	rest := b.targetUse(now, t) * b.slots(now, t, kind)
 	kept := 0.0
 	if !t.reportedAt.IsZero() {
 		kept = math.Exp(-now.Sub(t.reportedAt).Seconds() / b.holding(t, kind))
@@ -356,7 +358,7 @@
 	if now.Before(t.unreachableUntil) {
 		fixed += unreachableCost
 	}
-	return fixed, b.holding(t, kind) / b.slots(t, kind)
+	return fixed, b.holding(t, kind) / b.slots(now, t, kind)
 }
 
 func (b *Balancer[K]) normal() float64 {
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -57,6 +57,8 @@
 	overtakers int
 	// stalled is set for a running request that the upstream has presumably dropped. It doesn't count as using a slot.
 	stalled bool
+	// start counts a running request in Scheduler.starts.
+	start *Start
 }
 
 type jobState int
@@ -88,6 +90,8 @@
 	// announced holds the requests that will be submitted once their bodies have arrived.
 	announced   []*Job
 	reservation reservation
+	// starts limits the requests that begin while the upstream is cold.
+	starts StartLimit
 }
 
 // NewScheduler returns a scheduler for an upstream with the given number of slots, at least 1.
@@ -118,7 +122,7 @@
 		return j, Decision{RetryAfter: minRetryAfter}
 	}
 	s.reservation.observe(now, jobSpec)
-	if s.usedSlots() < s.slots && len(s.waiting) == 0 && !s.isReserved(now, jobSpec) {
+	if s.usedSlots() < s.slots && len(s.waiting) == 0 && s.starts.Allows(now) && !s.isReserved(now, jobSpec) {
 		s.start(now, j)
 		return j, Decision{Admitted: true}
 	}
@@ -128,7 +132,7 @@
 	case jobRunning:
 		return j, Decision{Admitted: true}
 	case jobDone:
-		return j, Decision{RetryAfter: s.ExpectedWait(now)}
+		return j, Decision{RetryAfter: s.retryAfter(now, now.Add(s.ExpectedWait(now)), jobSpec)}
 	default:
 		j.onDecision = onDecision
 		return j, Decision{}
@@ -143,7 +147,7 @@
 	start := s.expectedStart(now, j)
 	end := start.Add(jobSpec.ServiceTime)
 	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
-		return j, Decision{RetryAfter: max(start.Sub(now), minRetryAfter)}
+		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec)}
 	}
 	s.announced = append(s.announced, j)
 	return j, Decision{Admitted: true}
@@ -154,22 +158,6 @@
 	return s.expectedStart(now, &Job{spec: jobSpec, sequence: s.sequence + 1}).Sub(now)
 }
 
-// expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
-func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
-	free := s.slotFreeTimes(now)
-	for _, others := range [][]*Job{s.waiting, s.announced} {
-		for _, other := range others {
-			if compareJobs(now, other, j) <= 0 {
-				occupyEarliest(free, other.spec.ServiceTime)
-			}
-		}
-	}
-	if len(free) > 1 && !free[0].After(now) && s.isReserved(now, j.spec) {
-		return free[1]
-	}
-	return free[0]
-}
-
 // maxReportedPriority bounds the priorities for which Waits tells the wait.
 const maxReportedPriority = 3
 
@@ -192,6 +180,22 @@
 	return waits
 }
 
+// expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
+func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
+	f := s.forecast(now)
+	for _, others := range [][]*Job{s.waiting, s.announced} {
+		for _, other := range others {
+			if compareJobs(now, other, j) <= 0 {
+				f.add(other.spec.ServiceTime)
+			}
+		}
+	}
+	if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+		f.free[0] = f.free[1]
+	}
+	return f.next()
+}
+
 // Retract removes an announced request, before it is submitted or given up.
 func (s *Scheduler) Retract(j *Job) {
 	s.announced = slices.DeleteFunc(s.announced, func(other *Job) bool { return other == j })
@@ -203,6 +207,9 @@
 		return
 	}
 	j.state = jobDone
+	if j.start.sent.IsZero() {
+		s.starts.Discard(j.start)
+	}
 	s.running = slices.DeleteFunc(s.running, func(other *Job) bool { return other == j })
 	s.detectStalled(now, j)
 	if len(s.waiting) > 0 {
@@ -265,16 +272,16 @@
 
 // ExpectedWait returns how long a new request at the end of the queue is expected to wait for a slot, and at least minRetryAfter.
 func (s *Scheduler) ExpectedWait(now time.Time) time.Duration {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	for _, j := range s.waiting {
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 	}
-	return max(free[0].Sub(now), minRetryAfter)
+	return max(f.next().Sub(now), minRetryAfter)
 }
 
 // startWaiting starts waiting requests in order while slots are free.
 func (s *Scheduler) startWaiting(now time.Time) {
-	for s.usedSlots() < s.slots {
+	for s.usedSlots() < s.slots && s.starts.Allows(now) {
 		n, ok := s.nextToStart(now)
 		if !ok {
 			return
@@ -293,34 +300,35 @@
 }
 
 func (s *Scheduler) start(now time.Time, j *Job) {
-	j.state, j.started = jobRunning, now
+	j.state, j.started, j.start = jobRunning, now, s.starts.Begin(now)
 	s.running = append(s.running, j)
 }
 
 // refuseInfeasible predicts when each request of the sorted queue would start, and refuses those that can't be served in time.
 func (s *Scheduler) refuseInfeasible(now time.Time) {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	late := 0
 	var refused []*Job
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *Job) bool {
-		if len(free) > 1 && !free[0].After(now) && s.isReserved(now, j.spec) {
-			free[0] = free[1]
+		if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+			f.free[0] = f.free[1]
 		}
-		end := free[0].Add(j.spec.ServiceTime)
+		start := f.next()
+		end := start.Add(j.spec.ServiceTime)
 		if end.After(j.spec.Objective) {
 			late++
 			// A slot that is free now is used in any case, since a late response is better than none.
-			mayBeLate := (j.spec.Retry || j.spec.Nested || !free[0].After(now)) && late <= lateQueueFactor*s.slots
+			mayBeLate := (j.spec.Retry || j.spec.Nested || !start.After(now)) && late <= lateQueueFactor*s.slots
 			if !mayBeLate || end.After(j.spec.Deadline) {
 				refused = append(refused, j)
 				return true
 			}
 		}
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 		return false
 	})
 	for _, j := range refused {
-		s.refuse(j, max(free[0].Sub(now), minRetryAfter))
+		s.refuse(j, s.retryAfter(now, f.next(), j.spec))
 	}
 }
 
