--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,12 @@
 	// timeout ends.
 	Objective time.Time
 	Deadline  time.Time
+	// Within bounds the expected time until the response: the request is refused with code.Busy if it would take longer here, because
+	// another instance is expected to respond sooner. 0 is no bound.
+	Within time.Duration
+	// Spilled is set for a request that left its data centre although that has upstreams of the service. It is refused with code.Busy
+	// unless room is left beside the requests of this data centre.
+	Spilled bool
 	// admittedShare is the share of the requests of the route that the services which they call have room for.
 	admittedShare float64
 	// fingerprint is set once the body has been read.
@@ -137,12 +143,23 @@
 	Misdirected bool
 	// UpstreamID is the id of the upstream that responded, or empty if the response doesn't contain it.
 	UpstreamID string
+	// Report is the load that the upstream states. It is zero if the response contains no report or a malformed one; ReportError then is
+	// the reason.
+	Report      UpstreamReport
+	ReportError error
 	// ColdFor is how much longer the upstream stays cold, as it says in responses to health checks, or 0 if it doesn't say that it is cold.
 	// ColdErr is the error of a value that can't be read.
 	ColdFor time.Duration
 	ColdErr error
 }
 
+// UpstreamReport is the load that an upstream states in a response.
+type UpstreamReport struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at the upstream now, as a multiple of the time at an upstream of mean speed, or 0 if it isn't stated.
+	Slowness float64
+}
+
 // Protocol translates between requests and the headers that the upstream understands.
 type Protocol interface {
 	// Prepare sets the headers of a request to the upstream with the given id. left is the time until the deadline that the
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -152,6 +153,33 @@
 	return j, Decision{Admitted: true}
 }
 
+// WaitFor returns how long a request would be expected to wait for a slot if it were submitted now, behind the requests that go before it.
+func (s *Scheduler) WaitFor(now time.Time, jobSpec JobSpec) time.Duration {
+	return s.expectedStart(now, &Job{spec: jobSpec, sequence: s.sequence + 1}).Sub(now)
+}
+
+// maxReportedPriority bounds the priorities for which Waits tells the wait.
+const maxReportedPriority = 3
+
+// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests
+// wait as long as those of the last priority. It returns nil while nothing waits and a slot is free.
+func (s *Scheduler) Waits(now time.Time) []time.Duration {
+	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
+		return nil
+	}
+	last := 0
+	for _, j := range s.waiting {
+		last = max(last, min(j.spec.Priority, maxReportedPriority))
+	}
+	waits := make([]time.Duration, 0, last+1)
+	for priority := range last + 1 {
+		// Requests of the same priority go first.
+		spec := JobSpec{Priority: priority, Objective: now.Add(math.MaxInt64), Deadline: now.Add(math.MaxInt64)}
+		waits = append(waits, s.WaitFor(now, spec))
+	}
+	return waits
+}
+
 // expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
 func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
 	f := s.forecast(now)
@@ -162,6 +190,9 @@
 			}
 		}
 	}
+	if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+		f.free[0] = f.free[1]
+	}
 	return f.next()
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -34,6 +34,8 @@
 	gauge("upstream_running", "Requests that run at the upstream.", func() float64 { return float64(sc.gateway.Load().Running) })
 	gauge("upstream_waiting", "Requests that wait for a slot.", func() float64 { return float64(sc.gateway.Load().Waiting) })
 	gauge("upstream_slots", "Requests that may run at once.", func() float64 { return float64(sc.gateway.Load().Slots) })
+	gauge("upstream_slowness", "Mean time that work took recently, as a multiple of the usual time; 0 if the upstream doesn't report it.",
+		sc.gateway.MeanSlowness)
 	gauge("upstream_usable", "1 if the upstream takes work.", func() float64 { return boolValue(sc.gateway.State().Usable()) })
 	gauge("upstream_start_rate", "Requests per second that may begin while the upstream is cold, 0 if it isn't.",
 		func() float64 { return sc.gateway.Load().StartRate })
