--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -25,20 +25,21 @@
 		}
 		return 1
 	}
+	slowSpells := func(elapsed time.Duration) float64 { return 1.6 * spells(elapsed) }
 	tests := []struct {
 		name string
 		// slowness is the factor by which a request takes longer that begins some time after the start.
 		slowness func(elapsed time.Duration) float64
 		invalid  bool
-		// usual is the service time after ten seconds, and now the relative slowness.
-		usual time.Duration
-		now   float64
+		// usual is the service time after ten seconds, now the relative slowness, and mean that of the last seconds.
+		usual     time.Duration
+		now, mean float64
 	}{
-		{"usual speed", func(time.Duration) float64 { return 1 }, false, work, 1},
-		{"spells", spells, false, work, 3},
-		{"lasting", func(elapsed time.Duration) float64 { return 1 + float64(elapsed/(5*time.Second)) }, false, 2 * work, 1},
-		{"slow machine with spells", func(elapsed time.Duration) float64 { return 1.6 * spells(elapsed) }, false, 32 * time.Millisecond, 3},
-		{"malformed reports", func(time.Duration) float64 { return 1 }, true, work, 1},
+		{"usual speed", func(time.Duration) float64 { return 1 }, false, work, 1, 1},
+		{"spells", spells, false, work, 3, 1.4},
+		{"lasting", func(elapsed time.Duration) float64 { return 1 + float64(elapsed/(5*time.Second)) }, false, 2 * work, 1, 1},
+		{"slow machine with spells", slowSpells, false, 32 * time.Millisecond, 3, 1.4},
+		{"malformed reports", func(time.Duration) float64 { return 1 }, true, work, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -72,6 +73,9 @@
 				if load.Slowness < test.now-0.1 || load.Slowness > test.now+0.1 {
 					t.Errorf("slowness %.2f, want %.2f", load.Slowness, test.now)
 				}
+				if got := g.MeanSlowness(); got < test.mean-0.2 || got > test.mean+0.2 {
+					t.Errorf("mean slowness %.2f, want %.2f", got, test.mean)
+				}
 				if mean := g.ServiceTimes()["browse"].Mean; mean != load.ServiceTime {
 					t.Errorf("service time %v for the planner, %v for other instances", mean, load.ServiceTime)
 				}
