Policy, Ingress, Gateway: no bound for requests while they wait everywhere

Cause: under a crest at all upstreams of a service each request without a key was refused by up to three instances before one queued it: 2,000 refusals a second on machines of 0.16 cores, whose processes came close to their limit.

Change: a request carries a bound only if the next best target is expected to serve it without much of a wait. The waits by priority are computed in one pass. Refusals for a bound are logged with -v=1 only; the instance that sent the request logs where it goes.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -399,10 +399,14 @@
 // recordFailure logs and counts a failure, and returns it as an error.
 func (g *Gateway) recordFailure(r *Request, f *Failure) error {
 	load := g.Load()
-	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route), "slowness",
-		g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective),
-		"left", time.Until(r.Deadline))
+	verbosity := klog.Level(0)
+	if f.Code == code.Busy {
+		// The request goes on at another instance, which the instance that sent it logs.
+		verbosity = 1
+	}
+	klog.V(verbosity).InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason,
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route),
+		"slowness", g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective), "left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if f.NotRun() {
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -17,6 +17,9 @@
 	// value, so that a small difference doesn't cost another hop.
 	boundMargin    = 0.1
 	minBoundMargin = 5 * time.Millisecond
+	// maxNextWait is the largest part of the expected time of the next best target that may be a wait for a slot, if a target is to refuse
+	// requests that it expects to serve later. If requests wait everywhere, a refusal only moves the wait.
+	maxNextWait = 0.3
 	// assumedHop is the time to another instance and back before it has been measured, and hopWeight the weight of one measurement.
 	assumedHop = 2 * time.Millisecond
 	hopWeight  = 0.1
@@ -140,7 +143,7 @@
 	for dc, c := range candidates {
 		choice, _ := b.balancer(pool{r.Service, dc}).Choose(now, r.Route, c)
 		p := placement{Target: bySlot[choice.Target], expected: choice.Expected}
-		if choice.Next > 0 {
+		if choice.Next > 0 && float64(choice.NextWait) <= maxNextWait*float64(choice.Next) {
 			p.within = choice.Next + max(time.Duration(boundMargin*float64(choice.Next)), minBoundMargin)
 		}
 		if dc == b.dc {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -83,6 +83,8 @@
 	Target K
 	// Expected is the expected time until the target's answer, and Next that of the best other target, or 0 if there is no other.
 	Expected, Next time.Duration
+	// NextWait is the part of Next that a request is expected to wait there for a slot.
+	NextWait time.Duration
 }
 
 // Balancer chooses, among targets that can all serve a request, the one whose answer is expected first. It expects the wait for a slot, the
@@ -206,7 +208,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, bestDrawn := 0, math.Inf(1)
-	expected := make([]float64, len(candidates))
+	expected, waits := make([]float64, len(candidates)), make([]float64, len(candidates))
 	// Starting anywhere varies the choice among equal candidates.
 	first := b.intN(len(candidates))
 	for n := range candidates {
@@ -219,15 +221,17 @@
 		fixed += candidates[n].Extra.Seconds()
 		requests := max(mean+deviation*b.normal(), float64(t.inFlight))
 		drawn := fixed + perRequest*(waitWeight*max(0, requests-slots+1)+useCost*requests)
-		expected[n] = fixed + perRequest*expectedExcess(mean-slots+1, deviation)
+		waits[n] = perRequest * expectedExcess(mean-slots+1, deviation)
+		expected[n] = fixed + waits[n]
 		if drawn < bestDrawn {
 			best, bestDrawn = n, drawn
 		}
 	}
 	b.prune(now)
 	choice := Choice[K]{Target: candidates[best].Target, Expected: seconds(expected[best])}
-	if others := slices.Delete(expected, best, best+1); len(others) > 0 {
-		choice.Next = seconds(slices.Min(others))
+	expected[best] = math.Inf(1)
+	if next := slices.Index(expected, slices.Min(expected)); len(candidates) > 1 {
+		choice.Next, choice.NextWait = seconds(expected[next]), seconds(waits[next])
 	}
 	return choice, true
 }
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -171,11 +170,17 @@
 	for _, j := range s.waiting {
 		last = max(last, min(j.spec.Priority, maxReportedPriority))
 	}
+	jobs := slices.Concat(s.waiting, s.announced)
+	slices.SortFunc(jobs, func(a, b *Job) int { return compareJobs(now, a, b) })
+	f := s.forecast(now)
 	waits := make([]time.Duration, 0, last+1)
 	for priority := range last + 1 {
 		// Requests of the same priority go first.
-		spec := JobSpec{Priority: priority, Objective: now.Add(math.MaxInt64), Deadline: now.Add(math.MaxInt64)}
-		waits = append(waits, s.WaitFor(now, spec))
+		for len(jobs) > 0 && (jobs[0].spec.Nested || jobs[0].spec.Priority <= priority) {
+			f.add(jobs[0].spec.ServiceTime)
+			jobs = jobs[1:]
+		}
+		waits = append(waits, max(f.next().Sub(now), 0))
 	}
 	return waits
 }
