Ingress: bounds only at services whose upstreams report their speed

Cause: at upstreams without slow spells, a refusal by one of them in favour of another one costs more than the difference between them.

Change: such requests carry no bound.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -140,10 +140,12 @@
 		}
 		candidates[t.DataCentre] = append(candidates[t.DataCentre], policy.Candidate[string]{Target: t.Slot, Extra: extra})
 	}
+	// Upstreams that don't report their speed are alike for longer than a refusal by one of them is worth.
+	reportsSpeed := b.spill(r.Service) != nil
 	for dc, c := range candidates {
 		choice, _ := b.balancer(pool{r.Service, dc}).Choose(now, r.Route, c)
 		p := placement{Target: bySlot[choice.Target], expected: choice.Expected}
-		if choice.Next > 0 && float64(choice.NextWait) <= maxNextWait*float64(choice.Next) {
+		if reportsSpeed && choice.Next > 0 && float64(choice.NextWait) <= maxNextWait*float64(choice.Next) {
 			p.within = choice.Next + max(time.Duration(boundMargin*float64(choice.Next)), minBoundMargin)
 		}
 		if dc == b.dc {
