Policy: refused callers return within a second after the end of the cold time

Change: callers for whom there is no room in time are spread over the second after the end of the cold time.

--- a/policy/scheduler_starts_test.go
+++ b/policy/scheduler_starts_test.go
@@ -45,12 +45,12 @@
 }
 
 // TestSchedulerColdRefusals plays the load "a burst at a cold upstream". It guards against requests that wait although they can't begin in
-// time, and against callers that are asked to return together, or while the upstream is cold and has no room.
+// time, and against callers that are asked to return together, while the upstream is cold and has no room, or long after it is warm.
 func TestSchedulerColdRefusals(t *testing.T) {
 	s := newColdScheduler()
 	var returns []time.Duration
 	waiting := 0
-	for range 40 {
+	for range 200 {
 		job, decision := s.Submit(startTime, jobSpec(1, 500*time.Millisecond), func(policy.Decision) {})
 		switch {
 		case job.Waiting():
@@ -64,6 +64,9 @@
 		t.Errorf("%d requests wait, want 4", waiting)
 	}
 	for n, after := range returns {
+		if after > 4100*time.Millisecond {
+			t.Errorf("a caller is asked to return after %v, 3 s after which the upstream is warm", after)
+		}
 		if n > 0 && after < 3*time.Second && after-returns[n-1] < 99*time.Millisecond {
 			t.Errorf("refused callers are asked to return after %v and %v", returns[n-1], after)
 		}
--- a/policy/start_limit.go
+++ b/policy/start_limit.go
@@ -70,8 +70,7 @@
 	refilled time.Time
 	// starts holds the requests that still count, in the order in which they began.
 	starts []*Start
-	// returns is the time from which on further refused callers are asked to return, and lateReturns the same for those that can't be
-	// served by then.
+	// returns is the time from which on further refused callers are asked to return during the limit, and lateReturns the same after it.
 	returns, lateReturns time.Time
 }
 
@@ -150,20 +149,21 @@
 }
 
 // Return returns the time at which a refused caller should return: not before the given one, at which a request could begin, and not
-// together with other refused callers. Callers that can't be served after latest don't delay those that can be. interval is the time
-// between two requests that the upstream can serve once the limit has ended.
+// together with other refused callers. If that is after latest, the caller is asked to return in the second after the end of the limit.
+// interval is the time between two requests that the upstream can serve then.
 func (l *StartLimit) Return(now, earliest, latest time.Time, interval time.Duration) time.Time {
 	if !l.Limited(now) {
 		return earliest
 	}
-	at, next := latestOf(earliest, l.returns), &l.returns
-	if at.After(latest) {
-		at, next = latestOf(at, l.lateReturns), &l.lateReturns
+	if at := latestOf(earliest, l.returns); at.Before(l.until) && !at.After(latest) {
+		l.returns = at.Add(l.interval())
+		return at
 	}
-	if at.Before(l.until) {
-		interval = l.interval()
+	at, first := l.lateReturns, latestOf(earliest, l.until)
+	if at.Before(first) || at.Sub(first) > startWindow {
+		at = first
 	}
-	*next = at.Add(interval)
+	l.lateReturns = at.Add(interval)
 	return at
 }
 
