Gateway: a late heartbeat doesn't end the cold time that a health check has told

Cause: any shorter cold time of the same run was ignored, also one that the upstream corrects itself.

Change: only the heartbeats of a run whose successor may have answered the health check are ignored.

Measured: package gateway passes, with a test of such a heartbeat.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -51,8 +51,9 @@
 
 // coldState is what the gateway knows of the cold times of its upstream.
 type coldState struct {
-	// until is the time until which the upstream is cold, as it last said.
-	until time.Time
+	// until is the time until which the upstream is cold, as it last said, and byCheck is set if it said so in a health response.
+	until   time.Time
+	byCheck bool
 	// heard is when the upstream last said how long it stays cold, or that it isn't.
 	heard time.Time
 	// suspected is when the upstream may have become cold without saying so; zero if that isn't suspected.
@@ -66,8 +67,8 @@
 }
 
 // observeCold records how long the upstream stays cold, as it says itself; newRun is set if its run is new. Cold times that can't be true
-// are ignored, and so is an earlier end of the cold time of the same run: it was said before that began, and arrived late. g.mu
-// must be held.
+// are ignored. A heartbeat can't shorten the cold time of a health response unless it is the first of a run: the health response may come
+// from a run that hasn't sent one yet. g.mu must be held.
 func (g *Gateway) observeCold(now time.Time, coldFor time.Duration, newRun bool, source string) {
 	terms := g.coldTerms()
 	if coldFor < 0 || terms.Duration > 0 && coldFor > maxColdFactor*terms.Duration {
@@ -81,11 +82,10 @@
 	if coldFor == 0 && source == sourceHeartbeat && now.Sub(c.suspected) < heartbeatDelay {
 		return
 	}
-	until := now.Add(coldFor)
-	if !newRun && until.Before(c.until) {
-		until = c.until
+	c.suspected = time.Time{}
+	if until := now.Add(coldFor); newRun || source != sourceHeartbeat || !c.byCheck || until.After(c.until) {
+		c.until, c.byCheck = until, source == sourceHealthCheck
 	}
-	c.until, c.suspected = until, time.Time{}
 	g.limitStarts(now, terms, source)
 }
 
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -190,6 +190,11 @@
 			rig.load(500 * time.Millisecond)
 			rig.heartbeat(2002, coldTime-500*time.Millisecond)
 		}, 1},
+		{"heartbeat of the run before arrives late", func(rig *coldRig) {
+			rig.restart()
+			rig.load(400 * time.Millisecond)
+			rig.heartbeat(2001, 0)
+		}, 1},
 		{"refused connections first", func(rig *coldRig) {
 			rig.restart()
 			_ = rig.upstream.listener.Close()
