--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,16 +41,27 @@
 	Kind routing.Kind
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// Nested is set for a request that an upstream sent while it served another request.
-	Nested bool
+	// Nested is set for a request that an upstream sent while it served another request, whose route ParentRoute is. It has the priority of
+	// that request. ParentRoute is known to the instance beside that upstream only.
+	Nested      bool
+	ParentRoute string
+	// Weight is the number of requests that this one stands for, at least 1: all but this one weren't sent, since the requested service has
+	// no room for their nested calls. 0 counts as 1.
+	Weight float64
 	// Retry is set for the retry of a refused request.
 	Retry bool
 	// Objective is the time by which the response should arrive. Deadline is the time at which the caller gives up or the route's
 	// timeout ends.
 	Objective time.Time
 	Deadline  time.Time
-	// throttled is set while the request counts in Gateway.throttled.
-	throttled bool
+	// Within bounds the expected time until the response: the request is refused with code.Busy if it would take longer here, because
+	// another instance is expected to respond sooner. 0 is no bound.
+	Within time.Duration
+	// Spilled is set for a request that left its data centre although that has upstreams of the service. It is refused with code.Busy
+	// unless room is left beside the requests of this data centre.
+	Spilled bool
+	// admittedShare is the share of the requests of the route that the services which they call have room for.
+	admittedShare float64
 	// fingerprint is set once the body has been read.
 	fingerprint uint64
 }
@@ -93,7 +104,8 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pressure is the share of recent requests that were refused because no slot was free in time, from 0 to 1.
+	// Pressure is the share of recent requests that were refused because no slot was free in time, from 0 to 1. Instances of earlier
+	// versions throttle by it.
 	Pressure float64
 	// ServiceTime is the time that the upstream usually needs for a request of the route for which the load was asked, or 0 if it isn't
 	// known.
@@ -105,6 +117,20 @@
 	// Waits holds the expected waits for a slot by priority, the most urgent first. Less urgent requests wait at least as long as the last
 	// one.
 	Waits []time.Duration
+	// Room holds the room for requests of each priority, the most urgent first, as a multiple of what they ask for. It is ample for those
+	// that are left out.
+	Room []float64
+}
+
+// ampleRoom is the room for requests of a priority for which no other is reported.
+const ampleRoom = 1.5
+
+// RoomFor returns the room for requests of a priority, as a multiple of what they ask for. Below 1, it is the share that can be served.
+func (l Load) RoomFor(priority int) float64 {
+	if priority < 0 || priority >= len(l.Room) {
+		return ampleRoom
+	}
+	return l.Room[priority]
 }
 
 // ResponseInfo is the metadata of an upstream's response, as interpreted by its Protocol.
@@ -117,12 +143,23 @@
 	Misdirected bool
 	// UpstreamID is the id of the upstream that responded, or empty if the response doesn't contain it.
 	UpstreamID string
+	// Report is the load that the upstream states. It is zero if the response contains no report or a malformed one; ReportError then is
+	// the reason.
+	Report      UpstreamReport
+	ReportError error
 	// ColdFor is how much longer the upstream stays cold, as it says in responses to health checks, or 0 if it doesn't say that it is cold.
 	// ColdErr is the error of a value that can't be read.
 	ColdFor time.Duration
 	ColdErr error
 }
 
+// UpstreamReport is the load that an upstream states in a response.
+type UpstreamReport struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at the upstream now, as a multiple of the time at an upstream of mean speed, or 0 if it isn't stated.
+	Slowness float64
+}
+
 // Protocol translates between requests and the headers that the upstream understands.
 type Protocol interface {
 	// Prepare sets the headers of a request to the upstream with the given id. left is the time until the deadline that the
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/loglimit"
 	"sapphiretray/policy"
 	"sapphiretray/wait"
 )
@@ -29,6 +30,8 @@
 	maxKeyWait = 600 * time.Millisecond
 	// downRetryAfter is the Retry-After while the upstream's address refuses connections.
 	downRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the upstream's data centre is evacuated. Keys usually have another owner by then.
+	evacuatedRetryAfter = 300 * time.Millisecond
 	// MinTimeLeft is the shortest time until its deadline at which a request is still sent.
 	MinTimeLeft = 10 * time.Millisecond
 	// responseMargin is subtracted from the deadline that is sent to the upstream, so that its response arrives before the caller
@@ -51,10 +54,15 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	evacuated    func() bool
 	// pool holds the connections for requests, control those for control requests.
-	pool         pool
-	control      pool
-	estimates    estimates
+	pool    pool
+	control pool
+	// estimates are the service times that an upstream of mean speed would have.
+	estimates estimates
+	slowness  slowness
+	// reportLog limits the log lines about malformed load reports.
+	reportLog    loglimit.Limiter
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
 
@@ -68,26 +76,21 @@
 	cold      coldState
 	// earlierAssumed is set once the requests of an earlier process were counted.
 	earlierAssumed bool
-	// pressure is the share of all requests that are refused, callerPressure that of the requests that aren't nested, and
-	// leastUrgentPressure that of the least urgent requests.
-	pressure            policy.Pressure
-	callerPressure      policy.Pressure
-	leastUrgentPressure policy.Pressure
-	// throttle limits the least urgent requests by the pressure at the services that the upstream calls. It is nil until the first
-	// nested call.
-	throttle *policy.Throttle
-	// leastUrgentPriority is the largest priority number among all requests so far; requests with it are the least urgent ones.
-	// throttled is the number of them that wait or run.
-	leastUrgentPriority int
-	throttled           int
-	down                bool
-	closing             bool
+	// pressure is the share of all requests that are refused, and callerPressure that of the requests that aren't nested.
+	pressure       policy.Pressure
+	callerPressure policy.Pressure
+	// shares tells the services that call the upstream how much it has room for, and callGate admits requests by the shares that other
+	// services report for the nested calls of their routes.
+	shares   policy.Shares
+	callGate policy.CallGate[string, string]
+	down     bool
+	closing  bool
 	// transferTimes are the times to read a body from another instance. transferSlots is a semaphore for slow transfers.
 	transferTimes estimates
 	transferSlots chan struct{}
-	// runningIDs are the ids of the running requests.
-	runningIDs map[string]struct{}
-	stats      Stats
+	// running holds the running requests by id.
+	running map[string]*Request
+	stats   Stats
 	// interrupted holds the requests whose connections failed within the last crashWindow.
 	interrupted []interruption
 }
@@ -99,6 +102,7 @@
 	Refused     uint64 // Requests that certainly did not run.
 	Unknown     uint64 // Failed requests that may have run.
 	ColdRefused uint64 // Requests that were refused because the upstream was cold.
+	Evacuated   uint64 // Requests that were refused because the data centre is evacuated. They count in Refused, too.
 }
 
 // Option configures a Gateway.
@@ -124,6 +128,10 @@
 // requests are refused as soon as it has.
 func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
 
+// WithEvacuated sets a function that reports whether the data centre of the upstream is evacuated and closed. Requests are then refused
+// unless they have been sent to the upstream already.
+func WithEvacuated(evacuated func() bool) Option { return func(g *Gateway) { g.evacuated = evacuated } }
+
 // DialFunc connects to an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -137,8 +145,9 @@
 	g := &Gateway{
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
-		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, started: time.Now(),
-		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
+		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, evacuated: func() bool { return false },
+		started:   time.Now(),
+		scheduler: policy.NewScheduler(1), running: make(map[string]*Request), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
 	for _, p := range []*pool{&g.pool, &g.control} {
@@ -164,12 +173,28 @@
 	return g.stats
 }
 
-// Runs reports whether the upstream is running the request with the given id.
-func (g *Gateway) Runs(id string) bool {
+// Parent describes a request that the upstream is running to the instance that gets its nested calls.
+type Parent struct {
+	Route    string
+	Priority int
+	// Weight is the number of requests that it stands for, see Request.Weight.
+	Weight float64
+}
+
+// Running returns the request with the given id that the upstream is running, and false if there is none.
+func (g *Gateway) Running(id string) (Parent, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.runningIDs[id]
-	return ok
+	r, ok := g.running[id]
+	if !ok {
+		return Parent{}, false
+	}
+	p := Parent{Route: r.Route, Priority: r.Priority, Weight: max(r.Weight, 1)}
+	if !r.Retry {
+		// A request that was refused before has been counted among those that were held back then.
+		p.Weight /= r.admittedShare
+	}
+	return p, true
 }
 
 // Load returns the current load of the upstream.
@@ -180,14 +205,21 @@
 	terms, _ := g.scheduler.StartTerms(now)
 	return Load{
 		Running: g.scheduler.Running(), Waiting: g.scheduler.Waiting(), Slots: g.scheduler.Slots(),
-		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)), StartRate: terms.Rate,
+		Pressure:  max(g.pressure.Share(now), g.callerPressure.Share(now)),
+		StartRate: terms.Rate, Room: g.shares.Room(now, g.scheduler.Slots()),
 	}
 }
 
 // RouteLoad returns the current load of the upstream, with the estimates for requests of a route.
 func (g *Gateway) RouteLoad(route string) Load {
-	load := g.Load()
-	load.ServiceTime = g.estimates.get(route)
+	load, now := g.Load(), time.Now()
+	load.Slowness = g.slowness.relative(now)
+	g.mu.Lock()
+	load.Waits = g.scheduler.Waits(now)
+	g.mu.Unlock()
+	if g.estimates.measured(route) > 0 {
+		load.ServiceTime = g.usualServiceTime(route)
+	}
 	return load
 }
 
@@ -219,11 +251,14 @@
 	if f := g.checkAvailable(r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
+	if f := g.checkBusy(r); f != nil {
+		return nil, g.recordFailure(r, f)
+	}
 	if f := g.admitKey(ctx, r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
 	if r.Key != NoKey {
-		g.onKeyRequest(uint16(r.Key), g.estimates.get(r.Route))
+		g.onKeyRequest(uint16(r.Key), g.usualServiceTime(r.Route))
 	}
 	if g.isBodySlow(r) {
 		if f := g.expectBody(ctx, r); f != nil {
@@ -236,7 +271,7 @@
 	}
 	defer g.releaseSlot(r, job)
 	g.mu.Lock()
-	g.runningIDs[r.ID] = struct{}{}
+	g.running[r.ID] = r
 	g.mu.Unlock()
 	// The upstream may have left, or the key may have moved, while the request waited.
 	if f := g.checkAvailable(r); f != nil {
@@ -278,12 +313,19 @@
 		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetryAfter, Reason: "the upstream has not registered yet"}
 	case g.registry.leaving && time.Since(g.registry.leavingSince) > g.drainLimit-drainMargin:
 		return &Failure{Code: code.Draining, Reason: "the upstream is leaving"}
+	case g.evacuated():
+		return evacuatedFailure()
 	case g.down:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetryAfter, Reason: "the upstream refuses connections"}
 	}
 	return nil
 }
 
+// evacuatedFailure returns the failure of a request to an upstream in a closed data centre.
+func evacuatedFailure() *Failure {
+	return &Failure{Code: code.Evacuated, RetryAfter: evacuatedRetryAfter, Reason: "the data centre is evacuated"}
+}
+
 // admitKey returns a Failure if the upstream may not serve the request's key.
 func (g *Gateway) admitKey(ctx context.Context, r *Request) *Failure {
 	keys := g.keys()
@@ -291,8 +333,13 @@
 		return nil
 	}
 	until := time.Now().Add(maxKeyWait)
-	if r.Objective.Before(until) {
-		until = r.Objective
+	latest := r.Objective
+	if r.Nested {
+		// Its failure fails the request that made it, so that a late response is worth the wait.
+		latest = r.Deadline.Add(-g.serviceTime(r.Route))
+	}
+	if latest.Before(until) {
+		until = latest
 	}
 	return keys.Admit(ctx, uint16(r.Key), until)
 }
@@ -301,7 +348,7 @@
 func (g *Gateway) jobSpec(r *Request) policy.JobSpec {
 	return policy.JobSpec{
 		Priority: r.Priority, Nested: r.Nested, Retry: r.Retry, Objective: r.Objective, Deadline: r.Deadline,
-		ServiceTime: g.estimates.get(r.Route),
+		ServiceTime: g.serviceTime(r.Route),
 	}
 }
 
@@ -309,8 +356,7 @@
 func (g *Gateway) acquireSlot(ctx context.Context, r *Request) (admitted *policy.Job, f *Failure) {
 	decided := make(chan policy.Decision, 1)
 	spec := g.jobSpec(r)
-	if f := g.enterThrottle(r); f != nil {
-		g.observeThrottled()
+	if f := g.admitCalls(r); f != nil {
 		return nil, f
 	}
 	defer func() { g.observePressure(r, f) }()
@@ -347,15 +393,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.scheduler.Finish(time.Now(), job)
-	g.leaveThrottle(r)
-	delete(g.runningIDs, r.ID)
+	delete(g.running, r.ID)
 }
 
 // recordFailure logs and counts a failure, and returns it as an error.
 func (g *Gateway) recordFailure(r *Request, f *Failure) error {
 	load := g.Load()
 	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.estimates.get(r.Route), "objectiveLeft", time.Until(r.Objective),
+		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route), "slowness",
+		g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective),
 		"left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -364,6 +410,9 @@
 	} else {
 		g.stats.Unknown++
 	}
+	if f.Code == code.Evacuated {
+		g.stats.Evacuated++
+	}
 	return f
 }
 
@@ -381,7 +430,13 @@
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
+		if g.evacuated() {
+			// The data centre was closed while the body was read or the connection was opened.
+			g.pool.put(c)
+			return nil, g.recordFailure(r, evacuatedFailure())
+		}
 		started := time.Now()
+		slowness, _ := g.slowness.current(started)
 		response, sent, err := c.do(ctx, outgoing{
 			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), head: g.head(r), body: r.Body,
 			onSent: func() { g.recordSent(job) },
@@ -390,15 +445,8 @@
 			g.recordSent(job)
 		}
 		if err == nil {
-			took := time.Since(started)
-			g.crashTracker.RecordCompletion(r.fingerprint)
-			info := g.protocol.Read(response.status, response.header)
-			g.recordArrival(job, info)
-			if info.NotRun || info.Misdirected {
-				c.recordRefusal(r.ID)
-			}
-			g.pool.put(c)
-			return g.checkResponse(r, response, info, took)
+			info := g.readInfo(r, c, job, response)
+			return g.checkResponse(r, response, info, time.Since(started), slowness)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -411,6 +459,19 @@
 	}
 }
 
+// readInfo records what a response says of its upstream and of the request, and returns its connection to the pool.
+func (g *Gateway) readInfo(r *Request, c *conn, job *policy.Job, response *rawResponse) ResponseInfo {
+	g.crashTracker.RecordCompletion(r.fingerprint)
+	info := g.protocol.Read(response.status, response.header)
+	g.observeReport(time.Now(), info)
+	g.recordArrival(job, info)
+	if info.NotRun || info.Misdirected {
+		c.recordRefusal(r.ID)
+	}
+	g.pool.put(c)
+	return info
+}
+
 // recordSent records that a request was sent to the upstream. Only the first call for a request matters.
 func (g *Gateway) recordSent(job *policy.Job) {
 	g.mu.Lock()
@@ -453,7 +514,7 @@
 
 // expectedTime returns the time within which most responses to requests like r arrive.
 func (g *Gateway) expectedTime(r *Request) time.Duration {
-	return expectedServiceTimes*g.estimates.get(r.Route) + minExpectedTime
+	return expectedServiceTimes*g.serviceTime(r.Route) + minExpectedTime
 }
 
 // spawn runs f in a goroutine of the group.
@@ -491,8 +552,11 @@
 	}
 }
 
-// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream.
-func (g *Gateway) checkResponse(r *Request, response *rawResponse, info ResponseInfo, took time.Duration) (*Response, error) {
+// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream. took is how long the upstream took,
+// and slowness its slowness when the request was sent, which has decided how long it took.
+func (g *Gateway) checkResponse(
+	r *Request, response *rawResponse, info ResponseInfo, took time.Duration, slowness float64,
+) (*Response, error) {
 	g.mu.Lock()
 	g.stats.Responses++
 	g.mu.Unlock()
@@ -513,7 +577,7 @@
 		})
 	}
 	// Refusals aren't counted, since they take almost no time and would distort the estimate.
-	g.estimates.observe(r.Route, took)
+	g.estimates.observe(r.Route, time.Duration(float64(took)/slowness))
 	removeHopHeaders(response.header)
 	return &Response{Status: response.status, Header: response.header, Body: response.body, Took: took}, nil
 }
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -27,9 +27,14 @@
 	headerGenuine = "Test-Mark"
 	headerNotRun  = "Test-Not-Run"
 	headerExpect  = "Test-Expect"
-	headerCold    = "Test-Cold"
+	// headerSlowness holds the upstream's slowness, and headerInvalid is set if its load report is malformed.
+	headerSlowness = "Test-Slowness"
+	headerInvalid  = "Test-Invalid"
+	headerCold     = "Test-Cold"
 )
 
+var errInvalid = errors.New("malformed load report")
+
 // testProtocol implements gateway.Protocol.
 type testProtocol struct{}
 
@@ -45,6 +50,11 @@
 		Genuine: header.Get(headerGenuine) != "", NotRun: header.Get(headerNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest, UpstreamID: "upstream-1",
 	}
+	// A missing value stands for 0.
+	info.Report.Slowness, _ = strconv.ParseFloat(header.Get(headerSlowness), 64)
+	if header.Get(headerInvalid) != "" {
+		info.ReportError = errInvalid
+	}
 	if ms, err := strconv.Atoi(header.Get(headerCold)); err == nil {
 		info.ColdFor = time.Duration(ms) * time.Millisecond
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,6 +49,9 @@
 	Owner(service string, key uint16) (Target, bool)
 	// Instance returns the instance in a slot, and false if none is known or it can't be reached.
 	Instance(slot string) (Target, bool)
+	// Evacuated reports whether a request can't be served for now because no upstream of the service is outside of evacuated data
+	// centres, or because the owner of its key is in one that is closed and the key doesn't move. key may be gateway.NoKey.
+	Evacuated(service string, key int) bool
 	// Changed returns a channel that is closed when the owners of keys or the known instances change.
 	Changed() <-chan struct{}
 	// MarkLeaving records that an instance accepts no more requests.
@@ -69,10 +72,10 @@
 	Do(ctx context.Context, r *gateway.Request) (*gateway.Response, error)
 	// RouteLoad returns the current load, with the estimates for requests of a route.
 	RouteLoad(route string) gateway.Load
-	// Runs reports whether the upstream is running a request with this id.
-	Runs(id string) bool
+	// Running returns the request with this id that the upstream is running, and false if there is none.
+	Running(id string) (gateway.Parent, bool)
 	// ObserveNestedCall records the load of the instance to which a nested call of the local upstream was sent.
-	ObserveNestedCall(load gateway.Load)
+	ObserveNestedCall(r *gateway.Request, load gateway.Load)
 }
 
 // Budget bounds the retries of requests to a service.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -51,6 +51,8 @@
 	// marked holds the slots of the instances that were marked as leaving or unreachable and are no targets any more. If it is nil, all
 	// instances stay targets.
 	marked map[string]bool
+	// evacuated is set while no data centre may serve requests.
+	evacuated bool
 	// group runs the goroutines of pending requests.
 	group sync.WaitGroup
 }
@@ -132,7 +134,8 @@
 func (d *deployment) Targets(string) []ingress.Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	targets := []ingress.Target{{Slot: "a"}, {Slot: "b", Address: "b"}, {Slot: "c", Address: "c"}}
+	// The distance makes the order definite in which idle instances are chosen.
+	targets := []ingress.Target{{Slot: "a"}, {Slot: "b", Address: "b"}, {Slot: "c", Address: "c", DataCentre: "far"}}
 	return slices.DeleteFunc(targets, func(t ingress.Target) bool { return d.marked[t.Slot] })
 }
 
@@ -154,6 +157,7 @@
 
 func (d *deployment) MarkLeaving(slot string)     { d.mark(slot) }
 func (d *deployment) MarkUnreachable(slot string) { d.mark(slot) }
+func (d *deployment) Evacuated(string, int) bool  { return d.evacuated }
 
 func (d *deployment) mark(slot string) {
 	d.mu.Lock()
@@ -172,8 +176,11 @@
 
 func (upstream) RouteLoad(string) gateway.Load { return gateway.Load{Slots: 4} }
 
-func (u upstream) Runs(id string) bool          { return id == u.running }
-func (upstream) ObserveNestedCall(gateway.Load) {}
+func (u upstream) Running(id string) (gateway.Parent, bool) {
+	return gateway.Parent{Route: "parent", Weight: 1}, id != "" && id == u.running
+}
+
+func (upstream) ObserveNestedCall(*gateway.Request, gateway.Load) {}
 
 // remote forwards to the other instances of a deployment.
 type remote struct{ *deployment }
@@ -312,6 +319,22 @@
 	}
 }
 
+// TestEvacuated guards against requests that are sent, or wait until they time out, while no data centre that could serve them is open.
+func TestEvacuated(t *testing.T) {
+	for _, path := range []string{"/keyed/", "/plain/", "/once/"} {
+		bubble.Test(t, func(t *testing.T) {
+			d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
+			d.evacuated = true
+			w, started := httptest.NewRecorder(), time.Now()
+			newServer(t, d, table(t)).ServeHTTP(w, request(t, path, "", "Key", "7"))
+			if w.Code != 503 || w.Header().Get("Retry-After") != "1.000" || d.order() != "" || time.Since(started) > 0 {
+				t.Errorf("%s: status %d, Retry-After %q, requests went to %q, took %v", path, w.Code, w.Header().Get("Retry-After"),
+					d.order(), time.Since(started))
+			}
+		})
+	}
+}
+
 // TestOutdatedConfig guards against a 404, after which callers don't retry, for a route of a newer configuration that has not arrived yet.
 func TestOutdatedConfig(t *testing.T) {
 	d := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
@@ -381,13 +404,13 @@
 		{"without a key, all instances full", "/plain/", "", map[string][]outcome{"a": {shed}, "b": {shed}, "c": {shed}}, "a b c", 503},
 		{
 			"without a key, lost when the others were full", "/plain/", "",
-			map[string][]outcome{"a": {shed, ok}, "b": {shed}, "c": {lost}},
-			"a b c b a", 200,
+			map[string][]outcome{"a": {shed}, "b": {shed, ok}, "c": {lost}},
+			"a b c a b", 200,
 		},
 		{
 			"without a key, lost, the others still full", "/plain/", "",
 			map[string][]outcome{"a": {shed}, "b": {shed}, "c": {lost}},
-			"a b c b a", 502,
+			"a b c a b", 502,
 		},
 		{
 			"without a key, lost when the others were full, not idempotent", "/plain-once/", "",
@@ -626,22 +649,27 @@
 // TestLoadAfterPanic guards against an instance that gets fewer requests for good, because a request whose handling panicked still counts
 // as in flight there.
 func TestLoadAfterPanic(t *testing.T) {
-	broken, ok, failed := outcome{run: func() { panic("test") }}, outcome{status: 200}, outcome{status: 500}
+	// More requests than an upstream has slots.
+	const panics = 8
+	ok := outcome{status: 200}
+	broken := append(slices.Repeat([]outcome{{run: func() { panic("test") }}}, panics), ok)
 	tests := []struct {
-		name, owner string
-		outcomes    map[string][]outcome
-		requested   string
+		name, requested string
+		outcomes        map[string][]outcome
+		marked          map[string]bool
 	}{
-		{"at the local upstream", "a", map[string][]outcome{"a": {broken, ok}, "b": {ok}}, "a a"},
-		{"at another instance", "b", map[string][]outcome{"a": {failed}, "b": {broken, ok}, "c": {ok}}, "b a b"},
+		{"at the local upstream", "a", map[string][]outcome{"a": broken, "b": {ok}, "c": {ok}}, nil},
+		{"at another instance", "b", map[string][]outcome{"b": broken, "c": {ok}}, map[string]bool{"a": true}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			d := newDeployment(test.owner, test.outcomes)
+			d := newDeployment("", test.outcomes)
+			d.marked = test.marked
 			server := newServer(t, d, table(t))
-			for _, path := range []string{"/keyed/", "/plain/"} {
-				server.ServeHTTP(httptest.NewRecorder(), request(t, path, "", "Key", "7"))
+			for range panics + 1 {
+				server.ServeHTTP(httptest.NewRecorder(), request(t, "/plain/", ""))
 			}
+			test.requested = strings.Repeat(test.requested+" ", panics) + test.requested
 			if d.order() != test.requested {
 				t.Errorf("requests went to %q, want %q", d.order(), test.requested)
 			}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -72,8 +73,9 @@
 // to be served within its objective. Otherwise it is refused at once, with the delay after which a slot is expected, so that its
 // caller can retry then. A retry may also wait for a late response, because its caller doesn't retry again.
 //
-// Nested requests are started first. Then the order is by priority, then requests that can still meet their objective before those
-// that can't, then by objective. Late responses are worth less, so they must not make others late.
+// Nested requests are started first, and the last free slot is kept for them while the others are held by long requests. Then the order is
+// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less,
+// so they must not make others late.
 //
 // Some upstreams never respond to a request that they can't queue. It would hold its slot until its deadline, so the slot of a stalled
 // request is freed, while its response is still awaited.
@@ -86,7 +88,8 @@
 	running  []*Job
 	waiting  []*Job
 	// announced holds the requests that will be submitted once their bodies have arrived.
-	announced []*Job
+	announced   []*Job
+	reservation reservation
 	// starts limits the requests that begin while the upstream is cold.
 	starts StartLimit
 }
@@ -118,7 +121,8 @@
 		j.state = jobDone
 		return j, Decision{RetryAfter: minRetryAfter}
 	}
-	if s.usedSlots() < s.slots && len(s.waiting) == 0 && s.starts.Allows(now) {
+	s.reservation.observe(now, jobSpec)
+	if s.usedSlots() < s.slots && len(s.waiting) == 0 && s.starts.Allows(now) && !s.isReserved(now, jobSpec) {
 		s.start(now, j)
 		return j, Decision{Admitted: true}
 	}
@@ -149,6 +153,33 @@
 	return j, Decision{Admitted: true}
 }
 
+// WaitFor returns how long a request would be expected to wait for a slot if it were submitted now, behind the requests that go before it.
+func (s *Scheduler) WaitFor(now time.Time, jobSpec JobSpec) time.Duration {
+	return s.expectedStart(now, &Job{spec: jobSpec, sequence: s.sequence + 1}).Sub(now)
+}
+
+// maxReportedPriority bounds the priorities for which Waits tells the wait.
+const maxReportedPriority = 3
+
+// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests
+// wait as long as those of the last priority. It returns nil while nothing waits and a slot is free.
+func (s *Scheduler) Waits(now time.Time) []time.Duration {
+	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
+		return nil
+	}
+	last := 0
+	for _, j := range s.waiting {
+		last = max(last, min(j.spec.Priority, maxReportedPriority))
+	}
+	waits := make([]time.Duration, 0, last+1)
+	for priority := range last + 1 {
+		// Requests of the same priority go first.
+		spec := JobSpec{Priority: priority, Objective: now.Add(math.MaxInt64), Deadline: now.Add(math.MaxInt64)}
+		waits = append(waits, s.WaitFor(now, spec))
+	}
+	return waits
+}
+
 // expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
 func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
 	f := s.forecast(now)
@@ -159,6 +190,9 @@
 			}
 		}
 	}
+	if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+		f.free[0] = f.free[1]
+	}
 	return f.next()
 }
 
@@ -247,9 +281,13 @@
 
 // startWaiting starts waiting requests in order while slots are free.
 func (s *Scheduler) startWaiting(now time.Time) {
-	for s.usedSlots() < s.slots && len(s.waiting) > 0 && s.starts.Allows(now) {
-		j := s.waiting[0]
-		s.waiting = slices.Delete(s.waiting, 0, 1)
+	for s.usedSlots() < s.slots && s.starts.Allows(now) {
+		n, ok := s.nextToStart(now)
+		if !ok {
+			return
+		}
+		j := s.waiting[n]
+		s.waiting = slices.Delete(s.waiting, n, n+1)
 		if !j.spec.Deadline.After(now) {
 			s.refuse(j, minRetryAfter)
 			continue
@@ -272,6 +310,9 @@
 	late := 0
 	var refused []*Job
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *Job) bool {
+		if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+			f.free[0] = f.free[1]
+		}
 		start := f.next()
 		end := start.Add(j.spec.ServiceTime)
 		if end.After(j.spec.Objective) {
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -18,6 +18,7 @@
 	"sapphiretray/bubble"
 	"sapphiretray/keyspace"
 	"sapphiretray/routing"
+	"sapphiretray/store"
 )
 
 var (
@@ -48,12 +49,18 @@
 )
 
 // TestOwnershipModel guards against sequences of faults after which two upstreams hold the same keys, an upstream takes them with a fencing
-// token that isn't above those of others, or they stay without an owner. It runs the product's directory, follower, planner, reports,
-// pushes, leases, grant managers and sessions, with fakes of the store, the network and the upstreams. A failure prints the seed, which
-// replays mostly the same sequence:
+// token that isn't above those of others, or they stay without an owner or, in each third seed, in an evacuated data centre. It runs the
+// product's directory, follower, planner, reports, pushes, leases, grant managers and sessions, with fakes of the store, the network and
+// the upstreams. A failure prints the seed, which replays mostly the same sequence:
 //
 //	go test -race ./sidecar -run TestOwnershipModel -owner.seed 17 -owner.seeds 1
 func TestOwnershipModel(t *testing.T) {
+	runOwnershipModel(t, *ownerSeed, *ownerSeeds, func(*ownerModel) {})
+}
+
+// runOwnershipModel runs the model with some seeds, after configure has changed it.
+func runOwnershipModel(t *testing.T, first uint64, count int, configure func(m *ownerModel)) {
+	t.Helper()
 	klog.LogToStderr(false)
 	defer klog.LogToStderr(true)
 	logFlags := flag.NewFlagSet("klog", flag.PanicOnError)
@@ -66,10 +73,11 @@
 	defer func() { _ = threshold.Set(before) }()
 	failures := make(map[string][]uint64)
 	total := make(map[string]int)
-	for n := range *ownerSeeds {
-		seed := *ownerSeed + uint64(n)
+	for n := range count {
+		seed := first + uint64(n)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			m := newOwnerModel(seed)
+			configure(m)
 			klog.SetOutput(m)
 			var group sync.WaitGroup
 			ended := make(chan struct{})
@@ -95,7 +103,7 @@
 		})
 	}
 	for kind, seeds := range failures {
-		t.Logf("%s: %d of %d seeds: %v", kind, len(seeds), *ownerSeeds, seeds)
+		t.Logf("%s: %d of %d seeds: %v", kind, len(seeds), count, seeds)
 	}
 	t.Logf("totals: %v", total)
 }
@@ -111,15 +119,21 @@
 	// samples are the checked keys, sorted.
 	samples []keyspace.Key
 	nodes   []*ownerNode
+	// losesWrites means that storeFromCopy is among the troubles.
+	losesWrites bool
 
 	// mu guards the fields below and those of the store, the network, the nodes and the upstreams.
 	mu sync.Mutex
 	// faulty makes calls fail, and ended means that nothing new begins.
 	faulty, ended bool
-	counts        map[string]uint64
-	totals        map[string]int
-	runs          []*ownerUpstream
-	violations    []modelViolation
+	// evacuated tells which of the two data centres the operator evacuates, and operatorRows holds the newest row of each.
+	evacuated       [2]bool
+	operatorRows    [2]store.Row
+	operatorVersion uint64
+	counts          map[string]uint64
+	totals          map[string]int
+	runs            []*ownerUpstream
+	violations      []modelViolation
 
 	// eventsMu guards events. It is taken last, because log lines are written while other locks are held.
 	eventsMu sync.Mutex
@@ -135,7 +149,9 @@
 }
 
 func newOwnerModel(seed uint64) *ownerModel {
-	m := &ownerModel{seed: seed, counts: make(map[string]uint64), totals: make(map[string]int)}
+	m := &ownerModel{
+		seed: seed, operatorVersion: 1, counts: make(map[string]uint64), totals: make(map[string]int),
+	}
 	m.store = newOwnerStore(m)
 	m.network = newOwnerNetwork(m)
 	table, err := routing.New(1, routing.Limits{}, []routing.Service{{Name: ownerService, Keyed: true, HealthPath: "/health"}}, nil)
@@ -263,6 +279,9 @@
 	m.group.Go(m.makeLoad)
 	time.Sleep(ownerStartTime)
 	m.locked(func() { m.faulty = true })
+	if m.evacuates() {
+		m.group.Go(m.evacuate)
+	}
 	m.makeTroubles(initial)
 	m.endTroubles()
 	time.Sleep(ownerCalmTime)
@@ -289,6 +308,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.checkLeft()
 	for n, owned := range owned {
 		if !owned {
 			m.violate("not one owner", m.samples[n], "%v after the last trouble, %q hold the key", ownerCalmTime, m.holders(n))
