Policy: waits at a cold upstream tell when a request may begin

Cause: with free slots and nothing waiting, no wait was told, although the limit of a cold upstream let no request begin.

Change: the limit counts like a slot.

Measured: package policy passes.

--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -162,9 +162,9 @@
 const maxReportedPriority = 3
 
 // Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests
-// wait as long as those of the last priority. It returns nil while nothing waits and a slot is free.
+// wait as long as those of the last priority. It returns nil while nothing waits and a request would start at once.
 func (s *Scheduler) Waits(now time.Time) []time.Duration {
-	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
+	if len(s.waiting) == 0 && s.usedSlots() < s.slots && s.starts.Allows(now) {
 		return nil
 	}
 	last := 0
--- a/policy/scheduler_starts_test.go
+++ b/policy/scheduler_starts_test.go
@@ -86,3 +86,17 @@
 		}
 	}
 }
+
+// TestSchedulerColdWaits guards against a cold upstream whose free slots hide that no request may begin.
+func TestSchedulerColdWaits(t *testing.T) {
+	s := newColdScheduler()
+	if waits := s.Waits(startTime); waits != nil {
+		t.Errorf("waits %v before the first request", waits)
+	}
+	job, _ := s.Submit(startTime, jobSpec(1, time.Second), nil)
+	s.Sent(startTime, job)
+	waits := s.Waits(startTime)
+	if len(waits) == 0 || waits[0].Round(time.Millisecond) != 100*time.Millisecond {
+		t.Errorf("waits %v after a request, want 100ms", waits)
+	}
+}
