Ingress, Gateway, Forward: one memory budget for what callers make a process hold

Responses that were sent before their turn also stayed referenced by their connection.

policy.MemoryAccount decides who gets room: small messages before large ones, and what can still be refused gives way when it has stopped or its owner holds a multiple. httplimit.Budget holds the claims of all requests of a process: bodies in arrival, bodies that are passed on, and responses until the caller has read them, at both instances. It replaces the budgets of package forward and that of package gateway. A body needs minimum progress, a head has a bound while it arrives, and connections have one from memory and descriptors. Bodies that an upstream holds are bounded too. A request without room gets 503 with code 1306.

--- a/code/code.go
+++ b/code/code.go
@@ -48,6 +48,7 @@
 	Quarantined Code = 1303
 	RetryBudget Code = 1304
 	Draining    Code = 1305
+	NoMemory    Code = 1306
 
 	UpstreamRefused   Code = 1401
 	UpstreamFailed    Code = 1402
@@ -128,6 +129,7 @@
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, RanNo, "This request crashed upstreams and is refused for a time."},
 	{RetryBudget, "retry-budget", http.StatusServiceUnavailable, RanNo, "The retry budget is spent. Repeat later."},
 	{Draining, "draining", http.StatusServiceUnavailable, RanNo, "This instance is stopping. Repeat at another instance."},
+	{NoMemory, "no-memory", http.StatusServiceUnavailable, RanNo, "No memory is free for it. Repeat after the time in Retry-After."},
 	{UpstreamRefused, "upstream-refused", http.StatusBadGateway, RanNo, "The upstream refused the connection."},
 	{UpstreamFailed, "upstream-failed", http.StatusBadGateway, RanUnknown, "The connection failed after the request was sent."},
 	{Truncated, "truncated", http.StatusBadGateway, RanUnknown, "The upstream's answer was cut short."},
--- a/forward/client.go
+++ b/forward/client.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxResponseBytes bounds the body of a response, which is held in memory, and the bodies above 1 MiB of the responses of one instance
-	// that are read at the same time. allResponseBytes bounds those of all instances: the whole process may have less than 200 MB.
+	// that are read at the same time. allResponseBytes bounds those to requests without memory of their own.
 	maxResponseBytes = 16 << 20
 	allResponseBytes = 2 * maxResponseBytes
 	// maxUnannouncedBody is the size, in bytes, above which a body is sent with "Expect: 100-continue", so that it isn't sent to an
@@ -47,8 +47,8 @@
 	links    links
 	exchange VersionExchange
 	started  time.Time
-	// memory bounds the large responses that are read at the same time.
-	memory *httplimit.Memory
+	// memory bounds the responses to requests without memory of their own that are read at the same time.
+	memory *httplimit.Budget
 }
 
 // NewClient returns a client that sends requests through copies of a transport, one for each address, and exchanges versions with the
@@ -57,7 +57,7 @@
 func NewClient(group *errgroup.Group, transport *http.Transport, exchange VersionExchange) *Client {
 	return &Client{
 		group: group, links: links{transport: transport}, exchange: exchange, started: time.Now(),
-		memory: httplimit.NewMemory(allResponseBytes),
+		memory: httplimit.NewBudget(allResponseBytes),
 	}
 }
 
@@ -227,14 +227,19 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "")
 	}
-	response, unsent, err := l.send(request, cancel, r.Kind.Retryable()) //nolint:bodyclose // Limit.ReadAll closes the body.
+	response, unsent, err := l.send(request, cancel, r.Kind.Retryable()) //nolint:bodyclose // Limit.ReadHeld closes the body.
 	if err != nil && unsent != nil && ctx.Err() == nil {
 		return Result{}, &gateway.Failure{Code: code.NoOwner, Reason: fmt.Sprintf("%v: %v", unsent, err)}
 	}
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
-	body, err := c.limit(l, response).ReadAll(ctx, response)
+	held := r.Memory
+	if held == nil {
+		held = c.memory.Open(l.address)
+		defer held.Close()
+	}
+	body, err := c.limit(l, response).ReadHeld(ctx, response, held)
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
@@ -247,7 +252,7 @@
 	if response.ContentLength < 0 {
 		return httplimit.Limit{Max: httplimit.SmallBytes}
 	}
-	return httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{l.memory, c.memory}}
+	return httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{l.memory}}
 }
 
 // roundTripFailure returns the failure of a request to which no whole response arrived.
--- a/forward/server.go
+++ b/forward/server.go
@@ -22,9 +22,8 @@
 	// maxRequestBytes bounds the body of a forwarded request. The configured limit is applied by the instance that the caller is connected
 	// to.
 	maxRequestBytes = 128 << 20
-	// requestMemory bounds the bodies above 1 MiB of requests that are served at the same time, and half of it those of up to 1 MiB, in
-	// bytes. A body that is larger is served alone.
-	requestMemory = 64 << 20
+	// noMemoryRetryAfter is the Retry-After of a request for whose body there is no memory.
+	noMemoryRetryAfter = 500 * time.Millisecond
 )
 
 // IsForwarded reports whether a request between instances is for Handler, as opposed to a control call.
@@ -37,7 +36,6 @@
 // without a key, since other instances can serve them.
 func Handler(g *gateway.Gateway, exchange VersionExchange, stopping func() bool) http.Handler {
 	var delays delayEstimator
-	memory := httplimit.NewMemory(requestMemory)
 	serve := func(w http.ResponseWriter, r *http.Request) {
 		if isProbe(r) {
 			w.WriteHeader(http.StatusNoContent)
@@ -63,11 +61,14 @@
 			})
 			return
 		}
+		request.Memory = g.Memory().Open(r.RemoteAddr)
+		defer request.Memory.Close()
 		r.Header.Del(headerCall)
 		r.Header.Del("Content-Length")
 		request.Method, request.Target, request.Header = r.Method, r.RequestURI, r.Header
 		if r.ContentLength != 0 {
-			request.ReadBody = func() ([]byte, error) { return readBody(r) }
+			request.BodySize = max(r.ContentLength, 0)
+			request.ReadBody = func() ([]byte, error) { return readBody(r, request.Memory) }
 			// On a connection that has gone silent, neither the rest of the body nor the cancellation arrives. An error means that the
 			// server doesn't support deadlines; the end of the connection bounds the wait then.
 			_ = http.NewResponseController(w).SetReadDeadline(request.Deadline)
@@ -76,7 +77,7 @@
 			// A body of up to maxUnannouncedBody is sent right behind the headers. A larger one is requested only by ReadBody, once the
 			// request may run. The size tells them apart because http.Server removes the Expect header.
 			if request.Body, err = request.ReadBody(); err != nil {
-				refuse(&gateway.Failure{Code: code.BodyFailed, Reason: err.Error()})
+				refuse(bodyFailure(err))
 				return
 			}
 		}
@@ -96,14 +97,15 @@
 		}
 		writeResponse(w, response, g.RouteLoad(route), exchange.Versions())
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		limit := httplimit.Limit{Max: maxRequestBytes, Memory: []*httplimit.Memory{memory}}
-		if r.ContentLength < 0 {
-			// Instances announce the length of a body, so a request without one is faulty unless it is small.
-			limit.Max = httplimit.SmallBytes
-		}
-		limit.Handler(http.HandlerFunc(serve)).ServeHTTP(w, r)
-	})
+	return http.HandlerFunc(serve)
+}
+
+// bodyFailure returns the failure of a request whose body wasn't read because of an error.
+func bodyFailure(err error) *gateway.Failure {
+	if errors.Is(err, httplimit.ErrNoRoom) {
+		return &gateway.Failure{Code: code.NoMemory, RetryAfter: noMemoryRetryAfter, Reason: err.Error()}
+	}
+	return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
 }
 
 // logEnd logs the end of a request whose result can't be delivered, or that ended while the instance is stopping. Other requests are
@@ -140,10 +142,15 @@
 	return delay < maxDelay || wait.For(ctx, cancelWait)
 }
 
-// readBody reads a whole body. It fails if the body was delayed and the caller has left.
-func readBody(r *http.Request) ([]byte, error) {
+// readBody reads a whole body into memory of a claim. It fails if there is no room, or if the body was delayed and the caller has left.
+func readBody(r *http.Request, memory *httplimit.Claim) ([]byte, error) {
+	limit := int64(maxRequestBytes)
+	if r.ContentLength < 0 {
+		// Instances announce the length of a body, so a request without one is faulty unless it is small.
+		limit = httplimit.SmallBytes
+	}
 	started := time.Now()
-	body, err := httplimit.ReadRequest(r)
+	body, err := memory.ReadAll(r.Context(), r.Body, r.ContentLength, limit, false)
 	if err == nil && !isStillWanted(r.Context(), time.Since(started)) {
 		err = r.Context().Err()
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/httplimit"
 	"sapphiretray/policy"
 )
 
@@ -15,6 +17,8 @@
 	// slowBodyShare is the ratio of transfer time to service time above which a body is read before the request has a slot. Other
 	// bodies are read afterwards, so that none is transferred for a request that is then refused.
 	slowBodyShare = 0.1
+	// noMemoryRetryAfter is the Retry-After of a request for whose body there is no memory here or at the upstream.
+	noMemoryRetryAfter = 500 * time.Millisecond
 )
 
 // isBodySlow reports whether the body has yet to be read and takes long compared to the upstream's service time.
@@ -56,6 +60,9 @@
 	}
 	begun := time.Now()
 	body, err := r.ReadBody()
+	if errors.Is(err, httplimit.ErrNoRoom) {
+		return &Failure{Code: code.NoMemory, RetryAfter: noMemoryRetryAfter, Reason: err.Error()}
+	}
 	if err != nil {
 		return &Failure{Code: code.CallerGone, Reason: "the body ended early: " + err.Error()}
 	}
@@ -82,3 +89,27 @@
 		return false
 	}
 }
+
+// admitBody waits until the upstream may hold the body of a request beside those of others, until the request can't be served by its
+// objective any more. The bodies of requests that have not been read yet count with their announced sizes. After nil, the calling function
+// must call release once the request has ended.
+func (g *Gateway) admitBody(ctx context.Context, r *Request) (release func(), f *Failure) {
+	size := min(max(int64(len(r.Body)), r.BodySize), maxSentBytes)
+	if size <= smallBody {
+		return func() {}, nil
+	}
+	if !g.sentBodies.TryAcquire(size) {
+		ctx, cancel := context.WithDeadline(ctx, r.Objective)
+		defer cancel()
+		if err := g.sentBodies.Acquire(ctx, size); err != nil {
+			return nil, &Failure{
+				Code: code.NoMemory, RetryAfter: noMemoryRetryAfter, Reason: "the upstream holds too many large bodies of other requests",
+			}
+		}
+	}
+	g.sentBytes.Add(size)
+	return func() {
+		g.sentBytes.Add(-size)
+		g.sentBodies.Release(size)
+	}, nil
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -77,7 +77,9 @@
 	method string
 	// expectedBy is until when a response is waited for after bytes that belong to none have arrived. The zero time is no limit.
 	expectedBy time.Time
-	done       chan result
+	// memory is that of the request, or nil.
+	memory *httplimit.Claim
+	done   chan result
 }
 
 // result is the outcome of an exchange: a response or an error.
@@ -203,7 +205,7 @@
 	}
 	var body []byte
 	if pending.id != "" {
-		body, err = c.readBody(pending.ctx, response)
+		body, err = c.readBody(pending, response)
 	} else {
 		// The responses to control requests are interpreted by their status and headers.
 		_, err = io.Copy(io.Discard, response.Body)
@@ -218,11 +220,13 @@
 }
 
 // readBody reads a whole body of up to maxResponseBytes. It doesn't close the body, which would read the rest of it.
-func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
-	if response.Body != http.NoBody {
-		response.Body = io.NopCloser(response.Body)
+func (c *conn) readBody(pending *exchange, response *http.Response) ([]byte, error) {
+	held := pending.memory
+	if held == nil {
+		held = c.memory.bodies.Open(pending.id)
+		defer held.Close()
 	}
-	body, err := httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{c.memory.bodies}}.ReadAll(ctx, response)
+	body, err := held.ReadAll(pending.ctx, response.Body, response.ContentLength, maxResponseBytes, true)
 	if err != nil {
 		return nil, fmt.Errorf("read response body after %d bytes: %w", len(body), err)
 	}
@@ -348,12 +352,20 @@
 	return c.closed || c.retired
 }
 
-// do sends a request, of which head is the encoded request line and headers, and waits for its response. It sends nothing once ctx has
-// ended. If sent is false, no byte of the request has been sent. expectedBy is that of the exchange. spawn runs a function in a goroutine.
-func (c *conn) do(
-	ctx context.Context, id, method string, expectedBy time.Time, head, body []byte, spawn func(func()),
-) (response *rawResponse, sent bool, err error) {
-	e := &exchange{ctx: ctx, id: id, method: method, expectedBy: expectedBy, done: make(chan result, 1)}
+// message is a request as it is sent.
+type message struct {
+	// id, method, expectedBy and memory are those of the exchange.
+	id, method string
+	expectedBy time.Time
+	memory     *httplimit.Claim
+	// head is the encoded request line and headers.
+	head, body []byte
+}
+
+// do sends a request and waits for its response. It sends nothing once ctx has ended. If sent is false, no byte of the request has been
+// sent. spawn runs a function in a goroutine.
+func (c *conn) do(ctx context.Context, m message, spawn func(func())) (response *rawResponse, sent bool, err error) {
+	e := &exchange{ctx: ctx, id: m.id, method: m.method, expectedBy: m.expectedBy, memory: m.memory, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
@@ -361,11 +373,11 @@
 	wrote := make(chan struct{})
 	write := func() {
 		defer close(wrote)
-		if err := c.write(ctx, head, body); err != nil {
+		if err := c.write(ctx, m.head, m.body); err != nil {
 			failed <- err
 		}
 	}
-	if len(head)+len(body) > maxSyncWrite {
+	if len(m.head)+len(m.body) > maxSyncWrite {
 		// The upstream may respond before it has read a long request, or never read it, so the response is awaited during the write.
 		spawn(write)
 	} else {
--- a/gateway/conn_test.go
+++ b/gateway/conn_test.go
@@ -22,7 +22,7 @@
 		_, _ = server.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	})
 	spawn := func(f func()) { group.Go(f) }
-	if _, _, err := c.do(t.Context(), "r1", http.MethodPost, time.Time{}, []byte("head"), nil, spawn); err != nil {
+	if _, _, err := c.do(t.Context(), message{id: "r1", method: http.MethodPost, head: []byte("head")}, spawn); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
@@ -35,7 +35,7 @@
 		})
 	}
 	body := make([]byte, readBufferSize+1)
-	_, sent, err := c.do(t.Context(), "r2", http.MethodPost, time.Time{}, []byte("head"), body, spawnLate)
+	_, sent, err := c.do(t.Context(), message{id: "r2", method: http.MethodPost, head: []byte("head"), body: body}, spawnLate)
 	if err == nil || sent {
 		t.Errorf("error %v, sent %v, want an error before a byte is sent", err, sent)
 	}
@@ -58,7 +58,7 @@
 			cancel()
 		}
 		body := make([]byte, readBufferSize+1)
-		response, _, err := c.do(ctx, "r1", http.MethodPost, time.Time{}, []byte("head"), body, spawn)
+		response, _, err := c.do(ctx, message{id: "r1", method: http.MethodPost, head: []byte("head"), body: body}, spawn)
 		if err != nil || response.status != http.StatusOK {
 			t.Errorf("request %d: %v", n, err)
 		}
@@ -79,7 +79,7 @@
 		group.Go(c.readLoop)
 		var read int
 		group.Go(func() { read, _ = server.Read(make([]byte, readBufferSize)) })
-		_, sent, err := c.do(ctx, "r1", http.MethodPost, time.Time{}, []byte("head"), nil, func(f func()) { f() })
+		_, sent, err := c.do(ctx, message{id: "r1", method: http.MethodPost, head: []byte("head")}, func(f func()) { f() })
 		_ = server.Close()
 		group.Wait()
 		if err == nil || sent || read > 0 {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"syscall"
-	"time"
 )
 
 // ControlRequest is a request of the instance itself to its upstream, as opposed to a request of a caller.
@@ -83,6 +82,6 @@
 		head.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	response, _, err := c.do(ctx, "", request.Method, time.Time{}, head.Bytes(), request.Body, g.spawn)
+	response, _, err := c.do(ctx, message{method: request.Method, head: head.Bytes(), body: request.Body}, g.spawn)
 	return response, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/httplimit"
 	"sapphiretray/routing"
 )
 
@@ -31,6 +32,8 @@
 	// the route take long to transfer, once it is expected to get one. The body of a refused request need not be transferred.
 	Body     []byte
 	ReadBody func() ([]byte, error)
+	// BodySize is the size of the body in bytes if it is known before it is read, or 0.
+	BodySize int64
 	// Route is the name of the route. Service times are estimated per route.
 	Route string
 	// Service is the requested service, Origin the service of the instance that received the request from its caller.
@@ -49,6 +52,9 @@
 	// timeout ends.
 	Objective time.Time
 	Deadline  time.Time
+	// Memory is that of the request's body and of the responses to it. It is closed by whoever received the request. A request without one
+	// has its own memory for each response until that has been read.
+	Memory *httplimit.Claim
 	// throttled is set while the request counts in Gateway.throttled.
 	throttled bool
 	// fingerprint is set once the body has been read.
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -30,9 +30,12 @@
 	maxHeadMemory = 8 * headMemory
 	// maxResponseBytes bounds a response body, which is held in memory.
 	maxResponseBytes = 16 << 20
-	// maxBodyMemory bounds the bodies above 1 MiB that are read at the same time on all connections, and half of it those of up to 1 MiB.
-	// The whole process may have less than 200 MB.
+	// maxBodyMemory bounds the bodies of responses to requests without memory of their own that are read at the same time.
 	maxBodyMemory = 2 * maxResponseBytes
+	// maxSentBytes bounds the bodies above smallBody that are sent to the upstream at the same time. It holds them until it has served the
+	// requests. A larger one is sent alone.
+	maxSentBytes = 64 << 20
+	smallBody    = 64 << 10
 	// maxExchangeBytes bounds the bodies of all responses that are read for one request, with the framing of their chunks.
 	maxExchangeBytes = 2 * maxResponseBytes
 )
@@ -47,11 +50,11 @@
 type memory struct {
 	// heads holds maxHeadMemory.
 	heads  *semaphore.Weighted
-	bodies *httplimit.Memory
+	bodies *httplimit.Budget
 }
 
 func newMemory() *memory {
-	return &memory{heads: semaphore.NewWeighted(maxHeadMemory), bodies: httplimit.NewMemory(maxBodyMemory)}
+	return &memory{heads: semaphore.NewWeighted(maxHeadMemory), bodies: httplimit.NewBudget(maxBodyMemory)}
 }
 
 // limitedReader reads the responses that arrive for one request after another, and fails when a limit is exceeded. Bytes that are
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,13 +9,16 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/httplimit"
 	"sapphiretray/policy"
 	"sapphiretray/wait"
 )
@@ -78,6 +81,11 @@
 	// transferTimes are the times to read a body from another instance. transferSlots is a semaphore for slow transfers.
 	transferTimes estimates
 	transferSlots chan struct{}
+	// memory bounds what is held for requests. sentBodies holds maxSentBytes for the large bodies that the upstream holds at the same time,
+	// of which sentBytes are in use.
+	memory     *httplimit.Budget
+	sentBodies *semaphore.Weighted
+	sentBytes  atomic.Int64
 	// runningIDs are the ids of the running requests.
 	runningIDs map[string]struct{}
 	stats      Stats
@@ -124,6 +132,15 @@
 	return func(g *Gateway) { g.pool.dial, g.control.dial = dial, dial }
 }
 
+// WithMemory sets the budget for what is held for requests.
+func WithMemory(b *httplimit.Budget) Option { return func(g *Gateway) { g.memory = b } }
+
+// Memory returns the budget for what is held for requests.
+func (g *Gateway) Memory() *httplimit.Budget { return g.memory }
+
+// SentBytes returns the bytes of large bodies that the upstream may hold now.
+func (g *Gateway) SentBytes() int64 { return g.sentBytes.Load() }
+
 // New returns a gateway to the upstream of a service at an address. Its goroutines run in the group.
 func New(group *errgroup.Group, service, address string, protocol Protocol, options ...Option) *Gateway {
 	g := &Gateway{
@@ -131,6 +148,7 @@
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
 		onCrash:   func([]uint64) {},
 		scheduler: policy.NewScheduler(1), runningIDs: make(map[string]struct{}), transferSlots: make(chan struct{}, maxTransfers),
+		memory: httplimit.NewBudget(httplimit.MessageMemory(0)), sentBodies: semaphore.NewWeighted(maxSentBytes),
 	}
 	m := newMemory()
 	for _, p := range []*pool{&g.pool, &g.control} {
@@ -215,6 +233,11 @@
 	if r.Key != NoKey {
 		g.onKeyRequest(uint16(r.Key), g.estimates.get(r.Route))
 	}
+	release, f := g.admitBody(ctx, r)
+	if f != nil {
+		return nil, g.recordFailure(r, f)
+	}
+	defer release()
 	if g.isBodySlow(r) {
 		if f := g.expectBody(ctx, r); f != nil {
 			return nil, g.recordFailure(r, f)
@@ -369,7 +392,9 @@
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
 		started := time.Now()
-		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
+		response, sent, err := c.do(ctx, message{
+			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), memory: r.Memory, head: g.head(r), body: r.Body,
+		}, g.spawn)
 		if err == nil {
 			took := time.Since(started)
 			g.crashTracker.RecordCompletion(r.fingerprint)
--- a/ingress/ahead.go
+++ b/ingress/ahead.go
@@ -1,14 +1,17 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"sapphiretray/httplimit"
+	"sapphiretray/policy"
 )
 
 const (
@@ -34,6 +37,21 @@
 	finished time.Time
 	id       string
 	done     chan struct{}
+	// dropped is set if the response will not be sent.
+	dropped bool
+}
+
+// drop releases the memory of the response, now or once it is complete. The caller holds the connection's mu.
+func (a *aheadRequest) drop() {
+	a.dropped = true
+	if a.response == nil {
+		return
+	}
+	select {
+	case <-a.done:
+		a.response.memory.Close()
+	default:
+	}
 }
 
 // aheadKey is the context key of the aheadRequest of a request.
@@ -51,8 +69,11 @@
 type aheadResponse struct {
 	header  http.Header
 	status  int
-	body    bytes.Buffer
+	body    []byte
 	aborted bool
+	// memory is that of the request, if it holds the body. conn is the connection that the response waits on.
+	memory *httplimit.Claim
+	conn   *callerConn
 }
 
 // Header implements http.ResponseWriter.
@@ -68,11 +89,19 @@
 // Write implements http.ResponseWriter.
 func (a *aheadResponse) Write(p []byte) (int, error) {
 	a.WriteHeader(http.StatusOK)
-	return a.body.Write(p)
+	a.body = append(a.body, p...)
+	return len(p), nil
+}
+
+// hold takes over a body and the memory that holds it, without copying. While the response waits, the callers in front of it may not read
+// theirs; it then gives way to others with its connection.
+func (a *aheadResponse) hold(body []byte, memory *httplimit.Claim) {
+	a.body, a.memory = body, memory
+	_ = memory.SetRevocable(policy.RevocableIfStalled, a.conn.abandonWrite)
 }
 
 // writeTo writes the response to the connection whose turn it is.
-func (a *aheadResponse) writeTo(w http.ResponseWriter) {
+func (a *aheadResponse) writeTo(w http.ResponseWriter, r *http.Request) {
 	if a.aborted {
 		panic(http.ErrAbortHandler)
 	}
@@ -82,8 +111,7 @@
 		header[name] = values
 	}
 	w.WriteHeader(max(a.status, http.StatusOK))
-	// A failed write ends the connection, which the caller notices.
-	_, _ = w.Write(a.body.Bytes())
+	writeBody(w, r, a.body, a.memory)
 }
 
 // AheadPolicy tells which requests may begin before their turn. It is implemented by handlers.
@@ -99,10 +127,10 @@
 	for {
 		c.mu.Lock()
 		c.beginAhead()
-		for len(c.framer.buffered) >= maxBuffered && !c.readExpired && !c.closed {
+		for c.isBufferFull() && !c.readExpired && !c.closed {
 			c.readable.Wait()
 		}
-		expired := len(c.framer.buffered) >= maxBuffered
+		expired := c.isBufferFull()
 		c.mu.Unlock()
 		if expired {
 			return os.ErrDeadlineExceeded
@@ -119,12 +147,21 @@
 	}
 }
 
+// isBufferFull reports whether no more is to be read ahead. Reading more than a chunk takes memory. The caller holds mu.
+func (c *callerConn) isBufferFull() bool {
+	n := len(c.framer.buffered)
+	return n >= maxBuffered || n >= readChunk && !c.head.reserveAhead()
+}
+
 // dropAhead ends the requests that have arrived behind the newest one, when the caller has left or the connection has failed. The caller
 // holds mu.
 func (c *callerConn) dropAhead(err error) {
 	if len(c.ahead) > 0 {
 		klog.V(1).InfoS("callers: dropped requests behind others", "requests", len(c.ahead), "err", err, "caller", c.RemoteAddr())
 	}
+	for _, a := range c.ahead {
+		a.drop()
+	}
 	c.lost, c.framer.buffered, c.ahead, c.parsed = err, nil, nil, 0
 	c.cancelAhead()
 }
@@ -171,7 +208,7 @@
 
 // start serves a request before its turn. The caller holds mu.
 func (c *callerConn) start(a *aheadRequest) {
-	a.response = &aheadResponse{header: make(http.Header)}
+	a.response = &aheadResponse{header: make(http.Header), conn: c}
 	a.RemoteAddr = c.RemoteAddr().String()
 	r := a.WithContext(context.WithValue(c.aheadContext, aheadKey{}, a))
 	c.connections.ahead.Go(func() {
@@ -182,10 +219,13 @@
 				a.response.aborted = true
 			}
 			c.mu.Lock()
-			c.waitingBytes += a.response.body.Len()
+			c.waitingBytes += len(a.response.body)
 			a.finished = time.Now()
-			c.mu.Unlock()
+			if a.dropped {
+				a.response.memory.Close()
+			}
 			close(a.done)
+			c.mu.Unlock()
 		}()
 		c.connections.next.ServeHTTP(a.response, r)
 	})
@@ -196,13 +236,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.ahead) > 0 && c.ahead[0].number < c.framer.number {
-		c.ahead = c.ahead[1:]
+		c.ahead[0].drop()
+		c.removeAhead()
 	}
 	if len(c.ahead) == 0 || c.ahead[0].number != c.framer.number {
 		return nil
 	}
 	a := c.ahead[0]
-	c.ahead = c.ahead[1:]
+	c.removeAhead()
 	if a.Method != r.Method || a.RequestURI != r.RequestURI || a.Host != r.Host {
 		klog.ErrorS(nil, "callers: a request read ahead isn't the one that is served", "ahead", a.RequestURI, "served", r.RequestURI,
 			"caller", c.RemoteAddr())
@@ -213,6 +254,9 @@
 	return a
 }
 
+// removeAhead removes the first request that was read ahead, without a reference to its response. The caller holds mu.
+func (c *callerConn) removeAhead() { c.ahead = slices.Delete(c.ahead, 0, 1) }
+
 var errMisframed = errors.New("the connection was split into requests at the wrong place")
 
 // serveInTurn serves a request whose turn it is. A response that was made before is written once it is complete.
@@ -231,7 +275,7 @@
 	<-a.done
 	c.mu.Lock()
 	c.id = a.id
-	c.waitingBytes -= a.response.body.Len()
+	c.waitingBytes -= len(a.response.body)
 	c.mu.Unlock()
 	if waited := turn.Sub(a.finished); waited >= lateTurn {
 		klog.InfoS("request: response waited for those in front of it", "id", a.id, "waited", waited, "total", turn.Sub(a.arrived))
@@ -239,7 +283,7 @@
 	if c.connections.stopping() {
 		a.response.header.Set("Connection", "close")
 	}
-	a.response.writeTo(w)
+	a.response.writeTo(w, r)
 }
 
 // receive reads what the HTTP server is to get next.
@@ -260,13 +304,12 @@
 		}
 		n := c.framer.deliver(p)
 		c.parsed = max(0, c.parsed-n)
-		// The rest of a body, and what isn't split, needs no buffer.
-		direct := c.framer.opaque || c.framer.body > 0
-		limit := len(p)
-		if !c.framer.opaque && c.framer.body > 0 {
-			limit = int(min(int64(limit), c.framer.body))
-		}
+		limit, direct := c.directBytes(len(p))
+		refusal := c.checkHead(served)
 		c.mu.Unlock()
+		if refusal != nil {
+			return 0, c.refuse(refusal)
+		}
 		if n > 0 {
 			return n, nil
 		}
@@ -285,6 +328,19 @@
 	}
 }
 
+// directBytes returns how many bytes may be read without the buffer, and whether there are any: those of the rest of a body, and what isn't
+// split. The caller holds mu.
+func (c *callerConn) directBytes(most int) (limit int, direct bool) {
+	switch {
+	case c.framer.opaque:
+		return most, true
+	case c.framer.body > 0:
+		return int(min(int64(most), c.framer.body)), true
+	default:
+		return 0, false
+	}
+}
+
 // fill reads what arrives next into the buffer, and returns the number of bytes.
 func (c *callerConn) fill() (int, error) {
 	if c.chunk == nil {
--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,7 @@
 // Reasons for which a request is not answered.
 const (
 	reasonCallerLeft  = "caller_left"
+	reasonUnread      = "unread"
 	reasonWriteFailed = "write_failed"
 	reasonAborted     = "aborted"
 	reasonNotBegun    = "not_begun"
@@ -85,6 +87,10 @@
 	// readErr and writeErr are the first errors of the connection, except for expired deadlines of reads.
 	readErr, writeErr error
 	closed            bool
+	// released is set once the connection doesn't count as accepted any more. Connections.mu guards it.
+	released bool
+	// evicted is set if the connection gives way to another one. It is then closed although more of an incomplete request has arrived.
+	evicted bool
 	// readable is signalled when the deadline for reads changes or the connection is closed. readExpired is set while the deadline has
 	// passed.
 	readable    sync.Cond
@@ -107,6 +113,13 @@
 	preface string
 	// http2 is set once the preface has been read. The connection isn't tracked from then on.
 	http2 bool
+	// head is the memory of the heads that have been received.
+	head headMemory
+	// writeAbandoned is set once responses aren't written any more. writeUntil is the deadline for writes.
+	writeAbandoned atomic.Bool
+	writeUntil     time.Time
+	// writeFixed is set while a handler has set the deadline for writes.
+	writeFixed bool
 }
 
 // http2Preface begins each HTTP/2 connection.
@@ -152,7 +165,7 @@
 	}
 	if c.interrupted && (n > 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
 		c.resume()
-		if n == 0 && hasPending(c.Conn) {
+		if mayResume := !c.evicted || c.state != requestPartial; n == 0 && mayResume && hasPending(c.Conn) {
 			if c.state == requestNone {
 				c.await(requestPartial)
 			}
@@ -223,6 +236,9 @@
 // await sets the state to requestNone or requestPartial and starts the timer of that state. The caller holds mu.
 func (c *callerConn) await(state requestState) {
 	c.state, c.since, c.limits = state, time.Now(), c.connections.limits()
+	if state == requestNone {
+		c.head.release()
+	}
 }
 
 // expired reports whether the connection has outlasted the limit for its state, is idle while connections are drained, or waits for a
@@ -248,8 +264,44 @@
 	return limit > 0 && now.Sub(c.since) > limit
 }
 
+// writeTimeout is the time in which a caller must accept what is written at once, at most writePiece bytes of a response. While memory is
+// short, callers that don't read lose their connections sooner.
+const writeTimeout = 2 * time.Minute
+
+// extendWrite sets the deadline for writes if little is left of it.
+func (c *callerConn) extendWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.http2 || c.writeFixed || c.writeUntil.Sub(now) >= writeTimeout/2 {
+		return nil
+	}
+	c.writeUntil = now.Add(writeTimeout)
+	if err := c.Conn.SetWriteDeadline(c.writeUntil); err != nil {
+		return err
+	}
+	if c.writeAbandoned.Load() {
+		return c.Conn.SetWriteDeadline(past)
+	}
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn. Writes that are abandoned stay so.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeFixed, c.writeUntil = !t.IsZero(), time.Time{}
+	if c.writeAbandoned.Load() {
+		t = past
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.extendWrite(); err != nil {
+		klog.V(1).InfoS("callers: can't set the write deadline", "err", err)
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -283,12 +335,17 @@
 		linger = c.state == requestFinished && c.writeErr == nil && !c.connections.ending.Load()
 		c.readable.Broadcast()
 	}
+	for _, a := range c.ahead {
+		a.drop()
+	}
+	c.ahead = nil
+	c.head.release()
 	c.cancelAhead()
 	c.mu.Unlock()
 	if linger && c.hasUnread() {
 		c.linger()
 	}
-	c.connections.remove(c)
+	c.connections.release(c)
 	return c.Conn.Close()
 }
 
@@ -323,6 +380,8 @@
 	switch {
 	case c.readErr != nil, errors.Is(c.writeErr, syscall.EPIPE), errors.Is(c.writeErr, syscall.ECONNRESET):
 		return reasonCallerLeft
+	case c.writeAbandoned.Load(), errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return reasonUnread
 	case c.writeErr != nil:
 		return reasonWriteFailed
 	case c.state == requestAborted:
@@ -346,6 +405,7 @@
 		// The server also reports this state when it has failed to read the rest of the headers.
 		if c.readErr == nil {
 			c.state, c.id, c.began = requestRead, "", time.Now()
+			c.head.keep()
 		}
 	case http.StateIdle:
 		c.kept = true
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -15,6 +15,8 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/backlog"
+	"sapphiretray/httplimit"
+	"sapphiretray/loglimit"
 	"sapphiretray/routing"
 	"sapphiretray/wait"
 )
@@ -54,6 +56,16 @@
 	stopping func() bool
 	// http2 is set if the server also accepts HTTP/2 connections, which aren't tracked.
 	http2 bool
+	// memory bounds the heads that are held at the same time; nil if nothing does. most is the number of connections that may be open, or
+	// 0 if it isn't bounded, and accepted that of those that are.
+	memory   *httplimit.Budget
+	most     int
+	accepted int
+	// headsRevoked counts the connections that were closed since the last sweep because their heads gave way to others.
+	headsRevoked atomic.Int64
+	// refused counts the requests and connections that were refused before a head was complete, by result code.
+	refused  *prometheus.CounterVec
+	logLimit loglimit.Limiter
 }
 
 // NewConnections returns an empty set of connections. limits returns the limits in effect; a limit of zero is none. The metrics are
@@ -66,10 +78,26 @@
 			Help: "Requests of callers that were read and whose connection ended without an answer, by reason.",
 		}, []string{"reason"}),
 	}
-	registerer.MustRegister(c.unanswered)
+	c.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphiretray_callers_refused_total",
+		Help: "Callers' connections that were closed before the head of a request was complete, by reason: the head is too large " +
+			"(1107), no memory (1306), or too many connections (connections, evicted).",
+	}, []string{"reason"})
+	registerer.MustRegister(c.unanswered, c.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sapphiretray_callers_connections", Help: "Open connections of callers.",
+	}, func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.accepted)
+	}))
 	return c
 }
 
+// Bound bounds the heads of requests by a budget and the number of open connections; 0 is no bound. Call it before Listen.
+func (c *Connections) Bound(memory *httplimit.Budget, connections int) {
+	c.memory, c.most = memory, connections
+}
+
 // ServeAhead makes requests that have arrived behind others on an HTTP/1.1 connection begin before their turn if the policy allows it.
 // Responses are sent in the order of the requests. stopping reports whether callers are to close their connections. Call it before Attach.
 func (c *Connections) ServeAhead(policy AheadPolicy, stopping func() bool) {
@@ -117,23 +145,29 @@
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.connections.admit(conn) {
+			return l.connections.add(conn), nil
+		}
 	}
-	return l.connections.add(conn), nil
 }
 
 // add returns a tracked connection.
 func (c *Connections) add(conn net.Conn) *callerConn {
 	tracked := &callerConn{Conn: conn, connections: c, since: time.Now(), limits: c.limits(), policy: c.policy, cancelAhead: func() {}}
 	tracked.readable.L = &tracked.mu
+	tracked.head = headMemory{budget: c.memory, owner: conn.RemoteAddr().String(), revoke: tracked.abandonHead}
 	if c.http2 {
 		tracked.preface = http2Preface
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[tracked] = struct{}{}
+	c.accepted++
 	return tracked
 }
 
@@ -143,6 +177,17 @@
 	delete(c.open, conn)
 }
 
+// release counts a connection as closed.
+func (c *Connections) release(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+	if !conn.released {
+		conn.released = true
+		c.accepted--
+	}
+}
+
 // CloseListener closes a listener of Listen once the connections that the kernel has established are accepted, which it waits for until ctx
 // ends. dial connects to an address of the listener's network; nil selects that of the machine.
 func (c *Connections) CloseListener(ctx context.Context, l net.Listener, dial backlog.DialFunc) error {
@@ -165,9 +210,10 @@
 	for _, conn := range c.all() {
 		conn.interrupt(now, limits)
 	}
-	if idle, incomplete := c.closedIdle.Swap(0), c.closedIncomplete.Swap(0); idle+incomplete > 0 {
+	idle, incomplete, revoked := c.closedIdle.Swap(0), c.closedIncomplete.Swap(0), c.headsRevoked.Swap(0)
+	if idle+incomplete+revoked > 0 {
 		klog.InfoS("callers: connections closed", "idle", idle, "idleTimeout", limits.IdleTimeout, "headersIncomplete", incomplete,
-			"headerTimeout", limits.HeaderTimeout)
+			"headerTimeout", limits.HeaderTimeout, "headersRevoked", revoked)
 	}
 }
 
--- a/ingress/framer.go
+++ b/ingress/framer.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// maxFramedHead is the size of a request's head in bytes from which the rest of its connection isn't split into requests.
-	maxFramedHead = 64 << 10
 	// maxBuffered is the number of bytes that are read ahead on a connection. Reading then stops until the request that is served ends.
 	maxBuffered = 32 << 10
 	// readChunk is the number of bytes by which the buffer of a connection grows.
@@ -41,6 +39,9 @@
 func (f *framer) begin() {
 	if f.whole || f.number == 0 {
 		f.number++
+		if cap(f.head) > readChunk {
+			f.head = nil
+		}
 		f.head, f.line, f.body, f.chunks, f.whole = f.head[:0], lineScanner{}, 0, nil, false
 	}
 }
@@ -64,12 +65,13 @@
 		f.head = append(f.head, f.buffered[:n]...)
 		if ended {
 			f.endHead()
-		} else if len(f.head) > maxFramedHead {
-			f.opaque, f.head = true, nil
 		}
 	}
 	copy(p, f.buffered[:n])
 	f.buffered = f.buffered[:copy(f.buffered, f.buffered[n:])]
+	if len(f.buffered) == 0 && cap(f.buffered) > readChunk {
+		f.buffered = nil
+	}
 	return n
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,13 +1,10 @@
 package ingress
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -17,6 +14,7 @@
 
 	"sapphiretray/code"
 	"sapphiretray/gateway"
+	"sapphiretray/httplimit"
 	"sapphiretray/routing"
 )
 
@@ -47,6 +45,7 @@
 	confirmedFor   func() (time.Duration, bool)
 	stopping       func() bool
 	outlasts       func(deadline time.Time) bool
+	memory         *httplimit.Budget
 	metrics        *metrics
 }
 
@@ -73,6 +72,8 @@
 	Stopping func() bool
 	// Outlasts reports whether a request with a deadline must be refused because the process ends before it. It may be nil.
 	Outlasts func(deadline time.Time) bool
+	// Memory bounds the requests and responses that are held at the same time; nil selects a budget of its own.
+	Memory *httplimit.Budget
 }
 
 // New returns a server.
@@ -83,31 +84,39 @@
 	if c.ConfirmedFor == nil {
 		c.ConfirmedFor = func() (time.Duration, bool) { return 0, false }
 	}
+	if c.Memory == nil {
+		c.Memory = httplimit.NewBudget(httplimit.MessageMemory(0))
+	}
 	return &Server{
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, confirmedFor: c.ConfirmedFor, stopping: c.Stopping,
 		outlasts: c.Outlasts, budgets: budgets{create: c.NewBudget},
-		chooser: newChooser(c.DataCentre), metrics: newMetrics(c.Registerer),
+		chooser: newChooser(c.DataCentre), memory: c.Memory, metrics: newMetrics(c.Registerer),
 	}
 }
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := arrivalOf(r)
-	request := &gateway.Request{Method: r.Method, Target: target(r), Host: r.Host, Origin: s.service}
+	request := &gateway.Request{
+		Method: r.Method, Target: target(r), Host: r.Host, Origin: s.service, Memory: s.memory.Open(r.RemoteAddr),
+	}
 	written := false
 	defer func() {
 		if v := recover(); v != nil {
+			request.Memory.Close()
 			s.recovered(w, request, v, written, arrived)
 		}
 	}()
 	route, f := s.accept(w, r, request, arrived)
 	if f != nil {
+		request.Memory.Close()
 		s.fail(w, request, f, arrived)
 		return
 	}
 	response, err := s.dispatch(r.Context(), request, route)
 	if err != nil {
+		request.Memory.Close()
 		if !errors.As(err, &f) {
 			f = &gateway.Failure{Code: code.PeerFailed, Reason: err.Error()}
 		}
@@ -133,8 +142,7 @@
 	s.closeIfStopping(header)
 	w.WriteHeader(response.Status)
 	written = true
-	// A failed write ends the connection, which the caller notices.
-	_, _ = w.Write(response.Body)
+	writeBody(w, r, response.Body, request.Memory)
 }
 
 // MayRunAhead implements AheadPolicy. Requests that may be repeated may also run without a response.
@@ -276,39 +284,6 @@
 	return route.Timeout
 }
 
-// readBody reads the body until a deadline, so that a caller that stops sending holds no memory for longer than its request may take.
-// A limit of 0 is none.
-func (s *Server) readBody(
-	w http.ResponseWriter, r *http.Request, request *gateway.Request, limit int64, deadline time.Time,
-) *gateway.Failure {
-	if !hasBody(r) {
-		return nil
-	}
-	setReadDeadline(w, deadline)
-	reader := r.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(reader)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &gateway.Failure{Code: code.TooLarge, Reason: err.Error()}
-	case errors.Is(context.Cause(r.Context()), gateway.ErrStopping):
-		return &gateway.Failure{
-			Code: code.Draining, RetryAfter: stoppingRetryAfter, Reason: "the instance stopped while the body was read",
-		}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &gateway.Failure{Code: code.BodyTimeout, Reason: err.Error()}
-	case err != nil:
-		return &gateway.Failure{Code: code.BodyFailed, Reason: err.Error()}
-	}
-	request.Body = body
-	// The server keeps reading from the connection to notice when the caller closes it, so the deadline must not stay.
-	setReadDeadline(w, time.Time{})
-	return nil
-}
-
 // hasBody reports whether a request may have a body.
 func hasBody(r *http.Request) bool { return r.Body != nil && r.ContentLength != 0 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
 	"sapphiretray/heartbeat"
+	"sapphiretray/httplimit"
 	"sapphiretray/ingress"
 	"sapphiretray/member"
 	"sapphiretray/peer"
@@ -119,7 +120,9 @@
 	gateway  *gateway.Gateway
 	endpoint *heartbeat.Endpoint
 	// callers tracks the connections of callers.
-	callers   *ingress.Connections
+	callers *ingress.Connections
+	// memory bounds what callers make the process hold.
+	memory    *httplimit.Budget
 	dialer    *peer.Dialer
 	directory *directory
 	joined    joinTimes
@@ -185,6 +188,8 @@
 	}
 	sc.dialer = peer.NewDialer(sc.newTransport(peer.ControlIdleTimeout, peer.CloseOnGoAway))
 	sc.callers = ingress.NewConnections(sc.limits, sc.registry)
+	sc.memory = httplimit.NewBudget(httplimit.MessageMemory(s.MemoryLimit))
+	sc.callers.Bound(sc.memory, httplimit.CallerConnections(s.MemoryLimit, s.MaxDescriptors))
 	sc.directory = newDirectory(s.Slot)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.rowsChanged, store.WithWatch(sc.isReader, sc.fetchFromReader),
 		store.WithMaxWait(sc.rowsWait))
@@ -203,7 +208,7 @@
 	sc.gateway = gateway.New(group, sc.settings.Service, sc.settings.UpstreamAddress, sc.adapters.Upstream,
 		gateway.WithKeys(sc.keys), gateway.WithOnChange(sc.upstreamChanged), gateway.WithDrainLimit(sc.settings.DrainLimit),
 		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(func(f []uint64) { sc.broadcastCrash(running, f) }),
-		gateway.WithDial(sc.adapters.Network.DialContext))
+		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithMemory(sc.memory))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions),
@@ -326,7 +331,7 @@
 		ConfirmedFor: sc.config.ConfirmedFor, Directory: sc.directory, Local: sc.gateway,
 		Forwarder: forward.NewClient(sc.group, sc.newTransport(peer.ForwardIdleTimeout, peer.WithPings(pingAfter, pingTimeout)), sc),
 		Service:   sc.settings.Service, DataCentre: sc.settings.DataCentre, Registerer: sc.registry, Stopping: sc.stopping.Load,
-		Outlasts:  sc.outlasts,
+		Outlasts: sc.outlasts, Memory: sc.memory,
 		NewBudget: func() ingress.Budget { return policy.NewRetryBudget(sc.budgetTerms) },
 	})
 	plain := func(h http.Handler) *http.Server {
