Caller, Instance: the product's own interface keeps callers within one memory budget too

Requests in flight and connections with HTTP/2 now take memory of the instance's budget, which follows the new settings limits.memory and limits.descriptors, and callers have their own limits of streams, heads and unread data on a connection.

Result: TestInterface passes, 13 cases, at most 126 MB of 184, where 6 failed with up to 550 MB.

--- a/caller/headers.go
+++ b/caller/headers.go
@@ -33,6 +33,15 @@
 	readHeaderTimeout = 10 * time.Second
 	// maxStreams is the maximum number of concurrent HTTP/2 streams on one connection.
 	maxStreams = 10_000
+	// callerStreams, callerHeadBytes and callerBufferBytes bound, on a connection of a caller, the concurrent HTTP/2 streams, the head of a
+	// request, and what has arrived on HTTP/2 streams and hasn't been read.
+	callerStreams     = 50
+	callerHeadBytes   = 64 << 10
+	callerBufferBytes = 128 << 10
+	// callerIdleTimeout is the time after which a connection of a caller without a request is closed.
+	callerIdleTimeout = 3 * time.Minute
+	// requestMemory is what a request in flight takes besides its body, in bytes.
+	requestMemory = 32 << 10
 	// stalledCallerGrace is the time after a request's deadline at which reading from a caller that has stopped sending fails. Writing to
 	// one that has stopped reading fails after twice this time. If reading failed at the deadline itself, an expired deadline would be
 	// reported as a caller that has left.
@@ -94,7 +103,7 @@
 	if in.token != "" {
 		h.Set(HeaderToken, in.token)
 	}
-	if o.code == code.Shed || o.code == code.ConfigOutdated {
+	if o.code == code.Shed || o.code == code.ConfigOutdated || o.code == code.NoMemory {
 		h.Set("Retry-After", "1")
 	}
 	if o.code == code.NotOwner || o.code == code.NoOwner {
--- a/caller/request.go
+++ b/caller/request.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"sapphiretray/code"
+	"sapphiretray/httplimit"
+	"sapphiretray/policy"
 
 	"github.com/oklog/ulid/v2"
 )
@@ -37,6 +39,8 @@
 	rest   io.Reader
 	// restTracker wraps rest and records whether an attempt has read from it; then the body can't be sent again.
 	restTracker *trackingReader
+	// memory is what the request holds, or nil if nothing bounds it.
+	memory *httplimit.Claim
 	// written is set once the status and the headers of a response to a request that ran have been sent.
 	written bool
 }
@@ -152,7 +156,10 @@
 		return nil
 	}
 	limit := in.route.MaxBodyBytes()
-	prefix, err := io.ReadAll(io.LimitReader(r.Body, MaxReplayableBody+1))
+	prefix, err := in.readArriving(w, io.LimitReader(r.Body, MaxReplayableBody+1))
+	if errors.Is(err, httplimit.ErrRevoked) {
+		return code.Wrap(code.NoMemory, err, "read the request's body")
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
 		return code.Wrap(code.Draining, err, "read the request's body")
 	}
@@ -179,6 +186,47 @@
 	return nil
 }
 
+// reserve reserves the memory of a request in flight, with the part of its body that is buffered.
+func (in *inboundRequest) reserve(ctx context.Context, budget *httplimit.Budget) error {
+	if budget == nil {
+		return nil
+	}
+	in.memory = budget.Open(in.request.RemoteAddr)
+	prefix := int64(MaxReplayableBody + 1)
+	if n := in.request.ContentLength; n >= 0 {
+		prefix = min(prefix, n)
+	}
+	// The buffer doubles while it is read.
+	if err := in.memory.Reserve(ctx, requestMemory+2*prefix, false); err != nil {
+		return code.Wrap(code.NoMemory, err, "request %s", in.id)
+	}
+	return nil
+}
+
+// readArriving reads a part of the body. The request gives way to others meanwhile if it stops or its caller holds much.
+func (in *inboundRequest) readArriving(w http.ResponseWriter, part io.Reader) ([]byte, error) {
+	revoked, revoke := context.WithCancel(in.request.Context())
+	defer revoke()
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(revoked, func() {
+		defer close(interrupted)
+		// An error means that the connection has ended.
+		_ = http.NewResponseController(w).SetReadDeadline(past)
+	})
+	err := in.memory.SetRevocable(policy.Revocable, revoke)
+	var content []byte
+	if err == nil {
+		content, err = io.ReadAll(in.memory.Reader(part))
+	}
+	if held := in.memory.SetRevocable(policy.Irrevocable, nil); held != nil {
+		err = held
+	}
+	if !stop() {
+		<-interrupted
+	}
+	return content, err
+}
+
 var errBodyTooLarge = errors.New("request body exceeds the route's limit")
 
 // boundedReader fails with errBodyTooLarge once more than left bytes have been read.
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -100,6 +100,11 @@
 		// The request may have been interrupted before its deadlines were set.
 		interrupt()
 	}
+	err := in.reserve(ctx, s.memory)
+	defer in.memory.Close()
+	if err != nil {
+		return failed(err)
+	}
 	if in.forwarded {
 		return interruptedResult(ctx, s.serveForwarded(ctx, w, in))
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"sapphiretray/httplimit"
 	"sapphiretray/peer"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,8 @@
 	dedup       *Dedup
 	quarantine  *Quarantine
 	metrics     *metrics
+	// memory bounds the requests in flight; nil if nothing does.
+	memory *httplimit.Budget
 }
 
 // Option configures a Server.
@@ -48,6 +51,9 @@
 // WithQuarantine sets the quarantine of requests that crash upstreams.
 func WithQuarantine(q *Quarantine) Option { return func(s *Server) { s.quarantine = q } }
 
+// WithMemory sets the budget for the requests in flight. By default they have no bound.
+func WithMemory(b *httplimit.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // WithRegisterer sets where the server's metrics are registered. By default they aren't.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(s *Server) { s.registerer = r }
@@ -119,3 +125,11 @@
 		},
 	}
 }
+
+// NewCallerServer returns an HTTP server for Handler whose callers may be of any kind: it bounds what each connection makes it hold.
+func NewCallerServer(handler http.Handler) *http.Server {
+	server := NewHTTPServer(handler)
+	server.MaxHeaderBytes, server.IdleTimeout = callerHeadBytes, callerIdleTimeout
+	server.HTTP2.MaxConcurrentStreams, server.HTTP2.MaxReceiveBufferPerConnection = callerStreams, callerBufferBytes
+	return server
+}
--- a/httplimit/budget.go
+++ b/httplimit/budget.go
@@ -5,19 +5,18 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"sapphiretray/policy"
 )
 
 const (
-	// DefaultProcessMemory is the memory in bytes that a process is assumed to have if its settings don't say.
-	DefaultProcessMemory = 184_000_000
+	// defaultMessageMemory is the memory for messages of callers in bytes in a process whose memory isn't known. The garbage
+	// collector has no limit there, so that buffers that are no longer used may take as much again.
+	defaultMessageMemory = 48 << 20
 	// baseMemory is what a process needs without messages of callers, in bytes.
 	baseMemory = 48 << 20
 	// messageShare is the share of the rest that messages of callers may take. Buffers that are no longer used but not yet collected, and
@@ -41,10 +40,10 @@
 	ErrRevoked = errors.New("the message gave way to others")
 )
 
-// MessageMemory returns the memory for messages of callers in a process with a number of bytes, or with DefaultProcessMemory if that is 0.
+// MessageMemory returns the memory for messages of callers in a process with a number of bytes, or 0 if that isn't known.
 func MessageMemory(process int64) int64 {
 	if process <= 0 {
-		process = DefaultProcessMemory
+		return defaultMessageMemory
 	}
 	return max(minMessageMemory, int64(messageShare*float64(process-baseMemory)))
 }
@@ -70,32 +69,26 @@
 	connectionShare  = 0.25
 	// minConnections is the least number of callers' connections, also if the process has fewer descriptors.
 	minConnections = 32
+	// defaultProcessMemory and defaultDescriptors are assumed if they aren't known: the memory of a small machine in bytes, and the usual
+	// number.
+	defaultProcessMemory = 184_000_000
+	defaultDescriptors   = 1024
 )
 
 // CallerConnections returns how many connections of callers a process with a memory in bytes and a number of descriptors may have open. 0
-// stands for DefaultProcessMemory, and for the descriptors that the operating system allows.
+// means that the memory or the number isn't known.
 func CallerConnections(process int64, descriptors int) int {
 	if process <= 0 {
-		process = DefaultProcessMemory
+		process = defaultProcessMemory
 	}
 	if descriptors <= 0 {
-		descriptors = systemDescriptors()
+		descriptors = defaultDescriptors
 	}
 	byMemory := int(connectionShare * float64(process) / connectionMemory)
 	byDescriptors := int(callerShare * float64(descriptors-reservedDescriptors))
 	return max(minConnections, min(byMemory, byDescriptors))
 }
 
-// systemDescriptors returns the number of descriptors that the operating system allows the process, or a usual one if it isn't known.
-func systemDescriptors() int {
-	const usual = 1024
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return usual
-	}
-	return int(min(limit.Cur, math.MaxInt32))
-}
-
 // Budget is the memory for all messages that callers make a process hold: their requests until they end, and the responses until they have
 // been read. policy.MemoryAccount decides who gets room. Create it with NewBudget.
 type Budget struct {
@@ -309,7 +302,7 @@
 		// The pages of a large buffer take memory only once they are written.
 		buffer := make([]byte, size)
 		n := copy(buffer, content)
-		more, err := fill(buffer[n:], &progressReader{Reader: body, claim: c})
+		more, err := fill(buffer[n:], c.Reader(body))
 		content = buffer[:n+more]
 		if errors.Is(err, io.EOF) {
 			return c.trim(content, reserved), nil
@@ -321,6 +314,9 @@
 	return content, checkEnd(body, limit)
 }
 
+// Reader returns a reader that records the progress of the claim.
+func (c *Claim) Reader(r io.Reader) io.Reader { return &progressReader{Reader: r, claim: c} }
+
 // trim returns a body without the unused part of its buffer, and releases the memory that was reserved for that.
 func (c *Claim) trim(content []byte, reserved int64) []byte {
 	size := int64(len(content))
--- a/ingress/callerconn.go
+++ b/ingress/callerconn.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/code"
 	"sapphiretray/routing"
 )
 
@@ -139,6 +140,10 @@
 	if c.preface == "" {
 		c.http2 = true
 		c.connections.remove(c)
+		if !c.head.reserveHTTP2() {
+			c.connections.countRefused(code.NoMemory, "no memory is free for a connection with HTTP/2", c.RemoteAddr())
+			c.lost = &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+		}
 	}
 }
 
@@ -397,6 +402,9 @@
 func (c *callerConn) observe(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.http2 {
+		return
+	}
 	switch state {
 	case http.StateActive:
 		if c.interrupted {
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -25,6 +25,8 @@
 	// many short headers take a multiple of their text.
 	smallHead  = 4 << 10
 	headFactor = 8
+	// http2Memory is reserved for a connection with HTTP/2, in bytes: for what has arrived and hasn't been read, and for its streams.
+	http2Memory = 256 << 10
 	// refusalWriteTimeout bounds the time to write the response to a head that is refused before it is complete.
 	refusalWriteTimeout = time.Second
 )
@@ -55,6 +57,21 @@
 		h.claim = h.budget.Open(h.owner)
 		_ = h.claim.SetRevocable(policy.Revocable, h.revoke)
 	}
+	return h.raise(needed)
+}
+
+// reserveHTTP2 reserves the memory of a connection with HTTP/2, and returns false if there is none.
+func (h *headMemory) reserveHTTP2() bool {
+	if h.budget == nil {
+		return true
+	}
+	h.release()
+	h.claim = h.budget.Open(h.owner)
+	return h.raise(http2Memory)
+}
+
+// raise raises the claim to a number of bytes and returns false if there is no room.
+func (h *headMemory) raise(needed int64) bool {
 	// It doesn't wait for others to give way: the caller's next connection finds their memory.
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,6 +24,7 @@
 	"sapphiretray/chart"
 	"sapphiretray/code"
 	"sapphiretray/heartbeat"
+	"sapphiretray/httplimit"
 	"sapphiretray/ingress"
 	"sapphiretray/object"
 	"sapphiretray/peer"
@@ -98,6 +99,8 @@
 	sheetCache  sheetCache
 	// quarantine is kept across incarnations: a request that crashed the upstream would crash it again.
 	quarantine *caller.Quarantine
+	// memory bounds what callers make the process hold.
+	memory *httplimit.Budget
 }
 
 // New returns an instance that Run starts.
@@ -134,7 +137,9 @@
 	i.sheetCache.objects, i.sheetCache.log = i.objects, log
 	i.health.machine = chart.New(chart.MustLoad("upstream"), s.Slot(), log)
 	i.quarantine = caller.NewQuarantine(caller.WithOnQuarantineChange(i.broadcastQuarantine))
+	i.memory = httplimit.NewBudget(httplimit.MessageMemory(s.MemoryLimit()))
 	i.registerMetrics()
+	i.memory.Register(i.registry)
 	return i
 }
 
@@ -196,8 +201,9 @@
 }
 
 func (i *Instance) serve(ctx context.Context, group *errgroup.Group, l listeners) {
-	callers := caller.NewHTTPServer(http.HandlerFunc(i.serveCaller))
+	callers := caller.NewCallerServer(http.HandlerFunc(i.serveCaller))
 	connections := ingress.NewConnections(func() routing.Limits { return routing.Limits{} }, i.registry)
+	connections.Bound(i.memory, httplimit.CallerConnections(i.settings.MemoryLimit(), i.settings.MaxDescriptors()))
 	connections.Attach(callers)
 	tracked := connections.Listen(l.callers)
 	i.serveHTTP(ctx, group, tracked, callers, func() { i.drainCallers(tracked, connections) })
--- a/instance/session.go
+++ b/instance/session.go
@@ -77,7 +77,8 @@
 		ownership.WithDrainTimeout(i.settings.DrainTimeout()), ownership.WithLog(i.log), ownership.WithEnded(i.directory.ended))
 	s.server = caller.New(owner{s.owned}, &callerDirectory{directory: i.directory, session: s}, &i.routes, i.upstream,
 		caller.WithLimiter(i.limiter), caller.WithBudget(i.budget), caller.WithHold(i.settings.HoldTimeout()),
-		caller.WithTransport(i.transport), caller.WithDedup(dedup), caller.WithQuarantine(i.quarantine))
+		caller.WithTransport(i.transport), caller.WithDedup(dedup), caller.WithQuarantine(i.quarantine),
+		caller.WithMemory(i.memory))
 	return s
 }
 
--- a/run.go
+++ b/run.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"sapphiretray/httplimit"
 	"sapphiretray/instance"
 	"sapphiretray/settings"
 )
@@ -31,6 +32,7 @@
 		return err
 	}
 	defer klog.Flush()
+	httplimit.LimitRuntime(s.MemoryLimit())
 	return instance.New(s).Run(ctx)
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -16,6 +16,9 @@
 	// minIntervals is the least number of heartbeat intervals in a lease. A shorter lease would expire after one lost heartbeat and a
 	// late one.
 	minIntervals = 3
+	// minMemory in MB and minDescriptors are the least that a process can serve with.
+	minMemory      = 64
+	minDescriptors = 300
 )
 
 // checker collects the validation errors of a settings file with the positions of the fields.
@@ -55,6 +58,10 @@
 	c.url("upstream.url", f.Upstream.URL)
 	c.require(f.Upstream.Slots > 0, "upstream.slots", "want at least 1")
 	c.timing(f)
+	c.require(f.Limits.Memory == 0 || f.Limits.Memory >= minMemory, "limits.memory",
+		"want at least %d MB, or 0 if it isn't known", minMemory)
+	c.require(f.Limits.Descriptors == 0 || f.Limits.Descriptors >= minDescriptors, "limits.descriptors",
+		"want at least %d, or 0 if the number isn't known", minDescriptors)
 	c.require(f.Log.Verbosity >= 0 && f.Log.Verbosity <= maxVerbosity, "log.verbosity", "want 0 to %d", maxVerbosity)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,9 @@
 	DefaultStopTimeout       = 30 * time.Second
 )
 
+// bytesPerMegabyte is the size of a megabyte in limits.memory, in bytes.
+const bytesPerMegabyte = 1_000_000
+
 // maxBytes bounds the size of a settings file, so that a file of another kind is refused before it is parsed.
 const maxBytes = 1 << 14
 
@@ -39,6 +42,7 @@
 	Upstream   upstream  `json:"upstream"`
 	Lease      lease     `json:"lease"`
 	Timeouts   timeouts  `json:"timeouts"`
+	Limits     limits    `json:"limits"`
 	Log        logging   `json:"log"`
 }
 
@@ -72,6 +76,11 @@
 	Stop  document.Duration `json:"stop"`
 }
 
+type limits struct {
+	Memory      int64 `json:"memory"`
+	Descriptors int   `json:"descriptors"`
+}
+
 type logging struct {
 	Verbosity int `json:"verbosity"`
 }
@@ -215,5 +224,11 @@
 // StopTimeout returns the bound on the duration of a planned stop.
 func (s Settings) StopTimeout() time.Duration { return time.Duration(s.file.Timeouts.Stop) }
 
+// MemoryLimit returns the memory of the process in bytes, or 0 if the settings don't name it.
+func (s Settings) MemoryLimit() int64 { return s.file.Limits.Memory * bytesPerMegabyte }
+
+// MaxDescriptors returns the number of the process's file descriptors, or 0 if the settings don't name it.
+func (s Settings) MaxDescriptors() int { return s.file.Limits.Descriptors }
+
 // Verbosity returns the log verbosity, 0 to 10.
 func (s Settings) Verbosity() int { return s.file.Log.Verbosity }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -4,7 +4,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sapphiretray/gateway"
-	"sapphiretray/httplimit"
 	"sapphiretray/store"
 )
 
@@ -43,7 +42,8 @@
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(sc.directory.unreachableSlots()))
 	})
-	sc.registerMemoryMetrics(gauge)
+	sc.memory.Register(sc.registry)
+	gauge("upstream_body_bytes", "Large bodies that the upstream may hold.", func() float64 { return float64(sc.gateway.SentBytes()) })
 	counter("upstream_connections_total", "Connections that were opened to the upstream.",
 		func(s gateway.Stats) uint64 { return s.Connections })
 	counter("upstream_answers_total", "Responses of the upstream.",
@@ -54,26 +54,6 @@
 		func(s gateway.Stats) uint64 { return s.Unknown })
 }
 
-// registerMemoryMetrics registers the metrics of what is held for callers.
-func (sc *Sidecar) registerMemoryMetrics(gauge func(name, help string, value func() float64)) {
-	gauge("message_memory_limit_bytes", "Memory for requests and responses of callers.",
-		func() float64 { return float64(sc.memory.Stats().Limit) })
-	gauge("message_memory_used_bytes", "Memory that requests and responses of callers hold.",
-		func() float64 { return float64(sc.memory.Stats().Used) })
-	gauge("upstream_body_bytes", "Large bodies that the upstream may hold.", func() float64 { return float64(sc.gateway.SentBytes()) })
-	for outcome, count := range map[string]func(s httplimit.BudgetStats) uint64{
-		"refused": func(s httplimit.BudgetStats) uint64 { return s.Refused },
-		"revoked": func(s httplimit.BudgetStats) uint64 { return s.Revoked },
-	} {
-		sc.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "sapphiretray_messages_total",
-			Help: "Messages of callers for which there was no memory (refused), and those that gave way to others because they had " +
-				"stopped or their callers held much (revoked).",
-			ConstLabels: prometheus.Labels{"outcome": outcome},
-		}, func() float64 { return float64(count(sc.memory.Stats())) }))
-	}
-}
-
 // registerStoreMetrics registers the metrics of the calls that keep a copy of a table of the store up to date.
 func (sc *Sidecar) registerStoreMetrics(copyName string, f *store.Follower) {
 	for outcome, count := range map[string]func(s store.Stats) uint64{
