Gateway, Forward, Upstream: parts of responses and odd statuses aren't passed on

Cause: a response without a length ends with its connection. If the upstream resets the connection while an upload is being written, the failing write consumes the error of the socket, and the read after it returns a regular end, so that a part of the response counted as the whole. Such a response now counts only if the request has been written as a whole. A status below 100 counted as that of an interim response, so that its request waited until its deadline, and one above 599 was passed on. Both, and 101, now count as a failure of the upstream. The product's own interface refuses all responses without a length and never passed on a part; its test says so.

--- a/forward/client.go
+++ b/forward/client.go
@@ -27,6 +27,8 @@
 	// maxUnannouncedBody is the size, in bytes, above which a body is sent with "Expect: 100-continue", so that it isn't sent to an
 	// instance that refuses the request. For smaller bodies the extra round trip costs more than it saves.
 	maxUnannouncedBody = 2 << 10
+	// maxStatus is the highest status of a known class.
+	maxStatus = 599
 	// responseGrace is how long after its deadline a request is still waited for, so that a failure that the other instance reports
 	// at the deadline arrives.
 	responseGrace = 50 * time.Millisecond
@@ -285,6 +287,11 @@
 			Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, OwnerSlot: fields.owner, Reason: string(body),
 		}
 	}
+	if fields.status < http.StatusOK || fields.status > maxStatus {
+		return result, &gateway.Failure{
+			Code: code.PeerFailed, Arrived: true, Reason: fmt.Sprintf("the upstream's response has status %d", fields.status),
+		}
+	}
 	response.Header.Del(headerResult)
 	response.Header.Del(headerForecast)
 	// The Date was added by the other instance's HTTP server, not by the upstream.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -31,6 +31,8 @@
 var (
 	errUnsolicited = errors.New("received data without a pending request")
 	errClosed      = errors.New("the connection is closed or in use")
+	// errUploadBroken means that a response without a length may be a part of one.
+	errUploadBroken = errors.New("the connection ended the response while the request was being written")
 )
 
 // rawResponse is a complete response before it is interpreted.
@@ -40,6 +42,8 @@
 	body   []byte
 	// closeAfter is set if the connection must not be reused after this response.
 	closeAfter bool
+	// endsWithConnection is set if the response has no length, so that the end of the connection is its end.
+	endsWithConnection bool
 }
 
 // conn is a connection to the upstream. It carries one request at a time. A goroutine reads from it continuously, so that
@@ -194,6 +198,9 @@
 	if err := checkFields(response.Header); err != nil {
 		return nil, err
 	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		return nil, err
+	}
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
@@ -216,7 +223,22 @@
 	c.mu.Lock()
 	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
 	c.mu.Unlock()
-	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
+	return &rawResponse{
+		status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close,
+		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+	}, nil
+}
+
+// maxStatus is the highest status of a known class.
+const maxStatus = 599
+
+// checkStatus returns an error if a status is neither a final one of a known class nor that of an interim response that another response
+// follows.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+		return fmt.Errorf("the response has status %d", status)
+	}
+	return nil
 }
 
 // readBody reads a whole body of up to maxResponseBytes. It doesn't close the body, which would read the rest of it.
@@ -371,9 +393,11 @@
 	}
 	failed := make(chan error, 1)
 	wrote := make(chan struct{})
+	var broken atomic.Bool
 	write := func() {
 		defer close(wrote)
 		if err := c.write(ctx, m.head, m.body); err != nil {
+			broken.Store(true)
 			failed <- err
 		}
 	}
@@ -386,10 +410,14 @@
 	for {
 		select {
 		case r := <-e.done:
-			if r.err == nil {
-				c.closeUnlessWritten(wrote)
+			if r.err == nil && r.response.endsWithConnection {
+				r.err = awaitWrite(ctx, wrote, &broken)
 			}
-			return r.response, c.written.Load() > 0, r.err
+			if r.err != nil {
+				return nil, c.written.Load() > 0, r.err
+			}
+			c.closeUnlessWritten(wrote)
+			return r.response, c.written.Load() > 0, nil
 		case err := <-failed:
 			if c.written.Load() == 0 {
 				c.fail(err)
@@ -406,6 +434,21 @@
 	}
 }
 
+// awaitWrite waits until a request has been written on a connection that has ended, and returns errUploadBroken if it hasn't been as a
+// whole. The upstream, or its kernel, may then have reset the connection: a write that fails consumes the error, and the read after it
+// returns a regular end.
+func awaitWrite(ctx context.Context, wrote <-chan struct{}, broken *atomic.Bool) error {
+	select {
+	case <-wrote:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if broken.Load() {
+		return errUploadBroken
+	}
+	return nil
+}
+
 // contextError returns the error of a context that has ended. After a standstill of the process, a deadline may have passed although its
 // timer hasn't fired yet.
 func contextError(ctx context.Context) error {
--- a/upstream/do.go
+++ b/upstream/do.go
@@ -262,10 +262,13 @@
 	return req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != ""
 }
 
+// maxStatus is the highest status of a known class.
+const maxStatus = 599
+
 // checkResponse returns an error if a response isn't a final one, if it belongs to another request, or if its end can't be told from a
 // broken connection.
 func checkResponse(r *Request, resp *http.Response) error {
-	if resp.StatusCode < http.StatusOK {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		// http.Transport skips all other interim responses. No request asks for another protocol, and an HTTP/2 server that is told to
 		// respond with 101 sends an empty response with status 200 after it.
 		return code.New(code.UpstreamFailed, "upstream responded with status %d to request %q", resp.StatusCode, r.ID)
