--- a/httplimit/budget.go
+++ b/httplimit/budget.go
@@ -10,6 +10,9 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"sapphiretray/loglimit"
 	"sapphiretray/policy"
 )
 
@@ -21,7 +24,7 @@
 	baseMemory = 48 << 20
 	// messageShare is the share of the rest that messages of callers may take. Buffers that are no longer used but not yet collected, and
 	// what connections and goroutines take, need the other part.
-	messageShare = 0.75
+	messageShare = 0.7
 	// minMessageMemory is the least memory for messages of callers in bytes, also if the process has less.
 	minMessageMemory = 8 << 20
 	// revokeWait bounds the wait of an impatient claim for the release of claims that were revoked for it.
@@ -100,6 +103,8 @@
 	holders map[*policy.MemoryClaim]*Claim
 	refused uint64
 	revoked uint64
+	// logLimit bounds the lines about callers.
+	logLimit loglimit.Limiter
 }
 
 // NewBudget returns a budget of a number of bytes.
@@ -129,6 +134,7 @@
 // Claim is the memory of one request with its body and its responses. A nil Claim has no limit. Create it with Budget.Open.
 type Claim struct {
 	budget *Budget
+	owner  string
 	claim  *policy.MemoryClaim
 	// revoke is called when the claim is revoked. Budget.mu guards it.
 	revoke func()
@@ -139,7 +145,7 @@
 func (b *Budget) Open(owner string) *Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := &Claim{budget: b, claim: b.account.Open(time.Now(), owner)}
+	c := &Claim{budget: b, owner: owner, claim: b.account.Open(time.Now(), owner)}
 	b.holders[c.claim] = c
 	return c
 }
@@ -214,11 +220,11 @@
 		case decision == policy.MemoryGranted:
 			return nil
 		case decision == policy.MemoryRefused && !patient:
-			c.countRefusal()
+			c.countRefusal(size)
 			return ErrNoRoom
 		}
 		if !awaitChange(waiting, changed) {
-			c.countRefusal()
+			c.countRefusal(size)
 			if err := ctx.Err(); err != nil {
 				return fmt.Errorf("%w: %w", ErrNoRoom, err)
 			}
@@ -256,17 +262,30 @@
 	decision, revoked := b.account.Grow(time.Now(), c.claim, *total)
 	for _, r := range revoked {
 		b.revoked++
-		if holder := b.holders[r]; holder.revoke != nil {
+		holder := b.holders[r]
+		if b.logLimit.Allow("revoked " + holder.owner) {
+			klog.InfoS("memory: message gives way", "caller", holder.owner, "bytes", r.Bytes(), "for", c.owner, "size", size,
+				"used", b.account.Used(), "limit", b.account.Limit())
+		}
+		if holder.revoke != nil {
 			holder.revoke()
 		}
 	}
 	return decision, b.changed, nil
 }
 
-func (c *Claim) countRefusal() {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.budget.refused++
+// countRefusal counts and logs a message of a size for which there is no room.
+func (c *Claim) countRefusal(size int64) {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused++
+	if !b.logLimit.Allow("refused " + c.owner) {
+		return
+	}
+	most, held := b.account.Largest()
+	klog.InfoS("memory: no room for a message", "caller", c.owner, "size", size, "used", b.account.Used(), "limit", b.account.Limit(),
+		"claims", b.account.Claims(), "most", most, "mostBytes", held)
 }
 
 // ReadHeld reads the body of a response into memory of a claim and closes it. The Memory of the limit bounds only the bodies that are being
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -146,6 +146,24 @@
 	return MemoryAwaited, revoked
 }
 
+// Largest returns the owner that holds most, and how many bytes that is.
+func (a *MemoryAccount) Largest() (owner string, bytes int64) {
+	for name, held := range a.heldByOwner() {
+		if held > bytes {
+			owner, bytes = name, held
+		}
+	}
+	return owner, bytes
+}
+
+func (a *MemoryAccount) heldByOwner() map[string]int64 {
+	held := make(map[string]int64)
+	for c := range a.claims {
+		held[c.owner] += c.bytes
+	}
+	return held
+}
+
 // share returns the memory that claims may use in all so that one of the given size may be granted.
 func (a *MemoryAccount) share(bytes int64) int64 {
 	switch {
@@ -160,10 +178,7 @@
 
 // victims returns the claims that give way to a claim of the given size, the first ones first.
 func (a *MemoryAccount) victims(now time.Time, c *MemoryClaim, bytes int64) []*MemoryClaim {
-	held := make(map[string]int64)
-	for other := range a.claims {
-		held[other.owner] += other.bytes
-	}
+	held := a.heldByOwner()
 	own := held[c.owner] - c.bytes + bytes
 	stalled := func(other *MemoryClaim) bool { return now.Sub(other.progressed) >= StalledAfter }
 	var victims []*MemoryClaim
--- a/upstream/mixed_test.go
+++ b/upstream/mixed_test.go
@@ -47,7 +47,8 @@
 			r, err := http.ReadRequest(bufio.NewReader(conn))
 			if err == nil {
 				_, _ = io.CopyN(io.Discard, r.Body, 64<<10)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+				id := r.Header.Get(upstream.HeaderRequestID)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", upstream.HeaderRequestID, id)
 			}
 			_, _ = conn.(*net.TCPConn).SetLinger(0), conn.Close()
 		}
