--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -54,6 +54,8 @@
 	matches func(header http.Header, id string) bool
 	// memory is shared by all connections to the upstream.
 	memory *memory
+	// opened is when the connection was opened.
+	opened time.Time
 	// lost is set if the upstream has ended the connection. Only readLoop and the goroutine that called it use it.
 	lost bool
 	// written is 0 if it is certain that no byte of the newest request has been sent, and 1 otherwise.
@@ -93,7 +95,7 @@
 }
 
 func newConn(raw net.Conn, matches func(http.Header, string) bool, m *memory) *conn {
-	return &conn{Conn: raw, matches: matches, memory: m, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: raw, matches: matches, memory: m, idleTimeout: defaultIdleTimeout, opened: time.Now()}
 }
 
 // readLoop reads responses until the connection ends.
@@ -374,20 +376,22 @@
 	return c.closed || c.retired
 }
 
-// message is a request as it is sent.
-type message struct {
-	// id, method, expectedBy and memory are those of the exchange.
+// outgoing is a request that is sent on a connection.
+type outgoing struct {
+	// id, expectedBy and memory are those of the exchange.
 	id, method string
 	expectedBy time.Time
 	memory     *httplimit.Claim
 	// head is the encoded request line and headers.
 	head, body []byte
+	// onSent is called when the last byte has been sent, unless it is nil.
+	onSent func()
 }
 
 // do sends a request and waits for its response. It sends nothing once ctx has ended. If sent is false, no byte of the request has been
 // sent. spawn runs a function in a goroutine.
-func (c *conn) do(ctx context.Context, m message, spawn func(func())) (response *rawResponse, sent bool, err error) {
-	e := &exchange{ctx: ctx, id: m.id, method: m.method, expectedBy: m.expectedBy, memory: m.memory, done: make(chan result, 1)}
+func (c *conn) do(ctx context.Context, r outgoing, spawn func(func())) (response *rawResponse, sent bool, err error) {
+	e := &exchange{ctx: ctx, id: r.id, method: r.method, expectedBy: r.expectedBy, memory: r.memory, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
@@ -396,12 +400,14 @@
 	var broken atomic.Bool
 	write := func() {
 		defer close(wrote)
-		if err := c.write(ctx, m.head, m.body); err != nil {
+		if err := c.write(ctx, r.head, r.body); err != nil {
 			broken.Store(true)
 			failed <- err
+		} else if r.onSent != nil {
+			r.onSent()
 		}
 	}
-	if len(m.head)+len(m.body) > maxSyncWrite {
+	if len(r.head)+len(r.body) > maxSyncWrite {
 		// The upstream may respond before it has read a long request, or never read it, so the response is awaited during the write.
 		spawn(write)
 	} else {
@@ -409,15 +415,15 @@
 	}
 	for {
 		select {
-		case r := <-e.done:
-			if r.err == nil && r.response.endsWithConnection {
-				r.err = awaitWrite(ctx, wrote, &broken)
+		case result := <-e.done:
+			if result.err == nil && result.response.endsWithConnection {
+				result.err = awaitWrite(ctx, wrote, &broken)
 			}
-			if r.err != nil {
-				return nil, c.written.Load() > 0, r.err
+			if result.err != nil {
+				return nil, c.written.Load() > 0, result.err
 			}
 			c.closeUnlessWritten(wrote)
-			return r.response, c.written.Load() > 0, nil
+			return result.response, c.written.Load() > 0, nil
 		case err := <-failed:
 			if c.written.Load() == 0 {
 				c.fail(err)
@@ -428,8 +434,8 @@
 		case <-ctx.Done():
 			c.abort(ctx.Err())
 			// The response may have arrived at the same time.
-			r := <-e.done
-			return r.response, c.written.Load() > 0, r.err
+			result := <-e.done
+			return result.response, c.written.Load() > 0, result.err
 		}
 	}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -82,6 +82,6 @@
 		head.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	response, _, err := c.do(ctx, message{method: request.Method, head: head.Bytes(), body: request.Body}, g.spawn)
+	response, _, err := c.do(ctx, outgoing{method: request.Method, head: head.Bytes(), body: request.Body}, g.spawn)
 	return response, err
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -480,3 +480,49 @@
 		t.Errorf("error %v, %d requests reported", err, reported.Load())
 	}
 }
+
+// TestThrottledRequestsAreNoPressure guards against throttling that spreads from service to service: an upstream whose slots are free, but
+// which refuses requests because of a service that it calls, seemed to be full to the services that call it, and these refused theirs too.
+func TestThrottledRequestsAreNoPressure(t *testing.T) {
+	held := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) {
+		<-held
+		_, _ = io.WriteString(conn, ok(id, ""))
+	})
+	g := start(t, u)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer close(held)
+	running.Go(func() {
+		r := request("running", routing.Idempotent)
+		r.Deadline = r.Deadline.Add(time.Minute)
+		if _, err := g.Do(t.Context(), r); err != nil {
+			t.Error(err)
+		}
+	})
+	for g.Load().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	full := gateway.Load{Slots: 4, Room: []float64{0}}
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		g.ObserveNestedCall(&gateway.Request{ParentRoute: request("", routing.Idempotent).Route, Service: "called"}, full)
+	}
+	refused := 0
+	for n := range 60 {
+		r := request(fmt.Sprint("call", n), routing.Idempotent)
+		r.Deadline = time.Now().Add(50 * time.Millisecond)
+		if _, err := g.Do(t.Context(), r); failureOf(t, err) == code.Shed {
+			refused++
+		}
+		if g.Load().Running == g.Load().Slots {
+			break
+		}
+	}
+	if refused == 0 {
+		t.Fatal("no request was refused although the called service has room for none")
+	}
+	if load := g.Load(); load.Pressure > 0 {
+		t.Errorf("pressure %.2f with %d of %d slots in use", load.Pressure, load.Running, load.Slots)
+	}
+}
--- a/httplimit/budget_test.go
+++ b/httplimit/budget_test.go
@@ -16,7 +16,8 @@
 	"sapphiretray/policy"
 )
 
-// TestReadHeldBodies guards against bodies that are cut or refused within their limits, and against memory that isn't accounted or returned.
+// TestReadHeldBodies guards against bodies that are cut or refused within their limits, and against memory that isn't accounted or isn't
+// returned.
 func TestReadHeldBodies(t *testing.T) {
 	const limit = 12 * medium
 	for _, size := range []int{0, 1, 8 << 10, small, small + 1, medium + 1, 9 * medium, limit, limit + 1} {
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -81,7 +81,7 @@
 	c.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sapphiretray_callers_refused_total",
 		Help: "Callers' connections that were closed before the head of a request was complete, by reason: the head is too large " +
-			"(1107), no memory (1306), or too many connections (connections, evicted).",
+			"(1107), no memory (1308), or too many connections (connections, evicted).",
 	}, []string{"reason"})
 	registerer.MustRegister(c.unanswered, c.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "sapphiretray_callers_connections", Help: "Open connections of callers.",
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -127,7 +127,8 @@
 		if refused == 0 || refused == 10 {
 			t.Errorf("%d of 10 heads were refused", refused)
 		}
-		if response := exchange(t, d.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); response == nil || response.StatusCode != 404 {
+		response := exchange(t, d.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if response == nil || response.StatusCode != http.StatusNotFound {
 			t.Errorf("a small request got %+v", response)
 		}
 		if s := budget.Stats(); s.Used > s.Limit {
@@ -154,7 +155,8 @@
 			served := d.dial()
 			var group errgroup.Group
 			group.Go(func() error {
-				if response := exchange(t, served, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); response == nil || response.StatusCode != 200 {
+				response := exchange(t, served, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+				if response == nil || response.StatusCode != http.StatusOK {
 					return fmt.Errorf("the request that was served got %+v", response)
 				}
 				return nil
@@ -164,7 +166,8 @@
 				_, _ = io.WriteString(conn, sent)
 				time.Sleep(2 * time.Second)
 			}
-			if response := exchange(t, d.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); response == nil || response.StatusCode != 200 {
+			response := exchange(t, d.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			if response == nil || response.StatusCode != http.StatusOK {
 				t.Errorf("after connections that sent %q, an ordinary request got %+v", sent, response)
 			}
 			close(release)
@@ -211,17 +214,19 @@
 				conn := d.dial()
 				var group errgroup.Group
 				group.Go(func() error {
-					_, err := fmt.Fprintf(conn, "POST /plain/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nContent-Length: %d\r\n\r\n", test.piece*test.pieces)
+					const head = "POST /plain/ HTTP/1.1\r\nHost: h\r\nId: x1\r\nContent-Length: %d\r\n\r\n"
+					_, err := fmt.Fprintf(conn, head, test.piece*test.pieces)
 					for n := 0; n < test.pieces && err == nil; n++ {
 						time.Sleep(test.pause)
 						_, err = conn.Write(make([]byte, test.piece))
 					}
-					return nil //nolint:nilerr // The server may refuse the body.
+					return err
 				})
 				if status := readStatus(t, conn); status != test.status {
 					t.Errorf("status %d, want %d", status, test.status)
 				}
 				_ = conn.Close()
+				// The server may have refused the body.
 				_ = group.Wait()
 				if ran := deployment.order() != ""; ran != (test.status == http.StatusOK) {
 					t.Errorf("requests went to %q", deployment.order())
@@ -235,7 +240,9 @@
 // promise, and against memory that isn't returned. The load: uploads that stop just short of their end, then a sound one.
 func TestUploadsWithoutMemory(t *testing.T) {
 	const size = 1 << 20
-	for _, head := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n", size), fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size)} {
+	for _, head := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", size), fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size),
+	} {
 		bubble.Test(t, func(t *testing.T) {
 			budget := httplimit.NewBudget(4 * size)
 			deployment := newDeployment("a", map[string][]outcome{"a": {{status: 200}}})
@@ -263,7 +270,8 @@
 			if strings.Contains(head, "chunked") {
 				end = "b\r\n0\r\n\r\n"
 			}
-			if response := exchange(t, d.dial(), start+strings.Repeat("b", size-1)+end); response == nil || response.StatusCode != 200 {
+			response := exchange(t, d.dial(), start+strings.Repeat("b", size-1)+end)
+			if response == nil || response.StatusCode != http.StatusOK {
 				t.Errorf("an upload after those that have stopped got %+v", response)
 			}
 			for _, conn := range stalled {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -40,7 +40,7 @@
 	budgets        budgets
 	roundRobin     roundRobin
 	callerTimeouts callerTimeouts
-	chooser        *chooser
+	balance        *balance
 	outdated       func() bool
 	confirmedFor   func() (time.Duration, bool)
 	stopping       func() bool
@@ -91,7 +91,7 @@
 		protocol: c.Protocol, routes: c.Routes, directory: c.Directory, forwarder: c.Forwarder, local: c.Local,
 		service: c.Service, dc: c.DataCentre, outdated: c.Outdated, confirmedFor: c.ConfirmedFor, stopping: c.Stopping,
 		outlasts: c.Outlasts, budgets: budgets{create: c.NewBudget},
-		chooser: newChooser(c.DataCentre), memory: c.Memory, metrics: newMetrics(c.Registerer),
+		balance: newBalance(c.Directory.Self(), c.DataCentre), memory: c.Memory, metrics: newMetrics(c.Registerer),
 	}
 }
 
@@ -245,7 +245,9 @@
 // applyRoute sets the fields of a request that depend on its route: service, key, priority and deadlines.
 func (s *Server) applyRoute(request *gateway.Request, route *routing.Route, table *routing.Table, call Call, arrived time.Time) {
 	request.Route, request.Kind, request.Priority = route.Name, route.Kind, route.Priority
-	request.Nested = call.Parent != "" && s.local.Runs(call.Parent)
+	if parent, ok := s.local.Running(call.Parent); ok {
+		request.Nested, request.ParentRoute, request.Priority, request.Weight = true, parent.Route, parent.Priority, parent.Weight
+	}
 	request.Service = s.roundRobin.next(route)
 	request.Key = gateway.NoKey
 	if service, ok := table.Service(request.Service); ok && service.Keyed {
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -14,6 +14,7 @@
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/processor"
+	"sapphiretray/store"
 	"sapphiretray/wait"
 )
 
@@ -73,7 +74,7 @@
 		if current.keys == nil {
 			records, silent := sc.directory.count(sc.settings.Service), sc.silentInstances(reports)
 			arrivals.observe(now, records+len(reports))
-			if !arrivals.isDue(now, silent == 0, mapWasLost(current, reports)) {
+			if !arrivals.isDue(now, silent == 0, sc.mapWasLost(current, reports)) {
 				continue
 			}
 		}
@@ -236,6 +237,7 @@
 		return
 	}
 	sc.pushMap(ctx, moves)
+	sc.explainEvacuations(next.Version(), moves)
 	for _, move := range moves {
 		klog.InfoS("plan: keys moved", "service", sc.settings.Service, "version", next.Version(), "keys", move.Range,
 			"from", move.From, "to", move.To, "reason", move.Reason)
@@ -261,10 +263,12 @@
 		p.Used = max(current.lostAt, sc.rows.Version())
 		p.Holders = sc.holdersOfUnknownMap(current, reports)
 	}
+	serviceTime := meanServiceTime(reports)
 	for i, r := range reports {
-		if r.GetUsable() && sc.directory.isRegistered(i) {
+		if r.GetUsable() && sc.directory.isRegistered(i) && !sc.isAvoided(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
+				ColdLoad: coldLoad(r, serviceTime),
 			})
 		}
 	}
@@ -274,7 +278,7 @@
 
 // holdersOfUnknownMap returns the incarnations that may serve keys under an earlier map, of which none is known.
 func (sc *Sidecar) holdersOfUnknownMap(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) []member.Incarnation {
-	if !mapWasLost(current, reports) {
+	if !sc.mapWasLost(current, reports) {
 		// The instances of a new service aren't asked for keys.
 		return sc.directory.holdersBeforeListing(sc.settings.Service)
 	}
@@ -284,6 +288,9 @@
 
 // keepsKeys reports whether an owner that isn't a candidate for further keys keeps those that it has.
 func (sc *Sidecar) keepsKeys(owner member.Incarnation, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	if sc.isEvacuated(owner) {
+		return false
+	}
 	if r, ok := reports[owner]; ok {
 		return !r.GetLeaving()
 	}
@@ -353,10 +360,11 @@
 	}
 }
 
-// mapWasLost reports whether the service had a map before another writer replaced or removed its row, which this instance may not know.
-func mapWasLost(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
-	for _, r := range reports {
-		if r.GetSettled() > 0 {
+// mapWasLost reports whether the service may have had a map before another writer replaced or removed its row, or the store lost it, which
+// this instance may not know.
+func (sc *Sidecar) mapWasLost(current mapRow, reports map[member.Incarnation]*peer.ReportRequest) bool {
+	for i, r := range reports {
+		if r.GetSettled() > 0 || store.Era(i.Number()) < store.Era(sc.rows.Version()) {
 			return true
 		}
 	}
@@ -366,7 +374,8 @@
 // restoreTimer tells when an instance restores the map of its service. The zero value is ready to use.
 type restoreTimer struct {
 	lostAt uint64
-	due    time.Time
+	// from is when the planner restores the map, and due when other instances do.
+	from, due time.Time
 }
 
 // isDue reports whether an instance that knows the map has to restore it. The planner does so at once, or after restoreDelay if it may
@@ -374,10 +383,13 @@
 // map was lost doesn't know it.
 func (t *restoreTimer) isDue(lost mapRow, now time.Time, planner bool) bool {
 	if lost.lostAt != t.lostAt {
-		t.lostAt, t.due = lost.lostAt, now.Add(restoreDelay+rand.N(restoreDelay))
+		t.lostAt, t.from, t.due = lost.lostAt, now, now.Add(restoreDelay+rand.N(restoreDelay))
+		if lost.earlierEra {
+			t.from, t.due = now.Add(eraWait), t.due.Add(eraWait)
+		}
 	}
 	if planner && !lost.awaitsRecords {
-		return true
+		return !now.Before(t.from)
 	}
 	return planner == lost.awaitsRecords && !now.Before(t.due)
 }
@@ -390,20 +402,24 @@
 	planner := len(reports) > 0
 	due := timer.isDue(lost, now, planner)
 	if (due || planner) && sc.knowsHolders(ctx, lost, reports) && due {
-		sc.restoreMap(ctx, lost)
+		sc.restoreMap(ctx, lost, reports)
 	}
 }
 
 // restoreMap writes the last known map again after another writer has replaced or removed it, or after a row was set aside. Keys are
-// claimed from all incarnations that the map and the rows since name, and from all that have a record.
-func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow) {
+// claimed from all incarnations that the map and the rows since name, from all that have a record, and from those that report: the store
+// may have lost their records.
+func (sc *Sidecar) restoreMap(ctx context.Context, current mapRow, reports map[member.Incarnation]*peer.ReportRequest) {
 	complete := sc.rows.Version()
 	possible := union(sc.directory.possibleHolders(sc.settings.Service), current.setAside)
-	next := current.keys.Restore(current.lostAt, possible, sc.endedOrExpired)
+	possible = union(possible, slices.Collect(maps.Keys(reports)))
+	// The row's own version may be older than those of maps that the store has lost.
+	next := current.keys.Restore(max(current.lostAt, complete), possible, sc.endedOrExpired)
 	if err := sc.commitMap(ctx, current, next); err != nil {
 		klog.InfoS("plan: map not restored", "service", sc.settings.Service, "version", next.Version(), "row", current.lostAt, "err", err)
 		return
 	}
+	sc.rewritten.WithLabelValues("map").Inc()
 	holders := next.Holders()
 	missing := slices.DeleteFunc(slices.Clone(current.setAside), func(i member.Incarnation) bool { return slices.Contains(holders, i) })
 	klog.InfoS("plan: map restored", "service", sc.settings.Service, "version", next.Version(), "known", current.keys.Version(),
@@ -428,6 +444,6 @@
 	}
 	for _, c := range p.Candidates {
 		klog.V(2).InfoS("plan: candidate", "instance", c.Instance, "pace", c.RelativeServiceTime, "settled", c.SettledVersion,
-			"load", reports[c.Instance].GetLoad(), "version", p.Current.Version(), "reports", len(reports))
+			"coldLoad", c.ColdLoad, "load", reports[c.Instance].GetLoad(), "version", p.Current.Version(), "reports", len(reports))
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/caller"
+	"sapphiretray/evacuation"
 	"sapphiretray/forward"
 	"sapphiretray/gateway"
 	"sapphiretray/grant"
@@ -99,6 +100,9 @@
 	ConfigTable  string
 	ConfigKey    string
 	DecodeConfig func(content []byte) (*routing.Table, error)
+	// DecodeEvacuation translates a row of ConfigTable that begins or ends the evacuation of a data centre. It returns false for other
+	// rows, and an error for one that can't be used. nil means that there are none.
+	DecodeEvacuation func(r store.Row) (n evacuation.Notice, ok bool, err error)
 	// Registrations returns the HTTP handler of the upstream's heartbeats.
 	Registrations func(r Registrar) http.Handler
 	// Ready returns the HTTP handler of the platform's readiness checks.
@@ -141,6 +145,8 @@
 	giveUp   context.CancelCauseFunc
 	group    *errgroup.Group
 	registry *prometheus.Registry
+	// rewritten counts the rows that were written again, by kind.
+	rewritten *prometheus.CounterVec
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
 	// crashReports holds the crash reports that were received.
@@ -165,6 +171,9 @@
 	announceAgain chan struct{}
 	// sendAnnouncement sends another instance the versions that the instance in a slot has.
 	sendAnnouncement func(to member.Record, slot string, v *peer.Versions) error
+	// adoptMu guards the replacement of routes. configRow is the row of the configuration in effect, nil if there is none.
+	adoptMu   sync.Mutex
+	configRow atomic.Pointer[store.Row]
 	// decodingConfig is true while an arrived configuration isn't in effect yet.
 	decodingConfig atomic.Bool
 	// announcedMu guards announced.
@@ -181,7 +190,7 @@
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
 		configAnnounced: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), registry: prometheus.NewRegistry(),
-		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time),
+		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time), rewritten: newRewritten(),
 	}
 	if sc.adapters.Network == nil {
 		sc.adapters.Network = tcpNetwork{}
@@ -191,9 +200,10 @@
 	sc.memory = httplimit.NewBudget(httplimit.MessageMemory(s.MemoryLimit))
 	sc.callers.Bound(sc.memory, httplimit.CallerConnections(s.MemoryLimit, s.MaxDescriptors))
 	sc.directory = newDirectory(s.Slot)
+	sc.directory.evacuations = evacuation.New(s.EvacuationLimit, s.ConfigLimit)
 	sc.rows = store.NewFollower(a.Store, TableName, sc.rowsChanged, store.WithWatch(sc.isReader, sc.fetchFromReader),
 		store.WithMaxWait(sc.rowsWait))
-	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyConfig, store.WithMaxWait(sc.configWait))
+	sc.config = store.NewFollower(a.Store, a.ConfigTable, sc.applyOperatorRows, store.WithMaxWait(sc.configWait))
 	sc.sendAnnouncement = func(member.Record, string, *peer.Versions) error { return errNotRunning }
 	return sc
 }
@@ -208,7 +218,8 @@
 	sc.gateway = gateway.New(group, sc.settings.Service, sc.settings.UpstreamAddress, sc.adapters.Upstream,
 		gateway.WithKeys(sc.keys), gateway.WithOnChange(sc.upstreamChanged), gateway.WithDrainLimit(sc.settings.DrainLimit),
 		gateway.WithOnKeyRequest(sc.loads.observe), gateway.WithOnCrash(func(f []uint64) { sc.broadcastCrash(running, f) }),
-		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithMemory(sc.memory))
+		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithColdTerms(sc.coldTerms), gateway.WithEvacuated(sc.isClosed),
+		gateway.WithMemory(sc.memory))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
 		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions),
@@ -230,7 +241,8 @@
 	}
 	group.Go(func() error { return sc.endpoint.Run(running) })
 	sc.background(running, group, sc.rows.Run, sc.config.Run, sc.gateway.Run, sc.runSessions, sc.fetchAnnounced, sc.fetchConfig,
-		sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run, sc.watchStalls)
+		sc.fetchLostConfig, sc.repeatAnnouncements, sc.probeCheckers, sc.probeUnreachable, sc.runReports, sc.runPlanner, sc.callers.Run,
+		sc.watchStalls)
 	group.Go(func() error {
 		defer cancel()
 		sc.drainOnStop(ctx, running, servers)
@@ -386,6 +398,21 @@
 	return terms
 }
 
+// coldTerms returns the terms of the configuration in effect for cold upstreams. While there is none yet, other instances may send requests
+// already, and the settings alone say what a cold upstream bears at least.
+func (sc *Sidecar) coldTerms() gateway.ColdTerms {
+	table := sc.routes.Load()
+	if table == nil {
+		return gateway.ColdTerms{Starts: policy.NewStartTerms(0, 0, sc.settings.ColdSlack)}
+	}
+	service, _ := table.Service(sc.settings.Service)
+	terms := gateway.ColdTerms{Duration: service.ColdStart, HealthPath: service.HealthPath}
+	if service.ColdRate > 0 {
+		terms.Starts = policy.NewStartTerms(service.ColdRate, sc.settings.ColdOverrun, sc.settings.ColdSlack)
+	}
+	return terms
+}
+
 // limits returns the limits of the configuration in effect, or a default header timeout if there is none yet.
 func (sc *Sidecar) limits() routing.Limits {
 	if table := sc.routes.Load(); table != nil {
