--- a/forward/client.go
+++ b/forward/client.go
@@ -22,12 +22,14 @@
 
 const (
 	// maxResponseBytes bounds the body of a response, which is held in memory, and the bodies above 1 MiB of the responses of one instance
-	// that are read at the same time. allResponseBytes bounds those of all instances: the whole process may have less than 200 MB.
+	// that are read at the same time. allResponseBytes bounds those to requests without memory of their own.
 	maxResponseBytes = 16 << 20
 	allResponseBytes = 2 * maxResponseBytes
 	// maxUnannouncedBody is the size, in bytes, above which a body is sent with "Expect: 100-continue", so that it isn't sent to an
 	// instance that refuses the request. For smaller bodies the extra round trip costs more than it saves.
 	maxUnannouncedBody = 2 << 10
+	// maxStatus is the highest status of a known class.
+	maxStatus = 599
 	// responseGrace is how long after its deadline a request is still waited for, so that a failure that the other instance reports
 	// at the deadline arrives.
 	responseGrace = 50 * time.Millisecond
@@ -48,8 +50,8 @@
 	links    links
 	exchange VersionExchange
 	started  time.Time
-	// memory bounds the large responses that are read at the same time.
-	memory *httplimit.Memory
+	// memory bounds the responses to requests without memory of their own that are read at the same time.
+	memory *httplimit.Budget
 }
 
 // NewClient returns a client that sends requests through copies of a transport, one for each address, and exchanges versions with the
@@ -58,7 +60,7 @@
 func NewClient(group *errgroup.Group, transport *http.Transport, exchange VersionExchange) *Client {
 	return &Client{
 		group: group, links: links{transport: transport}, exchange: exchange, started: time.Now(),
-		memory: httplimit.NewMemory(allResponseBytes),
+		memory: httplimit.NewBudget(allResponseBytes),
 	}
 }
 
@@ -234,14 +236,19 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "")
 	}
-	response, unsent, err := l.send(request, cancel, r.Kind.Retryable()) //nolint:bodyclose // Limit.ReadAll closes the body.
+	response, unsent, err := l.send(request, cancel, r.Kind.Retryable()) //nolint:bodyclose // Limit.ReadHeld closes the body.
 	if err != nil && unsent != nil && ctx.Err() == nil {
 		return Result{}, &gateway.Failure{Code: code.NoOwner, Reason: fmt.Sprintf("%v: %v", unsent, err)}
 	}
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
-	body, err := c.limit(l, response).ReadAll(ctx, response)
+	held := r.Memory
+	if held == nil {
+		held = c.memory.Open(l.address)
+		defer held.Close()
+	}
+	body, err := c.limit(l, response).ReadHeld(ctx, response, held)
 	if err != nil {
 		return Result{}, roundTripFailure(ctx, err)
 	}
@@ -254,7 +261,7 @@
 	if response.ContentLength < 0 {
 		return httplimit.Limit{Max: httplimit.SmallBytes}
 	}
-	return httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{l.memory, c.memory}}
+	return httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{l.memory}}
 }
 
 // roundTripFailure returns the failure of a request to which no whole response arrived.
@@ -287,6 +294,11 @@
 			Code: fields.code, RetryAfter: fields.retryAfter, Arrived: fields.arrived, OwnerSlot: fields.owner, Reason: string(body),
 		}
 	}
+	if fields.status < http.StatusOK || fields.status > maxStatus {
+		return result, &gateway.Failure{
+			Code: code.PeerFailed, Arrived: true, Reason: fmt.Sprintf("the upstream's response has status %d", fields.status),
+		}
+	}
 	response.Header.Del(headerResult)
 	response.Header.Del(headerForecast)
 	// The Date was added by the other instance's HTTP server, not by the upstream.
