--- a/code/code.go
+++ b/code/code.go
@@ -50,6 +50,7 @@
 	Draining    Code = 1305
 	Evacuated   Code = 1306
 	Busy        Code = 1307
+	NoMemory    Code = 1308
 
 	UpstreamRefused   Code = 1401
 	UpstreamFailed    Code = 1402
@@ -135,6 +136,7 @@
 		"The data centre of the upstream is evacuated. Repeat after the time in Retry-After.",
 	},
 	{Busy, "busy", http.StatusServiceUnavailable, RanNo, "Another instance is expected to answer sooner. Repeat there."},
+	{NoMemory, "no-memory", http.StatusServiceUnavailable, RanNo, "No memory is free for it. Repeat after the time in Retry-After."},
 	{UpstreamRefused, "upstream-refused", http.StatusBadGateway, RanNo, "The upstream refused the connection."},
 	{UpstreamFailed, "upstream-failed", http.StatusBadGateway, RanUnknown, "The connection failed after the request was sent."},
 	{Truncated, "truncated", http.StatusBadGateway, RanUnknown, "The upstream's answer was cut short."},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,13 +9,16 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/httplimit"
 	"sapphiretray/loglimit"
 	"sapphiretray/policy"
 	"sapphiretray/wait"
@@ -88,6 +91,11 @@
 	// transferTimes are the times to read a body from another instance. transferSlots is a semaphore for slow transfers.
 	transferTimes estimates
 	transferSlots chan struct{}
+	// memory bounds what is held for requests. sentBodies holds maxSentBytes for the large bodies that the upstream holds at the same time,
+	// of which sentBytes are in use.
+	memory     *httplimit.Budget
+	sentBodies *semaphore.Weighted
+	sentBytes  atomic.Int64
 	// running holds the running requests by id.
 	running map[string]*Request
 	stats   Stats
@@ -140,6 +148,15 @@
 	return func(g *Gateway) { g.pool.dial, g.control.dial = dial, dial }
 }
 
+// WithMemory sets the budget for what is held for requests.
+func WithMemory(b *httplimit.Budget) Option { return func(g *Gateway) { g.memory = b } }
+
+// Memory returns the budget for what is held for requests.
+func (g *Gateway) Memory() *httplimit.Budget { return g.memory }
+
+// SentBytes returns the bytes of large bodies that the upstream may hold now.
+func (g *Gateway) SentBytes() int64 { return g.sentBytes.Load() }
+
 // New returns a gateway to the upstream of a service at an address. Its goroutines run in the group.
 func New(group *errgroup.Group, service, address string, protocol Protocol, options ...Option) *Gateway {
 	g := &Gateway{
@@ -148,6 +165,7 @@
 		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, evacuated: func() bool { return false },
 		started:   time.Now(),
 		scheduler: policy.NewScheduler(1), running: make(map[string]*Request), transferSlots: make(chan struct{}, maxTransfers),
+		memory: httplimit.NewBudget(httplimit.MessageMemory(0)), sentBodies: semaphore.NewWeighted(maxSentBytes),
 	}
 	m := newMemory()
 	for _, p := range []*pool{&g.pool, &g.control} {
@@ -260,6 +278,11 @@
 	if r.Key != NoKey {
 		g.onKeyRequest(uint16(r.Key), g.usualServiceTime(r.Route))
 	}
+	release, f := g.admitBody(ctx, r)
+	if f != nil {
+		return nil, g.recordFailure(r, f)
+	}
+	defer release()
 	if g.isBodySlow(r) {
 		if f := g.expectBody(ctx, r); f != nil {
 			return nil, g.recordFailure(r, f)
@@ -399,10 +422,14 @@
 // recordFailure logs and counts a failure, and returns it as an error.
 func (g *Gateway) recordFailure(r *Request, f *Failure) error {
 	load := g.Load()
-	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route), "slowness",
-		g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective),
-		"left", time.Until(r.Deadline))
+	verbosity := klog.Level(0)
+	if f.Code == code.Busy {
+		// The request goes on at another instance, which the instance that sent it logs.
+		verbosity = 1
+	}
+	klog.V(verbosity).InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason,
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route),
+		"slowness", g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective), "left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if f.NotRun() {
@@ -438,7 +465,7 @@
 		started := time.Now()
 		slowness, _ := g.slowness.current(started)
 		response, sent, err := c.do(ctx, outgoing{
-			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), head: g.head(r), body: r.Body,
+			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), memory: r.Memory, head: g.head(r), body: r.Body,
 			onSent: func() { g.recordSent(job) },
 		}, g.spawn)
 		if err != nil && sent {
