--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -31,6 +31,8 @@
 var (
 	errUnsolicited = errors.New("received data without a pending request")
 	errClosed      = errors.New("the connection is closed or in use")
+	// errUploadBroken means that a response without a length may be a part of one.
+	errUploadBroken = errors.New("the connection ended the response while the request was being written")
 )
 
 // rawResponse is a complete response before it is interpreted.
@@ -40,6 +42,8 @@
 	body   []byte
 	// closeAfter is set if the connection must not be reused after this response.
 	closeAfter bool
+	// endsWithConnection is set if the response has no length, so that the end of the connection is its end.
+	endsWithConnection bool
 }
 
 // conn is a connection to the upstream. It carries one request at a time. A goroutine reads from it continuously, so that
@@ -79,7 +83,9 @@
 	method string
 	// expectedBy is until when a response is waited for after bytes that belong to none have arrived. The zero time is no limit.
 	expectedBy time.Time
-	done       chan result
+	// memory is that of the request, or nil.
+	memory *httplimit.Claim
+	done   chan result
 }
 
 // result is the outcome of an exchange: a response or an error.
@@ -194,6 +200,9 @@
 	if err := checkFields(response.Header); err != nil {
 		return nil, err
 	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		return nil, err
+	}
 	if response.StatusCode < http.StatusOK {
 		return nil, nil
 	}
@@ -205,7 +214,7 @@
 	}
 	var body []byte
 	if pending.id != "" {
-		body, err = c.readBody(pending.ctx, response)
+		body, err = c.readBody(pending, response)
 	} else {
 		// The responses to control requests are interpreted by their status and headers.
 		_, err = io.Copy(io.Discard, response.Body)
@@ -216,15 +225,32 @@
 	c.mu.Lock()
 	c.idleTimeout = keepAliveTimeout(response.Header, c.idleTimeout)
 	c.mu.Unlock()
-	return &rawResponse{status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close}, nil
+	return &rawResponse{
+		status: response.StatusCode, header: response.Header, body: body, closeAfter: response.Close,
+		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+	}, nil
+}
+
+// maxStatus is the highest status of a known class.
+const maxStatus = 599
+
+// checkStatus returns an error if a status is neither a final one of a known class nor that of an interim response that another response
+// follows.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+		return fmt.Errorf("the response has status %d", status)
+	}
+	return nil
 }
 
 // readBody reads a whole body of up to maxResponseBytes. It doesn't close the body, which would read the rest of it.
-func (c *conn) readBody(ctx context.Context, response *http.Response) ([]byte, error) {
-	if response.Body != http.NoBody {
-		response.Body = io.NopCloser(response.Body)
+func (c *conn) readBody(pending *exchange, response *http.Response) ([]byte, error) {
+	held := pending.memory
+	if held == nil {
+		held = c.memory.bodies.Open(pending.id)
+		defer held.Close()
 	}
-	body, err := httplimit.Limit{Max: maxResponseBytes, Memory: []*httplimit.Memory{c.memory.bodies}}.ReadAll(ctx, response)
+	body, err := held.ReadAll(pending.ctx, response.Body, response.ContentLength, maxResponseBytes, true)
 	if err != nil {
 		return nil, fmt.Errorf("read response body after %d bytes: %w", len(body), err)
 	}
@@ -352,9 +378,10 @@
 
 // outgoing is a request that is sent on a connection.
 type outgoing struct {
-	// id and expectedBy are those of the exchange.
+	// id, expectedBy and memory are those of the exchange.
 	id, method string
 	expectedBy time.Time
+	memory     *httplimit.Claim
 	// head is the encoded request line and headers.
 	head, body []byte
 	// onSent is called when the last byte has been sent, unless it is nil.
@@ -364,15 +391,17 @@
 // do sends a request and waits for its response. It sends nothing once ctx has ended. If sent is false, no byte of the request has been
 // sent. spawn runs a function in a goroutine.
 func (c *conn) do(ctx context.Context, r outgoing, spawn func(func())) (response *rawResponse, sent bool, err error) {
-	e := &exchange{ctx: ctx, id: r.id, method: r.method, expectedBy: r.expectedBy, done: make(chan result, 1)}
+	e := &exchange{ctx: ctx, id: r.id, method: r.method, expectedBy: r.expectedBy, memory: r.memory, done: make(chan result, 1)}
 	if !c.begin(e) {
 		return nil, false, errClosed
 	}
 	failed := make(chan error, 1)
 	wrote := make(chan struct{})
+	var broken atomic.Bool
 	write := func() {
 		defer close(wrote)
 		if err := c.write(ctx, r.head, r.body); err != nil {
+			broken.Store(true)
 			failed <- err
 		} else if r.onSent != nil {
 			r.onSent()
@@ -387,10 +416,14 @@
 	for {
 		select {
 		case result := <-e.done:
-			if result.err == nil {
-				c.closeUnlessWritten(wrote)
+			if result.err == nil && result.response.endsWithConnection {
+				result.err = awaitWrite(ctx, wrote, &broken)
 			}
-			return result.response, c.written.Load() > 0, result.err
+			if result.err != nil {
+				return nil, c.written.Load() > 0, result.err
+			}
+			c.closeUnlessWritten(wrote)
+			return result.response, c.written.Load() > 0, nil
 		case err := <-failed:
 			if c.written.Load() == 0 {
 				c.fail(err)
@@ -407,6 +440,21 @@
 	}
 }
 
+// awaitWrite waits until a request has been written on a connection that has ended, and returns errUploadBroken if it hasn't been as a
+// whole. The upstream, or its kernel, may then have reset the connection: a write that fails consumes the error, and the read after it
+// returns a regular end.
+func awaitWrite(ctx context.Context, wrote <-chan struct{}, broken *atomic.Bool) error {
+	select {
+	case <-wrote:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if broken.Load() {
+		return errUploadBroken
+	}
+	return nil
+}
+
 // contextError returns the error of a context that has ended. After a standstill of the process, a deadline may have passed although its
 // timer hasn't fired yet.
 func contextError(ctx context.Context) error {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -62,6 +62,8 @@
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(sc.directory.unreachableSlots()))
 	})
+	sc.memory.Register(sc.registry)
+	gauge("upstream_body_bytes", "Large bodies that the upstream may hold.", func() float64 { return float64(sc.gateway.SentBytes()) })
 	counter("upstream_connections_total", "Connections that were opened to the upstream.",
 		func(s gateway.Stats) uint64 { return s.Connections })
 	counter("upstream_answers_total", "Responses of the upstream.",
