--- a/gateway/body.go
+++ b/gateway/body.go
@@ -22,7 +22,7 @@
 	if r.Body != nil || r.ReadBody == nil {
 		return false
 	}
-	return float64(g.transferTimes.get(r.Route)) > slowBodyShare*float64(g.estimates.get(r.Route))
+	return float64(g.transferTimes.get(r.Route)) > slowBodyShare*float64(g.serviceTime(r.Route))
 }
 
 // expectBody reads a slow body before the request has a slot, if the request is expected to get one in time.
@@ -33,7 +33,7 @@
 	job, decision := g.scheduler.Announce(time.Now(), spec)
 	g.mu.Unlock()
 	if !decision.Admitted {
-		f := &Failure{Code: code.Shed, RetryAfter: decision.RetryAfter, Reason: "no slot is free in time"}
+		f := g.shed(decision.RetryAfter)
 		g.observePressure(r, f)
 		return f
 	}
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -43,7 +43,7 @@
 		}
 		r.admittedShare = share
 	}
-	g.shares.Observe(now, r.Priority, g.estimates.get(r.Route), r.Weight)
+	g.shares.Observe(now, r.Priority, g.slowness.meanTime(g.estimates.get(r.Route)), r.Weight)
 	return nil
 }
 
@@ -53,7 +53,7 @@
 // callRetryAfter returns a time within which a refused request may return and still be served within its objective, at random so that those
 // that are refused together don't return together. g.mu must be held.
 func (g *Gateway) callRetryAfter(r *Request, now time.Time) time.Duration {
-	left := r.Objective.Sub(now) - g.estimates.get(r.Route)
+	left := r.Objective.Sub(now) - g.serviceTime(r.Route)
 	return minCallRetryAfter + rand.N(max(time.Duration(callRetryShare*float64(left)), minCallRetryAfter))
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"sapphiretray/code"
+	"sapphiretray/loglimit"
 	"sapphiretray/policy"
 	"sapphiretray/wait"
 )
@@ -29,6 +30,8 @@
 	maxKeyWait = 600 * time.Millisecond
 	// downRetryAfter is the Retry-After while the upstream's address refuses connections.
 	downRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After while the upstream's data centre is evacuated. Keys usually have another owner by then.
+	evacuatedRetryAfter = 300 * time.Millisecond
 	// MinTimeLeft is the shortest time until its deadline at which a request is still sent.
 	MinTimeLeft = 10 * time.Millisecond
 	// responseMargin is subtracted from the deadline that is sent to the upstream, so that its response arrives before the caller
@@ -51,16 +54,28 @@
 	onChange     func()
 	onKeyRequest func(key uint16, service time.Duration)
 	drainLimit   time.Duration
+	evacuated    func() bool
 	// pool holds the connections for requests, control those for control requests.
-	pool         pool
-	control      pool
-	estimates    estimates
+	pool    pool
+	control pool
+	// estimates are the service times that an upstream of mean speed would have.
+	estimates estimates
+	slowness  slowness
+	// reportLog limits the log lines about malformed load reports.
+	reportLog    loglimit.Limiter
 	crashTracker policy.CrashTracker
 	onCrash      func(fingerprints []uint64)
 
+	// coldTerms returns the terms of the service for cold upstreams, and started is when the gateway was created.
+	coldTerms func() ColdTerms
+	started   time.Time
+
 	mu        sync.Mutex
 	registry  registry
 	scheduler *policy.Scheduler
+	cold      coldState
+	// earlierAssumed is set once the requests of an earlier process were counted.
+	earlierAssumed bool
 	// pressure is the share of all requests that are refused, and callerPressure that of the requests that aren't nested.
 	pressure       policy.Pressure
 	callerPressure policy.Pressure
@@ -86,6 +101,8 @@
 	Responses   uint64 // Complete responses received from the upstream, refusals included.
 	Refused     uint64 // Requests that certainly did not run.
 	Unknown     uint64 // Failed requests that may have run.
+	ColdRefused uint64 // Requests that were refused because the upstream was cold.
+	Evacuated   uint64 // Requests that were refused because the data centre is evacuated. They count in Refused, too.
 }
 
 // Option configures a Gateway.
@@ -111,6 +128,10 @@
 // requests are refused as soon as it has.
 func WithDrainLimit(d time.Duration) Option { return func(g *Gateway) { g.drainLimit = d } }
 
+// WithEvacuated sets a function that reports whether the data centre of the upstream is evacuated and closed. Requests are then refused
+// unless they have been sent to the upstream already.
+func WithEvacuated(evacuated func() bool) Option { return func(g *Gateway) { g.evacuated = evacuated } }
+
 // DialFunc connects to an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -124,7 +145,8 @@
 	g := &Gateway{
 		service: service, protocol: protocol,
 		keys: func() Keys { return nil }, onChange: func() {}, onKeyRequest: func(uint16, time.Duration) {},
-		onCrash:   func([]uint64) {},
+		onCrash: func([]uint64) {}, coldTerms: func() ColdTerms { return ColdTerms{} }, evacuated: func() bool { return false },
+		started:   time.Now(),
 		scheduler: policy.NewScheduler(1), running: make(map[string]*Request), transferSlots: make(chan struct{}, maxTransfers),
 	}
 	m := newMemory()
@@ -180,17 +202,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	terms, _ := g.scheduler.StartTerms(now)
 	return Load{
 		Running: g.scheduler.Running(), Waiting: g.scheduler.Waiting(), Slots: g.scheduler.Slots(),
-		Pressure: max(g.pressure.Share(now), g.callerPressure.Share(now)),
-		Room:     g.shares.Room(now, g.scheduler.Slots()),
+		Pressure:  max(g.pressure.Share(now), g.callerPressure.Share(now)),
+		StartRate: terms.Rate, Room: g.shares.Room(now, g.scheduler.Slots()),
 	}
 }
 
 // RouteLoad returns the current load of the upstream, with the estimates for requests of a route.
 func (g *Gateway) RouteLoad(route string) Load {
-	load := g.Load()
-	load.ServiceTime = g.estimates.get(route)
+	load, now := g.Load(), time.Now()
+	load.Slowness = g.slowness.relative(now)
+	g.mu.Lock()
+	load.Waits = g.scheduler.Waits(now)
+	g.mu.Unlock()
+	if g.estimates.measured(route) > 0 {
+		load.ServiceTime = g.usualServiceTime(route)
+	}
 	return load
 }
 
@@ -200,6 +229,7 @@
 	defer g.pool.close()
 	defer g.control.close()
 	wait.Every(ctx, rescheduleInterval, func(now time.Time) {
+		g.checkSuspicion(ctx, now)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.scheduler.Waiting() > 0 {
@@ -221,11 +251,14 @@
 	if f := g.checkAvailable(r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
+	if f := g.checkBusy(r); f != nil {
+		return nil, g.recordFailure(r, f)
+	}
 	if f := g.admitKey(ctx, r); f != nil {
 		return nil, g.recordFailure(r, f)
 	}
 	if r.Key != NoKey {
-		g.onKeyRequest(uint16(r.Key), g.estimates.get(r.Route))
+		g.onKeyRequest(uint16(r.Key), g.usualServiceTime(r.Route))
 	}
 	if g.isBodySlow(r) {
 		if f := g.expectBody(ctx, r); f != nil {
@@ -257,7 +290,7 @@
 			Code: code.Quarantined, RetryAfter: quarantineRetryAfter, Reason: "too many upstreams crashed while this request was running",
 		})
 	}
-	response, err := g.send(ctx, r)
+	response, err := g.send(ctx, r, job)
 	if response != nil {
 		response.Waited = waited
 	}
@@ -280,12 +313,19 @@
 		return &Failure{Code: code.UpstreamNotWarmed, RetryAfter: downRetryAfter, Reason: "the upstream has not registered yet"}
 	case g.registry.leaving && time.Since(g.registry.leavingSince) > g.drainLimit-drainMargin:
 		return &Failure{Code: code.Draining, Reason: "the upstream is leaving"}
+	case g.evacuated():
+		return evacuatedFailure()
 	case g.down:
 		return &Failure{Code: code.UpstreamRefused, RetryAfter: downRetryAfter, Reason: "the upstream refuses connections"}
 	}
 	return nil
 }
 
+// evacuatedFailure returns the failure of a request to an upstream in a closed data centre.
+func evacuatedFailure() *Failure {
+	return &Failure{Code: code.Evacuated, RetryAfter: evacuatedRetryAfter, Reason: "the data centre is evacuated"}
+}
+
 // admitKey returns a Failure if the upstream may not serve the request's key.
 func (g *Gateway) admitKey(ctx context.Context, r *Request) *Failure {
 	keys := g.keys()
@@ -296,7 +336,7 @@
 	latest := r.Objective
 	if r.Nested {
 		// Its failure fails the request that made it, so that a late response is worth the wait.
-		latest = r.Deadline.Add(-g.estimates.get(r.Route))
+		latest = r.Deadline.Add(-g.serviceTime(r.Route))
 	}
 	if latest.Before(until) {
 		until = latest
@@ -308,7 +348,7 @@
 func (g *Gateway) jobSpec(r *Request) policy.JobSpec {
 	return policy.JobSpec{
 		Priority: r.Priority, Nested: r.Nested, Retry: r.Retry, Objective: r.Objective, Deadline: r.Deadline,
-		ServiceTime: g.estimates.get(r.Route),
+		ServiceTime: g.serviceTime(r.Route),
 	}
 }
 
@@ -321,6 +361,7 @@
 	}
 	defer func() { g.observePressure(r, f) }()
 	g.mu.Lock()
+	g.updateStartLimit(time.Now())
 	job, decision := g.scheduler.Submit(time.Now(), spec, func(d policy.Decision) { decided <- d })
 	waiting := job.Waiting()
 	g.mu.Unlock()
@@ -341,8 +382,9 @@
 		}
 	}
 	if !decision.Admitted {
-		return nil, &Failure{Code: code.Shed, RetryAfter: decision.RetryAfter, Reason: "no slot is free in time"}
+		return nil, g.shed(decision.RetryAfter)
 	}
+	g.countColdStart()
 	return job, nil
 }
 
@@ -358,7 +400,8 @@
 func (g *Gateway) recordFailure(r *Request, f *Failure) error {
 	load := g.Load()
 	klog.InfoS("gateway: not served", "id", r.ID, "origin", r.Origin, "code", f.Code, "reason", f.Reason, "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.estimates.get(r.Route), "objectiveLeft", time.Until(r.Objective),
+		"waiting", load.Waiting, "slots", load.Slots, "estimate", g.serviceTime(r.Route), "slowness",
+		g.slowness.relative(time.Now()), "objectiveLeft", time.Until(r.Objective),
 		"left", time.Until(r.Deadline))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -367,12 +410,15 @@
 	} else {
 		g.stats.Unknown++
 	}
+	if f.Code == code.Evacuated {
+		g.stats.Evacuated++
+	}
 	return f
 }
 
 // send sends the request and returns its response. If a reused connection fails before any byte was sent, the request is sent on
 // another connection.
-func (g *Gateway) send(ctx context.Context, r *Request) (*Response, error) {
+func (g *Gateway) send(ctx context.Context, r *Request, job *policy.Job) (*Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	idleLimit := maxIdle
@@ -384,17 +430,23 @@
 		if err != nil {
 			return nil, g.recordFailure(r, g.connectFailure(err))
 		}
+		if g.evacuated() {
+			// The data centre was closed while the body was read or the connection was opened.
+			g.pool.put(c)
+			return nil, g.recordFailure(r, evacuatedFailure())
+		}
 		started := time.Now()
-		response, sent, err := c.do(ctx, r.ID, r.Method, g.expectedBy(r), g.head(r), r.Body, g.spawn)
+		slowness, _ := g.slowness.current(started)
+		response, sent, err := c.do(ctx, outgoing{
+			id: r.ID, method: r.Method, expectedBy: g.expectedBy(r), head: g.head(r), body: r.Body,
+			onSent: func() { g.recordSent(job) },
+		}, g.spawn)
+		if err != nil && sent {
+			g.recordSent(job)
+		}
 		if err == nil {
-			took := time.Since(started)
-			g.crashTracker.RecordCompletion(r.fingerprint)
-			info := g.protocol.Read(response.status, response.header)
-			if info.NotRun || info.Misdirected {
-				c.recordRefusal(r.ID)
-			}
-			g.pool.put(c)
-			return g.checkResponse(r, response, info, took)
+			info := g.readInfo(r, c, job, response)
+			return g.checkResponse(r, response, info, time.Since(started), slowness)
 		}
 		if !sent && reused && ctx.Err() == nil {
 			continue
@@ -407,6 +459,37 @@
 	}
 }
 
+// readInfo records what a response says of its upstream and of the request, and returns its connection to the pool.
+func (g *Gateway) readInfo(r *Request, c *conn, job *policy.Job, response *rawResponse) ResponseInfo {
+	g.crashTracker.RecordCompletion(r.fingerprint)
+	info := g.protocol.Read(response.status, response.header)
+	g.observeReport(time.Now(), info)
+	g.recordArrival(job, info)
+	if info.NotRun || info.Misdirected {
+		c.recordRefusal(r.ID)
+	}
+	g.pool.put(c)
+	return info
+}
+
+// recordSent records that a request was sent to the upstream. Only the first call for a request matters.
+func (g *Gateway) recordSent(job *policy.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.Sent(time.Now(), job)
+}
+
+// recordArrival records that the upstream responded to a request. Those that are meant for another upstream don't burden it.
+func (g *Gateway) recordArrival(job *policy.Job, info ResponseInfo) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if info.Misdirected {
+		g.scheduler.Uncount(job)
+		return
+	}
+	g.scheduler.Sent(time.Now(), job)
+}
+
 // connection returns a connection for a request, and whether it has been used before. A HEAD request has one of its own: its response looks
 // like one with a body, so that neither could be read where one to a request with another method arrives once more.
 func (g *Gateway) connection(ctx context.Context, r *Request, idleLimit time.Duration) (c *conn, reused bool, err error) {
@@ -431,7 +514,7 @@
 
 // expectedTime returns the time within which most responses to requests like r arrive.
 func (g *Gateway) expectedTime(r *Request) time.Duration {
-	return expectedServiceTimes*g.estimates.get(r.Route) + minExpectedTime
+	return expectedServiceTimes*g.serviceTime(r.Route) + minExpectedTime
 }
 
 // spawn runs f in a goroutine of the group.
@@ -469,8 +552,11 @@
 	}
 }
 
-// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream.
-func (g *Gateway) checkResponse(r *Request, response *rawResponse, info ResponseInfo, took time.Duration) (*Response, error) {
+// checkResponse returns a complete response, or a Failure if it is a refusal or not from an upstream. took is how long the upstream took,
+// and slowness its slowness when the request was sent, which has decided how long it took.
+func (g *Gateway) checkResponse(
+	r *Request, response *rawResponse, info ResponseInfo, took time.Duration, slowness float64,
+) (*Response, error) {
 	g.mu.Lock()
 	g.stats.Responses++
 	g.mu.Unlock()
@@ -491,7 +577,7 @@
 		})
 	}
 	// Refusals aren't counted, since they take almost no time and would distort the estimate.
-	g.estimates.observe(r.Route, took)
+	g.estimates.observe(r.Route, time.Duration(float64(took)/slowness))
 	removeHopHeaders(response.header)
 	return &Response{Status: response.status, Header: response.header, Body: response.body, Took: took}, nil
 }
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -18,6 +18,9 @@
 	RelativeServiceTime float64
 	// SettledVersion is the newest map version of which the instance serves all keys that are assigned to it.
 	SettledVersion uint64
+	// ColdLoad is the load that the upstream bears while it is cold, in busy slots of an upstream with the mean service time; 0 if it isn't
+	// cold. It bounds the load that is moved to the candidate, which keeps what it has.
+	ColdLoad float64
 }
 
 // RangeLoad is the load of a range of keys, in busy concurrency slots of an upstream with the mean service time.
@@ -149,24 +152,47 @@
 	}
 }
 
+// lostRange is a part of a lost owner's keys, with its load and the reason why it moves.
+type lostRange struct {
+	Range
+	load   float64
+	reason string
+}
+
 // reassignLost reassigns the keys of owners that are neither candidates nor kept: to a newer incarnation in the same slot, whose
-// upstream may still hold them, or else to the candidates with the lowest cost.
+// upstream may still hold them, or else to the candidates with the lowest cost. Parts with the most load come first, so that the last ones
+// even out what these leave uneven.
 func (b *builder) reassignLost() {
+	var lost []lostRange
 	for n := 0; n < len(b.entries); n++ {
 		owner := b.entries[n].Owner()
 		if _, ok := b.byInstance[owner]; ok || b.input.Keep(owner) {
 			continue
 		}
+		reason := fmt.Sprintf("%s is no longer a candidate", owner)
 		if next, ok := b.newerIncarnation(owner); ok {
-			b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
-			continue
+			if b.keepsInSlot(n, next) {
+				b.assign(n, next, fmt.Sprintf("%s replaces %s in its slot", next, owner))
+				continue
+			}
+			load := b.density.load(b.entries[n].Range)
+			reason = fmt.Sprintf("%s replaces %s in its slot and is too cold for %.2f busy slots", next, owner, load)
+		}
+		first := n
+		n = b.divide(n)
+		for _, e := range b.entries[first : n+1] {
+			lost = append(lost, lostRange{Range: e.Range, load: b.density.load(e.Range), reason: reason})
 		}
-		n = b.distribute(n, fmt.Sprintf("%s is no longer a candidate", owner))
+	}
+	slices.SortStableFunc(lost, func(x, y lostRange) int { return cmp.Compare(y.load, x.load) })
+	for _, r := range lost {
+		n, _ := slices.BinarySearchFunc(b.entries, r.First, func(e Entry, first Key) int { return cmp.Compare(e.First, first) })
+		b.assign(n, b.lowestCost(r.load), r.reason)
 	}
 }
 
-// distribute divides an entry among a few of the candidates with the lowest cost and returns the position of its last part.
-func (b *builder) distribute(n int, reason string) int {
+// divide divides an entry of a lost owner into a few parts with the same load and returns the position of the last one.
+func (b *builder) divide(n int) int {
 	parts := min(maxReceivers, len(b.input.Candidates), max(1, b.entries[n].Size()/minSplitKeys))
 	loadPerPart := b.density.load(b.entries[n].Range) / float64(parts)
 	for range parts - 1 {
@@ -175,10 +201,8 @@
 			break
 		}
 		b.split(n, cut)
-		b.assign(n, b.lowestCost(), reason)
 		n++
 	}
-	b.assign(n, b.lowestCost(), reason)
 	return n
 }
 
@@ -209,7 +233,7 @@
 		slices.SortFunc(others, func(a, c Candidate) int { return cmp.Compare(b.cost(c, 0), b.cost(a, 0)) })
 		for _, from := range others {
 			// A candidate can't give up a single key, or keys that are being moved already.
-			if b.moveLoad(from, c, newCandidateShare*meanLoad, false) {
+			if b.moveLoad(from, c, min(newCandidateShare*meanLoad, b.coldRoom(c)/maxOvershoot), false) {
 				break
 			}
 		}
@@ -386,10 +410,17 @@
 	return c.cost(b.carried[c.Instance] + more)
 }
 
-// lowestCost returns the candidate with the lowest cost; of several, the one with the least load.
-func (b *builder) lowestCost() member.Incarnation {
+// lowestCost returns the candidate with the lowest cost once it has got a load; of several, the one with the least load. Candidates that
+// are too cold for it come last, and before them those that would be full, the least overloaded first: a fast upstream has a low cost even
+// when it gets more than it can serve.
+func (b *builder) lowestCost(load float64) member.Incarnation {
+	load = max(load, minMoveLoad)
+	excess := func(c Candidate) float64 {
+		return max(0, c.utilisation(b.carried[c.Instance]+load)-fullUtilisation)
+	}
 	return slices.MinFunc(b.input.Candidates, func(a, c Candidate) int {
-		return cmp.Or(cmp.Compare(b.cost(a, minMoveLoad), b.cost(c, minMoveLoad)),
+		return cmp.Or(-compareBool(b.canReceive(a, load), b.canReceive(c, load)),
+			cmp.Compare(excess(a), excess(c)), cmp.Compare(b.cost(a, load), b.cost(c, load)),
 			cmp.Compare(b.carried[a.Instance], b.carried[c.Instance]))
 	}).Instance
 }
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -56,6 +57,8 @@
 	overtakers int
 	// stalled is set for a running request that the upstream has presumably dropped. It doesn't count as using a slot.
 	stalled bool
+	// start counts a running request in Scheduler.starts.
+	start *Start
 }
 
 type jobState int
@@ -71,7 +74,8 @@
 // caller can retry then. A retry may also wait for a late response, because its caller doesn't retry again.
 //
 // Nested requests are started first, and the last free slot is kept for them while the others are held by long requests. Then the order is
-// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less, so they must not make others late.
+// by priority, then requests that can still meet their objective before those that can't, then by objective. Late responses are worth less,
+// so they must not make others late.
 //
 // Some upstreams never respond to a request that they can't queue. It would hold its slot until its deadline, so the slot of a stalled
 // request is freed, while its response is still awaited.
@@ -86,6 +90,8 @@
 	// announced holds the requests that will be submitted once their bodies have arrived.
 	announced   []*Job
 	reservation reservation
+	// starts limits the requests that begin while the upstream is cold.
+	starts StartLimit
 }
 
 // NewScheduler returns a scheduler for an upstream with the given number of slots, at least 1.
@@ -116,7 +122,7 @@
 		return j, Decision{RetryAfter: minRetryAfter}
 	}
 	s.reservation.observe(now, jobSpec)
-	if s.usedSlots() < s.slots && len(s.waiting) == 0 && !s.isReserved(now, jobSpec) {
+	if s.usedSlots() < s.slots && len(s.waiting) == 0 && s.starts.Allows(now) && !s.isReserved(now, jobSpec) {
 		s.start(now, j)
 		return j, Decision{Admitted: true}
 	}
@@ -126,7 +132,7 @@
 	case jobRunning:
 		return j, Decision{Admitted: true}
 	case jobDone:
-		return j, Decision{RetryAfter: s.ExpectedWait(now)}
+		return j, Decision{RetryAfter: s.retryAfter(now, now.Add(s.ExpectedWait(now)), jobSpec)}
 	default:
 		j.onDecision = onDecision
 		return j, Decision{}
@@ -138,20 +144,56 @@
 // later Announce calls until Retract is called.
 func (s *Scheduler) Announce(now time.Time, jobSpec JobSpec) (*Job, Decision) {
 	j := &Job{spec: jobSpec, state: jobDone}
-	free := s.slotFreeTimes(now)
+	start := s.expectedStart(now, j)
+	end := start.Add(jobSpec.ServiceTime)
+	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && start.After(now) {
+		return j, Decision{RetryAfter: s.retryAfter(now, start, jobSpec)}
+	}
+	s.announced = append(s.announced, j)
+	return j, Decision{Admitted: true}
+}
+
+// WaitFor returns how long a request would be expected to wait for a slot if it were submitted now, behind the requests that go before it.
+func (s *Scheduler) WaitFor(now time.Time, jobSpec JobSpec) time.Duration {
+	return s.expectedStart(now, &Job{spec: jobSpec, sequence: s.sequence + 1}).Sub(now)
+}
+
+// maxReportedPriority bounds the priorities for which Waits tells the wait.
+const maxReportedPriority = 3
+
+// Waits returns how long a request of each priority, the most urgent first, would be expected to wait for a slot. Less urgent requests
+// wait as long as those of the last priority. It returns nil while nothing waits and a slot is free.
+func (s *Scheduler) Waits(now time.Time) []time.Duration {
+	if len(s.waiting) == 0 && s.usedSlots() < s.slots {
+		return nil
+	}
+	last := 0
+	for _, j := range s.waiting {
+		last = max(last, min(j.spec.Priority, maxReportedPriority))
+	}
+	waits := make([]time.Duration, 0, last+1)
+	for priority := range last + 1 {
+		// Requests of the same priority go first.
+		spec := JobSpec{Priority: priority, Objective: now.Add(math.MaxInt64), Deadline: now.Add(math.MaxInt64)}
+		waits = append(waits, s.WaitFor(now, spec))
+	}
+	return waits
+}
+
+// expectedStart returns when a request is expected to get a slot that is queued now. The announced requests before it count, too.
+func (s *Scheduler) expectedStart(now time.Time, j *Job) time.Time {
+	f := s.forecast(now)
 	for _, others := range [][]*Job{s.waiting, s.announced} {
 		for _, other := range others {
 			if compareJobs(now, other, j) <= 0 {
-				occupyEarliest(free, other.spec.ServiceTime)
+				f.add(other.spec.ServiceTime)
 			}
 		}
 	}
-	end := free[0].Add(jobSpec.ServiceTime)
-	if end.After(jobSpec.Deadline) || end.After(jobSpec.Objective) && !jobSpec.Retry && !jobSpec.Nested && free[0].After(now) {
-		return j, Decision{RetryAfter: max(free[0].Sub(now), minRetryAfter)}
+	if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+		f.free[0] = f.free[1]
 	}
-	s.announced = append(s.announced, j)
-	return j, Decision{Admitted: true}
+	return f.next()
 }
 
 // Retract removes an announced request, before it is submitted or given up.
@@ -165,6 +207,9 @@
 		return
 	}
 	j.state = jobDone
+	if j.start.sent.IsZero() {
+		s.starts.Discard(j.start)
+	}
 	s.running = slices.DeleteFunc(s.running, func(other *Job) bool { return other == j })
 	s.detectStalled(now, j)
 	if len(s.waiting) > 0 {
@@ -227,16 +272,16 @@
 
 // ExpectedWait returns how long a new request at the end of the queue is expected to wait for a slot, and at least minRetryAfter.
 func (s *Scheduler) ExpectedWait(now time.Time) time.Duration {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	for _, j := range s.waiting {
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 	}
-	return max(free[0].Sub(now), minRetryAfter)
+	return max(f.next().Sub(now), minRetryAfter)
 }
 
 // startWaiting starts waiting requests in order while slots are free.
 func (s *Scheduler) startWaiting(now time.Time) {
-	for s.usedSlots() < s.slots {
+	for s.usedSlots() < s.slots && s.starts.Allows(now) {
 		n, ok := s.nextToStart(now)
 		if !ok {
 			return
@@ -255,34 +300,35 @@
 }
 
 func (s *Scheduler) start(now time.Time, j *Job) {
-	j.state, j.started = jobRunning, now
+	j.state, j.started, j.start = jobRunning, now, s.starts.Begin(now)
 	s.running = append(s.running, j)
 }
 
 // refuseInfeasible predicts when each request of the sorted queue would start, and refuses those that can't be served in time.
 func (s *Scheduler) refuseInfeasible(now time.Time) {
-	free := s.slotFreeTimes(now)
+	f := s.forecast(now)
 	late := 0
 	var refused []*Job
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *Job) bool {
-		if len(free) > 1 && !free[0].After(now) && s.isReserved(now, j.spec) {
-			free[0] = free[1]
+		if len(f.free) > 1 && !f.free[0].After(now) && s.isReserved(now, j.spec) {
+			f.free[0] = f.free[1]
 		}
-		end := free[0].Add(j.spec.ServiceTime)
+		start := f.next()
+		end := start.Add(j.spec.ServiceTime)
 		if end.After(j.spec.Objective) {
 			late++
 			// A slot that is free now is used in any case, since a late response is better than none.
-			mayBeLate := (j.spec.Retry || j.spec.Nested || !free[0].After(now)) && late <= lateQueueFactor*s.slots
+			mayBeLate := (j.spec.Retry || j.spec.Nested || !start.After(now)) && late <= lateQueueFactor*s.slots
 			if !mayBeLate || end.After(j.spec.Deadline) {
 				refused = append(refused, j)
 				return true
 			}
 		}
-		occupyEarliest(free, j.spec.ServiceTime)
+		f.add(j.spec.ServiceTime)
 		return false
 	})
 	for _, j := range refused {
-		s.refuse(j, max(free[0].Sub(now), minRetryAfter))
+		s.refuse(j, s.retryAfter(now, f.next(), j.spec))
 	}
 }
 
--- a/sidecar/ownermodel_store_test.go
+++ b/sidecar/ownermodel_store_test.go
@@ -196,7 +196,8 @@
 // List implements store.Backend. The table with the configuration belongs to another store, which loses nothing.
 func (s ownerStoreClient) List(ctx context.Context, table string) (store.Response, error) {
 	if table == ownerConfigTable {
-		return store.Response{Rows: []store.Row{{Table: table, Key: ownerConfigKey, Version: 1}}, Version: 1, Arrived: true}, nil
+		rows, version := s.m.listOperatorRows()
+		return store.Response{Rows: rows, Version: version, Arrived: true}, nil
 	}
 	d, err := s.begin(ctx, "list")
 	if err != nil {
