--- a/sidecar/lostconfig_test.go
+++ b/sidecar/lostconfig_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -101,3 +102,47 @@
 		})
 	}
 }
+
+// TestEvacuationInNewEra guards against an evacuation that ends because the store has lost its row, one that stays for ever although the
+// operator doesn't write it again, and one that is in effect again for good because the store has lost its end.
+func TestEvacuationInNewEra(t *testing.T) {
+	const all, evacuated = "dc-0 dc-1 dc-2", "dc-0 dc-2"
+	key := "evacuate/dc-1"
+	row := func(version uint64) store.Row { return store.Row{Table: "op", Key: key, Version: version} }
+	ended := func(version uint64) store.Row {
+		return store.Row{Table: "op", Key: key, Version: version, Deleted: true}
+	}
+	second := store.NewVersion(1, 8)
+	tests := []struct {
+		name string
+		rows []store.Row
+		// want are the data centres that get requests at once, and later those a minute later.
+		want, later string
+	}{
+		{"lost", []store.Row{row(9), lostRow(key, second)}, evacuated, all},
+		{"lost and written again", []store.Row{row(9), lostRow(key, second), row(second + 1)}, evacuated, evacuated},
+		{"lost and ended", []store.Row{row(9), lostRow(key, second), row(second + 1), ended(second + 2)}, all, all},
+		{"still there", []store.Row{row(7), row(store.NewVersion(1, 7))}, evacuated, evacuated},
+		{"end lost", []store.Row{row(7), ended(9), row(store.NewVersion(1, 7))}, evacuated, evacuated},
+		{"end lost and written again", []store.Row{row(7), ended(9), row(store.NewVersion(1, 7)), ended(second + 1)}, all, all},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				sc := evacuationTest(t)
+				for _, row := range test.rows {
+					sc.config.Merge([]store.Row{row})
+				}
+				// A data centre gets requests again with a delay.
+				time.Sleep(5 * time.Second)
+				if got := targetsOf(sc); got != test.want {
+					t.Errorf("%q get requests, want %q", got, test.want)
+				}
+				time.Sleep(time.Minute)
+				if got := targetsOf(sc); got != test.later {
+					t.Errorf("%q get requests a minute later, want %q", got, test.later)
+				}
+			})
+		})
+	}
+}
