Store, Sidecar, Platform: the first era that a process hears of ends no reads

Cause: the first response that named an era ended the listing of the other table, which began again.

Change: reads end only at a change from a named era.

--- a/sidecar/era_test.go
+++ b/sidecar/era_test.go
@@ -165,6 +165,35 @@
 	})
 }
 
+// TestFirstEraIsBase guards against a process that takes the first era that it hears of for a new one: the first map of a service would
+// claim keys from instances that have never had any.
+func TestFirstEraIsBase(t *testing.T) {
+	record := recordRow(t, witnessed(member.NewIncarnation("slot-3", store.NewVersion(3, 6))), store.NewVersion(3, 7))
+	tests := []struct {
+		name string
+		// listed is the version of the first listing, which has rows.
+		listed uint64
+		rows   []store.Row
+		// want is the number of possible holders once the record has arrived.
+		want int
+	}{
+		{"empty listing", store.NewVersion(3, 5), nil, 0},
+		{"empty store", store.NewVersion(3, 0), nil, 0},
+		{"other rows", store.NewVersion(3, 5), []store.Row{{Key: "other", Version: store.NewVersion(3, 5)}}, 0},
+		{"record in the listing", store.NewVersion(3, 7), []store.Row{record}, 1},
+		{"earlier era", store.NewVersion(2, 5), nil, 1},
+	}
+	for _, test := range tests {
+		d := newDirectory("slot-0")
+		d.apply(test.rows)
+		d.markListed(test.listed)
+		d.apply([]store.Row{record})
+		if holders := d.holdersBeforeListing("bookings"); len(holders) != test.want {
+			t.Errorf("%s: possible holders %v, want %d", test.name, holders, test.want)
+		}
+	}
+}
+
 // refusingStore is a store that counts and refuses writes while refuses is set.
 type refusingStore struct {
 	*feedStore
--- a/store/eras.go
+++ b/store/eras.go
@@ -126,7 +126,7 @@
 	response, err := call(ctx)
 	e.mu.Lock()
 	delete(e.reads, &cancel)
-	ended := e.current != begun
+	ended := ctx.Err() != nil && e.current != begun
 	e.mu.Unlock()
 	if !response.Arrived {
 		if ended {
@@ -190,10 +190,12 @@
 		return era, true
 	}
 	klog.InfoS("store: era changed", "from", e.current, "to", era, "first", !e.named, "openReads", len(e.reads))
-	e.named, e.current = true, era
-	for cancel := range e.reads {
-		(*cancel)()
+	if e.named {
+		for cancel := range e.reads {
+			(*cancel)()
+		}
 	}
+	e.named, e.current = true, era
 	return era, true
 }
 
