--- a/fake/rowstore.go
+++ b/fake/rowstore.go
@@ -110,6 +110,17 @@
 	return RowStoreCopy{rows: maps.Clone(s.rows), version: s.version}
 }
 
+// Values returns the values of the rows of a table with an empty part, by key.
+func (c RowStoreCopy) Values(table string) map[string][]byte {
+	values := make(map[string][]byte)
+	for name, row := range c.rows {
+		if name.table == table && name.part == "" {
+			values[name.key] = row.Value
+		}
+	}
+	return values
+}
+
 // Restore replaces the content by a copy, from whose version the store counts on in the next era. The calls that wait for changes never
 // get a response.
 func (s *RowStore) Restore(c RowStoreCopy) {
