--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -32,11 +32,13 @@
 	if most == 0 || accepted < most {
 		return true
 	}
-	now := time.Now()
-	if victim := c.oldest(now); victim != nil && accepted < most+overflowConnections {
+	if victim := c.oldest(time.Now()); victim != nil {
 		c.refused.WithLabelValues(refusedEvicted).Inc()
+		// It stays open if a request has arrived meanwhile, so that the bound may be exceeded. The next connection then finds another one.
 		victim.evict()
-		return true
+		if accepted < most+overflowConnections {
+			return true
+		}
 	}
 	c.refused.WithLabelValues(refusedConnections).Inc()
 	if c.logLimit.Allow(refusedConnections) {
