--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -153,35 +154,40 @@
 	return own, others
 }
 
-// weigh decides between the own data centre and the others.
+// weigh decides between the own data centre and the others, and returns false if there is no target.
 func (b *balance) weigh(now time.Time, d *dispatchState, own *placement, others []placement, bounded bool) (placement, bool) {
-	if len(others) == 0 {
-		if own == nil {
+	if own == nil {
+		if len(others) == 0 {
 			return placement{}, false
 		}
-		return *own, true
-	}
-	best := slices.MinFunc(others, func(p, q placement) int { return int(p.expected - q.expected) })
-	spill := b.spill(d.request.Service)
-	switch {
-	case own == nil:
+		best := soonest(others)
 		best.reason = reasonNoOwn
 		return best, true
-	case spill == nil:
+	}
+	others = slices.DeleteFunc(others, func(p placement) bool { return d.refusedBy[p.DataCentre] })
+	if len(others) == 0 {
+		return *own, true
+	}
+	best := soonest(others)
+	if spill := b.spill(d.request.Service); spill == nil {
 		bytes := float64(len(d.request.Body))
 		if extra := time.Duration(remoteCost * (1 + bytes/remoteBytes) * float64(own.expected)); best.expected+extra < own.expected {
 			best.reason = reasonConstant
 			return best, true
 		}
-	case bounded && !d.refusedBy[best.DataCentre] &&
-		policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
-		spill.Allows(now, best.DataCentre):
+	} else if bounded && policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
+		spill.Allows(now, best.DataCentre) {
 		best.reason, best.spilled, best.within = reasonSpill, true, own.expected
 		return best, true
 	}
 	return *own, true
 }
 
+// soonest returns the placement with the least expected time.
+func soonest(placements []placement) placement {
+	return slices.MinFunc(placements, func(p, q placement) int { return cmp.Compare(p.expected, q.expected) })
+}
+
 // begin counts a request to a target. The returned function must be called when the request has ended, with the load that the target
 // reported, if any, and the outcome.
 func (b *balance) begin(t Target, r *gateway.Request) func(load gateway.Load, o policy.TargetOutcome) {
