Ingress: a request that no instance of its data centre answers soon may still leave

Cause: after three refusals for a bound a request stayed in its data centre, although the loads there are known exactly then. A request may also go to another data centre after one has refused it.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -110,7 +110,8 @@
 }
 
 // choose returns the placement of a request among targets, and false if there is none. It leaves out the instances that failed or refused
-// it. Those that were busy are left out, too, until maxBusy have been.
+// it. Those that were busy are left out, too, until maxBusy have been; then the request is sent without a bound, unless it leaves its data
+// centre.
 func (b *balance) choose(now time.Time, d *dispatchState, targets []Target) (placement, bool) {
 	untried := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return d.tried[t.Slot] })
 	notBusy := slices.DeleteFunc(slices.Clone(untried), func(t Target) bool { return d.busy[t.Slot] })
@@ -119,11 +120,15 @@
 		untried = notBusy
 	}
 	own, others := b.bestByDataCentre(now, d.request, untried)
-	p, ok := b.weigh(now, d, own, others, bounded)
 	if !bounded {
-		p.within, p.spilled = 0, false
+		if own != nil {
+			own.within = 0
+		}
+		for n := range others {
+			others[n].within = 0
+		}
 	}
-	return p, ok
+	return b.weigh(now, d, own, others)
 }
 
 // bestByDataCentre returns the best target in the own data centre, nil if it has none, and that of each other one.
@@ -155,7 +160,7 @@
 }
 
 // weigh decides between the own data centre and the others, and returns false if there is no target.
-func (b *balance) weigh(now time.Time, d *dispatchState, own *placement, others []placement, bounded bool) (placement, bool) {
+func (b *balance) weigh(now time.Time, d *dispatchState, own *placement, others []placement) (placement, bool) {
 	if own == nil {
 		if len(others) == 0 {
 			return placement{}, false
@@ -175,7 +180,7 @@
 			best.reason = reasonConstant
 			return best, true
 		}
-	} else if bounded && policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
+	} else if policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
 		spill.Allows(now, best.DataCentre) {
 		best.reason, best.spilled, best.within = reasonSpill, true, own.expected
 		return best, true
