--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -85,6 +85,8 @@
 	Target K
 	// Expected is the expected time until the target's answer, and Next that of the best other target, or 0 if there is no other.
 	Expected, Next time.Duration
+	// NextWait is the part of Next that a request is expected to wait there for a slot.
+	NextWait time.Duration
 }
 
 // Balancer chooses, among targets that can all serve a request, the one whose answer is expected first. It expects the wait for a slot, the
@@ -209,7 +211,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, bestDrawn := 0, math.Inf(1)
-	expected := make([]float64, min(len(candidates), maxCompared))
+	compared := min(len(candidates), maxCompared)
+	expected, waits := make([]float64, compared), make([]float64, compared)
 	// Starting anywhere varies the choice among equal candidates, and the sample of many.
 	first := b.intN(len(candidates))
 	for n := range expected {
@@ -222,15 +225,17 @@
 		fixed += candidate.Extra.Seconds()
 		requests := max(mean+deviation*b.normal(), float64(t.inFlight))
 		drawn := fixed + perRequest*(waitWeight*max(0, requests-slots+1)+useCost*requests)
-		expected[n] = fixed + perRequest*expectedExcess(mean-slots+1, deviation)
+		waits[n] = perRequest * expectedExcess(mean-slots+1, deviation)
+		expected[n] = fixed + waits[n]
 		if drawn < bestDrawn {
 			best, bestDrawn = n, drawn
 		}
 	}
 	b.prune(now)
 	choice := Choice[K]{Target: candidates[(first+best)%len(candidates)].Target, Expected: seconds(expected[best])}
-	if others := slices.Delete(expected, best, best+1); len(others) > 0 {
-		choice.Next = seconds(slices.Min(others))
+	expected[best] = math.Inf(1)
+	if next := slices.Index(expected, slices.Min(expected)); compared > 1 {
+		choice.Next, choice.NextWait = seconds(expected[next]), seconds(waits[next])
 	}
 	return choice, true
 }
