--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -112,7 +113,8 @@
 }
 
 // choose returns the placement of a request among targets, and false if there is none. It leaves out the instances that failed or refused
-// it. Those that were busy are left out, too, until maxBusy have been.
+// it. Those that were busy are left out, too, until maxBusy have been; then the request is sent without a bound, unless it leaves its data
+// centre.
 func (b *balance) choose(now time.Time, d *dispatchState, targets []Target) (placement, bool) {
 	untried := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return d.tried[t.Slot] })
 	notBusy := slices.DeleteFunc(slices.Clone(untried), func(t Target) bool { return d.busy[t.Slot] })
@@ -121,11 +123,15 @@
 		untried = notBusy
 	}
 	own, others := b.bestByDataCentre(now, d.request, untried)
-	p, ok := b.weigh(now, d, own, others, bounded)
 	if !bounded {
-		p.within, p.spilled = 0, false
+		if own != nil {
+			own.within = 0
+		}
+		for n := range others {
+			others[n].within = 0
+		}
 	}
-	return p, ok
+	return b.weigh(now, d, own, others)
 }
 
 // bestByDataCentre returns the best target in the own data centre, nil if it has none, and that of each other one.
@@ -158,35 +164,40 @@
 	return own, others
 }
 
-// weigh decides between the own data centre and the others.
-func (b *balance) weigh(now time.Time, d *dispatchState, own *placement, others []placement, bounded bool) (placement, bool) {
-	if len(others) == 0 {
-		if own == nil {
+// weigh decides between the own data centre and the others, and returns false if there is no target.
+func (b *balance) weigh(now time.Time, d *dispatchState, own *placement, others []placement) (placement, bool) {
+	if own == nil {
+		if len(others) == 0 {
 			return placement{}, false
 		}
-		return *own, true
-	}
-	best := slices.MinFunc(others, func(p, q placement) int { return int(p.expected - q.expected) })
-	spill := b.spill(d.request.Service)
-	switch {
-	case own == nil:
+		best := soonest(others)
 		best.reason = reasonNoOwn
 		return best, true
-	case spill == nil:
+	}
+	others = slices.DeleteFunc(others, func(p placement) bool { return d.refusedBy[p.DataCentre] })
+	if len(others) == 0 {
+		return *own, true
+	}
+	best := soonest(others)
+	if spill := b.spill(d.request.Service); spill == nil {
 		bytes := float64(len(d.request.Body))
 		if extra := time.Duration(remoteCost * (1 + bytes/remoteBytes) * float64(own.expected)); best.expected+extra < own.expected {
 			best.reason = reasonConstant
 			return best, true
 		}
-	case bounded && !d.refusedBy[best.DataCentre] &&
-		policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
-		spill.Allows(now, best.DataCentre):
+	} else if policy.SpillPays(own.expected, best.expected, d.request.Objective.Sub(now), b.size(d.request)) &&
+		spill.Allows(now, best.DataCentre) {
 		best.reason, best.spilled, best.within = reasonSpill, true, own.expected
 		return best, true
 	}
 	return *own, true
 }
 
+// soonest returns the placement with the least expected time.
+func soonest(placements []placement) placement {
+	return slices.MinFunc(placements, func(p, q placement) int { return cmp.Compare(p.expected, q.expected) })
+}
+
 // begin counts a request to a target. The returned function must be called when the request has ended, with the load that the target
 // reported, if any, and the outcome.
 func (b *balance) begin(t Target, r *gateway.Request) func(load gateway.Load, o policy.TargetOutcome) {
