--- a/review/rig2/deploy.go
+++ b/review/rig2/deploy.go
@@ -19,7 +19,6 @@
 
 const (
 	heartbeat = 870 * time.Millisecond
-	grace     = 6 * time.Second
 	drain     = 2 * time.Second
 )
 
@@ -184,23 +183,6 @@
 	return nil
 }
 
-// remove takes a machine away as planned work: its server says that it leaves, serves on for the drain time and a little longer,
-// deregisters and exits. Its process gets SIGTERM then, and SIGKILL after the grace time.
-func (d *deployment) remove(m *machine) {
-	d.rec.note("machine %s at %s is being removed: its server says that it leaves", m.name, m.ip)
-	m.server.leave()
-	d.rec.note("machine %s: its server has exited, its process gets SIGTERM", m.name)
-	m.lost = true
-	m.signal(syscall.SIGTERM)
-	select {
-	case <-m.ended:
-	case <-time.After(grace):
-		d.rec.note("machine %s: its process gets SIGKILL", m.name)
-		m.signal(syscall.SIGKILL)
-		<-m.ended
-	}
-}
-
 // live returns the machines that haven't been lost or removed.
 func (d *deployment) live() []*machine {
 	var live []*machine
--- a/review/rig2/poison.go
+++ b/review/rig2/poison.go
@@ -28,7 +28,7 @@
 	}
 	d.configure(1, specs, []route{
 		{Name: "lookup", Prefix: "/docs/", RouteType: "safe", Timeout: "1500ms", Latency: "600ms", Priority: 1, Service: "clubdocs", MaxAttempts: 2},
-		{Name: "waiver", Prefix: "/waivers/", RouteType: "upload", Timeout: "2000ms", Latency: "800ms", Priority: 1, Service: "clubdocs", MaxAttempts: 2},
+		waiverRoute,
 	})
 	if err := d.start(20 * time.Second); err != nil {
 		return 0, err
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -62,11 +62,13 @@
 	born     int64
 	sequence int
 	state    string
-	http     *http.Server
-	up       bool
-	grants   []grantHeld
-	running  map[int]int
-	waiting  int
+	// silent is set once the server sends no check-ins of its own any more.
+	silent  bool
+	http    *http.Server
+	up      bool
+	grants  []grantHeld
+	running map[int]int
+	waiting int
 }
 
 func newServer(m *machine, rec *recorder) *server {
@@ -111,21 +113,26 @@
 	_ = h.Close()
 }
 
-// leave reports that the server leaves, serves on for the drain time and a little longer, deregisters and exits.
-func (s *server) leave() {
+// deregister sends a check-in that arrives late, and deregisters meanwhile, again and again until that is acknowledged, for at most a time.
+// It returns when it was. The server serves on and sends no further check-in.
+func (s *server) deregister(late, most time.Duration) (acked time.Time, err error) {
 	s.mu.Lock()
-	s.state = "draining"
 	s.sequence++
+	s.silent = true
 	id, body := s.id(), s.checkInBody()
 	s.mu.Unlock()
-	for range 5 {
-		if s.call("instances.heartbeat", id, body) {
-			break
+	time.AfterFunc(late, func() {
+		ok := s.call("instances.heartbeat", id, body)
+		s.rec.note("server %s: the late check-in arrives, acknowledged %v", id, ok)
+	})
+	for until := time.Now().Add(most); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if s.call("instances.deregister", id, map[string]any{"born": s.born}) {
+			acked = time.Now()
+			s.rec.note("server %s: its deregistration is acknowledged", id)
+			return acked, nil
 		}
 	}
-	time.Sleep(drain + 500*time.Millisecond)
-	s.call("instances.deregister", id, map[string]any{"born": s.born})
-	s.crash()
+	return acked, fmt.Errorf("the deregistration of %s wasn't acknowledged", id)
 }
 
 // checkInBody returns the body of a check-in. mu must be held.
@@ -141,7 +148,7 @@
 func (s *server) checkIn(life int) {
 	for {
 		s.mu.Lock()
-		if !s.up || s.life != life {
+		if !s.up || s.silent || s.life != life {
 			s.mu.Unlock()
 			return
 		}
@@ -177,6 +184,7 @@
 	s.mu.Lock()
 	id, up := s.id(), s.up
 	load := fmt.Sprintf("%d,%d,%d", len(s.slots), s.waiting, cap(s.slots))
+	leaving := s.silent
 	s.mu.Unlock()
 	if !up {
 		panic(http.ErrAbortHandler)
@@ -188,6 +196,8 @@
 		s.grant(w, r)
 	case r.Method == http.MethodPost && r.URL.Path == "/-/release":
 		s.release(w, r)
+	case r.Method == http.MethodGet && r.URL.Path == "/health" && leaving:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet && r.URL.Path == "/health":
 		w.WriteHeader(http.StatusOK)
 	default:
--- a/review/rig2/traffic.go
+++ b/review/rig2/traffic.go
@@ -64,6 +64,11 @@
 	{Name: "lookup", Prefix: "/docs/", RouteType: "safe", Timeout: "800ms", Latency: "300ms", Priority: 1, Service: "clubdocs", MaxAttempts: 2},
 }
 
+// waiverRoute is a route for uploads.
+var waiverRoute = route{
+	Name: "waiver", Prefix: "/waivers/", RouteType: "upload", Timeout: "2000ms", Latency: "800ms", Priority: 1, Service: "clubdocs", MaxAttempts: 2,
+}
+
 // requestsPerSecond is the load of a window of traffic. Four of five requests go to the service that is divided by key, as at the site.
 const requestsPerSecond = 10
 
