review: a restarted process waits for the store while late grants are open

Cause: a process makes its server refuse the grants of before by a release, but only after it has read the rows of the store. Another server may have the keys as soon as the lease has expired.

--- a/review/rig2/deploy.go
+++ b/review/rig2/deploy.go
@@ -28,7 +28,7 @@
 	sharded                        bool
 	appAddress, controlAddress     string
 	outbound, inbound, readyAdress string
-	settings                       string
+	settings, storeAddress         string
 	server                         *server
 	// lost is set once the machine has been lost or removed.
 	lost bool
@@ -81,7 +81,7 @@
 	dir      string
 	program  string
 	store    *rowStore
-	storeAt  string
+	reserved net.Listener
 	machines []*machine
 	ports    int
 	prefix   string
@@ -102,16 +102,14 @@
 	for range 20 {
 		d.prefix = fmt.Sprintf("127.%d.", 32+rand.IntN(200))
 		d.ports = 20000 + 100*rand.IntN(100)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s0.1:%d", d.prefix, d.ports))
-		if err != nil {
-			continue
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s0.1:%d", d.prefix, d.ports)); err == nil {
+			// The address is kept so that no other case uses the same ones.
+			d.reserved = l
+			break
 		}
-		d.storeAt = l.Addr().String()
-		go func() { _ = http.Serve(l, d.store.handler()) }()
-		break
 	}
-	if d.storeAt == "" {
-		return nil, errors.New("no free address for the store")
+	if d.reserved == nil {
+		return nil, errors.New("no free addresses")
 	}
 	for _, s := range specs {
 		for i := range s.count {
@@ -132,6 +130,13 @@
 	}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, d.ports+port) }
 	m.readyAdress, m.controlAddress, m.appAddress, m.inbound, m.outbound = at(1), at(4), at(5), at(6), at(7)
+	// Each machine calls the store at an address of its own, so that the store can tell them apart.
+	l, err := net.Listen("tcp", fmt.Sprintf("%s%d.%d:%d", d.prefix, 101+n/200, 10+n%200, d.ports))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(l, d.store.handler(m.name)) }()
+	m.storeAddress = l.Addr().String()
 	m.server = newServer(m, d.rec)
 	m.settings = filepath.Join(d.dir, m.name+".conf")
 	d.machines = append(d.machines, m)
@@ -207,7 +212,7 @@
 		"bounds.catch_up=4s", "bounds.drain=2000ms", "bounds.grace=6s", "bounds.loss_slack=200ms", "bounds.config_apply=2000ms",
 		"bounds.rollback_slack=250ms", "bounds.outer=5000ms", "bounds.retry_budget_ratio=0.2", "bounds.budget_window=10s",
 		"bounds.retry_budget_slack=62", "bounds.recovery=15s", "bounds.max_hold=10000ms", "bounds.thaw=300ms", "grants=rpc",
-		"app_address=" + m.appAddress, "service=" + m.service, "platform.address=" + d.storeAt, "platform.form=table",
+		"app_address=" + m.appAddress, "service=" + m.service, "platform.address=" + m.storeAddress, "platform.form=table",
 		"platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.tx=8ms", "platform.part_writes_per_s=150",
 		"platform.row_bytes=65536", "platform.across=false", "platform.history=20s", "platform.blob_bytes=8388608",
 		"platform.blob=25ms", "platform.blob_mb_per_s=80.0",
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -56,6 +56,8 @@
 	// poison is a part of the targets of requests that crash the server, or empty; downFor is how long it is away then.
 	poison  string
 	downFor time.Duration
+	// onGrant is called for each grant that was carried out if it isn't nil.
+	onGrant func(from, to int, fence uint64, late bool)
 
 	mu       sync.Mutex
 	life     int
@@ -69,6 +71,8 @@
 	grants  []grantHeld
 	running map[int]int
 	waiting int
+	// lateUntil is the time until which a share of the grants is left unanswered and carried out late.
+	lateUntil time.Time
 }
 
 func newServer(m *machine, rec *recorder) *server {
@@ -221,18 +225,42 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	late, life := s.lateness(), s.life
+	arrived := time.Now()
+	s.mu.Unlock()
+	if late > 0 {
+		s.rec.note("server of %s leaves a grant of keys %d-%d with fence %d unanswered", s.m.name, g.From, g.To, g.Fence)
+		time.AfterFunc(late, func() { s.carryOut(g.From, g.To, g.Fence, arrived.Add(hold), life, true) })
+		// Nobody answers on this connection.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.carryOut(g.From, g.To, g.Fence, arrived.Add(hold), life, false) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// carryOut takes keys until a time, and returns false if a higher fence number was seen on one of them.
+func (s *server) carryOut(from, to int, fence uint64, until time.Time, life int, late bool) bool {
+	s.mu.Lock()
+	if !s.up || s.life != life {
+		s.mu.Unlock()
+		return false
+	}
 	for _, known := range s.grants {
-		if known.from <= g.To && g.From <= known.to && known.fence > g.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
+		if known.from <= to && from <= known.to && known.fence > fence {
+			s.mu.Unlock()
+			return false
 		}
 	}
-	s.grants = append(s.grants, grantHeld{from: g.From, to: g.To, fence: g.Fence, until: time.Now().Add(hold)})
-	if len(s.grants) > 4000 {
-		s.grants = append([]grantHeld(nil), s.grants[2000:]...)
+	s.grants = append(s.grants, grantHeld{from: from, to: to, fence: fence, until: until})
+	s.mu.Unlock()
+	if s.onGrant != nil {
+		s.onGrant(from, to, fence, late)
 	}
-	w.WriteHeader(http.StatusOK)
+	return true
 }
 
 func (s *server) release(w http.ResponseWriter, r *http.Request) {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -30,10 +30,20 @@
 	version uint64
 	started time.Time
 	changed chan struct{}
+	// rejected holds the names of the machines that are turned away.
+	rejected map[string]bool
+}
+
+// reject turns a machine away, or serves it again.
+func (s *rowStore) reject(machine string, rejected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected[machine] = rejected
+	s.notify()
 }
 
 func newRowStore() *rowStore {
-	return &rowStore{rows: make(map[rowName]row), started: time.Now(), changed: make(chan struct{})}
+	return &rowStore{rows: make(map[rowName]row), started: time.Now(), changed: make(chan struct{}), rejected: make(map[string]bool)}
 }
 
 // put writes a row of the operator.
@@ -66,13 +76,22 @@
 	s.changed = make(chan struct{})
 }
 
-// handler serves the calls for rows.
-func (s *rowStore) handler() http.Handler {
+// handler serves the calls of a machine.
+func (s *rowStore) handler(machine string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/rows-tx", s.transact)
 	mux.HandleFunc("GET /-/rows-get", s.get)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		rejected := s.rejected[machine]
+		s.mu.Unlock()
+		if rejected {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // respond writes a response. mu must be held.
