Sidecar: a holder whose witnesses are lost is revoked at the store

Cause: the witnesses of a lease are fixed, and only a majority of them can prove that it has expired. Nothing else frees the keys. In the log of the case, the planner asks two machines that are gone until the end. Related, found by the new model: after a lost instance had restarted, its earlier incarnations stayed holders whose witnesses nobody knew.

Change: a lease must be backed: all its witnesses support it, or its holder has learnt from the store that it isn't revoked, within 6 s; otherwise it ends for good. The planner writes that a holder which doesn't report is revoked if at least one witness confirms the expiry, none denies it and too few respond. After those 6 s in which that witness goes on to refuse the holder, it writes that the lease has expired. It writes the latter after a proof by a majority, too, so that one proof about the newest incarnation in a slot covers the earlier ones. Mixed releases: only records that say so are revoked.

--- a/heartbeat/endpoint.go
+++ b/heartbeat/endpoint.go
@@ -87,7 +87,7 @@
 		holderWake: make(chan struct{}, 1), witnessWake: make(chan struct{}, 1), changeWake: make(chan struct{}, 1),
 	}
 	run := rand.Uint64N(1<<runBits) + 1
-	e.holder = witness.NewHolder(self, e.timing)
+	e.holder = e.newHolder(self)
 	e.witness = witness.NewWitness(self, e.timing, run, time.Now())
 	return e
 }
@@ -128,13 +128,38 @@
 func (e *Endpoint) SetIncarnation(self member.Incarnation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.self, e.holder, e.witnessAddresses, e.earlyRound, e.lastChange = self, witness.NewHolder(self, e.timing), nil, false, change{}
+	e.self, e.holder, e.witnessAddresses, e.earlyRound, e.lastChange = self, e.newHolder(self), nil, false, change{}
 	clear(e.lastAck)
 	e.witness.SetIncarnation(self)
 	e.publish()
 	wake(e.holderWake)
 }
 
+// newHolder returns the state machine of the lease of an incarnation.
+func (e *Endpoint) newHolder(self member.Incarnation) *witness.Holder {
+	h := witness.NewHolder(self, e.timing)
+	h.RequireBacking(e.backing)
+	return h
+}
+
+// NoteUnrevoked records that an incarnation of this instance wasn't revoked at a time, which is that before the request whose response
+// shows it. It has no effect unless the incarnation is the current one.
+func (e *Endpoint) NoteUnrevoked(i member.Incarnation, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if i == e.self {
+		e.holder.NoteUnrevoked(at, time.Now())
+		e.publish()
+	}
+}
+
+// Unbacked returns the time for which the own lease may have been revoked without this instance's knowledge.
+func (e *Endpoint) Unbacked(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder.Unbacked(now)
+}
+
 // SetNewestRegistered sets the number of the newest incarnation of each slot that was registered at some time after the process started,
 // and the largest number that one of another slot can have had by then; see witness.Witness.SetNewestRegistered.
 func (e *Endpoint) SetNewestRegistered(newest map[string]uint64, unlisted uint64) {
@@ -281,6 +306,8 @@
 		return "a majority of the witnesses acknowledged"
 	case term.Generation() > 1:
 		return "a majority of the witnesses voted"
+	case e.holder.EndedUnbacked():
+		return fmt.Sprintf("witnesses are missing, and the store didn't confirm for %v that the incarnation isn't revoked", e.backing)
 	case e.holder.State() == witness.Resigned:
 		return "resigned"
 	case lost:
--- a/heartbeat/options.go
+++ b/heartbeat/options.go
@@ -1,6 +1,8 @@
 package heartbeat
 
 import (
+	"time"
+
 	"sapphiretray/member"
 	"sapphiretray/peer"
 	"sapphiretray/witness"
@@ -14,6 +16,7 @@
 	listen     string
 	network    Network
 	timing     witness.Timing
+	backing    time.Duration
 	versions   func() *peer.Versions
 	onVersions func(slot string, versions *peer.Versions)
 	dial       DialFunc
@@ -33,6 +36,10 @@
 // WithTiming sets the timing, which must be the same in the whole deployment.
 func WithTiming(timing witness.Timing) Option { return func(c *config) { c.timing = timing } }
 
+// WithBacking makes the own lease end for good unless, within d, all witnesses support it or NoteUnrevoked is called; see
+// witness.Holder.RequireBacking. Without it, a lease can't be revoked.
+func WithBacking(d time.Duration) Option { return func(c *config) { c.backing = d } }
+
 // WithVersions sets the function that returns the newest versions of the configuration, the sheet, the pause and the maps that this
 // instance knows. They are sent to its witnesses and to the holders that it witnesses, in the next datagrams after a change and
 // then about every fourth interval. The function is called from several goroutines. It must return a new message after a change,
--- a/heartbeat/prover.go
+++ b/heartbeat/prover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,6 +96,20 @@
 	}
 }
 
+// Ask asks the witness in a slot once whether it confirms the expiry of the holder's lease. The error is that of the call.
+func (p *Prover) Ask(ctx context.Context, holder member.Incarnation, slot string) (witness.Confirmation, error) {
+	response, err := p.confirmExpiry(ctx, holder, slot)
+	if err != nil {
+		return witness.Confirmation{}, err
+	}
+	if response.GetWitness() != slot {
+		return witness.Confirmation{}, fmt.Errorf("witness %s: response of %s", slot, response.GetWitness())
+	}
+	return witness.Confirmation{
+		Run: response.GetRun(), Expired: response.GetExpired(), Wait: time.Duration(response.GetWaitMs()) * time.Millisecond,
+	}, nil
+}
+
 func (p *Prover) confirmExpiry(ctx context.Context, holder member.Incarnation, slot string) (*peer.ConfirmExpiryResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.timing.Lease()/2)
 	defer cancel()
--- a/member/member.go
+++ b/member/member.go
@@ -86,7 +86,10 @@
 	Draining State = "draining"
 	// Left means that the incarnation has stopped and serves nothing.
 	Left State = "left"
-	// Expired means that a majority of the witnesses confirmed that the lease has expired. It can't be re-acquired.
+	// Revoked means that the incarnation has to join again: the others can't ask enough of its witnesses whether its lease has expired.
+	// It may serve until it learns of this or its lease isn't backed any more; see witness.RevocationProof.
+	Revoked State = "revoked"
+	// Expired means that the lease was proved to have expired. It can't be re-acquired.
 	Expired State = "expired"
 )
 
@@ -118,6 +121,8 @@
 	Upstream string `json:"upstream,omitempty"`
 	// UpstreamStarted is the start time of the upstream in milliseconds since 1970, or 0 if it isn't known.
 	UpstreamStarted int64 `json:"upstream_started,omitempty"`
+	// Revocable means that the incarnation's lease ends for good once it isn't backed any more, so that it may be revoked.
+	Revocable bool `json:"revocable,omitempty"`
 	// Witnesses are the slots that witness this incarnation's lease.
 	Witnesses []string `json:"witnesses"`
 	State     State    `json:"state"`
--- a/sidecar/history.go
+++ b/sidecar/history.go
@@ -44,11 +44,17 @@
 	return r.Witnesses, ok && len(r.Witnesses) > 0
 }
 
-// ended reports whether a newer record names another run of the upstream. The run of the incarnation has then ended. What the incarnation
-// may have granted to a later run, before that run had registered, was released before the record was written, see clearEarlierGrants.
+// ended reports whether a newer record names another run of the upstream, or a record says that the lease of the incarnation or of a newer
+// one in its slot has expired. The run of the incarnation has then ended. What the incarnation may have granted to a later run, before that
+// run had registered, was released before the record was written, see clearEarlierGrants.
 func (d *directory) ended(i member.Incarnation) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	for _, r := range d.history[i.Slot()] {
+		if r.State == member.Expired && r.Incarnation.Number() >= i.Number() {
+			return true
+		}
+	}
 	current, ok := d.records[i.Slot()]
 	if !ok {
 		return false
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sapphiretray/gateway"
@@ -16,6 +18,14 @@
 	}, []string{"row"})
 }
 
+// newRevoked returns the counter of records by which this instance revoked others.
+func newRevoked() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sapphiretray_lost_records_total",
+		Help: "Records of lost instances that were written, by state: revoked if too few witnesses responded to prove the expiry of a lease.",
+	}, []string{"state"})
+}
+
 // registerMetrics registers the metrics of the process. Their values are read at each scrape.
 func (sc *Sidecar) registerMetrics() {
 	gauge := func(name, help string, value func() float64) {
@@ -58,7 +68,14 @@
 	gauge("store_era", "Era of the store in the newest complete copy of the rows.", func() float64 {
 		return float64(store.Era(sc.rows.Version()))
 	})
-	sc.registry.MustRegister(sc.rewritten)
+	sc.registry.MustRegister(sc.rewritten, sc.revoked)
+	gauge("lease_unbacked_seconds", "Time for which the lease may have been revoked without this instance's knowledge; 0 without a lease.",
+		func() float64 {
+			if !sc.endpoint.Lease().Valid() {
+				return 0
+			}
+			return sc.endpoint.Unbacked(time.Now()).Seconds()
+		})
 	gauge("instances_unreachable", "Instances that did not answer.", func() float64 {
 		return float64(len(sc.directory.unreachableSlots()))
 	})
--- a/sidecar/ownermodel_evacuation_test.go
+++ b/sidecar/ownermodel_evacuation_test.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// hasOpenNode reports whether a node is outside of the evacuated data centres. m.mu must be held.
+// hasOpenNode reports whether a node that isn't lost is outside of the evacuated data centres. m.mu must be held.
 func (m *ownerModel) hasOpenNode() bool {
-	return slices.ContainsFunc(m.nodes, func(n *ownerNode) bool { return !m.isEvacuated(n) })
+	return slices.ContainsFunc(m.nodes, func(n *ownerNode) bool { return !n.lost && !m.isEvacuated(n) })
 }
 
 // isEvacuated reports whether the data centre of a node is evacuated. m.mu must be held.
--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -28,6 +28,8 @@
 	// clockFactor is the real duration of a second of the upstream's clock.
 	clockFactor float64
 
+	// lost means that the machine is lost for good.
+	lost bool
 	// upstream and process are the current ones, nil while there is none.
 	upstream *ownerUpstream
 	process  *ownerProcess
@@ -98,7 +100,7 @@
 	p := &ownerProcess{node: n}
 	started := false
 	m.locked(func() {
-		if n.process == nil && !m.ended {
+		if n.process == nil && !m.ended && !n.lost {
 			n.starts++
 			p.name = fmt.Sprintf("%s/%d", n.slot, n.starts)
 			started = true
@@ -128,7 +130,7 @@
 	sc.gateway = gateway.New(group, ownerService, sc.settings.UpstreamAddress, ownerProtocol{}, gateway.WithKeys(sc.keys),
 		gateway.WithOnChange(sc.upstreamChanged), gateway.WithDial(sc.adapters.Network.DialContext))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(), heartbeat.WithNetwork(ownerHeartbeats{p}),
-		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
+		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithBacking(leaseBacking), heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions), heartbeat.WithOnVersions(sc.observeHeartbeat),
 		heartbeat.WithOnChange(sc.leaseChanged))
 	p.handler = peer.NewHandler(&peerService{sidecar: sc})
@@ -163,6 +165,16 @@
 	}
 }
 
+// lose ends the machine for good.
+func (n *ownerNode) lose() {
+	n.m.locked(func() {
+		n.lost = true
+		n.m.record("machine %s is lost for good", n.slot)
+	})
+	n.killProcess()
+	n.crashUpstream()
+}
+
 // stopProcess ends the process as a planned stop does: its keys move to other instances first.
 func (n *ownerNode) stopProcess(limit time.Duration) {
 	p := n.running()
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -129,6 +129,10 @@
 	nodes   []*ownerNode
 	// losesWrites means that storeFromCopy is among the troubles.
 	losesWrites bool
+	// losesMachines means that lostMachine is among the troubles, and scenario takes the place of random troubles unless it is nil. All nodes
+	// then run from the start.
+	losesMachines bool
+	scenario      func()
 
 	// mu guards the fields below and those of the store, the network, the nodes and the upstreams.
 	mu sync.Mutex
@@ -273,7 +277,14 @@
 		}
 		slices.Sort(m.samples)
 		initial = 3 + d.IntN(2)
-		for n := range initial + 1 + d.IntN(2) {
+		nodes := initial + 1 + d.IntN(2)
+		if m.losesMachines {
+			nodes = 8
+		}
+		if m.scenario != nil {
+			initial, nodes = 6, 6
+		}
+		for n := range nodes {
 			m.nodes = append(m.nodes, m.newNode(n, d))
 		}
 	})
@@ -286,13 +297,17 @@
 	}
 	m.group.Go(m.makeLoad)
 	time.Sleep(ownerStartTime)
-	m.locked(func() { m.faulty = true })
-	if m.evacuates() {
-		m.group.Go(m.evacuate)
+	if m.scenario != nil {
+		m.scenario()
+	} else {
+		m.locked(func() { m.faulty = true })
+		if m.evacuates() {
+			m.group.Go(m.evacuate)
+		}
+		m.makeTroubles(initial)
+		m.endTroubles()
+		time.Sleep(ownerCalmTime)
 	}
-	m.makeTroubles(initial)
-	m.endTroubles()
-	time.Sleep(ownerCalmTime)
 	m.checkOwners()
 	m.locked(func() { m.ended = true })
 	for _, node := range m.nodes {
--- a/sidecar/ownermodel_trouble_test.go
+++ b/sidecar/ownermodel_trouble_test.go
@@ -198,6 +198,9 @@
 	if m.losesWrites {
 		kinds[0] = storeFromCopy
 	}
+	if m.losesMachines {
+		kinds[1] = lostMachine
+	}
 	return kinds
 }
 
--- a/sidecar/ownermodel_upstream_test.go
+++ b/sidecar/ownermodel_upstream_test.go
@@ -36,7 +36,7 @@
 // startUpstream starts a run of the upstream unless one runs.
 func (n *ownerNode) startUpstream() {
 	n.m.locked(func() {
-		if n.upstream != nil {
+		if n.upstream != nil || n.lost {
 			return
 		}
 		run := gateway.UpstreamRun{ID: "upstream-" + n.slot, Started: time.Now().UnixMilli()}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -316,24 +316,56 @@
 	return sc.planner.expired[i]
 }
 
-// proveExpiry asks the witnesses of the owners that don't report whether their leases have expired. It doesn't wait for the responses.
+// proveExpiry asks the witnesses of the owners that don't report, and those of earlier holders of their keys, whether their leases have
+// expired. It doesn't wait for the responses.
 func (sc *Sidecar) proveExpiry(ctx context.Context, current *keyspace.Map, reports map[member.Incarnation]*peer.ReportRequest) {
+	reporting := make(map[string]bool, len(reports))
+	for i := range reports {
+		reporting[i.Slot()] = true
+	}
 	for _, e := range current.Entries() {
 		owner := e.Owner()
-		if _, ok := reports[owner]; ok || sc.endedOrExpired(owner) || !sc.planner.startProof(owner) {
-			continue
+		if _, ok := reports[owner]; !ok {
+			sc.startExpiryProof(ctx, owner, !reporting[owner.Slot()])
 		}
-		sc.group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, reportLifetime)
-			defer cancel()
-			proved, err := sc.ProveExpired(ctx, owner)
-			sc.planner.endProof(owner, err == nil && proved)
-			if proved {
-				klog.InfoS("plan: lease expired", "instance", owner)
+		for _, holder := range e.Previous {
+			if !reporting[holder.Slot()] {
+				sc.startExpiryProof(ctx, holder, true)
 			}
-			return nil
-		})
+		}
+	}
+}
+
+// startExpiryProof starts a proof that the lease of an incarnation has expired, unless that is known or being proved. If no incarnation in
+// the slot reports, the others learn of the proof by the slot's record.
+func (sc *Sidecar) startExpiryProof(ctx context.Context, i member.Incarnation, silent bool) {
+	if sc.Ended(i) || !silent && sc.endedOrExpired(i) || !sc.planner.startProof(i) {
+		return
+	}
+	sc.group.Go(func() error {
+		proved := sc.endedOrExpired(i)
+		if !proved {
+			proved = sc.proveExpired(ctx, i)
+		}
+		if silent {
+			sc.expireRecord(ctx, i, proved)
+		}
+		sc.planner.endProof(i, proved)
+		return nil
+	})
+}
+
+// proveExpired proves that the lease of an incarnation has expired. It gives up after reportLifetime.
+func (sc *Sidecar) proveExpired(ctx context.Context, i member.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportLifetime)
+	defer cancel()
+	proved, err := sc.ProveExpired(ctx, i)
+	if err != nil || !proved {
+		klog.V(1).InfoS("plan: expiry of the lease not proved", "instance", i, "err", err)
+		return false
 	}
+	klog.InfoS("plan: lease expired", "instance", i)
+	return true
 }
 
 // startProof returns false if a proof for the incarnation is already running, and registers one otherwise.
--- a/sidecar/record.go
+++ b/sidecar/record.go
@@ -43,7 +43,7 @@
 			r.Capacity, r.UpstreamStarted, len(r.Witnesses))
 	}
 	switch r.State {
-	case member.Joining, member.Ready, member.Draining, member.Left, member.Expired:
+	case member.Joining, member.Ready, member.Draining, member.Left, member.Revoked, member.Expired:
 		return r, nil
 	default:
 		return member.Record{}, fmt.Errorf("unknown state %.100q", r.State)
--- a/sidecar/report.go
+++ b/sidecar/report.go
@@ -198,7 +198,7 @@
 	unreachable := sc.directory.unreachableSlots()
 	service := sc.settings.Service
 	records := slices.DeleteFunc(sc.directory.all(), func(r member.Record) bool {
-		return r.Service != service || r.State == member.Left
+		return r.Service != service || r.State.Ended()
 	})
 	rank := func(r member.Record) uint64 { return xxhash.Sum64String(service + "\x00" + r.Incarnation.Slot()) }
 	slices.SortFunc(records, func(a, b member.Record) int {
--- a/sidecar/rows.go
+++ b/sidecar/rows.go
@@ -31,6 +31,20 @@
 	return version, err
 }
 
+// confirmRow returns nil if the store still has a version of a row. A transaction shows that even while the store's feed is behind.
+func (sc *Sidecar) confirmRow(ctx context.Context, key string, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err := sc.adapters.Store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Table: TableName, Key: key, Version: version}},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		sc.rows.MergeConflict(conflict)
+	}
+	return err
+}
+
 // isCurrent reports whether a known row is not one that the store no longer had at the time of a conflict.
 func isCurrent(conflict *store.ConflictError, known store.Row) bool {
 	return !slices.ContainsFunc(conflict.Rows(), func(row store.Row) bool { return row.Key == known.Key && row.Version == 0 })
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -59,7 +59,9 @@
 	unwritten  bool
 	// era is the newest era of the store in which the row is known.
 	era uint64
-	ctx context.Context
+	// registered is when the record was written, before the call, and confirming that of the newest call to confirm the registration.
+	registered, confirming time.Time
+	ctx                    context.Context
 }
 
 // self returns the incarnation of the session.
@@ -186,7 +188,7 @@
 		Service: sc.settings.Service, DataCentre: sc.settings.DataCentre, Region: sc.settings.Region,
 		PeerAddress: sc.settings.PeerAddress, HeartbeatAddress: sc.settings.HeartbeatAddress, CallerAddress: sc.settings.CallerAddress,
 		Capacity: float64(sc.gateway.State().Slots), Processor: sc.settings.Processor, Upstream: run.ID, UpstreamStarted: run.Started,
-		State: sc.wantedState(),
+		State: sc.wantedState(), Revocable: true,
 	}
 	if sc.keyed() {
 		if len(sc.others()) < witnessCount {
@@ -218,16 +220,17 @@
 	if err != nil {
 		return err
 	}
+	began := time.Now()
 	version, err := s.sidecar.replaceRow(ctx, member.RowKey(s.self().Slot()), s.version, value)
 	if err != nil {
 		return err
 	}
-	s.version = version
+	s.version, s.registered = version, began
 	return nil
 }
 
 // adoptRow makes the next write of the record replace the newest known row, and reports whether another writer has changed it. A record
-// of a newer incarnation, which is that of another process in the slot, isn't replaced.
+// of a newer incarnation, which is that of another process in the slot, isn't replaced, nor is one that revokes this incarnation.
 func (s *session) adoptRow() bool {
 	row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
 	if row.Version <= s.version {
@@ -238,7 +241,7 @@
 		return true
 	}
 	stored, err := decodeRecord(row)
-	if err == nil && stored.Incarnation.Number() > s.self().Number() {
+	if err == nil && (stored.Incarnation.Number() > s.self().Number() || isRevoked(stored, s.self())) {
 		return false
 	}
 	s.version = row.Version
@@ -282,6 +285,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	if sc.keyed() {
 		sc.endpoint.SetIncarnation(s.self())
+		sc.endpoint.NoteUnrevoked(s.self(), s.registered)
 		if err := sc.endpoint.SetWitnesses(sc.witnessAddresses(s.record.Witnesses)); err != nil {
 			klog.ErrorS(err, "session: invalid witnesses", "instance", s.self())
 			return
@@ -335,6 +339,7 @@
 		if !s.upstreamRun.continues(s.sidecar.gateway.State().UpstreamRun) || s.mustRejoin() {
 			return
 		}
+		s.confirmRegistration(ctx)
 		s.updateRecord(ctx)
 		select {
 		case <-ctx.Done():
@@ -400,6 +405,11 @@
 	if s.grantManager == nil {
 		return false
 	}
+	if r, ok := s.sidecar.directory.record(s.self().Slot()); ok && isRevoked(r, s.self()) {
+		klog.InfoS("session: the incarnation was revoked", "instance", s.self(), "state", r.State)
+		s.sidecar.endpoint.EndLease()
+		return true
+	}
 	lease := s.sidecar.endpoint.Lease()
 	if lease.Valid() {
 		s.expiredAt = time.Time{}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -135,9 +135,11 @@
 	routes    atomic.Pointer[routing.Table]
 	session   atomic.Pointer[session]
 	planner   plannerState
-	pushes    *pushes
-	loads     loads
-	stopping  atomic.Bool
+	// revocations holds the owners that the planner revokes.
+	revocations revocations
+	pushes      *pushes
+	loads       loads
+	stopping    atomic.Bool
 	// stop holds the times of the planned stop once it has begun.
 	stop     atomic.Pointer[stopTimes]
 	activity activity
@@ -147,6 +149,8 @@
 	registry *prometheus.Registry
 	// rewritten counts the rows that were written again, by kind.
 	rewritten *prometheus.CounterVec
+	// revoked counts the records of other instances that were written to revoke them, by state.
+	revoked *prometheus.CounterVec
 	// clearing is the last one that was started while no session has run since. Only the session loop uses it.
 	clearing *clearing
 	// crashReports holds the crash reports that were received.
@@ -190,7 +194,7 @@
 		settings: s, adapters: a, wake: make(chan struct{}, 1), announcers: make(chan string, 1),
 		reportNow: make(chan struct{}, 1), planNow: make(chan struct{}, 1), announced: make(map[string]uint64),
 		configAnnounced: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), registry: prometheus.NewRegistry(),
-		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time), rewritten: newRewritten(),
+		pushes: newPushes(), unresponsiveSince: make(map[string]time.Time), rewritten: newRewritten(), revoked: newRevoked(),
 	}
 	if sc.adapters.Network == nil {
 		sc.adapters.Network = tcpNetwork{}
@@ -221,8 +225,8 @@
 		gateway.WithDial(sc.adapters.Network.DialContext), gateway.WithColdTerms(sc.coldTerms), gateway.WithEvacuated(sc.isClosed),
 		gateway.WithMemory(sc.memory))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(),
-		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithDial(sc.dialSlot),
-		heartbeat.WithVersions(sc.heartbeatVersions),
+		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithBacking(leaseBacking),
+		heartbeat.WithDial(sc.dialSlot), heartbeat.WithVersions(sc.heartbeatVersions),
 		heartbeat.WithOnVersions(sc.observeHeartbeat), heartbeat.WithOnChange(sc.leaseChanged))
 	sc.sendAnnouncement = func(to member.Record, slot string, v *peer.Versions) error {
 		return sc.endpoint.Announce(to.HeartbeatAddress, slot, v)
--- a/witness/explore_test.go
+++ b/witness/explore_test.go
@@ -33,6 +33,7 @@
 	voteIfHeartbeatReceived bool // a witness grants votes if it received a heartbeat in its run
 	previousRankOnly        bool // rank 2 proves the expiry of rank 1 but not of rank 0
 	emptyListing            bool // restarted witnesses learn of no registered incarnations
+	revocation              revocationOverrides
 }
 
 // joins describes incarnations that join during a simulation.
@@ -99,9 +100,10 @@
 	probabilities   probabilities
 	lastValid       []time.Duration // last time at which the lease of each rank was valid; -1 if never
 	retentionLeases int
-	// joins is nil if no incarnations join during the history.
-	joins     *joins
-	violation string
+	// joins is nil if no incarnations join during the history, and revocations if none are revoked.
+	joins       *joins
+	revocations *simRevocations
+	violation   string
 }
 
 // explore simulates one history and describes the first moment at which two incarnations could serve, or returns "" if there is none.
@@ -132,7 +134,7 @@
 // run runs the history and returns its violation.
 func (s *simulation) run() string {
 	s.build(2+s.random.IntN(2), s.random.IntN(3) == 0)
-	for s.now < simDuration && s.violation == "" && len(s.queue) > 0 {
+	for s.now < s.duration() && s.violation == "" && len(s.queue) > 0 {
 		next := heap.Pop(&s.queue).(event)
 		s.now = next.at
 		next.run()
@@ -226,6 +228,9 @@
 	if s.joins != nil {
 		s.joins.registered[p.slot] = p.number
 	}
+	if s.revocations != nil {
+		s.addRevocations(p, rank)
+	}
 	s.owners = append(s.owners, p)
 	s.lastValid = append(s.lastValid, -1)
 }
@@ -337,6 +342,9 @@
 	if s.chance(s.probabilities.requestVotes) {
 		s.requestVotes(p, p.holder.StartRound(s.clock(p)))
 	}
+	if s.revocations != nil {
+		s.stepRevocations(p)
+	}
 	for below, proof := range p.proofs {
 		if s.lastValid[s.rankOf(proof)] < 0 && !s.disabled.proofBeforeFirstLease {
 			continue
@@ -485,7 +493,7 @@
 		s.lastValid[rank] = s.now
 		proved := true
 		for _, proof := range p.proofs {
-			proved = proved && proof.Proved()
+			proved = proved && (proof.Proved() || s.provedRevoked(p, proof.Holder()))
 		}
 		if proved {
 			serving = append(serving, p.slot)
--- a/witness/holder.go
+++ b/witness/holder.go
@@ -37,6 +37,9 @@
 	start      clockReading
 	lease      time.Duration
 	generation uint64
+	// backed is when the lease was last known not to be revoked, and backing for how long that counts; see Holder.RequireBacking.
+	backed  clockReading
+	backing time.Duration
 }
 
 // Valid reports whether the term lasts at the given time. It ends when either clock has advanced by the duration of the lease,
@@ -48,13 +51,24 @@
 	if t.generation == 0 {
 		return time.Time{}
 	}
-	return t.start.mono.Add(t.lease)
+	expires := t.start.mono.Add(t.lease)
+	if limit := t.backed.mono.Add(t.backing); t.backing > 0 && limit.Before(expires) {
+		return limit
+	}
+	return expires
 }
 
 // Generation returns the number of times that the lease has been acquired so far, including this term.
 func (t Term) Generation() uint64 { return t.generation }
 
-func (t Term) validAt(now clockReading) bool { return t.generation > 0 && now.since(t.start) < t.lease }
+func (t Term) validAt(now clockReading) bool {
+	return t.generation > 0 && now.since(t.start) < t.lease && t.backedAt(now)
+}
+
+// backedAt reports whether the lease can't have been revoked for so long that others rely on its end.
+func (t Term) backedAt(now clockReading) bool {
+	return t.backing == 0 || now.since(t.backed) < t.backing
+}
 
 // Holder is the state machine of an incarnation's own lease.
 //
@@ -74,7 +88,12 @@
 	roundStart clockReading
 	// expiredByWallClock is set if only the wall clock showed the newest expiry.
 	expiredByWallClock bool
-	overrides          holderOverrides
+	// backing is the setting of RequireBacking, and backed the newest time at which the lease was known not to be revoked.
+	backing time.Duration
+	backed  clockReading
+	// unbacked is set if the lease ended for good because it wasn't backed.
+	unbacked  bool
+	overrides holderOverrides
 }
 
 // holderOverrides switches off rules for tests, which check that random histories then contain a violation.
@@ -84,6 +103,8 @@
 	heartbeatAfterExpiry bool // heartbeats are sent after an expiry
 	votesOfAnyRound      bool // votes of different rounds count together
 	noReduction          bool // reduced support counts like full support
+	noBackingLapse       bool // a lease that wasn't backed can become valid again
+	majorityBacks        bool // the support of a majority backs a lease
 	// readClocks replaces the function of that name unless it is nil.
 	readClocks func(now time.Time) clockReading
 }
@@ -128,6 +149,25 @@
 	return nil
 }
 
+// RequireBacking makes the lease end for good unless, within d, all witnesses have supported it or it was known not to be revoked; see
+// NoteUnrevoked. RevocationProof relies on it with the same d. It is called before the first heartbeat.
+func (h *Holder) RequireBacking(d time.Duration) { h.backing = d }
+
+// NoteUnrevoked records that the holder's incarnation wasn't revoked at a time, which is that before the request whose response shows it.
+func (h *Holder) NoteUnrevoked(at, now time.Time) { h.noteUnrevoked(readClocks(at), now) }
+
+func (h *Holder) noteUnrevoked(at clockReading, now time.Time) { h.back(h.checkExpiry(now), at) }
+
+// back records that the lease wasn't revoked at a time.
+func (h *Holder) back(now, at clockReading) {
+	if h.backed.mono.IsZero() || now.since(at) < now.since(h.backed) {
+		h.backed, h.term.backed = at, at
+	}
+}
+
+// Unbacked returns the time for which the lease may have been revoked without the holder's knowledge.
+func (h *Holder) Unbacked(now time.Time) time.Duration { return readClocks(now).since(h.backed) }
+
 // Heartbeats returns the next heartbeat for each witness. All have the same sequence number and now as their sending time. It
 // returns none after an expiry: a restarted witness could conclude from a heartbeat that the lease was valid after its start.
 func (h *Holder) Heartbeats(now time.Time) []Heartbeat {
@@ -200,22 +240,41 @@
 		return
 	}
 	slices.SortFunc(supports, func(a, b clockReading) int { return cmp.Compare(at.since(a), at.since(b)) })
+	h.backBySupport(at, supports)
 	start := supports[0]
 	for _, supportedFrom := range supports[1:needed] {
 		start = start.earliest(supportedFrom)
 	}
+	if !h.isBacked(at) {
+		return
+	}
 	if extends := h.term.generation == 0 || at.since(start) < at.since(h.term.start); extends && at.since(start) < h.timing.Lease() {
 		h.startTerm(start)
 	}
 }
 
+// backBySupport records that all witnesses support the lease, if they do, since the earliest of the times in supports on each clock.
+func (h *Holder) backBySupport(now clockReading, supports []clockReading) {
+	backing := supports
+	if h.overrides.majorityBacks {
+		backing = supports[:majority(len(h.witnesses))]
+	} else if len(supports) < len(h.witnesses) {
+		return
+	}
+	all := backing[0]
+	for _, supportedFrom := range backing[1:] {
+		all = all.earliest(supportedFrom)
+	}
+	h.back(now, all)
+}
+
 // startTerm begins a term that runs from start. It has a new generation unless the lease is valid.
 func (h *Holder) startTerm(start clockReading) {
 	generation := h.term.generation
 	if h.state != Valid {
 		generation++
 	}
-	h.term = Term{start: start, lease: h.timing.Lease(), generation: generation}
+	h.term = Term{start: start, lease: h.timing.Lease(), generation: generation, backed: h.backed, backing: h.backing}
 	h.state = Valid
 	for i := range h.witnesses {
 		h.witnesses[i].voteRun, h.witnesses[i].voteRound = 0, 0
@@ -282,7 +341,7 @@
 			granted++
 		}
 	}
-	if granted < majority(len(h.witnesses)) || at.since(h.roundStart) >= h.timing.Lease() {
+	if granted < majority(len(h.witnesses)) || at.since(h.roundStart) >= h.timing.Lease() || !h.isBacked(at) {
 		return
 	}
 	for i := range h.witnesses {
@@ -348,9 +407,21 @@
 		h.state = Expired
 		h.expiredByWallClock = at.mono.Sub(h.term.start.mono) < h.term.lease
 	}
+	if h.state == Expired && !h.isBacked(at) && !h.overrides.noBackingLapse {
+		// The proof of the expiry of a revoked lease doesn't keep the witnesses from supporting it later.
+		h.state, h.unbacked = Resigned, true
+	}
 	return at
 }
 
+// isBacked reports whether the lease can't have been revoked for so long that others rely on its end.
+func (h *Holder) isBacked(now clockReading) bool {
+	return h.backing == 0 || now.since(h.backed) < h.backing
+}
+
+// EndedUnbacked reports whether the lease ended for good because it may have been revoked; see RequireBacking.
+func (h *Holder) EndedUnbacked() bool { return h.unbacked }
+
 // witnessStatus returns the status of the witness in a slot, or nil if there is none.
 func (h *Holder) witnessStatus(slot string) *witnessStatus {
 	for i := range h.witnesses {
