Gateway: a departure is known before the run registers, and after a restart

Cause: a deregistration counted only for the run that the process knew. A process that had just started knew none, acknowledged the call and forgot it, and a late heartbeat then registered the upstream as a new run. The start time in the call was ignored, so that a late deregistration also took a later run under the same id out of service. The same cause with the events in another order: a departure announced to the process before a restart was forgotten with it.

Change: the registry remembers departures of runs that aren't registered; such a run leaves from the time of the announcement on, also if it is assumed. The call's start time is read; without it, the departure counts for the runs with the id that had started by then. The instance's record says when its upstream announced that it leaves, and the next process takes it over.

Not covered: a process killed between the acknowledgement and the write of its record.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -330,7 +330,7 @@
 func TestDrainLimit(t *testing.T) {
 	u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, id string, _ int64) { _, _ = io.WriteString(conn, ok(id, "")) })
 	g := start(t, u, gateway.WithDrainLimit(700*time.Millisecond))
-	g.Deregister("upstream-1")
+	g.Deregister(gateway.UpstreamRun{ID: "upstream-1"})
 	if _, err := g.Do(t.Context(), request("r1", routing.Idempotent)); err != nil {
 		t.Errorf("refused at once: %v", err)
 	}
@@ -341,6 +341,59 @@
 	}
 }
 
+// TestHeartbeatAfterDeregistration guards against requests to an upstream that has deregistered while no run was known, as after a restart of
+// the process, because a heartbeat from before arrives late. It also guards against a later run that counts as the one that has left.
+func TestHeartbeatAfterDeregistration(t *testing.T) {
+	left := gateway.UpstreamRun{ID: "a", Started: 5}
+	register := func(run gateway.UpstreamRun) func(g *gateway.Gateway, address string) {
+		return func(g *gateway.Gateway, address string) {
+			n := gateway.Registration{UpstreamRun: run, Service: "bookings", Address: address, Slots: 2, Sequence: 3}
+			if err := g.Register(n); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	deregister := func(run gateway.UpstreamRun) func(g *gateway.Gateway, address string) {
+		return func(g *gateway.Gateway, _ string) { g.Deregister(run) }
+	}
+	assume := func(run gateway.UpstreamRun) func(g *gateway.Gateway, address string) {
+		return func(g *gateway.Gateway, _ string) { g.Assume(gateway.Registration{UpstreamRun: run, Slots: 2}) }
+	}
+	later := gateway.UpstreamRun{ID: "a", Started: time.Now().Add(time.Hour).UnixMilli()}
+	tests := []struct {
+		name  string
+		steps []func(g *gateway.Gateway, address string)
+		want  bool
+	}{
+		{"late heartbeat", []func(*gateway.Gateway, string){deregister(left), register(left)}, false},
+		{"start time unknown", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "a"}), register(left)}, false},
+		{"assumed later", []func(*gateway.Gateway, string){deregister(left), assume(left)}, false},
+		{"assumed later without a start time", []func(*gateway.Gateway, string){deregister(left), assume(gateway.UpstreamRun{ID: "a"})}, false},
+		{"assumed before", []func(*gateway.Gateway, string){assume(gateway.UpstreamRun{ID: "a"}), deregister(left), register(left)}, false},
+		{"an earlier run is known", []func(*gateway.Gateway, string){
+			register(gateway.UpstreamRun{ID: "b", Started: 4}), deregister(left), register(left),
+		}, false},
+		{"repeated", []func(*gateway.Gateway, string){deregister(left), register(left), deregister(left), register(left)}, false},
+		{"later run", []func(*gateway.Gateway, string){deregister(left), register(later)}, true},
+		{"later run, start time unknown", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "a"}), register(later)}, true},
+		{"later run after the late heartbeat", []func(*gateway.Gateway, string){deregister(left), register(left), register(later)}, true},
+		{"late deregistration", []func(*gateway.Gateway, string){register(later), deregister(left)}, true},
+		{"another upstream", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "b"}), register(left)}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			group, _ := errgroup.WithContext(t.Context())
+			g := gateway.New(group, "bookings", "127.0.0.1:9", testProtocol{})
+			for _, step := range test.steps {
+				step(g, "127.0.0.1:9")
+			}
+			if state := g.State(); state.Usable() != test.want || !state.Known {
+				t.Errorf("state %+v, want usable %v", state, test.want)
+			}
+		})
+	}
+}
+
 // TestClose guards against requests that start after the gateway was closed.
 func TestClose(t *testing.T) {
 	u := newRawUpstream(t, nil)
--- a/gateway/kept_test.go
+++ b/gateway/kept_test.go
@@ -127,7 +127,9 @@
 		{"a new run registers", registered(gateway.Registration{UpstreamRun: nextRun, Slots: 2, Sequence: 1})},
 		{"a new run has fewer slots", registered(gateway.Registration{UpstreamRun: nextRun, Slots: 1, Sequence: 1})},
 		{"the upstream leaves", registered(gateway.Registration{Slots: 2, Sequence: 2, Leaving: true})},
-		{"the upstream deregisters", func(_ *testing.T, g *gateway.Gateway, _ *rawUpstream) { g.Deregister("upstream-1") }},
+		{"the upstream deregisters", func(_ *testing.T, g *gateway.Gateway, _ *rawUpstream) {
+			g.Deregister(gateway.UpstreamRun{ID: "upstream-1"})
+		}},
 		{"the gateway is closed", func(_ *testing.T, g *gateway.Gateway, _ *rawUpstream) { g.Close() }},
 		{"another instance's upstream crashes", func(_ *testing.T, g *gateway.Gateway, _ *rawUpstream) { g.RecordCrash([]uint64{1}) }},
 		{"a control request fails", func(t *testing.T, g *gateway.Gateway, _ *rawUpstream) {
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -48,9 +48,24 @@
 	Sequence uint64
 }
 
-// maxEndedRuns is the number of ended runs that are remembered, so that their delayed heartbeats are ignored.
+// maxEndedRuns is the number of ended runs, and of departures, that are remembered for delayed heartbeats of these runs.
 const maxEndedRuns = 16
 
+// departure is the announcement of a run that it leaves, and when it was made.
+type departure struct {
+	run UpstreamRun
+	at  time.Time
+}
+
+// includes reports whether the departure is that of a run. Without a start time, it is that of all runs with the id that had started by then:
+// the upstream and its instance use the clock of one machine.
+func (d departure) includes(run UpstreamRun) bool {
+	if d.run.Started == 0 && run.Started > d.at.UnixMilli() {
+		return false
+	}
+	return d.run.Same(run)
+}
+
 // registry tracks the registrations of the upstream.
 type registry struct {
 	current      Registration
@@ -58,6 +73,8 @@
 	leaving      bool
 	leavingSince time.Time
 	endedRuns    []UpstreamRun
+	// departures are those of runs that weren't registered at the time. A heartbeat from before may arrive later.
+	departures []departure
 }
 
 // observe records a registration, and reports whether it is the first of a new run and whether the upstream began to leave.
@@ -82,12 +99,37 @@
 	default:
 		r.current = n
 	}
-	if n.Leaving {
+	switch left, ok := r.departureOf(n.UpstreamRun); {
+	case ok:
+		beganLeaving = r.startLeaving(left)
+	case n.Leaving:
 		beganLeaving = r.startLeaving(now)
 	}
 	return newRun, beganLeaving
 }
 
+// depart records that a run leaves, and reports whether it is the current one and wasn't known to leave.
+func (r *registry) depart(d departure) bool {
+	if r.known && d.includes(r.current.UpstreamRun) {
+		return r.startLeaving(d.at)
+	}
+	r.departures = append(r.departures, d)
+	if len(r.departures) > maxEndedRuns {
+		r.departures = r.departures[1:]
+	}
+	return false
+}
+
+// departureOf returns when a run announced that it leaves before it was registered, and false if it didn't.
+func (r *registry) departureOf(run UpstreamRun) (time.Time, bool) {
+	for _, d := range r.departures {
+		if d.includes(run) {
+			return d.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // startLeaving records that the current run will stop shortly, and reports whether that wasn't known before.
 func (r *registry) startLeaving(now time.Time) bool {
 	if r.leaving {
@@ -141,6 +183,9 @@
 	assumed := !g.registry.known
 	if assumed {
 		g.registry.current, g.registry.known = r, true
+		if left, ok := g.registry.departureOf(r.UpstreamRun); ok {
+			g.registry.startLeaving(left)
+		}
 		g.scheduler.SetSlots(time.Now(), r.Slots)
 		if !r.ColdUnknown {
 			g.observeCold(time.Now(), r.ColdFor, true, sourceHealthCheck)
@@ -178,15 +223,23 @@
 	return HealthReport{ID: info.UpstreamID, ColdFor: info.ColdFor, ColdKnown: info.ColdErr == nil}, nil
 }
 
-// Deregister processes the deregistration of the upstream with the given id, which is its last message. The upstream then counts as
-// leaving and still serves requests for a short time.
-func (g *Gateway) Deregister(id string) {
+// Deregister processes the deregistration of a run of the upstream, which is its last message. The run then counts as leaving and still serves
+// requests for a short time, also if it registers later: its first heartbeat may be delayed, and a process that has just started knows of
+// no run.
+func (g *Gateway) Deregister(run UpstreamRun) { g.DeregisterAt(run, time.Now()) }
+
+// DeregisterAt is like Deregister for a deregistration at an earlier time.
+func (g *Gateway) DeregisterAt(run UpstreamRun, at time.Time) {
+	if run.ID == "" {
+		return
+	}
 	g.mu.Lock()
-	beganLeaving := g.registry.known && g.registry.current.ID == id && g.registry.startLeaving(time.Now())
-	run := g.registry.current.UpstreamRun
+	known := g.registry.known
+	beganLeaving := g.registry.depart(departure{run: run, at: at})
+	current := g.registry.current.UpstreamRun
 	g.mu.Unlock()
+	klog.InfoS("upstream: deregistered", "life", run, "known", known, "current", current, "beganLeaving", beganLeaving)
 	if beganLeaving {
-		klog.InfoS("upstream: deregistered", "life", run)
 		g.onChange()
 	}
 }
@@ -199,6 +252,8 @@
 	// Leaving is set once the upstream has announced that it leaves, or has deregistered. It hides Registration.Leaving, which only
 	// says what the newest heartbeat contained.
 	Leaving bool
+	// LeavingSince is when Leaving was announced.
+	LeavingSince time.Time
 	// Down is set while the upstream's address refuses connections.
 	Down bool
 }
@@ -210,5 +265,8 @@
 func (g *Gateway) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return State{Registration: g.registry.current, Known: g.registry.known, Leaving: g.registry.leaving, Down: g.down}
+	return State{
+		Registration: g.registry.current, Known: g.registry.known, Leaving: g.registry.leaving, LeavingSince: g.registry.leavingSince,
+		Down: g.down,
+	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -121,6 +121,8 @@
 	Upstream string `json:"upstream,omitempty"`
 	// UpstreamStarted is the start time of the upstream in milliseconds since 1970, or 0 if it isn't known.
 	UpstreamStarted int64 `json:"upstream_started,omitempty"`
+	// UpstreamLeft is when the upstream announced that it leaves, in milliseconds since 1970 by the clock of its machine; 0 if it hasn't.
+	UpstreamLeft int64 `json:"upstream_left,omitempty"`
 	// Revocable means that the incarnation's lease ends for good once it isn't backed any more, so that it may be revoked.
 	Revocable bool `json:"revocable,omitempty"`
 	// Witnesses are the slots that witness this incarnation's lease.
--- a/sidecar/record.go
+++ b/sidecar/record.go
@@ -38,9 +38,10 @@
 	if !canDial(r.PeerAddress) || !canDial(r.HeartbeatAddress) {
 		return member.Record{}, fmt.Errorf("address %.100q or %.100q can't be dialled", r.PeerAddress, r.HeartbeatAddress)
 	}
-	if r.Capacity < 0 || r.Capacity > maxCapacity || r.UpstreamStarted < 0 || len(r.Witnesses) > maxWitnesses {
-		return member.Record{}, fmt.Errorf("out of range: capacity %g, start of the upstream %d, or %d witnesses",
-			r.Capacity, r.UpstreamStarted, len(r.Witnesses))
+	if r.Capacity < 0 || r.Capacity > maxCapacity || r.UpstreamStarted < 0 || r.UpstreamLeft < 0 ||
+		len(r.Witnesses) > maxWitnesses {
+		return member.Record{}, fmt.Errorf("out of range: capacity %g, start %d or departure %d of the upstream, or %d witnesses",
+			r.Capacity, r.UpstreamStarted, r.UpstreamLeft, len(r.Witnesses))
 	}
 	switch r.State {
 	case member.Joining, member.Ready, member.Draining, member.Left, member.Revoked, member.Expired:
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -101,6 +101,7 @@
 		return
 	}
 	sc.endSilence()
+	sc.restoreDeparture()
 	sc.identifyRunningUpstream(ctx)
 	for ctx.Err() == nil {
 		if !sc.awaitUpstream(ctx) {
@@ -119,6 +120,20 @@
 	}
 }
 
+// restoreDeparture makes the gateway know that the upstream leaves if it announced that to an earlier process in this slot. A heartbeat that
+// it sent before may arrive at this process.
+func (sc *Sidecar) restoreDeparture() {
+	record, ok := sc.directory.record(sc.settings.Slot)
+	if !ok || record.UpstreamLeft == 0 || record.Service != sc.settings.Service {
+		return
+	}
+	left := time.UnixMilli(record.UpstreamLeft)
+	if now := time.Now(); left.After(now) {
+		left = now
+	}
+	sc.gateway.DeregisterAt(gateway.UpstreamRun{ID: record.Upstream, Started: record.UpstreamStarted}, left)
+}
+
 // identifyRunningUpstream asks an upstream that has kept running while the process was restarted for its id, because its next heartbeat
 // may be more than a second away.
 func (sc *Sidecar) identifyRunningUpstream(ctx context.Context) {
@@ -362,7 +377,7 @@
 			"lost", row.Lost, "era", store.Era(row.Version))
 		s.sidecar.rewritten.WithLabelValues("record").Inc()
 	}
-	if replaced || wanted != s.record.State {
+	if replaced || wanted != s.record.State || s.upstreamLeft() != s.record.UpstreamLeft {
 		written := s.publishState(ctx, wanted)
 		if s.unwritten = replaced && !written; s.unwritten {
 			s.record.State = wanted
@@ -387,9 +402,19 @@
 	return member.Ready
 }
 
+// upstreamLeft returns when the session's run of the upstream announced that it leaves, in milliseconds since 1970, or 0 if it hasn't. Once
+// it is in the record, the process knows it after a restart.
+func (s *session) upstreamLeft() int64 {
+	state := s.sidecar.gateway.State()
+	if !state.Leaving || !s.upstreamRun.continues(state.UpstreamRun) {
+		return s.record.UpstreamLeft
+	}
+	return state.LeavingSince.UnixMilli()
+}
+
 // publishState writes the record with a state, and reports whether that succeeded. After a failure, the write is retried in the next round.
 func (s *session) publishState(ctx context.Context, state member.State) bool {
-	s.record.State = state
+	s.record.State, s.record.UpstreamLeft = state, s.upstreamLeft()
 	if err := s.write(ctx); err != nil && ctx.Err() == nil {
 		klog.V(1).InfoS("session: failed to write the record", "instance", s.self(), "state", state, "err", err)
 		s.record.State = ""
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -114,7 +114,7 @@
 // Registrar receives the registrations of the local upstream.
 type Registrar interface {
 	Register(r gateway.Registration) error
-	Deregister(id string)
+	Deregister(run gateway.UpstreamRun)
 }
 
 // Sidecar is the sidecar process of one upstream. Create it with New.
