Sidecar: witnesses are chosen among instances that respond, and replaced

Cause: the records of machines that are gone stay in the store and look like those of others. Witnesses were drawn from all of them; only those that a session without a lease had found silent were avoided, three at a time, each 4 s, for 30 s, and the own slot was chosen only if there were fewer than three other records. With two instances left of four or more, no choice gave a lease.

Change: instances that don't respond are never chosen; with fewer than three others, the own slot is. After a session whose witnesses were mostly silent, the instance probes the preferred candidates in batches before it chooses again. A lease whose only witness is the own slot needs contact to the store (witness: no other witness could confirm its expiry), and its revocation is proved by time. An instance joins again for better witnesses if one of them has been silent for 10 s, or if it had to take its own slot, once a probe has shown them. A running holder writes its record again after a revocation, so that an instance that is cut off can't disturb it. Only the first session of a process waits for further records.

--- a/member/member.go
+++ b/member/member.go
@@ -86,8 +86,8 @@
 	Draining State = "draining"
 	// Left means that the incarnation has stopped and serves nothing.
 	Left State = "left"
-	// Revoked means that the incarnation has to join again: the others can't ask enough of its witnesses whether its lease has expired.
-	// It may serve until it learns of this or its lease isn't backed any more; see witness.RevocationProof.
+	// Revoked means that others can't ask enough of the witnesses whether the lease has expired. An incarnation that runs writes its record
+	// again. Otherwise its lease ends once it isn't backed any more; see witness.RevocationProof.
 	Revoked State = "revoked"
 	// Expired means that the lease was proved to have expired. It can't be re-acquired.
 	Expired State = "expired"
--- a/sidecar/ownermodel_losses_test.go
+++ b/sidecar/ownermodel_losses_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// TestAllWitnessesLost guards against keys that are never served again because their holder is lost for good with all of its witnesses.
+func TestAllWitnessesLost(t *testing.T) {
+	runOwnershipModel(t, []uint64{1}, func(m *ownerModel) {
+		m.scenario = func() {
+			holder, witnesses := m.holderAndWitnesses()
+			if holder == nil {
+				m.locked(func() { m.violate("no node with keys and three witnesses", m.samples[0], "after the start") })
+				return
+			}
+			for _, n := range append(witnesses, holder) {
+				n.lose()
+			}
+			time.Sleep(lossRecoveryTime)
+		}
+	})
+}
+
 // holderAndWitnesses returns a node that holds keys, and those that witness its lease, or nil if there is none.
 func (m *ownerModel) holderAndWitnesses() (holder *ownerNode, witnesses []*ownerNode) {
 	for _, holder := range m.nodes {
--- a/sidecar/revocation.go
+++ b/sidecar/revocation.go
@@ -38,25 +38,32 @@
 // revocation is the state of one proof.
 type revocation struct {
 	proof *witness.RevocationProof
-	// since is when no instance in the slot was first found to report, and row the version of the row that revokes the incarnation.
+	// since is when no instance in the slot was first found to report, or later if the holder has written its record again. row is the
+	// version of the row that revokes the incarnation, 0 before.
 	since time.Time
 	row   uint64
 	// busy means that a goroutine uses the fields above.
 	busy bool
 }
 
-// begin returns the proof for an incarnation and begins one if there is none. It returns nil while another goroutine uses the proof, and
+// newProof returns a proof without confirmations for the incarnation of a record.
+func newProof(record member.Record) *witness.RevocationProof {
+	return witness.NewRevocationProof(record.Incarnation, record.Witnesses, leaseBacking, timing())
+}
+
+// begin returns the proof for the incarnation of a record and begins one if there is none. It returns nil while another goroutine uses the proof, and
 // otherwise release has to be called.
-func (rs *revocations) begin(i member.Incarnation) *revocation {
+func (rs *revocations) begin(record member.Record) *revocation {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	if rs.proofs == nil {
 		rs.proofs = make(map[member.Incarnation]*revocation)
 	}
+	i := record.Incarnation
 	r, ok := rs.proofs[i]
 	if !ok {
 		maps.DeleteFunc(rs.proofs, func(other member.Incarnation, _ *revocation) bool { return other.Slot() == i.Slot() })
-		r = &revocation{proof: witness.NewRevocationProof(i, leaseBacking, timing()), since: time.Now()}
+		r = &revocation{proof: newProof(record), since: time.Now()}
 		rs.proofs[i] = r
 	}
 	if r.busy {
@@ -76,9 +83,9 @@
 	}
 }
 
-// isRevoked reports whether a record revokes an incarnation or says that its lease has expired.
-func isRevoked(r member.Record, i member.Incarnation) bool {
-	return r.Incarnation == i && (r.State == member.Revoked || r.State == member.Expired)
+// hasExpired reports whether a record says that the lease of an incarnation has expired.
+func hasExpired(r member.Record, i member.Incarnation) bool {
+	return r.Incarnation == i && r.State == member.Expired
 }
 
 // expireRecord makes progress with writing that the lease of the newest incarnation in a slot has expired. All instances then know that it
@@ -89,7 +96,7 @@
 	if !ok || record.Incarnation.Number() < i.Number() || record.State.Ended() {
 		return
 	}
-	r := sc.revocations.begin(record.Incarnation)
+	r := sc.revocations.begin(record)
 	if r == nil {
 		return
 	}
@@ -113,8 +120,10 @@
 		return false
 	}
 	if r.row > 0 && row.Version != r.row {
-		// The store has lost the revocation, or another writer has replaced it.
-		return true
+		// The holder has written its record again, as it runs and this instance can't reach it, or the store has lost the revocation.
+		r.proof = newProof(record)
+		r.since, r.row = time.Now().Add(leaseBacking), 0
+		return false
 	}
 	if len(record.Witnesses) == 0 {
 		// It has no lease yet, and can't get one if another writer replaces its record first.
@@ -125,9 +134,9 @@
 	}
 	confirmed, responded := sc.askWitnesses(ctx, r.proof, record.Witnesses)
 	switch {
-	case confirmed == 0 || confirmed < responded:
+	case confirmed == 0 && !r.proof.Alone() || confirmed < responded:
 		return true
-	case responded > len(record.Witnesses)/2 || r.proof.Proved():
+	case responded > len(record.Witnesses)/2 || r.proof.Proved(time.Now()):
 		return sc.writeExpired(ctx, record, row)
 	case record.State != member.Revoked:
 		if record.Revocable && time.Since(r.since) >= revokeDelay {
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -53,6 +53,8 @@
 	expiredAt time.Time
 	// witnessNumbers holds the numbers of the witnesses' incarnations at the time they were chosen, by slot.
 	witnessNumbers map[string]uint64
+	// replaceable is from when on the instance joins again for other witnesses; zero while that wouldn't improve them.
+	replaceable time.Time
 	// restoredAt is when the record was last written because another writer had replaced it or the store had lost it. unwritten means that
 	// the write failed.
 	restoredAt time.Time
@@ -115,7 +117,7 @@
 		}
 		klog.InfoS("session: joined", "instance", s.self(), "upstream", s.upstreamRun.get(), "witnesses", s.record.Witnesses)
 		s.run(ctx)
-		sc.recordUnresponsiveWitnesses(s)
+		sc.recordUnresponsiveWitnesses(ctx, s)
 		klog.InfoS("session: ended", "instance", s.self(), "upstream", s.upstreamRun.get())
 	}
 }
@@ -206,8 +208,8 @@
 		State: sc.wantedState(), Revocable: true,
 	}
 	if sc.keyed() {
-		if len(sc.others()) < witnessCount {
-			// The other instances need this one's address to choose it as a witness.
+		if sc.session.Load() == nil && len(sc.others()) < witnessCount {
+			// At the start of a deployment, the other instances need this one's address to choose it as a witness.
 			if err := s.write(ctx); err != nil {
 				return nil, err
 			}
@@ -245,7 +247,8 @@
 }
 
 // adoptRow makes the next write of the record replace the newest known row, and reports whether another writer has changed it. A record
-// of a newer incarnation, which is that of another process in the slot, isn't replaced, nor is one that revokes this incarnation.
+// of a newer incarnation, which is that of another process in the slot, isn't replaced, nor is one by which the lease has expired. One that revokes this incarnation is: the
+// lease can't be proved to have expired then.
 func (s *session) adoptRow() bool {
 	row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
 	if row.Version <= s.version {
@@ -256,7 +259,7 @@
 		return true
 	}
 	stored, err := decodeRecord(row)
-	if err == nil && (stored.Incarnation.Number() > s.self().Number() || isRevoked(stored, s.self())) {
+	if err == nil && (stored.Incarnation.Number() > s.self().Number() || hasExpired(stored, s.self())) {
 		return false
 	}
 	s.version = row.Version
@@ -430,14 +433,18 @@
 	if s.grantManager == nil {
 		return false
 	}
-	if r, ok := s.sidecar.directory.record(s.self().Slot()); ok && isRevoked(r, s.self()) {
-		klog.InfoS("session: the incarnation was revoked", "instance", s.self(), "state", r.State)
+	if r, ok := s.sidecar.directory.record(s.self().Slot()); ok && hasExpired(r, s.self()) {
+		klog.InfoS("session: the lease has expired according to the record", "instance", s.self())
 		s.sidecar.endpoint.EndLease()
 		return true
 	}
 	lease := s.sidecar.endpoint.Lease()
 	if lease.Valid() {
 		s.expiredAt = time.Time{}
+		if s.canReplaceWitnesses(s.ctx, time.Now()) {
+			klog.InfoS("session: joining again for other witnesses", "instance", s.self(), "witnesses", s.record.Witnesses)
+			return true
+		}
 		return false
 	}
 	if s.expiredAt.IsZero() {
--- a/sidecar/witnesses_test.go
+++ b/sidecar/witnesses_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -145,3 +147,62 @@
 		}
 	})
 }
+
+// TestChooseAmongLost guards against an instance that never gets a lease because it chooses witnesses that are permanently down although
+// fewer others are left than a lease usually has witnesses.
+func TestChooseAmongLost(t *testing.T) {
+	tests := []struct {
+		name string
+		// left is the number of other instances that respond.
+		left int
+		want []string
+	}{
+		{"three left", 3, []string{"slot-1", "slot-2", "slot-3"}},
+		{"two left", 2, []string{"slot-0", "slot-1", "slot-2"}},
+		{"one left", 1, []string{"slot-0", "slot-1"}},
+		{"none left", 0, []string{"slot-0"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sc := newTestSidecar(t, nil)
+			for n := test.left + 1; n < 9; n++ {
+				sc.unresponsiveSince[fmt.Sprint("slot-", n)] = time.Now()
+			}
+			if chosen := slices.Sorted(slices.Values(sc.chooseWitnesses())); !slices.Equal(chosen, test.want) {
+				t.Errorf("witnesses %v, want %v", chosen, test.want)
+			}
+		})
+	}
+}
+
+// respondingInstances is a network in which only the instances at some addresses respond to probes.
+type respondingInstances struct{ hosts []string }
+
+// RoundTrip implements http.RoundTripper.
+func (n respondingInstances) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !slices.Contains(n.hosts, r.URL.Host) {
+		return nil, errOwnerRefused
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody, Request: r}, nil
+}
+
+// TestProbeWitnesses guards against an instance that gets a lease only after a minute, because its sessions find out one after the other
+// which of many records are of machines that are permanently down.
+func TestProbeWitnesses(t *testing.T) {
+	sc := newTestSidecar(t, nil)
+	var rows []store.Row
+	for n := range 60 {
+		slot := fmt.Sprint("slot-", n+1)
+		row := recordRow(t, member.Record{
+			Incarnation: member.NewIncarnation(slot, 2), Region: "island", DataCentre: fmt.Sprint("dc-", n%3), State: member.Ready,
+		}, uint64(100+n))
+		row.Value = bytes.ReplaceAll(row.Value, []byte("10.1.0.1:"), fmt.Appendf(nil, "10.2.0.%d:", n+1))
+		rows = append(rows, row)
+	}
+	sc.directory.apply(rows)
+	sc.dialer = peer.NewDialer(respondingInstances{hosts: []string{"10.2.0.17:7401", "10.2.0.42:7401"}})
+	sc.probeWitnesses(t.Context())
+	if chosen := slices.Sorted(slices.Values(sc.chooseWitnesses())); !slices.Equal(chosen, []string{"slot-0", "slot-17", "slot-42"}) {
+		t.Errorf("witnesses %v", chosen)
+	}
+}
--- a/witness/holder.go
+++ b/witness/holder.go
@@ -149,8 +149,8 @@
 	return nil
 }
 
-// RequireBacking makes the lease end for good unless, within d, all witnesses have supported it or it was known not to be revoked; see
-// NoteUnrevoked. RevocationProof relies on it with the same d. It is called before the first heartbeat.
+// RequireBacking makes the lease end for good unless, within d, all witnesses have supported it, of which one must be in another slot, or it
+// was known not to be revoked; see NoteUnrevoked. RevocationProof relies on it with the same d. It is called before the first heartbeat.
 func (h *Holder) RequireBacking(d time.Duration) { h.backing = d }
 
 // NoteUnrevoked records that the holder's incarnation wasn't revoked at a time, which is that before the request whose response shows it.
@@ -258,7 +258,7 @@
 	backing := supports
 	if h.overrides.majorityBacks {
 		backing = supports[:majority(len(h.witnesses))]
-	} else if len(supports) < len(h.witnesses) {
+	} else if len(supports) < len(h.witnesses) || !h.hasOtherWitness() {
 		return
 	}
 	all := backing[0]
@@ -268,6 +268,11 @@
 	h.back(now, all)
 }
 
+// hasOtherWitness reports whether a witness is in another slot. The own one doesn't confirm to others that the lease has expired.
+func (h *Holder) hasOtherWitness() bool {
+	return slices.ContainsFunc(h.witnesses, func(s witnessStatus) bool { return s.slot != h.self.Slot() })
+}
+
 // startTerm begins a term that runs from start. It has a new generation unless the lease is valid.
 func (h *Holder) startTerm(start clockReading) {
 	generation := h.term.generation
--- a/witness/revocation.go
+++ b/witness/revocation.go
@@ -1,6 +1,7 @@
 package witness
 
 import (
+	"slices"
 	"time"
 
 	"sapphiretray/member"
@@ -12,12 +13,14 @@
 // A lease is backed while all its witnesses support it, or while its holder knows that it isn't revoked, and it ends for good once it
 // hasn't been backed for some time; see Holder.RequireBacking. The proof is complete when the revocation has been in the store for that
 // time, and a witness has refused the holder for as long: it confirmed the expiry at the begin and at the end of that time with the same
-// record. The zero value isn't usable; create it with NewRevocationProof.
+// record. Without witnesses in other slots, the revocation is enough. The zero value isn't usable; create it with NewRevocationProof.
 type RevocationProof struct {
 	holder member.Incarnation
 	needed time.Duration
 	// revoked is when the revocation was first known to be in the store; zero before.
 	revoked time.Time
+	// alone means that the holder has no witness in another slot.
+	alone bool
 	// refusing holds, by witness, the run of the record and when it was known to refuse the holder.
 	refusing  map[string]refusal
 	proved    bool
@@ -38,10 +41,12 @@
 	since time.Time
 }
 
-// NewRevocationProof returns a proof without confirmations for a holder that requires backing within the given time.
-func NewRevocationProof(holder member.Incarnation, backing time.Duration, timing Timing) *RevocationProof {
+// NewRevocationProof returns a proof without confirmations for a holder that requires backing within the given time, with witnesses in the
+// given slots.
+func NewRevocationProof(holder member.Incarnation, witnesses []string, backing time.Duration, timing Timing) *RevocationProof {
 	return &RevocationProof{
 		holder: holder, needed: backing + time.Duration(float64(backing)*timing.Drift()) + 1, refusing: make(map[string]refusal),
+		alone: !slices.ContainsFunc(witnesses, func(slot string) bool { return slot != holder.Slot() }),
 	}
 }
 
@@ -68,16 +73,22 @@
 	return p.proved
 }
 
+// Alone reports whether the holder has no witness in another slot, so that no witness can confirm the expiry.
+func (p *RevocationProof) Alone() bool { return p.alone }
+
 // Deny records that a witness doesn't confirm the expiry, so that it may have supported the lease since its last confirmation.
 func (p *RevocationProof) Deny(witness string) { delete(p.refusing, witness) }
 
 // Remaining returns the time until a confirmation can complete the proof if the witnesses go on to refuse the holder. It returns false
 // before the first confirmation and before the revocation.
 func (p *RevocationProof) Remaining(now time.Time) (time.Duration, bool) {
-	if p.revoked.IsZero() || len(p.refusing) == 0 {
+	if p.revoked.IsZero() || len(p.refusing) == 0 && !p.alone {
 		return 0, false
 	}
 	first := now
+	if p.alone {
+		first = p.revoked
+	}
 	for _, r := range p.refusing {
 		if r.since.Before(first) {
 			first = r.since
@@ -89,5 +100,8 @@
 	return max(0, p.needed-now.Sub(first)), true
 }
 
-// Proved reports whether the expiry is proved. A complete proof stays valid: the lease has ended for good.
-func (p *RevocationProof) Proved() bool { return p.proved }
+// Proved reports whether the expiry is proved at a time. A complete proof stays valid: the lease has ended for good.
+func (p *RevocationProof) Proved(now time.Time) bool {
+	p.proved = p.proved || p.alone && !p.revoked.IsZero() && now.Sub(p.revoked) >= p.needed
+	return p.proved
+}
--- a/witness/revocation_test.go
+++ b/witness/revocation_test.go
@@ -60,7 +60,7 @@
 		if owner.holder == nil {
 			continue
 		}
-		proof := NewRevocationProof(owner.holder.self, simBacking, s.timing)
+		proof := NewRevocationProof(owner.holder.self, s.witnesses, simBacking, s.timing)
 		proof.overrides = s.disabled.revocation
 		if proof.overrides.noDrift {
 			proof.needed = simBacking
@@ -71,7 +71,7 @@
 
 // provedRevoked reports whether a successor has proved the expiry of a revoked lease.
 func (s *simulation) provedRevoked(p *process, holder member.Incarnation) bool {
-	return s.revocations != nil && s.revocations.proofs[p][holder].Proved()
+	return s.revocations != nil && s.revocations.proofs[p][holder].Proved(s.clock(p))
 }
 
 // stepRevocations lets an owner check its registration, and a successor revoke the owners of lower ranks and ask their witnesses.
@@ -136,7 +136,7 @@
 				proof.Deny(to.slot)
 				return
 			}
-			before := proof.Proved()
+			before := proof.Proved(s.clock(p))
 			if proof.Confirm(to.slot, confirmation.Run, requested, s.clock(p)) && !before && s.revocations.random.Float64() < 0.5 {
 				// The store comes back from a copy that lacks the revocation.
 				delete(s.revocations.revoked, proof.Holder())
@@ -190,9 +190,9 @@
 	holder := member.NewIncarnation("holder", 1)
 	remaining := NewWitness(member.NewIncarnation("w-2", 1), Timing{}, 1, now)
 	majorityProof := NewExpiryProof(holder, []string{"w-0", "w-1", "w-2"}, Timing{})
-	proof := NewRevocationProof(holder, 6*time.Second, Timing{})
+	proof := NewRevocationProof(holder, []string{"w-0", "w-1", "w-2"}, 6*time.Second, Timing{})
 	proof.NoteRevoked(now)
-	for began := now; !proof.Proved(); now = now.Add(100 * time.Millisecond) {
+	for began := now; !proof.Proved(now); now = now.Add(100 * time.Millisecond) {
 		if took := now.Sub(began); took > 8*time.Second {
 			t.Fatalf("not proved in %v", took)
 		}
@@ -205,3 +205,32 @@
 		}
 	}
 }
+
+// TestHolderWithoutOtherWitnesses guards against a lease that nobody can prove to have expired, because its only witness is the holder's own
+// process. Such a lease needs the store, and its revocation is proved by time alone.
+func TestHolderWithoutOtherWitnesses(t *testing.T) {
+	const backing = 6 * time.Second
+	began := time.Now()
+	self := member.NewIncarnation("holder", 1)
+	h, w := NewHolder(self, Timing{}), NewWitness(self, Timing{}, 1, began)
+	h.RequireBacking(backing)
+	h.NoteUnrevoked(began, began)
+	if err := h.SetWitnesses([]string{"holder"}); err != nil {
+		t.Fatal(err)
+	}
+	proof := NewRevocationProof(self, []string{"holder"}, backing, Timing{})
+	proof.NoteRevoked(began)
+	for now := began; now.Sub(began) < backing+time.Second; now = now.Add(100 * time.Millisecond) {
+		for _, heartbeat := range h.Heartbeats(now) {
+			if ack, ok := w.HandleHeartbeat(heartbeat, now); ok {
+				h.HandleAck(ack, now)
+			}
+		}
+		if valid := h.Valid(now); valid != (now.Sub(began) < backing) || valid && proof.Proved(now) {
+			t.Fatalf("after %v: valid %v, proved expired %v", now.Sub(began), valid, proof.Proved(now))
+		}
+	}
+	if !proof.Proved(began.Add(backing + time.Second)) {
+		t.Error("the expiry isn't proved")
+	}
+}
