Sidecar: a revocation is read from the row that it replaces

Found by reading: the planner took the record from the directory and the version from the copy of the rows, which may be newer. If a running holder had just written its record again, the planner could have taken that row for the revocation and replaced it by an expired record. Both now come from one row. An incarnation whose record says that its lease has expired gets no keys, since others don't ask it for them.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -341,10 +341,11 @@
 	}
 }
 
-// TestHeartbeatAfterDeregistration guards against requests to an upstream that has deregistered while no run was known, as after a restart of
-// the process, because a heartbeat from before arrives late. It also guards against a later run that counts as the one that has left.
+// TestHeartbeatAfterDeregistration guards against requests to an upstream that has deregistered while no run was known, as after a
+// restart of the process, because a heartbeat from before arrives late. It also guards against a later run that counts as the one that
+// has left.
 func TestHeartbeatAfterDeregistration(t *testing.T) {
-	left := gateway.UpstreamRun{ID: "a", Started: 5}
+	left, unknown := gateway.UpstreamRun{ID: "a", Started: 5}, gateway.UpstreamRun{ID: "a"}
 	register := func(run gateway.UpstreamRun) func(g *gateway.Gateway, address string) {
 		return func(g *gateway.Gateway, address string) {
 			n := gateway.Registration{UpstreamRun: run, Service: "bookings", Address: address, Slots: 2, Sequence: 3}
@@ -366,16 +367,16 @@
 		want  bool
 	}{
 		{"late heartbeat", []func(*gateway.Gateway, string){deregister(left), register(left)}, false},
-		{"start time unknown", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "a"}), register(left)}, false},
+		{"start time unknown", []func(*gateway.Gateway, string){deregister(unknown), register(left)}, false},
 		{"assumed later", []func(*gateway.Gateway, string){deregister(left), assume(left)}, false},
-		{"assumed later without a start time", []func(*gateway.Gateway, string){deregister(left), assume(gateway.UpstreamRun{ID: "a"})}, false},
-		{"assumed before", []func(*gateway.Gateway, string){assume(gateway.UpstreamRun{ID: "a"}), deregister(left), register(left)}, false},
+		{"assumed later without a start time", []func(*gateway.Gateway, string){deregister(left), assume(unknown)}, false},
+		{"assumed before", []func(*gateway.Gateway, string){assume(unknown), deregister(left), register(left)}, false},
 		{"an earlier run is known", []func(*gateway.Gateway, string){
 			register(gateway.UpstreamRun{ID: "b", Started: 4}), deregister(left), register(left),
 		}, false},
 		{"repeated", []func(*gateway.Gateway, string){deregister(left), register(left), deregister(left), register(left)}, false},
 		{"later run", []func(*gateway.Gateway, string){deregister(left), register(later)}, true},
-		{"later run, start time unknown", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "a"}), register(later)}, true},
+		{"later run, start time unknown", []func(*gateway.Gateway, string){deregister(unknown), register(later)}, true},
 		{"later run after the late heartbeat", []func(*gateway.Gateway, string){deregister(left), register(left), register(later)}, true},
 		{"late deregistration", []func(*gateway.Gateway, string){register(later), deregister(left)}, true},
 		{"another upstream", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "b"}), register(left)}, true},
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -57,8 +57,8 @@
 	at  time.Time
 }
 
-// includes reports whether the departure is that of a run. Without a start time, it is that of all runs with the id that had started by then:
-// the upstream and its instance use the clock of one machine.
+// includes reports whether the departure is that of a run. Without a start time, it is that of all runs with the id that had started by
+// then: the upstream and its instance use the clock of one machine.
 func (d departure) includes(run UpstreamRun) bool {
 	if d.run.Started == 0 && run.Started > d.at.UnixMilli() {
 		return false
@@ -223,9 +223,9 @@
 	return HealthReport{ID: info.UpstreamID, ColdFor: info.ColdFor, ColdKnown: info.ColdErr == nil}, nil
 }
 
-// Deregister processes the deregistration of a run of the upstream, which is its last message. The run then counts as leaving and still serves
-// requests for a short time, also if it registers later: its first heartbeat may be delayed, and a process that has just started knows of
-// no run.
+// Deregister processes the deregistration of a run of the upstream, which is its last message. The run then counts as leaving and still
+// serves requests for a short time, also if it registers later: its first heartbeat may be delayed, and a process that has just started
+// knows of no run.
 func (g *Gateway) Deregister(run UpstreamRun) { g.DeregisterAt(run, time.Now()) }
 
 // DeregisterAt is like Deregister for a deregistration at an earlier time.
--- a/sidecar/departure_test.go
+++ b/sidecar/departure_test.go
@@ -33,7 +33,11 @@
 			return g.Register(n)
 		}, false, run, false},
 		{"not announced", func(*gateway.Gateway) error { return nil }, false, run, true},
-		{"next run", func(g *gateway.Gateway) error { g.Deregister(run); return nil }, false, gateway.UpstreamRun{ID: "i-1", Started: 101}, true},
+		{
+			"next run", func(g *gateway.Gateway) error { g.Deregister(run); return nil }, false,
+			gateway.UpstreamRun{ID: "i-1", Started: 101},
+			true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -22,7 +22,7 @@
 func newRevoked() *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sapphiretray_lost_records_total",
-		Help: "Records of lost instances that were written, by state: revoked if too few witnesses responded to prove the expiry of a lease.",
+		Help: "Records of lost instances that were written, by state. Revoked: too few witnesses responded to prove the expiry.",
 	}, []string{"state"})
 }
 
--- a/sidecar/ownermodel_losses_test.go
+++ b/sidecar/ownermodel_losses_test.go
@@ -107,8 +107,8 @@
 	return nil, nil
 }
 
-// TestOwnershipModelLosses guards against sequences of faults around machines that are lost for good, of which most may be lost, after which
-// two upstreams hold the same keys or keys stay without an owner. It runs the model of TestOwnershipModel.
+// TestOwnershipModelLosses guards against sequences of faults around machines that are lost for good, of which most may be lost, after
+// which two upstreams hold the same keys or keys stay without an owner. It runs the model of TestOwnershipModel.
 func TestOwnershipModelLosses(t *testing.T) {
 	runOwnershipModel(t, seedsFrom(*lossSeed, *lossSeeds), func(m *ownerModel) { m.losesMachines = true })
 }
--- a/sidecar/ownermodel_process_test.go
+++ b/sidecar/ownermodel_process_test.go
@@ -130,7 +130,8 @@
 	sc.gateway = gateway.New(group, ownerService, sc.settings.UpstreamAddress, ownerProtocol{}, gateway.WithKeys(sc.keys),
 		gateway.WithOnChange(sc.upstreamChanged), gateway.WithDial(sc.adapters.Network.DialContext))
 	sc.endpoint = heartbeat.New(sc.firstIncarnation(), heartbeat.WithNetwork(ownerHeartbeats{p}),
-		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithBacking(leaseBacking), heartbeat.WithDial(sc.dialSlot),
+		heartbeat.WithListen(sc.settings.HeartbeatAddress), heartbeat.WithTiming(timing()), heartbeat.WithBacking(leaseBacking),
+		heartbeat.WithDial(sc.dialSlot),
 		heartbeat.WithVersions(sc.heartbeatVersions), heartbeat.WithOnVersions(sc.observeHeartbeat),
 		heartbeat.WithOnChange(sc.leaseChanged))
 	p.handler = peer.NewHandler(&peerService{sidecar: sc})
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -129,8 +129,8 @@
 	nodes   []*ownerNode
 	// losesWrites means that storeFromCopy is among the troubles.
 	losesWrites bool
-	// losesMachines means that lostMachine is among the troubles, and scenario takes the place of random troubles unless it is nil. All nodes
-	// then run from the start.
+	// losesMachines means that lostMachine is among the troubles, and scenario takes the place of random troubles unless it is nil. All
+	// nodes then run from the start.
 	losesMachines bool
 	scenario      func()
 
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -265,7 +265,7 @@
 	}
 	serviceTime := meanServiceTime(reports)
 	for i, r := range reports {
-		if r.GetUsable() && sc.directory.isRegistered(i) && !sc.isAvoided(i) {
+		if r.GetUsable() && sc.directory.isRegistered(i) && !sc.directory.ended(i) && !sc.isAvoided(i) {
 			p.Candidates = append(p.Candidates, keyspace.Candidate{
 				Instance: i, Slots: int(max(r.GetSlots(), 1)), RelativeServiceTime: relative[i], SettledVersion: r.GetSettled(),
 				ColdLoad: coldLoad(r, serviceTime),
--- a/sidecar/revocation.go
+++ b/sidecar/revocation.go
@@ -51,8 +51,8 @@
 	return witness.NewRevocationProof(record.Incarnation, record.Witnesses, leaseBacking, timing())
 }
 
-// begin returns the proof for the incarnation of a record and begins one if there is none. It returns nil while another goroutine uses the proof, and
-// otherwise release has to be called.
+// begin returns the proof for the incarnation of a record and begins one if there is none. It returns nil while another goroutine uses
+// the proof, and otherwise release has to be called.
 func (rs *revocations) begin(record member.Record) *revocation {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -88,19 +88,20 @@
 	return r.Incarnation == i && r.State == member.Expired
 }
 
-// expireRecord makes progress with writing that the lease of the newest incarnation in a slot has expired. All instances then know that it
-// and earlier ones in the slot, of which i is one, serve no keys. proved means that the expiry of the lease of i is proved. Nothing may have
-// reported from the slot.
+// expireRecord makes progress with writing that the lease of the newest incarnation in a slot has expired. All instances then know that
+// it and earlier ones in the slot, of which i is one, serve no keys. proved means that the expiry of the lease of i is proved. Nothing
+// may have reported from the slot.
 func (sc *Sidecar) expireRecord(ctx context.Context, i member.Incarnation, proved bool) {
-	record, ok := sc.directory.record(i.Slot())
-	if !ok || record.Incarnation.Number() < i.Number() || record.State.Ended() {
+	// The directory's record may be older than the row, which the holder may have written again after a revocation.
+	row := sc.rows.Get(member.RowKey(i.Slot()))
+	record, err := decodeRecord(row)
+	if row.Deleted || err != nil || record.Incarnation.Number() < i.Number() || record.State.Ended() {
 		return
 	}
 	r := sc.revocations.begin(record)
 	if r == nil {
 		return
 	}
-	row := sc.rows.Get(member.RowKey(i.Slot()))
 	if record.Incarnation == i && proved {
 		sc.writeState(ctx, record, row, member.Expired)
 		sc.revocations.release(r, true)
@@ -133,20 +134,25 @@
 		wait.For(ctx, left)
 	}
 	confirmed, responded := sc.askWitnesses(ctx, r.proof, record.Witnesses)
-	switch {
-	case confirmed == 0 && !r.proof.Alone() || confirmed < responded:
+	if confirmed == 0 && !r.proof.Alone() || confirmed < responded {
 		return true
-	case responded > len(record.Witnesses)/2 || r.proof.Proved(time.Now()):
+	}
+	if responded > len(record.Witnesses)/2 || r.proof.Proved(time.Now()) {
 		return sc.writeExpired(ctx, record, row)
-	case record.State != member.Revoked:
-		if record.Revocable && time.Since(r.since) >= revokeDelay {
-			sc.writeState(ctx, record, row, member.Revoked)
-		}
-	case r.row == 0:
+	}
+	sc.revokeRecord(ctx, r, record, row)
+	return false
+}
+
+// revokeRecord writes that the incarnation of a record is revoked, unless it is, once nothing has reported from its slot for revokeDelay.
+func (sc *Sidecar) revokeRecord(ctx context.Context, r *revocation, record member.Record, row store.Row) {
+	switch {
+	case record.State == member.Revoked:
 		r.row = row.Version
 		r.proof.NoteRevoked(time.Now())
+	case record.Revocable && time.Since(r.since) >= revokeDelay:
+		sc.writeState(ctx, record, row, member.Revoked)
 	}
-	return false
 }
 
 // writeExpired writes that the lease of a record's incarnation has expired, once the grants of earlier incarnations in the slot have ended.
--- a/sidecar/session.go
+++ b/sidecar/session.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// restoreDeparture makes the gateway know that the upstream leaves if it announced that to an earlier process in this slot. A heartbeat that
-// it sent before may arrive at this process.
+// restoreDeparture makes the gateway know that the upstream leaves if it announced that to an earlier process in this slot. A heartbeat
+// that it sent before may arrive at this process.
 func (sc *Sidecar) restoreDeparture() {
 	record, ok := sc.directory.record(sc.settings.Slot)
 	if !ok || record.UpstreamLeft == 0 || record.Service != sc.settings.Service {
@@ -247,8 +247,8 @@
 }
 
 // adoptRow makes the next write of the record replace the newest known row, and reports whether another writer has changed it. A record
-// of a newer incarnation, which is that of another process in the slot, isn't replaced, nor is one by which the lease has expired. One that revokes this incarnation is: the
-// lease can't be proved to have expired then.
+// of a newer incarnation, which is that of another process in the slot, isn't replaced, nor is one by which the lease has expired. One
+// that revokes this incarnation is: the lease can't be proved to have expired then.
 func (s *session) adoptRow() bool {
 	row := s.sidecar.rows.Get(member.RowKey(s.self().Slot()))
 	if row.Version <= s.version {
--- a/sidecar/witnesses.go
+++ b/sidecar/witnesses.go
@@ -20,8 +20,8 @@
 	// unresponsiveAvoidTime is how long an unresponsive witness is avoided. Machines that were disconnected or restarted are usually
 	// back by then.
 	unresponsiveAvoidTime = 30 * time.Second
-	// witnessReplaceTime is the time without an acknowledgement after which a witness of a valid lease is replaced. It outlasts restarts and
-	// short partitions, since the instance joins again for it. witnessReplaceSpread is by how much that is spread.
+	// witnessReplaceTime is the time without an acknowledgement after which a witness of a valid lease is replaced. It outlasts restarts
+	// and short partitions, since the instance joins again for it. witnessReplaceSpread is by how much that is spread.
 	witnessReplaceTime   = 10 * time.Second
 	witnessReplaceSpread = 4 * time.Second
 	// witnessProbes is the number of instances that are probed at once.
@@ -72,8 +72,8 @@
 	})
 }
 
-// isUnresponsive reports whether the instance in a slot didn't respond to requests, or lately as a witness or to a probe. Records of machines
-// that are permanently down stay in the store.
+// isUnresponsive reports whether the instance in a slot didn't respond to requests, or lately as a witness or to a probe. Records of
+// machines that are permanently down stay in the store.
 func (sc *Sidecar) isUnresponsive(slot string) bool {
 	since, ok := sc.unresponsiveSince[slot]
 	return ok && time.Since(since) < unresponsiveAvoidTime || slices.Contains(sc.directory.unreachableSlots(), slot)
@@ -115,8 +115,8 @@
 	return chosen
 }
 
-// probeWitnesses probes the instances that are preferred as witnesses until enough respond, and records those that don't. It is needed after
-// a session that got no lease: the records of machines that are permanently down may be many.
+// probeWitnesses probes the instances that are preferred as witnesses until enough respond, and records those that don't. It is needed
+// after a session that got no lease: the records of machines that are permanently down may be many.
 func (sc *Sidecar) probeWitnesses(ctx context.Context) {
 	candidates := slices.DeleteFunc(sc.others(), func(r member.Record) bool { return sc.isUnresponsive(r.Incarnation.Slot()) })
 	responsive := 0
@@ -148,8 +148,9 @@
 	}
 }
 
-// canReplaceWitnesses reports whether the session would get better witnesses if the instance joined again: more in other slots that respond.
-// Some may be permanently down, or the instance has joined when there were few others. It probes other instances before it returns true.
+// canReplaceWitnesses reports whether the session would get better witnesses if the instance joined again: more in other slots that
+// respond. Some may be permanently down, or the instance has joined when there were few others. It probes other instances before it
+// returns true.
 func (s *session) canReplaceWitnesses(ctx context.Context, now time.Time) bool {
 	if !s.hasBetterWitnesses(now) {
 		s.replaceable = time.Time{}
--- a/witness/holder.go
+++ b/witness/holder.go
@@ -149,8 +149,9 @@
 	return nil
 }
 
-// RequireBacking makes the lease end for good unless, within d, all witnesses have supported it, of which one must be in another slot, or it
-// was known not to be revoked; see NoteUnrevoked. RevocationProof relies on it with the same d. It is called before the first heartbeat.
+// RequireBacking makes the lease end for good unless, within d, all witnesses have supported it, of which one must be in another slot, or
+// it was known not to be revoked; see NoteUnrevoked. RevocationProof relies on it with the same d. It is called before the first
+// heartbeat.
 func (h *Holder) RequireBacking(d time.Duration) { h.backing = d }
 
 // NoteUnrevoked records that the holder's incarnation wasn't revoked at a time, which is that before the request whose response shows it.
--- a/witness/revocation_test.go
+++ b/witness/revocation_test.go
@@ -206,8 +206,8 @@
 	}
 }
 
-// TestHolderWithoutOtherWitnesses guards against a lease that nobody can prove to have expired, because its only witness is the holder's own
-// process. Such a lease needs the store, and its revocation is proved by time alone.
+// TestHolderWithoutOtherWitnesses guards against a lease that nobody can prove to have expired, because its only witness is the holder's
+// own process. Such a lease needs the store, and its revocation is proved by time alone.
 func TestHolderWithoutOtherWitnesses(t *testing.T) {
 	const backing = 6 * time.Second
 	began := time.Now()
