Gateway: a deregistration ends the known run whatever the clocks say

Found by reading once more. A deregistration without a start time was ignored for the known run if that had started later by the clock, as after a step back; before it counted. And an assumed run without a start time kept the departure of an earlier run with its id when a later run registered.

Change: a deregistration counts for the known run with its id, unless both state start times that differ. A run that started after the departure of the assumed one isn't leaving.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -378,6 +378,10 @@
 		{"later run", []func(*gateway.Gateway, string){deregister(left), register(later)}, true},
 		{"later run, start time unknown", []func(*gateway.Gateway, string){deregister(unknown), register(later)}, true},
 		{"later run after the late heartbeat", []func(*gateway.Gateway, string){deregister(left), register(left), register(later)}, true},
+		{"later run, one without a start time is assumed", []func(*gateway.Gateway, string){
+			deregister(unknown), assume(unknown), register(later),
+		}, true},
+		{"the clock was set back after the start", []func(*gateway.Gateway, string){register(later), deregister(unknown)}, false},
 		{"late deregistration", []func(*gateway.Gateway, string){register(later), deregister(left)}, true},
 		{"another upstream", []func(*gateway.Gateway, string){deregister(gateway.UpstreamRun{ID: "b"}), register(left)}, true},
 	}
--- a/gateway/registration.go
+++ b/gateway/registration.go
@@ -88,6 +88,10 @@
 	switch {
 	case r.known && r.current.Started == 0 && n.ID == r.current.ID:
 		r.current = n
+		if r.leaving && n.Started > r.leavingSince.UnixMilli() {
+			// An earlier run with the id was assumed, which had left.
+			r.leaving, r.leavingSince = false, time.Time{}
+		}
 	case !r.known || n.Started > r.current.Started:
 		if r.known {
 			r.recordEnd(r.current.UpstreamRun)
@@ -110,7 +114,7 @@
 
 // depart records that a run leaves, and reports whether it is the current one and wasn't known to leave.
 func (r *registry) depart(d departure) bool {
-	if r.known && d.includes(r.current.UpstreamRun) {
+	if r.known && d.run.Same(r.current.UpstreamRun) {
 		return r.startLeaving(d.at)
 	}
 	r.departures = append(r.departures, d)
