Sidecar: the planner logs that no majority confirms the expiry of a lease

The log didn't tell why keys stayed with an instance that is gone: failed proofs were logged at verbosity 1 only, without the number of witnesses that responded. The line appears once for each instance and interval.

--- a/sidecar/revocation.go
+++ b/sidecar/revocation.go
@@ -192,6 +192,10 @@
 	}
 	// The goroutines return no errors.
 	_ = group.Wait()
+	if i := proof.Holder(); confirmed <= len(slots)/2 && sc.directory.logLimit.Allow("unproved "+i.String()) {
+		klog.InfoS("plan: no majority of the witnesses confirms the expiry of the lease", "instance", i, "witnesses", slots,
+			"responded", responded, "confirmed", confirmed)
+	}
 	return confirmed, responded
 }
 
