--- a/sidecar/ownermodel_losses_test.go
+++ b/sidecar/ownermodel_losses_test.go
@@ -1,10 +1,15 @@
 package sidecar
 
 import (
+	"encoding/json"
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
+
+	"sapphiretray/member"
+	"sapphiretray/store"
 )
 
 var (
@@ -73,6 +78,36 @@
 	}
 }
 
+// TestRecordsOfLostInstances guards against instances that never get a lease because they choose their witnesses among those of a service
+// without keys that are gone: nothing proves that these have ended, so that their records stay.
+func TestRecordsOfLostInstances(t *testing.T) {
+	for _, gone := range []int{2, 3, 4} {
+		t.Run(fmt.Sprint(gone, " of 6"), func(t *testing.T) {
+			runOwnershipModel(t, []uint64{1, 2}, func(m *ownerModel) {
+				m.gone = gone
+				m.scenario = func() { time.Sleep(lossRecoveryTime) }
+			})
+		})
+	}
+}
+
+// writeLostRecord makes a node that has never run a lost machine of a service without keys, and writes its record. The model's mutex must be
+// held.
+func (m *ownerModel) writeLostRecord(n *ownerNode) {
+	n.lost = true
+	value, err := json.Marshal(member.Record{
+		Incarnation: member.NewIncarnation(n.slot, 1), Service: "docs", DataCentre: n.dataCentre, Region: "region", State: member.Ready,
+		PeerAddress: n.address(modelPeerPort), HeartbeatAddress: n.address(modelHeartbeatPort), CallerAddress: n.address(modelCallerPort),
+	})
+	if err != nil {
+		panic(err)
+	}
+	write := store.Write{Table: TableName, Key: member.RowKey(n.slot), Value: value}
+	if _, err := m.store.apply(store.Transaction{Writes: []store.Write{write}}, "a lost machine"); err != nil {
+		panic(err)
+	}
+}
+
 // TestAllWitnessesLost guards against keys that are never served again because their holder is lost for good with all of its witnesses.
 func TestAllWitnessesLost(t *testing.T) {
 	runOwnershipModel(t, []uint64{1}, func(m *ownerModel) {
--- a/sidecar/ownermodel_run_test.go
+++ b/sidecar/ownermodel_run_test.go
@@ -133,6 +133,8 @@
 	// nodes then run from the start.
 	losesMachines bool
 	scenario      func()
+	// gone is the number of nodes that were lost before the start. Their records are in the store.
+	gone int
 
 	// mu guards the fields below and those of the store, the network, the nodes and the upstreams.
 	mu sync.Mutex
@@ -282,11 +284,14 @@
 			nodes = 8
 		}
 		if m.scenario != nil {
-			initial, nodes = 6, 6
+			initial, nodes = 6-m.gone, 6
 		}
 		for n := range nodes {
 			m.nodes = append(m.nodes, m.newNode(n, d))
 		}
+		for _, n := range m.nodes[len(m.nodes)-m.gone:] {
+			m.writeLostRecord(n)
+		}
 	})
 	for n, node := range m.nodes {
 		m.group.Go(node.register)
