Sidecar: the store of a test writes an evacuation at once

Its store raised the version, woke the open calls and added the row only then, so that calls that ended in between returned the version without the row, which no store does. With a pause there it fails on, too. The row is now written under the same lock; what the test checks is as before.

--- a/sidecar/configfleet_test.go
+++ b/sidecar/configfleet_test.go
@@ -63,17 +63,19 @@
 func (s *configStore) put() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.write()
+}
+
+// write begins the next version. s.mu must be held.
+func (s *configStore) write() uint64 {
 	s.version++
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.version
 }
 
-// evacuate writes the row that evacuates dc-1.
-func (s *configStore) evacuate() {
-	version := s.put()
-	s.set(func() { s.evacuated = version })
-}
+// evacuate writes the row that evacuates dc-1. Calls that end at the change return it.
+func (s *configStore) evacuate() { s.set(func() { s.evacuated = s.write() }) }
 
 // forget makes the store not answer the calls for changes that are open.
 func (s *configStore) forget() {
