--- a/sidecar/ownermodel_losses_test.go
+++ b/sidecar/ownermodel_losses_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// writeLostRecord makes a node that has never run a lost machine of a service without keys, and writes its record. The model's mutex must be
-// held.
+// writeLostRecord makes a node that has never run a lost machine of a service without keys, and writes its record. The model's mutex
+// must be held.
 func (m *ownerModel) writeLostRecord(n *ownerNode) {
 	n.lost = true
 	value, err := json.Marshal(member.Record{
