review: case 13, callers that send requests behind one another end a process

Cause: the heads that are parsed ahead of their turn are kept without reserving memory for them, up to 16 for each connection.

The case lets 300 callers send 40 requests of 5 KB each behind one another to a machine of 184 MB, and kills the process as the platform does when it takes more.

--- a/review/standins-3/bench.go
+++ b/review/standins-3/bench.go
@@ -59,6 +59,8 @@
 	network string
 	// first is the number of the machines with which the system starts for the first time.
 	first int
+	// memoryMB is the memory of each machine, and slots the number of requests that a server runs at once.
+	memoryMB, slots int
 
 	mu       sync.Mutex
 	runs     []run
@@ -83,7 +85,7 @@
 }
 
 func newBench() (*bench, error) {
-	b := &bench{started: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	b := &bench{started: time.Now(), memoryMB: 284, slots: 6, trouble: os.Getenv("TROUBLE") != "0"}
 	var err error
 	if b.record, err = os.Create("record.txt"); err != nil {
 		return nil, err
@@ -122,13 +124,13 @@
 	b.log("server %s runs %s", server, request)
 }
 
-// runsOf returns the runs of the requests whose ids have a prefix.
+// runsOf returns the runs of the requests whose ids have a prefix. An id is followed by a zero byte.
 func (b *bench) runsOf(prefix string) []run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found []run
 	for _, r := range b.runs {
-		if strings.HasPrefix(r.request, prefix) {
+		if strings.HasPrefix(r.request+"\x00", prefix) {
 			found = append(found, r)
 		}
 	}
@@ -232,7 +234,7 @@
 bootstrap=%[13]t
 limits.cpu_share=0.32
 limits.cores=1
-limits.memory_mb=284
+limits.memory_mb=%[14]d
 limits.max_fds=4100
 limits.link_mbps=1000.0
 discovery=local
@@ -270,7 +272,7 @@
 platform.across=false
 platform.history=20s
 `, m.number, m.zone, m.ip, portInbound, portCallers, portReady, portControl, portInner, portInner+15, portServer, m.server.service,
-		m.bench.store.address, bootstrap)
+		m.bench.store.address, bootstrap, m.bench.memoryMB)
 }
 
 // touch records that the machine isn't in touch for a time.
@@ -471,7 +473,7 @@
 
 func main() {
 	cases := map[string]func(*bench) (int, error){
-		"add-service": addService, "all-replaced": allReplaced, "drain-forgotten": drainForgotten, "crash-restart": crashRestart,
+		"add-service": addService, "crowd-ahead": crowdAhead, "all-replaced": allReplaced, "drain-forgotten": drainForgotten, "crash-restart": crashRestart,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE")
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -16,7 +16,6 @@
 
 const (
 	heartbeatInterval = 870 * time.Millisecond
-	serverSlots       = 6
 	orderWork         = 600 * time.Millisecond
 	stampHeader       = "X-Sapphiretray-Server-Stamp"
 	idHeader          = "X-Sapphiretray-Request-Id"
@@ -66,7 +65,7 @@
 	}
 	a.starts++
 	a.id = fmt.Sprintf("i-m%d-%d", a.machine, a.starts)
-	a.slots = make(chan struct{}, serverSlots)
+	a.slots = make(chan struct{}, a.bench.slots)
 	a.sequence, a.leaving = 0, false
 	if a.keyed {
 		a.keys = newKeyTable(a.bench, a.id)
@@ -135,7 +134,7 @@
 	a.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"address": a.address, "born": born,
-		"info":   map[string]any{"service": a.service, "version": "v1", "zone": a.zone, "slots": serverSlots},
+		"info":   map[string]any{"service": a.service, "version": "v1", "zone": a.zone, "slots": a.bench.slots},
 		"status": map[string]any{"state": "ready", "sequence": a.sequence, "cold_remaining": "0ms"},
 	})
 	return body
@@ -248,6 +247,6 @@
 		return
 	}
 	w.Header().Set(stampHeader, id+"."+request)
-	w.Header().Set("X-Sapphiretray-Server-Load", fmt.Sprintf("%d,0,%d", len(slots), serverSlots))
+	w.Header().Set("X-Sapphiretray-Server-Load", fmt.Sprintf("%d,0,%d", len(slots), a.bench.slots))
 	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes", id, request, len(body))
 }
